--- /dev/null
+++ b/src/core/error_kind.h
@@ -0,0 +1,106 @@
+#ifndef FLAMINGOYOKE_CORE_ERROR_KIND_H_
+#define FLAMINGOYOKE_CORE_ERROR_KIND_H_
+
+#include <array>
+
+#include "core/name_table.h"
+
+namespace flamingoyoke {
+
+// The closed list of everything that can go wrong. `answer_table.h` maps each
+// kind to the answer that a caller gets.
+enum class ErrorKind {
+  // The caller's request.
+  kMalformedRequest,
+  kConflictingHeaders,
+  kRequestTooLarge,
+  kRequestTooSlow,
+  kNoRoute,
+  kUnknownService,
+  kInvalidHeader,
+  // Admission.
+  kBodyBudgetExhausted,
+  kQueueFull,
+  kTeamLimit,
+  kDeadlineUnreachable,
+  kDeadlinePassed,
+  kNotReady,
+  kLeaving,
+  kHardStopQueued,
+  kHardStopInFlight,
+  // Upstreams.
+  kNoTarget,
+  kConnectFailed,
+  kUpstreamShed,
+  kUpstreamTimeout,
+  kUpstreamReset,
+  kPartialAnswer,
+  // Idempotency keys.
+  kKeyRequired,
+  kKeyMalformed,
+  kKeyIssuedElsewhere,
+  kKeyIssuerGone,
+  kKeyExpired,
+  kKeyInFlight,
+  kKeyAnswerNotKept,
+  kKeyLedgerFull,
+  // Table and settings.
+  kTableRefused,
+  kSettingsInvalid,
+  // Parts of the process and its surroundings.
+  kPlatformUnavailable,
+  kMailboxFull,
+  kMalformedMessage,
+  kSocketFailed,
+  kChildFailed,
+  kInternal,
+};
+
+template <>
+struct EnumNames<ErrorKind> {
+  static constexpr auto kTable = std::to_array<NameEntry<ErrorKind>>({
+      {ErrorKind::kMalformedRequest, "malformed-request"},
+      {ErrorKind::kConflictingHeaders, "conflicting-headers"},
+      {ErrorKind::kRequestTooLarge, "request-too-large"},
+      {ErrorKind::kRequestTooSlow, "request-too-slow"},
+      {ErrorKind::kNoRoute, "no-route"},
+      {ErrorKind::kUnknownService, "unknown-service"},
+      {ErrorKind::kInvalidHeader, "invalid-header"},
+      {ErrorKind::kBodyBudgetExhausted, "body-budget-exhausted"},
+      {ErrorKind::kQueueFull, "queue-full"},
+      {ErrorKind::kTeamLimit, "team-limit"},
+      {ErrorKind::kDeadlineUnreachable, "deadline-unreachable"},
+      {ErrorKind::kDeadlinePassed, "deadline-passed"},
+      {ErrorKind::kNotReady, "not-ready"},
+      {ErrorKind::kLeaving, "leaving"},
+      {ErrorKind::kHardStopQueued, "hard-stop-queued"},
+      {ErrorKind::kHardStopInFlight, "hard-stop-in-flight"},
+      {ErrorKind::kNoTarget, "no-target"},
+      {ErrorKind::kConnectFailed, "connect-failed"},
+      {ErrorKind::kUpstreamShed, "upstream-shed"},
+      {ErrorKind::kUpstreamTimeout, "upstream-timeout"},
+      {ErrorKind::kUpstreamReset, "upstream-reset"},
+      {ErrorKind::kPartialAnswer, "partial-answer"},
+      {ErrorKind::kKeyRequired, "key-required"},
+      {ErrorKind::kKeyMalformed, "key-malformed"},
+      {ErrorKind::kKeyIssuedElsewhere, "key-issued-elsewhere"},
+      {ErrorKind::kKeyIssuerGone, "key-issuer-gone"},
+      {ErrorKind::kKeyExpired, "key-expired"},
+      {ErrorKind::kKeyInFlight, "key-in-flight"},
+      {ErrorKind::kKeyAnswerNotKept, "key-answer-not-kept"},
+      {ErrorKind::kKeyLedgerFull, "key-ledger-full"},
+      {ErrorKind::kTableRefused, "table-refused"},
+      {ErrorKind::kSettingsInvalid, "settings-invalid"},
+      {ErrorKind::kPlatformUnavailable, "platform-unavailable"},
+      {ErrorKind::kMailboxFull, "mailbox-full"},
+      {ErrorKind::kMalformedMessage, "malformed-message"},
+      {ErrorKind::kSocketFailed, "socket-failed"},
+      {ErrorKind::kChildFailed, "child-failed"},
+      {ErrorKind::kInternal, "internal"},
+  });
+};
+static_assert(IsDense<ErrorKind>());
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_CORE_ERROR_KIND_H_
--- /dev/null
+++ b/src/core/ids.h
@@ -0,0 +1,81 @@
+#ifndef FLAMINGOYOKE_CORE_IDS_H_
+#define FLAMINGOYOKE_CORE_IDS_H_
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace flamingoyoke {
+
+// A string identifier whose type says what it identifies, so that ids of
+// different things cannot be mixed up.
+template <typename Tag>
+class StringId {
+ public:
+  StringId() = default;
+  explicit StringId(std::string value) : value_(std::move(value)) {}
+
+  [[nodiscard]] auto value() const -> const std::string& { return value_; }
+  [[nodiscard]] auto empty() const -> bool { return value_.empty(); }
+
+  auto operator<=>(const StringId&) const = default;
+
+ private:
+  std::string value_;
+};
+
+// An unsigned number whose type says what it counts.
+template <typename Tag>
+class NumberId {
+ public:
+  constexpr NumberId() = default;
+  constexpr explicit NumberId(std::uint64_t value) : value_(value) {}
+
+  [[nodiscard]] constexpr auto value() const -> std::uint64_t { return value_; }
+
+  constexpr auto operator<=>(const NumberId&) const = default;
+
+ private:
+  std::uint64_t value_ = 0;
+};
+
+using VmId = StringId<struct VmTag>;
+using FailureDomainId = StringId<struct FailureDomainTag>;
+using RegionId = StringId<struct RegionTag>;
+using ServiceId = StringId<struct ServiceTag>;
+using TeamId = StringId<struct TeamTag>;
+// A target is named by its "ip:port".
+using TargetId = StringId<struct TargetTag>;
+
+// Distinguishes two processes that ran on the same vm; a later process has a
+// higher incarnation.
+using Incarnation = NumberId<struct IncarnationTag>;
+// Version of the operators' table; 0 means that no table is known.
+using Revision = NumberId<struct RevisionTag>;
+// Request accepted by this process; unique within the process.
+using RequestId = NumberId<struct RequestTag>;
+// Slot loan; unique within the lender's incarnation.
+using LoanId = NumberId<struct LoanTag>;
+
+}  // namespace flamingoyoke
+
+template <typename Tag>
+struct std::hash<flamingoyoke::StringId<Tag>> {
+  auto operator()(const flamingoyoke::StringId<Tag>& id) const noexcept
+      -> std::size_t {
+    return std::hash<std::string>{}(id.value());
+  }
+};
+
+template <typename Tag>
+struct std::hash<flamingoyoke::NumberId<Tag>> {
+  auto operator()(const flamingoyoke::NumberId<Tag>& id) const noexcept
+      -> std::size_t {
+    return std::hash<std::uint64_t>{}(id.value());
+  }
+};
+
+#endif  // FLAMINGOYOKE_CORE_IDS_H_
--- /dev/null
+++ b/src/decision/fleet/member.h
@@ -0,0 +1,51 @@
+#ifndef FLAMINGOYOKE_DECISION_FLEET_MEMBER_H_
+#define FLAMINGOYOKE_DECISION_FLEET_MEMBER_H_
+
+#include <array>
+#include <string>
+
+#include "core/ids.h"
+#include "core/name_table.h"
+
+namespace flamingoyoke {
+
+// What this node believes about another vm.
+enum class Liveness {
+  kUnproven,  // Listed by the platform, never heard.
+  kAlive,
+  kSuspect,
+  kDead,
+};
+
+template <>
+struct EnumNames<Liveness> {
+  static constexpr auto kTable = std::to_array<NameEntry<Liveness>>({
+      {Liveness::kUnproven, "unproven"},
+      {Liveness::kAlive, "alive"},
+      {Liveness::kSuspect, "suspect"},
+      {Liveness::kDead, "dead"},
+  });
+};
+static_assert(IsDense<Liveness>());
+
+// One vm of the fleet as a node knows it.
+struct Member {
+  VmId id;
+  Incarnation incarnation;
+  FailureDomainId failure_domain;
+  RegionId region;
+  // Where callers connect, "ip:port".
+  std::string address;
+  // Where the mesh socket of the vm listens, "ip:port".
+  std::string mesh_address;
+  Liveness liveness = Liveness::kUnproven;
+  bool leaving = false;
+  // Whether the vm has a table in force and takes callers.
+  bool ready = false;
+
+  auto operator==(const Member&) const -> bool = default;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_FLEET_MEMBER_H_
--- /dev/null
+++ b/src/runtime/clock.h
@@ -0,0 +1,19 @@
+#ifndef FLAMINGOYOKE_RUNTIME_CLOCK_H_
+#define FLAMINGOYOKE_RUNTIME_CLOCK_H_
+
+#include <cstdint>
+
+#include "core/time.h"
+
+namespace flamingoyoke {
+
+// Returns the time since boot, including time spent suspended. Thread-safe.
+auto Now() -> TimePoint;
+
+// Returns the wall-clock time in milliseconds since 1970. Only for values that
+// people or other systems read, never for measuring durations. Thread-safe.
+auto WallClockMs() -> std::int64_t;
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_RUNTIME_CLOCK_H_
--- /dev/null
+++ b/src/runtime/task.h
@@ -0,0 +1,76 @@
+#ifndef FLAMINGOYOKE_RUNTIME_TASK_H_
+#define FLAMINGOYOKE_RUNTIME_TASK_H_
+
+#include <array>
+#include <concepts>
+#include <utility>
+
+#include "core/name_table.h"
+#include "core/result.h"
+#include "runtime/event_loop.h"
+
+namespace flamingoyoke {
+
+// How urgently a task is asked to stop.
+enum class StopMode {
+  kNone,
+  kGraceful,  // Finish what was accepted, then exit.
+  kHard,      // Answer what remains truthfully and exit at once.
+};
+
+template <>
+struct EnumNames<StopMode> {
+  static constexpr auto kTable = std::to_array<NameEntry<StopMode>>({
+      {StopMode::kNone, "none"},
+      {StopMode::kGraceful, "graceful"},
+      {StopMode::kHard, "hard"},
+  });
+};
+static_assert(IsDense<StopMode>());
+
+// What a task may do with the host that runs it. Used on the task's thread
+// only.
+class TaskContext {
+ public:
+  explicit TaskContext(EventLoop& loop) : loop_(loop) {}
+
+  [[nodiscard]] auto loop() -> EventLoop& { return loop_; }
+
+  // Ends the task without an error after the current callback.
+  auto Exit() -> void { loop_.Quit(); }
+
+  // Ends the task with `error` after the current callback, so that its
+  // supervisor restarts it. For failures met in timer and socket callbacks;
+  // Start and Handle return theirs.
+  auto Abort(Error error) -> void {
+    error_ = std::move(error);
+    loop_.Quit();
+  }
+
+  [[nodiscard]] auto error() const -> const std::optional<Error>& {
+    return error_;
+  }
+
+ private:
+  EventLoop& loop_;
+  std::optional<Error> error_;
+};
+
+// A task owns its sockets and state, and is driven by one thread:
+// - Start opens sockets and timers. `context` outlives the task.
+// - Handle takes one message.
+// - Stop is told each raise of the stop mode and calls context.Exit() once
+//   nothing accepted remains.
+template <typename T>
+concept Task = requires(T task,
+                        TaskContext& context,
+                        typename T::Message message,
+                        StopMode mode) {
+  { task.Start(context) } -> std::same_as<Result<void>>;
+  { task.Handle(std::move(message)) } -> std::same_as<Result<void>>;
+  { task.Stop(mode) } -> std::same_as<void>;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_RUNTIME_TASK_H_
--- /dev/null
+++ b/tests/unit/runtime/supervisor_test.cc
@@ -0,0 +1,118 @@
+#include "runtime/supervisor.h"
+
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <chrono>
+#include <thread>
+
+namespace flamingoyoke {
+namespace {
+
+struct FailNow {};
+struct Ping {};
+using ProbeMessage = std::variant<FailNow, Ping>;
+
+// A task that fails on request and counts its starts and messages.
+class ProbeTask {
+ public:
+  using Message = ProbeMessage;
+
+  ProbeTask(std::atomic<int>& starts, std::atomic<int>& pings)
+      : starts_(starts), pings_(pings) {}
+
+  auto Start(TaskContext& context) -> Result<void> {
+    context_ = &context;
+    ++starts_;
+    return {};
+  }
+
+  auto Handle(Message message) -> Result<void> {
+    if (std::holds_alternative<FailNow>(message)) {
+      return Fail(ErrorKind::kInternal, "asked to fail");
+    }
+    ++pings_;
+    return {};
+  }
+
+  auto Stop(StopMode) -> void { context_->Exit(); }
+
+ private:
+  std::atomic<int>& starts_;
+  std::atomic<int>& pings_;
+  TaskContext* context_ = nullptr;
+};
+
+template <typename Condition>
+auto WaitFor(Condition condition) -> bool {
+  const auto limit = Now() + std::chrono::seconds(20);
+  while (!condition()) {
+    if (Now() > limit) {
+      return false;
+    }
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return true;
+}
+
+using ProbeSupervisor = Supervisor<ProbeTask>;
+
+struct Fixture {
+  std::atomic<int> starts = 0;
+  std::atomic<int> pings = 0;
+  std::atomic<bool> exited = false;
+  std::optional<Error> exit_error;
+  Mailbox<ProbeMessage> child_mailbox{8};
+  Mailbox<SupervisorMessage> mailbox{8};
+  TaskHost<ProbeSupervisor> host{"probe-supervisor", mailbox,
+                                 [this] { return MakeSupervisor(); }};
+
+  auto MakeSupervisor() -> std::unique_ptr<ProbeSupervisor> {
+    std::vector<ProbeSupervisor::Child> children;
+    children.emplace_back(std::make_unique<TaskHost<ProbeTask>>(
+        "probe", child_mailbox,
+        [this] { return std::make_unique<ProbeTask>(starts, pings); }));
+    return std::make_unique<ProbeSupervisor>(
+        mailbox, std::move(children),
+        RestartLimit{.restarts = 3, .window = std::chrono::seconds(60)},
+        [](const SupervisorEvent&) {});
+  }
+
+  auto Start() -> void {
+    host.Start([this](std::optional<Error> error) {
+      exit_error = std::move(error);
+      exited = true;
+    });
+  }
+};
+
+// Guards against a failed child that stays dead, and against losing the
+// messages that arrive while it restarts.
+Test(supervisor, restarts_a_failed_child_and_keeps_its_mailbox) {
+  Fixture fixture;
+  fixture.Start();
+  fixture.child_mailbox.Post(FailNow{});
+  cr_assert(WaitFor([&] { return fixture.starts == 2; }));
+  fixture.child_mailbox.Post(Ping{});
+  cr_assert(WaitFor([&] { return fixture.pings == 1; }));
+  fixture.host.RequestStop(StopMode::kGraceful);
+  cr_assert(WaitFor([&] { return fixture.exited.load(); }));
+  cr_assert_not(fixture.exit_error.has_value());
+}
+
+// Guards against a child that is restarted forever.
+Test(supervisor, passes_the_failure_up_past_the_limit) {
+  Fixture fixture;
+  fixture.Start();
+  for (int failure = 0; failure < 4; ++failure) {
+    cr_assert(WaitFor([&] { return fixture.starts == failure + 1; }));
+    fixture.child_mailbox.Post(FailNow{});
+  }
+  cr_assert(WaitFor([&] { return fixture.exited.load(); }));
+  cr_assert(fixture.exit_error.has_value());
+  cr_assert(fixture.exit_error->kind == ErrorKind::kChildFailed);
+  cr_assert_eq(fixture.starts, 4);
+}
+
+}  // namespace
+}  // namespace flamingoyoke
