Add the dispatcher of one service on one node

The traffic task needs an object to hand requests to. This first version serves from the slots of the targets that the node owns: a bounded queue in order of deadlines, an adaptive limit and a share per target, errors that are true for all attempts of a request, and retries only of work that is proved not run or is repeatable.

--- /dev/null
+++ b/src/decision/dispatch/deadline_queue.h
@@ -0,0 +1,82 @@
+#ifndef FLAMINGOYOKE_DECISION_DISPATCH_DEADLINE_QUEUE_H_
+#define FLAMINGOYOKE_DECISION_DISPATCH_DEADLINE_QUEUE_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "decision/dispatch/attempt.h"
+
+namespace flamingoyoke {
+
+// A request that waits for a slot.
+struct QueuedRequest {
+  RequestId request{};
+  WorkClass work_class = WorkClass::kShort;
+  TimePoint deadline{};
+  std::uint64_t body_bytes = 0;
+};
+
+// Waiting requests of one service, earliest deadline first within each work
+// class. The number of requests and the sum of their bodies are bounded. Not
+// thread-safe.
+class DeadlineQueue {
+ public:
+  // Sets the bounds. Requests that are already queued stay, even beyond them.
+  auto SetLimits(std::size_t count, std::uint64_t bytes) -> void;
+
+  // Returns whether a request with a body of `body_bytes` fits the bounds.
+  [[nodiscard]] auto HasRoom(std::uint64_t body_bytes) const -> bool;
+
+  // Adds a request that is not in the queue. Doesn't check the bounds, since
+  // a request that is retried keeps its place.
+  auto Push(const QueuedRequest& queued) -> void;
+
+  // Removes a request; returns whether it was queued.
+  auto Remove(RequestId request) -> bool;
+
+  // Returns whether `request` is queued.
+  [[nodiscard]] auto Contains(RequestId request) const -> bool;
+
+  // Returns the request of `work_class` with the earliest deadline.
+  [[nodiscard]] auto Front(WorkClass work_class) const
+      -> std::optional<QueuedRequest>;
+
+  // Returns the earliest deadline of all queued requests.
+  [[nodiscard]] auto EarliestDeadline() const -> std::optional<TimePoint>;
+
+  // Number of queued requests of `work_class` with a deadline of at most
+  // `deadline`, counted up to `limit`.
+  [[nodiscard]] auto CountBefore(WorkClass work_class,
+                                 TimePoint deadline,
+                                 std::size_t limit) const -> std::size_t;
+
+  [[nodiscard]] auto size() const -> std::size_t { return entries_.size(); }
+  [[nodiscard]] auto size(WorkClass work_class) const -> std::size_t {
+    return OrderOf(work_class).size();
+  }
+  [[nodiscard]] auto empty() const -> bool { return entries_.empty(); }
+
+ private:
+  using Order = std::set<std::pair<TimePoint, RequestId>>;
+
+  [[nodiscard]] auto OrderOf(WorkClass work_class) const -> const Order& {
+    return orders_[static_cast<std::size_t>(work_class)];
+  }
+
+  std::size_t count_limit_ = 0;
+  std::uint64_t byte_limit_ = 0;
+  std::uint64_t bytes_ = 0;
+  std::unordered_map<RequestId, QueuedRequest> entries_;
+  std::array<Order, kEnumSize<WorkClass>> orders_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_DISPATCH_DEADLINE_QUEUE_H_
--- /dev/null
+++ b/src/decision/dispatch/request_book.cc
@@ -0,0 +1,48 @@
+#include "decision/dispatch/request_book.h"
+
+#include <algorithm>
+
+namespace flamingoyoke {
+
+auto RequestBook::AddRequest(const TrackedRequest& request) -> TrackedRequest& {
+  return requests_.insert_or_assign(request.request, request).first->second;
+}
+
+auto RequestBook::FindRequest(RequestId request) -> TrackedRequest* {
+  const auto entry = requests_.find(request);
+  return entry == requests_.end() ? nullptr : &entry->second;
+}
+
+auto RequestBook::EraseRequest(RequestId request) -> void {
+  requests_.erase(request);
+}
+
+auto RequestBook::AddAttempt(const TrackedAttempt& attempt) -> void {
+  attempts_.insert_or_assign(attempt.attempt, attempt);
+  if (auto* request = FindRequest(attempt.request)) {
+    request->in_flight.push_back(attempt.attempt);
+    ++request->attempts;
+  }
+}
+
+auto RequestBook::FindAttempt(AttemptId attempt) -> TrackedAttempt* {
+  const auto entry = attempts_.find(attempt);
+  return entry == attempts_.end() ? nullptr : &entry->second;
+}
+
+auto RequestBook::TakeAttempt(AttemptId attempt)
+    -> std::optional<TrackedAttempt> {
+  const auto entry = attempts_.find(attempt);
+  if (entry == attempts_.end()) {
+    return std::nullopt;
+  }
+  const auto taken = entry->second;
+  attempts_.erase(entry);
+  if (auto* request = FindRequest(taken.request)) {
+    auto& open = request->in_flight;
+    open.erase(std::remove(open.begin(), open.end(), attempt), open.end());
+  }
+  return taken;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/decision/dispatch/target_slots.cc
@@ -0,0 +1,156 @@
+#include "decision/dispatch/target_slots.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace flamingoyoke {
+
+auto TargetSlots::State::Total() const -> std::uint32_t {
+  std::uint32_t total = 0;
+  for (const auto count : in_use) {
+    total += count;
+  }
+  return total;
+}
+
+auto TargetSlots::State::Usable() const -> std::uint32_t {
+  if (!owned || share <= 0) {
+    return 0;
+  }
+  const auto usable = std::floor(limit.Current() * std::min(share, 1.0));
+  return std::max(1U, static_cast<std::uint32_t>(usable));
+}
+
+auto TargetSlots::Configure(const ServiceRow& row,
+                            const std::vector<TargetId>& owned) -> void {
+  std::map<TargetId, State> configured;
+  for (auto& [target, state] : targets_) {
+    if (state.Total() > 0) {
+      state.owned = false;
+      configured.emplace(target, state);
+    }
+  }
+  for (const auto& spec : row.targets) {
+    if (std::find(owned.begin(), owned.end(), spec.id) == owned.end()) {
+      continue;
+    }
+    const auto known = targets_.find(spec.id);
+    auto state = known == targets_.end() ? State(row.slots) : known->second;
+    state.owned = true;
+    state.limit.SetSlots(row.slots);
+    state.weight = spec.weight > 0 ? spec.weight : 1;
+    configured.insert_or_assign(spec.id, std::move(state));
+  }
+  targets_ = std::move(configured);
+}
+
+auto TargetSlots::SetShare(const TargetId& target, double share) -> void {
+  const auto entry = targets_.find(target);
+  if (entry != targets_.end()) {
+    entry->second.share = share;
+  }
+}
+
+auto TargetSlots::Pick(const TargetId& avoid, Random& random) const
+    -> std::optional<TargetId> {
+  std::optional<TargetId> best;
+  double best_load = 0;
+  std::uint64_t ties = 0;
+  for (const auto& [target, state] : targets_) {
+    if (state.Total() >= state.Usable() || target == avoid) {
+      continue;
+    }
+    const double load = (state.Total() + 1) / (state.weight * state.Usable());
+    if (best && load > best_load) {
+      continue;
+    }
+    ties = best && load == best_load ? ties + 1 : 1;
+    if (ties == 1 || random.Below(ties) == 0) {
+      best = target;
+      best_load = load;
+    }
+  }
+  if (!best && !avoid.empty() && InUse(avoid) < Usable(avoid)) {
+    return avoid;
+  }
+  return best;
+}
+
+auto TargetSlots::Take(const TargetId& target, WorkClass work_class) -> void {
+  const auto entry = targets_.find(target);
+  if (entry != targets_.end()) {
+    ++entry->second.in_use[static_cast<std::size_t>(work_class)];
+  }
+}
+
+auto TargetSlots::Free(const TargetId& target, WorkClass work_class) -> void {
+  const auto entry = targets_.find(target);
+  if (entry == targets_.end()) {
+    return;
+  }
+  auto& count = entry->second.in_use[static_cast<std::size_t>(work_class)];
+  count -= count > 0 ? 1 : 0;
+  if (!entry->second.owned && entry->second.Total() == 0) {
+    targets_.erase(entry);
+  }
+}
+
+auto TargetSlots::OnResult(const TargetId& target,
+                           AttemptResult result,
+                           TimePoint now) -> void {
+  const auto entry = targets_.find(target);
+  if (entry == targets_.end()) {
+    return;
+  }
+  if (result == AttemptResult::kShed) {
+    entry->second.limit.OnShed(now);
+  } else if (result == AttemptResult::kAnswered) {
+    entry->second.limit.OnAnswer();
+  }
+}
+
+auto TargetSlots::Owns(const TargetId& target) const -> bool {
+  const auto entry = targets_.find(target);
+  return entry != targets_.end() && entry->second.owned;
+}
+
+auto TargetSlots::Usable() const -> std::uint32_t {
+  std::uint32_t usable = 0;
+  for (const auto& [target, state] : targets_) {
+    usable += state.Usable();
+  }
+  return usable;
+}
+
+auto TargetSlots::InUse() const -> std::uint32_t {
+  return InUse(WorkClass::kShort) + InUse(WorkClass::kLong);
+}
+
+auto TargetSlots::InUse(WorkClass work_class) const -> std::uint32_t {
+  std::uint32_t count = 0;
+  for (const auto& [target, state] : targets_) {
+    count += state.in_use[static_cast<std::size_t>(work_class)];
+  }
+  return count;
+}
+
+auto TargetSlots::Idle() const -> std::uint32_t {
+  std::uint32_t idle = 0;
+  for (const auto& [target, state] : targets_) {
+    idle += state.Usable() - std::min(state.Usable(), state.Total());
+  }
+  return idle;
+}
+
+auto TargetSlots::InUse(const TargetId& target) const -> std::uint32_t {
+  const auto entry = targets_.find(target);
+  return entry == targets_.end() ? 0 : entry->second.Total();
+}
+
+auto TargetSlots::Usable(const TargetId& target) const -> std::uint32_t {
+  const auto entry = targets_.find(target);
+  return entry == targets_.end() ? 0 : entry->second.Usable();
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/tests/unit/decision/dispatch/service_dispatcher_test.cc
@@ -0,0 +1,193 @@
+#include "decision/dispatch/service_dispatcher.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace flamingoyoke {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+
+auto Target(int index) -> TargetId {
+  return TargetId("10.0.0." + std::to_string(index) + ":80");
+}
+
+// A dispatcher that owns all targets of a service.
+class Fixture {
+ public:
+  explicit Fixture(int targets, std::uint32_t slots = 2)
+      : dispatcher_(Random(1)) {
+    row_.service = ServiceId("stock");
+    row_.slots = slots;
+    for (int i = 0; i < targets; ++i) {
+      TargetSpec spec;
+      spec.id = Target(i);
+      row_.targets.push_back(spec);
+    }
+    Configure();
+  }
+
+  auto Configure() -> void {
+    DispatchConfigured configured;
+    configured.row = row_;
+    configured.self = VmId("a");
+    configured.home = {VmId("a")};
+    for (const auto& target : row_.targets) {
+      configured.owned.push_back(target.id);
+    }
+    Send(configured);
+  }
+
+  auto Send(const DispatchEvent& event) -> const std::vector<DispatchAction>& {
+    actions_ = dispatcher_.OnEvent(event, now_);
+    return actions_;
+  }
+
+  auto Arrive(std::uint64_t id, bool repeatable = true) -> void {
+    RequestArrived arrived;
+    arrived.request = RequestId(id);
+    arrived.repeatable = repeatable;
+    arrived.deadline = now_ + milliseconds(500);
+    Send(arrived);
+  }
+
+  auto Finish(AttemptId attempt, AttemptResult result) -> void {
+    Send(AttemptFinished{attempt, result});
+  }
+
+  // Returns the actions of type T that the last event caused.
+  template <typename T>
+  auto Last() const -> std::vector<T> {
+    std::vector<T> found;
+    for (const auto& action : actions_) {
+      if (const auto* typed = std::get_if<T>(&action)) {
+        found.push_back(*typed);
+      }
+    }
+    return found;
+  }
+
+  ServiceRow row_;
+  TimePoint now_ = kStart;
+  ServiceDispatcher dispatcher_;
+  std::vector<DispatchAction> actions_;
+};
+
+// Guards against more attempts on a target than it has slots.
+Test(service_dispatcher, starts_no_more_attempts_than_slots) {
+  Fixture fixture(1);
+  fixture.Arrive(1);
+  cr_assert_eq(fixture.Last<StartAttempt>().size(), 1U);
+  fixture.Arrive(2);
+  cr_assert_eq(fixture.Last<StartAttempt>().size(), 1U);
+  fixture.Arrive(3);
+  cr_assert_eq(fixture.Last<StartAttempt>().size(), 0U);
+  cr_assert_eq(fixture.dispatcher_.queue_length(), 1U);
+  fixture.Finish(AttemptId(1), AttemptResult::kAnswered);
+  cr_assert_eq(fixture.Last<StartAttempt>().size(), 1U);
+}
+
+// Guards against a second execution of unrepeatable work whose first attempt
+// may have reached the upstream.
+Test(service_dispatcher, unrepeatable_work_that_may_have_run_is_not_retried) {
+  Fixture fixture(2);
+  fixture.Arrive(1, false);
+  fixture.Finish(AttemptId(1), AttemptResult::kReset);
+  cr_assert(fixture.Last<StartAttempt>().empty());
+  const auto failed = fixture.Last<FailRequest>();
+  cr_assert_eq(failed.size(), 1U);
+  cr_assert(failed[0].error == ErrorKind::kUpstreamReset);
+}
+
+// Guards against work that is lost although it is proved not run.
+Test(service_dispatcher, shed_work_is_retried_on_another_target) {
+  Fixture fixture(2);
+  fixture.Arrive(1, false);
+  const auto first = fixture.Last<StartAttempt>().at(0);
+  fixture.Finish(first.attempt, AttemptResult::kShed);
+  const auto second = fixture.Last<StartAttempt>();
+  cr_assert_eq(second.size(), 1U);
+  cr_assert(second[0].target != first.target);
+}
+
+// Guards against a truthless "not run" after an attempt that may have run.
+Test(service_dispatcher, deadline_after_an_unknown_attempt_is_not_not_run) {
+  Fixture fixture(1, 1);
+  fixture.Arrive(1);
+  fixture.Arrive(2);
+  fixture.Finish(AttemptId(1), AttemptResult::kReset);
+  fixture.now_ += milliseconds(500);
+  fixture.Send(DispatchTimer{});
+  for (const auto& failed : fixture.Last<FailRequest>()) {
+    if (failed.request == RequestId(1)) {
+      cr_assert(failed.error == ErrorKind::kUpstreamReset);
+    }
+  }
+}
+
+// Guards against requests that wait beyond their deadline.
+Test(service_dispatcher, waiting_work_fails_at_its_deadline) {
+  Fixture fixture(1, 1);
+  fixture.Arrive(1);
+  fixture.Arrive(2);
+  const auto wake = fixture.Last<WakeDispatcherAt>();
+  fixture.now_ += milliseconds(500);
+  fixture.Send(DispatchTimer{});
+  const auto failed = fixture.Last<FailRequest>();
+  cr_assert_eq(failed.size(), 1U);
+  cr_assert(failed[0].request == RequestId(2));
+  cr_assert(failed[0].error == ErrorKind::kDeadlinePassed);
+}
+
+// Guards against a queue without a bound.
+Test(service_dispatcher, full_queue_rejects) {
+  Fixture fixture(1, 1);
+  fixture.row_.queue_limit = 1;
+  fixture.Configure();
+  fixture.Arrive(1);
+  fixture.Arrive(2);
+  fixture.Arrive(3);
+  const auto failed = fixture.Last<FailRequest>();
+  cr_assert_eq(failed.size(), 1U);
+  cr_assert(failed[0].error == ErrorKind::kQueueFull);
+}
+
+// Guards against a caller that waits although no target can serve it.
+Test(service_dispatcher, no_usable_target_is_reported_at_once) {
+  Fixture fixture(1);
+  fixture.Send(TargetShareChanged{Target(0), 0});
+  fixture.Arrive(1);
+  const auto failed = fixture.Last<FailRequest>();
+  cr_assert_eq(failed.size(), 1U);
+  cr_assert(failed[0].error == ErrorKind::kNoTarget);
+}
+
+// Guards against a ramp whose share rounds to no slot, so that trial work
+// never reaches the target.
+Test(service_dispatcher, a_small_share_leaves_one_slot) {
+  Fixture fixture(1);
+  fixture.Send(TargetShareChanged{Target(0), 0.05});
+  fixture.Arrive(1);
+  cr_assert_eq(fixture.Last<StartAttempt>().size(), 1U);
+  fixture.Arrive(2);
+  cr_assert_eq(fixture.Last<StartAttempt>().size(), 0U);
+}
+
+// Guards against a request that ends twice when its caller leaves.
+Test(service_dispatcher, cancelled_request_ends_without_another_answer) {
+  Fixture fixture(1);
+  fixture.Arrive(1);
+  fixture.Send(RequestCancelled{RequestId(1)});
+  cr_assert_eq(fixture.Last<CancelAttempt>().size(), 1U);
+  fixture.Finish(AttemptId(1), AttemptResult::kCancelled);
+  cr_assert(fixture.Last<FailRequest>().empty());
+  cr_assert_eq(fixture.dispatcher_.slots_in_use(), 0U);
+}
+
+}  // namespace
+}  // namespace flamingoyoke
