--- a/src/decision/dispatch/target_slots.cc
+++ b/src/decision/dispatch/target_slots.cc
@@ -40,7 +40,7 @@
     state.owned = true;
     state.limit.SetSlots(row.slots);
     state.weight = spec.weight > 0 ? spec.weight : 1;
-    configured.insert_or_assign(spec.id, std::move(state));
+    configured.insert_or_assign(spec.id, state);
   }
   targets_ = std::move(configured);
 }
