--- /dev/null
+++ b/bench/benches.h
@@ -0,0 +1,16 @@
+#ifndef FLAMINGOYOKE_BENCH_BENCHES_H_
+#define FLAMINGOYOKE_BENCH_BENCHES_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "bench/measure.h"
+
+namespace flamingoyoke {
+
+// Each bench is declared here, defined in `<name>_bench.cc`, and listed in the
+// table of bench_main.cc.
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_BENCH_BENCHES_H_
