--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -20,7 +20,11 @@
 
 // Each bench is listed on a line of its own.
 auto AllBenches() -> const std::vector<Bench>& {
-  static const std::vector<Bench> benches = {};
+  static const std::vector<Bench> benches = {
+      {"crest", "Twice the capacity for 30 s", &RunCrestBench},
+      {"dispatch", "Ways to divide the work", &RunDispatchBench},
+      {"short_long", "Short work beside long work", &RunShortLongBench},
+  };
   return benches;
 }
 
--- a/bench/benches.h
+++ b/bench/benches.h
@@ -11,6 +11,10 @@
 // Each bench is declared here, defined in `<name>_bench.cc`, and listed in the
 // table of bench_main.cc.
 
+auto RunCrestBench(std::uint64_t seed) -> std::vector<Measure>;
+auto RunDispatchBench(std::uint64_t seed) -> std::vector<Measure>;
+auto RunShortLongBench(std::uint64_t seed) -> std::vector<Measure>;
+
 }  // namespace flamingoyoke
 
 #endif  // FLAMINGOYOKE_BENCH_BENCHES_H_
--- a/src/decision/dispatch/deadline_queue.cc
+++ b/src/decision/dispatch/deadline_queue.cc
@@ -1,5 +1,7 @@
 #include "decision/dispatch/deadline_queue.h"
 
+#include <algorithm>
+
 namespace flamingoyoke {
 
 auto DeadlineQueue::SetLimits(std::size_t count, std::uint64_t bytes) -> void {
@@ -61,8 +63,13 @@
 auto DeadlineQueue::CountBefore(WorkClass work_class,
                                 TimePoint deadline,
                                 std::size_t limit) const -> std::size_t {
+  const auto& order = OrderOf(work_class);
+  // The usual case: equal allowances make the newest deadline the latest.
+  if (order.empty() || order.rbegin()->first <= deadline) {
+    return std::min(limit, order.size());
+  }
   std::size_t count = 0;
-  for (const auto& [waiting_deadline, request] : OrderOf(work_class)) {
+  for (const auto& [waiting_deadline, request] : order) {
     if (waiting_deadline > deadline || count >= limit) {
       break;
     }
--- /dev/null
+++ b/src/decision/dispatch/demand_meter.cc
@@ -0,0 +1,39 @@
+#include "decision/dispatch/demand_meter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingoyoke {
+namespace {
+
+// Shorter observation is treated as this long, so that the first arrivals do
+// not look like a huge demand.
+constexpr Duration kMinObservation = std::chrono::seconds(1);
+
+auto DecayOver(Duration elapsed) -> double {
+  return std::exp(-ToSeconds(elapsed) / ToSeconds(DemandMeter::kWindow));
+}
+
+}  // namespace
+
+auto DemandMeter::Add(Duration service_time, TimePoint now) -> void {
+  if (!has_samples_) {
+    has_samples_ = true;
+    first_ = now;
+    last_ = now;
+  }
+  decayed_seconds_ *= DecayOver(now - last_);
+  decayed_seconds_ += ToSeconds(service_time);
+  last_ = now;
+}
+
+auto DemandMeter::Slots(TimePoint now) const -> double {
+  if (!has_samples_) {
+    return 0;
+  }
+  const auto observed = std::max(now - first_, kMinObservation);
+  const double weight = ToSeconds(kWindow) * (1 - DecayOver(observed));
+  return decayed_seconds_ * DecayOver(now - last_) / weight;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/decision/dispatch/load_reporter.cc
@@ -0,0 +1,61 @@
+#include "decision/dispatch/load_reporter.h"
+
+#include <utility>
+
+namespace flamingoyoke {
+
+auto LoadReporter::OnResult(AttemptResult result) -> void {
+  switch (result) {
+    case AttemptResult::kAnswered:
+      ++succeeded_;
+      break;
+    case AttemptResult::kServerError:
+    case AttemptResult::kConnectFailed:
+    case AttemptResult::kTimeout:
+    case AttemptResult::kReset:
+    case AttemptResult::kPartialAnswer:
+      ++failed_;
+      break;
+    case AttemptResult::kShed:
+    case AttemptResult::kCancelled:
+      break;
+  }
+}
+
+auto LoadReporter::IsDue(std::uint32_t idle_slots,
+                         bool busy,
+                         TimePoint now) const -> bool {
+  const auto at = NextWake(idle_slots, busy);
+  return at && *at <= now;
+}
+
+auto LoadReporter::Take(const ServiceId& service,
+                        std::uint32_t queue_length,
+                        std::uint32_t idle_slots,
+                        bool busy,
+                        TimePoint now) -> LoadReport {
+  sent_ = now;
+  sent_idle_ = idle_slots;
+  sent_busy_ = busy;
+  return {.service = service,
+          .queue_length = queue_length,
+          .idle_slots = idle_slots,
+          .succeeded = std::exchange(succeeded_, 0),
+          .failed = std::exchange(failed_, 0)};
+}
+
+auto LoadReporter::NextWake(std::uint32_t idle_slots, bool busy) const
+    -> std::optional<TimePoint> {
+  if (!sent_) {
+    return TimePoint::min();
+  }
+  if ((idle_slots == 0) != (sent_idle_ == 0)) {
+    return *sent_ + kMinInterval;
+  }
+  if (busy || sent_busy_) {
+    return *sent_ + kMaxInterval;
+  }
+  return std::nullopt;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/decision/dispatch/loan_borrower.cc
@@ -0,0 +1,396 @@
+#include "decision/dispatch/loan_borrower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "decision/dispatch/loan_timing.h"
+
+namespace flamingoyoke {
+namespace {
+
+// Most slots that are asked for and not lent at a time: at overload every
+// lender is busy, and more requests would only cost messages.
+constexpr std::uint32_t kMaxOutstanding = 8;
+
+auto CountOutcome(TargetOutcomes& outcomes, AttemptResult result) -> void {
+  switch (result) {
+    case AttemptResult::kAnswered:
+      ++outcomes.succeeded;
+      break;
+    case AttemptResult::kTimeout:
+      ++outcomes.timed_out;
+      break;
+    case AttemptResult::kServerError:
+    case AttemptResult::kConnectFailed:
+    case AttemptResult::kReset:
+    case AttemptResult::kPartialAnswer:
+      ++outcomes.failed;
+      break;
+    case AttemptResult::kShed:
+    case AttemptResult::kCancelled:
+      break;
+  }
+}
+
+auto IsEmpty(const TargetOutcomes& outcomes) -> bool {
+  return outcomes.succeeded + outcomes.failed + outcomes.timed_out +
+             outcomes.slow ==
+         0;
+}
+
+}  // namespace
+
+auto LoanBorrower::Configure(const ServiceId& service,
+                             const std::vector<VmId>& lenders) -> void {
+  service_ = service;
+  std::map<VmId, Lender> configured;
+  for (const auto& vm : lenders) {
+    const auto known = lenders_.find(vm);
+    configured.emplace(vm, known == lenders_.end() ? Lender() : known->second);
+  }
+  lenders_ = std::move(configured);
+}
+
+auto LoanBorrower::OnLoadReport(const VmId& lender, const LoadReport& report)
+    -> void {
+  const auto entry = lenders_.find(lender);
+  if (entry != lenders_.end()) {
+    entry->second.idle = report.idle_slots;
+  }
+}
+
+auto LoanBorrower::Outstanding(WorkClass work_class,
+                               const VmId& lender,
+                               TimePoint now) const -> std::uint32_t {
+  std::uint32_t count = 0;
+  for (const auto& [sequence, open] : requests_) {
+    if (open.work_class == work_class && now - open.sent < kRequestDuration &&
+        (lender.empty() || open.lender == lender)) {
+      count += open.wanted;
+    }
+  }
+  return count;
+}
+
+auto LoanBorrower::SendRequest(const VmId& lender,
+                               WorkClass work_class,
+                               std::uint32_t wanted,
+                               TimePoint now) -> SendToPeer {
+  // A lender keeps only the newest request of a class.
+  for (auto& [sequence, open] : requests_) {
+    if (open.lender == lender && open.work_class == work_class) {
+      open.wanted = 0;
+    }
+  }
+  const auto sequence = ++last_sequence_;
+  requests_.emplace(sequence, OpenRequest{lender, work_class, wanted, now});
+  return {lender, SlotRequest{service_, sequence, wanted, work_class, {}}};
+}
+
+auto LoanBorrower::Ask(WorkClass work_class,
+                       std::size_t waiting,
+                       Random& random,
+                       TimePoint now) -> std::vector<SendToPeer> {
+  std::vector<SendToPeer> sends;
+  if (waiting == 0) {
+    Withdraw(work_class, now, sends);
+    return sends;
+  }
+  const auto outstanding = Outstanding(work_class, VmId(), now);
+  const auto wanted = static_cast<std::uint32_t>(
+      std::min<std::size_t>(waiting, kMaxOutstanding));
+  if (outstanding >= wanted) {
+    return sends;
+  }
+  auto needed = wanted - outstanding;
+  AskReported(work_class, needed, now, sends);
+  if (needed > 0) {
+    AskOthers(work_class, needed, random, now, sends);
+  }
+  return sends;
+}
+
+auto LoanBorrower::AskReported(WorkClass work_class,
+                               std::uint32_t& needed,
+                               TimePoint now,
+                               std::vector<SendToPeer>& sends) -> void {
+  while (needed > 0) {
+    auto best = lenders_.end();
+    for (auto entry = lenders_.begin(); entry != lenders_.end(); ++entry) {
+      if (entry->second.idle > 0 &&
+          (best == lenders_.end() || entry->second.idle > best->second.idle)) {
+        best = entry;
+      }
+    }
+    if (best == lenders_.end()) {
+      return;
+    }
+    const auto count = std::min(needed, best->second.idle);
+    const auto open = Outstanding(work_class, best->first, now);
+    sends.push_back(SendRequest(best->first, work_class, open + count, now));
+    best->second.idle -= count;
+    needed -= count;
+  }
+}
+
+auto LoanBorrower::AskOthers(WorkClass work_class,
+                             std::uint32_t needed,
+                             Random& random,
+                             TimePoint now,
+                             std::vector<SendToPeer>& sends) -> void {
+  std::vector<VmId> free_lenders;
+  for (const auto& [vm, lender] : lenders_) {
+    if (Outstanding(work_class, vm, now) == 0) {
+      free_lenders.push_back(vm);
+    }
+  }
+  while (needed > 0 && !free_lenders.empty()) {
+    const auto index = random.Below(free_lenders.size());
+    sends.push_back(SendRequest(free_lenders[index], work_class, 1, now));
+    free_lenders.erase(free_lenders.begin() +
+                       static_cast<std::ptrdiff_t>(index));
+    --needed;
+  }
+}
+
+auto LoanBorrower::Withdraw(WorkClass work_class,
+                            TimePoint now,
+                            std::vector<SendToPeer>& sends) -> void {
+  std::vector<VmId> asked;
+  for (const auto& [sequence, open] : requests_) {
+    if (open.work_class == work_class && open.wanted > 0 &&
+        now - open.sent < kRequestDuration) {
+      asked.push_back(open.lender);
+    }
+  }
+  for (const auto& lender : asked) {
+    sends.push_back(SendRequest(lender, work_class, 0, now));
+  }
+}
+
+auto LoanBorrower::OnLoan(const VmId& lender,
+                          const SlotLoan& loan,
+                          TimePoint now) -> std::optional<SendToPeer> {
+  const LoanKey key{lender, loan.loan};
+  const auto request = requests_.find(loan.sequence);
+  const bool known = request != requests_.end() &&
+                     request->second.lender == lender &&
+                     loan.targets.size() == 1;
+  if (!known || ended_.contains(key)) {
+    return Refuse(lender, loan);
+  }
+  const auto expires =
+      request->second.sent + std::min(loan.duration, kLoanDuration);
+  if (expires <= now) {
+    return Refuse(lender, loan);
+  }
+  if (const auto slot = slots_.find(key); slot != slots_.end()) {
+    slot->second.expires = std::max(slot->second.expires, expires);
+    return std::nullopt;
+  }
+  auto& open = request->second;
+  open.wanted -= open.wanted > 0 ? 1 : 0;
+  BorrowedSlot slot{.target = loan.targets.front(),
+                    .work_class = open.work_class,
+                    .expires = expires};
+  slot.outcomes.target = slot.target;
+  slots_.emplace(key, slot);
+  return std::nullopt;
+}
+
+auto LoanBorrower::Refuse(const VmId& lender, const SlotLoan& loan) const
+    -> SendToPeer {
+  return {lender, SlotReturn{loan.loan, service_, loan.targets, {}}};
+}
+
+auto LoanBorrower::OnRecall(const VmId& lender, const SlotRecall& recall)
+    -> std::optional<SendToPeer> {
+  const LoanKey key{lender, recall.loan};
+  const auto slot = slots_.find(key);
+  if (slot == slots_.end()) {
+    return std::nullopt;
+  }
+  if (slot->second.busy) {
+    slot->second.recalled = true;
+    return std::nullopt;
+  }
+  auto send = ReturnOf(key, slot->second);
+  NoteEnded(key, slot->second.expires);
+  slots_.erase(slot);
+  return send;
+}
+
+auto LoanBorrower::FindIdle(WorkClass work_class, const TargetId& avoid) const
+    -> std::optional<LoanKey> {
+  std::optional<LoanKey> found;
+  for (const auto& [key, slot] : slots_) {
+    if (slot.busy || slot.recalled || slot.work_class != work_class) {
+      continue;
+    }
+    if (slot.target != avoid) {
+      return key;
+    }
+    found = key;
+  }
+  return found;
+}
+
+auto LoanBorrower::TargetOf(const LoanKey& key) const -> const TargetId& {
+  return slots_.at(key).target;
+}
+
+auto LoanBorrower::MarkBusy(const LoanKey& key) -> void {
+  slots_.at(key).busy = true;
+}
+
+auto LoanBorrower::OnAttemptEnded(const LoanKey& key,
+                                  const TargetId& target,
+                                  AttemptResult result)
+    -> std::optional<SendToPeer> {
+  const auto slot = slots_.find(key);
+  if (slot == slots_.end()) {
+    TargetOutcomes outcomes{.target = target};
+    CountOutcome(outcomes, result);
+    if (IsEmpty(outcomes)) {
+      return std::nullopt;
+    }
+    return SendToPeer{key.lender, OutcomeReport{service_, {outcomes}}};
+  }
+  CountOutcome(slot->second.outcomes, result);
+  slot->second.busy = false;
+  if (!slot->second.recalled) {
+    return std::nullopt;
+  }
+  auto send = ReturnOf(key, slot->second);
+  NoteEnded(key, slot->second.expires);
+  slots_.erase(slot);
+  return send;
+}
+
+auto LoanBorrower::ReturnOf(const LoanKey& key, const BorrowedSlot& slot) const
+    -> SendToPeer {
+  SlotReturn message{key.loan, service_, {slot.target}, {}};
+  if (!IsEmpty(slot.outcomes)) {
+    message.outcomes.push_back(slot.outcomes);
+  }
+  return {key.lender, std::move(message)};
+}
+
+auto LoanBorrower::NoteEnded(const LoanKey& key, TimePoint until) -> void {
+  ended_[key] = until;
+}
+
+auto LoanBorrower::ReturnIdle(WorkClass work_class) -> std::vector<SendToPeer> {
+  std::vector<SendToPeer> sends;
+  for (auto slot = slots_.begin(); slot != slots_.end();) {
+    if (slot->second.busy || slot->second.work_class != work_class) {
+      ++slot;
+      continue;
+    }
+    sends.push_back(ReturnOf(slot->first, slot->second));
+    NoteEnded(slot->first, slot->second.expires);
+    slot = slots_.erase(slot);
+  }
+  return sends;
+}
+
+auto LoanBorrower::Renew(TimePoint now) -> std::vector<SendToPeer> {
+  std::map<VmId, std::vector<LoanId>> due;
+  for (auto& [key, slot] : slots_) {
+    const bool was_asked = slot.renewal_sent != TimePoint::min() &&
+                           now - slot.renewal_sent < kRenewalInterval;
+    if (slot.busy && slot.expires - now <= kRenewalLead && !was_asked) {
+      slot.renewal_sent = now;
+      due[key.lender].push_back(key.loan);
+    }
+  }
+  std::vector<SendToPeer> sends;
+  for (auto& [lender, loans] : due) {
+    const auto sequence = ++last_sequence_;
+    requests_.emplace(sequence, OpenRequest{lender, WorkClass::kShort, 0, now});
+    sends.push_back({lender, SlotRequest{service_, sequence, 0,
+                                         WorkClass::kShort, std::move(loans)}});
+  }
+  return sends;
+}
+
+auto LoanBorrower::Expire(TimePoint now) -> std::vector<SendToPeer> {
+  while (!requests_.empty() &&
+         requests_.begin()->second.sent + kLoanDuration <= now) {
+    requests_.erase(requests_.begin());
+  }
+  for (auto& [sequence, open] : requests_) {
+    if (now - open.sent >= kRequestDuration) {
+      open.wanted = 0;
+    }
+  }
+  for (auto ended = ended_.begin(); ended != ended_.end();) {
+    ended = ended->second <= now ? ended_.erase(ended) : std::next(ended);
+  }
+  std::vector<SendToPeer> sends;
+  for (auto slot = slots_.begin(); slot != slots_.end();) {
+    if (slot->second.expires > now) {
+      ++slot;
+      continue;
+    }
+    if (!IsEmpty(slot->second.outcomes)) {
+      sends.push_back({slot->first.lender,
+                       OutcomeReport{service_, {slot->second.outcomes}}});
+    }
+    slot = slots_.erase(slot);
+  }
+  return sends;
+}
+
+auto LoanBorrower::ForgetLender(const VmId& lender) -> void {
+  for (auto slot = slots_.begin(); slot != slots_.end();) {
+    if (slot->first.lender == lender) {
+      NoteEnded(slot->first, slot->second.expires);
+      slot = slots_.erase(slot);
+    } else {
+      ++slot;
+    }
+  }
+  for (auto& [sequence, open] : requests_) {
+    if (open.lender == lender) {
+      open.wanted = 0;
+    }
+  }
+  if (const auto entry = lenders_.find(lender); entry != lenders_.end()) {
+    entry->second.idle = 0;
+  }
+}
+
+auto LoanBorrower::Reset() -> void {
+  slots_.clear();
+  requests_.clear();
+  ended_.clear();
+  for (auto& [vm, lender] : lenders_) {
+    lender.idle = 0;
+  }
+}
+
+auto LoanBorrower::NextWake() const -> std::optional<TimePoint> {
+  std::optional<TimePoint> next;
+  const auto consider = [&next](TimePoint at) {
+    next = next ? std::min(*next, at) : at;
+  };
+  for (const auto& [key, slot] : slots_) {
+    consider(slot.expires);
+    if (slot.busy) {
+      const auto due = slot.expires - kRenewalLead;
+      const auto again = slot.renewal_sent == TimePoint::min()
+                             ? due
+                             : slot.renewal_sent + kRenewalInterval;
+      consider(std::max(due, again));
+    }
+  }
+  for (const auto& [sequence, open] : requests_) {
+    if (open.wanted > 0) {
+      consider(open.sent + kRequestDuration);
+    }
+  }
+  return next;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/decision/dispatch/loan_lender.cc
@@ -0,0 +1,172 @@
+#include "decision/dispatch/loan_lender.h"
+
+#include <algorithm>
+
+#include "decision/dispatch/loan_timing.h"
+
+namespace flamingoyoke {
+namespace {
+
+// A sequence further back than this comes from a borrower that was restarted
+// and counts from another start, not from a reordered message.
+constexpr std::uint64_t kReorderWindow = 4096;
+
+// Loans shorter than this from their first use are not recalled: they mostly
+// come back by themselves before the recall arrives.
+constexpr Duration kRecallAge = std::chrono::milliseconds(20);
+
+// Peers whose last sequence is remembered; any vm of the fleet may borrow.
+constexpr std::size_t kMaxPeers = 1024;
+
+}  // namespace
+
+auto LoanLender::IsStale(const VmId& borrower, std::uint64_t sequence) const
+    -> bool {
+  const auto last = last_sequence_.find(borrower);
+  return last != last_sequence_.end() && sequence <= last->second &&
+         last->second - sequence < kReorderWindow;
+}
+
+auto LoanLender::OnRequest(const VmId& borrower,
+                           const SlotRequest& request,
+                           TimePoint now) -> std::vector<SlotLoan> {
+  if (IsStale(borrower, request.sequence)) {
+    return {};
+  }
+  if (last_sequence_.size() >= kMaxPeers) {
+    last_sequence_.clear();
+  }
+  last_sequence_[borrower] = request.sequence;
+  std::vector<SlotLoan> renewals;
+  for (const auto id : request.renewed) {
+    const auto loan = loans_.find(id);
+    if (loan == loans_.end() || loan->second.borrower != borrower ||
+        loan->second.final) {
+      continue;
+    }
+    loan->second.expires = now + kLoanDuration;
+    renewals.push_back({id,
+                        request.service,
+                        request.sequence,
+                        {loan->second.target},
+                        kLoanDuration});
+  }
+  if (request.renewed.empty() || request.wanted > 0) {
+    const auto replaced = [&](const PendingRequest& pending) {
+      return pending.borrower == borrower &&
+             pending.work_class == request.work_class;
+    };
+    pending_.erase(std::remove_if(pending_.begin(), pending_.end(), replaced),
+                   pending_.end());
+  }
+  if (request.wanted > 0) {
+    pending_.push_back(
+        {borrower, request.sequence, request.work_class, request.wanted, now});
+  }
+  return renewals;
+}
+
+auto LoanLender::NextRequest(WorkClass work_class) const
+    -> std::optional<PendingRequest> {
+  for (const auto& pending : pending_) {
+    if (pending.work_class == work_class) {
+      return pending;
+    }
+  }
+  return std::nullopt;
+}
+
+auto LoanLender::Grant(const PendingRequest& request,
+                       const TargetId& target,
+                       const ServiceId& service,
+                       TimePoint now) -> SlotLoan {
+  const auto pending = std::find_if(
+      pending_.begin(), pending_.end(), [&](const PendingRequest& other) {
+        return other.borrower == request.borrower &&
+               other.sequence == request.sequence &&
+               other.work_class == request.work_class;
+      });
+  if (pending != pending_.end() && --pending->wanted == 0) {
+    pending_.erase(pending);
+  }
+  const LoanId id(++last_loan_);
+  loans_.emplace(id, GrantedLoan{.loan = id,
+                                 .borrower = request.borrower,
+                                 .target = target,
+                                 .work_class = request.work_class,
+                                 .granted = now,
+                                 .expires = request.received + kLoanDuration});
+  return {id, service, request.sequence, {target}, kLoanDuration};
+}
+
+auto LoanLender::OnReturn(const VmId& borrower, LoanId loan)
+    -> std::optional<GrantedLoan> {
+  const auto entry = loans_.find(loan);
+  if (entry == loans_.end() || entry->second.borrower != borrower) {
+    return std::nullopt;
+  }
+  const auto returned = entry->second;
+  loans_.erase(entry);
+  return returned;
+}
+
+auto LoanLender::Expire(TimePoint now) -> std::vector<GrantedLoan> {
+  while (!pending_.empty() &&
+         pending_.front().received + kRequestDuration <= now) {
+    pending_.pop_front();
+  }
+  std::vector<GrantedLoan> expired;
+  for (auto loan = loans_.begin(); loan != loans_.end();) {
+    if (loan->second.expires > now) {
+      ++loan;
+      continue;
+    }
+    expired.push_back(loan->second);
+    loan = loans_.erase(loan);
+  }
+  return expired;
+}
+
+auto LoanLender::Recall(std::size_t count, TimePoint now)
+    -> std::vector<GrantedLoan> {
+  std::size_t recalled = 0;
+  std::vector<GrantedLoan> fresh;
+  for (auto& [id, loan] : loans_) {
+    if (recalled >= count) {
+      break;
+    }
+    if (now - loan.granted < kRecallAge) {
+      continue;
+    }
+    ++recalled;
+    if (!loan.recalled) {
+      loan.recalled = true;
+      fresh.push_back(loan);
+    }
+  }
+  return fresh;
+}
+
+auto LoanLender::ForgetPeer(const VmId& peer) -> void {
+  pending_.erase(std::remove_if(pending_.begin(), pending_.end(),
+                                [&](const PendingRequest& pending) {
+                                  return pending.borrower == peer;
+                                }),
+                 pending_.end());
+  last_sequence_.erase(peer);
+  for (auto& [id, loan] : loans_) {
+    loan.final = loan.final || loan.borrower == peer;
+  }
+}
+
+auto LoanLender::NextExpiry() const -> std::optional<TimePoint> {
+  std::optional<TimePoint> next;
+  for (const auto& [id, loan] : loans_) {
+    if (!next || loan.expires < *next) {
+      next = loan.expires;
+    }
+  }
+  return next;
+}
+
+}  // namespace flamingoyoke
--- a/src/decision/dispatch/request_book.h
+++ b/src/decision/dispatch/request_book.h
@@ -11,6 +11,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "decision/dispatch/attempt.h"
+#include "decision/dispatch/loan_key.h"
 
 namespace flamingoyoke {
 
@@ -41,8 +42,7 @@
   RequestId request{};
   TargetId target{};
   // Set if the slot was borrowed.
-  std::optional<LoanId> loan{};
-  VmId lender{};
+  std::optional<LoanKey> loan{};
   WorkClass work_class = WorkClass::kShort;
   TimePoint started{};
   bool cancelled = false;
--- /dev/null
+++ b/src/decision/dispatch/retry_budget.h
@@ -0,0 +1,45 @@
+#ifndef FLAMINGOYOKE_DECISION_DISPATCH_RETRY_BUDGET_H_
+#define FLAMINGOYOKE_DECISION_DISPATCH_RETRY_BUDGET_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "core/time.h"
+
+namespace flamingoyoke {
+
+// Bounds retries and hedges to a share of the first attempts in a sliding
+// window of 10 s, so that they cannot multiply the load of a service that
+// fails as a whole. Not thread-safe.
+class RetryBudget {
+ public:
+  // `share` is 0 to 1; 0 allows no retry.
+  auto Configure(double share) -> void { share_ = share; }
+
+  // Counts the first attempt of a request.
+  auto OnFirstAttempt(TimePoint now) -> void;
+
+  // Counts and allows one more attempt, or returns false.
+  auto Allow(TimePoint now) -> bool;
+
+  // Allowed in a window even if there were few first attempts; otherwise a
+  // quiet service could never retry.
+  static constexpr std::uint64_t kMinRetries = 1;
+
+ private:
+  struct Bucket {
+    std::int64_t second = -1;
+    std::uint64_t first_attempts = 0;
+    std::uint64_t retries = 0;
+  };
+
+  auto Current(TimePoint now) -> Bucket&;
+
+  double share_ = 0;
+  std::array<Bucket, 10> buckets_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_DISPATCH_RETRY_BUDGET_H_
--- a/src/decision/dispatch/service_dispatcher.cc
+++ b/src/decision/dispatch/service_dispatcher.cc
@@ -1,9 +1,12 @@
 #include "decision/dispatch/service_dispatcher.h"
 
 #include <algorithm>
+#include <type_traits>
 #include <utility>
 #include <variant>
 
+#include "decision/dispatch/wait_estimate.h"
+
 namespace flamingoyoke {
 namespace {
 
@@ -46,17 +49,42 @@
          result == AttemptResult::kServerError;
 }
 
+// Random start of loan ids and sequences; 32 bits keep them short on the wire.
+auto RandomStart(Random& random) -> std::uint64_t {
+  return random.Next() >> 32;
+}
+
+template <typename T>
+inline constexpr bool kIsLoanMessage =
+    std::is_same_v<T, LoadReport> || std::is_same_v<T, SlotRequest> ||
+    std::is_same_v<T, SlotLoan> || std::is_same_v<T, SlotReturn> ||
+    std::is_same_v<T, SlotRecall>;
+
 }  // namespace
 
-ServiceDispatcher::ServiceDispatcher(Random random) : random_(random) {}
+ServiceDispatcher::ServiceDispatcher(Random random, LongWorkPolicy policy)
+    : random_(random),
+      policy_(policy),
+      lender_(RandomStart(random_)),
+      borrower_(RandomStart(random_)) {}
 
 auto ServiceDispatcher::OnEvent(const DispatchEvent& event, TimePoint now)
     -> std::vector<DispatchAction> {
   now_ = now;
   std::visit([this](const auto& typed) { On(typed); }, event);
-  ExpireDeadlines();
-  StartAttempts();
-  OrderWake();
+  if (row_) {
+    ExpireLoans();
+    ExpireWaiting();
+    ExpireInFlight();
+    for (const auto& [work_class, name] : EnumNames<WorkClass>::kTable) {
+      StartWaiting(work_class);
+    }
+    StartHedges();
+    Lend();
+    Borrow();
+    Report();
+    OrderWake();
+  }
   return std::exchange(actions_, {});
 }
 
@@ -72,6 +100,18 @@
   return queue_.size();
 }
 
+auto ServiceDispatcher::borrowed_slots() const -> std::size_t {
+  return borrower_.slots().size();
+}
+
+auto ServiceDispatcher::lent_slots() const -> std::size_t {
+  return lender_.loans().size();
+}
+
+auto ServiceDispatcher::long_slot_cap() const -> std::uint32_t {
+  return LongSlotCap(policy_, LongState());
+}
+
 auto ServiceDispatcher::On(const DispatchConfigured& event) -> void {
   row_ = event.row;
   self_ = event.self;
@@ -81,11 +121,38 @@
       peers_.push_back(vm);
     }
   }
+  const auto own = std::find(event.home.begin(), event.home.end(), event.self);
+  is_member_ = own != event.home.end();
+  member_index_ =
+      is_member_ ? static_cast<std::size_t>(own - event.home.begin()) : 0;
+  members_ = std::max<std::size_t>(event.home.size(), 1);
   queue_.SetLimits(event.row.queue_limit, kQueueBytes);
+  teams_.Configure(event.row.team_rate, event.row.team_burst);
+  retries_.Configure(event.row.retry_share);
+  borrower_.Configure(event.row.service, peers_);
   slots_.Configure(event.row, event.owned);
 }
 
-auto ServiceDispatcher::RefusalOf(const RequestArrived& event) const
+auto ServiceDispatcher::IsUnreachable(const RequestArrived& event) const
+    -> bool {
+  if (slots_.Idle() > 0 && queue_.size(event.work_class) == 0) {
+    return false;
+  }
+  const auto ahead =
+      queue_.CountBefore(event.work_class, event.deadline, queue_.size());
+  const auto long_slots = slots_.InUse(WorkClass::kLong);
+  const auto usable = slots_.Usable();
+  const auto slots = event.work_class == WorkClass::kLong
+                         ? long_slot_cap()
+                         : usable - std::min(usable, long_slots);
+  const auto lent_here = static_cast<std::uint32_t>(borrowed_slots());
+  const auto wait =
+      EstimateWait(times_, event.work_class, ahead, slots + lent_here);
+  const auto service = times_.Quantile(event.work_class, kFittingQuantile);
+  return now_ + wait + service > event.deadline;
+}
+
+auto ServiceDispatcher::RefusalOf(const RequestArrived& event)
     -> std::optional<ErrorKind> {
   if (!row_) {
     return ErrorKind::kNotReady;
@@ -99,10 +166,20 @@
   if (!queue_.HasRoom(event.body_bytes)) {
     return ErrorKind::kQueueFull;
   }
+  if (IsUnreachable(event)) {
+    return ErrorKind::kDeadlineUnreachable;
+  }
+  // Last, so that a request that is rejected anyway costs its team nothing.
+  if (!teams_.Allow(event.team, now_)) {
+    return ErrorKind::kTeamLimit;
+  }
   return std::nullopt;
 }
 
 auto ServiceDispatcher::On(const RequestArrived& event) -> void {
+  auto& demand =
+      event.work_class == WorkClass::kLong ? long_demand_ : short_demand_;
+  demand.Add(times_.Mean(event.work_class), now_);
   if (const auto refusal = RefusalOf(event)) {
     ++counters_.rejected;
     actions_.emplace_back(FailRequest{event.request, *refusal});
@@ -142,8 +219,7 @@
   if (!attempt) {
     return;
   }
-  slots_.Free(attempt->target, attempt->work_class);
-  slots_.OnResult(attempt->target, event.result, now_);
+  ReleaseSlot(*attempt, event.result);
   auto* request = book_.FindRequest(attempt->request);
   if (request == nullptr || attempt->cancelled) {
     return;
@@ -158,6 +234,23 @@
   book_.EraseRequest(attempt->request);
 }
 
+auto ServiceDispatcher::ReleaseSlot(const TrackedAttempt& attempt,
+                                    AttemptResult result) -> void {
+  if (IsAnswer(result) || result == AttemptResult::kTimeout) {
+    times_.Add(attempt.work_class, now_ - attempt.started);
+  }
+  if (!attempt.loan) {
+    slots_.Free(attempt.target, attempt.work_class);
+    slots_.OnResult(attempt.target, result, now_);
+    reporter_.OnResult(result);
+    return;
+  }
+  if (auto send =
+          borrower_.OnAttemptEnded(*attempt.loan, attempt.target, result)) {
+    actions_.emplace_back(std::move(*send));
+  }
+}
+
 auto ServiceDispatcher::OnAttemptFailed(const TrackedAttempt& attempt,
                                         AttemptResult result) -> void {
   auto* request = book_.FindRequest(attempt.request);
@@ -168,11 +261,13 @@
   if (!request->in_flight.empty()) {
     return;
   }
-  const bool may_run_again = ProvesNotRun(result) || request->repeatable;
-  if (request->answering || !may_run_again || request->deadline <= now_) {
+  const bool may_run_again = !request->unknown_error || request->repeatable;
+  if (request->answering || !may_run_again || request->deadline <= now_ ||
+      !retries_.Allow(now_)) {
     Fail(attempt.request, ErrorOf(result));
     return;
   }
+  ++counters_.retried;
   Enqueue(*request);
 }
 
@@ -180,11 +275,60 @@
   slots_.SetShare(event.target, event.share);
 }
 
-auto ServiceDispatcher::On(const DispatchPeerMessage& /*event*/) -> void {}
+auto ServiceDispatcher::On(const DispatchPeerMessage& event) -> void {
+  std::visit(
+      [&](const auto& message) {
+        using Message = std::decay_t<decltype(message)>;
+        if constexpr (kIsLoanMessage<Message>) {
+          if (row_ && message.service == row_->service) {
+            OnPeer(event.sender, message);
+          }
+        }
+      },
+      event.message);
+}
 
-auto ServiceDispatcher::On(const DispatchPeerLost& /*event*/) -> void {}
+auto ServiceDispatcher::OnPeer(const VmId& sender, const LoadReport& message)
+    -> void {
+  borrower_.OnLoadReport(sender, message);
+}
 
-auto ServiceDispatcher::On(const DispatchResumed& /*event*/) -> void {}
+auto ServiceDispatcher::OnPeer(const VmId& sender, const SlotRequest& message)
+    -> void {
+  for (auto& renewal : lender_.OnRequest(sender, message, now_)) {
+    actions_.emplace_back(SendToPeer{sender, std::move(renewal)});
+  }
+}
+
+auto ServiceDispatcher::OnPeer(const VmId& sender, const SlotLoan& message)
+    -> void {
+  if (auto refused = borrower_.OnLoan(sender, message, now_)) {
+    actions_.emplace_back(std::move(*refused));
+  }
+}
+
+auto ServiceDispatcher::OnPeer(const VmId& sender, const SlotReturn& message)
+    -> void {
+  if (const auto loan = lender_.OnReturn(sender, message.loan)) {
+    slots_.Free(loan->target, loan->work_class);
+  }
+}
+
+auto ServiceDispatcher::OnPeer(const VmId& sender, const SlotRecall& message)
+    -> void {
+  if (auto returned = borrower_.OnRecall(sender, message)) {
+    actions_.emplace_back(std::move(*returned));
+  }
+}
+
+auto ServiceDispatcher::On(const DispatchPeerLost& event) -> void {
+  lender_.ForgetPeer(event.peer);
+  borrower_.ForgetLender(event.peer);
+}
+
+auto ServiceDispatcher::On(const DispatchResumed& /*event*/) -> void {
+  borrower_.Reset();
+}
 
 auto ServiceDispatcher::On(const DispatchTimer& /*event*/) -> void {
   ordered_wake_.reset();
@@ -226,24 +370,25 @@
   }
 }
 
-auto ServiceDispatcher::ExpireDeadlines() -> void {
-  for (auto earliest = queue_.EarliestDeadline(); earliest && *earliest <= now_;
-       earliest = queue_.EarliestDeadline()) {
-    for (const auto& [work_class, name] : EnumNames<WorkClass>::kTable) {
-      const auto front = queue_.Front(work_class);
-      if (front && front->deadline <= now_) {
-        Fail(front->request, ErrorKind::kDeadlinePassed);
-      }
+auto ServiceDispatcher::ExpireWaiting() -> void {
+  for (const auto& [work_class, name] : EnumNames<WorkClass>::kTable) {
+    for (auto front = queue_.Front(work_class);
+         front && front->deadline <= now_; front = queue_.Front(work_class)) {
+      Fail(front->request, ErrorKind::kDeadlinePassed);
     }
   }
+}
+
+auto ServiceDispatcher::ExpireInFlight() -> void {
   std::vector<RequestId> overdue;
   for (const auto& [id, attempt] : book_.attempts()) {
-    auto* request = book_.FindRequest(attempt.request);
+    const auto* request = book_.FindRequest(attempt.request);
     if (request != nullptr && !request->answering &&
         request->deadline + kTimeoutGrace <= now_) {
       overdue.push_back(request->request);
     }
   }
+  // The order of a hash map must not decide the order of actions.
   std::sort(overdue.begin(), overdue.end());
   for (const auto request : overdue) {
     if (auto* open = book_.FindRequest(request)) {
@@ -253,56 +398,214 @@
   }
 }
 
-auto ServiceDispatcher::StartAttempts() -> void {
-  for (auto front = queue_.Front(WorkClass::kShort); front;
-       front = queue_.Front(WorkClass::kShort)) {
-    const auto& avoid = book_.FindRequest(front->request)->avoid;
-    const auto target = slots_.Pick(avoid, random_);
-    if (!target) {
-      return;
-    }
-    Start(*front, *target);
+auto ServiceDispatcher::ExpireLoans() -> void {
+  for (const auto& loan : lender_.Expire(now_)) {
+    slots_.Free(loan.target, loan.work_class);
   }
-  for (auto front = queue_.Front(WorkClass::kLong); front;
-       front = queue_.Front(WorkClass::kLong)) {
-    const auto& avoid = book_.FindRequest(front->request)->avoid;
-    const auto target = slots_.Pick(avoid, random_);
-    if (!target) {
+  Send(borrower_.Expire(now_));
+}
+
+auto ServiceDispatcher::IsTooLate(const QueuedRequest& queued) const -> bool {
+  // The last one waiting gets its chance; while others wait, a slot is better
+  // used for one that will most likely make it.
+  const auto needed = queue_.size(queued.work_class) > 1
+                          ? times_.Quantile(queued.work_class, kFittingQuantile)
+                          : times_.Mean(queued.work_class);
+  return now_ + needed > queued.deadline;
+}
+
+auto ServiceDispatcher::StartWaiting(WorkClass work_class) -> void {
+  for (auto front = queue_.Front(work_class); front;
+       front = queue_.Front(work_class)) {
+    if (IsTooLate(*front)) {
+      Fail(front->request, ErrorKind::kDeadlineUnreachable);
+      continue;
+    }
+    if (!StartOnAnySlot(*book_.FindRequest(front->request))) {
       return;
     }
-    Start(*front, *target);
   }
 }
 
-auto ServiceDispatcher::Start(const QueuedRequest& queued,
-                              const TargetId& target) -> void {
-  queue_.Remove(queued.request);
-  slots_.Take(target, queued.work_class);
+auto ServiceDispatcher::StartOnAnySlot(const TrackedRequest& request) -> bool {
+  if (const auto target = PickOwned(request.work_class, request.avoid)) {
+    Start(request, *target, std::nullopt);
+    return true;
+  }
+  const auto loan = borrower_.FindIdle(request.work_class, request.avoid);
+  if (!loan) {
+    return false;
+  }
+  Start(request, borrower_.TargetOf(*loan), loan);
+  return true;
+}
+
+auto ServiceDispatcher::Start(const TrackedRequest& request,
+                              const TargetId& target,
+                              const std::optional<LoanKey>& loan) -> void {
+  queue_.Remove(request.request);
+  if (loan) {
+    borrower_.MarkBusy(*loan);
+    ++counters_.borrowed;
+  } else {
+    slots_.Take(target, request.work_class);
+  }
+  if (request.attempts == 0) {
+    retries_.OnFirstAttempt(now_);
+  }
   const AttemptId id(++last_attempt_);
+  actions_.emplace_back(StartAttempt{request.request, id, target});
   book_.AddAttempt({.attempt = id,
-                    .request = queued.request,
+                    .request = request.request,
                     .target = target,
-                    .work_class = queued.work_class,
+                    .loan = loan,
+                    .work_class = request.work_class,
                     .started = now_});
-  if (book_.FindRequest(queued.request)->attempts > 1) {
+}
+
+auto ServiceDispatcher::StartHedges() -> void {
+  if (row_->hedge_delay <= Duration::zero() || !queue_.empty()) {
+    return;
+  }
+  std::vector<AttemptId> slow;
+  for (const auto& [id, attempt] : book_.attempts()) {
+    const auto* request = book_.FindRequest(attempt.request);
+    if (request != nullptr && request->repeatable && !request->answering &&
+        request->attempts == 1 && attempt.started + row_->hedge_delay <= now_) {
+      slow.push_back(id);
+    }
+  }
+  std::sort(slow.begin(), slow.end());
+  for (const auto id : slow) {
+    const auto& attempt = *book_.FindAttempt(id);
+    const auto* request = book_.FindRequest(attempt.request);
+    const auto target = PickOwned(attempt.work_class, attempt.target);
+    if (!target || *target == attempt.target || !retries_.Allow(now_)) {
+      return;
+    }
     ++counters_.retried;
+    ++counters_.hedged;
+    Start(*request, *target, std::nullopt);
+  }
+}
+
+auto ServiceDispatcher::PickOwned(WorkClass work_class, const TargetId& avoid)
+    -> std::optional<TargetId> {
+  const auto state = LongState();
+  if (work_class == WorkClass::kLong && !MayStartLong(policy_, state)) {
+    return std::nullopt;
+  }
+  return slots_.Pick(avoid, RangeFor(policy_, state, work_class), random_);
+}
+
+auto ServiceDispatcher::Lend() -> void {
+  for (const auto& [work_class, name] : EnumNames<WorkClass>::kTable) {
+    LendFor(work_class);
+  }
+  if (queue_.empty()) {
+    return;
+  }
+  for (const auto& loan : lender_.Recall(queue_.size(), now_)) {
+    actions_.emplace_back(
+        SendToPeer{loan.borrower, SlotRecall{loan.loan, row_->service}});
+  }
+}
+
+auto ServiceDispatcher::LendFor(WorkClass work_class) -> void {
+  for (auto request = lender_.NextRequest(work_class);
+       request && queue_.size(work_class) == 0;
+       request = lender_.NextRequest(work_class)) {
+    const auto target = PickOwned(work_class, TargetId());
+    if (!target) {
+      return;
+    }
+    slots_.Take(*target, work_class);
+    ++counters_.lent;
+    actions_.emplace_back(
+        SendToPeer{request->borrower,
+                   lender_.Grant(*request, *target, row_->service, now_)});
+  }
+}
+
+auto ServiceDispatcher::Borrow() -> void {
+  for (const auto& [work_class, name] : EnumNames<WorkClass>::kTable) {
+    const auto waiting = queue_.size(work_class);
+    if (waiting == 0) {
+      Send(borrower_.ReturnIdle(work_class));
+    }
+    Send(borrower_.Ask(work_class, waiting, random_, now_));
+  }
+  Send(borrower_.Renew(now_));
+}
+
+auto ServiceDispatcher::Report() -> void {
+  if (!is_member_ || !reporter_.IsDue(SpareSlots(), IsBusy(), now_)) {
+    return;
+  }
+  auto report =
+      reporter_.Take(row_->service, static_cast<std::uint32_t>(queue_.size()),
+                     SpareSlots(), IsBusy(), now_);
+  report.median_latency = times_.Quantile(WorkClass::kShort, 0.5);
+  report.p95_latency = times_.Quantile(WorkClass::kShort, 0.95);
+  for (const auto& peer : peers_) {
+    actions_.emplace_back(SendToPeer{peer, report});
   }
-  actions_.emplace_back(StartAttempt{queued.request, id, target});
+}
+
+auto ServiceDispatcher::LongState() const -> LongWorkState {
+  return {.usable = slots_.Usable(),
+          .idle = slots_.Idle(),
+          .long_in_use = slots_.InUse(WorkClass::kLong),
+          .targets = slots_.UsableTargets(),
+          .short_demand = short_demand_.Slots(now_),
+          .long_demand = long_demand_.Slots(now_),
+          .members = members_,
+          .member_index = member_index_,
+          .max_share = row_ ? row_->long_share : 1};
+}
+
+auto ServiceDispatcher::SpareSlots() const -> std::uint32_t {
+  return queue_.size(WorkClass::kShort) > 0 ? 0 : slots_.Idle();
+}
+
+auto ServiceDispatcher::IsBusy() const -> bool {
+  return !queue_.empty() || slots_.InUse() > 0;
+}
+
+auto ServiceDispatcher::Send(const std::vector<SendToPeer>& sends) -> void {
+  actions_.insert(actions_.end(), sends.begin(), sends.end());
 }
 
 auto ServiceDispatcher::OrderWake() -> void {
-  auto next = queue_.EarliestDeadline();
+  std::optional<TimePoint> next;
+  const auto consider = [&next](std::optional<TimePoint> at) {
+    if (at && (!next || *at < *next)) {
+      next = at;
+    }
+  };
+  consider(queue_.EarliestDeadline());
+  consider(lender_.NextExpiry());
+  consider(borrower_.NextWake());
+  if (is_member_ && !peers_.empty()) {
+    consider(reporter_.NextWake(SpareSlots(), IsBusy()));
+  }
   for (const auto& [id, attempt] : book_.attempts()) {
     const auto* request = book_.FindRequest(attempt.request);
     if (request == nullptr || request->answering) {
       continue;
     }
-    const auto at = request->deadline + kTimeoutGrace;
-    if (!next || at < *next) {
-      next = at;
+    consider(request->deadline + kTimeoutGrace);
+    const auto hedge_at = attempt.started + row_->hedge_delay;
+    if (row_->hedge_delay > Duration::zero() && hedge_at > now_) {
+      consider(hedge_at);
     }
   }
-  if (next && next != ordered_wake_) {
+  if (next) {
+    // A step of the clock ahead, so that nothing due now wakes in a loop.
+    next = std::max(*next, now_ + Duration(1));
+  }
+  // A wake that is too early does no harm and saves an order for each event.
+  if (next && (!ordered_wake_ || *next < *ordered_wake_)) {
     ordered_wake_ = next;
     actions_.emplace_back(WakeDispatcherAt{*next});
   }
--- a/src/decision/dispatch/service_dispatcher.h
+++ b/src/decision/dispatch/service_dispatcher.h
@@ -12,9 +12,17 @@
 #include "core/time.h"
 #include "decision/dispatch/attempt.h"
 #include "decision/dispatch/deadline_queue.h"
+#include "decision/dispatch/demand_meter.h"
 #include "decision/dispatch/dispatch_event.h"
+#include "decision/dispatch/load_reporter.h"
+#include "decision/dispatch/loan_borrower.h"
+#include "decision/dispatch/loan_lender.h"
+#include "decision/dispatch/long_work_policy.h"
 #include "decision/dispatch/request_book.h"
+#include "decision/dispatch/retry_budget.h"
+#include "decision/dispatch/service_times.h"
 #include "decision/dispatch/target_slots.h"
+#include "decision/dispatch/team_limiter.h"
 #include "table/service_row.h"
 
 namespace flamingoyoke {
@@ -29,6 +37,11 @@
   std::uint64_t retried = 0;
   // Requests that ended with an unknown outcome.
   std::uint64_t unknown = 0;
+  // Second attempts started while the first one was in flight.
+  std::uint64_t hedged = 0;
+  // Attempts on borrowed slots, and slots lent to peers.
+  std::uint64_t borrowed = 0;
+  std::uint64_t lent = 0;
 };
 
 // Decides for one service on one node which request runs when and on which
@@ -42,7 +55,10 @@
 // Not thread-safe. The same events with the same seed give the same actions.
 class ServiceDispatcher {
  public:
-  explicit ServiceDispatcher(Random random);
+  // `policy` keeps long work from blocking short work; the default was chosen
+  // by measurement (docs/decisions/dispatch.md).
+  explicit ServiceDispatcher(Random random,
+                             LongWorkPolicy policy = AdaptiveCap());
 
   // Applies one event. `now` must not go backwards. Before the first
   // DispatchConfigured every request fails with kNotReady.
@@ -55,6 +71,12 @@
   [[nodiscard]] auto slots() const -> std::uint32_t;
   // Requests that wait.
   [[nodiscard]] auto queue_length() const -> std::size_t;
+  // Slots of other owners that are lent to this node.
+  [[nodiscard]] auto borrowed_slots() const -> std::size_t;
+  // Owned slots that are lent to other nodes.
+  [[nodiscard]] auto lent_slots() const -> std::size_t;
+  // Owned slots that long work may hold now.
+  [[nodiscard]] auto long_slot_cap() const -> std::uint32_t;
   [[nodiscard]] auto counters() const -> const DispatchCounters& {
     return counters_;
   }
@@ -71,34 +93,83 @@
   auto On(const DispatchResumed& event) -> void;
   auto On(const DispatchTimer& event) -> void;
 
+  auto OnPeer(const VmId& sender, const LoadReport& message) -> void;
+  auto OnPeer(const VmId& sender, const SlotRequest& message) -> void;
+  auto OnPeer(const VmId& sender, const SlotLoan& message) -> void;
+  auto OnPeer(const VmId& sender, const SlotReturn& message) -> void;
+  auto OnPeer(const VmId& sender, const SlotRecall& message) -> void;
+
   // Returns why a new request cannot be accepted, if so.
-  [[nodiscard]] auto RefusalOf(const RequestArrived& event) const
-      -> std::optional<ErrorKind>;
+  auto RefusalOf(const RequestArrived& event) -> std::optional<ErrorKind>;
+  // Returns whether a request that has to wait would miss its deadline.
+  [[nodiscard]] auto IsUnreachable(const RequestArrived& event) const -> bool;
   // Puts a request that has no attempt in flight back into the queue.
   auto Enqueue(const TrackedRequest& request) -> void;
   // Decides what follows a failed attempt of an open request.
   auto OnAttemptFailed(const TrackedAttempt& attempt, AttemptResult result)
       -> void;
+  // Frees the slot of a finished attempt and learns from its result.
+  auto ReleaseSlot(const TrackedAttempt& attempt, AttemptResult result) -> void;
   // Ends a request with an error that is true for all its attempts.
   auto Fail(RequestId request, ErrorKind error) -> void;
   // Cancels the unfinished attempts of a request except `kept`.
   auto CancelAttempts(const TrackedRequest& request, AttemptId kept) -> void;
-  // Ends waiting requests whose deadline passed and attempts that the caller
-  // of OnEvent failed to time out.
-  auto ExpireDeadlines() -> void;
-  // Starts attempts while requests wait and slots are free.
-  auto StartAttempts() -> void;
-  auto Start(const QueuedRequest& queued, const TargetId& target) -> void;
+
+  // Ends waiting requests whose deadline passed.
+  auto ExpireWaiting() -> void;
+  // Ends requests in flight that the caller of OnEvent failed to time out.
+  auto ExpireInFlight() -> void;
+  // Ends loans whose time is over, on both sides.
+  auto ExpireLoans() -> void;
+  // Starts attempts of `work_class` while requests wait and slots are free.
+  auto StartWaiting(WorkClass work_class) -> void;
+  // Returns whether too little time is left for a request that waited.
+  [[nodiscard]] auto IsTooLate(const QueuedRequest& queued) const -> bool;
+  // Starts an attempt on an owned or borrowed slot; returns whether there was
+  // one.
+  auto StartOnAnySlot(const TrackedRequest& request) -> bool;
+  // Starts second attempts of requests that are slower than the hedge delay.
+  auto StartHedges() -> void;
+  auto Start(const TrackedRequest& request,
+             const TargetId& target,
+             const std::optional<LoanKey>& loan) -> void;
+
+  // Lends idle slots to peers that asked, and recalls loans if requests wait.
+  auto Lend() -> void;
+  auto LendFor(WorkClass work_class) -> void;
+  // Returns, renews and asks for loans.
+  auto Borrow() -> void;
+  auto Report() -> void;
   auto OrderWake() -> void;
 
+  // Returns a free owned slot that the policy grants to `work_class`.
+  auto PickOwned(WorkClass work_class, const TargetId& avoid)
+      -> std::optional<TargetId>;
+  [[nodiscard]] auto LongState() const -> LongWorkState;
+  [[nodiscard]] auto SpareSlots() const -> std::uint32_t;
+  [[nodiscard]] auto IsBusy() const -> bool;
+  auto Send(const std::vector<SendToPeer>& sends) -> void;
+
   Random random_;
+  LongWorkPolicy policy_;
   TimePoint now_;
   std::optional<ServiceRow> row_;
   VmId self_;
   std::vector<VmId> peers_;
+  std::size_t members_ = 1;
+  std::size_t member_index_ = 0;
+  bool is_member_ = false;
   DeadlineQueue queue_;
   RequestBook book_;
   TargetSlots slots_;
+  ServiceTimes times_;
+  DemandMeter short_demand_;
+  DemandMeter long_demand_;
+  TeamLimiter teams_;
+  RetryBudget retries_;
+  LoanLender lender_;
+  LoanBorrower borrower_;
+  LoadReporter reporter_;
   DispatchCounters counters_;
   std::uint64_t last_attempt_ = 0;
   std::optional<TimePoint> ordered_wake_;
--- a/src/decision/dispatch/target_slots.cc
+++ b/src/decision/dispatch/target_slots.cc
@@ -52,29 +52,48 @@
   }
 }
 
-auto TargetSlots::Pick(const TargetId& avoid, Random& random) const
-    -> std::optional<TargetId> {
+auto TargetSlots::RankOf(const State& state, std::size_t index, PickOrder order)
+    -> double {
+  switch (order) {
+    case PickOrder::kFirst:
+      return static_cast<double>(index);
+    case PickOrder::kLast:
+      return -static_cast<double>(index);
+    case PickOrder::kLeastLoaded:
+      break;
+  }
+  return (state.Total() + 1) / (state.weight * state.Usable());
+}
+
+auto TargetSlots::Pick(const TargetId& avoid,
+                       const PickRange& range,
+                       Random& random) const -> std::optional<TargetId> {
   std::optional<TargetId> best;
-  double best_load = 0;
+  double best_rank = 0;
   std::uint64_t ties = 0;
+  std::size_t index = 0;
+  bool avoided_is_free = false;
   for (const auto& [target, state] : targets_) {
-    if (state.Total() >= state.Usable() || target == avoid) {
+    const auto usable = state.Usable();
+    index += usable > 0 ? 1 : 0;
+    if (state.Total() >= usable || index <= range.begin || index > range.end) {
       continue;
     }
-    const double load = (state.Total() + 1) / (state.weight * state.Usable());
-    if (best && load > best_load) {
+    if (target == avoid) {
+      avoided_is_free = true;
       continue;
     }
-    ties = best && load == best_load ? ties + 1 : 1;
+    const double rank = RankOf(state, index, range.order);
+    if (best && rank > best_rank) {
+      continue;
+    }
+    ties = best && rank == best_rank ? ties + 1 : 1;
     if (ties == 1 || random.Below(ties) == 0) {
       best = target;
-      best_load = load;
+      best_rank = rank;
     }
   }
-  if (!best && !avoid.empty() && InUse(avoid) < Usable(avoid)) {
-    return avoid;
-  }
-  return best;
+  return !best && avoided_is_free ? std::optional(avoid) : best;
 }
 
 auto TargetSlots::Take(const TargetId& target, WorkClass work_class) -> void {
@@ -110,6 +129,14 @@
   }
 }
 
+auto TargetSlots::UsableTargets() const -> std::size_t {
+  std::size_t count = 0;
+  for (const auto& [target, state] : targets_) {
+    count += state.Usable() > 0 ? 1 : 0;
+  }
+  return count;
+}
+
 auto TargetSlots::Owns(const TargetId& target) const -> bool {
   const auto entry = targets_.find(target);
   return entry != targets_.end() && entry->second.owned;
--- a/src/decision/dispatch/target_slots.h
+++ b/src/decision/dispatch/target_slots.h
@@ -11,6 +11,7 @@
 #include "core/time.h"
 #include "decision/dispatch/adaptive_limit.h"
 #include "decision/dispatch/attempt.h"
+#include "decision/dispatch/long_work_policy.h"
 #include "table/service_row.h"
 
 namespace flamingoyoke {
@@ -28,11 +29,12 @@
   // slot is usable, so that trial work reaches a target whose share is small.
   auto SetShare(const TargetId& target, double share) -> void;
 
-  // Returns the target with the lowest use relative to its weight among those
-  // with a free slot; ties are broken at random. `avoid` is returned only if
-  // no other target has a free slot.
-  [[nodiscard]] auto Pick(const TargetId& avoid, Random& random) const
-      -> std::optional<TargetId>;
+  // Returns a target of `range` with a free slot; by default the one with the
+  // lowest use relative to its weight, with ties broken at random. `avoid` is
+  // returned only if no other target has a free slot.
+  [[nodiscard]] auto Pick(const TargetId& avoid,
+                          const PickRange& range,
+                          Random& random) const -> std::optional<TargetId>;
 
   // Takes or frees a slot. Unknown targets are ignored, since a target may
   // lose its owner while it is in use.
@@ -43,6 +45,8 @@
   auto OnResult(const TargetId& target, AttemptResult result, TimePoint now)
       -> void;
 
+  // Number of owned targets that may be used.
+  [[nodiscard]] auto UsableTargets() const -> std::size_t;
   [[nodiscard]] auto Owns(const TargetId& target) const -> bool;
   // Slots that may be used now, over all owned targets.
   [[nodiscard]] auto Usable() const -> std::uint32_t;
@@ -69,6 +73,11 @@
     [[nodiscard]] auto Usable() const -> std::uint32_t;
   };
 
+  // Smaller is picked first.
+  [[nodiscard]] static auto RankOf(const State& state,
+                                   std::size_t index,
+                                   PickOrder order) -> double;
+
   // Ordered, so that decisions do not depend on the hash function.
   std::map<TargetId, State> targets_;
 };
--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -10,6 +10,7 @@
 #include "core/ids.h"
 #include "core/name_table.h"
 #include "core/time.h"
+#include "decision/dispatch/attempt.h"
 #include "decision/fleet/member.h"
 
 namespace flamingoyoke {
@@ -84,6 +85,11 @@
   ServiceId service;
   std::uint64_t sequence = 0;
   std::uint32_t wanted = 0;
+  // Class of the work that waits; the lender keeps its cap on long work.
+  WorkClass work_class = WorkClass::kShort;
+  // Loans in use that shall last longer; each is answered by a SlotLoan with
+  // the same id.
+  std::vector<LoanId> renewed;
 };
 
 // Lends one slot of each listed target; a target may be listed repeatedly.
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -125,8 +125,14 @@
 }
 
 auto Read(const wire::SlotRequest& encoded) -> Result<PeerMessage> {
-  return SlotRequest{ServiceId(encoded.service()), encoded.sequence(),
-                     encoded.wanted()};
+  BOOST_LEAF_AUTO(work_class, ReadEnum<WorkClass>(encoded.work_class()));
+  SlotRequest request{ServiceId(encoded.service()), encoded.sequence(),
+                      encoded.wanted(), work_class};
+  request.renewed.reserve(static_cast<std::size_t>(encoded.renewed_size()));
+  for (const auto loan : encoded.renewed()) {
+    request.renewed.emplace_back(loan);
+  }
+  return request;
 }
 
 auto Read(const wire::SlotLoan& encoded) -> Result<PeerMessage> {
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -106,6 +106,10 @@
   encoded->set_service(message.service.value());
   encoded->set_sequence(message.sequence);
   encoded->set_wanted(message.wanted);
+  encoded->set_work_class(static_cast<std::uint32_t>(message.work_class));
+  for (const auto loan : message.renewed) {
+    encoded->add_renewed(loan.value());
+  }
 }
 
 auto BodyWriter::operator()(const SlotLoan& message) const -> void {
--- a/tests/unit/wire/peer_codec_test.cc
+++ b/tests/unit/wire/peer_codec_test.cc
@@ -41,7 +41,7 @@
       TablePull{1, Revision(2)},
       TableData{{1, Revision(2), 3}, "service,route\n"},
       LoadReport{service, 1, 2, 3, 4, Duration(5), Duration(6)},
-      SlotRequest{service, 2, 3},
+      SlotRequest{service, 2, 3, WorkClass::kLong, {LoanId(4)}},
       SlotLoan{LoanId(1), service, 2, {target, target}, Duration(9)},
       SlotReturn{LoanId(1), service, {target}, {{target, 1, 2, 3, 4}}},
       SlotRecall{LoanId(1), service},
@@ -69,6 +69,9 @@
   cr_assert(loan.loan == LoanId(1));
   cr_assert_eq(loan.targets.size(), 2);
   cr_assert(loan.duration == Duration(9));
+  const auto request = std::get<SlotRequest>(RoundTrip(AllMessages()[7]));
+  cr_assert(request.work_class == WorkClass::kLong);
+  cr_assert(request.renewed == std::vector<LoanId>{LoanId(4)});
   const auto notice = std::get<EjectionNotice>(RoundTrip(AllMessages()[12]));
   cr_assert(notice.state == TargetState::kTrial);
   cr_assert_eq(notice.version, 4);
