Read and check the operators' table

The fleet needs an accepted table or every reason for refusing it, so that an operator can repair a table in one pass.

ReadTable splits the text through libcsv in strict mode, checks each column against its range and compares services, routes and targets across rows. Rows are numbered as a spreadsheet shows them. The number of cells, rows, faults and shown characters is bounded, since the text may be any 1 MB of bytes. `repeatable` has no default; without a `key` column, unrepeatable work requires a key. Addresses are parsed by IpAddress in core, because the table layer may not include the socket headers.

--- /dev/null
+++ b/src/core/endpoint.h
@@ -0,0 +1,37 @@
+#ifndef FLAMINGOYOKE_CORE_ENDPOINT_H_
+#define FLAMINGOYOKE_CORE_ENDPOINT_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/ip_address.h"
+
+namespace flamingoyoke {
+
+// An IP address with a port.
+struct Endpoint {
+  IpAddress address;
+  std::uint16_t port = 0;
+
+  // clang-tidy 14 takes the defaulted operator for a null pointer.
+  auto operator<=>(const Endpoint&) const = default;  // NOLINT
+};
+
+// An endpoint together with its host text, without brackets, as socket
+// libraries take it.
+struct NamedEndpoint {
+  Endpoint endpoint;
+  std::string host;
+};
+
+// Parses "10.0.0.1:8080" or "[::1]:8080". Host names are not accepted: they
+// would make a lookup part of every connection. Port 0 is accepted; callers
+// that connect must refuse it. Thread-safe.
+auto ParseEndpoint(std::string_view text) -> std::optional<NamedEndpoint>;
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_CORE_ENDPOINT_H_
--- /dev/null
+++ b/src/table/header.cc
@@ -0,0 +1,48 @@
+#include "table/header.h"
+
+#include <string>
+
+namespace flamingoyoke {
+namespace {
+
+auto AllColumnNames() -> std::string {
+  std::string names;
+  for (const auto& entry : EnumNames<Column>::kTable) {
+    names += names.empty() ? "" : ", ";
+    names += entry.name;
+  }
+  return names;
+}
+
+}  // namespace
+
+Header::Header(const CsvRecord& record, FaultList& faults)
+    : indexes_(), size_(record.cells.size()) {
+  for (std::size_t index = 0; index < record.cells.size(); ++index) {
+    const auto& name = record.cells[index];
+    const auto column = FromName<Column>(name);
+    if (!column) {
+      faults.Add(record.row, name, name,
+                 "unknown column; the columns are " + AllColumnNames());
+      continue;
+    }
+    auto& slot = indexes_.at(static_cast<std::size_t>(*column));
+    if (slot) {
+      faults.Add(record.row, name, name, "the column appears twice");
+      continue;
+    }
+    slot = index;
+  }
+  for (const auto column : kRequiredColumns) {
+    if (!IndexOf(column)) {
+      faults.Add(record.row, ToName(column), "",
+                 "the column is missing and has no default");
+    }
+  }
+}
+
+auto Header::IndexOf(Column column) const -> std::optional<std::size_t> {
+  return indexes_.at(static_cast<std::size_t>(column));
+}
+
+}  // namespace flamingoyoke
