Read and check the settings of a process

A process learns its addresses and its failure domain from its settings, so a wrong field must stop it at start with a message that names the field.

ReadSettings parses JSON with comments through nlohmann-json, refuses keys that appear twice, and lists every fault with the path, unit and range of the field. Secret keys are never shown. The rule for names moves from the table layer to core, because settings may include only core.

--- a/src/core/endpoint.cc
+++ b/src/core/endpoint.cc
@@ -34,7 +34,8 @@
   if (!port || !address || address->is_v6() != has_brackets) {
     return std::nullopt;
   }
-  return NamedEndpoint{Endpoint{*address, *port}, std::string(host)};
+  return NamedEndpoint{Endpoint{*address, *port}, std::string(host),
+                       std::string(text)};
 }
 
 }  // namespace flamingoyoke
--- a/src/core/endpoint.h
+++ b/src/core/endpoint.h
@@ -20,11 +20,13 @@
   auto operator<=>(const Endpoint&) const = default;  // NOLINT
 };
 
-// An endpoint together with its host text, without brackets, as socket
-// libraries take it.
+// An endpoint together with its spelling.
 struct NamedEndpoint {
   Endpoint endpoint;
+  // The IP number without brackets, as libevent takes it.
   std::string host;
+  // "ip:port", as it was written and as ZeroMQ takes it.
+  std::string text;
 };
 
 // Parses "10.0.0.1:8080" or "[::1]:8080". Host names are not accepted: they
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,131 @@
+#ifndef FLAMINGOYOKE_SETTINGS_SETTINGS_H_
+#define FLAMINGOYOKE_SETTINGS_SETTINGS_H_
+
+#include <array>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/endpoint.h"
+#include "core/ids.h"
+#include "core/name_table.h"
+#include "core/result.h"
+#include "core/time.h"
+
+namespace flamingoyoke {
+
+enum class LogLevel { kDebug, kInfo, kWarning, kError };
+
+template <>
+struct EnumNames<LogLevel> {
+  static constexpr auto kTable = std::to_array<NameEntry<LogLevel>>({
+      {LogLevel::kDebug, "debug"},
+      {LogLevel::kInfo, "info"},
+      {LogLevel::kWarning, "warning"},
+      {LogLevel::kError, "error"},
+  });
+};
+static_assert(IsDense<LogLevel>());
+
+enum class LogFormat { kText, kJson };
+
+template <>
+struct EnumNames<LogFormat> {
+  static constexpr auto kTable = std::to_array<NameEntry<LogFormat>>({
+      {LogFormat::kText, "text"},
+      {LogFormat::kJson, "json"},
+  });
+};
+static_assert(IsDense<LogFormat>());
+
+// docs/operations/settings.md describes every field with its range.
+
+// Which vm this process is.
+struct VmSettings {
+  VmId id;
+  FailureDomainId failure_domain;
+  RegionId region;
+};
+
+// The server for callers.
+struct CallerSettings {
+  NamedEndpoint address;
+  std::uint32_t max_connections = 1024;
+  std::uint64_t max_header_bytes = 16'384;
+  Duration idle_timeout = std::chrono::seconds(60);
+  // Sum of the request bodies held at a time.
+  std::uint64_t body_budget_bytes = 64'000'000;
+  // How long callers may cache the addresses that they are given.
+  Duration address_ttl = std::chrono::seconds(5);
+};
+
+// CURVE keys of this process in Z85.
+struct CurveKeys {
+  std::string public_key;
+  std::string secret_key;
+};
+
+// Messages between nodes.
+struct MeshSettings {
+  NamedEndpoint address;
+  // Absent: messages are neither encrypted nor authenticated.
+  std::optional<CurveKeys> keys;
+};
+
+// The server for operators.
+struct AdminSettings {
+  NamedEndpoint address;
+};
+
+// The configuration service and the list of vms.
+struct PlatformSettings {
+  NamedEndpoint address;
+  std::vector<std::string> table_keys = {"table"};
+  Duration watch_timeout = std::chrono::seconds(30);
+};
+
+struct ShutdownSettings {
+  // Time from the first signal until every remaining request is answered and
+  // the process exits.
+  Duration hard_limit = std::chrono::seconds(60);
+};
+
+struct LogSettings {
+  LogLevel level = LogLevel::kInfo;
+  LogFormat format = LogFormat::kText;
+};
+
+struct TraceSettings {
+  // Share of requests without a sampling decision of their own that are
+  // traced.
+  double sample_rate = 0;
+  // File for spans as OTLP JSON; empty means that spans are dropped.
+  std::string file;
+};
+
+// What a process is told at start. Everything else is in the table.
+struct Settings {
+  VmSettings vm;
+  CallerSettings caller;
+  MeshSettings mesh;
+  AdminSettings admin;
+  PlatformSettings platform;
+  ShutdownSettings shutdown;
+  LogSettings log;
+  TraceSettings trace;
+};
+
+// Largest settings text.
+inline constexpr std::size_t kMaxSettingsBytes = 65'536;
+
+// Reads settings from JSON, in which comments are allowed. Fails with
+// kSettingsInvalid; the detail has one line per fault with the path of the
+// field, the unit and the accepted range. Never shows the secret key. Safe for
+// any bytes. Thread-safe.
+auto ReadSettings(std::string_view json_with_comments) -> Result<Settings>;
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_SETTINGS_SETTINGS_H_
--- /dev/null
+++ b/src/settings/settings_group.cc
@@ -0,0 +1,205 @@
+#include "settings/settings_group.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/name_rule.h"
+
+namespace flamingoyoke {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kMaxShownLength = 120;
+constexpr std::size_t kMaxNames = 64;
+constexpr std::size_t kCurveKeyLength = 40;
+// The alphabet of Z85 (ZeroMQ RFC 32).
+constexpr std::string_view kZ85Alphabet =
+    "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+    ".-:+=^!/*?&<>()[]{}@%$#";
+
+// Writes `value` on one line of ASCII.
+auto Shown(const Json& value) -> std::string {
+  auto text = value.dump(-1, ' ', /*ensure_ascii=*/true,
+                         Json::error_handler_t::replace);
+  if (text.size() > kMaxShownLength) {
+    text.resize(kMaxShownLength);
+    text += "...";
+  }
+  return text;
+}
+
+auto IsNameValue(const Json& value) -> bool {
+  return value.is_string() && IsValidName(value.get_ref<const std::string&>());
+}
+
+}  // namespace
+
+SettingsGroup::SettingsGroup(const Json& document,
+                             std::string name,
+                             Faults& faults)
+    : name_(std::move(name)), faults_(faults) {
+  const auto found = document.find(name_);
+  if (found == document.end()) {
+    return;
+  }
+  if (!found->is_object()) {
+    faults_.push_back(name_ + " must be an object but is " + Shown(*found));
+    return;
+  }
+  fields_ = &*found;
+}
+
+auto SettingsGroup::Name(const char* field) -> std::string {
+  const auto* value = Find(field);
+  if (value == nullptr || !IsNameValue(*value)) {
+    Refuse(field, value, std::string("must be a name: ") + kNameRule);
+    return {};
+  }
+  return value->get<std::string>();
+}
+
+auto SettingsGroup::Address(const char* field) -> NamedEndpoint {
+  const auto* value = Find(field);
+  const auto address = value != nullptr && value->is_string()
+                           ? ParseEndpoint(value->get<std::string>())
+                           : std::nullopt;
+  if (!address || address->endpoint.port == 0) {
+    Refuse(field, value,
+           "must be an IP number with a port from 1 to 65535, for example "
+           "\"10.0.0.1:8080\"");
+    return {};
+  }
+  return *address;
+}
+
+auto SettingsGroup::Count(const char* field,
+                          CountField rule,
+                          std::uint64_t fallback) -> std::uint64_t {
+  const auto* value = Find(field);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const auto count =
+      value->is_number_unsigned() ? value->get<std::uint64_t>() : 0;
+  if (!value->is_number_unsigned() || count < rule.least || count > rule.most) {
+    Refuse(field, value,
+           "must be a whole number of " + std::string(rule.unit) + " from " +
+               std::to_string(rule.least) + " to " + std::to_string(rule.most));
+    return fallback;
+  }
+  return count;
+}
+
+auto SettingsGroup::Milliseconds(const char* field,
+                                 CountField rule,
+                                 Duration fallback) -> Duration {
+  const auto count =
+      Count(field, rule, static_cast<std::uint64_t>(ToMilliseconds(fallback)));
+  return std::chrono::milliseconds(count);
+}
+
+auto SettingsGroup::Share(const char* field, double fallback) -> double {
+  const auto* value = Find(field);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const auto share = value->is_number() ? value->get<double>() : -1;
+  if (share < 0 || share > 1) {
+    Refuse(field, value, "must be a share from 0 to 1");
+    return fallback;
+  }
+  return share;
+}
+
+auto SettingsGroup::Names(const char* field, std::vector<std::string> fallback)
+    -> std::vector<std::string> {
+  const auto* value = Find(field);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const bool is_list = value->is_array() && !value->empty() &&
+                       value->size() <= kMaxNames &&
+                       std::all_of(value->begin(), value->end(), IsNameValue);
+  if (!is_list) {
+    Refuse(field, value,
+           std::string("must be a list of 1 to 64 names: ") + kNameRule);
+    return fallback;
+  }
+  auto names = value->get<std::vector<std::string>>();
+  if (std::set<std::string>(names.begin(), names.end()).size() !=
+      names.size()) {
+    Refuse(field, value, "must not list a name twice");
+  }
+  return names;
+}
+
+auto SettingsGroup::Text(const char* field, std::size_t max_length)
+    -> std::string {
+  const auto* value = Find(field);
+  if (value == nullptr) {
+    return {};
+  }
+  auto text = value->is_string() ? value->get<std::string>() : "";
+  const bool has_control_character = std::any_of(
+      text.begin(), text.end(), [](char c) { return c >= 0 && c < ' '; });
+  if (!value->is_string() || text.size() > max_length ||
+      has_control_character) {
+    Refuse(field, value,
+           "must be text of at most " + std::to_string(max_length) +
+               " bytes without control characters");
+    return {};
+  }
+  return text;
+}
+
+auto SettingsGroup::CurveKey(const char* field) -> std::optional<std::string> {
+  const auto* value = Find(field);
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  const auto key = value->is_string() ? value->get<std::string>() : "";
+  if (key.size() != kCurveKeyLength ||
+      key.find_first_not_of(kZ85Alphabet) != std::string::npos) {
+    faults_.push_back(name_ + "." + field +
+                      " must be a CURVE key of 40 Z85 characters (the value "
+                      "is not shown)");
+  }
+  return key;
+}
+
+auto SettingsGroup::RefuseUnknownFields() -> void {
+  if (fields_ == nullptr) {
+    return;
+  }
+  std::string known;
+  for (const auto& field : known_) {
+    known += (known.empty() ? "" : ", ") + field;
+  }
+  for (const auto& [field, value] : fields_->items()) {
+    if (known_.count(field) == 0) {
+      faults_.push_back(name_ + "." + Shown(field) +
+                        " is unknown; the fields of " + name_ + " are " +
+                        known);
+    }
+  }
+}
+
+auto SettingsGroup::Refuse(const std::string& field,
+                           const Json* value,
+                           const std::string& rule) -> void {
+  const auto seen =
+      value == nullptr ? " is missing; it " : " is " + Shown(*value) + " but ";
+  faults_.push_back(name_ + "." + field + seen + rule);
+}
+
+auto SettingsGroup::Find(const char* field) -> const Json* {
+  known_.insert(field);
+  if (fields_ == nullptr) {
+    return nullptr;
+  }
+  const auto found = fields_->find(field);
+  return found == fields_->end() ? nullptr : &*found;
+}
+
+}  // namespace flamingoyoke
--- a/src/table/row_reader.cc
+++ b/src/table/row_reader.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <string>
 
-#include "table/names.h"
+#include "core/name_rule.h"
+#include "table/route_rule.h"
 #include "table/target_reader.h"
 
 namespace flamingoyoke {
--- a/src/table/target_reader.cc
+++ b/src/table/target_reader.cc
@@ -6,7 +6,7 @@
 #include <string_view>
 
 #include "core/endpoint.h"
-#include "table/names.h"
+#include "core/name_rule.h"
 
 namespace flamingoyoke {
 namespace {
--- /dev/null
+++ b/tests/unit/settings/example_test.cc
@@ -0,0 +1,28 @@
+#include <criterion/criterion.h>
+
+#include <fstream>
+#include <iterator>
+#include <optional>
+#include <string>
+
+#include "settings/settings.h"
+
+namespace flamingoyoke {
+namespace {
+
+// Guards against a shipped example that a node would refuse.
+Test(example, is_accepted) {
+  const std::string here = __FILE__;
+  const auto root = here.substr(0, here.rfind("tests/unit/settings/"));
+  std::ifstream stream(root + "examples/settings.json");
+  cr_assert(stream.is_open());
+  const std::string text((std::istreambuf_iterator<char>(stream)),
+                         std::istreambuf_iterator<char>());
+  std::optional<Settings> settings;
+  const auto error = CaptureInto(settings, [&] { return ReadSettings(text); });
+  cr_assert_not(error.has_value());
+  cr_assert_eq(settings->vm.id.value(), "entry-01");
+}
+
+}  // namespace
+}  // namespace flamingoyoke
