Add stand-ins for platform, upstreams, faulty links and load

The integration tests need outside systems whose behaviour they control and whose counters they can compare with what callers were told.

Four programs stand in for the surroundings: the platform, an upstream with slots, gray failures and lying health and load, a TCP proxy that injects faults per direction, and an open-loop load generator with a seeded schedule. Answers depend on the id of the request, so that an answer that belongs to another request, is cut off or is damaged is seen. Ten tests with real processes check the stand-ins themselves.

--- /dev/null
+++ b/tests/integration/standins_test.cc
@@ -0,0 +1,238 @@
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "integration/support/blocking_http.h"
+#include "integration/support/child_process.h"
+#include "integration/support/standins.h"
+#include "integration/support/wait_until.h"
+#include "standins/common/answer_body.h"
+
+namespace flamingoyoke::integration {
+namespace {
+
+using standin::MakeAnswerBody;
+
+constexpr auto kWide = std::chrono::seconds(60);
+constexpr auto kShortTimeout = std::chrono::milliseconds(500);
+
+TestSuite(standins, .fini = &ChildProcess::EndAll, .timeout = 240);
+
+auto Work(int port, const std::string& id, int service_ms) -> HttpCall {
+  HttpCall call;
+  call.server = Loopback(port);
+  call.target =
+      "/work?bytes=100&id=" + id + "&service_ms=" + std::to_string(service_ms);
+  return call;
+}
+
+// Guards against a stand-in that runs more work at a time than its slots, which
+// would hide queueing in every other test.
+Test(standins, upstream_keeps_to_its_slots) {
+  BlockingHttp http;
+  Upstream upstream({"--slots", "2"});
+  for (int index = 0; index < 6; ++index) {
+    http.Begin(Work(upstream.port(), std::to_string(index), 20));
+  }
+  const auto answers = http.WaitForAll();
+  for (int index = 0; index < 6; ++index) {
+    cr_assert_eq(answers[index].status, 200);
+    cr_assert_eq(answers[index].body,
+                 MakeAnswerBody(std::to_string(index), "", 100));
+  }
+  const auto counters = upstream.Counters(http);
+  cr_assert_eq(counters["executed"].get<int>(), 6);
+  cr_assert_eq(counters["max_in_flight"].get<int>(), 2);
+  cr_assert_eq(counters["by_id"]["3"].get<int>(), 1);
+}
+
+// Guards against shed work that is counted as run.
+Test(standins, upstream_sheds_without_running) {
+  BlockingHttp http;
+  Upstream upstream;
+  upstream.Behave(http, R"({"shed": true, "drain": true})");
+  const auto answer = http.Send(Work(upstream.port(), "a", 1));
+  cr_assert_eq(answer.status, 503);
+  cr_assert_eq(answer.Header("Flamingoyoke-Not-Run"), "1");
+  cr_assert_eq(answer.Header("Flamingoyoke-Drain"), "1");
+  cr_assert_eq(upstream.Counters(http)["executed"].get<int>(), 0);
+}
+
+// Guards against a gray upstream whose probe fails too, which would not be
+// gray.
+Test(standins, gray_upstream_passes_probes) {
+  BlockingHttp http;
+  Upstream upstream;
+  upstream.Behave(http, R"({"gray_share": 1, "reported_load": 0.25})");
+  const auto answer = http.Send(Work(upstream.port(), "a", 1));
+  cr_assert_eq(answer.status, 500);
+  cr_assert(std::stod(answer.Header("Flamingoyoke-Load")) == 0.25);
+  cr_assert_eq(http.Get(upstream.port(), "/healthz").status, 200);
+  upstream.Behave(http, R"({"gray_kind": "reset"})");
+  cr_assert_eq(http.Send(Work(upstream.port(), "b", 1)).status, 0);
+  upstream.Behave(http, R"({"gray_kind": "hang"})");
+  auto call = Work(upstream.port(), "c", 1);
+  call.timeout = kShortTimeout;
+  cr_assert_eq(http.Send(call).status, 0);
+  cr_assert_eq(upstream.Counters(http)["failed"].get<int>(), 3);
+}
+
+// Guards against misspelt behaviour that would be ignored by a test.
+Test(standins, upstream_refuses_unknown_behaviour) {
+  BlockingHttp http;
+  Upstream upstream;
+  for (const auto* fields :
+       {"{\"slotz\": 1}", "{\"gray_kind\": \"grey\"}", "[]", "x"}) {
+    const auto answer = http.Put(upstream.port(), "/control/behaviour", fields);
+    cr_assert_eq(answer.status, 400, "%s", fields);
+  }
+}
+
+// Guards against a platform whose watches or modes differ from the interface in
+// the design page.
+Test(standins, platform_watches_and_modes) {
+  BlockingHttp http;
+  Platform platform;
+  cr_assert_eq(http.Get(platform.port(), "/v1/config/table").status, 404);
+  platform.Publish(http, "table", "one");
+  const auto first = http.Get(platform.port(), "/v1/config/table");
+  cr_assert_eq(first.body, "one");
+  cr_assert_eq(first.Header("X-Revision"), "1");
+  const std::string watch = "/v1/config/table?wait_after=1&timeout_ms=";
+  cr_assert_eq(http.Get(platform.port(), watch + "1").status, 304);
+
+  HttpCall call;
+  call.server = Loopback(platform.port());
+  call.target = watch + "60000";
+  http.Begin(call);
+  cr_assert(WaitUntil(
+      [&] {
+        http.RunFor(std::chrono::milliseconds(1));
+        BlockingHttp other;
+        return platform.Counters(other)["waiting"].get<int>() == 1;
+      },
+      kWide));
+  BlockingHttp publisher;
+  platform.SetMode(publisher, "stale");
+  platform.Publish(publisher, "table", "two");
+  cr_assert_eq(publisher.Get(platform.port(), "/v1/config/table").body, "one");
+  platform.SetMode(publisher, "normal");
+  const auto answer = http.WaitForAll().front();
+  cr_assert_eq(answer.body, "two");
+  cr_assert_eq(answer.Header("X-Revision"), "2");
+
+  platform.SetMode(publisher, "down");
+  cr_assert_eq(publisher.Get(platform.port(), "/v1/config/table").status, 503);
+}
+
+// Guards against a proxy that lets bytes through a cut or loses them.
+Test(standins, proxy_cuts_one_direction_and_heals) {
+  BlockingHttp http;
+  Upstream upstream;
+  Proxy proxy(upstream.port());
+  cr_assert_eq(http.Send(Work(proxy.port(), "a", 1)).status, 200);
+  proxy.Inject(http, "kind=cut&direction=to-client");
+  auto call = Work(proxy.port(), "b", 1);
+  http.Begin(call);
+  BlockingHttp other;
+  cr_assert(WaitUntil(
+      [&] {
+        http.RunFor(std::chrono::milliseconds(1));
+        return upstream.Counters(other)["answered"].get<int>() == 2;
+      },
+      kWide));
+  proxy.Inject(other, "kind=none");
+  const auto answer = http.WaitForAll().front();
+  cr_assert_eq(answer.status, 200);
+  cr_assert_eq(answer.body, MakeAnswerBody("b", "", 100));
+}
+
+// Guards against a silent connection that comes back or takes new ones with it.
+Test(standins, proxy_silences_open_connections_for_good) {
+  BlockingHttp http;
+  Upstream upstream;
+  Proxy proxy(upstream.port());
+  cr_assert_eq(http.Send(Work(proxy.port(), "a", 1)).status, 200);
+  BlockingHttp control;
+  proxy.Inject(control, "kind=silent");
+  proxy.Inject(control, "kind=none");
+  auto call = Work(proxy.port(), "b", 1);
+  call.timeout = kShortTimeout;
+  cr_assert_eq(http.Send(call).status, 0);
+  BlockingHttp fresh;
+  cr_assert_eq(fresh.Send(Work(proxy.port(), "c", 1)).status, 200);
+  cr_assert_eq(upstream.Counters(control)["by_id"].count("b"), 0);
+}
+
+// Guards against faults that reach the client as complete answers.
+Test(standins, proxy_delays_truncates_resets_and_refuses) {
+  BlockingHttp http;
+  Upstream upstream;
+  Proxy proxy(upstream.port());
+  proxy.Inject(http, "kind=delay&delay_ms=100");
+  const auto start = std::chrono::steady_clock::now();
+  cr_assert_eq(http.Send(Work(proxy.port(), "a", 1)).status, 200);
+  cr_assert(std::chrono::steady_clock::now() - start >=
+            std::chrono::milliseconds(200));
+  proxy.Inject(http, "kind=none");
+  proxy.Inject(http, "kind=partial&direction=to-client&bytes=150");
+  cr_assert_eq(http.Send(Work(proxy.port(), "b", 1)).status, 0);
+  proxy.Inject(http, "kind=none");
+  cr_assert_eq(http.Send(Work(proxy.port(), "c", 1)).status, 200);
+  proxy.Inject(http, "kind=refuse");
+  cr_assert_eq(http.Send(Work(proxy.port(), "d", 1)).status, 0);
+  proxy.Inject(http, "kind=none");
+  cr_assert_eq(http.Send(Work(proxy.port(), "e", 1)).status, 200);
+  cr_assert_eq(upstream.Counters(http)["by_id"].count("d"), 0);
+}
+
+// Guards against a load generator whose schedule depends on the run or that
+// accepts answers of other requests.
+Test(standins, load_is_repeatable_and_checks_answers) {
+  BlockingHttp http;
+  Upstream upstream({"--slots", "8"});
+  const std::vector<std::string> arguments = {"--direct",
+                                              Loopback(upstream.port()).text,
+                                              "--rate",
+                                              "200",
+                                              "--seconds",
+                                              "1",
+                                              "--service-ms",
+                                              "1",
+                                              "--swing",
+                                              "0.5:1:2",
+                                              "--long-share",
+                                              "0.2",
+                                              "--long-body-bytes",
+                                              "1000",
+                                              "--seed",
+                                              "7"};
+  auto run = [&] {
+    ChildProcess load(ProgramPath("tests/standins/load"), arguments);
+    return nlohmann::json::parse(load.ReadAll(kWide));
+  };
+  const auto first = run();
+  const auto second = run();
+  cr_assert_eq(first["requests"], second["requests"]);
+  for (const auto* name : {"short", "long"}) {
+    const auto& result = first["direct"][name];
+    cr_assert_gt(result["sent"].get<int>(), 0);
+    cr_assert_eq(result["sent"], result["ok"]);
+    cr_assert_eq(result["sent"], second["direct"][name]["sent"]);
+    cr_assert_eq(result["wrong_body"].get<int>(), 0);
+  }
+  cr_assert_eq(upstream.Counters(http)["executed"].get<int>(),
+               2 * first["requests"].get<int>());
+}
+
+// Guards against a stand-in that outlives its test.
+Test(standins, ends_on_sigterm) {
+  Upstream upstream;
+  upstream.process().Signal(SIGTERM);
+  cr_assert_eq(upstream.process().WaitForExit(kWide), 0);
+}
+
+}  // namespace
+}  // namespace flamingoyoke::integration
--- /dev/null
+++ b/tests/integration/support/child_process.h
@@ -0,0 +1,63 @@
+#ifndef FLAMINGOYOKE_TESTS_INTEGRATION_SUPPORT_CHILD_PROCESS_H_
+#define FLAMINGOYOKE_TESTS_INTEGRATION_SUPPORT_CHILD_PROCESS_H_
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace flamingoyoke::integration {
+
+// A program that a test started. It is ended, by its own process id, when the
+// object is destroyed. Not thread-safe.
+class ChildProcess {
+ public:
+  // Starts `program` with `arguments`. Aborts the test if that fails.
+  ChildProcess(const std::string& program,
+               const std::vector<std::string>& arguments);
+  ~ChildProcess();
+  ChildProcess(ChildProcess&& other) noexcept;
+  auto operator=(ChildProcess&& other) noexcept -> ChildProcess&;
+
+  // Waits for the line "<name> <number>" on standard output and returns the
+  // number. Aborts the test if it does not come within `limit`.
+  auto ReadNumber(const std::string& name, std::chrono::seconds limit) -> int;
+
+  // Returns everything written to standard output until the process closes it.
+  // Aborts the test after `limit`.
+  auto ReadAll(std::chrono::seconds limit) -> std::string;
+
+  // Sends `signal`. Precondition: the process has not been waited for.
+  auto Signal(int signal) const -> void;
+
+  // Waits until the process ends and returns its exit code, or minus the
+  // number of the signal that ended it. Aborts the test after `limit`.
+  auto WaitForExit(std::chrono::seconds limit) -> int;
+
+  // Returns whether the process runs.
+  auto IsRunning() -> bool;
+
+  [[nodiscard]] auto pid() const -> pid_t { return pid_; }
+
+  // Ends every process that this test program started and that still runs. For
+  // the `.fini` of tests: an aborted test runs no destructors.
+  static auto EndAll() -> void;
+
+ private:
+  // Collects the exit status if the process has ended.
+  auto Poll() -> void;
+  // Reads more output into `output_`; returns false at the end of the output.
+  auto ReadMore(std::chrono::steady_clock::time_point deadline) -> bool;
+  auto End() -> void;
+
+  pid_t pid_ = -1;
+  int output_descriptor_ = -1;
+  std::string output_;
+  std::optional<int> exit_code_;
+};
+
+}  // namespace flamingoyoke::integration
+
+#endif  // FLAMINGOYOKE_TESTS_INTEGRATION_SUPPORT_CHILD_PROCESS_H_
--- /dev/null
+++ b/tests/integration/support/wait_until.cc
@@ -0,0 +1,24 @@
+#include "integration/support/wait_until.h"
+
+#include <thread>
+
+namespace flamingoyoke::integration {
+namespace {
+
+constexpr auto kInterval = std::chrono::milliseconds(20);
+
+}  // namespace
+
+auto WaitUntil(const std::function<bool()>& condition,
+               std::chrono::milliseconds limit) -> bool {
+  const auto deadline = std::chrono::steady_clock::now() + limit;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > deadline) {
+      return false;
+    }
+    std::this_thread::sleep_for(kInterval);
+  }
+  return true;
+}
+
+}  // namespace flamingoyoke::integration
--- /dev/null
+++ b/tests/standins/common/http_exchange.h
@@ -0,0 +1,66 @@
+#ifndef FLAMINGOYOKE_TESTS_STANDINS_COMMON_HTTP_EXCHANGE_H_
+#define FLAMINGOYOKE_TESTS_STANDINS_COMMON_HTTP_EXCHANGE_H_
+
+#include <event2/http.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace flamingoyoke::standin {
+
+// One header line.
+struct HttpHeader {
+  std::string name;
+  std::string value;
+};
+
+// What a stand-in answers.
+struct HttpReply {
+  int status = 200;
+  std::vector<HttpHeader> headers;
+  std::string body;
+};
+
+// A request that waits for its answer. Must be destroyed before its server; an
+// exchange that is destroyed without an answer is answered with 503. Used on
+// the thread of its server only.
+class HttpExchange {
+ public:
+  explicit HttpExchange(evhttp_request* request);
+
+  [[nodiscard]] auto Method() const -> std::string;
+  // Path without the query.
+  [[nodiscard]] auto Path() const -> std::string;
+  // Value of a query parameter, decoded.
+  [[nodiscard]] auto Query(const char* name) const
+      -> std::optional<std::string>;
+  // Value of a query parameter as a number; `fallback` when it is absent or
+  // not a number.
+  [[nodiscard]] auto Number(const char* name, double fallback) const -> double;
+  [[nodiscard]] auto Header(const char* name) const
+      -> std::optional<std::string>;
+  [[nodiscard]] auto Body() const -> std::string;
+
+  // Returns whether the caller has closed its connection.
+  [[nodiscard]] auto IsAbandoned() const -> bool;
+
+  // Sends the answer. Precondition: none was sent.
+  auto Reply(const HttpReply& reply) -> void;
+
+  // Closes the connection instead of answering. Precondition: no answer was
+  // sent.
+  auto Abort() -> void;
+
+ private:
+  struct Answerer {
+    auto operator()(evhttp_request* request) const -> void;
+  };
+
+  std::unique_ptr<evhttp_request, Answerer> request_;
+};
+
+}  // namespace flamingoyoke::standin
+
+#endif  // FLAMINGOYOKE_TESTS_STANDINS_COMMON_HTTP_EXCHANGE_H_
--- /dev/null
+++ b/tests/standins/proxy/fault.h
@@ -0,0 +1,70 @@
+#ifndef FLAMINGOYOKE_TESTS_STANDINS_PROXY_FAULT_H_
+#define FLAMINGOYOKE_TESTS_STANDINS_PROXY_FAULT_H_
+
+#include <array>
+#include <cstddef>
+#include <variant>
+
+#include "core/name_table.h"
+#include "core/time.h"
+
+namespace flamingoyoke::standin {
+
+// Where bytes flow.
+enum class Direction { kToServer, kToClient };
+
+// The orders that the control path takes.
+enum class FaultKind {
+  kNone,     // Ends cut, pause, delay and refuse; silent connections stay so.
+  kCut,      // Holds the bytes of all connections, new ones too.
+  kPause,    // Holds the bytes of the connections open now.
+  kSilent,   // As pause, but for good.
+  kDelay,    // Delays the bytes of all connections.
+  kPartial,  // Passes some more bytes of each connection, then closes it.
+  kReset,    // Resets the connections open now.
+  kRefuse,   // Resets the connections open now and all new ones.
+};
+
+// What one direction of a connection does with its bytes.
+struct PassBytes {};
+// Bytes stay in the kernel, as on a path that loses every packet.
+struct HoldBytes {};
+struct DelayBytes {
+  Duration delay;
+};
+struct LimitBytes {
+  std::size_t left;
+};
+using Fault = std::variant<PassBytes, HoldBytes, DelayBytes, LimitBytes>;
+
+}  // namespace flamingoyoke::standin
+
+namespace flamingoyoke {
+
+template <>
+struct EnumNames<standin::Direction> {
+  static constexpr auto kTable = std::to_array<NameEntry<standin::Direction>>({
+      {standin::Direction::kToServer, "to-server"},
+      {standin::Direction::kToClient, "to-client"},
+  });
+};
+static_assert(IsDense<standin::Direction>());
+
+template <>
+struct EnumNames<standin::FaultKind> {
+  static constexpr auto kTable = std::to_array<NameEntry<standin::FaultKind>>({
+      {standin::FaultKind::kNone, "none"},
+      {standin::FaultKind::kCut, "cut"},
+      {standin::FaultKind::kPause, "pause"},
+      {standin::FaultKind::kSilent, "silent"},
+      {standin::FaultKind::kDelay, "delay"},
+      {standin::FaultKind::kPartial, "partial"},
+      {standin::FaultKind::kReset, "reset"},
+      {standin::FaultKind::kRefuse, "refuse"},
+  });
+};
+static_assert(IsDense<standin::FaultKind>());
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_TESTS_STANDINS_PROXY_FAULT_H_
