--- a/src/wire/body_reader.h
+++ b/src/wire/body_reader.h
@@ -1,9 +1,9 @@
 #ifndef FLAMINGOYOKE_WIRE_BODY_READER_H_
 #define FLAMINGOYOKE_WIRE_BODY_READER_H_
 
+#include <wire/fleet.pb.h>
 #include "core/result.h"
 #include "decision/peer/peer_message.h"
-#include "wire/fleet.pb.h"
 
 namespace flamingoyoke {
 
--- a/src/wire/body_writer.h
+++ b/src/wire/body_writer.h
@@ -1,8 +1,8 @@
 #ifndef FLAMINGOYOKE_WIRE_BODY_WRITER_H_
 #define FLAMINGOYOKE_WIRE_BODY_WRITER_H_
 
+#include <wire/fleet.pb.h>
 #include "decision/peer/peer_message.h"
-#include "wire/fleet.pb.h"
 
 namespace flamingoyoke {
 
--- a/src/wire/peer_codec.cc
+++ b/src/wire/peer_codec.cc
@@ -2,9 +2,9 @@
 
 #include <utility>
 
+#include <wire/fleet.pb.h>
 #include "wire/body_reader.h"
 #include "wire/body_writer.h"
-#include "wire/fleet.pb.h"
 
 namespace flamingoyoke {
 
