Add the mesh and platform tasks

Cause: a node needs its connections to peers and to the configuration service. Change: the mesh task owns one receiving socket and one sending socket for each peer, with CURVE keys and an authenticator that accepts only the fleet's key; the platform task reads once and watches while elected, with back-off and jitter decided by ReadSchedule. Conclusion: both tasks only carry messages; no decision is taken in them.

--- /dev/null
+++ b/src/node/control/mesh/mesh_task.cc
@@ -0,0 +1,193 @@
+#include "node/control/mesh/mesh_task.h"
+
+#include <google/protobuf/stubs/logging.h>
+#include <zmq.h>
+
+#include <string>
+#include <type_traits>
+#include <utility>
+
+#include "core/overloaded.h"
+#include "node/control/mesh/socket_options.h"
+#include "node/log.h"
+#include "wire/peer_codec.h"
+
+namespace flamingoyoke {
+namespace {
+
+constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
+// Receiving yields to sending after this many messages.
+constexpr int kReceiveBatch = 256;
+
+// Whether a message is for the fleet task; the others are for traffic.
+template <typename T>
+inline constexpr bool kIsForFleet =
+    std::is_same_v<T, Heartbeat> || std::is_same_v<T, IndirectProbe> ||
+    std::is_same_v<T, MemberUpdate> || std::is_same_v<T, TableAnnounce> ||
+    std::is_same_v<T, TablePull> || std::is_same_v<T, TableData>;
+
+auto Counter(std::string name, std::string help, std::uint64_t value)
+    -> MetricSample {
+  return {.name = std::move(name),
+          .help = std::move(help),
+          .value = static_cast<double>(value)};
+}
+
+}  // namespace
+
+MeshTask::MeshTask(MeshConfig config, MeshOutlets outlets)
+    : config_(std::move(config)),
+      outlets_(outlets),
+      zmq_context_(/*io_threads=*/1),
+      receiver_(zmq_context_, zmq::socket_type::router) {}
+
+auto MeshTask::Start(TaskContext& context) -> Result<void> {
+  context_ = &context;
+  // Protobuf would write a line to standard error for each hostile message.
+  google::protobuf::SetLogHandler(nullptr);
+  try {
+    Listen(context.loop());
+  } catch (const zmq::error_t& error) {
+    return Fail(ErrorKind::kSocketFailed,
+                "cannot listen on " + config_.address + ": " + error.what());
+  }
+  metrics_timer_ = context.loop().MakePeriodicTimer(
+      kMetricsPeriod, [this] { ReportMetrics(); });
+  Log(Part::kMesh, Severity::kInfo, "listens on " + config_.address);
+  return {};
+}
+
+auto MeshTask::Listen(EventLoop& loop) -> void {
+  SetCommonOptions(receiver_);
+  if (config_.HasKeys()) {
+    authenticator_.emplace(zmq_context_, loop, config_);
+    SetKeys(receiver_, config_, /*is_server=*/true);
+  }
+  receiver_.bind("tcp://" + config_.address);
+  receive_watch_ = loop.WatchReadable(receiver_.get(zmq::sockopt::fd),
+                                      [this] { ReceiveAll(); });
+  receive_again_ = loop.MakeTimer([this] { ReceiveAll(); });
+  ReceiveAll();
+}
+
+auto MeshTask::Handle(Message message) -> Result<void> {
+  std::visit(Overloaded{
+                 [this](const PeerMessageToSend& send) { Send(send.order); },
+                 [this](const PeerEndpointsChanged& change) {
+                   ChangeEndpoints(change);
+                 },
+             },
+             message);
+  return {};
+}
+
+auto MeshTask::Stop(StopMode) -> void {
+  context_->Exit();
+}
+
+auto MeshTask::Send(const SendToPeer& order) -> void {
+  const auto peer = peers_.find(order.peer);
+  if (peer == peers_.end()) {
+    ++traffic_.unsent_messages;
+    return;
+  }
+  const auto bytes = EncodeEnvelope(
+      PeerEnvelope{config_.self, config_.incarnation, order.message});
+  if (!peer->second->Send(bytes)) {
+    ++traffic_.unsent_messages;
+    return;
+  }
+  ++traffic_.sent_messages;
+  traffic_.sent_bytes += bytes.size();
+}
+
+auto MeshTask::ChangeEndpoints(const PeerEndpointsChanged& change) -> void {
+  std::erase_if(peers_, [&](const auto& peer) {
+    const auto wanted = change.endpoints.find(peer.first);
+    return wanted == change.endpoints.end() ||
+           wanted->second != peer.second->endpoint();
+  });
+  for (const auto& [vm, endpoint] : change.endpoints) {
+    if (peers_.contains(vm)) {
+      continue;
+    }
+    try {
+      peers_[vm] =
+          std::make_unique<PeerSocket>(zmq_context_, config_, endpoint);
+    } catch (const zmq::error_t& error) {
+      peers_.erase(vm);
+      Log(Part::kMesh, Severity::kWarning,
+          "cannot connect to " + vm.value() + " at " + endpoint + ": " +
+              error.what());
+    }
+  }
+}
+
+auto MeshTask::ReceiveAll() -> void {
+  // ZeroMQ's descriptor is edge-triggered: it stays silent until the socket
+  // has been emptied.
+  for (int received = 0; received < kReceiveBatch;) {
+    zmq::message_t frame;
+    if (!receiver_.recv(frame, zmq::recv_flags::dontwait)) {
+      return;
+    }
+    const auto is_payload = !frame.more();
+    if (is_payload) {
+      ++received;
+      Receive(frame.to_string_view());
+    }
+  }
+  receive_again_.Schedule(Duration::zero());
+}
+
+auto MeshTask::Receive(std::string_view bytes) -> void {
+  ++traffic_.received_messages;
+  traffic_.received_bytes += bytes.size();
+  std::optional<PeerEnvelope> envelope;
+  const auto error =
+      CaptureInto(envelope, [&] { return DecodeEnvelope(bytes); });
+  if (error) {
+    ++traffic_.malformed_messages;
+    Log(Part::kMesh, Severity::kWarning, "dropped a malformed message");
+    return;
+  }
+  Deliver(std::move(*envelope));
+}
+
+auto MeshTask::Deliver(PeerEnvelope envelope) -> void {
+  const auto is_for_fleet = std::visit(
+      []<typename T>(const T&) { return kIsForFleet<T>; }, envelope.message);
+  if (is_for_fleet) {
+    outlets_.fleet.Post(PeerMessageReceived{std::move(envelope)});
+  } else {
+    outlets_.traffic.Post(PeerMessageReceived{std::move(envelope)});
+  }
+}
+
+auto MeshTask::ReportMetrics() -> void {
+  const auto refused =
+      authenticator_ ? authenticator_->refused_count() : std::uint64_t{0};
+  outlets_.telemetry.Post(MetricsReported{
+      .task = std::string(ToName(Part::kMesh)),
+      .samples = {
+          Counter("flamingoyoke_mesh_received_messages_total",
+                  "Messages received from peers.", traffic_.received_messages),
+          Counter("flamingoyoke_mesh_received_bytes_total",
+                  "Bytes of messages received from peers.",
+                  traffic_.received_bytes),
+          Counter("flamingoyoke_mesh_sent_messages_total",
+                  "Messages sent to peers.", traffic_.sent_messages),
+          Counter("flamingoyoke_mesh_sent_bytes_total",
+                  "Bytes of messages sent to peers.", traffic_.sent_bytes),
+          Counter("flamingoyoke_mesh_unsent_messages_total",
+                  "Messages dropped because a peer was not connected.",
+                  traffic_.unsent_messages),
+          Counter("flamingoyoke_mesh_malformed_messages_total",
+                  "Messages that could not be decoded.",
+                  traffic_.malformed_messages),
+          Counter("flamingoyoke_mesh_refused_peers_total",
+                  "Connections refused for a wrong key.", refused),
+      }});
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/node/control/mesh/peer_socket.cc
@@ -0,0 +1,27 @@
+#include "node/control/mesh/peer_socket.h"
+
+#include <utility>
+
+#include "node/control/mesh/socket_options.h"
+
+namespace flamingoyoke {
+
+PeerSocket::PeerSocket(zmq::context_t& context,
+                       const MeshConfig& config,
+                       std::string endpoint)
+    : endpoint_(std::move(endpoint)),
+      socket_(context, zmq::socket_type::dealer) {
+  SetCommonOptions(socket_);
+  SetKeys(socket_, config, /*is_server=*/false);
+  // Messages for a peer that is not connected are dropped instead of queued:
+  // by the time it is back they would be outdated.
+  socket_.set(zmq::sockopt::immediate, true);
+  socket_.connect("tcp://" + endpoint_);
+}
+
+auto PeerSocket::Send(std::string_view bytes) -> bool {
+  return socket_.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
+      .has_value();
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/node/control/platform/key_watch.cc
@@ -0,0 +1,153 @@
+#include "node/control/platform/key_watch.h"
+
+#include <event2/buffer.h>
+
+#include <algorithm>
+#include <charconv>
+#include <cstring>
+#include <optional>
+#include <utility>
+
+namespace flamingoyoke {
+namespace {
+
+// The platform's values hold at most a megabyte.
+constexpr ev_ssize_t kMaxValueBytes = 1 << 20;
+constexpr ev_ssize_t kMaxHeaderBytes = 8 << 10;
+// The service answers in milliseconds; beyond this it counts as down.
+constexpr Duration kReadTimeout = std::chrono::seconds(2);
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotModified = 304;
+constexpr int kStatusNotFound = 404;
+
+auto ParseRevision(const char* text) -> std::optional<std::uint64_t> {
+  if (text == nullptr) {
+    return std::nullopt;
+  }
+  std::uint64_t revision = 0;
+  const auto* end = text + std::strlen(text);
+  const auto [rest, error] = std::from_chars(text, end, revision);
+  if (error != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return revision;
+}
+
+auto CopyBody(evhttp_request* request) -> std::string {
+  auto* buffer = evhttp_request_get_input_buffer(request);
+  std::string body(evbuffer_get_length(buffer), '\0');
+  evbuffer_copyout(buffer, body.data(), body.size());
+  return body;
+}
+
+}  // namespace
+
+KeyWatch::KeyWatch(EventLoop& loop,
+                   const PlatformConfig& config,
+                   std::string key,
+                   Random random,
+                   OnValue on_value,
+                   OnFailure on_failure)
+    : loop_(loop),
+      config_(config),
+      key_(std::move(key)),
+      schedule_(random),
+      on_value_(std::move(on_value)),
+      on_failure_(std::move(on_failure)),
+      timer_(loop.MakeTimer([this] { Read(); })) {
+  timer_.Schedule(schedule_.FirstDelay());
+}
+
+auto KeyWatch::SetEnabled(bool is_enabled, std::uint64_t known) -> void {
+  revision_ = std::max(revision_, known);
+  const auto was_enabled = std::exchange(is_enabled_, is_enabled);
+  if (is_enabled_ && !was_enabled && !is_reading_ && !timer_.IsPending()) {
+    timer_.Schedule(schedule_.FirstDelay());
+  }
+}
+
+auto KeyWatch::Path() const -> std::string {
+  auto path = "/v1/config/" + key_;
+  if (has_read_) {
+    path += "?wait_after=" + std::to_string(revision_) + "&timeout_ms=" +
+            std::to_string(ToMilliseconds(config_.watch_timeout));
+  }
+  return path;
+}
+
+auto KeyWatch::Read() -> void {
+  if (has_read_ && !is_enabled_) {
+    return;
+  }
+  // A new connection for each read: one that went silent would hold up the
+  // table until its timeout.
+  connection_.reset(evhttp_connection_base_new(
+      loop_.base(), nullptr, config_.host.c_str(), config_.port));
+  if (!connection_) {
+    timer_.Schedule(schedule_.DelayAfterFailure());
+    return;
+  }
+  evhttp_connection_set_max_body_size(connection_.get(), kMaxValueBytes);
+  evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeaderBytes);
+  const auto timeout =
+      kReadTimeout + (has_read_ ? config_.watch_timeout : Duration::zero());
+  const auto seconds = std::chrono::ceil<std::chrono::seconds>(timeout);
+  evhttp_connection_set_timeout(connection_.get(),
+                                static_cast<int>(seconds.count()));
+  is_reading_ = true;
+  auto* request = evhttp_request_new(
+      [](evhttp_request* done, void* watch) {
+        static_cast<KeyWatch*>(watch)->OnDone(done);
+      },
+      this);
+  auto* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Host", config_.host.c_str());
+  evhttp_add_header(headers, "Connection", "close");
+  evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET,
+                      Path().c_str());
+}
+
+auto KeyWatch::OnDone(evhttp_request* request) -> void {
+  is_reading_ = false;
+  const auto is_answered = TakeAnswer(request);
+  timer_.Schedule(is_answered ? schedule_.DelayAfterAnswer()
+                              : schedule_.DelayAfterFailure());
+}
+
+auto KeyWatch::TakeAnswer(evhttp_request* request) -> bool {
+  const auto status =
+      request == nullptr ? 0 : evhttp_request_get_response_code(request);
+  switch (status) {
+    case kStatusOk:
+      return TakeValue(request);
+    case kStatusNotModified:
+      return true;
+    case kStatusNotFound:
+      has_read_ = true;
+      return false;
+    default:
+      on_failure_("key " + key_ + " was not answered, status " +
+                  std::to_string(status));
+      return false;
+  }
+}
+
+auto KeyWatch::TakeValue(evhttp_request* request) -> bool {
+  const auto revision = ParseRevision(evhttp_find_header(
+      evhttp_request_get_input_headers(request), "X-Revision"));
+  if (!revision) {
+    on_failure_("key " + key_ + " came without a revision");
+    return false;
+  }
+  has_read_ = true;
+  if (*revision <= revision_) {
+    return true;
+  }
+  if (!on_value_(*revision, CopyBody(request))) {
+    return false;
+  }
+  revision_ = *revision;
+  return true;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/node/log.cc
@@ -0,0 +1,99 @@
+#include "node/log.h"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <unordered_map>
+
+#include "runtime/clock.h"
+
+namespace flamingoyoke {
+namespace {
+
+constexpr Duration kRepeatWindow = std::chrono::seconds(5);
+// Sentences that contain changing values must not fill the memory.
+constexpr std::size_t kMaxRemembered = 256;
+
+// Fixed before the tasks start, read by all of them.
+LogFormat log_format = LogFormat::kText;
+
+auto ToLevel(Severity severity) -> spdlog::level::level_enum {
+  switch (severity) {
+    case Severity::kDebug:
+      return spdlog::level::debug;
+    case Severity::kInfo:
+      return spdlog::level::info;
+    case Severity::kWarning:
+      return spdlog::level::warn;
+    case Severity::kError:
+      return spdlog::level::err;
+  }
+  return spdlog::level::err;
+}
+
+struct Repeat {
+  TimePoint last_written;
+  unsigned skipped = 0;
+};
+
+// Returns the number of skipped repeats to mention, or -1 to skip this one.
+auto CountRepeat(const std::string& line) -> int {
+  // Each thread keeps its own memory, so that logging takes no lock here.
+  thread_local std::unordered_map<std::string, Repeat> repeats;
+  const auto now = Now();
+  const auto found = repeats.find(line);
+  if (found != repeats.end() &&
+      now - found->second.last_written < kRepeatWindow) {
+    ++found->second.skipped;
+    return -1;
+  }
+  if (repeats.size() >= kMaxRemembered) {
+    repeats.clear();
+  }
+  auto& repeat = repeats[line];
+  const auto skipped = static_cast<int>(repeat.skipped);
+  repeat = {now, 0};
+  return skipped;
+}
+
+}  // namespace
+
+auto ConfigureLog(Severity least, LogFormat format) -> void {
+  auto logger = spdlog::stderr_logger_mt("flamingoyoke");
+  logger->set_level(ToLevel(least));
+  logger->flush_on(spdlog::level::debug);
+  logger->set_pattern(
+      format == LogFormat::kJson ? "%v" : "%Y-%m-%dT%H:%M:%S.%e%z %l %v");
+  spdlog::set_default_logger(logger);
+  log_format = format;
+}
+
+auto Log(Part part, Severity severity, std::string_view sentence) -> void {
+  const auto level = ToLevel(severity);
+  if (!spdlog::should_log(level)) {
+    return;
+  }
+  auto line = std::string(ToName(part)) + ": " + std::string(sentence);
+  const auto skipped = CountRepeat(line);
+  if (skipped < 0) {
+    return;
+  }
+  if (skipped > 0) {
+    line += " (" + std::to_string(skipped) + " repeats not shown)";
+  }
+  if (log_format == LogFormat::kText) {
+    spdlog::log(level, "{}", line);
+    return;
+  }
+  const nlohmann::json record = {{"time_ms", WallClockMs()},
+                                 {"severity", ToName(severity)},
+                                 {"part", ToName(part)},
+                                 {"message", line}};
+  spdlog::log(
+      level, "{}",
+      record.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/tests/unit/decision/platform/read_schedule_test.cc
@@ -0,0 +1,46 @@
+#include "decision/platform/read_schedule.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <set>
+
+namespace flamingoyoke {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against reads at full speed against a service that is down.
+Test(read_schedule, backs_off_up_to_a_limit) {
+  ReadSchedule schedule{Random(1)};
+  Duration last = Duration::zero();
+  for (int failure = 0; failure < 20; ++failure) {
+    last = schedule.DelayAfterFailure();
+    cr_assert(last >= milliseconds(125));
+    cr_assert(last <= seconds(4));
+  }
+  cr_assert(last >= seconds(2));
+}
+
+// Guards against a long back-off after the service has come back.
+Test(read_schedule, an_answer_resets_the_back_off) {
+  ReadSchedule schedule{Random(1)};
+  for (int failure = 0; failure < 10; ++failure) {
+    schedule.DelayAfterFailure();
+  }
+  cr_assert(schedule.DelayAfterAnswer() <= milliseconds(100));
+  cr_assert(schedule.DelayAfterFailure() <= milliseconds(250));
+}
+
+// Guards against nodes that restart together and read in step.
+Test(read_schedule, nodes_spread_their_first_reads) {
+  std::set<Duration> delays;
+  for (std::uint64_t seed = 0; seed < 40; ++seed) {
+    delays.insert(ReadSchedule{Random(seed)}.FirstDelay());
+  }
+  cr_assert_gt(delays.size(), 35);
+}
+
+}  // namespace
+}  // namespace flamingoyoke
