Carry member versions and bucket digests between nodes

Membership needs an order between announcements of one process, so that a vm can refute a claim that it is dead without a new incarnation, to which idempotency keys are bound. Comparing whole lists of 7,100 members would cost about 640 KB, so MemberUpdate carries digests by bucket. FleetView lists the alive vms without a two-way link. All fields are additions with defaults; the round trip test covers them.

--- a/src/decision/fleet/fleet_view.h
+++ b/src/decision/fleet/fleet_view.h
@@ -32,6 +32,9 @@
   std::shared_ptr<const Table> table;
   // All known vms, this one included.
   std::vector<Member> members;
+  // Alive vms that do not hear this one or are not heard by it, in order: a
+  // request for a slot or a verification would be lost.
+  std::vector<VmId> cut_off;
   // Placement of each service whose home set contains this vm.
   std::unordered_map<ServiceId, Placement> placements;
   // Whether this vm takes callers.
--- a/src/decision/fleet/member.h
+++ b/src/decision/fleet/member.h
@@ -2,6 +2,7 @@
 #define FLAMINGOYOKE_DECISION_FLEET_MEMBER_H_
 
 #include <array>
+#include <cstdint>
 #include <string>
 
 #include "core/ids.h"
@@ -42,6 +43,9 @@
   bool leaving = false;
   // Whether the vm has a table in force and takes callers.
   bool ready = false;
+  // Rises with each change that the vm announces of itself, and when it
+  // refutes a claim that it is dead.
+  std::uint64_t version = 0;
 
   auto operator==(const Member&) const -> bool = default;
 };
--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -48,6 +48,9 @@
   std::vector<Member> members;
   // Whether the receiver should answer with its own members.
   bool wants_answer = false;
+  // Digests of the sender's members by bucket; empty if the message starts no
+  // comparison. The receiver sends its members of the buckets that differ.
+  std::vector<std::uint64_t> bucket_digests = {};
 };
 
 struct TableAnnounce {
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -47,7 +47,8 @@
                 .mesh_address = encoded.mesh_address(),
                 .liveness = liveness,
                 .leaving = encoded.leaving(),
-                .ready = encoded.ready()};
+                .ready = encoded.ready(),
+                .version = encoded.version()};
 }
 
 template <typename Encoded>
@@ -97,6 +98,8 @@
     BOOST_LEAF_AUTO(read, ReadMember(member));
     message.members.push_back(std::move(read));
   }
+  message.bucket_digests.assign(encoded.bucket_digests().begin(),
+                                encoded.bucket_digests().end());
   return message;
 }
 
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -20,6 +20,7 @@
   encoded->set_liveness(static_cast<std::uint32_t>(member.liveness));
   encoded->set_leaving(member.leaving);
   encoded->set_ready(member.ready);
+  encoded->set_version(member.version);
 }
 
 auto WriteOutcomes(const TargetOutcomes& outcomes,
@@ -71,6 +72,8 @@
     WriteMember(member, encoded->add_members());
   }
   encoded->set_wants_answer(message.wants_answer);
+  encoded->mutable_bucket_digests()->Add(message.bucket_digests.begin(),
+                                         message.bucket_digests.end());
 }
 
 auto BodyWriter::operator()(const TableAnnounce& message) const -> void {
--- a/tests/unit/wire/peer_codec_test.cc
+++ b/tests/unit/wire/peer_codec_test.cc
@@ -36,7 +36,7 @@
   return {
       Heartbeat{5, 4, true, true, {{1, Revision(2), 3}}, 6},
       IndirectProbe{VmId("b"), Incarnation(3), true, false},
-      MemberUpdate{{Member{.id = VmId("c")}}, true},
+      MemberUpdate{{Member{.id = VmId("c"), .version = 3}}, true, {1, 2}},
       TableAnnounce{{1, Revision(2), 3}},
       TablePull{1, Revision(2)},
       TableData{{1, Revision(2), 3}, "service,route\n"},
