Decide which requests with an idempotency key may run

Unrepeatable work needs one authority per key. KeyLedger is that authority for the keys that its process issued: a repeat gets the kept answer, the final error or a conflict, and never a second execution.

The entries, each kept answer and the sum of kept answers are bounded.

--- /dev/null
+++ b/src/decision/idempotency/key_ledger.h
@@ -0,0 +1,99 @@
+#ifndef FLAMINGOYOKE_DECISION_IDEMPOTENCY_KEY_LEDGER_H_
+#define FLAMINGOYOKE_DECISION_IDEMPOTENCY_KEY_LEDGER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core/error_kind.h"
+#include "core/ids.h"
+#include "core/time.h"
+#include "decision/idempotency/idempotency_key.h"
+#include "decision/idempotency/key_event.h"
+
+namespace flamingoyoke {
+
+struct KeyLedgerLimits {
+  std::size_t entries = 65536;
+  Duration key_lifetime = std::chrono::minutes(5);
+  std::size_t answer_bytes = 16 << 10;
+  // Sum of all kept answers.
+  std::size_t all_answers_bytes = 8 << 20;
+};
+
+// Decides which requests with a key may run. It knows only the keys of its own
+// process, and is the sole authority for these while the process lives. Not
+// thread-safe.
+class KeyLedger {
+ public:
+  KeyLedger(VmId vm, Incarnation incarnation, KeyLedgerLimits limits);
+
+  // Returns a new key of this process. `random` distinguishes keys of the same
+  // millisecond; the ledger keeps nothing until the key is presented.
+  [[nodiscard]] auto Issue(TimePoint now, std::uint64_t random) const
+      -> IdempotencyKey;
+
+  // Takes an event and returns what follows from it: one action for
+  // KeyPresented, none for the others. `now` must not go backwards.
+  auto OnEvent(const KeyEvent& event, TimePoint now) -> std::vector<KeyAction>;
+
+  [[nodiscard]] auto size() const -> std::size_t { return entries_.size(); }
+  [[nodiscard]] auto kept_bytes() const -> std::size_t { return kept_bytes_; }
+
+ private:
+  struct InFlight {
+    RequestId request;
+  };
+  struct Answered {
+    std::shared_ptr<const KeptAnswer> answer;
+  };
+  struct AnsweredNotKept {};
+  struct Unknown {
+    ErrorKind error = ErrorKind::kInternal;
+  };
+  using State = std::variant<InFlight, Answered, AnsweredNotKept, Unknown>;
+  struct Entry {
+    std::uint64_t fingerprint = 0;
+    TimePoint expires;
+    State state;
+  };
+  using Entries = std::unordered_map<std::string, Entry>;
+
+  auto OnPresented(const KeyPresented& event, TimePoint now) -> KeyAction;
+  auto OnKnownKey(const KeyPresented& event, const Entry& entry) const
+      -> KeyAction;
+  auto OnAnswered(const KeyedWorkAnswered& event) -> void;
+  auto OnFailed(const KeyedWorkFailed& event) -> void;
+  // Removes the request from the ones in flight and returns its entry, or the
+  // end when the request has no key.
+  auto TakeInFlight(RequestId request) -> Entries::iterator;
+  // Sets the final state of an entry, which is dropped when its key expires.
+  auto Keep(Entries::iterator entry, State state) -> void;
+  auto DropExpired(TimePoint now) -> void;
+
+  const VmId vm_;
+  const Incarnation incarnation_;
+  const KeyLedgerLimits limits_;
+  Entries entries_;
+  std::unordered_map<RequestId, std::string> in_flight_;
+  struct Expiry {
+    TimePoint at;
+    std::string key;
+  };
+  struct LaterExpiry {
+    auto operator()(const Expiry& a, const Expiry& b) const -> bool {
+      return a.at > b.at;
+    }
+  };
+  // Heap of the finished entries, the next to be dropped first.
+  std::vector<Expiry> expiries_;
+  std::size_t kept_bytes_ = 0;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_IDEMPOTENCY_KEY_LEDGER_H_
