Check callers' raw bytes against the strict HTTP/1.1 grammar

evhttp accepts a bare LF, folded headers, signs in a Content-Length and trailers that override headers. RequestScanner follows the raw bytes beside it and refuses everything that two parsers may read differently, and bodies above their allowance before they are stored.

--- a/src/decision/idempotency/key_ledger.cc
+++ b/src/decision/idempotency/key_ledger.cc
@@ -53,11 +53,13 @@
 auto KeyLedger::OnPresented(const KeyPresented& event, TimePoint now)
     -> KeyAction {
   const auto& key = event.key;
-  if (key.vm != vm_ || key.incarnation > incarnation_) {
+  const auto own = incarnation_.value();
+  const auto issuer = key.incarnation.value();
+  if (key.vm != vm_ || issuer > own) {
     return RefuseKeyedWork{event.request, ErrorKind::kKeyIssuedElsewhere,
                            key.vm, key.incarnation};
   }
-  if (key.incarnation < incarnation_) {
+  if (issuer < own) {
     return Refuse(event, ErrorKind::kKeyIssuerGone);
   }
   if (key.issued_at() > now) {
--- /dev/null
+++ b/tests/unit/node/traffic/request_scanner_test.cc
@@ -0,0 +1,143 @@
+#include "node/traffic/request_scanner.h"
+
+#include <criterion/criterion.h>
+
+#include <cstddef>
+#include <string>
+
+namespace flamingoyoke {
+namespace {
+
+constexpr std::uint64_t kAllowance = 100;
+
+auto MakeScanner() -> RequestScanner {
+  return RequestScanner(
+      {.head_bytes = 300, .headers = 5},
+      [](const ScannedHead&) { return BodyAllowance{kAllowance}; });
+}
+
+// Feeds the text whole and byte by byte: a violation must be found however
+// the network splits it.
+auto Scan(const std::string& text) -> std::optional<ErrorKind> {
+  auto whole = MakeScanner();
+  auto split = MakeScanner();
+  const auto result = whole.Consume(text);
+  for (const char c : text) {
+    split.Consume(std::string_view(&c, 1));
+  }
+  cr_assert(split.violation() == result, "splitting changes the result");
+  cr_assert_eq(split.completed(), whole.completed());
+  return result;
+}
+
+auto WithHeader(const std::string& headers, const std::string& body = "")
+    -> std::string {
+  return "POST /a HTTP/1.1\r\nHost: h\r\n" + headers + "\r\n" + body;
+}
+
+Test(request_scanner, valid_requests_are_counted) {
+  auto scanner = MakeScanner();
+  cr_assert_not(scanner.Consume(WithHeader("Content-Length: 5\r\n", "hello")));
+  cr_assert_not(scanner.Consume("GET /b?c=d HTTP/1.1\r\nhost:h\r\n\r\n"));
+  cr_assert_not(scanner.Consume(WithHeader("Transfer-Encoding: Chunked\r\n",
+                                           "3\r\nabc\r\nA\r\n0123456789\r\n")));
+  cr_assert_eq(scanner.completed(), 2U);
+  cr_assert(scanner.in_request());
+  cr_assert_not(scanner.Consume("0\r\n\r\n"));
+  cr_assert_eq(scanner.completed(), 3U);
+  cr_assert_not(scanner.in_request());
+}
+
+// Each of these is read differently by different parsers, so one of them could
+// see a second request hidden in the first.
+Test(request_scanner, ambiguous_requests_are_malformed) {
+  for (const auto& text : {
+           WithHeader("Content-Length: +5\r\n", "hello"),
+           WithHeader("Content-Length: -5\r\n"),
+           WithHeader("Content-Length: 5, 5\r\n", "hello"),
+           WithHeader("Content-Length: 0x5\r\n", "hello"),
+           WithHeader("Content-Length:\r\n"),
+           WithHeader("Content-Length : 5\r\n", "hello"),
+           WithHeader("Content-Length: 9999999999999999999999\r\n"),
+           WithHeader("Transfer-Encoding: xchunked\r\n", "0\r\n\r\n"),
+           WithHeader("Transfer-Encoding: chunked, gzip\r\n"),
+           WithHeader("Transfer-Encoding: identity\r\n"),
+           WithHeader("A: b\r\n folded\r\n"),
+           WithHeader("A: b\r\n\tfolded\r\n"),
+           WithHeader("A: b\nContent-Length: 5\r\n"),
+           WithHeader("A: b\rContent-Length: 5\r\n"),
+           WithHeader(std::string("A: b\0c\r\n", 8)),
+           WithHeader("no colon\r\n"),
+           WithHeader(": empty name\r\n"),
+           std::string("GET / HTTP/1.1\nHost: h\n\n"),
+           std::string("GET / HTTP/1.1\r\n\r\n"),
+           std::string("GET / HTTP/1.0\r\nHost: h\r\n\r\n"),
+           std::string("GET  / HTTP/1.1\r\nHost: h\r\n\r\n"),
+           std::string("GET / x HTTP/1.1\r\nHost: h\r\n\r\n"),
+           std::string("GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n"),
+           std::string("CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n"),
+           std::string("get / HTTP/1.1\r\nHost: h\r\n\r\n"),
+           std::string("\r\nGET / HTTP/1.1\r\nHost: h\r\n\r\n"),
+       }) {
+    cr_assert(Scan(text) == ErrorKind::kMalformedRequest, "accepted: %s",
+              text.c_str());
+  }
+}
+
+// Two answers to "how long is the body" are refused, even when equal.
+Test(request_scanner, conflicting_framing) {
+  for (const auto& text : {
+           WithHeader("Content-Length: 5\r\nContent-Length: 6\r\n", "hello"),
+           WithHeader("Content-Length: 5\r\ncontent-length: 5\r\n", "hello"),
+           WithHeader("Content-Length: 5\r\nTransfer-Encoding: chunked\r\n"),
+           WithHeader("Transfer-Encoding: chunked\r\n"
+                      "Transfer-Encoding: chunked\r\n"),
+           WithHeader("Host: other\r\n"),
+           WithHeader("Flamingoyoke-Key: a\r\nFlamingoyoke-Key: b\r\n"),
+       }) {
+    cr_assert(Scan(text) == ErrorKind::kConflictingHeaders, "accepted: %s",
+              text.c_str());
+  }
+}
+
+// Chunk sizes with signs, prefixes or extensions are read differently by
+// different parsers, and trailers would override checked headers.
+Test(request_scanner, chunk_framing_is_strict) {
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  for (const auto* body :
+       {"+3\r\nabc\r\n", "0x3\r\nabc\r\n", "3;a=b\r\nabc\r\n", " 3\r\nabc\r\n",
+        "3 \r\nabc\r\n", "3\nabc\r\n", "\r\nabc\r\n", "3\r\nabcd\r\n", "g\r\n",
+        "0\r\nFlamingoyoke-Key: a\r\n\r\n",
+        "00000000000000000000000003\r\nabc\r\n"}) {
+    cr_assert(Scan(WithHeader(chunked, body)) == ErrorKind::kMalformedRequest,
+              "accepted: %s", body);
+  }
+}
+
+// Sizes are refused from the head or at the bound, before they are stored.
+Test(request_scanner, sizes_are_bounded) {
+  cr_assert(Scan(WithHeader("Content-Length: 101\r\n")) ==
+            ErrorKind::kRequestTooLarge);
+  cr_assert(Scan(WithHeader("Transfer-Encoding: chunked\r\n", "65\r\n")) ==
+            ErrorKind::kRequestTooLarge);
+  cr_assert(Scan(WithHeader("A: " + std::string(300, 'x') + "\r\n")) ==
+            ErrorKind::kRequestTooLarge);
+  cr_assert(Scan(WithHeader("A: b\r\nC: d\r\nE: f\r\nG: h\r\nI: j\r\n")) ==
+            ErrorKind::kMalformedRequest);
+}
+
+// The owner can refuse a request by its head, e.g. when no memory is left.
+Test(request_scanner, head_check_refuses) {
+  RequestScanner scanner({}, [](const ScannedHead& head) {
+    cr_assert_eq(head.method, std::string("POST"));
+    cr_assert_eq(head.target, std::string("/a"));
+    return ErrorKind::kBodyBudgetExhausted;
+  });
+  cr_assert(scanner.Consume(WithHeader("Content-Length: 5\r\n")) ==
+            ErrorKind::kBodyBudgetExhausted);
+  cr_assert(scanner.Consume("GET / HTTP/1.1\r\n") ==
+            ErrorKind::kBodyBudgetExhausted);
+}
+
+}  // namespace
+}  // namespace flamingoyoke
