--- /dev/null
+++ b/src/node/observe/admin/admin_config.h
@@ -0,0 +1,17 @@
+#ifndef FLAMINGOYOKE_NODE_OBSERVE_ADMIN_ADMIN_CONFIG_H_
+#define FLAMINGOYOKE_NODE_OBSERVE_ADMIN_ADMIN_CONFIG_H_
+
+#include <cstdint>
+#include <string>
+
+namespace flamingoyoke {
+
+// Where the operators' HTTP server listens. Callers must not reach it.
+struct AdminConfig {
+  std::string host;
+  std::uint16_t port = 0;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_NODE_OBSERVE_ADMIN_ADMIN_CONFIG_H_
--- /dev/null
+++ b/src/node/observe/admin/admin_task.h
@@ -0,0 +1,49 @@
+#ifndef FLAMINGOYOKE_NODE_OBSERVE_ADMIN_ADMIN_TASK_H_
+#define FLAMINGOYOKE_NODE_OBSERVE_ADMIN_ADMIN_TASK_H_
+
+#include <event2/http.h>
+
+#include <memory>
+#include <string>
+
+#include "core/result.h"
+#include "node/messages.h"
+#include "node/observe/admin/admin_config.h"
+#include "node/observe/admin/report.h"
+#include "runtime/task.h"
+
+namespace flamingoyoke {
+
+// Serves operators over HTTP: /report (HTML), /report.csv, /report.json,
+// /metrics (Prometheus text), /livez and /readyz. Answers from the last
+// snapshot of each task, so that a question never waits for traffic.
+class AdminTask {
+ public:
+  using Message = AdminMessage;
+
+  explicit AdminTask(AdminConfig config);
+
+  // Listens on the configured address. Fails with kSocketFailed if it is
+  // taken.
+  auto Start(TaskContext& context) -> Result<void>;
+  auto Handle(Message message) -> Result<void>;
+  auto Stop(StopMode mode) -> void;
+
+ private:
+  struct ServerDeleter {
+    auto operator()(evhttp* server) const -> void { evhttp_free(server); }
+  };
+
+  auto Answer(evhttp_request* request) -> void;
+  auto AnswerReady(evhttp_request* request) -> void;
+
+  AdminConfig config_;
+  TaskContext* context_ = nullptr;
+  Report report_;
+  std::string metrics_;
+  std::unique_ptr<evhttp, ServerDeleter> server_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_NODE_OBSERVE_ADMIN_ADMIN_TASK_H_
--- /dev/null
+++ b/src/node/observe/admin/report_row.h
@@ -0,0 +1,28 @@
+#ifndef FLAMINGOYOKE_NODE_OBSERVE_ADMIN_REPORT_ROW_H_
+#define FLAMINGOYOKE_NODE_OBSERVE_ADMIN_REPORT_ROW_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "node/observe/admin/report.h"
+
+namespace flamingoyoke {
+
+// One named cell of a row.
+struct ReportCell {
+  std::string_view column;
+  std::string text;
+};
+
+// Returns the cells of one service in the order of the report's columns.
+// Thread-safe.
+auto MakeReportRow(const ServiceReport& service) -> std::vector<ReportCell>;
+
+// Returns the rows of `report` in the order of the table; services that this
+// node does not serve are left out.
+auto OrderedServices(const Report& report) -> std::vector<ServiceReport>;
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_NODE_OBSERVE_ADMIN_REPORT_ROW_H_
--- /dev/null
+++ b/src/node/observe/telemetry/telemetry_task.h
@@ -0,0 +1,38 @@
+#ifndef FLAMINGOYOKE_NODE_OBSERVE_TELEMETRY_TELEMETRY_TASK_H_
+#define FLAMINGOYOKE_NODE_OBSERVE_TELEMETRY_TELEMETRY_TASK_H_
+
+#include "core/result.h"
+#include "node/messages.h"
+#include "node/observe/telemetry/metric_store.h"
+#include "node/observe/telemetry/span_exporter.h"
+#include "node/observe/telemetry/telemetry_config.h"
+#include "runtime/task.h"
+
+namespace flamingoyoke {
+
+// Merges the metrics of all tasks into one page for the admin task and exports
+// finished spans. Wakes only when something came in.
+class TelemetryTask {
+ public:
+  using Message = TelemetryMessage;
+
+  TelemetryTask(TelemetryConfig config, Mailbox<AdminMessage>& admin);
+
+  auto Start(TaskContext& context) -> Result<void>;
+  auto Handle(Message message) -> Result<void>;
+  auto Stop(StopMode mode) -> void;
+
+ private:
+  auto Publish() -> void;
+
+  TelemetryConfig config_;
+  Mailbox<AdminMessage>& admin_;
+  TaskContext* context_ = nullptr;
+  MetricStore metrics_;
+  SpanExporter spans_;
+  EventLoop::Handle publish_timer_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_NODE_OBSERVE_TELEMETRY_TELEMETRY_TASK_H_
