Detect failing targets with sequential tests and path checks

The owner of a target keeps a CUSUM each for server errors, path failures and slow answers, compared with the peers since the onset. Stalls start a probe on a fresh connection and a verification by another member. Notices, permits, floor and probe bounds are in classes of their own.

--- a/src/decision/detection/detector.cc
+++ b/src/decision/detection/detector.cc
@@ -6,22 +6,32 @@
 #include "core/overloaded.h"
 
 namespace flamingoyoke {
+namespace {
+
+// Nodes that borrowed within this time get notices.
+constexpr Duration kBorrowerMemory = std::chrono::seconds(10);
+constexpr std::size_t kMostBorrowers = 64;
+// Steps of the rising share; see ShareOf().
+constexpr Duration kRampStep = kRampDuration / 20;
+// Bounds the decisions in a row about one target in one call.
+constexpr int kMostAdvances = 4;
+
+template <typename Message>
+concept Addressed = requires(const Message& message) {
+  message.service;
+};
+
+}  // namespace
 
 Detector::Detector(Random random) : random_(random) {}
 
 auto Detector::OnEvent(const DetectionEvent& event, TimePoint now)
     -> std::vector<DetectionAction> {
-  actions_.clear();
-  std::visit(
-      Overloaded{
-          [&](const DetectionConfigured& configured) {
-            Apply(configured, now);
-          },
-          [&](const DrainSignalled& drain) { Apply(drain, now); },
-          [&](const DetectionPeerMessage& message) { Apply(message, now); },
-          [](const auto&) {},
-      },
-      event);
+  const bool is_first = std::holds_alternative<DetectionConfigured>(event);
+  if (!configuration_ && !is_first) {
+    return {};
+  }
+  std::visit([&](const auto& specific) { Apply(specific, now); }, event);
   return std::exchange(actions_, {});
 }
 
@@ -36,72 +46,607 @@
   return statuses;
 }
 
-auto Detector::HealthyShare() const -> double {
-  double healthy = 0;
-  double total = 0;
-  if (configuration_) {
-    for (const auto& target : configuration_->row.targets) {
-      total += target.weight;
-      if (statuses_.at(target.id).state == TargetState::kHealthy) {
-        healthy += target.weight;
-      }
+auto Detector::OwnedTargets() const -> std::vector<TargetId> {
+  std::vector<TargetId> owned;
+  for (const auto& [target, monitor] : monitors_) {
+    const auto* unreachable = std::get_if<UnreachablePhase>(&monitor.phase());
+    if (unreachable == nullptr || !unreachable->handed_to) {
+      owned.push_back(target);
     }
   }
-  return total > 0 ? healthy / total : 1;
-}
-
-auto Detector::OwnedTargets() const -> std::vector<TargetId> {
-  return configuration_ ? configuration_->owned : std::vector<TargetId>();
+  return owned;
 }
 
 auto Detector::Apply(const DetectionConfigured& event, TimePoint now) -> void {
+  const bool is_first = !configuration_;
+  const auto known = std::exchange(row_targets_, {});
   configuration_ = event;
-  for (const auto& target : event.row.targets) {
-    if (!statuses_.contains(target.id)) {
-      SetState(target.id, TargetState::kHealthy, "", now);
+  std::vector<TargetId> targets;
+  for (const auto& spec : event.row.targets) {
+    targets.push_back(spec.id);
+    row_targets_.insert(spec.id);
+    budgets_[spec.id].SetMembers(event.home.size());
+  }
+  const auto is_gone = [&](const auto& entry) {
+    return !row_targets_.contains(entry.first);
+  };
+  std::erase_if(budgets_, is_gone);
+  std::erase_if(local_drains_, is_gone);
+  std::erase_if(statuses_, is_gone);
+  std::erase_if(takeovers_, is_gone);
+  notices_.Retain(targets);
+  for (const auto& target : known) {
+    if (!row_targets_.contains(target)) {
+      announcer_.Forget(target);
+      borrowed_.Forget(target);
+      StopMonitor(target);
     }
   }
-  std::erase_if(statuses_, [&](const auto& entry) {
-    return std::none_of(
-        event.row.targets.begin(), event.row.targets.end(),
-        [&](const auto& target) { return target.id == entry.first; });
-  });
+  std::vector<TargetId> released;
+  for (const auto& [target, monitor] : monitors_) {
+    if (!IsConfiguredOwner(target) && !takeovers_.contains(target)) {
+      released.push_back(target);
+    }
+  }
+  for (const auto& target : released) {
+    StopMonitor(target);
+    announcer_.Forget(target);
+  }
+  for (const auto& target : event.owned) {
+    takeovers_.erase(target);
+    if (row_targets_.contains(target) && !monitors_.contains(target)) {
+      StartMonitor(target, !is_first && !known.contains(target), now);
+    }
+  }
+  ListVerifiers();
+  Settle(now);
 }
 
-auto Detector::Apply(const DrainSignalled& event, TimePoint now) -> void {
-  if (!statuses_.contains(event.target)) {
+auto Detector::Apply(const AttemptStarted& event, TimePoint now) -> void {
+  const auto found = monitors_.find(event.target);
+  if (found == monitors_.end()) {
     return;
   }
-  const auto state =
-      event.draining ? TargetState::kDraining : TargetState::kHealthy;
-  SetState(event.target, state, "drain signal", now);
-  for (const auto& member : configuration_->home) {
-    if (member.id == configuration_->self) {
-      continue;
+  found->second.OnStarted(event, evidence_, now);
+  WakeBy(now + evidence_.StallLimit(now));
+}
+
+auto Detector::Apply(const AttemptEnded& event, TimePoint now) -> void {
+  const auto found = monitors_.find(event.target);
+  if (found != monitors_.end()) {
+    found->second.OnEnded(event, Context(event.target), now);
+    if (found->second.IsDue()) {
+      Settle(now);
     }
-    actions_.emplace_back(SendToPeer{
-        member.id, EjectionNotice{.service = configuration_->row.service,
-                                  .target = event.target,
-                                  .state = state}});
+    return;
+  }
+  const bool is_path = event.result == AttemptResult::kTimeout ||
+                       event.result == AttemptResult::kReset ||
+                       event.result == AttemptResult::kConnectFailed ||
+                       event.result == AttemptResult::kPartialAnswer;
+  if (HasTarget(event.target) && event.result != AttemptResult::kCancelled &&
+      borrowed_.OnOutcome(event.target, is_path, now)) {
+    actions_.emplace_back(RetireConnections{event.target});
+    Settle(now);
+  }
+}
+
+auto Detector::Apply(const ProbeEnded& event, TimePoint now) -> void {
+  if (!HasTarget(event.target)) {
+    return;
+  }
+  budgets_[event.target].End();
+  desk_.OnProbe(event.target, event.passed, now);
+  const auto found = monitors_.find(event.target);
+  if (found != monitors_.end()) {
+    auto& monitor = found->second;
+    const bool was_unreachable =
+        std::holds_alternative<UnreachablePhase>(monitor.phase());
+    monitor.OnProbe(event.passed, now);
+    const auto noticed = notices_.Worst(event.target, now);
+    // The member that served the target meanwhile may have ejected it.
+    if (was_unreachable && noticed && noticed->state == TargetState::kEjected &&
+        std::holds_alternative<TrialPhase>(monitor.phase())) {
+      monitor.Inherit(noticed->severity, now);
+    }
+  }
+  Settle(now);
+}
+
+auto Detector::Apply(const DrainSignalled& event, TimePoint now) -> void {
+  if (!HasTarget(event.target)) {
+    return;
   }
+  if (event.draining) {
+    local_drains_[event.target] = TimePoint::max();
+  } else {
+    local_drains_.erase(event.target);
+    notices_.EndDrains(event.target);
+  }
+  Settle(now);
 }
 
 auto Detector::Apply(const DetectionPeerMessage& event, TimePoint now) -> void {
-  const auto* notice = std::get_if<EjectionNotice>(&event.message);
-  if (notice == nullptr || !statuses_.contains(notice->target)) {
+  if (event.sender == configuration_->self) {
+    return;
+  }
+  std::visit(
+      [&](const auto& message) {
+        using Message = std::decay_t<decltype(message)>;
+        if constexpr (Addressed<Message> &&
+                      !std::is_same_v<Message, SlotRequest> &&
+                      !std::is_same_v<Message, SlotLoan> &&
+                      !std::is_same_v<Message, SlotRecall>) {
+          if (message.service == configuration_->row.service) {
+            lost_peers_.erase(event.sender);
+            ApplyMessage(event.sender, message, now);
+          }
+        }
+      },
+      event.message);
+}
+
+auto Detector::Apply(const DetectionPeerLost& event, TimePoint now) -> void {
+  lost_peers_.insert(event.peer);
+  evidence_.ForgetMember(event.peer);
+  borrowers_.erase(event.peer);
+  ListVerifiers();
+  Settle(now);
+}
+
+auto Detector::Apply(const DetectionResumed& /*event*/, TimePoint now) -> void {
+  evidence_.Clear();
+  notices_.Resume(now);
+  permits_.Clear();
+  desk_.Clear();
+  borrowed_.Clear();
+  borrowers_.clear();
+  for (auto& [target, ends] : local_drains_) {
+    ends = std::min(ends, now + NoticeBook::kResumeHold);
+  }
+  for (auto& [target, budget] : budgets_) {
+    budget.End();
+  }
+  for (auto& [target, monitor] : monitors_) {
+    monitor.Resume(now);
+  }
+  wake_at_ = TimePoint::max();
+  Settle(now);
+}
+
+auto Detector::Apply(const DetectionTimer& /*event*/, TimePoint now) -> void {
+  wake_at_ = TimePoint::max();
+  Settle(now);
+}
+
+auto Detector::ApplyMessage(const VmId& sender,
+                            const LoadReport& message,
+                            TimePoint now) -> void {
+  evidence_.OnLoadReport(sender, message, now);
+}
+
+auto Detector::ApplyMessage(const VmId& sender,
+                            const SlotReturn& message,
+                            TimePoint now) -> void {
+  if (reports_.IsNew(sender, message.loan, message.outcomes, now)) {
+    TakeOutcomes(sender, message.outcomes, now);
+  }
+}
+
+auto Detector::ApplyMessage(const VmId& sender,
+                            const OutcomeReport& message,
+                            TimePoint now) -> void {
+  if (reports_.IsNew(sender, LoanId(), message.outcomes, now)) {
+    TakeOutcomes(sender, message.outcomes, now);
+  }
+}
+
+auto Detector::ApplyMessage(const VmId& sender,
+                            const EjectionNotice& message,
+                            TimePoint now) -> void {
+  if (HasTarget(message.target)) {
+    notices_.OnNotice(sender, message, now);
+    Settle(now);
+  }
+}
+
+auto Detector::ApplyMessage(const VmId& sender,
+                            const EjectionPermitRequest& message,
+                            TimePoint now) -> void {
+  const auto& home = configuration_->home;
+  if (!HasTarget(message.target) || home.empty() ||
+      home.front().id != configuration_->self) {
+    return;
+  }
+  Send(sender, EjectionPermit{configuration_->row.service, message.target,
+                              DecidePermit(message.target, now)});
+}
+
+auto Detector::ApplyMessage(const VmId& sender,
+                            const EjectionPermit& message,
+                            TimePoint now) -> void {
+  const auto found = monitors_.find(message.target);
+  const auto& home = configuration_->home;
+  if (found == monitors_.end() || home.empty() || home.front().id != sender) {
     return;
   }
-  SetState(notice->target, notice->state, "notice", now);
+  found->second.OnPermit(message.granted, now);
+  Settle(now);
+}
+
+auto Detector::ApplyMessage(const VmId& sender,
+                            const VerifyRequest& message,
+                            TimePoint now) -> void {
+  if (HasTarget(message.target)) {
+    desk_.OnRequest(sender, message.target, now);
+    Settle(now);
+  }
+}
+
+auto Detector::ApplyMessage(const VmId& sender,
+                            const VerifyAnswer& message,
+                            TimePoint now) -> void {
+  const auto found = monitors_.find(message.target);
+  if (found != monitors_.end()) {
+    found->second.OnVerifyAnswer(sender, message.reachable);
+    Settle(now);
+  }
+}
+
+auto Detector::TakeOutcomes(const VmId& sender,
+                            const std::vector<TargetOutcomes>& outcomes,
+                            TimePoint now) -> void {
+  const bool is_bounded =
+      borrowers_.contains(sender) || borrowers_.size() < kMostBorrowers;
+  if (!IsHomeMember(sender) && is_bounded) {
+    borrowers_[sender] = now;
+  }
+  bool is_due = false;
+  for (const auto& entry : outcomes) {
+    const auto found = monitors_.find(entry.target);
+    if (found != monitors_.end()) {
+      found->second.OnReported(entry, evidence_, now);
+      is_due = is_due || found->second.IsDue();
+    }
+  }
+  if (is_due) {
+    Settle(now);
+  }
+}
+
+auto Detector::StartMonitor(const TargetId& target, bool is_cold, TimePoint now)
+    -> TargetMonitor& {
+  auto& monitor =
+      monitors_.try_emplace(target, target, Random(random_.Next()), now)
+          .first->second;
+  const auto noticed = notices_.Worst(target, now);
+  const bool was_ejected =
+      noticed && (noticed->state == TargetState::kEjected ||
+                  noticed->state == TargetState::kTrial);
+  if (was_ejected) {
+    monitor.Inherit(noticed->severity, now);
+  } else if (is_cold) {
+    monitor.StartCold(now);
+  }
+  return monitor;
+}
+
+auto Detector::StopMonitor(const TargetId& target) -> void {
+  monitors_.erase(target);
+  evidence_.Forget(target);
+}
+
+auto Detector::Context(const TargetId& target) -> MonitorContext {
+  const auto& home = configuration_->home;
+  const bool is_alone =
+      home.empty() ||
+      (home.size() == 1 && home.front().id == configuration_->self);
+  const bool has_permit_giver =
+      !home.empty() && !lost_peers_.contains(home.front().id);
+  return {evidence_, budgets_[target], verifiers_, configuration_->row.slots,
+          is_alone,  has_permit_giver};
+}
+
+auto Detector::Settle(TimePoint now) -> void {
+  SyncTakeovers(now);
+  SyncDrains(now);
+  for (auto& [target, monitor] : monitors_) {
+    AdvanceMonitor(target, monitor, now);
+  }
+  AnswerVerifications(now);
+  // An answer may have been the promise that a takeover waits for.
+  SyncTakeovers(now);
+  Announce(now);
+  PublishShares(now);
+  ScheduleWake(now);
+}
+
+auto Detector::SyncTakeovers(TimePoint now) -> void {
+  std::vector<TargetId> ended;
+  for (const auto& [target, member] : takeovers_) {
+    if (!notices_.IsUnreachableFor(member, target, now)) {
+      ended.push_back(target);
+    }
+  }
+  for (const auto& target : ended) {
+    takeovers_.erase(target);
+    announcer_.Forget(target);
+    StopMonitor(target);
+  }
+  for (const auto& target : row_targets_) {
+    if (monitors_.contains(target)) {
+      continue;
+    }
+    for (const auto& member : configuration_->home) {
+      if (notices_.IsUnreachableFor(member.id, target, now) &&
+          desk_.HasPromised(member.id, target, now)) {
+        takeovers_[target] = member.id;
+        StartMonitor(target, false, now).SetSecondOpinion();
+        break;
+      }
+    }
+  }
+}
+
+auto Detector::SyncDrains(TimePoint now) -> void {
+  std::erase_if(local_drains_,
+                [&](const auto& entry) { return entry.second <= now; });
+  for (auto& [target, monitor] : monitors_) {
+    // Owners repeat only what another node saw itself; otherwise two owners
+    // could keep a drain alive between them.
+    monitor.SetDraining(
+        HasLocalDrain(target, now) || notices_.HasFirstHandDrain(target, now),
+        now);
+  }
+}
+
+auto Detector::AdvanceMonitor(const TargetId& target,
+                              TargetMonitor& monitor,
+                              TimePoint now) -> void {
+  const auto context = Context(target);
+  for (int i = 0; i < kMostAdvances; ++i) {
+    const auto orders = monitor.Advance(context, now);
+    if (orders.retire_connections) {
+      actions_.emplace_back(RetireConnections{target});
+    }
+    if (orders.start_probe) {
+      actions_.emplace_back(StartProbe{target});
+    }
+    if (orders.ask_verifier) {
+      Send(*orders.ask_verifier,
+           VerifyRequest{configuration_->row.service, target});
+    }
+    const auto& home = configuration_->home;
+    if (orders.ask_permit && home.front().id == configuration_->self) {
+      monitor.OnPermit(DecidePermit(target, now), now);
+    } else if (orders.ask_permit) {
+      Send(home.front().id,
+           EjectionPermitRequest{configuration_->row.service, target});
+    }
+    if (!monitor.IsDue()) {
+      return;
+    }
+  }
+}
+
+auto Detector::DecidePermit(const TargetId& target, TimePoint now) -> bool {
+  std::set<TargetId> out_of_use;
+  for (const auto& spec : configuration_->row.targets) {
+    const auto state = Evaluate(spec, now).state;
+    if (state == TargetState::kEjected || state == TargetState::kTrial ||
+        state == TargetState::kDraining) {
+      out_of_use.insert(spec.id);
+    }
+  }
+  return permits_.Decide(configuration_->row, target, out_of_use, now);
+}
+
+auto Detector::AnswerVerifications(TimePoint now) -> void {
+  for (const auto& target : desk_.Waiting()) {
+    if (!HasTarget(target)) {
+      continue;
+    }
+    if (desk_.TryProbe(target, budgets_[target], now)) {
+      actions_.emplace_back(StartProbe{target});
+    }
+  }
+  for (const auto& answer : desk_.TakeAnswers(ProbeTime(now), now)) {
+    Send(answer.asker, VerifyAnswer{configuration_->row.service, answer.target,
+                                    answer.reachable});
+  }
+}
+
+auto Detector::Announce(TimePoint now) -> void {
+  for (const auto& target : row_targets_) {
+    const auto found = monitors_.find(target);
+    const bool has_drain = HasLocalDrain(target, now);
+    auto state = TargetState::kHealthy;
+    double severity = 0;
+    if (has_drain) {
+      state = TargetState::kDraining;
+      severity = NoticeBook::kFirstHand;
+    } else if (found != monitors_.end()) {
+      state = StateOf(found->second.phase());
+      severity = SeverityOf(found->second.phase());
+    }
+    if (auto notice = announcer_.Update(target, state, severity, now)) {
+      notice->service = configuration_->row.service;
+      Broadcast(*notice, now);
+    }
+  }
+}
+
+auto Detector::PublishShares(TimePoint now) -> void {
+  std::vector<FloorEntry> entries;
+  std::vector<TargetStatus> wanted;
+  for (const auto& spec : configuration_->row.targets) {
+    wanted.push_back(Evaluate(spec, now));
+    entries.push_back({spec.id, spec.weight, wanted.back().state,
+                       SeverityFor(spec.id, now), wanted.back().share, false});
+  }
+  healthy_share_ = ShareInUse(entries);
+  ApplyFloor(entries, configuration_->row.floor);
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    auto& status = wanted[i];
+    status.share = entries[i].share;
+    if (entries[i].is_raised) {
+      status.reason += ", in use for the floor";
+    }
+    auto& current = statuses_[status.target];
+    const bool is_new = current.target.empty();
+    const bool is_changed = is_new || current.state != status.state ||
+                            current.reason != status.reason;
+    if (!is_changed && current.share == status.share) {
+      continue;
+    }
+    status.since = is_changed ? now : current.since;
+    current = status;
+    actions_.emplace_back(SetTargetShare{status.target, status.share,
+                                         status.state, status.reason});
+  }
+}
+
+auto Detector::Evaluate(const TargetSpec& spec, TimePoint now) const
+    -> TargetStatus {
+  TargetStatus status;
+  status.target = spec.id;
+  const auto found = monitors_.find(spec.id);
+  if (found != monitors_.end()) {
+    const auto& phase = found->second.phase();
+    status.state = StateOf(phase);
+    status.reason = ReasonOf(phase);
+    status.share = ShareOf(phase, configuration_->row.slots, now);
+    // A drain that another owner repeats counts at the point of use.
+    const auto noticed = notices_.Worst(spec.id, now);
+    if (!noticed || noticed->state != TargetState::kDraining ||
+        status.state == TargetState::kDraining) {
+      return status;
+    }
+  }
+  if (HasLocalDrain(spec.id, now)) {
+    status.state = TargetState::kDraining;
+    status.reason = "drain signal";
+    status.share = 0;
+    return status;
+  }
+  if (const auto noticed = notices_.Worst(spec.id, now)) {
+    status.state = noticed->state;
+    status.reason = "notice from " + noticed->sender.value();
+    const bool is_used = noticed->state == TargetState::kRamping;
+    const double trial =
+        1.0 / std::max<std::uint32_t>(configuration_->row.slots, 1);
+    status.share = noticed->state == TargetState::kTrial ? trial : is_used;
+  }
+  if (borrowed_.IsAvoided(spec.id, now) &&
+      status.state != TargetState::kDraining) {
+    status.state = TargetState::kUnreachable;
+    status.reason = "not reached from here";
+    status.share = 0;
+  }
+  return status;
+}
+
+auto Detector::SeverityFor(const TargetId& target, TimePoint now) const
+    -> double {
+  const auto found = monitors_.find(target);
+  if (found != monitors_.end()) {
+    return SeverityOf(found->second.phase());
+  }
+  const auto noticed = notices_.Worst(target, now);
+  return noticed ? noticed->severity : 0;
+}
+
+auto Detector::ScheduleWake(TimePoint now) -> void {
+  auto wake =
+      std::min({announcer_.NextWake(), notices_.NextExpiry(now),
+                borrowed_.NextWake(now), desk_.NextWake(ProbeTime(now))});
+  for (const auto& target : desk_.Waiting()) {
+    wake = std::min(wake, budgets_[target].NextAt());
+  }
+  for (const auto& [target, ends] : local_drains_) {
+    wake = std::min(wake, ends);
+  }
+  for (const auto& [target, monitor] : monitors_) {
+    wake = std::min(wake, monitor.NextWake(Context(target), now));
+    if (StateOf(monitor.phase()) == TargetState::kRamping) {
+      wake = std::min(wake, now + kRampStep);
+    }
+  }
+  wake = std::max(wake, now + std::chrono::milliseconds(1));
+  if (wake != TimePoint::max() && wake != wake_at_) {
+    wake_at_ = wake;
+    actions_.emplace_back(WakeDetectorAt{wake});
+  }
+}
+
+auto Detector::WakeBy(TimePoint at) -> void {
+  if (at < wake_at_) {
+    wake_at_ = at;
+    actions_.emplace_back(WakeDetectorAt{at});
+  }
+}
+
+auto Detector::Send(const VmId& peer, PeerMessage message) -> void {
+  actions_.emplace_back(SendToPeer{peer, std::move(message)});
+}
+
+auto Detector::Broadcast(const EjectionNotice& notice, TimePoint now) -> void {
+  for (const auto& member : configuration_->home) {
+    if (member.id != configuration_->self) {
+      Send(member.id, notice);
+    }
+  }
+  std::erase_if(borrowers_, [&](const auto& entry) {
+    return now - entry.second >= kBorrowerMemory;
+  });
+  for (const auto& [borrower, at] : borrowers_) {
+    Send(borrower, notice);
+  }
+}
+
+auto Detector::HasTarget(const TargetId& target) const -> bool {
+  return row_targets_.contains(target);
+}
+
+auto Detector::IsConfiguredOwner(const TargetId& target) const -> bool {
+  const auto& owned = configuration_->owned;
+  return std::find(owned.begin(), owned.end(), target) != owned.end();
+}
+
+auto Detector::IsHomeMember(const VmId& vm) const -> bool {
+  const auto& home = configuration_->home;
+  return std::any_of(home.begin(), home.end(),
+                     [&](const auto& member) { return member.id == vm; });
+}
+
+auto Detector::HasLocalDrain(const TargetId& target, TimePoint now) const
+    -> bool {
+  const auto found = local_drains_.find(target);
+  return found != local_drains_.end() && found->second > now;
+}
+
+auto Detector::ListVerifiers() -> void {
+  const auto& home = configuration_->home;
+  FailureDomainId own_domain;
+  for (const auto& member : home) {
+    if (member.id == configuration_->self) {
+      own_domain = member.failure_domain;
+    }
+  }
+  verifiers_.clear();
+  std::vector<VmId> same_domain;
+  for (const auto& member : home) {
+    if (member.id == configuration_->self || lost_peers_.contains(member.id)) {
+      continue;
+    }
+    auto& list = member.failure_domain == own_domain ? same_domain : verifiers_;
+    list.push_back(member.id);
+  }
+  verifiers_.insert(verifiers_.end(), same_domain.begin(), same_domain.end());
 }
 
-auto Detector::SetState(const TargetId& target,
-                        TargetState state,
-                        const std::string& reason,
-                        TimePoint now) -> void {
-  const double share =
-      state == TargetState::kHealthy || state == TargetState::kRamping ? 1 : 0;
-  statuses_[target] = TargetStatus{target, state, reason, now, share};
-  actions_.emplace_back(SetTargetShare{target, share, state, reason});
+auto Detector::ProbeTime(TimePoint now) -> Duration {
+  return std::max(PathCheck::kLeastProbeTime, evidence_.StallLimit(now));
 }
 
 }  // namespace flamingoyoke
--- a/src/decision/detection/detector.h
+++ b/src/decision/detection/detector.h
@@ -3,34 +3,49 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "core/ids.h"
 #include "core/random.h"
 #include "core/time.h"
+#include "decision/detection/announcer.h"
+#include "decision/detection/borrowed_paths.h"
 #include "decision/detection/detection_event.h"
+#include "decision/detection/floor_rule.h"
+#include "decision/detection/notice_book.h"
+#include "decision/detection/permit_ledger.h"
+#include "decision/detection/probe_budget.h"
+#include "decision/detection/report_filter.h"
+#include "decision/detection/service_evidence.h"
+#include "decision/detection/target_monitor.h"
 #include "decision/detection/target_status.h"
+#include "decision/detection/verify_desk.h"
 
 namespace flamingoyoke {
 
-// Decides which targets of one service this node uses. One object per service
-// and node; equal events give equal actions. Not thread-safe.
+// Decides which targets of one service this node uses. Watches the targets
+// that the node owns, follows the notices of other owners for the rest, and
+// applies the floor. One object per service and node; equal events give equal
+// actions. Not thread-safe.
 class Detector {
  public:
   explicit Detector(Random random);
 
   // Takes one event and returns what to do. `now` must not go back between
-  // calls. The first event should be DetectionConfigured; earlier ones have
-  // no effect.
+  // calls. Events before the first DetectionConfigured, and events about
+  // targets outside the row, have no effect. After a pause of the process,
+  // DetectionResumed has to be the first event.
   auto OnEvent(const DetectionEvent& event, TimePoint now)
       -> std::vector<DetectionAction>;
 
   // Returns the status of each target in the order of the row.
   [[nodiscard]] auto Statuses() const -> std::vector<TargetStatus>;
 
-  // Returns the weight of the targets that are healthy, by their share of the
-  // weight of all targets of the row, 0 to 1; 1 without targets.
-  [[nodiscard]] auto HealthyShare() const -> double;
+  // Returns the capacity that the states of the targets give before the floor
+  // brings any back, as a part of the weight of the row, 0 to 1.
+  [[nodiscard]] auto HealthyShare() const -> double { return healthy_share_; }
 
   // Returns the targets that this node is responsible for now: the configured
   // ones without those handed over, and those taken over from members that
@@ -39,17 +54,97 @@
 
  private:
   auto Apply(const DetectionConfigured& event, TimePoint now) -> void;
+  auto Apply(const AttemptStarted& event, TimePoint now) -> void;
+  auto Apply(const AttemptEnded& event, TimePoint now) -> void;
+  auto Apply(const ProbeEnded& event, TimePoint now) -> void;
   auto Apply(const DrainSignalled& event, TimePoint now) -> void;
   auto Apply(const DetectionPeerMessage& event, TimePoint now) -> void;
+  auto Apply(const DetectionPeerLost& event, TimePoint now) -> void;
+  auto Apply(const DetectionResumed& event, TimePoint now) -> void;
+  auto Apply(const DetectionTimer& event, TimePoint now) -> void;
 
-  auto SetState(const TargetId& target,
-                TargetState state,
-                const std::string& reason,
-                TimePoint now) -> void;
+  auto ApplyMessage(const VmId& sender,
+                    const LoadReport& message,
+                    TimePoint now) -> void;
+  auto ApplyMessage(const VmId& sender,
+                    const SlotReturn& message,
+                    TimePoint now) -> void;
+  auto ApplyMessage(const VmId& sender,
+                    const OutcomeReport& message,
+                    TimePoint now) -> void;
+  auto ApplyMessage(const VmId& sender,
+                    const EjectionNotice& message,
+                    TimePoint now) -> void;
+  auto ApplyMessage(const VmId& sender,
+                    const EjectionPermitRequest& message,
+                    TimePoint now) -> void;
+  auto ApplyMessage(const VmId& sender,
+                    const EjectionPermit& message,
+                    TimePoint now) -> void;
+  auto ApplyMessage(const VmId& sender,
+                    const VerifyRequest& message,
+                    TimePoint now) -> void;
+  auto ApplyMessage(const VmId& sender,
+                    const VerifyAnswer& message,
+                    TimePoint now) -> void;
+
+  auto TakeOutcomes(const VmId& sender,
+                    const std::vector<TargetOutcomes>& outcomes,
+                    TimePoint now) -> void;
+  auto StartMonitor(const TargetId& target, bool is_cold, TimePoint now)
+      -> TargetMonitor&;
+  auto StopMonitor(const TargetId& target) -> void;
+  auto Context(const TargetId& target) -> MonitorContext;
+
+  // Brings everything up to date with the facts noted by Apply().
+  auto Settle(TimePoint now) -> void;
+  auto SyncTakeovers(TimePoint now) -> void;
+  auto SyncDrains(TimePoint now) -> void;
+  auto AdvanceMonitor(const TargetId& target,
+                      TargetMonitor& monitor,
+                      TimePoint now) -> void;
+  auto DecidePermit(const TargetId& target, TimePoint now) -> bool;
+  auto AnswerVerifications(TimePoint now) -> void;
+  auto Announce(TimePoint now) -> void;
+  auto PublishShares(TimePoint now) -> void;
+  auto Evaluate(const TargetSpec& spec, TimePoint now) const -> TargetStatus;
+  auto SeverityFor(const TargetId& target, TimePoint now) const -> double;
+  auto ScheduleWake(TimePoint now) -> void;
+  auto WakeBy(TimePoint at) -> void;
+
+  auto Send(const VmId& peer, PeerMessage message) -> void;
+  auto Broadcast(const EjectionNotice& notice, TimePoint now) -> void;
+  auto HasTarget(const TargetId& target) const -> bool;
+  auto IsConfiguredOwner(const TargetId& target) const -> bool;
+  auto IsHomeMember(const VmId& vm) const -> bool;
+  auto HasLocalDrain(const TargetId& target, TimePoint now) const -> bool;
+  auto ListVerifiers() -> void;
+  auto ProbeTime(TimePoint now) -> Duration;
 
   Random random_;
   std::optional<DetectionConfigured> configuration_;
+  std::set<TargetId> row_targets_;
+  ServiceEvidence evidence_;
+  std::map<TargetId, TargetMonitor> monitors_;
+  std::map<TargetId, ProbeBudget> budgets_;
+  // Targets taken over, with the member that cannot reach them.
+  std::map<TargetId, VmId> takeovers_;
+  // Drain signals seen by this node, with their end; TimePoint::max() unless
+  // the process was paused since.
+  std::map<TargetId, TimePoint> local_drains_;
+  NoticeBook notices_;
+  PermitLedger permits_;
+  VerifyDesk desk_;
+  Announcer announcer_;
+  BorrowedPaths borrowed_;
+  ReportFilter reports_;
+  std::vector<VmId> verifiers_;
+  std::set<VmId> lost_peers_;
+  // Nodes outside the home set that borrowed lately, and when.
+  std::map<VmId, TimePoint> borrowers_;
   std::map<TargetId, TargetStatus> statuses_;
+  double healthy_share_ = 1;
+  TimePoint wake_at_ = TimePoint::max();
   std::vector<DetectionAction> actions_;
 };
 
--- /dev/null
+++ b/src/decision/detection/failure_sort.h
@@ -0,0 +1,30 @@
+#ifndef FLAMINGOYOKE_DECISION_DETECTION_FAILURE_SORT_H_
+#define FLAMINGOYOKE_DECISION_DETECTION_FAILURE_SORT_H_
+
+#include <array>
+
+#include "core/name_table.h"
+
+namespace flamingoyoke {
+
+// Kinds of evidence against a target that are counted apart, since they differ
+// in what else could have caused them.
+enum class FailureSort {
+  kServerError,  // 5xx: the path works, so the target itself is at fault.
+  kPath,         // Timeout, reset, failed connect, overdue attempt.
+  kSlow,         // Answered, but far later than the peers.
+};
+
+template <>
+struct EnumNames<FailureSort> {
+  static constexpr auto kTable = std::to_array<NameEntry<FailureSort>>({
+      {FailureSort::kServerError, "server-error"},
+      {FailureSort::kPath, "path"},
+      {FailureSort::kSlow, "slow"},
+  });
+};
+static_assert(IsDense<FailureSort>());
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_DETECTION_FAILURE_SORT_H_
--- /dev/null
+++ b/src/decision/detection/member_evidence.cc
@@ -0,0 +1,70 @@
+#include "decision/detection/member_evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingoyoke {
+namespace {
+
+// Samples after which an older p95 weighs 1/e. A report covers few samples,
+// whose p95 is little more than the largest of them.
+constexpr double kSmoothingSamples = 40;
+constexpr Duration kPeakInterval = std::chrono::seconds(1);
+// Interval in which a member that still has answers shows some, and how many
+// are expected in it before silence means something.
+constexpr Duration kSilence = std::chrono::milliseconds(250);
+constexpr double kLeastExpected = 5;
+
+}  // namespace
+
+auto MemberEvidence::OnReport(const LoadReport& report, TimePoint now) -> void {
+  const std::uint64_t trials = std::uint64_t{report.succeeded} + report.failed;
+  outcomes_.Add({trials, report.failed}, now);
+  last_report_ = now;
+  if (report.succeeded == 0 || report.p95_latency <= Duration::zero()) {
+    return;
+  }
+  const auto p95 = static_cast<double>(report.p95_latency.count());
+  const double kept =
+      has_latency_ ? std::exp(-report.succeeded / kSmoothingSamples) : 0;
+  p95_ = kept * p95_ + (1 - kept) * p95;
+  has_latency_ = true;
+  if (now - peak_start_ >= kPeakInterval) {
+    previous_peak_ =
+        now - peak_start_ < 2 * kPeakInterval ? peak_ : Duration::zero();
+    peak_ = Duration::zero();
+    peak_start_ = now;
+  }
+  peak_ = std::max(peak_, report.p95_latency);
+}
+
+auto MemberEvidence::P95(TimePoint now) const -> std::optional<Duration> {
+  if (!has_latency_ || now - last_report_ >= kFresh) {
+    return std::nullopt;
+  }
+  return Duration(static_cast<Duration::rep>(p95_));
+}
+
+auto MemberEvidence::PeakP95(TimePoint now) const -> std::optional<Duration> {
+  if (!has_latency_ || now - last_report_ >= kFresh) {
+    return std::nullopt;
+  }
+  return std::max(peak_, previous_peak_);
+}
+
+auto MemberEvidence::IsIll(TimePoint now) -> bool {
+  if (now - last_report_ >= kFresh) {
+    return false;
+  }
+  const auto recent = outcomes_.Since(now - kSilence, now);
+  if (2 * recent.failures > recent.trials) {
+    return true;
+  }
+  constexpr double kWindowSeconds =
+      ToSeconds(RateWindow::kBucket) * RateWindow::kBuckets;
+  const double rate =
+      static_cast<double>(outcomes_.Total(now).trials) / kWindowSeconds;
+  return recent.trials == 0 && rate * ToSeconds(kSilence) >= kLeastExpected;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/decision/detection/probe_budget.cc
@@ -0,0 +1,28 @@
+#include "decision/detection/probe_budget.h"
+
+#include <algorithm>
+
+namespace flamingoyoke {
+
+auto ProbeBudget::SetMembers(std::size_t members) -> void {
+  // Two members at least: an owner and its verifier.
+  const auto parts = static_cast<double>(std::max<std::size_t>(members, 2));
+  interval_ = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(parts / kFleetProbesPerSecond));
+}
+
+auto ProbeBudget::TryStart(TimePoint now, bool* is_new) -> bool {
+  *is_new = false;
+  if (running_since_ && now - *running_since_ < kForgetAfter) {
+    return true;
+  }
+  if (now < next_at_) {
+    return false;
+  }
+  *is_new = true;
+  running_since_ = now;
+  next_at_ = now + interval_;
+  return true;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/decision/detection/rate_window.h
@@ -0,0 +1,52 @@
+#ifndef FLAMINGOYOKE_DECISION_DETECTION_RATE_WINDOW_H_
+#define FLAMINGOYOKE_DECISION_DETECTION_RATE_WINDOW_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "core/time.h"
+
+namespace flamingoyoke {
+
+// Number of outcomes and of failures among them.
+struct RateCounts {
+  std::uint64_t trials = 0;
+  std::uint64_t failures = 0;
+
+  auto operator+=(const RateCounts& other) -> RateCounts& {
+    trials += other.trials;
+    failures += other.failures;
+    return *this;
+  }
+};
+
+// Outcomes of the last seconds in buckets, so that two parties can be compared
+// over the same interval. Not thread-safe.
+class RateWindow {
+ public:
+  static constexpr Duration kBucket = std::chrono::milliseconds(100);
+  // 12.8 s: several times the 4 s within which a gray target must be found.
+  static constexpr std::size_t kBuckets = 128;
+
+  // Adds outcomes at `now`, which must not go back.
+  auto Add(const RateCounts& counts, TimePoint now) -> void;
+
+  // Returns the counts of the whole window. Takes constant time on average.
+  auto Total(TimePoint now) -> RateCounts;
+
+  // Returns the counts since `start`, rounded down to a bucket.
+  [[nodiscard]] auto Since(TimePoint start, TimePoint now) const -> RateCounts;
+
+ private:
+  static auto NumberOf(TimePoint time) -> std::int64_t;
+  auto Expire(std::int64_t current) -> void;
+
+  std::array<RateCounts, kBuckets> buckets_ = {};
+  std::int64_t newest_ = 0;
+  RateCounts total_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_DETECTION_RATE_WINDOW_H_
--- /dev/null
+++ b/src/decision/detection/report_filter.h
@@ -0,0 +1,41 @@
+#ifndef FLAMINGOYOKE_DECISION_DETECTION_REPORT_FILTER_H_
+#define FLAMINGOYOKE_DECISION_DETECTION_REPORT_FILTER_H_
+
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "decision/peer/peer_message.h"
+
+namespace flamingoyoke {
+
+// Recognizes repeated outcome reports, which carry no sequence number: counted
+// twice, two failures would weigh like four. Not thread-safe.
+class ReportFilter {
+ public:
+  // The network repeats a message within this time; an equal report from the
+  // same sender after it is a new one.
+  static constexpr Duration kMemory = std::chrono::milliseconds(250);
+  static constexpr std::size_t kMost = 256;
+
+  // Returns whether the report is new, and remembers it. `loan` is 0 for a
+  // report without a loan. A report without failures is always new.
+  auto IsNew(const VmId& sender,
+             LoanId loan,
+             const std::vector<TargetOutcomes>& outcomes,
+             TimePoint now) -> bool;
+
+ private:
+  struct Seen {
+    std::uint64_t digest = 0;
+    TimePoint at;
+  };
+
+  std::deque<Seen> seen_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_DETECTION_REPORT_FILTER_H_
--- /dev/null
+++ b/src/decision/detection/target_evidence.h
@@ -0,0 +1,44 @@
+#ifndef FLAMINGOYOKE_DECISION_DETECTION_TARGET_EVIDENCE_H_
+#define FLAMINGOYOKE_DECISION_DETECTION_TARGET_EVIDENCE_H_
+
+#include <array>
+
+#include "core/time.h"
+#include "decision/detection/failure_sort.h"
+#include "decision/detection/in_flight_attempts.h"
+#include "decision/detection/latency_window.h"
+#include "decision/detection/rate_window.h"
+
+namespace flamingoyoke {
+
+// What real work showed about one owned target in the last seconds. Also the
+// peer that other targets are compared with. Not thread-safe.
+class TargetEvidence {
+ public:
+  // Returns the outcomes of one sort.
+  auto Rates(FailureSort sort) -> RateWindow& {
+    return rates_[static_cast<std::size_t>(sort)];
+  }
+  [[nodiscard]] auto Rates(FailureSort sort) const -> const RateWindow& {
+    return rates_[static_cast<std::size_t>(sort)];
+  }
+  auto Latency() -> LatencyWindow& { return latency_; }
+  auto InFlight() -> InFlightAttempts& { return in_flight_; }
+  [[nodiscard]] auto InFlight() const -> const InFlightAttempts& {
+    return in_flight_;
+  }
+
+  // Time of the last answer of any kind; the epoch before the first one.
+  [[nodiscard]] auto last_answer() const -> TimePoint { return last_answer_; }
+  auto MarkAnswered(TimePoint now) -> void { last_answer_ = now; }
+
+ private:
+  std::array<RateWindow, kEnumSize<FailureSort>> rates_;
+  LatencyWindow latency_;
+  InFlightAttempts in_flight_;
+  TimePoint last_answer_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_DETECTION_TARGET_EVIDENCE_H_
