--- /dev/null
+++ b/src/decision/fleet/member_record.h
@@ -0,0 +1,38 @@
+#ifndef FLAMINGOYOKE_DECISION_FLEET_MEMBER_RECORD_H_
+#define FLAMINGOYOKE_DECISION_FLEET_MEMBER_RECORD_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "core/time.h"
+#include "decision/fleet/member.h"
+
+namespace flamingoyoke {
+
+// A vm with what only this node knows of it.
+struct MemberRecord {
+  Member member;
+  // HashOf(member.id).
+  std::uint64_t hash = 0;
+  // Whether the platform's last list has it.
+  bool listed = false;
+  // When its liveness changed.
+  TimePoint changed;
+  // End of the time to refute a claim that it is dead, if there is one.
+  std::optional<TimePoint> claim_until;
+};
+
+// Returns whether the vm was ever heard, by any node. Thread-safe.
+inline auto IsProven(const MemberRecord& record) -> bool {
+  return record.member.incarnation.value() > 0;
+}
+
+// Returns whether the vm counts as part of the fleet: proven and not dead.
+// Thread-safe.
+inline auto IsPresent(const MemberRecord& record) -> bool {
+  return IsProven(record) && record.member.liveness != Liveness::kDead;
+}
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_FLEET_MEMBER_RECORD_H_
--- /dev/null
+++ b/src/decision/fleet/membership.cc
@@ -0,0 +1,576 @@
+#include "decision/fleet/membership.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "core/overloaded.h"
+#include "decision/fleet/membership_timing.h"
+#include "decision/fleet/peer_selection.h"
+
+namespace flamingoyoke {
+namespace {
+
+// Sequences follow the clock in milliseconds. A node sends far fewer than a
+// thousand heartbeats a second, so they rise over restarts of the fleet task.
+auto SequenceAt(TimePoint now) -> std::uint64_t {
+  return static_cast<std::uint64_t>(
+      std::max<std::int64_t>(ToMilliseconds(now.time_since_epoch()), 0));
+}
+
+}  // namespace
+
+Membership::Membership(Member self, Random random)
+    : self_(std::move(self)), random_(random), list_(self_.id) {
+  self_.liveness = Liveness::kAlive;
+  self_.version = 1;
+}
+
+auto Membership::OnEvent(const MembershipEvent& event, TimePoint now)
+    -> std::vector<MembershipAction> {
+  std::visit([&](const auto& each) { Take(each, now); }, event);
+  return Finish(now);
+}
+
+auto Membership::Members() const -> std::vector<Member> {
+  std::vector<Member> members;
+  members.reserve(list_.records().size() + 1);
+  bool self_is_listed = false;
+  for (const auto& [vm, record] : list_.records()) {
+    if (!self_is_listed && self_.id < vm) {
+      members.push_back(self_);
+      self_is_listed = true;
+    }
+    members.push_back(record.member);
+  }
+  if (!self_is_listed) {
+    members.push_back(self_);
+  }
+  return members;
+}
+
+auto Membership::CutOff(TimePoint now) const -> std::vector<VmId> {
+  std::vector<VmId> cut_off;
+  for (const auto& [vm, link] : links_.links()) {
+    const auto* record = list_.Find(vm);
+    if (link.is_chosen() && !link.IsTwoWay(now) && record != nullptr &&
+        record->member.liveness == Liveness::kAlive) {
+      cut_off.push_back(vm);
+    }
+  }
+  return cut_off;
+}
+
+auto Membership::TwoWayPeers(TimePoint now) const -> std::vector<VmId> {
+  return links_.TwoWay(now);
+}
+
+auto Membership::Take(const MembershipStarted& /*event*/, TimePoint now)
+    -> void {
+  sequence_ = SequenceAt(now);
+  // Nodes that start together spread their ticks.
+  next_tick_ =
+      now + Duration(random_.Below(static_cast<std::uint64_t>(kTick.count())));
+  bootstrap_until_ = now + kBootstrapTime;
+  next_forget_ = now + kForgetPeriod;
+}
+
+auto Membership::Take(const VmListSeeded& event, TimePoint now) -> void {
+  list_.Seed(event.members, now);
+}
+
+auto Membership::Take(const PeerEnvelope& envelope, TimePoint now) -> void {
+  if (envelope.sender.empty()) {
+    return;
+  }
+  if (envelope.sender == self_.id) {
+    if (self_.incarnation < envelope.incarnation) {
+      actions_.emplace_back(SelfSuperseded{envelope.incarnation});
+    }
+    return;
+  }
+  std::visit(
+      [&](const auto& message) {
+        using Message = std::decay_t<decltype(message)>;
+        if constexpr (std::is_same_v<Message, Heartbeat> ||
+                      std::is_same_v<Message, IndirectProbe> ||
+                      std::is_same_v<Message, MemberUpdate>) {
+          TakeMessage(envelope, message, now);
+        }
+      },
+      envelope.message);
+}
+
+auto Membership::Take(const SelfAnnounced& event, TimePoint now) -> void {
+  tables_ = event.tables;
+  if (self_.ready != event.ready) {
+    self_.ready = event.ready;
+    AnnounceSelf(now);
+  }
+}
+
+auto Membership::Take(const HomePeersChanged& event, TimePoint /*now*/)
+    -> void {
+  home_peers_ = std::set<VmId>(event.peers.begin(), event.peers.end());
+  selection_is_stale_ = true;
+}
+
+auto Membership::Take(const LeavingDeclared& /*event*/, TimePoint now) -> void {
+  if (!self_.leaving) {
+    self_.leaving = true;
+    AnnounceSelf(now);
+  }
+}
+
+auto Membership::Take(const MembershipResumed& /*event*/, TimePoint now)
+    -> void {
+  list_.Doubt(now);
+  links_.Restart(now);
+  // Others may hold this vm for dead by now.
+  AnnounceSelf(now);
+  bootstrap_until_ = now + kBootstrapTime;
+  next_contact_ = now;
+  next_comparison_ = now;
+  next_tick_ = now;
+}
+
+auto Membership::Take(const MembershipTimer& /*event*/, TimePoint now) -> void {
+  if (spread_.due() && *spread_.due() <= now) {
+    SpreadUpdates();
+  }
+  if (next_tick_ && *next_tick_ <= now) {
+    Tick(now);
+    next_tick_ = now + kTick;
+  }
+}
+
+auto Membership::TakeMessage(const PeerEnvelope& envelope,
+                             const Heartbeat& heartbeat,
+                             TimePoint now) -> void {
+  const auto& sender = envelope.sender;
+  const auto* record = list_.Find(sender);
+  if (record == nullptr) {
+    // Its address is unknown; it introduces itself until it is answered.
+    return;
+  }
+  if (envelope.incarnation < record->member.incarnation) {
+    return;
+  }
+  // A new incarnation spreads once the vm announces it with its address.
+  list_.Hear(sender, envelope.incarnation, now);
+  const bool is_new = links_.Find(sender) == nullptr;
+  auto* link = links_.Admit(sender, now);
+  if (link == nullptr) {
+    return;
+  }
+  link->NoteMessage(now);
+  if (!link->NoteHeartbeat(heartbeat, envelope.incarnation, sequence_, now)) {
+    return;
+  }
+  if (record->member.liveness == Liveness::kDead) {
+    // The vm has to refute this for the whole fleet.
+    SendMembers(sender, {ReportOf(*record), self_}, {});
+    return;
+  }
+  if (record->member.liveness == Liveness::kSuspect) {
+    list_.SetLiveness(sender, Liveness::kAlive, now);
+  }
+  if (heartbeat.leaving) {
+    list_.SetLeaving(sender);
+  }
+  for (const auto& asker : duties_.TakeAskers(sender)) {
+    Send(asker, IndirectProbe{sender, envelope.incarnation, true, true});
+  }
+  // The reply always reports a sequence, so it is not replied to.
+  if (is_new || heartbeat.heard_sequence == 0) {
+    SendHeartbeat(sender, *link, now);
+  }
+  CompareDigests(sender, *link, heartbeat.membership_digest, now);
+}
+
+auto Membership::CompareDigests(const VmId& sender,
+                                PeerLink& link,
+                                std::uint64_t digest,
+                                TimePoint now) -> void {
+  if (digest == list_.Digest(self_)) {
+    link.mismatch_since.reset();
+    if (list_.doubted_count() > 0) {
+      list_.ConfirmAll(now);
+    }
+    return;
+  }
+  if (!link.mismatch_since) {
+    link.mismatch_since = now;
+  }
+  // A node that knows little compares at once.
+  const bool knows_little =
+      list_.doubted_count() > 0 || list_.present_count() < kBootstrapLinks;
+  const auto patience = knows_little        ? Duration::zero()
+                        : self_.id < sender ? kMismatchPatience
+                                            : kMismatchPatienceOfHigher;
+  if (now - *link.mismatch_since < patience || now < next_comparison_) {
+    return;
+  }
+  link.mismatch_since = now;
+  next_comparison_ = now + kComparePeriod;
+  SendComparison(sender);
+}
+
+auto Membership::TakeMessage(const PeerEnvelope& envelope,
+                             const IndirectProbe& probe,
+                             TimePoint now) -> void {
+  if (probe.reply) {
+    const auto* record = list_.Find(probe.subject);
+    auto* link = links_.Find(probe.subject);
+    if (probe.reachable && record != nullptr && link != nullptr &&
+        probe.incarnation == record->member.incarnation) {
+      link->NoteVouched(now);
+      if (record->member.liveness == Liveness::kSuspect) {
+        list_.SetLiveness(probe.subject, Liveness::kAlive, now);
+      }
+    }
+    return;
+  }
+  const auto* record = list_.Find(probe.subject);
+  if (record == nullptr || list_.Find(envelope.sender) == nullptr) {
+    return;
+  }
+  const auto* known = links_.Find(probe.subject);
+  if (known != nullptr && known->Silence(now) < known->limits().probe &&
+      known->IsHeard(now)) {
+    Send(envelope.sender,
+         IndirectProbe{probe.subject, record->member.incarnation, true, true});
+    return;
+  }
+  duties_.Add(envelope.sender, probe.subject, now);
+  if (auto* link = links_.Admit(probe.subject, now)) {
+    link->NoteMessage(now);
+    SendHeartbeat(probe.subject, *link, now);
+  }
+}
+
+auto Membership::TakeMessage(const PeerEnvelope& envelope,
+                             const MemberUpdate& update,
+                             TimePoint now) -> void {
+  const auto& sender = envelope.sender;
+  for (const auto& report : update.members) {
+    TakeReport(sender, report, now);
+  }
+  const auto* record = list_.Find(sender);
+  if (record == nullptr || envelope.incarnation < record->member.incarnation) {
+    return;
+  }
+  list_.Hear(sender, envelope.incarnation, now);
+  auto* link = links_.Admit(sender, now);
+  if (link != nullptr) {
+    link->NoteMessage(now);
+  }
+  if (record->member.liveness == Liveness::kDead) {
+    SendMembers(sender, {ReportOf(*record), self_}, {});
+  }
+  if (update.wants_answer || !update.bucket_digests.empty()) {
+    AnswerComparison(sender, update, now);
+  }
+}
+
+auto Membership::TakeReport(const VmId& sender,
+                            const Member& report,
+                            TimePoint now) -> void {
+  if (report.id == self_.id) {
+    TakeReportOfSelf(report, now);
+    return;
+  }
+  if (report.liveness == Liveness::kDead ||
+      report.liveness == Liveness::kSuspect) {
+    auto* link = links_.Find(report.id);
+    if (link != nullptr && link->IsHeard(now)) {
+      // This node hears the vm: it passes the claim on for refutation.
+      SendMembers(report.id, {report}, {});
+      return;
+    }
+    if (!MayClaimDeath(sender, now)) {
+      return;
+    }
+  }
+  VmId replaced;
+  const auto result = list_.Merge(report, now, replaced);
+  if (result == MergeResult::kNews) {
+    spread_.Note(report.id, sender, now);
+  }
+  if (result == MergeResult::kSame) {
+    spread_.NoteKnown(report.id, sender);
+  }
+  if (!replaced.empty()) {
+    links_.Drop(replaced);
+    spread_.Note(replaced, {}, now);
+  }
+}
+
+// A chosen peer that cannot hear others holds all of them for dead; it shows
+// in the link to it, which is not two-way.
+auto Membership::MayClaimDeath(const VmId& sender, TimePoint now) -> bool {
+  const auto* link = links_.Find(sender);
+  return link == nullptr || !link->is_chosen() || !link->was_two_way() ||
+         link->IsTwoWay(now);
+}
+
+auto Membership::TakeReportOfSelf(const Member& report, TimePoint now) -> void {
+  if (self_.incarnation < report.incarnation) {
+    actions_.emplace_back(SelfSuperseded{report.incarnation});
+    return;
+  }
+  if (report.incarnation < self_.incarnation ||
+      report.version < self_.version) {
+    return;
+  }
+  // A claim of death, or an announcement from before a restart of this task.
+  const bool is_same =
+      report.version == self_.version && report.liveness == Liveness::kAlive;
+  if (!is_same) {
+    self_.version = report.version;
+    AnnounceSelf(now);
+  }
+}
+
+auto Membership::AnswerComparison(const VmId& sender,
+                                  const MemberUpdate& update,
+                                  TimePoint now) -> void {
+  if (update.wants_answer && now < next_answer_) {
+    return;
+  }
+  const auto own = list_.BucketDigests(self_);
+  const bool has_digests = update.bucket_digests.size() == own.size();
+  const auto differs = [&](std::uint64_t hash) {
+    const auto bucket = MemberList::BucketOf(hash);
+    return !has_digests || update.bucket_digests[bucket] != own[bucket];
+  };
+  std::vector<Member> members = {self_};
+  for (const auto& [vm, record] : list_.records()) {
+    if (!IsProven(record) || vm == sender || !differs(record.hash)) {
+      continue;
+    }
+    members.push_back(ReportOf(record));
+    // The report may be old news from the other side of a partition, so the
+    // vm gets the time to refute it.
+    if (members.back().liveness == Liveness::kDead) {
+      members.back().liveness = Liveness::kSuspect;
+    }
+  }
+  if (const auto* record = list_.Find(sender)) {
+    members.push_back(ReportOf(*record));
+  }
+  MemberUpdate last;
+  if (update.wants_answer) {
+    last.bucket_digests = own;
+    next_answer_ =
+        now + kAnswerTimePerMember * static_cast<std::int64_t>(members.size());
+  }
+  SendMembers(sender, members, std::move(last));
+}
+
+auto Membership::Tick(TimePoint now) -> void {
+  ++ticks_;
+  sequence_ = std::max(sequence_, SequenceAt(now));
+  list_.ExpireClaims(now);
+  duties_.Expire(now);
+  links_.DropSilentGuests(now);
+  if (next_forget_ <= now) {
+    list_.Forget(now);
+    next_forget_ = now + kForgetPeriod;
+  }
+  for (auto& [vm, link] : links_.links()) {
+    if (link.is_chosen()) {
+      CheckSilence(vm, link, now);
+    }
+  }
+  MakeContacts(now);
+  for (const auto& [vm, link] : links_.links()) {
+    if (link.is_home() || ticks_ % kTicksPerSlowHeartbeat == 0) {
+      SendHeartbeat(vm, link, now);
+    }
+  }
+}
+
+auto Membership::CheckSilence(const VmId& vm, PeerLink& link, TimePoint now)
+    -> void {
+  const auto& limits = link.limits();
+  const auto silence = link.Silence(now);
+  if (silence < limits.probe) {
+    return;
+  }
+  const auto* record = list_.Find(vm);
+  if (record == nullptr || !IsPresent(*record)) {
+    return;
+  }
+  if (link.IsProbeDue(now)) {
+    link.NoteProbed(now);
+    for (const auto& helper : links_.Helpers(vm, kProbeHelpers, random_, now)) {
+      Send(helper, IndirectProbe{vm, record->member.incarnation, false, false});
+    }
+  }
+  if (silence < limits.suspect || link.IsVouched(now)) {
+    return;
+  }
+  if (silence >= limits.dead) {
+    list_.SetLiveness(vm, Liveness::kDead, now);
+    spread_.Note(vm, {}, now);
+    return;
+  }
+  list_.SetLiveness(vm, Liveness::kSuspect, now);
+}
+
+auto Membership::MakeContacts(TimePoint now) -> void {
+  const bool bootstraps =
+      now < bootstrap_until_ && links_.TwoWay(now).size() < kBootstrapLinks;
+  if (!bootstraps && now < next_contact_) {
+    return;
+  }
+  const auto absent = Absent();
+  const auto count = bootstraps ? kBootstrapContacts : 1;
+  for (std::size_t i = 0; i < std::min(count, absent.size()); ++i) {
+    const auto& vm = absent[random_.Below(absent.size())];
+    auto* link = links_.Admit(vm, now);
+    if (link == nullptr) {
+      continue;
+    }
+    link->NoteMessage(now);
+    // Comparisons are large, so only one of the contacts carries one.
+    if (i == 0) {
+      SendComparison(vm);
+    } else {
+      SendMembers(vm, {self_}, {});
+    }
+    SendHeartbeat(vm, *link, now);
+  }
+  const auto share =
+      absent.empty()
+          ? 0.0
+          : static_cast<double>(list_.present_count() + 1) /
+                (kContactsPerSecond * static_cast<double>(absent.size()));
+  const auto period = std::max(
+      kContactPeriod, Duration(static_cast<std::int64_t>(share * 1e6)));
+  // The jitter keeps nodes that start together from acting together.
+  next_contact_ =
+      now + period / 2 +
+      Duration(random_.Below(static_cast<std::uint64_t>(period.count())));
+}
+
+auto Membership::Absent() const -> std::vector<VmId> {
+  std::vector<VmId> absent;
+  for (const auto& [vm, record] : list_.records()) {
+    if (record.member.liveness == Liveness::kDead ||
+        record.member.liveness == Liveness::kUnproven) {
+      absent.push_back(vm);
+    }
+  }
+  return absent;
+}
+
+auto Membership::Send(const VmId& peer, PeerMessage message) -> void {
+  actions_.emplace_back(SendToPeer{peer, std::move(message)});
+}
+
+auto Membership::SendHeartbeat(const VmId& peer,
+                               const PeerLink& link,
+                               TimePoint now) -> void {
+  const auto heard = link.HeardSequence(now);
+  if (heard == 0) {
+    // The peer may not know this vm yet, without which it cannot answer.
+    SendMembers(peer, {self_}, {});
+  }
+  Heartbeat heartbeat;
+  heartbeat.sequence = ++sequence_;
+  heartbeat.heard_sequence = heard;
+  heartbeat.leaving = self_.leaving;
+  heartbeat.ready = self_.ready;
+  heartbeat.tables = tables_;
+  heartbeat.membership_digest = list_.Digest(self_);
+  Send(peer, std::move(heartbeat));
+}
+
+auto Membership::SendComparison(const VmId& peer) -> void {
+  MemberUpdate update;
+  update.members = {self_};
+  update.wants_answer = true;
+  update.bucket_digests = list_.BucketDigests(self_);
+  Send(peer, std::move(update));
+}
+
+auto Membership::SendMembers(const VmId& peer,
+                             const std::vector<Member>& members,
+                             MemberUpdate last) -> void {
+  for (auto& update : SplitUpdate(members, std::move(last))) {
+    Send(peer, std::move(update));
+  }
+}
+
+auto Membership::SpreadUpdates() -> void {
+  const auto changes = spread_.Take();
+  for (const auto& [peer, link] : links_.links()) {
+    std::vector<Member> news;
+    for (const auto& [vm, known_by] : changes) {
+      if (vm == peer || known_by.count(peer) > 0) {
+        continue;
+      }
+      if (vm == self_.id) {
+        news.push_back(self_);
+      } else if (const auto* record = list_.Find(vm)) {
+        news.push_back(ReportOf(*record));
+      }
+    }
+    if (!news.empty()) {
+      SendMembers(peer, news, {});
+    }
+  }
+}
+
+auto Membership::AnnounceSelf(TimePoint now) -> void {
+  ++self_.version;
+  spread_.Note(self_.id, {}, now);
+}
+
+auto Membership::SelectPeersAgain(TimePoint now) -> void {
+  selected_presence_ = list_.presence_change_count();
+  selection_is_stale_ = false;
+  links_.Choose(SelectPeers(self_, list_.records(), home_peers_), home_peers_,
+                now);
+}
+
+auto Membership::Finish(TimePoint now) -> std::vector<MembershipAction> {
+  if (selection_is_stale_ ||
+      selected_presence_ != list_.presence_change_count()) {
+    SelectPeersAgain(now);
+  }
+  std::map<VmId, std::string> endpoints;
+  for (const auto& [vm, link] : links_.links()) {
+    if (const auto* record = list_.Find(vm)) {
+      endpoints.emplace(vm, record->member.mesh_address);
+    }
+  }
+  std::vector<MembershipAction> actions;
+  if (endpoints != told_endpoints_) {
+    // Comes first, so that messages to new peers find a connection.
+    told_endpoints_ = endpoints;
+    actions.emplace_back(PeersSelected{std::move(endpoints)});
+  }
+  std::move(actions_.begin(), actions_.end(), std::back_inserter(actions));
+  actions_.clear();
+  auto cut_off = CutOff(now);
+  if (told_changes_ != list_.change_count() || told_cut_off_ != cut_off) {
+    told_changes_ = list_.change_count();
+    told_cut_off_ = std::move(cut_off);
+    actions.emplace_back(MembersChanged{});
+  }
+  auto wake = next_tick_;
+  if (spread_.due() && (!wake || *spread_.due() < *wake)) {
+    wake = spread_.due();
+  }
+  if (wake && wake != told_wake_) {
+    told_wake_ = wake;
+    actions.emplace_back(WakeMembershipAt{*wake});
+  }
+  return actions;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/decision/fleet/membership.h
@@ -0,0 +1,139 @@
+#ifndef FLAMINGOYOKE_DECISION_FLEET_MEMBERSHIP_H_
+#define FLAMINGOYOKE_DECISION_FLEET_MEMBERSHIP_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/random.h"
+#include "core/time.h"
+#include "decision/fleet/helper_duties.h"
+#include "decision/fleet/member.h"
+#include "decision/fleet/member_list.h"
+#include "decision/fleet/membership_event.h"
+#include "decision/fleet/peer_links.h"
+#include "decision/fleet/update_spread.h"
+#include "decision/peer/peer_message.h"
+
+namespace flamingoyoke {
+
+// Decides which vms belong to the fleet, from the platform's lagging list,
+// heartbeats with a bounded set of peers, and news that spread through peers.
+// The same events always produce the same actions. Not thread-safe.
+class Membership {
+ public:
+  // `self` gives the id, incarnation, addresses, failure domain and region of
+  // this vm. Precondition: its incarnation is positive.
+  Membership(Member self, Random random);
+
+  // Takes an event at `now`, which never goes back, and returns what has to be
+  // done, in order.
+  auto OnEvent(const MembershipEvent& event, TimePoint now)
+      -> std::vector<MembershipAction>;
+
+  // Returns all known vms, this one included, in the order of ids.
+  [[nodiscard]] auto Members() const -> std::vector<Member>;
+  // Returns the alive chosen peers without a two-way link, in order.
+  [[nodiscard]] auto CutOff(TimePoint now) const -> std::vector<VmId>;
+  // Returns the peers with a two-way link, in order.
+  [[nodiscard]] auto TwoWayPeers(TimePoint now) const -> std::vector<VmId>;
+  [[nodiscard]] auto self() const -> const Member& { return self_; }
+  [[nodiscard]] auto list() const -> const MemberList& { return list_; }
+  // Number of peers, guests included; at most kMaxPeers.
+  [[nodiscard]] auto peer_count() const -> std::size_t {
+    return links_.links().size();
+  }
+
+ private:
+  // Events.
+  auto Take(const MembershipStarted& event, TimePoint now) -> void;
+  auto Take(const VmListSeeded& event, TimePoint now) -> void;
+  auto Take(const PeerEnvelope& envelope, TimePoint now) -> void;
+  auto Take(const SelfAnnounced& event, TimePoint now) -> void;
+  auto Take(const HomePeersChanged& event, TimePoint now) -> void;
+  auto Take(const LeavingDeclared& event, TimePoint now) -> void;
+  auto Take(const MembershipResumed& event, TimePoint now) -> void;
+  auto Take(const MembershipTimer& event, TimePoint now) -> void;
+
+  // Messages of peers.
+  auto TakeMessage(const PeerEnvelope& envelope,
+                   const Heartbeat& heartbeat,
+                   TimePoint now) -> void;
+  auto TakeMessage(const PeerEnvelope& envelope,
+                   const IndirectProbe& probe,
+                   TimePoint now) -> void;
+  auto TakeMessage(const PeerEnvelope& envelope,
+                   const MemberUpdate& update,
+                   TimePoint now) -> void;
+  auto TakeReport(const VmId& sender, const Member& report, TimePoint now)
+      -> void;
+  auto TakeReportOfSelf(const Member& report, TimePoint now) -> void;
+  auto CompareDigests(const VmId& sender,
+                      PeerLink& link,
+                      std::uint64_t digest,
+                      TimePoint now) -> void;
+  auto AnswerComparison(const VmId& sender,
+                        const MemberUpdate& update,
+                        TimePoint now) -> void;
+
+  // Work of a tick.
+  auto Tick(TimePoint now) -> void;
+  auto CheckSilence(const VmId& vm, PeerLink& link, TimePoint now) -> void;
+  auto MakeContacts(TimePoint now) -> void;
+  auto ContactRandom(bool compares, TimePoint now) -> void;
+  [[nodiscard]] auto Absent() const -> std::vector<VmId>;
+
+  // Sending.
+  auto Send(const VmId& peer, PeerMessage message) -> void;
+  auto SendHeartbeat(const VmId& peer, const PeerLink& link, TimePoint now)
+      -> void;
+  auto SendComparison(const VmId& peer) -> void;
+  auto SendMembers(const VmId& peer,
+                   const std::vector<Member>& members,
+                   MemberUpdate last) -> void;
+  auto SpreadUpdates() -> void;
+  auto AnnounceSelf(TimePoint now) -> void;
+
+  auto MayClaimDeath(const VmId& sender, TimePoint now) -> bool;
+  auto SelectPeersAgain(TimePoint now) -> void;
+  auto Finish(TimePoint now) -> std::vector<MembershipAction>;
+
+  Member self_;
+  Random random_;
+  MemberList list_;
+  PeerLinks links_;
+  UpdateSpread spread_;
+  HelperDuties duties_;
+  std::set<VmId> home_peers_;
+  std::vector<TableDigest> tables_;
+
+  std::uint64_t ticks_ = 0;
+  // Highest sequence sent. Starts from the clock, so that it also rises when
+  // only the fleet task restarts.
+  std::uint64_t sequence_ = 0;
+  std::optional<TimePoint> next_tick_;
+  TimePoint bootstrap_until_;
+  TimePoint next_contact_;
+  TimePoint next_comparison_;
+  TimePoint next_answer_;
+  TimePoint next_forget_;
+
+  // What the last actions told.
+  std::uint64_t told_changes_ = 0;
+  std::uint64_t selected_presence_ = 0;
+  bool selection_is_stale_ = false;
+  std::map<VmId, std::string> told_endpoints_;
+  std::vector<VmId> told_cut_off_;
+  std::optional<TimePoint> told_wake_;
+
+  std::vector<MembershipAction> actions_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_FLEET_MEMBERSHIP_H_
--- /dev/null
+++ b/src/decision/fleet/peer_link.h
@@ -0,0 +1,81 @@
+#ifndef FLAMINGOYOKE_DECISION_FLEET_PEER_LINK_H_
+#define FLAMINGOYOKE_DECISION_FLEET_PEER_LINK_H_
+
+#include <cstdint>
+#include <optional>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "decision/fleet/membership_timing.h"
+#include "decision/peer/peer_message.h"
+
+namespace flamingoyoke {
+
+// The exchange of heartbeats with one peer. A link is two-way only while each
+// side hears the other. Not thread-safe.
+class PeerLink {
+ public:
+  explicit PeerLink(TimePoint now) : since_(now), last_message_(now) {}
+
+  // Makes the peer one that this node chose, and whose heartbeats it expects
+  // from now on. `is_home` tells whether both are in the home set of a service.
+  auto BecomeChosen(bool is_home, TimePoint now) -> void;
+  // Makes the peer a guest, whose time starts now.
+  auto BecomeGuest(TimePoint now) -> void;
+  [[nodiscard]] auto is_chosen() const -> bool { return is_chosen_; }
+  [[nodiscard]] auto is_home() const -> bool { return is_home_; }
+
+  // Notes any message of the peer.
+  auto NoteMessage(TimePoint now) -> void { last_message_ = now; }
+  // Notes a heartbeat; `sent_sequence` is the highest that this node has sent.
+  // Returns whether it is newer than those before.
+  auto NoteHeartbeat(const Heartbeat& heartbeat,
+                     Incarnation incarnation,
+                     std::uint64_t sent_sequence,
+                     TimePoint now) -> bool;
+  // Notes that another peer hears this one.
+  auto NoteVouched(TimePoint now) -> void { vouched_ = now; }
+  auto NoteProbed(TimePoint now) -> void { probed_ = now; }
+  // Starts over after a pause of this process.
+  auto Restart(TimePoint now) -> void { *this = Restarted(now); }
+
+  // The sequence to report as heard, 0 if the peer was not heard recently.
+  [[nodiscard]] auto HeardSequence(TimePoint now) const -> std::uint64_t;
+  [[nodiscard]] auto IsTwoWay(TimePoint now) const -> bool;
+  // Whether the peer was heard so recently that it surely lives.
+  [[nodiscard]] auto IsHeard(TimePoint now) const -> bool;
+  // Whether a peer vouched for it within the last limit.
+  [[nodiscard]] auto IsVouched(TimePoint now) const -> bool;
+  [[nodiscard]] auto IsProbeDue(TimePoint now) const -> bool;
+  // How long the peer has been silent.
+  [[nodiscard]] auto Silence(TimePoint now) const -> Duration;
+  [[nodiscard]] auto limits() const -> const SilenceLimits& {
+    return is_home_ ? kHomeLimits : kOtherLimits;
+  }
+  [[nodiscard]] auto last_message() const -> TimePoint { return last_message_; }
+  [[nodiscard]] auto was_two_way() const -> bool {
+    return heard_back_.has_value();
+  }
+
+  // Since when the digests of the member lists differ.
+  std::optional<TimePoint> mismatch_since;
+
+ private:
+  [[nodiscard]] auto Restarted(TimePoint now) const -> PeerLink;
+
+  bool is_chosen_ = false;
+  bool is_home_ = false;
+  // Since when heartbeats are expected.
+  TimePoint since_;
+  TimePoint last_message_;
+  Incarnation incarnation_;
+  std::uint64_t sequence_ = 0;
+  std::optional<TimePoint> heard_;
+  std::optional<TimePoint> heard_back_;
+  std::optional<TimePoint> vouched_;
+  std::optional<TimePoint> probed_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_FLEET_PEER_LINK_H_
--- /dev/null
+++ b/src/decision/fleet/peer_links.h
@@ -0,0 +1,66 @@
+#ifndef FLAMINGOYOKE_DECISION_FLEET_PEER_LINKS_H_
+#define FLAMINGOYOKE_DECISION_FLEET_PEER_LINKS_H_
+
+#include <cstddef>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/random.h"
+#include "core/time.h"
+#include "decision/fleet/peer_link.h"
+
+namespace flamingoyoke {
+
+// The links to the chosen peers and to guests, at most kMaxPeers together.
+// Not thread-safe.
+class PeerLinks {
+ public:
+  // Replaces the chosen peers; those no longer chosen stay as guests for the
+  // life of a guest.
+  auto Choose(const std::vector<VmId>& chosen,
+              const std::set<VmId>& home,
+              TimePoint now) -> void;
+
+  // Returns the link to `vm`, made as a guest's if there is none. The guest
+  // that was silent for longest gives way when there is no room. Returns null
+  // when all places are taken by chosen peers.
+  auto Admit(const VmId& vm, TimePoint now) -> PeerLink*;
+
+  // Drops guests whose time is over.
+  auto DropSilentGuests(TimePoint now) -> void;
+  auto Drop(const VmId& vm) -> void;
+
+  // Starts all links over after a pause.
+  auto Restart(TimePoint now) -> void;
+
+  // Returns the link to `vm` or null.
+  auto Find(const VmId& vm) -> PeerLink*;
+  [[nodiscard]] auto links() const -> const std::map<VmId, PeerLink>& {
+    return links_;
+  }
+  auto links() -> std::map<VmId, PeerLink>& { return links_; }
+
+  // Returns the peers with a two-way link, in order.
+  [[nodiscard]] auto TwoWay(TimePoint now) const -> std::vector<VmId>;
+
+  // Returns at most `count` peers with a two-way link other than `subject`.
+  auto Helpers(const VmId& subject,
+               std::size_t count,
+               Random& random,
+               TimePoint now) const -> std::vector<VmId>;
+
+  // Counts the changes of the set of peers.
+  [[nodiscard]] auto change_count() const -> std::uint64_t { return changes_; }
+
+ private:
+  auto MakeRoom() -> bool;
+
+  std::map<VmId, PeerLink> links_;
+  std::uint64_t changes_ = 0;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_FLEET_PEER_LINKS_H_
--- /dev/null
+++ b/src/decision/fleet/table_pull_state.cc
@@ -0,0 +1,28 @@
+#include "decision/fleet/table_pull_state.h"
+
+#include <algorithm>
+
+namespace flamingoyoke {
+
+auto TablePullState::AddSource(const VmId& peer) -> void {
+  if (sources_.size() < kMaxPullSources &&
+      std::find(sources_.begin(), sources_.end(), peer) == sources_.end()) {
+    sources_.push_back(peer);
+  }
+}
+
+auto TablePullState::NextAsk(TimePoint now) -> std::optional<VmId> {
+  if ((deadline_ && now < *deadline_) || sources_.empty() ||
+      asked_ >= kPullRounds * sources_.size()) {
+    return std::nullopt;
+  }
+  deadline_ = now + kPullTimeout;
+  return sources_[asked_++ % sources_.size()];
+}
+
+auto TablePullState::IsExhausted(TimePoint now) const -> bool {
+  return asked_ >= kPullRounds * sources_.size() &&
+         (!deadline_ || *deadline_ <= now);
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/decision/fleet/table_pull_state.h
@@ -0,0 +1,56 @@
+#ifndef FLAMINGOYOKE_DECISION_FLEET_TABLE_PULL_STATE_H_
+#define FLAMINGOYOKE_DECISION_FLEET_TABLE_PULL_STATE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "decision/peer/peer_message.h"
+
+namespace flamingoyoke {
+
+// A peer that has not sent the table by then is passed over. A megabyte takes
+// about 10 ms at 1 Gbit/s.
+inline constexpr Duration kPullTimeout = std::chrono::milliseconds(300);
+// Each source is asked this often; afterwards heartbeats name sources again.
+inline constexpr std::size_t kPullRounds = 2;
+// Peers that are remembered as sources of one version.
+inline constexpr std::size_t kMaxPullSources = 8;
+
+// The search for one version of one shard among the peers that announced it.
+// Not thread-safe.
+class TablePullState {
+ public:
+  explicit TablePullState(TableDigest wanted) : wanted_(wanted) {}
+
+  [[nodiscard]] auto wanted() const -> const TableDigest& { return wanted_; }
+
+  // Notes that `peer` has the version.
+  auto AddSource(const VmId& peer) -> void;
+
+  // Returns the peer to ask now, or nothing while an answer may still come.
+  // Returns nothing for good once IsExhausted.
+  auto NextAsk(TimePoint now) -> std::optional<VmId>;
+
+  // Lets NextAsk go on at once: the last peer had no valid answer.
+  auto GiveUpAnswer() -> void { deadline_.reset(); }
+
+  [[nodiscard]] auto IsExhausted(TimePoint now) const -> bool;
+  [[nodiscard]] auto deadline() const -> std::optional<TimePoint> {
+    return deadline_;
+  }
+
+ private:
+  TableDigest wanted_;
+  std::vector<VmId> sources_;
+  std::size_t asked_ = 0;
+  std::optional<TimePoint> deadline_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_FLEET_TABLE_PULL_STATE_H_
--- /dev/null
+++ b/src/decision/fleet/table_spread.cc
@@ -0,0 +1,325 @@
+#include "decision/fleet/table_spread.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "decision/fleet/rendezvous.h"
+
+namespace flamingoyoke {
+namespace {
+
+auto IsBefore(const TableDigest& a, const TableDigest& b) -> bool {
+  return std::tie(a.revision, a.hash) < std::tie(b.revision, b.hash);
+}
+
+}  // namespace
+
+TableSpread::TableSpread(std::uint32_t shard_count, Random random)
+    : shard_count_(shard_count), random_(random) {}
+
+auto TableSpread::OnEvent(const TableSpreadEvent& event, TimePoint now)
+    -> std::vector<TableSpreadAction> {
+  std::visit([&](const auto& each) { Take(each, now); }, event);
+  ContinuePulls(now);
+  return Finish(now);
+}
+
+auto TableSpread::Digests() const -> std::vector<TableDigest> {
+  std::vector<TableDigest> digests;
+  if (shard_count_ <= kMaxShardsInHeartbeat) {
+    for (const auto& [shard, version] : in_force_) {
+      digests.push_back(version.digest);
+    }
+    return digests;
+  }
+  TableDigest sum;
+  sum.shard = kAllShards;
+  for (const auto& [shard, version] : in_force_) {
+    sum.revision = std::max(sum.revision, version.digest.revision);
+    sum.hash += RendezvousScore(version.digest.hash,
+                                version.digest.revision.value() + shard);
+  }
+  digests.push_back(sum);
+  return digests;
+}
+
+auto TableSpread::IsComplete() const -> bool {
+  return in_force_.size() == shard_count_;
+}
+
+auto TableSpread::InForce(std::uint32_t shard) const
+    -> std::optional<TableDigest> {
+  const auto found = in_force_.find(shard);
+  if (found == in_force_.end()) {
+    return std::nullopt;
+  }
+  return found->second.digest;
+}
+
+auto TableSpread::Take(const TableSpreadStarted& event, TimePoint now) -> void {
+  started_ = now;
+  first_read_place_ = random_.Unit();
+  for (const auto& table : event.restored) {
+    Consider(table.digest, table.text);
+  }
+}
+
+auto TableSpread::Take(const TableFleetChanged& event, TimePoint /*now*/)
+    -> void {
+  peers_ = event.peers;
+  is_elected_ = event.is_elected;
+  fleet_size_ = event.fleet_size;
+}
+
+auto TableSpread::Take(const TableTextRead& event, TimePoint /*now*/) -> void {
+  has_read_ = true;
+  Consider({event.shard, event.revision, HashOf(event.text)}, event.text);
+}
+
+auto TableSpread::Take(const TableChecked& event, TimePoint /*now*/) -> void {
+  const auto found = candidates_.find(event.digest.shard);
+  if (found == candidates_.end() || found->second.digest != event.digest) {
+    return;
+  }
+  auto version = std::move(found->second);
+  candidates_.erase(found);
+  if (event.is_valid) {
+    Accept(std::move(version));
+    return;
+  }
+  refused_.push_back(event.digest);
+  if (refused_.size() > kMaxRefused) {
+    refused_.pop_front();
+  }
+  const auto pull = pulls_.find(event.digest.shard);
+  if (pull != pulls_.end() && pull->second.wanted() == event.digest) {
+    pulls_.erase(pull);
+  }
+  actions_.emplace_back(TableRejected{event.digest, event.reason});
+}
+
+auto TableSpread::Take(const PeerEnvelope& envelope, TimePoint now) -> void {
+  std::visit(
+      [&](const auto& message) {
+        using Message = std::decay_t<decltype(message)>;
+        if constexpr (std::is_same_v<Message, Heartbeat> ||
+                      std::is_same_v<Message, TableAnnounce> ||
+                      std::is_same_v<Message, TablePull> ||
+                      std::is_same_v<Message, TableData>) {
+          TakeMessage(envelope.sender, message, now);
+        }
+      },
+      envelope.message);
+}
+
+auto TableSpread::Take(const TableSpreadTimer& /*event*/, TimePoint /*now*/)
+    -> void {
+  // Pulls and the reader's role go on after every event.
+  told_wake_.reset();
+}
+
+auto TableSpread::TakeMessage(const VmId& sender,
+                              const Heartbeat& heartbeat,
+                              TimePoint now) -> void {
+  for (const auto& digest : heartbeat.tables) {
+    if (digest.shard == kAllShards) {
+      TakeSum(sender, digest, now);
+    } else {
+      Pull(sender, digest, now);
+    }
+  }
+}
+
+auto TableSpread::TakeMessage(const VmId& sender,
+                              const TableAnnounce& announce,
+                              TimePoint now) -> void {
+  Pull(sender, announce.digest, now);
+}
+
+auto TableSpread::TakeMessage(const VmId& sender,
+                              const TablePull& pull,
+                              TimePoint /*now*/) -> void {
+  if (pull.shard == kAllShards) {
+    for (const auto& [shard, version] : in_force_) {
+      actions_.emplace_back(SendToPeer{sender, TableAnnounce{version.digest}});
+    }
+    return;
+  }
+  const auto found = in_force_.find(pull.shard);
+  if (found != in_force_.end() &&
+      !(found->second.digest.revision < pull.have)) {
+    actions_.emplace_back(SendToPeer{
+        sender, TableData{found->second.digest, found->second.text}});
+  }
+}
+
+auto TableSpread::TakeMessage(const VmId& /*sender*/,
+                              const TableData& data,
+                              TimePoint /*now*/) -> void {
+  const auto pull = pulls_.find(data.digest.shard);
+  if (HashOf(data.text) != data.digest.hash) {
+    if (pull != pulls_.end()) {
+      pull->second.GiveUpAnswer();
+    }
+    return;
+  }
+  Consider(data.digest, data.text);
+}
+
+// Many shards: a peer whose sum differs for long is asked for its digests.
+auto TableSpread::TakeSum(const VmId& sender,
+                          const TableDigest& sum,
+                          TimePoint now) -> void {
+  if (Digests().front() == sum || shard_count_ <= kMaxShardsInHeartbeat) {
+    sum_mismatch_since_.erase(sender);
+    return;
+  }
+  const auto since = sum_mismatch_since_.emplace(sender, now).first;
+  if (IsComplete() && now - since->second < kShardMismatchPatience) {
+    return;
+  }
+  sum_mismatch_since_.clear();
+  actions_.emplace_back(SendToPeer{sender, TablePull{kAllShards, Revision()}});
+}
+
+auto TableSpread::Consider(const TableDigest& digest, const std::string& text)
+    -> void {
+  if (digest.shard >= shard_count_ || !IsNewer(digest) || IsRefused(digest)) {
+    return;
+  }
+  const auto found = candidates_.find(digest.shard);
+  if (found != candidates_.end() && !IsBefore(found->second.digest, digest)) {
+    return;
+  }
+  candidates_[digest.shard] = {digest, text};
+  actions_.emplace_back(CheckTable{digest, text});
+}
+
+auto TableSpread::Accept(Version version) -> void {
+  const auto digest = version.digest;
+  if (!IsNewer(digest)) {
+    return;
+  }
+  const auto pull = pulls_.find(digest.shard);
+  if (pull != pulls_.end() && !IsBefore(digest, pull->second.wanted())) {
+    pulls_.erase(pull);
+  }
+  actions_.emplace_back(TableAccepted{digest, version.text});
+  in_force_[digest.shard] = std::move(version);
+  for (const auto& peer : peers_) {
+    actions_.emplace_back(SendToPeer{peer, TableAnnounce{digest}});
+  }
+}
+
+auto TableSpread::Pull(const VmId& peer,
+                       const TableDigest& digest,
+                       TimePoint /*now*/) -> void {
+  if (digest.shard >= shard_count_ || digest.revision == Revision() ||
+      !IsNewer(digest) || IsRefused(digest)) {
+    return;
+  }
+  auto found = pulls_.find(digest.shard);
+  if (found != pulls_.end() && IsBefore(digest, found->second.wanted())) {
+    return;
+  }
+  if (found == pulls_.end() || IsBefore(found->second.wanted(), digest)) {
+    found = pulls_.insert_or_assign(digest.shard, TablePullState(digest)).first;
+  }
+  found->second.AddSource(peer);
+}
+
+auto TableSpread::ContinuePulls(TimePoint now) -> void {
+  for (auto it = pulls_.begin(); it != pulls_.end();) {
+    auto& pull = it->second;
+    if (const auto peer = pull.NextAsk(now)) {
+      const auto shard = it->first;
+      actions_.emplace_back(SendToPeer{*peer, TablePull{shard, HaveOf(shard)}});
+    }
+    it = pull.IsExhausted(now) ? pulls_.erase(it) : std::next(it);
+  }
+}
+
+auto TableSpread::IsNewer(const TableDigest& digest) const -> bool {
+  const auto found = in_force_.find(digest.shard);
+  return found == in_force_.end() || IsBefore(found->second.digest, digest);
+}
+
+auto TableSpread::IsRefused(const TableDigest& digest) const -> bool {
+  return std::find(refused_.begin(), refused_.end(), digest) != refused_.end();
+}
+
+auto TableSpread::HaveOf(std::uint32_t shard) const -> Revision {
+  const auto found = in_force_.find(shard);
+  return found == in_force_.end() ? Revision() : found->second.digest.revision;
+}
+
+auto TableSpread::Known() const -> Revision {
+  // A shard that is missing must be read whatever its revision is.
+  if (!IsComplete() && refused_.empty()) {
+    return Revision();
+  }
+  std::map<std::uint32_t, Revision> newest;
+  for (const auto& [shard, version] : in_force_) {
+    newest[shard] = version.digest.revision;
+  }
+  for (const auto& digest : refused_) {
+    newest[digest.shard] = std::max(newest[digest.shard], digest.revision);
+  }
+  if (newest.size() < shard_count_) {
+    return Revision();
+  }
+  return std::min_element(
+             newest.begin(), newest.end(),
+             [](const auto& a, const auto& b) { return a.second < b.second; })
+      ->second;
+}
+
+auto TableSpread::ShouldRead(TimePoint now) const -> bool {
+  if (is_elected_) {
+    return true;
+  }
+  if (!started_ || (has_read_ && IsComplete())) {
+    return false;
+  }
+  const auto spread = std::max(
+      kFirstReadSpread, Duration(static_cast<std::int64_t>(
+                            static_cast<double>(fleet_size_) * shard_count_ /
+                            kFirstReadsPerSecond * 1e6)));
+  const auto first_read =
+      *started_ + Duration(static_cast<std::int64_t>(
+                      first_read_place_ * static_cast<double>(spread.count())));
+  return now >= first_read &&
+         (!IsComplete() || now < first_read + kFirstReadTime);
+}
+
+auto TableSpread::Finish(TimePoint now) -> std::vector<TableSpreadAction> {
+  const ReaderRoleSet role{ShouldRead(now), Known()};
+  if (told_role_ != role) {
+    told_role_ = role;
+    actions_.emplace_back(role);
+  }
+  // The role of a fresh node depends on the time, which needs no precise
+  // timer.
+  constexpr Duration kRoleCheck = std::chrono::milliseconds(100);
+  std::optional<TimePoint> wake;
+  if (started_ && !(has_read_ && IsComplete()) &&
+      now < *started_ + kFirstReadTime + kFirstReadTime) {
+    wake = now + kRoleCheck;
+  }
+  for (const auto& [shard, pull] : pulls_) {
+    if (pull.deadline() && (!wake || *pull.deadline() < *wake)) {
+      wake = pull.deadline();
+    }
+  }
+  if (wake && (!told_wake_ || *wake < *told_wake_)) {
+    told_wake_ = wake;
+    actions_.emplace_back(WakeTableSpreadAt{*wake});
+  }
+  return std::exchange(actions_, {});
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/decision/fleet/table_spread.h
@@ -0,0 +1,125 @@
+#ifndef FLAMINGOYOKE_DECISION_FLEET_TABLE_SPREAD_H_
+#define FLAMINGOYOKE_DECISION_FLEET_TABLE_SPREAD_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/random.h"
+#include "core/time.h"
+#include "decision/fleet/table_pull_state.h"
+#include "decision/fleet/table_spread_event.h"
+#include "decision/peer/peer_message.h"
+
+namespace flamingoyoke {
+
+// Heartbeats name each shard up to this number of shards, and otherwise only
+// the sum of all, so that their size does not grow with the table.
+inline constexpr std::uint32_t kMaxShardsInHeartbeat = 4;
+// Stands for all shards in such a digest and in the pull of the digests.
+inline constexpr std::uint32_t kAllShards = 0xFFFFFFFF;
+
+// The first read of a fresh node is spread over this time, and over more time
+// in a large fleet, so that a restart of all nodes stays below the reads per
+// second that the configuration service allows.
+inline constexpr Duration kFirstReadSpread = std::chrono::seconds(1);
+inline constexpr double kFirstReadsPerSecond = 710.0;
+// The first read is given up after this time if a table is in force.
+inline constexpr Duration kFirstReadTime = std::chrono::seconds(5);
+
+// Refused versions that are remembered.
+inline constexpr std::size_t kMaxRefused = 16;
+// A difference of the sums of all shards must last this long: announcements
+// arrive within a second.
+inline constexpr Duration kShardMismatchPatience = std::chrono::seconds(2);
+
+// Keeps the newest accepted version of each shard of the table, and passes it
+// on among peers. Versions are ordered by revision, then hash, and never go
+// back. Not thread-safe.
+class TableSpread {
+ public:
+  // Precondition: `shard_count` is positive.
+  TableSpread(std::uint32_t shard_count, Random random);
+
+  // Takes an event at `now`, which never goes back, and returns what has to be
+  // done, in order.
+  auto OnEvent(const TableSpreadEvent& event, TimePoint now)
+      -> std::vector<TableSpreadAction>;
+
+  // Returns what heartbeats say about the table in force.
+  [[nodiscard]] auto Digests() const -> std::vector<TableDigest>;
+  // Whether a version of each shard is in force.
+  [[nodiscard]] auto IsComplete() const -> bool;
+  // Whether a newer version is known to exist and is being fetched.
+  [[nodiscard]] auto IsCatchingUp() const -> bool { return !pulls_.empty(); }
+  // Returns the version in force of `shard`, or nothing.
+  [[nodiscard]] auto InForce(std::uint32_t shard) const
+      -> std::optional<TableDigest>;
+
+ private:
+  struct Version {
+    TableDigest digest;
+    std::string text;
+  };
+
+  auto Take(const TableSpreadStarted& event, TimePoint now) -> void;
+  auto Take(const TableFleetChanged& event, TimePoint now) -> void;
+  auto Take(const TableTextRead& event, TimePoint now) -> void;
+  auto Take(const TableChecked& event, TimePoint now) -> void;
+  auto Take(const PeerEnvelope& envelope, TimePoint now) -> void;
+  auto Take(const TableSpreadTimer& event, TimePoint now) -> void;
+
+  auto TakeMessage(const VmId& sender,
+                   const Heartbeat& heartbeat,
+                   TimePoint now) -> void;
+  auto TakeMessage(const VmId& sender,
+                   const TableAnnounce& announce,
+                   TimePoint now) -> void;
+  auto TakeMessage(const VmId& sender, const TablePull& pull, TimePoint now)
+      -> void;
+  auto TakeMessage(const VmId& sender, const TableData& data, TimePoint now)
+      -> void;
+  auto TakeSum(const VmId& sender, const TableDigest& sum, TimePoint now)
+      -> void;
+
+  auto Consider(const TableDigest& digest, const std::string& text) -> void;
+  auto Accept(Version version) -> void;
+  auto Pull(const VmId& peer, const TableDigest& digest, TimePoint now) -> void;
+  auto ContinuePulls(TimePoint now) -> void;
+  [[nodiscard]] auto IsNewer(const TableDigest& digest) const -> bool;
+  [[nodiscard]] auto IsRefused(const TableDigest& digest) const -> bool;
+  [[nodiscard]] auto HaveOf(std::uint32_t shard) const -> Revision;
+  [[nodiscard]] auto Known() const -> Revision;
+  [[nodiscard]] auto ShouldRead(TimePoint now) const -> bool;
+  auto Finish(TimePoint now) -> std::vector<TableSpreadAction>;
+
+  std::uint32_t shard_count_;
+  Random random_;
+  std::map<std::uint32_t, Version> in_force_;
+  // Versions that wait for their check.
+  std::map<std::uint32_t, Version> candidates_;
+  std::map<std::uint32_t, TablePullState> pulls_;
+  std::deque<TableDigest> refused_;
+  std::vector<VmId> peers_;
+  std::size_t fleet_size_ = 1;
+  bool is_elected_ = false;
+  bool has_read_ = false;
+  // Place of the first read in its spread, 0 to 1.
+  double first_read_place_ = 0;
+  std::optional<TimePoint> started_;
+  std::map<VmId, TimePoint> sum_mismatch_since_;
+
+  std::optional<ReaderRoleSet> told_role_;
+  std::optional<TimePoint> told_wake_;
+  std::vector<TableSpreadAction> actions_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_FLEET_TABLE_SPREAD_H_
--- /dev/null
+++ b/src/decision/fleet/table_spread_event.h
@@ -0,0 +1,100 @@
+#ifndef FLAMINGOYOKE_DECISION_FLEET_TABLE_SPREAD_EVENT_H_
+#define FLAMINGOYOKE_DECISION_FLEET_TABLE_SPREAD_EVENT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "decision/peer/peer_message.h"
+
+namespace flamingoyoke {
+
+// Events of the spread of the table. A PeerEnvelope is an event, too; messages
+// other than Heartbeat, TableAnnounce, TablePull and TableData are ignored.
+
+// Starts the first read; the first event. `restored` are the tables that an
+// earlier task of this process had accepted.
+struct TableSpreadStarted {
+  std::vector<TableData> restored;
+};
+
+// The peers with a two-way link, whether this vm is elected to watch the
+// configuration service, and the number of known vms.
+struct TableFleetChanged {
+  std::vector<VmId> peers;
+  bool is_elected = false;
+  std::size_t fleet_size = 1;
+};
+
+// The configuration service has this text.
+struct TableTextRead {
+  std::uint32_t shard = 0;
+  Revision revision;
+  std::string text;
+};
+
+// Result of a CheckTable.
+struct TableChecked {
+  TableDigest digest;
+  bool is_valid = false;
+  // Why the table is refused, for operators.
+  std::string reason;
+};
+
+struct TableSpreadTimer {};
+
+using TableSpreadEvent = std::variant<TableSpreadStarted,
+                                      TableFleetChanged,
+                                      TableTextRead,
+                                      TableChecked,
+                                      PeerEnvelope,
+                                      TableSpreadTimer>;
+
+// Actions of the spread of the table.
+
+// Check the text and answer with TableChecked.
+struct CheckTable {
+  TableDigest digest;
+  std::string text;
+};
+
+// The text is accepted and in force from now on.
+struct TableAccepted {
+  TableDigest digest;
+  std::string text;
+};
+
+// A table failed its check and is not in force.
+struct TableRejected {
+  TableDigest digest;
+  std::string reason;
+};
+
+// Whether to watch the configuration service, and the newest revision known
+// here, refused ones included, beyond which to wait.
+struct ReaderRoleSet {
+  bool is_reader = false;
+  Revision known;
+
+  auto operator==(const ReaderRoleSet&) const -> bool = default;
+};
+
+// Deliver a TableSpreadTimer at `at`; replaces an earlier order.
+struct WakeTableSpreadAt {
+  TimePoint at;
+};
+
+using TableSpreadAction = std::variant<SendToPeer,
+                                       CheckTable,
+                                       TableAccepted,
+                                       TableRejected,
+                                       ReaderRoleSet,
+                                       WakeTableSpreadAt>;
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_FLEET_TABLE_SPREAD_EVENT_H_
--- /dev/null
+++ b/src/decision/fleet/update_spread.cc
@@ -0,0 +1,63 @@
+#include "decision/fleet/update_spread.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <utility>
+
+#include "decision/fleet/membership_timing.h"
+
+namespace flamingoyoke {
+
+auto ReportOf(const MemberRecord& record) -> Member {
+  auto report = record.member;
+  if (report.liveness == Liveness::kDead) {
+    return report;
+  }
+  report.liveness = record.claim_until ? Liveness::kSuspect : Liveness::kAlive;
+  return report;
+}
+
+auto SplitUpdate(const std::vector<Member>& members, MemberUpdate last)
+    -> std::vector<MemberUpdate> {
+  std::vector<MemberUpdate> updates;
+  std::size_t next = 0;
+  while (members.size() - next > kMembersPerUpdate) {
+    MemberUpdate update;
+    update.members.assign(members.begin() + static_cast<std::ptrdiff_t>(next),
+                          members.begin() + static_cast<std::ptrdiff_t>(
+                                                next + kMembersPerUpdate));
+    updates.push_back(std::move(update));
+    next += kMembersPerUpdate;
+  }
+  last.members.assign(members.begin() + static_cast<std::ptrdiff_t>(next),
+                      members.end());
+  updates.push_back(std::move(last));
+  return updates;
+}
+
+auto UpdateSpread::Note(const VmId& vm, const VmId& from, TimePoint now)
+    -> void {
+  auto& known_by = known_by_[vm];
+  // A new state of the vm is not known by those who told of the one before.
+  known_by.clear();
+  if (!from.empty()) {
+    known_by.insert(from);
+  }
+  if (!due_) {
+    due_ = now + kSpreadDelay;
+  }
+}
+
+auto UpdateSpread::NoteKnown(const VmId& vm, const VmId& from) -> void {
+  const auto found = known_by_.find(vm);
+  if (found != known_by_.end()) {
+    found->second.insert(from);
+  }
+}
+
+auto UpdateSpread::Take() -> std::map<VmId, std::set<VmId>> {
+  due_.reset();
+  return std::exchange(known_by_, {});
+}
+
+}  // namespace flamingoyoke
