Serve callers and reach upstreams with evhttp

CallerServer guards each caller connection beside evhttp: raw bytes, times, body budget and the caller's end. UpstreamConnection writes a request at most once and tells truthfully how it ended; UpstreamPool keeps connections within the vm's share.

--- /dev/null
+++ b/src/node/traffic/body_budget.h
@@ -0,0 +1,66 @@
+#ifndef FLAMINGOYOKE_NODE_TRAFFIC_BODY_BUDGET_H_
+#define FLAMINGOYOKE_NODE_TRAFFIC_BODY_BUDGET_H_
+
+#include <cstdint>
+#include <utility>
+
+namespace flamingoyoke {
+
+// Bounds the sum of the bodies that are received or stored. Not thread-safe.
+class BodyBudget {
+ public:
+  // A part of the budget, given back when it is destroyed. Must not outlive
+  // the budget.
+  class Share {
+   public:
+    Share() = default;
+    Share(Share&& other) noexcept
+        : budget_(std::exchange(other.budget_, nullptr)),
+          bytes_(std::exchange(other.bytes_, 0)) {}
+    auto operator=(Share&& other) noexcept -> Share& {
+      std::swap(budget_, other.budget_);
+      std::swap(bytes_, other.bytes_);
+      return *this;
+    }
+    ~Share() {
+      if (budget_ != nullptr) {
+        budget_->used_ -= bytes_;
+      }
+    }
+
+    [[nodiscard]] auto bytes() const -> std::uint64_t { return bytes_; }
+
+   private:
+    friend class BodyBudget;
+    Share(BodyBudget* budget, std::uint64_t bytes)
+        : budget_(budget), bytes_(bytes) {}
+
+    BodyBudget* budget_ = nullptr;
+    std::uint64_t bytes_ = 0;
+  };
+
+  explicit BodyBudget(std::uint64_t limit) : limit_(limit) {}
+  BodyBudget(const BodyBudget&) = delete;
+  auto operator=(const BodyBudget&) -> BodyBudget& = delete;
+
+  // Returns whether `bytes` can be taken now.
+  [[nodiscard]] auto HasRoom(std::uint64_t bytes) const -> bool {
+    return bytes <= limit_ - used_;
+  }
+
+  // Takes `bytes`. Precondition: HasRoom(bytes).
+  auto Take(std::uint64_t bytes) -> Share {
+    used_ += bytes;
+    return {this, bytes};
+  }
+
+  [[nodiscard]] auto used() const -> std::uint64_t { return used_; }
+
+ private:
+  const std::uint64_t limit_;
+  std::uint64_t used_ = 0;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_NODE_TRAFFIC_BODY_BUDGET_H_
--- /dev/null
+++ b/src/node/traffic/caller_connection.cc
@@ -0,0 +1,270 @@
+#include "node/traffic/caller_connection.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <sys/socket.h>
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "node/traffic/error_answer.h"
+
+namespace flamingoyoke {
+namespace {
+
+// Bytes of later requests that a caller may send before its answer; reading
+// goes on after the answer.
+constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
+
+// How long the caller may take to read a rejection and close. Closing at once
+// would reset the connection while its bytes arrive, and lose the answer.
+constexpr Duration kRejectLinger = std::chrono::seconds(1);
+
+auto MakeEvent(EventLoop& loop, event_callback_fn callback, void* argument)
+    -> event* {
+  return event_new(loop.base(), -1, 0, callback, argument);
+}
+
+auto ToTimeval(Duration duration) -> timeval {
+  constexpr auto second = std::chrono::seconds(1);
+  return {.tv_sec = duration / second, .tv_usec = (duration % second).count()};
+}
+
+}  // namespace
+
+CallerConnection::CallerConnection(EventLoop& loop,
+                                   bufferevent* bev,
+                                   const CallerConnectionLimits& limits,
+                                   BodyBudget& budget,
+                                   const Owner& owner)
+    : loop_(loop),
+      bev_(bev),
+      limits_(limits),
+      budget_(budget),
+      owner_(owner),
+      scanner_(limits.request,
+               [this](const ScannedHead& head) { return CheckHead(head); }),
+      timer_(loop.MakeTimer([this] { OnTimer(); })) {
+  evbuffer_add_cb(
+      bufferevent_get_input(bev),
+      [](evbuffer* input, const evbuffer_cb_info* info, void* self) {
+        static_cast<CallerConnection*>(self)->OnInput(input, *info);
+      },
+      this);
+  // evhttp sets its callbacks when this function's caller returns to it; the
+  // event runs after that and before any other event of the connection.
+  adopt_event_.reset(MakeEvent(
+      loop,
+      [](evutil_socket_t, short, void* self) {
+        static_cast<CallerConnection*>(self)->Adopt();
+      },
+      this));
+  event_active(adopt_event_.get(), EV_TIMEOUT, 0);
+  close_event_.reset(MakeEvent(
+      loop,
+      [](evutil_socket_t, short, void* self) {
+        auto* connection = static_cast<CallerConnection*>(self)->connection_;
+        if (connection != nullptr) {
+          evhttp_connection_free(connection);
+        }
+      },
+      this));
+  timer_.Schedule(limits_.idle_limit);
+}
+
+CallerConnection::~CallerConnection() = default;
+
+auto CallerConnection::Adopt() -> void {
+  if (connection_ != nullptr) {
+    return;
+  }
+  bufferevent_getcb(bev_, &evhttp_callbacks_.read, &evhttp_callbacks_.write,
+                    &evhttp_callbacks_.event, &evhttp_callbacks_.argument);
+  // evhttp passes its connection to its callbacks and has no other way to name
+  // a connection before the first request.
+  connection_ = static_cast<evhttp_connection*>(evhttp_callbacks_.argument);
+  evhttp_connection_set_closecb(
+      connection_,
+      [](evhttp_connection*, void* self) {
+        static_cast<CallerConnection*>(self)->OnClosed();
+      },
+      this);
+  const auto write_limit = ToTimeval(limits_.write_limit);
+  bufferevent_set_timeouts(bev_, nullptr, &write_limit);
+}
+
+auto CallerConnection::CheckHead(const ScannedHead& head)
+    -> std::variant<BodyAllowance, ErrorKind> {
+  auto checked = owner_.check_head(head);
+  if (std::holds_alternative<ErrorKind>(checked)) {
+    return checked;
+  }
+  const auto allowance = std::get<BodyAllowance>(checked).max_bytes;
+  const auto bytes = head.chunked ? allowance : head.content_length.value_or(0);
+  if (bytes > allowance) {
+    return ErrorKind::kRequestTooLarge;
+  }
+  if (!budget_.HasRoom(bytes)) {
+    return ErrorKind::kBodyBudgetExhausted;
+  }
+  shares_.push_back(budget_.Take(bytes));
+  return checked;
+}
+
+auto CallerConnection::OnInput(evbuffer* input, const evbuffer_cb_info& info)
+    -> void {
+  if (info.n_added == 0 || rejecting_) {
+    return;
+  }
+  Adopt();
+  const bool was_receiving = scanner_.in_request();
+  evbuffer_ptr position;
+  evbuffer_ptr_set(input, &position, info.orig_size, EVBUFFER_PTR_SET);
+  auto left = info.n_added;
+  while (left > 0) {
+    evbuffer_iovec part;
+    if (evbuffer_peek(input, -1, &position, &part, 1) < 1) {
+      break;
+    }
+    const auto size = std::min<std::size_t>(part.iov_len, left);
+    const auto violation = scanner_.Consume(
+        std::string_view(static_cast<const char*>(part.iov_base), size));
+    if (violation) {
+      OnViolation(*violation);
+      return;
+    }
+    left -= size;
+    if (left > 0) {
+      evbuffer_ptr_set(input, &position, size, EVBUFFER_PTR_ADD);
+    }
+  }
+  if (busy_ && evbuffer_get_length(input) > kMaxPipelinedBytes) {
+    bufferevent_disable(bev_, EV_READ);
+    return;
+  }
+  if (!busy_ && !was_receiving && scanner_.in_request()) {
+    timer_.Schedule(limits_.receive_limit);
+  }
+}
+
+auto CallerConnection::OnViolation(ErrorKind kind) -> void {
+  // An earlier request that is whole is still answered; closing after that
+  // answer leaves the later one unanswered, which is truthful.
+  if (busy_ || scanner_.completed() > handed_over_) {
+    return;
+  }
+  Reject(kind);
+}
+
+auto CallerConnection::Reject(ErrorKind kind) -> void {
+  rejecting_ = true;
+  bufferevent_setcb(
+      bev_,
+      [](bufferevent* bev, void*) {
+        auto* input = bufferevent_get_input(bev);
+        evbuffer_drain(input, evbuffer_get_length(input));
+      },
+      [](bufferevent*, void* self) {
+        static_cast<CallerConnection*>(self)->OnRejectSent();
+      },
+      [](bufferevent*, short, void* self) {
+        static_cast<CallerConnection*>(self)->Close();
+      },
+      this);
+  const auto text = RenderClosingError(kind);
+  bufferevent_write(bev_, text.data(), text.size());
+  bufferevent_enable(bev_, EV_READ | EV_WRITE);
+  timer_.Schedule(limits_.write_limit);
+}
+
+auto CallerConnection::OnRejectSent() -> void {
+  shutdown(bufferevent_getfd(bev_), SHUT_WR);
+  timer_.Schedule(kRejectLinger);
+}
+
+auto CallerConnection::OnRequest(evhttp_request* request)
+    -> std::unique_ptr<CallerExchange> {
+  Adopt();
+  ++handed_over_;
+  busy_ = true;
+  timer_.Cancel();
+  BodyBudget::Share share;
+  if (!shares_.empty()) {
+    share = std::move(shares_.front());
+    shares_.pop_front();
+  }
+  evhttp_request_set_on_complete_cb(
+      request,
+      [](evhttp_request*, void* self) {
+        static_cast<CallerConnection*>(self)->OnReplySent();
+      },
+      this);
+  auto exchange =
+      std::make_unique<CallerExchange>(request, this, std::move(share));
+  exchange_ = exchange.get();
+  WatchCaller();
+  return exchange;
+}
+
+auto CallerConnection::WatchCaller() -> void {
+  // evhttp stops reading while it waits for the answer and so would not notice
+  // the caller's end. It sets its own callbacks again when it sends the answer.
+  bufferevent_setcb(
+      bev_, nullptr, nullptr,
+      [](bufferevent*, short, void* self) {
+        static_cast<CallerConnection*>(self)->Close();
+      },
+      this);
+  bufferevent_enable(bev_, EV_READ);
+}
+
+auto CallerConnection::Close() -> void {
+  bufferevent_setcb(bev_, evhttp_callbacks_.read, evhttp_callbacks_.write,
+                    evhttp_callbacks_.event, evhttp_callbacks_.argument);
+  evhttp_callbacks_.event(bev_, BEV_EVENT_READING | BEV_EVENT_EOF,
+                          evhttp_callbacks_.argument);
+}
+
+auto CallerConnection::CloseSoon() -> void {
+  bufferevent_disable(bev_, EV_READ | EV_WRITE);
+  event_active(close_event_.get(), EV_TIMEOUT, 0);
+}
+
+auto CallerConnection::OnClosed() -> void {
+  connection_ = nullptr;
+  timer_.Cancel();
+  if (auto* exchange = std::exchange(exchange_, nullptr)) {
+    exchange->OnConnectionClosed();
+  }
+  busy_ = false;
+  owner_.on_closed(this);
+}
+
+auto CallerConnection::OnReplySent() -> void {
+  busy_ = false;
+  timer_.Schedule(scanner_.in_request() ? limits_.receive_limit
+                                        : limits_.idle_limit);
+  owner_.on_reply_sent(this);
+}
+
+auto CallerConnection::OnTimer() -> void {
+  if (connection_ == nullptr || busy_) {
+    return;
+  }
+  if (scanner_.in_request() && !rejecting_) {
+    Reject(ErrorKind::kRequestTooSlow);
+    return;
+  }
+  Close();
+}
+
+auto CallerConnection::closes_after_reply() const -> bool {
+  return scanner_.violation().has_value() || owner_.closes_after_reply();
+}
+
+auto CallerConnection::pending_output_bytes() const -> std::size_t {
+  return evbuffer_get_length(bufferevent_get_output(bev_));
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/node/traffic/caller_exchange.cc
@@ -0,0 +1,143 @@
+#include "node/traffic/caller_exchange.h"
+
+#include <event2/bufferevent.h>
+
+#include <string>
+#include <utility>
+
+#include "node/traffic/caller_connection.h"
+#include "node/traffic/error_answer.h"
+
+namespace flamingoyoke {
+namespace {
+
+auto CopyHead(evhttp_request* request) -> RequestHead {
+  return {std::string(ToMethod(evhttp_request_get_command(request))),
+          evhttp_request_get_uri(request),
+          CopyHeaders(evhttp_request_get_input_headers(request))};
+}
+
+}  // namespace
+
+CallerExchange::CallerExchange(evhttp_request* request,
+                               CallerConnection* connection,
+                               BodyBudget::Share share)
+    : request_(request),
+      connection_(connection),
+      share_(std::move(share)),
+      head_(CopyHead(request)),
+      body_(MakeEvbuffer()) {
+  evbuffer_add_buffer(body_.get(), evhttp_request_get_input_buffer(request));
+}
+
+CallerExchange::~CallerExchange() {
+  on_gone_ = nullptr;
+  Abort();
+}
+
+auto CallerExchange::Reply(const AnswerHead& head, std::string_view body)
+    -> void {
+  if (state_ != ReplyState::kWaiting) {
+    return;
+  }
+  AddHeaders(head);
+  const auto data = MakeEvbuffer();
+  if (head_.method == "HEAD") {
+    // evhttp would send the body that an answer to HEAD must not have.
+    evhttp_add_header(evhttp_request_get_output_headers(request_),
+                      "Content-Length", std::to_string(body.size()).c_str());
+  } else {
+    evbuffer_add(data.get(), body.data(), body.size());
+  }
+  state_ = ReplyState::kDone;
+  auto* request = request_;
+  Detach();
+  evhttp_send_reply(request, head.status, head.reason.c_str(), data.get());
+}
+
+auto CallerExchange::ReplyError(ErrorKind kind) -> void {
+  Reply(MakeErrorHead(kind), MakeErrorBody(kind));
+}
+
+auto CallerExchange::StartReply(const AnswerHead& head) -> void {
+  if (state_ != ReplyState::kWaiting) {
+    return;
+  }
+  AddHeaders(head);
+  state_ = ReplyState::kStreaming;
+  evhttp_send_reply_start(request_, head.status, head.reason.c_str());
+}
+
+auto CallerExchange::SendBody(evbuffer* data) -> void {
+  if (state_ != ReplyState::kStreaming) {
+    evbuffer_drain(data, evbuffer_get_length(data));
+    return;
+  }
+  evhttp_send_reply_chunk_with_cb(
+      request_, data,
+      [](evhttp_connection*, void* self) {
+        const auto& drained = static_cast<CallerExchange*>(self)->on_drained_;
+        if (drained) {
+          drained();
+        }
+      },
+      this);
+}
+
+auto CallerExchange::FinishReply() -> void {
+  if (state_ != ReplyState::kStreaming) {
+    return;
+  }
+  state_ = ReplyState::kDone;
+  auto* request = request_;
+  Detach();
+  evhttp_send_reply_end(request);
+}
+
+auto CallerExchange::Abort() -> void {
+  if (state_ == ReplyState::kDone || state_ == ReplyState::kGone) {
+    return;
+  }
+  state_ = ReplyState::kGone;
+  auto* connection = connection_;
+  Detach();
+  connection->CloseSoon();
+}
+
+auto CallerExchange::pending_bytes() const -> std::size_t {
+  if (connection_ == nullptr) {
+    return 0;
+  }
+  return connection_->pending_output_bytes();
+}
+
+auto CallerExchange::OnConnectionClosed() -> void {
+  if (evhttp_request_get_connection(request_) == nullptr) {
+    // evhttp leaves a request that is being answered to its owner.
+    evhttp_request_free(request_);
+  }
+  connection_ = nullptr;
+  request_ = nullptr;
+  state_ = ReplyState::kGone;
+  if (const auto gone = std::exchange(on_gone_, nullptr)) {
+    gone();
+  }
+}
+
+auto CallerExchange::AddHeaders(const AnswerHead& head) -> void {
+  auto* headers = evhttp_request_get_output_headers(request_);
+  for (const auto& [name, value] : head.headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  if (connection_->closes_after_reply()) {
+    evhttp_add_header(headers, "Connection", "close");
+  }
+}
+
+auto CallerExchange::Detach() -> void {
+  connection_->OnExchangeDetached();
+  connection_ = nullptr;
+  request_ = nullptr;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/node/traffic/caller_server.cc
@@ -0,0 +1,148 @@
+#include "node/traffic/caller_server.h"
+
+#include <arpa/inet.h>
+#include <event2/bufferevent.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <new>
+#include <utility>
+
+namespace flamingoyoke {
+namespace {
+
+constexpr std::uint16_t kAllMethods =
+    EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
+    EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
+
+auto PortOf(evutil_socket_t descriptor) -> std::uint16_t {
+  sockaddr_storage address{};
+  socklen_t size = sizeof(address);
+  if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) !=
+      0) {
+    return 0;
+  }
+  if (address.ss_family == AF_INET6) {
+    return ntohs(reinterpret_cast<const sockaddr_in6&>(address).sin6_port);
+  }
+  return ntohs(reinterpret_cast<const sockaddr_in&>(address).sin_port);
+}
+
+}  // namespace
+
+CallerServer::CallerServer(EventLoop& loop, Limits limits, Handler handler)
+    : loop_(loop),
+      limits_(limits),
+      handler_(std::move(handler)),
+      budget_(limits.body_budget_bytes),
+      owner_{.check_head = handler_.check_head,
+             .closes_after_reply = [this] { return closing_; },
+             .on_closed = [this](CallerConnection* c) { OnClosed(c); },
+             .on_reply_sent = [this](CallerConnection*) { ReportIdle(); }},
+      cleanup_(loop.MakeTimer([this] { closed_.clear(); })),
+      http_(evhttp_new(loop.base())) {
+  if (!http_) {
+    throw std::bad_alloc();
+  }
+  evhttp_set_allowed_methods(http_.get(), kAllMethods);
+  evhttp_set_default_content_type(http_.get(), nullptr);
+  evhttp_set_max_headers_size(
+      http_.get(),
+      static_cast<ev_ssize_t>(limits_.connection.request.head_bytes));
+  evhttp_set_max_body_size(http_.get(),
+                           static_cast<ev_ssize_t>(limits_.body_budget_bytes));
+  evhttp_set_bevcb(
+      http_.get(),
+      [](event_base*, void* self) {
+        return static_cast<CallerServer*>(self)->MakeConnection();
+      },
+      this);
+  evhttp_set_gencb(
+      http_.get(),
+      [](evhttp_request* request, void* self) {
+        static_cast<CallerServer*>(self)->OnRequest(request);
+      },
+      this);
+}
+
+CallerServer::~CallerServer() {
+  // Closes the connections, whose callbacks use the other members.
+  http_.reset();
+}
+
+auto CallerServer::Listen(const std::string& host, std::uint16_t port)
+    -> Result<void> {
+  auto* socket =
+      evhttp_bind_socket_with_handle(http_.get(), host.c_str(), port);
+  if (socket == nullptr) {
+    return Fail(ErrorKind::kSocketFailed,
+                "cannot listen on " + host + ":" + std::to_string(port));
+  }
+  port_ = PortOf(evhttp_bound_socket_get_fd(socket));
+  return {};
+}
+
+auto CallerServer::StartClosing(bool close_idle) -> void {
+  closing_ = true;
+  if (!close_idle) {
+    return;
+  }
+  for (const auto& [bev, connection] : connections_) {
+    if (!connection->busy() && !connection->receiving()) {
+      connection->CloseSoon();
+    }
+  }
+}
+
+auto CallerServer::idle() const -> bool {
+  return std::none_of(
+      connections_.begin(), connections_.end(), [](const auto& entry) {
+        return entry.second->busy() || entry.second->receiving();
+      });
+}
+
+auto CallerServer::MakeConnection() -> bufferevent* {
+  auto* bev = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+  if (bev == nullptr) {
+    return nullptr;
+  }
+  auto connection = std::make_unique<CallerConnection>(
+      loop_, bev, limits_.connection, budget_, owner_);
+  auto* made = connection.get();
+  connections_.emplace(bev, std::move(connection));
+  if (connections_.size() > limits_.connections) {
+    made->CloseSoon();
+  }
+  return bev;
+}
+
+auto CallerServer::OnRequest(evhttp_request* request) -> void {
+  auto* bev =
+      evhttp_connection_get_bufferevent(evhttp_request_get_connection(request));
+  const auto found = connections_.find(bev);
+  if (found == connections_.end()) {
+    evhttp_send_error(request, HTTP_INTERNAL, nullptr);
+    return;
+  }
+  handler_.on_request(found->second->OnRequest(request));
+}
+
+auto CallerServer::OnClosed(CallerConnection* connection) -> void {
+  const auto found = connections_.find(connection->bev());
+  if (found == connections_.end()) {
+    return;
+  }
+  closed_.push_back(std::move(found->second));
+  connections_.erase(found);
+  cleanup_.Schedule(Duration::zero());
+  ReportIdle();
+}
+
+auto CallerServer::ReportIdle() -> void {
+  if (closing_ && idle()) {
+    handler_.on_idle();
+  }
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/node/traffic/caller_server.h
@@ -0,0 +1,93 @@
+#ifndef FLAMINGOYOKE_NODE_TRAFFIC_CALLER_SERVER_H_
+#define FLAMINGOYOKE_NODE_TRAFFIC_CALLER_SERVER_H_
+
+#include <event2/http.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/result.h"
+#include "node/traffic/body_budget.h"
+#include "node/traffic/caller_connection.h"
+#include "node/traffic/caller_exchange.h"
+#include "runtime/event_loop.h"
+
+namespace flamingoyoke {
+
+// The HTTP server for callers. Not thread-safe.
+class CallerServer {
+ public:
+  struct Limits {
+    CallerConnectionLimits connection;
+    std::size_t connections = 10000;
+    std::uint64_t body_budget_bytes = 64ULL << 20;
+  };
+  struct Handler {
+    // Called with the head of each request before its body is received.
+    RequestScanner::HeadCheck check_head;
+    // Called with each request that was received whole.
+    std::function<void(std::unique_ptr<CallerExchange>)> on_request;
+    // The last answer was sent, or the last busy connection closed.
+    std::function<void()> on_idle;
+  };
+
+  // `loop` must outlive the server, and the server all exchanges.
+  CallerServer(EventLoop& loop, Limits limits, Handler handler);
+  ~CallerServer();
+  CallerServer(const CallerServer&) = delete;
+  auto operator=(const CallerServer&) -> CallerServer& = delete;
+
+  // Listens on `host`:`port`; port 0 takes a free one. Fails with
+  // kSocketFailed.
+  auto Listen(const std::string& host, std::uint16_t port) -> Result<void>;
+
+  // The port that the server listens on.
+  [[nodiscard]] auto port() const -> std::uint16_t { return port_; }
+
+  // Closes each connection after its next answer, idle ones at once if
+  // `close_idle` is set.
+  auto StartClosing(bool close_idle) -> void;
+
+  // Whether no request is being received, waits or is being answered.
+  [[nodiscard]] auto idle() const -> bool;
+
+  [[nodiscard]] auto connections() const -> std::size_t {
+    return connections_.size();
+  }
+  [[nodiscard]] auto body_bytes() const -> std::uint64_t {
+    return budget_.used();
+  }
+
+ private:
+  struct EvhttpDeleter {
+    auto operator()(evhttp* http) const -> void { evhttp_free(http); }
+  };
+
+  auto MakeConnection() -> bufferevent*;
+  auto OnRequest(evhttp_request* request) -> void;
+  auto OnClosed(CallerConnection* connection) -> void;
+  auto ReportIdle() -> void;
+
+  EventLoop& loop_;
+  const Limits limits_;
+  const Handler handler_;
+  BodyBudget budget_;
+  CallerConnection::Owner owner_;
+  bool closing_ = false;
+  std::uint16_t port_ = 0;
+  std::unordered_map<bufferevent*, std::unique_ptr<CallerConnection>>
+      connections_;
+  // Closed connections whose callbacks may still be running.
+  std::vector<std::unique_ptr<CallerConnection>> closed_;
+  EventLoop::Handle cleanup_;
+  std::unique_ptr<evhttp, EvhttpDeleter> http_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_NODE_TRAFFIC_CALLER_SERVER_H_
--- /dev/null
+++ b/src/node/traffic/error_answer.cc
@@ -0,0 +1,89 @@
+#include "node/traffic/error_answer.h"
+
+#include <array>
+#include <string_view>
+
+#include "core/answer_table.h"
+
+namespace flamingoyoke {
+namespace {
+
+struct StatusReason {
+  int status;
+  std::string_view reason;
+};
+
+constexpr auto kReasons = std::to_array<StatusReason>({
+    {307, "Temporary Redirect"},
+    {400, "Bad Request"},
+    {404, "Not Found"},
+    {408, "Request Timeout"},
+    {409, "Conflict"},
+    {413, "Payload Too Large"},
+    {428, "Precondition Required"},
+    {429, "Too Many Requests"},
+    {500, "Internal Server Error"},
+    {502, "Bad Gateway"},
+    {503, "Service Unavailable"},
+    {504, "Gateway Timeout"},
+});
+
+auto ReasonOf(int status) -> std::string {
+  for (const auto& entry : kReasons) {
+    if (entry.status == status) {
+      return std::string(entry.reason);
+    }
+  }
+  return "Error";
+}
+
+// Seconds until a retry makes sense; Retry-After has no finer unit.
+auto RetryAfter(RetryAdvice advice) -> const char* {
+  switch (advice) {
+    case RetryAdvice::kNow:
+      return "0";
+    case RetryAdvice::kLater:
+      return "1";
+    case RetryAdvice::kNever:
+    case RetryAdvice::kOnlyIfRepeatable:
+      return nullptr;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+auto MakeErrorHead(ErrorKind kind) -> AnswerHead {
+  const auto& answer = AnswerFor(kind);
+  AnswerHead head{answer.http_status, ReasonOf(answer.http_status), {}};
+  head.headers.emplace_back("Content-Type", "application/json");
+  head.headers.emplace_back(kOutcomeHeader, ToName(answer.outcome));
+  head.headers.emplace_back(kErrorHeader, ToName(kind));
+  if (const auto* seconds = RetryAfter(answer.advice)) {
+    head.headers.emplace_back("Retry-After", seconds);
+  }
+  return head;
+}
+
+auto MakeErrorBody(ErrorKind kind) -> std::string {
+  const auto& answer = AnswerFor(kind);
+  // All of these are names from tables, which need no escaping.
+  return R"({"error":")" + std::string(ToName(kind)) + R"(","outcome":")" +
+         std::string(ToName(answer.outcome)) + R"(","retry":")" +
+         std::string(ToName(answer.advice)) + "\"}\n";
+}
+
+auto RenderClosingError(ErrorKind kind) -> std::string {
+  const auto head = MakeErrorHead(kind);
+  const auto body = MakeErrorBody(kind);
+  auto text =
+      "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n";
+  for (const auto& [name, value] : head.headers) {
+    text += name + ": " + value + "\r\n";
+  }
+  text += "Content-Length: " + std::to_string(body.size()) +
+          "\r\nConnection: close\r\n\r\n";
+  return text + body;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/node/traffic/upstream_connection.cc
@@ -0,0 +1,320 @@
+#include "node/traffic/upstream_connection.h"
+
+#include <event2/buffer.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstdlib>
+#include <new>
+#include <string_view>
+#include <utility>
+
+#include "node/traffic/http_text.h"
+#include "runtime/clock.h"
+
+namespace flamingoyoke {
+namespace {
+
+constexpr int kContinue = 100;
+constexpr int kOk = 200;
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+constexpr int kServerError = 500;
+constexpr int kServiceUnavailable = 503;
+
+// evhttp's own timeout is not needed: the timer of the connection ends each
+// attempt. This value only keeps evhttp from applying its default of 50 s.
+constexpr int kEvhttpTimeoutSeconds = 24 * 3600;
+
+// Whether an answer to `method` has a body.
+auto HasBody(evhttp_cmd_type method, int status) -> bool {
+  return method != EVHTTP_REQ_HEAD && status >= kOk && status != kNoContent &&
+         status != kNotModified;
+}
+
+// Returns whether the end of the answer can be told from a cut connection.
+auto HasSafeFraming(const HttpHeaders& headers) -> bool {
+  int lengths = 0;
+  int encodings = 0;
+  for (const auto& [name, value] : headers) {
+    if (EqualsIgnoringCase(name, "Content-Length")) {
+      ++lengths;
+      if (!ParseDecimal(TrimSpace(value))) {
+        return false;
+      }
+    }
+    if (EqualsIgnoringCase(name, "Transfer-Encoding")) {
+      ++encodings;
+      if (!EqualsIgnoringCase(TrimSpace(value), "chunked")) {
+        return false;
+      }
+    }
+  }
+  return lengths + encodings == 1;
+}
+
+auto ParseLoad(std::string_view text) -> std::optional<double> {
+  const std::string copy(text);
+  char* end = nullptr;
+  const double load = std::strtod(copy.c_str(), &end);
+  if (copy.empty() || *end != '\0' || !(load >= 0) || !(load <= 1)) {
+    return std::nullopt;
+  }
+  return load;
+}
+
+}  // namespace
+
+auto ReadSignals(const HttpHeaders& headers) -> UpstreamSignals {
+  UpstreamSignals signals;
+  signals.draining = FindHeader(headers, "Flamingoyoke-Drain") == "1";
+  signals.not_run = FindHeader(headers, "Flamingoyoke-Not-Run") == "1";
+  if (const auto load = FindHeader(headers, "Flamingoyoke-Load")) {
+    signals.load = ParseLoad(*load);
+  }
+  return signals;
+}
+
+UpstreamConnection::UpstreamConnection(EventLoop& loop,
+                                       const std::string& host,
+                                       std::uint16_t port)
+    : bev_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
+      timer_(loop.MakeTimer([this] { OnTimer(); })) {
+  if (bev_ == nullptr) {
+    throw std::bad_alloc();
+  }
+  evbuffer_add_cb(
+      bufferevent_get_output(bev_),
+      [](evbuffer*, const evbuffer_cb_info* info, void* self) {
+        // Also set when evhttp drops output that was not written; the result
+        // is then "unknown" for a request that was not run, never the reverse.
+        if (info->n_deleted > 0) {
+          static_cast<UpstreamConnection*>(self)->wrote_ = true;
+        }
+      },
+      this);
+  connection_.reset(evhttp_connection_base_bufferevent_new(
+      loop.base(), nullptr, bev_, host.c_str(), port));
+  if (!connection_) {
+    bufferevent_free(bev_);
+    throw std::bad_alloc();
+  }
+  // A retry by evhttp could write unrepeatable work twice.
+  evhttp_connection_set_retries(connection_.get(), 0);
+  evhttp_connection_set_timeout(connection_.get(), kEvhttpTimeoutSeconds);
+  evhttp_connection_set_closecb(
+      connection_.get(),
+      [](evhttp_connection*, void* self) {
+        static_cast<UpstreamConnection*>(self)->OnClosed();
+      },
+      this);
+}
+
+UpstreamConnection::~UpstreamConnection() {
+  Abandon();
+  // Its callbacks use the other members.
+  connection_.reset();
+}
+
+auto UpstreamConnection::Send(const RequestHead& head,
+                              evbuffer* body,
+                              const Limits& limits,
+                              Observer observer) -> void {
+  observer_ = std::move(observer);
+  limits_ = limits;
+  head_ = {};
+  signals_ = {};
+  ++requests_;
+  busy_ = true;
+  wrote_ = false;
+  answering_ = false;
+  deadline_ = Now() + limits.time_limit;
+  auto* request = evhttp_request_new(
+      [](evhttp_request* done, void* self) {
+        static_cast<UpstreamConnection*>(self)->OnAnswerEnd(done);
+      },
+      this);
+  if (request == nullptr) {
+    throw std::bad_alloc();
+  }
+  evhttp_request_set_header_cb(request, [](evhttp_request* r, void* self) {
+    return static_cast<UpstreamConnection*>(self)->OnAnswerHead(r) ? 0 : -1;
+  });
+  evhttp_request_set_chunked_cb(request, [](evhttp_request* r, void* self) {
+    static_cast<UpstreamConnection*>(self)->OnAnswerBody(r);
+  });
+  auto* headers = evhttp_request_get_output_headers(request);
+  for (const auto& [name, value] : head.headers) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  if (body != nullptr && evbuffer_get_length(body) > 0) {
+    // The body is shared, as another attempt may need it.
+    evbuffer_add_buffer_reference(evhttp_request_get_output_buffer(request),
+                                  body);
+  }
+  timer_.Schedule(requests_ > 1
+                      ? limits.time_limit
+                      : std::min(limits.connect_limit, limits.time_limit));
+  if (evhttp_make_request(connection_.get(), request, ToCommand(head.method),
+                          head.target.c_str()) != 0) {
+    End(AttemptResult::kConnectFailed);
+  }
+}
+
+auto UpstreamConnection::Abandon() -> void {
+  observer_ = {};
+  on_idle_close_ = nullptr;
+  busy_ = false;
+  spent_ = true;
+  timer_.Cancel();
+  bufferevent_disable(bev_, EV_READ | EV_WRITE);
+}
+
+auto UpstreamConnection::PauseReading() -> void {
+  paused_ = true;
+  bufferevent_disable(bev_, EV_READ);
+}
+
+auto UpstreamConnection::ResumeReading() -> void {
+  if (!paused_) {
+    return;
+  }
+  paused_ = false;
+  if (busy_) {
+    bufferevent_enable(bev_, EV_READ);
+  }
+}
+
+auto UpstreamConnection::usable() const -> bool {
+  if (spent_ || busy_) {
+    return false;
+  }
+  if (requests_ == 0) {
+    return true;
+  }
+  // A close that the loop has not seen yet must not meet a request.
+  char byte = 0;
+  const auto peeked = recv(bufferevent_getfd(bev_), &byte, sizeof(byte),
+                           MSG_PEEK | MSG_DONTWAIT);
+  return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) &&
+         evbuffer_get_length(bufferevent_get_input(bev_)) == 0;
+}
+
+auto UpstreamConnection::OnAnswerHead(evhttp_request* request) -> bool {
+  if (!busy_) {
+    return false;
+  }
+  const int status = evhttp_request_get_response_code(request);
+  if (status == kContinue) {
+    return true;
+  }
+  if (status < kOk) {
+    // Other informational answers are never asked for, and evhttp would take
+    // them for final ones.
+    return false;
+  }
+  const auto* reason = evhttp_request_get_response_code_line(request);
+  head_ = {status, reason == nullptr ? "" : reason,
+           CopyHeaders(evhttp_request_get_input_headers(request))};
+  signals_ = ReadSignals(head_.headers);
+  if (HasBody(evhttp_request_get_command(request), status) &&
+      !HasSafeFraming(head_.headers)) {
+    spent_ = true;
+    answering_ = true;
+    return false;
+  }
+  answering_ = true;
+  timer_.Schedule(limits_.stall_limit);
+  signals_.not_run = signals_.not_run && status == kServiceUnavailable;
+  if (!signals_.not_run && observer_.on_head) {
+    observer_.on_head(head_);
+  }
+  return busy_;
+}
+
+auto UpstreamConnection::OnAnswerBody(evhttp_request* request) -> void {
+  if (!busy_) {
+    return;
+  }
+  timer_.Schedule(limits_.stall_limit);
+  if (!signals_.not_run && observer_.on_body) {
+    observer_.on_body(evhttp_request_get_input_buffer(request));
+  }
+}
+
+auto UpstreamConnection::OnAnswerEnd(evhttp_request* request) -> void {
+  if (!busy_) {
+    return;
+  }
+  if (request == nullptr || !answering_ ||
+      evhttp_request_get_response_code(request) < kOk) {
+    spent_ = true;
+    End(FailureResult(AttemptResult::kReset));
+    return;
+  }
+  if (evbuffer_get_length(bufferevent_get_input(bev_)) > 0) {
+    // Bytes after the answer could be taken for the next answer.
+    spent_ = true;
+  }
+  if (signals_.not_run) {
+    End(AttemptResult::kShed);
+    return;
+  }
+  End(head_.status >= kServerError ? AttemptResult::kServerError
+                                   : AttemptResult::kAnswered);
+}
+
+auto UpstreamConnection::OnTimer() -> void {
+  if (!busy_) {
+    return;
+  }
+  if (paused_) {
+    // The caller's write limit bounds a paused answer.
+    timer_.Schedule(limits_.stall_limit);
+    return;
+  }
+  const auto now = Now();
+  if (wrote_ && !answering_ && now < deadline_) {
+    timer_.Schedule(deadline_ - now);
+    return;
+  }
+  const auto result = FailureResult(AttemptResult::kTimeout);
+  bufferevent_disable(bev_, EV_READ | EV_WRITE);
+  spent_ = true;
+  End(result);
+}
+
+auto UpstreamConnection::OnClosed() -> void {
+  spent_ = true;
+  if (busy_) {
+    return;
+  }
+  if (const auto closed = std::exchange(on_idle_close_, nullptr)) {
+    closed();
+  }
+}
+
+auto UpstreamConnection::End(AttemptResult result) -> void {
+  busy_ = false;
+  paused_ = false;
+  timer_.Cancel();
+  const auto observer = std::exchange(observer_, {});
+  if (result != AttemptResult::kAnswered &&
+      result != AttemptResult::kServerError && result != AttemptResult::kShed) {
+    spent_ = true;
+  }
+  if (observer.on_end) {
+    observer.on_end(result, signals_);
+  }
+}
+
+auto UpstreamConnection::FailureResult(AttemptResult after_write) const
+    -> AttemptResult {
+  if (answering_) {
+    return AttemptResult::kPartialAnswer;
+  }
+  return wrote_ ? after_write : AttemptResult::kConnectFailed;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/node/traffic/upstream_pool.cc
@@ -0,0 +1,124 @@
+#include "node/traffic/upstream_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingoyoke {
+
+UpstreamPool::UpstreamPool(EventLoop& loop)
+    : loop_(loop), cleanup_(loop.MakeTimer([this] { discarded_.clear(); })) {}
+
+auto UpstreamPool::Configure(const ServiceRow& row) -> void {
+  share_ = std::max<std::size_t>(
+      1, row.connections / std::max<std::uint32_t>(1, row.home));
+  std::unordered_map<TargetId, TargetConnections> targets;
+  for (const auto& spec : row.targets) {
+    auto& entry = targets[spec.id];
+    const auto known = targets_.find(spec.id);
+    if (known != targets_.end()) {
+      entry = std::move(known->second);
+      targets_.erase(known);
+    }
+    entry.spec = spec;
+  }
+  for (auto& [id, removed] : targets_) {
+    for (auto& connection : removed.idle) {
+      Discard(std::move(connection));
+    }
+  }
+  targets_ = std::move(targets);
+}
+
+auto UpstreamPool::Acquire(const TargetId& target, bool fresh) -> Lease {
+  const auto found = targets_.find(target);
+  if (found == targets_.end()) {
+    return {};
+  }
+  auto& entry = found->second;
+  Lease lease{target, entry.generation, nullptr};
+  while (!fresh && !entry.idle.empty() && !lease.connection) {
+    // The most recently used connection is the least likely to be closed.
+    auto connection = std::move(entry.idle.back());
+    entry.idle.pop_back();
+    connection->set_on_idle_close(nullptr);
+    if (connection->usable()) {
+      lease.connection = std::move(connection);
+    } else {
+      Discard(std::move(connection));
+    }
+  }
+  if (!lease.connection && entry.leased + entry.idle.size() >= share_) {
+    if (entry.idle.empty()) {
+      return {};
+    }
+    Discard(std::move(entry.idle.front()));
+    entry.idle.erase(entry.idle.begin());
+  }
+  if (!lease.connection) {
+    lease.connection = std::make_unique<UpstreamConnection>(
+        loop_, entry.spec.host, entry.spec.port);
+  }
+  ++entry.leased;
+  return lease;
+}
+
+auto UpstreamPool::Release(Lease lease) -> void {
+  const auto found = targets_.find(lease.target);
+  if (found == targets_.end()) {
+    Discard(std::move(lease.connection));
+    return;
+  }
+  auto& entry = found->second;
+  entry.leased -= std::min<std::size_t>(entry.leased, 1);
+  if (lease.generation != entry.generation || !lease.connection->usable()) {
+    Discard(std::move(lease.connection));
+    return;
+  }
+  const auto* connection = lease.connection.get();
+  lease.connection->set_on_idle_close(
+      [this, target = lease.target, connection] {
+        OnIdleClose(target, connection);
+      });
+  entry.idle.push_back(std::move(lease.connection));
+}
+
+auto UpstreamPool::Retire(const TargetId& target) -> void {
+  const auto found = targets_.find(target);
+  if (found == targets_.end()) {
+    return;
+  }
+  ++found->second.generation;
+  for (auto& connection : found->second.idle) {
+    Discard(std::move(connection));
+  }
+  found->second.idle.clear();
+}
+
+auto UpstreamPool::open(const TargetId& target) const -> std::size_t {
+  const auto found = targets_.find(target);
+  return found == targets_.end()
+             ? 0
+             : found->second.idle.size() + found->second.leased;
+}
+
+auto UpstreamPool::OnIdleClose(const TargetId& target,
+                               const UpstreamConnection* closed) -> void {
+  auto& idle = targets_[target].idle;
+  const auto found = std::find_if(
+      idle.begin(), idle.end(),
+      [&](const auto& connection) { return connection.get() == closed; });
+  if (found == idle.end()) {
+    return;
+  }
+  Discard(std::move(*found));
+  idle.erase(found);
+}
+
+auto UpstreamPool::Discard(std::unique_ptr<UpstreamConnection> connection)
+    -> void {
+  connection->Abandon();
+  discarded_.push_back(std::move(connection));
+  cleanup_.Schedule(Duration::zero());
+}
+
+}  // namespace flamingoyoke
