Share the log levels between settings and logs

Cause: settings and the log each had their own list of levels and formats. Change: one list in core. Conclusion: a level is added in one place.

--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -53,7 +53,7 @@
   }
   metrics_timer_ = context.loop().MakePeriodicTimer(
       kMetricsPeriod, [this] { ReportMetrics(); });
-  Log(Part::kMesh, Severity::kInfo, "listens on " + config_.address);
+  Log(Part::kMesh, LogLevel::kInfo, "listens on " + config_.address);
   return {};
 }
 
@@ -116,7 +116,7 @@
           std::make_unique<PeerSocket>(zmq_context_, config_, endpoint);
     } catch (const zmq::error_t& error) {
       peers_.erase(vm);
-      Log(Part::kMesh, Severity::kWarning,
+      Log(Part::kMesh, LogLevel::kWarning,
           "cannot connect to " + vm.value() + " at " + endpoint + ": " +
               error.what());
     }
@@ -148,7 +148,7 @@
       CaptureInto(envelope, [&] { return DecodeEnvelope(bytes); });
   if (error) {
     ++traffic_.malformed_messages;
-    Log(Part::kMesh, Severity::kWarning, "dropped a malformed message");
+    Log(Part::kMesh, LogLevel::kWarning, "dropped a malformed message");
     return;
   }
   Deliver(std::move(*envelope));
--- a/src/node/control/platform/platform_task.cc
+++ b/src/node/control/platform/platform_task.cc
@@ -57,7 +57,7 @@
   return std::make_unique<KeyWatch>(
       context_->loop(), config_, key, Random(config_.seed ^ salt),
       std::move(on_value), [](const std::string& reason) {
-        Log(Part::kPlatform, Severity::kWarning, reason);
+        Log(Part::kPlatform, LogLevel::kWarning, reason);
       });
 }
 
@@ -73,7 +73,7 @@
   std::optional<std::vector<Member>> members;
   const auto error = CaptureInto(members, [&] { return ReadVmList(text); });
   if (error) {
-    Log(Part::kPlatform, Severity::kWarning, error->detail);
+    Log(Part::kPlatform, LogLevel::kWarning, error->detail);
     return false;
   }
   return WasTaken(fleet_.Post(VmListRead{std::move(*members), revision}));
--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -19,15 +19,15 @@
 // Fixed before the tasks start, read by all of them.
 LogFormat log_format = LogFormat::kText;
 
-auto ToLevel(Severity severity) -> spdlog::level::level_enum {
-  switch (severity) {
-    case Severity::kDebug:
+auto ToSpdlog(LogLevel level) -> spdlog::level::level_enum {
+  switch (level) {
+    case LogLevel::kDebug:
       return spdlog::level::debug;
-    case Severity::kInfo:
+    case LogLevel::kInfo:
       return spdlog::level::info;
-    case Severity::kWarning:
+    case LogLevel::kWarning:
       return spdlog::level::warn;
-    case Severity::kError:
+    case LogLevel::kError:
       return spdlog::level::err;
   }
   return spdlog::level::err;
@@ -60,9 +60,9 @@
 
 }  // namespace
 
-auto ConfigureLog(Severity least, LogFormat format) -> void {
+auto ConfigureLog(LogLevel least, LogFormat format) -> void {
   auto logger = spdlog::stderr_logger_mt("flamingoyoke");
-  logger->set_level(ToLevel(least));
+  logger->set_level(ToSpdlog(least));
   logger->flush_on(spdlog::level::debug);
   logger->set_pattern(
       format == LogFormat::kJson ? "%v" : "%Y-%m-%dT%H:%M:%S.%e%z %l %v");
@@ -70,9 +70,9 @@
   log_format = format;
 }
 
-auto Log(Part part, Severity severity, std::string_view sentence) -> void {
-  const auto level = ToLevel(severity);
-  if (!spdlog::should_log(level)) {
+auto Log(Part part, LogLevel level, std::string_view sentence) -> void {
+  const auto spdlog_level = ToSpdlog(level);
+  if (!spdlog::should_log(spdlog_level)) {
     return;
   }
   auto line = std::string(ToName(part)) + ": " + std::string(sentence);
@@ -84,11 +84,11 @@
     line += " (" + std::to_string(skipped) + " repeats not shown)";
   }
   if (log_format == LogFormat::kText) {
-    spdlog::log(level, "{}", line);
+    spdlog::log(spdlog_level, "{}", line);
     return;
   }
   const nlohmann::json record = {{"time_ms", WallClockMs()},
-                                 {"severity", ToName(severity)},
+                                 {"level", ToName(level)},
                                  {"part", ToName(part)},
                                  {"message", line}};
   spdlog::log(
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <string_view>
 
+#include "core/log_level.h"
 #include "core/name_table.h"
 
 namespace flamingoyoke {
@@ -37,38 +38,14 @@
 };
 static_assert(IsDense<Part>());
 
-enum class Severity { kDebug, kInfo, kWarning, kError };
-
-template <>
-struct EnumNames<Severity> {
-  static constexpr auto kTable = std::to_array<NameEntry<Severity>>({
-      {Severity::kDebug, "debug"},
-      {Severity::kInfo, "info"},
-      {Severity::kWarning, "warning"},
-      {Severity::kError, "error"},
-  });
-};
-static_assert(IsDense<Severity>());
-
-enum class LogFormat { kText, kJson };
-
-template <>
-struct EnumNames<LogFormat> {
-  static constexpr auto kTable = std::to_array<NameEntry<LogFormat>>({
-      {LogFormat::kText, "text"},
-      {LogFormat::kJson, "json"},
-  });
-};
-static_assert(IsDense<LogFormat>());
-
-// Sets the least severity and the format of all later lines, which go to
+// Sets the least level and the format of all later lines, which go to
 // standard error. Call once, before any task starts.
-auto ConfigureLog(Severity least, LogFormat format) -> void;
+auto ConfigureLog(LogLevel least, LogFormat format) -> void;
 
 // Writes one short sentence with the prefix of `part`. A sentence that the
 // same thread repeats within five seconds is counted and not written.
 // `sentence` must hold no body, key or secret. Thread-safe.
-auto Log(Part part, Severity severity, std::string_view sentence) -> void;
+auto Log(Part part, LogLevel level, std::string_view sentence) -> void;
 
 }  // namespace flamingoyoke
 
--- a/src/node/observe/admin/admin_task.cc
+++ b/src/node/observe/admin/admin_task.cc
@@ -91,7 +91,7 @@
                                               ":" +
                                               std::to_string(config_.port));
   }
-  Log(Part::kAdmin, Severity::kInfo,
+  Log(Part::kAdmin, LogLevel::kInfo,
       "listens on " + config_.host + ":" + std::to_string(config_.port));
   return {};
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -1,7 +1,6 @@
 #ifndef FLAMINGOYOKE_SETTINGS_SETTINGS_H_
 #define FLAMINGOYOKE_SETTINGS_SETTINGS_H_
 
-#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -10,36 +9,12 @@
 
 #include "core/endpoint.h"
 #include "core/ids.h"
-#include "core/name_table.h"
+#include "core/log_level.h"
 #include "core/result.h"
 #include "core/time.h"
 
 namespace flamingoyoke {
 
-enum class LogLevel { kDebug, kInfo, kWarning, kError };
-
-template <>
-struct EnumNames<LogLevel> {
-  static constexpr auto kTable = std::to_array<NameEntry<LogLevel>>({
-      {LogLevel::kDebug, "debug"},
-      {LogLevel::kInfo, "info"},
-      {LogLevel::kWarning, "warning"},
-      {LogLevel::kError, "error"},
-  });
-};
-static_assert(IsDense<LogLevel>());
-
-enum class LogFormat { kText, kJson };
-
-template <>
-struct EnumNames<LogFormat> {
-  static constexpr auto kTable = std::to_array<NameEntry<LogFormat>>({
-      {LogFormat::kText, "text"},
-      {LogFormat::kJson, "json"},
-  });
-};
-static_assert(IsDense<LogFormat>());
-
 // docs/operations/settings.md describes every field with its range.
 
 // Which vm this process is.
