--- /dev/null
+++ b/tests/unit/runtime/idle_test.cc
@@ -0,0 +1,61 @@
+#include <criterion/criterion.h>
+#include <sys/resource.h>
+
+#include <atomic>
+#include <chrono>
+#include <memory>
+#include <thread>
+#include <variant>
+
+#include "runtime/mailbox.h"
+#include "runtime/task_host.h"
+
+namespace flamingoyoke {
+namespace {
+
+using NoMessage = std::variant<std::monostate>;
+
+class IdleTask {
+ public:
+  using Message = NoMessage;
+
+  explicit IdleTask(std::atomic<bool>& started) : started_(started) {}
+
+  auto Start(TaskContext& context) -> Result<void> {
+    context_ = &context;
+    started_ = true;
+    return {};
+  }
+  auto Handle(Message) -> Result<void> { return {}; }
+  auto Stop(StopMode) -> void { context_->Exit(); }
+
+ private:
+  std::atomic<bool>& started_;
+  TaskContext* context_ = nullptr;
+};
+
+auto ContextSwitches() -> long {
+  rusage usage = {};
+  getrusage(RUSAGE_SELF, &usage);
+  return usage.ru_nvcsw;
+}
+
+// Guards against a task that polls or spins while it has nothing to do: a
+// thread that wakes has to give up the processor again each time.
+Test(idle, an_idle_task_does_not_wake) {
+  std::atomic<bool> started = false;
+  Mailbox<NoMessage> mailbox(4);
+  TaskHost<IdleTask> host("idle", mailbox,
+                          [&] { return std::make_unique<IdleTask>(started); });
+  host.Start([](std::optional<Error>) {});
+  while (!started) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  const auto before = ContextSwitches();
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  // This thread's own sleep and the first wake of the task.
+  cr_assert_leq(ContextSwitches() - before, 10);
+}
+
+}  // namespace
+}  // namespace flamingoyoke
