Run the fleet decisions in a task

FleetTask owns membership, the spread of the table, the pause detector and the readiness gate, and publishes a FleetView. A single vm with its list and table becomes ready at once; a refused table is reported and the older one stays; FleetMemory keeps the revision over a restart of the task.

Table's and traffic's ParseDecimal had one name and different types, so the node test did not link; table's is now ParseReal.

--- a/src/decision/fleet/address_selection.cc
+++ b/src/decision/fleet/address_selection.cc
@@ -75,8 +75,8 @@
   if (row == rows.end()) {
     return {};
   }
-  const auto home =
-      HomeSetAmong(service, row->home, view.members, BestTier(view.members));
+  const HomeCandidates candidates(view.members, BestTier(view.members));
+  const auto home = candidates.Best(service, row->home);
   std::vector<Member> selected;
   selected.reserve(home.size());
   for (const auto index : home) {
--- a/src/decision/fleet/home_set.cc
+++ b/src/decision/fleet/home_set.cc
@@ -1,60 +1,43 @@
 #include "decision/fleet/home_set.h"
 
 #include <algorithm>
-#include <cstdint>
-#include <tuple>
 #include <unordered_map>
 
 #include "decision/fleet/rendezvous.h"
 
 namespace flamingoyoke {
-namespace {
-
-struct Scored {
-  std::uint64_t score = 0;
-  std::size_t index = 0;
-  // Position among the candidates of the same failure domain.
-  std::size_t rank = 0;
-};
-
-}  // namespace
 
 auto IsServing(const Member& member) -> bool {
   return member.liveness == Liveness::kAlive && member.ready && !member.leaving;
 }
 
-auto HomeSetAmong(const ServiceId& service,
-                  std::size_t size,
-                  const std::vector<Member>& members,
-                  const std::vector<std::size_t>& candidates)
-    -> std::vector<std::size_t> {
-  const auto key = HashOf(service.value());
-  // Equal scores are ordered by id, so that every node decides the same.
-  const auto is_better = [&](const Scored& a, const Scored& b) {
-    return a.score != b.score ? a.score > b.score
-                              : members[a.index].id < members[b.index].id;
-  };
-  std::unordered_map<FailureDomainId, std::vector<Scored>> best_by_domain;
-  for (const auto index : candidates) {
-    const Scored scored{RendezvousScore(key, HashOf(members[index].id.value())),
-                        index, 0};
-    auto& best = best_by_domain[members[index].failure_domain];
-    best.insert(std::upper_bound(best.begin(), best.end(), scored, is_better),
-                scored);
-    if (best.size() > size) {
-      best.pop_back();
+HomeCandidates::HomeCandidates(const std::vector<Member>& members,
+                               const std::vector<std::size_t>& indexes)
+    : members_(members) {
+  std::unordered_map<FailureDomainId, std::size_t> positions;
+  for (const auto index : indexes) {
+    const auto& member = members[index];
+    const auto position =
+        positions.emplace(member.failure_domain, domains_.size());
+    if (position.second) {
+      domains_.emplace_back();
     }
+    domains_[position.first->second].push_back(
+        {HashOf(member.id.value()), index});
   }
+}
+
+auto HomeCandidates::Best(const ServiceId& service, std::size_t size) const
+    -> std::vector<std::size_t> {
+  const auto key = HashOf(service.value());
   std::vector<Scored> ordered;
-  for (auto& [domain, best] : best_by_domain) {
-    for (std::size_t rank = 0; rank < best.size(); ++rank) {
-      best[rank].rank = rank;
-      ordered.push_back(best[rank]);
-    }
+  for (const auto& domain : domains_) {
+    const auto best = BestOfDomain(domain, key, size);
+    ordered.insert(ordered.end(), best.begin(), best.end());
   }
   std::sort(ordered.begin(), ordered.end(),
             [&](const Scored& a, const Scored& b) {
-              return a.rank != b.rank ? a.rank < b.rank : is_better(a, b);
+              return a.rank != b.rank ? a.rank < b.rank : IsBetter(a, b);
             });
   std::vector<std::size_t> home;
   for (std::size_t i = 0; i < std::min(size, ordered.size()); ++i) {
@@ -63,9 +46,40 @@
   return home;
 }
 
-auto HomeSetOf(const ServiceId& service,
-               std::size_t size,
-               const std::vector<Member>& members) -> std::vector<std::size_t> {
+// Equal scores are ordered by id, so that every node decides the same.
+auto HomeCandidates::IsBetter(const Scored& a, const Scored& b) const -> bool {
+  return a.score != b.score ? a.score > b.score
+                            : members_[a.index].id < members_[b.index].id;
+}
+
+auto HomeCandidates::BestOfDomain(const std::vector<Candidate>& domain,
+                                  std::uint64_t key,
+                                  std::size_t size) const
+    -> std::vector<Scored> {
+  std::vector<Scored> best;
+  for (const auto& candidate : domain) {
+    const Scored scored{RendezvousScore(key, candidate.hash), candidate.index,
+                        0};
+    if (best.size() >= size &&
+        (best.empty() || !IsBetter(scored, best.back()))) {
+      continue;
+    }
+    const auto position = std::upper_bound(
+        best.begin(), best.end(), scored,
+        [&](const Scored& a, const Scored& b) { return IsBetter(a, b); });
+    best.insert(position, scored);
+    if (best.size() > size) {
+      best.pop_back();
+    }
+  }
+  for (std::size_t rank = 0; rank < best.size(); ++rank) {
+    best[rank].rank = rank;
+  }
+  return best;
+}
+
+auto ServingIndexes(const std::vector<Member>& members)
+    -> std::vector<std::size_t> {
   std::vector<std::size_t> serving;
   serving.reserve(members.size());
   for (std::size_t i = 0; i < members.size(); ++i) {
@@ -73,7 +87,7 @@
       serving.push_back(i);
     }
   }
-  return HomeSetAmong(service, size, members, serving);
+  return serving;
 }
 
 }  // namespace flamingoyoke
--- a/src/decision/fleet/member_list.cc
+++ b/src/decision/fleet/member_list.cc
@@ -59,8 +59,8 @@
     }
   }
   for (auto it = records_.begin(); it != records_.end();) {
-    it->second.listed = ids.count(it->first) > 0;
-    it = it->second.listed || IsProven(it->second) ? std::next(it) : Erase(it);
+    const bool is_listed = ids.count(it->first) > 0;
+    it = is_listed || IsProven(it->second) ? std::next(it) : Erase(it);
   }
 }
 
@@ -203,8 +203,9 @@
 auto MemberList::Forget(TimePoint now) -> void {
   for (auto it = records_.begin(); it != records_.end();) {
     const auto& record = it->second;
-    const bool ended = record.member.liveness == Liveness::kDead &&
-                       !record.listed && now - record.changed >= kTombstoneLife;
+    const bool is_gone =
+        record.member.liveness == Liveness::kDead || !IsProven(record);
+    const bool ended = is_gone && now - record.changed >= kTombstoneLife;
     it = ended ? Erase(it) : std::next(it);
   }
 }
@@ -256,6 +257,7 @@
                         TimePoint now) -> void {
   const bool was_present = IsPresent(record);
   const bool was_doubted = IsDoubted(record);
+  const bool was_dead = record.member.liveness == Liveness::kDead;
   if (was_present) {
     digests_[BucketOf(record.hash)] -= DigestOf(record.hash, record.member);
   }
@@ -271,6 +273,8 @@
   if (is_present) {
     AddToDigest(record);
   }
+  dead_ += member.liveness == Liveness::kDead ? 1 : 0;
+  dead_ -= was_dead ? 1 : 0;
   doubted_ += IsDoubted(record) ? 1 : 0;
   doubted_ -= was_doubted ? 1 : 0;
   present_ += is_present ? 1 : 0;
@@ -318,11 +322,9 @@
 }
 
 auto MemberList::Erase(Records::iterator position) -> Records::iterator {
-  if (IsPresent(position->second)) {
-    auto gone = position->second.member;
-    gone.liveness = Liveness::kDead;
-    Assign(position->second, gone, position->second.changed);
-  }
+  // Takes the record out of all counters but that of the dead.
+  SetLiveness(position->first, Liveness::kDead, position->second.changed);
+  --dead_;
   const auto holder = by_address_.find(position->second.member.mesh_address);
   if (holder != by_address_.end() && holder->second == position->first) {
     by_address_.erase(holder);
--- a/src/decision/fleet/member_list.h
+++ b/src/decision/fleet/member_list.h
@@ -74,7 +74,8 @@
   // Turns claims whose time to refute is over into deaths.
   auto ExpireClaims(TimePoint now) -> void;
 
-  // Drops dead vms after the life of a tombstone.
+  // Drops vms that were dead or never proven for the life of a tombstone. The
+  // platform's next list may bring them back.
   auto Forget(TimePoint now) -> void;
 
   // Believes nothing any more until it is confirmed.
@@ -97,6 +98,10 @@
 
   // Number of vms that are present, without this one.
   [[nodiscard]] auto present_count() const -> std::size_t { return present_; }
+  // Number of vms that are not known to be dead, without this one.
+  [[nodiscard]] auto other_count() const -> std::size_t {
+    return records_.size() - dead_;
+  }
   // Number of vms that were doubted and not confirmed since.
   [[nodiscard]] auto doubted_count() const -> std::size_t { return doubted_; }
 
@@ -128,6 +133,7 @@
   std::set<VmId> claimed_;
   std::size_t present_ = 0;
   std::size_t doubted_ = 0;
+  std::size_t dead_ = 0;
   std::uint64_t changes_ = 0;
   std::uint64_t presence_changes_ = 0;
 };
--- a/src/decision/fleet/member_record.h
+++ b/src/decision/fleet/member_record.h
@@ -14,8 +14,6 @@
   Member member;
   // HashOf(member.id).
   std::uint64_t hash = 0;
-  // Whether the platform's last list has it.
-  bool listed = false;
   // When its liveness changed.
   TimePoint changed;
   // End of the time to refute a claim that it is dead, if there is one.
--- a/src/decision/fleet/membership_timing.h
+++ b/src/decision/fleet/membership_timing.h
@@ -85,7 +85,8 @@
 inline constexpr Duration kContactPeriod = std::chrono::seconds(2);
 inline constexpr double kContactsPerSecond = 2.0;
 
-// A dead vm that the platform does not list is forgotten after this time.
+// A dead vm, or one that was never heard, is forgotten after this time. Most
+// nodes do not watch the platform's list, so its absence there says nothing.
 inline constexpr Duration kTombstoneLife = std::chrono::minutes(10);
 // Between two searches for records to forget.
 inline constexpr Duration kForgetPeriod = std::chrono::seconds(10);
--- a/src/decision/fleet/placement.cc
+++ b/src/decision/fleet/placement.cc
@@ -65,7 +65,8 @@
 auto PlacementOf(const ServiceRow& row, const std::vector<Member>& members)
     -> Placement {
   Placement placement;
-  for (const auto index : HomeSetOf(row.service, row.home, members)) {
+  const HomeCandidates candidates(members, ServingIndexes(members));
+  for (const auto index : candidates.Best(row.service, row.home)) {
     placement.home.push_back(members[index].id);
   }
   placement.owners = OwnersOf(row.targets, placement.home);
--- /dev/null
+++ b/src/node/control/fleet/fleet_task.cc
@@ -0,0 +1,306 @@
+#include "node/control/fleet/fleet_task.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "core/overloaded.h"
+#include "decision/fleet/reader_election.h"
+#include "node/log.h"
+#include "runtime/clock.h"
+
+namespace flamingoyoke {
+namespace {
+
+// Changes of one moment share a view: a copy of 7,100 members takes about a
+// millisecond.
+constexpr Duration kPublishDelay = std::chrono::milliseconds(10);
+constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
+
+auto DelayUntil(TimePoint at) -> Duration {
+  return std::max(at - Now(), Duration::zero());
+}
+
+auto Gauge(std::string name, std::string help, std::size_t value)
+    -> MetricSample {
+  return {.name = std::move(name),
+          .help = std::move(help),
+          .is_counter = false,
+          .value = static_cast<double>(value)};
+}
+
+}  // namespace
+
+FleetTask::FleetTask(FleetConfig config,
+                     FleetOutlets outlets,
+                     FleetMemory& memory)
+    : config_(std::move(config)),
+      outlets_(outlets),
+      memory_(memory),
+      membership_(config_.self, Random(config_.seed)),
+      table_spread_(config_.table_shards, Random(config_.seed + 1)) {}
+
+auto FleetTask::Start(TaskContext& context) -> Result<void> {
+  context_ = &context;
+  auto& loop = context.loop();
+  membership_timer_ = loop.MakeTimer([this] {
+    Decide(PauseCheck{});
+    Decide(MembershipTimer{});
+    UpdateTableSpread();
+    UpdateReadiness();
+  });
+  table_timer_ = loop.MakeTimer([this] {
+    Decide(PauseCheck{});
+    Decide(TableSpreadTimer{});
+  });
+  pause_timer_ = loop.MakeTimer(
+      [this] { Decide(PauseTick{membership_.peer_count() > 0}); });
+  readiness_timer_ = loop.MakeTimer([this] { UpdateReadiness(); });
+  publish_timer_ = loop.MakeTimer([this] { Publish(); });
+  metrics_timer_ =
+      loop.MakePeriodicTimer(kMetricsPeriod, [this] { ReportMetrics(); });
+  const auto now = Now();
+  readiness_.emplace(now);
+  readiness_timer_.Schedule(kPeerWait);
+  Decide(PauseTick{});
+  Decide(MembershipStarted{});
+  Decide(TableSpreadStarted{memory_.tables});
+  PublishSoon();
+  return {};
+}
+
+auto FleetTask::Handle(Message message) -> Result<void> {
+  // Nothing is sent on the ground of what was known before a pause.
+  Decide(PauseCheck{});
+  std::visit([this](auto& each) { TakeMessage(std::move(each)); }, message);
+  UpdateTableSpread();
+  UpdateReadiness();
+  return {};
+}
+
+auto FleetTask::Stop(StopMode /*mode*/) -> void {
+  context_->Exit();
+}
+
+auto FleetTask::TakeMessage(PeerMessageReceived message) -> void {
+  Decide(MembershipEvent(message.envelope));
+  Decide(TableSpreadEvent(std::move(message.envelope)));
+}
+
+auto FleetTask::TakeMessage(const VmListRead& message) -> void {
+  has_list_ = true;
+  Decide(VmListSeeded{message.members});
+}
+
+auto FleetTask::TakeMessage(TableRead message) -> void {
+  Decide(
+      TableTextRead{message.shard, message.revision, std::move(message.text)});
+}
+
+auto FleetTask::TakeMessage(const LeavingStarted& /*message*/) -> void {
+  Decide(LeavingDeclared{});
+  Publish();
+}
+
+auto FleetTask::Decide(const MembershipEvent& event) -> void {
+  for (const auto& action : membership_.OnEvent(event, Now())) {
+    std::visit([this](const auto& each) { Act(each); }, action);
+  }
+}
+
+auto FleetTask::Decide(const TableSpreadEvent& event) -> void {
+  for (const auto& action : table_spread_.OnEvent(event, Now())) {
+    std::visit([this](const auto& each) { Act(each); }, action);
+  }
+}
+
+auto FleetTask::Decide(const PauseEvent& event) -> void {
+  for (const auto& action : pause_detector_.OnEvent(event, Now())) {
+    std::visit([this](const auto& each) { Act(each); }, action);
+  }
+}
+
+auto FleetTask::Act(const SendToPeer& action) -> void {
+  outlets_.mesh.Post(PeerMessageToSend{action});
+}
+
+auto FleetTask::Act(const PeersSelected& action) -> void {
+  outlets_.mesh.Post(PeerEndpointsChanged{action.endpoints});
+}
+
+auto FleetTask::Act(const MembersChanged& /*action*/) -> void {
+  PublishSoon();
+}
+
+auto FleetTask::Act(const SelfSuperseded& action) -> void {
+  if (std::exchange(is_superseded_, true)) {
+    return;
+  }
+  Log(Part::kFleet, LogLevel::kError,
+      "another process of this vm has started with incarnation " +
+          std::to_string(action.incarnation.value()) +
+          "; this one takes no more callers");
+  PublishSoon();
+}
+
+auto FleetTask::Act(const WakeMembershipAt& action) -> void {
+  membership_timer_.Schedule(DelayUntil(action.at));
+}
+
+auto FleetTask::Act(const CheckTable& action) -> void {
+  const auto reason = tables_.Check(action.digest, action.text);
+  Decide(TableChecked{action.digest, !reason, reason.value_or("")});
+}
+
+auto FleetTask::Act(const TableAccepted& action) -> void {
+  tables_.PutInForce(action.digest);
+  const auto same_shard = [&](const TableData& table) {
+    return table.digest.shard == action.digest.shard;
+  };
+  auto& kept = memory_.tables;
+  kept.erase(std::remove_if(kept.begin(), kept.end(), same_shard), kept.end());
+  kept.push_back({action.digest, action.text});
+  Log(Part::kFleet, LogLevel::kInfo,
+      "table revision " + std::to_string(action.digest.revision.value()) +
+          " is in force");
+  UpdateReadiness();
+  PublishSoon();
+}
+
+auto FleetTask::Act(const TableRejected& action) -> void {
+  ++refused_tables_;
+  Log(Part::kFleet, LogLevel::kWarning,
+      "refused table revision " +
+          std::to_string(action.digest.revision.value()) + ": " +
+          action.reason);
+  outlets_.admin.Post(TableRefused{action.digest.revision, action.reason});
+}
+
+auto FleetTask::Act(const ReaderRoleSet& action) -> void {
+  outlets_.platform.Post(ReaderRoleChanged{action.is_reader, action.known});
+}
+
+auto FleetTask::Act(const WakeTableSpreadAt& action) -> void {
+  table_timer_.Schedule(DelayUntil(action.at));
+}
+
+auto FleetTask::Act(const PauseDetected& action) -> void {
+  ++pauses_;
+  Log(Part::kFleet, LogLevel::kWarning,
+      "the process was paused for " +
+          std::to_string(ToMilliseconds(action.gap)) + " ms");
+  readiness_->Resume(Now());
+  readiness_timer_.Schedule(kResumePeerWait);
+  Decide(MembershipResumed{});
+  two_way_peers_.clear();
+  UpdateReadiness();
+  Publish();
+}
+
+auto FleetTask::Act(const WakePauseDetectorAt& action) -> void {
+  pause_timer_.Schedule(DelayUntil(action.at));
+}
+
+auto FleetTask::UpdateReadiness() -> void {
+  const auto now = Now();
+  ReadinessFacts facts;
+  facts.has_table = table_spread_.IsComplete();
+  facts.is_catching_up = table_spread_.IsCatchingUp();
+  facts.has_list = has_list_;
+  facts.other_vms = membership_.list().other_count();
+  facts.two_way_peers = membership_.TwoWayPeers(now).size();
+  const bool ready = readiness_->IsReady(facts, now) && !is_superseded_;
+  const auto digests = table_spread_.Digests();
+  if (ready == is_ready_ && digests == announced_tables_) {
+    return;
+  }
+  is_ready_ = ready;
+  announced_tables_ = digests;
+  Decide(SelfAnnounced{is_ready_, announced_tables_});
+  PublishSoon();
+}
+
+auto FleetTask::UpdateTableSpread() -> void {
+  auto peers = membership_.TwoWayPeers(Now());
+  if (peers == two_way_peers_) {
+    return;
+  }
+  two_way_peers_ = std::move(peers);
+  const auto members = membership_.Members();
+  Decide(TableFleetChanged{two_way_peers_,
+                           IsElectedReader(config_.self.id, members),
+                           members.size()});
+}
+
+auto FleetTask::PublishSoon() -> void {
+  if (!publish_timer_.IsPending()) {
+    publish_timer_.Schedule(kPublishDelay);
+  }
+}
+
+auto FleetTask::Publish() -> void {
+  publish_timer_.Cancel();
+  auto view = std::make_shared<FleetView>();
+  view->self = config_.self.id;
+  view->incarnation = config_.self.incarnation;
+  view->table = tables_.table();
+  view->members = membership_.Members();
+  view->cut_off = membership_.CutOff(Now());
+  view->ready = is_ready_ && !is_superseded_;
+  view->leaving = membership_.self().leaving || is_superseded_;
+  if (view->table) {
+    homes_.Update(view->members, view->table->rows);
+    view->placements = homes_.PlacementsOf(view->self, view->table->rows);
+  }
+  UpdateHomePeers(*view);
+  two_way_peers_ = membership_.TwoWayPeers(Now());
+  Decide(TableFleetChanged{two_way_peers_,
+                           IsElectedReader(view->self, view->members),
+                           view->members.size()});
+  const std::shared_ptr<const FleetView> published = std::move(view);
+  outlets_.traffic.Post(FleetViewChanged{published});
+  outlets_.admin.Post(FleetViewChanged{published});
+}
+
+auto FleetTask::UpdateHomePeers(const FleetView& view) -> void {
+  std::set<VmId> peers;
+  for (const auto& [service, placement] : view.placements) {
+    peers.insert(placement.home.begin(), placement.home.end());
+  }
+  peers.erase(view.self);
+  if (peers == home_peers_) {
+    return;
+  }
+  home_peers_ = peers;
+  Decide(HomePeersChanged{{peers.begin(), peers.end()}});
+}
+
+auto FleetTask::ReportMetrics() -> void {
+  std::size_t alive = 0;
+  for (const auto& member : membership_.Members()) {
+    alive += member.liveness == Liveness::kAlive ? 1 : 0;
+  }
+  const auto table = tables_.table();
+  outlets_.telemetry.Post(MetricsReported{
+      .task = std::string(ToName(Part::kFleet)),
+      .samples = {
+          Gauge("flamingoyoke_fleet_alive_vms",
+                "Vms that this vm holds for alive, itself included.", alive),
+          Gauge("flamingoyoke_fleet_peers", "Peers with a connection.",
+                membership_.peer_count()),
+          Gauge("flamingoyoke_fleet_cut_off_peers",
+                "Alive peers without a two-way link.",
+                membership_.CutOff(Now()).size()),
+          Gauge("flamingoyoke_fleet_table_revision",
+                "Revision of the table in force, 0 if there is none.",
+                table ? table->revision.value() : 0),
+          {.name = "flamingoyoke_fleet_refused_tables_total",
+           .help = "Versions of the table that failed their check.",
+           .value = static_cast<double>(refused_tables_)},
+          {.name = "flamingoyoke_fleet_pauses_total",
+           .help = "Times that the process was paused.",
+           .value = static_cast<double>(pauses_)},
+      }});
+}
+
+}  // namespace flamingoyoke
--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -92,7 +92,7 @@
                                  {"part", ToName(part)},
                                  {"message", line}};
   spdlog::log(
-      level, "{}",
+      spdlog_level, "{}",
       record.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
--- a/src/table/cell_reader.cc
+++ b/src/table/cell_reader.cc
@@ -39,7 +39,7 @@
 
 }  // namespace
 
-auto ParseDecimal(std::string_view text) -> std::optional<double> {
+auto ParseReal(std::string_view text) -> std::optional<double> {
   // from_chars would also take "-1", "inf" and "nan".
   if (text.find_first_not_of("0123456789.") != std::string_view::npos) {
     return std::nullopt;
@@ -87,7 +87,7 @@
   if (text.empty()) {
     return fallback;
   }
-  const auto value = ParseDecimal(text);
+  const auto value = ParseReal(text);
   if (!value || *value < range.least || *value > range.most) {
     Refuse(column, text, RangeReason("decimal", range));
     return fallback;
--- a/src/table/cell_reader.h
+++ b/src/table/cell_reader.h
@@ -57,7 +57,7 @@
 
 // Parses all of `text` as a decimal number without exponent, sign, infinity
 // or NaN. Thread-safe.
-auto ParseDecimal(std::string_view text) -> std::optional<double>;
+auto ParseReal(std::string_view text) -> std::optional<double>;
 
 }  // namespace flamingoyoke
 
--- a/src/table/target_reader.cc
+++ b/src/table/target_reader.cc
@@ -53,7 +53,7 @@
     return refuse("the row lists this target twice");
   }
   const auto weight =
-      parts.weight ? ParseDecimal(*parts.weight) : std::optional<double>(1.0);
+      parts.weight ? ParseReal(*parts.weight) : std::optional<double>(1.0);
   if (!weight || *weight < kWeightRange.least || *weight > kWeightRange.most) {
     return refuse("the weight must be a decimal number from 0.01 to 100");
   }
--- /dev/null
+++ b/tests/unit/node/control/fleet/fleet_task_test.cc
@@ -0,0 +1,175 @@
+#include "node/control/fleet/fleet_task.h"
+
+#include <criterion/criterion.h>
+#include <poll.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "runtime/clock.h"
+#include "runtime/task_host.h"
+
+namespace flamingoyoke {
+namespace {
+
+constexpr Duration kPatience = std::chrono::seconds(10);
+constexpr const char* kTable =
+    "service,route,targets,slots,connections,home,floor,deadline_ms,"
+    "repeatable,key,queue,team_rate,team_burst,long_bytes,long_share,"
+    "max_body_bytes,retry,hedge_ms\n"
+    "stock,/stock,10.0.0.1:8080*2@a; 10.0.0.2:8080@b,2,330,4,0.6,800,"
+    "yes,none,500,50,100,4096,0.25,65536,0.1,40\n";
+
+auto MakeMember(const std::string& id) -> Member {
+  Member member;
+  member.id = VmId(id);
+  member.incarnation = Incarnation(5);
+  member.failure_domain = FailureDomainId("fd-0");
+  member.region = RegionId("r-0");
+  member.address = "10.0.0.9:80";
+  member.mesh_address = "10.0.0.9:" + id.substr(3);
+  return member;
+}
+
+// A fleet task on its own thread with mailboxes that nobody else reads.
+class Node {
+ public:
+  Node() {
+    host_ = std::make_unique<TaskHost<FleetTask>>(
+        "fleet", mailboxes_.fleet, [this] {
+          return std::make_unique<FleetTask>(
+              FleetConfig{MakeMember("vm-1"), 1, 1},
+              FleetOutlets{mailboxes_.mesh, mailboxes_.platform,
+                           mailboxes_.traffic, mailboxes_.admin,
+                           mailboxes_.telemetry},
+              memory_);
+        });
+    Start();
+  }
+
+  auto Start() -> void {
+    host_->Start([](std::optional<Error>) {});
+  }
+  auto Restart() -> void {
+    host_->RequestStop(StopMode::kHard);
+    host_->Join();
+    host_ = std::make_unique<TaskHost<FleetTask>>(
+        "fleet", mailboxes_.fleet, [this] {
+          return std::make_unique<FleetTask>(
+              FleetConfig{MakeMember("vm-1"), 1, 2},
+              FleetOutlets{mailboxes_.mesh, mailboxes_.platform,
+                           mailboxes_.traffic, mailboxes_.admin,
+                           mailboxes_.telemetry},
+              memory_);
+        });
+    Start();
+  }
+
+  auto Post(FleetMessage message) -> void {
+    mailboxes_.fleet.Post(std::move(message));
+  }
+
+  // Waits for a view that `is_wanted` accepts; null if there is none in time.
+  template <typename Predicate>
+  auto AwaitView(Predicate is_wanted) -> std::shared_ptr<const FleetView> {
+    const auto end = Now() + kPatience;
+    while (Now() < end) {
+      pollfd wait = {mailboxes_.traffic.descriptor(), POLLIN, 0};
+      poll(&wait, 1, 100);
+      for (auto& message : mailboxes_.traffic.TakeAll()) {
+        const auto* changed = std::get_if<FleetViewChanged>(&message);
+        if (changed != nullptr && is_wanted(*changed->view)) {
+          return changed->view;
+        }
+      }
+    }
+    return nullptr;
+  }
+
+  auto mailboxes() -> Mailboxes& { return mailboxes_; }
+
+ private:
+  Mailboxes mailboxes_;
+  FleetMemory memory_;
+  std::unique_ptr<TaskHost<FleetTask>> host_;
+};
+
+auto IsReadyView(const FleetView& view) -> bool {
+  return view.ready;
+}
+
+// Guards against a single vm that never takes callers.
+Test(fleet_task, publishes_a_ready_view_on_a_single_vm) {
+  Node node;
+  node.Post(VmListRead{{MakeMember("vm-1")}, 1});
+  node.Post(TableRead{0, Revision(3), kTable});
+  const auto view = node.AwaitView(IsReadyView);
+  cr_assert(view != nullptr);
+  cr_assert(view->table->revision == Revision(3));
+  cr_assert_eq(view->members.size(), 1);
+  const auto& placement = view->placements.at(ServiceId("stock"));
+  cr_assert(placement.home == std::vector<VmId>{VmId("vm-1")});
+  cr_assert(placement.owners ==
+            (std::vector<VmId>{VmId("vm-1"), VmId("vm-1")}));
+}
+
+// Guards against a faulty table that takes effect or goes unreported.
+Test(fleet_task, keeps_the_table_and_reports_a_refused_one) {
+  Node node;
+  node.Post(VmListRead{{MakeMember("vm-1")}, 1});
+  node.Post(TableRead{0, Revision(3), kTable});
+  cr_assert(node.AwaitView(IsReadyView) != nullptr);
+  node.Post(TableRead{0, Revision(4), "service,route\nbroken"});
+  node.Post(LeavingStarted{});
+  const auto view =
+      node.AwaitView([](const FleetView& each) { return each.leaving; });
+  cr_assert(view != nullptr);
+  cr_assert(view->table->revision == Revision(3));
+  bool is_reported = false;
+  for (auto& message : node.mailboxes().admin.TakeAll()) {
+    if (const auto* refused = std::get_if<TableRefused>(&message)) {
+      is_reported =
+          refused->revision == Revision(4) && !refused->reason.empty();
+    }
+  }
+  cr_assert(is_reported);
+}
+
+// Guards against a process whose table goes back when the fleet task is
+// restarted beside a stale configuration service.
+Test(fleet_task, keeps_the_revision_over_a_restart) {
+  Node node;
+  node.Post(VmListRead{{MakeMember("vm-1")}, 1});
+  node.Post(TableRead{0, Revision(3), kTable});
+  cr_assert(node.AwaitView(IsReadyView) != nullptr);
+  node.Restart();
+  node.Post(VmListRead{{MakeMember("vm-1")}, 1});
+  node.Post(TableRead{0, Revision(2), kTable});
+  const auto view = node.AwaitView(IsReadyView);
+  cr_assert(view != nullptr);
+  cr_assert(view->table->revision == Revision(3));
+}
+
+// Guards against vms that are listed but never contacted.
+Test(fleet_task, contacts_listed_vms) {
+  Node node;
+  node.Post(VmListRead{{MakeMember("vm-1"), MakeMember("vm-2")}, 1});
+  const auto end = Now() + kPatience;
+  bool is_contacted = false;
+  while (!is_contacted && Now() < end) {
+    pollfd wait = {node.mailboxes().mesh.descriptor(), POLLIN, 0};
+    poll(&wait, 1, 100);
+    for (auto& message : node.mailboxes().mesh.TakeAll()) {
+      const auto* send = std::get_if<PeerMessageToSend>(&message);
+      is_contacted =
+          is_contacted || (send != nullptr && send->order.peer == VmId("vm-2"));
+    }
+  }
+  cr_assert(is_contacted);
+}
+
+}  // namespace
+}  // namespace flamingoyoke
