--- /dev/null
+++ b/src/node/log.h
@@ -0,0 +1,52 @@
+#ifndef FLAMINGOYOKE_NODE_LOG_H_
+#define FLAMINGOYOKE_NODE_LOG_H_
+
+#include <array>
+#include <string_view>
+
+#include "core/log_level.h"
+#include "core/name_table.h"
+
+namespace flamingoyoke {
+
+// Parts of the process; each has a fixed prefix in the logs.
+enum class Part {
+  kNode,
+  kTraffic,
+  kControl,
+  kFleet,
+  kMesh,
+  kPlatform,
+  kObserve,
+  kAdmin,
+  kTelemetry,
+};
+
+template <>
+struct EnumNames<Part> {
+  static constexpr auto kTable = std::to_array<NameEntry<Part>>({
+      {Part::kNode, "node"},
+      {Part::kTraffic, "traffic"},
+      {Part::kControl, "control"},
+      {Part::kFleet, "fleet"},
+      {Part::kMesh, "mesh"},
+      {Part::kPlatform, "platform"},
+      {Part::kObserve, "observe"},
+      {Part::kAdmin, "admin"},
+      {Part::kTelemetry, "telemetry"},
+  });
+};
+static_assert(IsDense<Part>());
+
+// Sets the least level and the format of all later lines, which go to
+// standard error. Call once, before any task starts.
+auto ConfigureLog(LogLevel least, LogFormat format) -> void;
+
+// Writes one short sentence with the prefix of `part`. A sentence that the
+// same thread repeats within five seconds is counted and not written.
+// `sentence` must hold no body, key or secret. Thread-safe.
+auto Log(Part part, LogLevel level, std::string_view sentence) -> void;
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_NODE_LOG_H_
