--- a/bench/dispatcher_run.cc
+++ b/bench/dispatcher_run.cc
@@ -167,6 +167,7 @@
       nodes_.begin(), nodes_.end(),
       [&](const Node& candidate) { return candidate.id == action.peer; });
   ++result_.messages;
+  ++result_.kinds[action.message.index()];
   result_.bytes += EncodeEnvelope(PeerEnvelope{nodes_[node].id, Incarnation(1),
                                                action.message})
                        .size();
--- a/bench/run_result.cc
+++ b/bench/run_result.cc
@@ -17,6 +17,9 @@
 auto RunResult::Merge(const RunResult& other) -> void {
   messages += other.messages;
   bytes += other.bytes;
+  for (std::size_t i = 0; i < kinds.size(); ++i) {
+    kinds[i] += other.kinds[i];
+  }
   upstream_sheds += other.upstream_sheds;
   failures_ += other.failures_;
   timely_.insert(timely_.end(), other.timely_.begin(), other.timely_.end());
--- a/bench/run_result.h
+++ b/bench/run_result.h
@@ -4,11 +4,13 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <variant>
 #include <vector>
 
 #include "core/name_table.h"
 #include "core/time.h"
 #include "decision/dispatch/attempt.h"
+#include "decision/peer/peer_message.h"
 
 namespace flamingoyoke {
 
@@ -38,6 +40,8 @@
   // Messages between nodes and their encoded size.
   std::uint64_t messages = 0;
   std::uint64_t bytes = 0;
+  // Messages by the index of their kind.
+  std::array<std::uint64_t, std::variant_size_v<PeerMessage>> kinds{};
   // Attempts that a target shed since all its slots were in use.
   std::uint64_t upstream_sheds = 0;
 
--- a/src/decision/dispatch/load_reporter.h
+++ b/src/decision/dispatch/load_reporter.h
@@ -17,7 +17,9 @@
 // message: what counts for a borrower is whom to ask. Not thread-safe.
 class LoadReporter {
  public:
-  static constexpr Duration kMinInterval = std::chrono::milliseconds(20);
+  // With 20 ms, reports were most of the control traffic and p99 was the same
+  // within 1%.
+  static constexpr Duration kMinInterval = std::chrono::milliseconds(100);
   static constexpr Duration kMaxInterval = std::chrono::milliseconds(200);
 
   // Counts an attempt of this node on an owned target.
--- a/src/decision/dispatch/loan_borrower.cc
+++ b/src/decision/dispatch/loan_borrower.cc
@@ -92,10 +92,6 @@
                        Random& random,
                        TimePoint now) -> std::vector<SendToPeer> {
   std::vector<SendToPeer> sends;
-  if (waiting == 0) {
-    Withdraw(work_class, now, sends);
-    return sends;
-  }
   const auto outstanding = Outstanding(work_class, VmId(), now);
   const auto wanted = static_cast<std::uint32_t>(
       std::min<std::size_t>(waiting, kMaxOutstanding));
@@ -153,21 +149,6 @@
   }
 }
 
-auto LoanBorrower::Withdraw(WorkClass work_class,
-                            TimePoint now,
-                            std::vector<SendToPeer>& sends) -> void {
-  std::vector<VmId> asked;
-  for (const auto& [sequence, open] : requests_) {
-    if (open.work_class == work_class && open.wanted > 0 &&
-        now - open.sent < kRequestDuration) {
-      asked.push_back(open.lender);
-    }
-  }
-  for (const auto& lender : asked) {
-    sends.push_back(SendRequest(lender, work_class, 0, now));
-  }
-}
-
 auto LoanBorrower::OnLoan(const VmId& lender,
                           const SlotLoan& loan,
                           TimePoint now) -> std::optional<SendToPeer> {
@@ -200,7 +181,7 @@
 
 auto LoanBorrower::Refuse(const VmId& lender, const SlotLoan& loan) const
     -> SendToPeer {
-  return {lender, SlotReturn{loan.loan, service_, loan.targets, {}}};
+  return {lender, SlotReturn{loan.loan, service_, {}, {}}};
 }
 
 auto LoanBorrower::OnRecall(const VmId& lender, const SlotRecall& recall)
@@ -269,7 +250,8 @@
 
 auto LoanBorrower::ReturnOf(const LoanKey& key, const BorrowedSlot& slot) const
     -> SendToPeer {
-  SlotReturn message{key.loan, service_, {slot.target}, {}};
+  // The id names the slot; leaving out the target saves a third of the size.
+  SlotReturn message{key.loan, service_, {}, {}};
   if (!IsEmpty(slot.outcomes)) {
     message.outcomes.push_back(slot.outcomes);
   }
--- a/src/decision/dispatch/loan_borrower.h
+++ b/src/decision/dispatch/loan_borrower.h
@@ -48,7 +48,8 @@
   auto OnLoadReport(const VmId& lender, const LoadReport& report) -> void;
 
   // Asks for slots for `waiting` requests of `work_class`, less what was
-  // asked for before. Withdraws open requests if nothing waits.
+  // asked for before. Requests are not withdrawn when nothing waits any more:
+  // that costs more messages than the loans that come too late.
   auto Ask(WorkClass work_class,
            std::size_t waiting,
            Random& random,
@@ -132,9 +133,6 @@
                  Random& random,
                  TimePoint now,
                  std::vector<SendToPeer>& sends) -> void;
-  auto Withdraw(WorkClass work_class,
-                TimePoint now,
-                std::vector<SendToPeer>& sends) -> void;
   auto Refuse(const VmId& lender, const SlotLoan& loan) const -> SendToPeer;
   auto ReturnOf(const LoanKey& key, const BorrowedSlot& slot) const
       -> SendToPeer;
--- a/src/decision/dispatch/loan_lender.cc
+++ b/src/decision/dispatch/loan_lender.cc
@@ -13,7 +13,7 @@
 
 // Loans shorter than this from their first use are not recalled: they mostly
 // come back by themselves before the recall arrives.
-constexpr Duration kRecallAge = std::chrono::milliseconds(20);
+constexpr Duration kRecallAge = std::chrono::milliseconds(50);
 
 // Peers whose last sequence is remembered; any vm of the fleet may borrow.
 constexpr std::size_t kMaxPeers = 1024;
--- a/src/decision/dispatch/loan_timing.h
+++ b/src/decision/dispatch/loan_timing.h
@@ -12,7 +12,7 @@
 
 // A request that finds no idle slot is kept this long by the lender and is
 // then repeated by a borrower that still needs a slot.
-inline constexpr Duration kRequestDuration = std::chrono::milliseconds(100);
+inline constexpr Duration kRequestDuration = std::chrono::milliseconds(50);
 
 // A loan in use is renewed when less than this is left.
 inline constexpr Duration kRenewalLead = std::chrono::milliseconds(250);
--- a/src/decision/dispatch/service_dispatcher.cc
+++ b/src/decision/dispatch/service_dispatcher.cc
@@ -17,6 +17,10 @@
 // timeout was not reported.
 constexpr Duration kTimeoutGrace = std::chrono::milliseconds(50);
 
+// Requests that will get an owned slot within this share of the mean service
+// time are not worth a loan, whose messages take time as well.
+constexpr double kLocalWaitShare = 0.25;
+
 // Returns the error of a request whose only attempt ended with `result`.
 auto ErrorOf(AttemptResult result) -> ErrorKind {
   switch (result) {
@@ -529,15 +533,26 @@
 
 auto ServiceDispatcher::Borrow() -> void {
   for (const auto& [work_class, name] : EnumNames<WorkClass>::kTable) {
-    const auto waiting = queue_.size(work_class);
-    if (waiting == 0) {
+    if (queue_.size(work_class) == 0) {
       Send(borrower_.ReturnIdle(work_class));
     }
-    Send(borrower_.Ask(work_class, waiting, random_, now_));
+    Send(borrower_.Ask(work_class, WantedLoans(work_class), random_, now_));
   }
   Send(borrower_.Renew(now_));
 }
 
+auto ServiceDispatcher::WantedLoans(WorkClass work_class) const -> std::size_t {
+  const auto waiting = queue_.size(work_class);
+  const auto usable = slots_.Usable();
+  const auto serving =
+      work_class == WorkClass::kLong
+          ? long_slot_cap()
+          : usable - std::min(usable, slots_.InUse(WorkClass::kLong));
+  const auto soon =
+      static_cast<std::size_t>(kLocalWaitShare * static_cast<double>(serving));
+  return waiting - std::min(waiting, soon);
+}
+
 auto ServiceDispatcher::Report() -> void {
   if (!is_member_ || !reporter_.IsDue(SpareSlots(), IsBusy(), now_)) {
     return;
--- a/src/decision/dispatch/service_dispatcher.h
+++ b/src/decision/dispatch/service_dispatcher.h
@@ -139,6 +139,8 @@
   auto LendFor(WorkClass work_class) -> void;
   // Returns, renews and asks for loans.
   auto Borrow() -> void;
+  // Returns how many waiting requests should not wait for an owned slot.
+  [[nodiscard]] auto WantedLoans(WorkClass work_class) const -> std::size_t;
   auto Report() -> void;
   auto OrderWake() -> void;
 
