--- /dev/null
+++ b/tests/unit/decision/dispatch/loan_lender_test.cc
@@ -0,0 +1,95 @@
+#include "decision/dispatch/loan_lender.h"
+
+#include <criterion/criterion.h>
+
+#include "decision/dispatch/loan_timing.h"
+
+namespace flamingoyoke {
+namespace {
+
+constexpr TimePoint kNow{std::chrono::seconds(50)};
+const ServiceId kService("stock");
+const TargetId kTarget("10.0.0.1:80");
+const VmId kBorrower("b");
+
+auto Request(std::uint64_t sequence, std::uint32_t wanted) -> SlotRequest {
+  return {kService, sequence, wanted, WorkClass::kShort, {}};
+}
+
+auto Grant(LoanLender& lender, TimePoint now) -> SlotLoan {
+  return lender.Grant(*lender.NextRequest(WorkClass::kShort), kTarget, kService,
+                      now);
+}
+
+// Guards against a repeated or late request that is lent to twice.
+Test(loan_lender, repeated_and_older_requests_are_ignored) {
+  LoanLender lender(0);
+  lender.OnRequest(kBorrower, Request(5, 1), kNow);
+  Grant(lender, kNow);
+  lender.OnRequest(kBorrower, Request(5, 1), kNow);
+  lender.OnRequest(kBorrower, Request(4, 1), kNow);
+  cr_assert_not(lender.NextRequest(WorkClass::kShort).has_value());
+}
+
+// Guards against a borrower that is ignored for good after its restart.
+Test(loan_lender, a_restarted_borrower_is_heard) {
+  LoanLender lender(0);
+  lender.OnRequest(kBorrower, Request(1000000, 1), kNow);
+  lender.OnRequest(kBorrower, Request(7, 1), kNow);
+  cr_assert_eq(lender.NextRequest(WorkClass::kShort)->sequence, 7);
+}
+
+// Guards against a repeated return, or one from another vm, that frees a slot
+// still in use.
+Test(loan_lender, a_loan_is_returned_once_and_by_its_borrower) {
+  LoanLender lender(0);
+  lender.OnRequest(kBorrower, Request(1, 1), kNow);
+  const auto loan = Grant(lender, kNow);
+  cr_assert_not(lender.OnReturn(VmId("c"), loan.loan).has_value());
+  cr_assert(lender.OnReturn(kBorrower, loan.loan).has_value());
+  cr_assert_not(lender.OnReturn(kBorrower, loan.loan).has_value());
+}
+
+// Guards against a slot that stays lent to a vm that died.
+Test(loan_lender, a_loan_ends_without_renewal) {
+  LoanLender lender(0);
+  lender.OnRequest(kBorrower, Request(1, 1), kNow);
+  Grant(lender, kNow + kRequestDuration / 2);
+  cr_assert(lender.Expire(kNow + kLoanDuration - Duration(1)).empty());
+  cr_assert_eq(lender.Expire(kNow + kLoanDuration).size(), 1);
+}
+
+// Guards against a loan that ends while long work uses it.
+Test(loan_lender, a_renewal_extends_the_loan) {
+  LoanLender lender(0);
+  lender.OnRequest(kBorrower, Request(1, 1), kNow);
+  const auto loan = Grant(lender, kNow);
+  auto renewal = Request(2, 0);
+  renewal.renewed = {loan.loan};
+  const auto later = kNow + kLoanDuration / 2;
+  cr_assert_eq(lender.OnRequest(kBorrower, renewal, later).size(), 1);
+  cr_assert(lender.Expire(kNow + kLoanDuration).empty());
+  cr_assert_eq(lender.Expire(later + kLoanDuration).size(), 1);
+}
+
+// Guards against a loan to a lost peer that is kept alive by late renewals.
+Test(loan_lender, a_lost_borrower_cannot_renew) {
+  LoanLender lender(0);
+  lender.OnRequest(kBorrower, Request(1, 1), kNow);
+  auto renewal = Request(2, 0);
+  renewal.renewed = {Grant(lender, kNow).loan};
+  lender.ForgetPeer(kBorrower);
+  cr_assert(lender.OnRequest(kBorrower, renewal, kNow).empty());
+  cr_assert_eq(lender.Expire(kNow + kLoanDuration).size(), 1);
+}
+
+// Guards against slots lent for a wait that ended long ago.
+Test(loan_lender, an_old_request_is_dropped) {
+  LoanLender lender(0);
+  lender.OnRequest(kBorrower, Request(1, 1), kNow);
+  lender.Expire(kNow + kRequestDuration);
+  cr_assert_not(lender.NextRequest(WorkClass::kShort).has_value());
+}
+
+}  // namespace
+}  // namespace flamingoyoke
