Recall the loans of targets that must get no new work

A target that leaves, is ejected or has another owner has no usable slot, but a borrower with a queue kept using and renewing its loan. Its loans are now recalled at once, and the recall is repeated when the borrower asks for more time, since a message may be lost.

--- a/src/decision/dispatch/loan_lender.cc
+++ b/src/decision/dispatch/loan_lender.cc
@@ -147,6 +147,23 @@
   return fresh;
 }
 
+auto LoanLender::RecallTarget(const TargetId& target)
+    -> std::vector<GrantedLoan> {
+  std::vector<GrantedLoan> recalled;
+  for (auto& [id, loan] : loans_) {
+    if (loan.target == target) {
+      loan.recalled = true;
+      recalled.push_back(loan);
+    }
+  }
+  return recalled;
+}
+
+auto LoanLender::IsRecalled(LoanId loan) const -> bool {
+  const auto entry = loans_.find(loan);
+  return entry != loans_.end() && entry->second.recalled;
+}
+
 auto LoanLender::ForgetPeer(const VmId& peer) -> void {
   pending_.erase(std::remove_if(pending_.begin(), pending_.end(),
                                 [&](const PendingRequest& pending) {
--- a/src/decision/dispatch/loan_lender.h
+++ b/src/decision/dispatch/loan_lender.h
@@ -75,6 +75,14 @@
   // Marks up to `count` loans as recalled and returns them.
   auto Recall(std::size_t count, TimePoint now) -> std::vector<GrantedLoan>;
 
+  // Marks all loans of `target` as recalled and returns them, whatever their
+  // age: the target must get no new work.
+  auto RecallTarget(const TargetId& target) -> std::vector<GrantedLoan>;
+
+  // Returns whether the loan is in force and was recalled. A recall may be
+  // lost, so it is repeated when the borrower asks for more time.
+  [[nodiscard]] auto IsRecalled(LoanId loan) const -> bool;
+
   // Drops the requests of a lost peer. Its loans are no longer renewed and run
   // out, since the peer may be alive and use them.
   auto ForgetPeer(const VmId& peer) -> void;
--- a/src/decision/dispatch/service_dispatcher.cc
+++ b/src/decision/dispatch/service_dispatcher.cc
@@ -1,6 +1,7 @@
 #include "decision/dispatch/service_dispatcher.h"
 
 #include <algorithm>
+#include <set>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -135,6 +136,7 @@
   retries_.Configure(event.row.retry_share);
   borrower_.Configure(event.row.service, peers_);
   slots_.Configure(event.row, event.owned);
+  RecallUnusable();
 }
 
 auto ServiceDispatcher::IsUnreachable(const RequestArrived& event) const
@@ -277,6 +279,7 @@
 
 auto ServiceDispatcher::On(const TargetShareChanged& event) -> void {
   slots_.SetShare(event.target, event.share);
+  RecallUnusable();
 }
 
 auto ServiceDispatcher::On(const DispatchPeerMessage& event) -> void {
@@ -302,6 +305,11 @@
   for (auto& renewal : lender_.OnRequest(sender, message, now_)) {
     actions_.emplace_back(SendToPeer{sender, std::move(renewal)});
   }
+  for (const auto loan : message.renewed) {
+    if (lender_.IsRecalled(loan)) {
+      SendRecall(sender, loan);
+    }
+  }
 }
 
 auto ServiceDispatcher::OnPeer(const VmId& sender, const SlotLoan& message)
@@ -510,11 +518,28 @@
     return;
   }
   for (const auto& loan : lender_.Recall(queue_.size(), now_)) {
-    actions_.emplace_back(
-        SendToPeer{loan.borrower, SlotRecall{loan.loan, row_->service}});
+    SendRecall(loan.borrower, loan.loan);
   }
 }
 
+auto ServiceDispatcher::RecallUnusable() -> void {
+  std::set<TargetId> unusable;
+  for (const auto& [id, loan] : lender_.loans()) {
+    if (slots_.Usable(loan.target) == 0) {
+      unusable.insert(loan.target);
+    }
+  }
+  for (const auto& target : unusable) {
+    for (const auto& loan : lender_.RecallTarget(target)) {
+      SendRecall(loan.borrower, loan.loan);
+    }
+  }
+}
+
+auto ServiceDispatcher::SendRecall(const VmId& borrower, LoanId loan) -> void {
+  actions_.emplace_back(SendToPeer{borrower, SlotRecall{loan, row_->service}});
+}
+
 auto ServiceDispatcher::LendFor(WorkClass work_class) -> void {
   for (auto request = lender_.NextRequest(work_class);
        request && queue_.size(work_class) == 0;
--- a/src/decision/dispatch/service_dispatcher.h
+++ b/src/decision/dispatch/service_dispatcher.h
@@ -137,6 +137,9 @@
   // Lends idle slots to peers that asked, and recalls loans if requests wait.
   auto Lend() -> void;
   auto LendFor(WorkClass work_class) -> void;
+  // Recalls the loans of targets that must get no new work.
+  auto RecallUnusable() -> void;
+  auto SendRecall(const VmId& borrower, LoanId loan) -> void;
   // Returns, renews and asks for loans.
   auto Borrow() -> void;
   // Returns how many waiting requests should not wait for an owned slot.
--- a/tests/unit/decision/dispatch/dispatch_faults_test.cc
+++ b/tests/unit/decision/dispatch/dispatch_faults_test.cc
@@ -26,6 +26,7 @@
 // The home set and one vm that received a request by an old address.
 constexpr int kNodes = 4;
 constexpr int kTargetsEach = 2;
+constexpr int kTargets = kMembers * kTargetsEach;
 constexpr std::uint32_t kSlots = 2;
 constexpr int kSteps = 2500;
 constexpr int kSeeds = 40;
@@ -121,7 +122,7 @@
     for (int i = 0; i < kMembers; ++i) {
       configured.home.push_back(NodeId(i));
     }
-    for (int i = 0; i < kMembers * kTargetsEach; ++i) {
+    for (int i = 0; i < kTargets; ++i) {
       TargetSpec spec;
       spec.id = Target(i);
       configured.row.targets.push_back(spec);
@@ -178,11 +179,9 @@
       Handle(node, DispatchPeerLost{
                        NodeId(static_cast<int>(random_.Below(kMembers)))});
     } else if (kind < 80) {
-      Handle(
-          node,
-          TargetShareChanged{
-              Target(static_cast<int>(random_.Below(kMembers * kTargetsEach))),
-              0.25 * static_cast<double>(random_.Below(5))});
+      Handle(node, TargetShareChanged{
+                       Target(static_cast<int>(random_.Below(kTargets))),
+                       0.25 * static_cast<double>(random_.Below(5))});
     }
   }
 
--- a/tests/unit/decision/dispatch/loan_lender_test.cc
+++ b/tests/unit/decision/dispatch/loan_lender_test.cc
@@ -83,6 +83,18 @@
   cr_assert_eq(lender.Expire(kNow + kLoanDuration).size(), 1);
 }
 
+// Guards against a leaving target that borrowers keep using since the recall
+// was lost: the recall is known and repeated with the next renewal.
+Test(loan_lender, loans_of_an_unusable_target_stay_recalled) {
+  LoanLender lender(0);
+  lender.OnRequest(kBorrower, Request(1, 1), kNow);
+  const auto loan = Grant(lender, kNow);
+  cr_assert(lender.RecallTarget(TargetId("10.0.0.2:80")).empty());
+  cr_assert_not(lender.IsRecalled(loan.loan));
+  cr_assert_eq(lender.RecallTarget(kTarget).size(), 1);
+  cr_assert(lender.IsRecalled(loan.loan));
+}
+
 // Guards against slots lent for a wait that ended long ago.
 Test(loan_lender, an_old_request_is_dropped) {
   LoanLender lender(0);
--- a/tests/unit/decision/dispatch/service_dispatcher_test.cc
+++ b/tests/unit/decision/dispatch/service_dispatcher_test.cc
@@ -189,5 +189,85 @@
   cr_assert_eq(fixture.dispatcher_.slots_in_use(), 0U);
 }
 
+// Guards against work that is accepted although it cannot be done in time, so
+// that its caller learns it too late to go elsewhere.
+Test(service_dispatcher, work_that_would_wait_too_long_is_rejected_at_once) {
+  Fixture fixture(1, 1);
+  for (std::uint64_t i = 1; i <= 30; ++i) {
+    fixture.Arrive(i);
+    fixture.now_ += milliseconds(100);
+    fixture.Finish(AttemptId(i), AttemptResult::kAnswered);
+  }
+  // 100 ms each on one slot: one runs, three wait up to 300 ms, and the next
+  // would wait 400 ms and then need the p95 of up to 120 ms.
+  std::size_t failed = 0;
+  for (std::uint64_t i = 100; i < 110; ++i) {
+    fixture.Arrive(i);
+    for (const auto& failure : fixture.Last<FailRequest>()) {
+      cr_assert(failure.error == ErrorKind::kDeadlineUnreachable);
+      ++failed;
+    }
+  }
+  cr_assert_eq(failed, 6U);
+  cr_assert_eq(fixture.dispatcher_.queue_length(), 3U);
+}
+
+// Guards against one team that takes all slots.
+Test(service_dispatcher, a_team_beyond_its_rate_is_rejected) {
+  Fixture fixture(2);
+  fixture.row_.team_rate = 1;
+  fixture.row_.team_burst = 1;
+  fixture.Configure();
+  fixture.Arrive(1);
+  fixture.Arrive(2);
+  const auto failed = fixture.Last<FailRequest>();
+  cr_assert_eq(failed.size(), 1U);
+  cr_assert(failed[0].error == ErrorKind::kTeamLimit);
+}
+
+// Guards against a slow target that delays repeatable work although another
+// target is idle, and against a hedge of unrepeatable work.
+Test(service_dispatcher, only_repeatable_work_is_hedged) {
+  for (const bool repeatable : {true, false}) {
+    Fixture fixture(2, 1);
+    fixture.row_.hedge_delay = milliseconds(50);
+    fixture.Configure();
+    fixture.Arrive(1, repeatable);
+    const auto first = fixture.Last<StartAttempt>().at(0);
+    fixture.now_ += milliseconds(50);
+    fixture.Send(DispatchTimer{});
+    const auto hedge = fixture.Last<StartAttempt>();
+    cr_assert_eq(hedge.size(), repeatable ? 1U : 0U);
+    if (repeatable) {
+      cr_assert(hedge[0].target != first.target);
+      fixture.Send(AttemptAnswering{hedge[0].attempt});
+      cr_assert(fixture.Last<CancelAttempt>().at(0).attempt == first.attempt);
+    }
+  }
+}
+
+// Guards against retries beyond the budget of the service.
+Test(service_dispatcher, retries_stop_at_the_budget) {
+  Fixture fixture(1);
+  fixture.Arrive(1);
+  fixture.Finish(AttemptId(1), AttemptResult::kConnectFailed);
+  cr_assert_eq(fixture.Last<StartAttempt>().size(), 1U);
+  fixture.Finish(AttemptId(2), AttemptResult::kConnectFailed);
+  cr_assert(fixture.Last<StartAttempt>().empty());
+  cr_assert(fixture.Last<FailRequest>().at(0).error ==
+            ErrorKind::kConnectFailed);
+}
+
+// Guards against a timeout that was never reported and holds its request.
+Test(service_dispatcher, an_attempt_without_a_report_is_cancelled) {
+  Fixture fixture(1);
+  fixture.Arrive(1);
+  fixture.now_ += milliseconds(550);
+  fixture.Send(DispatchTimer{});
+  cr_assert_eq(fixture.Last<CancelAttempt>().size(), 1U);
+  cr_assert(fixture.Last<FailRequest>().at(0).error ==
+            ErrorKind::kUpstreamTimeout);
+}
+
 }  // namespace
 }  // namespace flamingoyoke
