Check in the fault test that a borrower holds a loan

A trial that removed the memory of ended loans passed: the test looked only at the owner's books. A borrowed start now needs a loan that the owner counts.

--- a/tests/unit/decision/dispatch/dispatch_faults_test.cc
+++ b/tests/unit/decision/dispatch/dispatch_faults_test.cc
@@ -58,6 +58,7 @@
 };
 
 struct LoanModel {
+  VmId borrower;
   TargetId target;
   TimePoint expires;
 };
@@ -272,6 +273,8 @@
     model.attempts[action.attempt] = {action.request, action.target};
     if (OwnerOf(action.target) == node) {
       CheckSlots(node, action.target);
+    } else {
+      CheckLoan(node, action.target);
     }
     FinishLater(node, action.attempt);
   }
@@ -309,7 +312,7 @@
     if (const auto* loan = std::get_if<SlotLoan>(&action.message)) {
       const auto handled =
           nodes_[node].handled.at({action.peer, loan->sequence});
-      nodes_[node].granted[loan->loan] = {loan->targets.at(0),
+      nodes_[node].granted[loan->loan] = {action.peer, loan->targets.at(0),
                                           handled + kLoanDuration};
       CheckSlots(node, loan->targets.at(0));
     }
@@ -345,6 +348,20 @@
                   target.value().c_str());
   }
 
+  // A borrower starts only while the owner counts a loan to it: the loan ends
+  // at the borrower first, and a copy of a returned loan is not believed.
+  auto CheckLoan(int node, const TargetId& target) -> void {
+    const auto& granted = nodes_[OwnerOf(target)].granted;
+    const bool has_loan =
+        std::any_of(granted.begin(), granted.end(), [&](const auto& entry) {
+          const auto& loan = entry.second;
+          return loan.borrower == NodeId(node) && loan.target == target &&
+                 loan.expires > now_;
+        });
+    cr_assert(has_loan, "seed %lu: vm-%d uses %s without a loan", seed_, node,
+              target.value().c_str());
+  }
+
   auto CheckQuiet() -> void {
     for (const auto& node : nodes_) {
       for (const auto& [id, request] : node.requests) {
