Run the tasks of a vm as one supervisor tree in a daemon

Cause: the tasks existed apart from each other. Conclusion: restarts, stops and their order are one mechanism.

--- /dev/null
+++ b/src/node/node.cc
@@ -0,0 +1,168 @@
+#include "node/node.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/overloaded.h"
+#include "node/control/fleet/fleet_task.h"
+#include "node/control/mesh/mesh_task.h"
+#include "node/control/platform/platform_task.h"
+#include "node/log.h"
+#include "node/messages.h"
+#include "node/node_config.h"
+#include "node/observe/admin/admin_task.h"
+#include "node/observe/telemetry/telemetry_task.h"
+#include "node/traffic/traffic_task.h"
+#include "runtime/supervisor.h"
+#include "runtime/task_host.h"
+
+namespace flamingoyoke {
+namespace {
+
+using ControlSupervisor = Supervisor<FleetTask, MeshTask, PlatformTask>;
+using ObserveSupervisor = Supervisor<AdminTask, TelemetryTask>;
+using RootSupervisor =
+    Supervisor<TrafficTask, ControlSupervisor, ObserveSupervisor>;
+
+// Each child has one exit in flight at most.
+constexpr std::size_t kSupervisorMailboxCapacity = 16;
+
+// Writes what happens to the children of the supervisor of `part`.
+auto LogEvents(Part part) -> std::function<void(const SupervisorEvent&)> {
+  return [part](const SupervisorEvent& event) {
+    std::visit(
+        Overloaded{
+            [&](const ChildRestarted& restarted) {
+              Log(part, LogLevel::kWarning,
+                  "restarts " + restarted.child + ": " +
+                      restarted.error.detail);
+            },
+            [&](const ChildGaveUp& gave_up) {
+              Log(part, LogLevel::kError,
+                  gave_up.child + " failed too often: " + gave_up.error.detail);
+            },
+        },
+        event);
+  };
+}
+
+// Returns the host of task `T`, which is made by `make` at each start.
+template <typename T, typename Make>
+auto HostOf(Part part, Mailbox<typename T::Message>& mailbox, Make make)
+    -> std::unique_ptr<TaskHost<T>> {
+  return std::make_unique<TaskHost<T>>(std::string(ToName(part)), mailbox,
+                                       std::move(make));
+}
+
+}  // namespace
+
+class Node::Tree {
+ public:
+  explicit Tree(const Settings& settings) : config_(settings) {}
+
+  auto Start(OnExit on_exit) -> void { root_.Start(std::move(on_exit)); }
+
+  auto Stop(StopMode mode) -> void {
+    // Peers stop sending callers here while traffic still drains.
+    mailboxes_.fleet.Post(LeavingStarted{});
+    root_.RequestStop(mode);
+  }
+
+ private:
+  auto MakeRoot() -> std::unique_ptr<RootSupervisor> {
+    std::vector<RootSupervisor::Child> children;
+    children.emplace_back(HostOf<TrafficTask>(
+        Part::kTraffic, mailboxes_.traffic, [this] { return MakeTraffic(); }));
+    children.emplace_back(HostOf<ControlSupervisor>(
+        Part::kControl, control_mailbox_, [this] { return MakeControl(); }));
+    children.emplace_back(HostOf<ObserveSupervisor>(
+        Part::kObserve, observe_mailbox_, [this] { return MakeObserve(); }));
+    return std::make_unique<RootSupervisor>(root_mailbox_, std::move(children),
+                                            RestartLimit{},
+                                            LogEvents(Part::kNode));
+  }
+
+  auto MakeControl() -> std::unique_ptr<ControlSupervisor> {
+    std::vector<ControlSupervisor::Child> children;
+    children.emplace_back(HostOf<FleetTask>(Part::kFleet, mailboxes_.fleet,
+                                            [this] { return MakeFleet(); }));
+    children.emplace_back(HostOf<MeshTask>(Part::kMesh, mailboxes_.mesh,
+                                           [this] { return MakeMesh(); }));
+    children.emplace_back(
+        HostOf<PlatformTask>(Part::kPlatform, mailboxes_.platform,
+                             [this] { return MakePlatform(); }));
+    return std::make_unique<ControlSupervisor>(
+        control_mailbox_, std::move(children), RestartLimit{},
+        LogEvents(Part::kControl));
+  }
+
+  auto MakeObserve() -> std::unique_ptr<ObserveSupervisor> {
+    std::vector<ObserveSupervisor::Child> children;
+    children.emplace_back(HostOf<AdminTask>(
+        Part::kAdmin, mailboxes_.admin,
+        [this] { return std::make_unique<AdminTask>(config_.Admin()); }));
+    children.emplace_back(
+        HostOf<TelemetryTask>(Part::kTelemetry, mailboxes_.telemetry, [this] {
+          return std::make_unique<TelemetryTask>(config_.Telemetry(),
+                                                 mailboxes_.admin);
+        }));
+    return std::make_unique<ObserveSupervisor>(
+        observe_mailbox_, std::move(children), RestartLimit{},
+        LogEvents(Part::kObserve));
+  }
+
+  auto MakeTraffic() -> std::unique_ptr<TrafficTask> {
+    return std::make_unique<TrafficTask>(
+        config_.Traffic(), TrafficOutbox{.mesh = mailboxes_.mesh,
+                                         .admin = mailboxes_.admin,
+                                         .telemetry = mailboxes_.telemetry});
+  }
+
+  auto MakeFleet() -> std::unique_ptr<FleetTask> {
+    return std::make_unique<FleetTask>(
+        config_.Fleet(),
+        FleetOutlets{.mesh = mailboxes_.mesh,
+                     .platform = mailboxes_.platform,
+                     .traffic = mailboxes_.traffic,
+                     .admin = mailboxes_.admin,
+                     .telemetry = mailboxes_.telemetry},
+        fleet_memory_);
+  }
+
+  auto MakeMesh() -> std::unique_ptr<MeshTask> {
+    return std::make_unique<MeshTask>(
+        config_.Mesh(), MeshOutlets{.fleet = mailboxes_.fleet,
+                                    .traffic = mailboxes_.traffic,
+                                    .telemetry = mailboxes_.telemetry});
+  }
+
+  auto MakePlatform() -> std::unique_ptr<PlatformTask> {
+    return std::make_unique<PlatformTask>(config_.Platform(), mailboxes_.fleet);
+  }
+
+  const NodeConfig config_;
+  Mailboxes mailboxes_;
+  FleetMemory fleet_memory_;
+  Mailbox<SupervisorMessage> root_mailbox_{kSupervisorMailboxCapacity};
+  Mailbox<SupervisorMessage> control_mailbox_{kSupervisorMailboxCapacity};
+  Mailbox<SupervisorMessage> observe_mailbox_{kSupervisorMailboxCapacity};
+  // Ended first, as its tasks use everything above.
+  TaskHost<RootSupervisor> root_{std::string(ToName(Part::kNode)),
+                                 root_mailbox_, [this] { return MakeRoot(); }};
+};
+
+Node::Node(const Settings& settings)
+    : tree_(std::make_unique<Tree>(settings)) {}
+
+Node::~Node() = default;
+
+auto Node::Start(OnExit on_exit) -> void {
+  tree_->Start(std::move(on_exit));
+}
+
+auto Node::Stop(StopMode mode) -> void {
+  tree_->Stop(mode);
+}
+
+}  // namespace flamingoyoke
