Add the traffic task: callers to upstreams through the decisions

TrafficTask routes each caller's request by the table, checks its headers and its key, and lets ServiceRunner carry out what the dispatcher and the detector of the service decide. Addresses, keys, leaving, pauses, reports, metrics and spans are wired. A requester that goes away cancels its request, unless keyed work was written: its end decides what a repeat is told.

--- a/src/decision/idempotency/key_ledger.cc
+++ b/src/decision/idempotency/key_ledger.cc
@@ -53,13 +53,11 @@
 auto KeyLedger::OnPresented(const KeyPresented& event, TimePoint now)
     -> KeyAction {
   const auto& key = event.key;
-  const auto own = incarnation_.value();
-  const auto issuer = key.incarnation.value();
-  if (key.vm != vm_ || issuer > own) {
+  if (key.vm != vm_) {
     return RefuseKeyedWork{event.request, ErrorKind::kKeyIssuedElsewhere,
                            key.vm, key.incarnation};
   }
-  if (issuer < own) {
+  if (key.incarnation != incarnation_) {
     return Refuse(event, ErrorKind::kKeyIssuerGone);
   }
   if (key.issued_at() > now) {
--- a/src/node/traffic/caller_exchange.cc
+++ b/src/node/traffic/caller_exchange.cc
@@ -44,8 +44,10 @@
   const auto data = MakeEvbuffer();
   if (head_.method == "HEAD") {
     // evhttp would send the body that an answer to HEAD must not have.
-    evhttp_add_header(evhttp_request_get_output_headers(request_),
-                      "Content-Length", std::to_string(body.size()).c_str());
+    if (!FindHeader(head.headers, "Content-Length")) {
+      evhttp_add_header(evhttp_request_get_output_headers(request_),
+                        "Content-Length", std::to_string(body.size()).c_str());
+    }
   } else {
     evbuffer_add(data.get(), body.data(), body.size());
   }
--- a/src/node/traffic/caller_exchange.h
+++ b/src/node/traffic/caller_exchange.h
@@ -51,7 +51,7 @@
   [[nodiscard]] auto state() const -> ReplyState { return state_; }
 
   // Called once if the caller goes away before its answer is whole; may
-  // destroy the exchange only after it returned.
+  // destroy the exchange.
   auto set_on_gone(std::function<void()> on_gone) -> void {
     on_gone_ = std::move(on_gone);
   }
--- a/src/node/traffic/caller_server.cc
+++ b/src/node/traffic/caller_server.cc
@@ -39,7 +39,7 @@
       owner_{.check_head = handler_.check_head,
              .closes_after_reply = [this] { return closing_; },
              .on_closed = [this](CallerConnection* c) { OnClosed(c); },
-             .on_reply_sent = [this](CallerConnection*) { ReportIdle(); }},
+             .on_reply_sent = [this](CallerConnection*) { ReportProgress(); }},
       cleanup_(loop.MakeTimer([this] { closed_.clear(); })),
       http_(evhttp_new(loop.base())) {
   if (!http_) {
@@ -102,6 +102,11 @@
       });
 }
 
+auto CallerServer::all_answered() const -> bool {
+  return std::none_of(connections_.begin(), connections_.end(),
+                      [](const auto& entry) { return entry.second->busy(); });
+}
+
 auto CallerServer::MakeConnection() -> bufferevent* {
   auto* bev = bufferevent_socket_new(loop_.base(), -1, BEV_OPT_CLOSE_ON_FREE);
   if (bev == nullptr) {
@@ -136,12 +141,12 @@
   closed_.push_back(std::move(found->second));
   connections_.erase(found);
   cleanup_.Schedule(Duration::zero());
-  ReportIdle();
+  ReportProgress();
 }
 
-auto CallerServer::ReportIdle() -> void {
-  if (closing_ && idle()) {
-    handler_.on_idle();
+auto CallerServer::ReportProgress() -> void {
+  if (closing_) {
+    handler_.on_progress();
   }
 }
 
--- a/src/node/traffic/caller_server.h
+++ b/src/node/traffic/caller_server.h
@@ -32,8 +32,8 @@
     RequestScanner::HeadCheck check_head;
     // Called with each request that was received whole.
     std::function<void(std::unique_ptr<CallerExchange>)> on_request;
-    // The last answer was sent, or the last busy connection closed.
-    std::function<void()> on_idle;
+    // An answer was sent or a connection was closed, after StartClosing.
+    std::function<void()> on_progress;
   };
 
   // `loop` must outlive the server, and the server all exchanges.
@@ -55,6 +55,8 @@
 
   // Whether no request is being received, waits or is being answered.
   [[nodiscard]] auto idle() const -> bool;
+  // Whether no request waits or is being answered.
+  [[nodiscard]] auto all_answered() const -> bool;
 
   [[nodiscard]] auto connections() const -> std::size_t {
     return connections_.size();
@@ -71,7 +73,7 @@
   auto MakeConnection() -> bufferevent*;
   auto OnRequest(evhttp_request* request) -> void;
   auto OnClosed(CallerConnection* connection) -> void;
-  auto ReportIdle() -> void;
+  auto ReportProgress() -> void;
 
   EventLoop& loop_;
   const Limits limits_;
--- /dev/null
+++ b/src/node/traffic/own_endpoints.cc
@@ -0,0 +1,96 @@
+#include "node/traffic/own_endpoints.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+
+#include "decision/fleet/address_selection.h"
+#include "decision/idempotency/idempotency_key.h"
+#include "node/traffic/http_text.h"
+
+namespace flamingoyoke {
+namespace {
+
+constexpr std::string_view kAddressesPath = "/.flamingoyoke/addresses";
+constexpr std::string_view kKeysPath = "/.flamingoyoke/keys";
+constexpr int kOk = 200;
+
+auto ReplyJson(CallerExchange& exchange, const nlohmann::json& json) -> void {
+  // Ids come from settings and the table; replacing bytes that are not UTF-8
+  // avoids an exception for them.
+  const auto text =
+      json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  exchange.Reply(
+      {kOk,
+       "OK",
+       {{"Content-Type", "application/json"}, {"Cache-Control", "no-store"}}},
+      text + "\n");
+}
+
+auto AnswerAddresses(CallerExchange& exchange,
+                     const OwnEndpointsContext& context,
+                     const ServiceRow& row,
+                     Random& random) -> void {
+  if (!context.addresses_known) {
+    exchange.ReplyError(ErrorKind::kNotReady);
+    return;
+  }
+  const FailureDomainId domain(
+      QueryParameter(exchange.head().target, "failure_domain").value_or(""));
+  auto addresses = nlohmann::json::array();
+  for (const auto& member :
+       SelectAddresses(*context.view, row.service, domain, random)) {
+    addresses.push_back({{"vm", member.id.value()},
+                         {"address", member.address},
+                         {"failure_domain", member.failure_domain.value()}});
+  }
+  ReplyJson(exchange, {{"service", row.service.value()},
+                       {"revision", context.view->table->revision.value()},
+                       {"ttl_ms", ToMilliseconds(context.address_time_to_live)},
+                       {"addresses", std::move(addresses)}});
+}
+
+auto AnswerKey(CallerExchange& exchange,
+               const OwnEndpointsContext& context,
+               Random& random) -> void {
+  if (context.leaving) {
+    exchange.ReplyError(ErrorKind::kLeaving);
+    return;
+  }
+  const auto key = context.ledger.Issue(context.now, random.Next());
+  ReplyJson(exchange,
+            {{"key", FormatIdempotencyKey(key)},
+             {"expires_ms", ToMilliseconds(context.key_limits.key_lifetime)}});
+}
+
+}  // namespace
+
+auto AnswerOwnEndpoint(CallerExchange& exchange,
+                       const OwnEndpointsContext& context,
+                       Random& random) -> void {
+  const auto& head = exchange.head();
+  const auto path = PathOf(head.target);
+  const bool addresses = head.method == "GET" && path == kAddressesPath;
+  const bool keys = head.method == "POST" && path == kKeysPath;
+  if (!addresses && !keys) {
+    exchange.ReplyError(ErrorKind::kNoRoute);
+    return;
+  }
+  if (context.view == nullptr || !context.view->table) {
+    exchange.ReplyError(ErrorKind::kNotReady);
+    return;
+  }
+  const auto service = QueryParameter(head.target, "service");
+  const auto* row =
+      service ? context.routes.FindService(ServiceId(*service)) : nullptr;
+  if (row == nullptr) {
+    exchange.ReplyError(ErrorKind::kUnknownService);
+    return;
+  }
+  if (addresses) {
+    AnswerAddresses(exchange, context, *row, random);
+    return;
+  }
+  AnswerKey(exchange, context, random);
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/node/traffic/request_admission.h
@@ -0,0 +1,57 @@
+#ifndef FLAMINGOYOKE_NODE_TRAFFIC_REQUEST_ADMISSION_H_
+#define FLAMINGOYOKE_NODE_TRAFFIC_REQUEST_ADMISSION_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/ids.h"
+#include "core/random.h"
+#include "core/result.h"
+#include "core/time.h"
+#include "decision/fleet/fleet_view.h"
+#include "decision/idempotency/key_ledger.h"
+#include "node/traffic/caller_exchange.h"
+#include "node/traffic/caller_headers.h"
+#include "node/traffic/service_request.h"
+#include "table/service_row.h"
+
+namespace flamingoyoke {
+
+// Checks a caller's request before its service gets it: headers, and the key
+// against the ledger. Answers the requests that it does not admit. Not
+// thread-safe.
+class RequestAdmission {
+ public:
+  // `trace_share` is the share of requests without a sampled trace of their
+  // own that start one.
+  RequestAdmission(KeyLedger& ledger, Random random, double trace_share);
+
+  // Returns the request for the service of `row`, or nothing if it was
+  // answered. `view` names the issuers of other vms' keys.
+  auto Admit(std::unique_ptr<CallerExchange> exchange,
+             const ServiceRow& row,
+             const FleetView& view,
+             TimePoint now) -> std::optional<ServiceRequest>;
+
+ private:
+  auto MakeRequest(std::unique_ptr<CallerExchange> exchange,
+                   const CallerHeaders& headers,
+                   const ServiceRow& row,
+                   TimePoint now) -> ServiceRequest;
+  // Returns whether the ledger lets the request run; answers it if not.
+  auto ClaimKey(ServiceRequest& request,
+                const IdempotencyKey& key,
+                const FleetView& view,
+                TimePoint now) -> bool;
+
+  KeyLedger& ledger_;
+  Random random_;
+  const double trace_share_;
+  std::uint64_t last_request_ = 0;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_NODE_TRAFFIC_REQUEST_ADMISSION_H_
--- /dev/null
+++ b/src/node/traffic/service_runner.h
@@ -0,0 +1,173 @@
+#ifndef FLAMINGOYOKE_NODE_TRAFFIC_SERVICE_RUNNER_H_
+#define FLAMINGOYOKE_NODE_TRAFFIC_SERVICE_RUNNER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core/error_kind.h"
+#include "core/ids.h"
+#include "core/random.h"
+#include "core/time.h"
+#include "decision/detection/detection_event.h"
+#include "decision/detection/detector.h"
+#include "decision/dispatch/dispatch_event.h"
+#include "decision/dispatch/service_dispatcher.h"
+#include "decision/idempotency/key_event.h"
+#include "node/messages.h"
+#include "node/traffic/service_request.h"
+#include "node/traffic/traffic_config.h"
+#include "node/traffic/upstream_connection.h"
+#include "node/traffic/upstream_pool.h"
+#include "runtime/event_loop.h"
+
+namespace flamingoyoke {
+
+// Who serves a service, as the runner needs it.
+struct ServicePlacement {
+  ServiceRow row;
+  std::vector<HomeMember> home;
+  std::vector<TargetId> owned;
+
+  auto operator==(const ServicePlacement& other) const -> bool;
+};
+
+// Carries out for one service what its dispatcher and its detector decide.
+// Not thread-safe.
+class ServiceRunner {
+ public:
+  // What a finished attempt tells to metrics and traces.
+  struct AttemptRecord {
+    const ServiceRequest& request;
+    TargetId target;
+    AttemptResult result = AttemptResult::kAnswered;
+    TimePoint started;
+    TimePoint ended;
+    const TraceContext& trace;
+  };
+  // A request that ended; the error is not set if it was answered.
+  struct RequestRecord {
+    const ServiceRequest& request;
+    std::optional<ErrorKind> error;
+    TimePoint ended;
+  };
+  // What the runner tells its task. All may be empty but none may destroy the
+  // runner.
+  struct Hooks {
+    // Called before anything is decided, to notice a pause of the process.
+    std::function<void()> check_pause;
+    // The outcome of keyed work.
+    std::function<void(const KeyEvent&)> on_key_event;
+    std::function<void(const RequestRecord&)> on_request_ended;
+    std::function<void(const AttemptRecord&)> on_attempt_ended;
+    std::function<void(PeerMessageToSend)> send;
+  };
+
+  // `config` and `loop` must outlive the runner.
+  ServiceRunner(EventLoop& loop,
+                const TrafficConfig& config,
+                Random random,
+                Hooks hooks);
+  ServiceRunner(const ServiceRunner&) = delete;
+  auto operator=(const ServiceRunner&) -> ServiceRunner& = delete;
+
+  // Takes the row, home set and owned targets; cheap if nothing changed.
+  auto Configure(const ServicePlacement& placement) -> void;
+
+  // Runs a request and answers it. Its id must be new.
+  auto Submit(ServiceRequest request) -> void;
+
+  auto OnPeerMessage(const VmId& sender, const PeerMessage& message) -> void;
+  auto OnPeerLost(const VmId& peer) -> void;
+  // The process was paused.
+  auto OnResumed() -> void;
+
+  // Answers all requests now, each truthfully.
+  auto FailAll() -> void;
+
+  // Requests that are not answered yet.
+  [[nodiscard]] auto active() const -> std::size_t { return requests_.size(); }
+  [[nodiscard]] auto row() const -> const ServiceRow& { return placement_.row; }
+
+  // Tells the dispatcher when the detector changed the owned targets.
+  auto SyncOwnedTargets() -> void;
+
+  // Returns the row of the report, without the waiting times.
+  [[nodiscard]] auto Report(Revision revision) const -> ServiceReport;
+
+ private:
+  struct Attempt {
+    RequestId request;
+    UpstreamPool::Lease lease;
+    TimePoint started;
+    TraceContext trace;
+  };
+  using ProbeId = NumberId<struct ProbeTag>;
+  using Event = std::variant<DispatchEvent, DetectionEvent>;
+
+  // Lets the decisions take an event, after those that already wait.
+  auto Post(Event event) -> void;
+  auto TakeAll() -> void;
+  auto Take(const DispatchEvent& event) -> void;
+  auto Take(const DetectionEvent& event) -> void;
+
+  auto Do(const StartAttempt& action) -> void;
+  auto Do(const CancelAttempt& action) -> void;
+  auto Do(const FailRequest& action) -> void;
+  auto Do(const SendToPeer& action) -> void;
+  auto Do(const WakeDispatcherAt& action) -> void;
+  auto Do(const StartProbe& action) -> void;
+  auto Do(const RetireConnections& action) -> void;
+  auto Do(const SetTargetShare& action) -> void;
+  auto Do(const WakeDetectorAt& action) -> void;
+
+  auto SendAttempt(AttemptId id, Attempt& attempt, ServiceRequest& request)
+      -> void;
+  auto OnAnswerHead(AttemptId id, const AnswerHead& head) -> void;
+  auto OnAnswerBody(AttemptId id, evbuffer* data) -> void;
+  auto OnAttemptEnd(AttemptId id,
+                    AttemptResult result,
+                    const UpstreamSignals& signals) -> void;
+  auto KeepAnswerBody(ServiceRequest& request, evbuffer* data) -> void;
+  auto OnDrained(RequestId id) -> void;
+  auto OnCallerGone(RequestId id) -> void;
+  auto OnSignals(const TargetId& target, const UpstreamSignals& signals)
+      -> void;
+  auto OnProbeEnd(ProbeId id, bool passed, const UpstreamSignals& signals)
+      -> void;
+  // Whether a byte of any attempt of the request was written, other than of
+  // attempts that the upstream proved not run.
+  [[nodiscard]] auto MayHaveRun(RequestId id) const -> bool;
+  auto FinishAnswered(RequestId id) -> void;
+  auto FinishFailed(RequestId id, ErrorKind error) -> void;
+
+  EventLoop& loop_;
+  const TrafficConfig& config_;
+  const Hooks hooks_;
+  Random random_;
+  ServicePlacement placement_;
+  ServiceDispatcher dispatcher_;
+  Detector detector_;
+  UpstreamPool pool_;
+  std::unordered_map<RequestId, ServiceRequest> requests_;
+  std::unordered_map<AttemptId, Attempt> attempts_;
+  std::unordered_map<ProbeId, UpstreamPool::Lease> probes_;
+  std::uint64_t last_probe_ = 0;
+  // Targets whose drain signal was passed to the detector.
+  std::unordered_map<TargetId, bool> draining_;
+  std::vector<TargetId> dispatched_owned_;
+  std::deque<Event> events_;
+  bool taking_ = false;
+  EventLoop::Handle dispatch_timer_;
+  EventLoop::Handle detect_timer_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_NODE_TRAFFIC_SERVICE_RUNNER_H_
--- a/src/node/traffic/traffic_config.h
+++ b/src/node/traffic/traffic_config.h
@@ -48,6 +48,8 @@
 
   // How long callers may keep the addresses that they were told.
   Duration address_time_to_live = std::chrono::seconds(10);
+  // How much longer a leaving vm serves callers than that.
+  Duration leave_margin = std::chrono::seconds(2);
   // How long a graceful stop may take before it becomes a hard one.
   Duration shutdown_hard_limit = std::chrono::seconds(60);
   KeyLedgerLimits key_limits;
--- /dev/null
+++ b/src/node/traffic/traffic_task.cc
@@ -0,0 +1,412 @@
+#include "node/traffic/traffic_task.h"
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+#include "core/overloaded.h"
+#include "decision/fleet/placement.h"
+#include "node/log.h"
+#include "node/traffic/http_text.h"
+#include "node/traffic/own_endpoints.h"
+#include "runtime/clock.h"
+
+namespace flamingoyoke {
+namespace {
+
+// Ticks are rare while nothing can be late, so that an idle node sleeps.
+constexpr Duration kBusyTick = std::chrono::milliseconds(100);
+constexpr Duration kIdleTick = std::chrono::seconds(1);
+constexpr Duration kReportPeriod = std::chrono::seconds(1);
+// Addresses stay unsaid this long after a pause, unless a new view is ready.
+constexpr Duration kResumeLimit = std::chrono::seconds(2);
+// Longest time to flush the last answers of a hard stop.
+constexpr Duration kFlushLimit = std::chrono::seconds(1);
+// Body of a request to the fleet's own endpoints; nothing is read from it.
+constexpr std::uint64_t kOwnBodyBytes = 1024;
+
+auto IsOwnPath(std::string_view path) -> bool {
+  return path.substr(0, kOwnPathPrefix.size()) == kOwnPathPrefix;
+}
+
+// Returns the service that a message is about, or null for other messages.
+auto ServiceOfMessage(const PeerMessage& message) -> const ServiceId* {
+  return std::visit(
+      [](const auto& typed) -> const ServiceId* {
+        if constexpr (requires { typed.service; }) {
+          return &typed.service;
+        } else {
+          return nullptr;
+        }
+      },
+      message);
+}
+
+}  // namespace
+
+TrafficTask::TrafficTask(TrafficConfig config, TrafficOutbox outbox)
+    : config_(std::move(config)),
+      outbox_(outbox),
+      random_(config_.seed),
+      ledger_(config_.vm, config_.incarnation, config_.key_limits),
+      admission_(ledger_, Random(random_.Next()), config_.trace_share),
+      spans_(outbox_.telemetry,
+             Random(random_.Next()),
+             config_.spans_per_second) {}
+
+TrafficTask::~TrafficTask() {
+  // Requests hold parts of the server's budget and connections.
+  services_.clear();
+}
+
+auto TrafficTask::Start(TaskContext& context) -> Result<void> {
+  context_ = &context;
+  auto& loop = context.loop();
+  CallerServer::Limits limits;
+  limits.connection = {config_.request_limits, config_.receive_limit,
+                       config_.caller_idle_limit, config_.caller_write_limit};
+  limits.connections = config_.caller_connections;
+  limits.body_budget_bytes = config_.body_budget_bytes;
+  server_ = std::make_unique<CallerServer>(
+      loop, limits,
+      CallerServer::Handler{
+          [this](const ScannedHead& head) { return CheckHead(head); },
+          [this](std::unique_ptr<CallerExchange> exchange) {
+            OnRequest(std::move(exchange));
+          },
+          [this] { ExitIfDone(); }});
+  BOOST_LEAF_CHECK(server_->Listen(config_.listen_host, config_.listen_port));
+  tick_ = loop.MakeTimer([this] { OnTick(); });
+  leave_timer_ = loop.MakeTimer([this] {
+    addresses_expired_ = true;
+    server_->StartClosing(true);
+    ExitIfDone();
+  });
+  hard_timer_ = loop.MakeTimer([this] {
+    if (stop_mode_ == StopMode::kHard) {
+      context_->Exit();
+      return;
+    }
+    Stop(StopMode::kHard);
+  });
+  ScheduleTick();
+  return {};
+}
+
+auto TrafficTask::Handle(Message message) -> Result<void> {
+  CheckPause();
+  std::visit([this](auto& typed) { Take(typed); }, message);
+  return {};
+}
+
+auto TrafficTask::Take(FleetViewChanged& changed) -> void {
+  if (!changed.view) {
+    return;
+  }
+  const bool table_changed = !view_ || view_->table != changed.view->table;
+  ReportLostPeers(*changed.view);
+  view_ = std::move(changed.view);
+  was_ready_ = was_ready_ || view_->ready;
+  if (view_->ready) {
+    resume_until_.reset();
+  }
+  if (table_changed) {
+    routes_ = RouteTable(view_->table);
+  }
+  ConfigureServices();
+  has_news_ = true;
+}
+
+auto TrafficTask::Take(PeerMessageReceived& received) -> void {
+  const auto* id = ServiceOfMessage(received.envelope.message);
+  const auto* row = id == nullptr ? nullptr : routes_.FindService(*id);
+  if (row == nullptr) {
+    return;
+  }
+  ServiceOf(*row).runner->OnPeerMessage(received.envelope.sender,
+                                        received.envelope.message);
+  has_news_ = true;
+}
+
+auto TrafficTask::ConfigureServices() -> void {
+  for (auto entry = services_.begin(); entry != services_.end();) {
+    auto& runner = *entry->second.runner;
+    const auto* row = routes_.FindService(entry->first);
+    if (row != nullptr) {
+      runner.Configure(PlacementFor(*row));
+      ++entry;
+      continue;
+    }
+    // Requests that wait fail, those in flight are answered.
+    ServiceRow removed = runner.row();
+    removed.targets.clear();
+    runner.Configure({std::move(removed), {}, {}});
+    entry = runner.active() == 0 ? services_.erase(entry) : std::next(entry);
+  }
+  for (const auto& [id, placement] : view_->placements) {
+    if (const auto* row = routes_.FindService(id)) {
+      ServiceOf(*row);
+    }
+  }
+}
+
+auto TrafficTask::ReportLostPeers(const FleetView& view) -> void {
+  std::unordered_set<VmId> lost(view.cut_off.begin(), view.cut_off.end());
+  for (const auto& member : view.members) {
+    if (member.liveness != Liveness::kAlive && member.id != config_.vm) {
+      lost.insert(member.id);
+    }
+  }
+  for (const auto& peer : lost) {
+    if (lost_peers_.count(peer) > 0) {
+      continue;
+    }
+    for (auto& [id, service] : services_) {
+      service.runner->OnPeerLost(peer);
+    }
+  }
+  lost_peers_ = std::move(lost);
+}
+
+auto TrafficTask::ServiceOf(const ServiceRow& row) -> Service& {
+  const auto found = services_.find(row.service);
+  if (found != services_.end()) {
+    return found->second;
+  }
+  auto& made = services_
+                   .emplace(row.service, Service{MakeRunner(row.service),
+                                                 ServiceMetrics(row.service)})
+                   .first->second;
+  made.runner->Configure(PlacementFor(row));
+  return made;
+}
+
+auto TrafficTask::MakeRunner(const ServiceId& id)
+    -> std::unique_ptr<ServiceRunner> {
+  ServiceRunner::Hooks hooks;
+  hooks.check_pause = [this] { CheckPause(); };
+  hooks.on_key_event = [this](const KeyEvent& event) {
+    ledger_.OnEvent(event, Now());
+  };
+  hooks.on_request_ended = [this,
+                            id](const ServiceRunner::RequestRecord& record) {
+    auto& metrics = services_.at(id).metrics;
+    metrics.OnRequest(record.ended - record.request.arrived);
+    metrics.OnWait(
+        record.request.work_class,
+        record.request.started.value_or(record.ended) - record.request.arrived,
+        record.ended);
+    spans_.OnRequest(id, record);
+    has_news_ = true;
+  };
+  hooks.on_attempt_ended = [this,
+                            id](const ServiceRunner::AttemptRecord& record) {
+    services_.at(id).metrics.OnAttempt(record.ended - record.started);
+    spans_.OnAttempt(id, record);
+  };
+  hooks.send = [this](PeerMessageToSend message) {
+    outbox_.mesh.Post(std::move(message));
+  };
+  return std::make_unique<ServiceRunner>(
+      context_->loop(), config_, Random(random_.Next()), std::move(hooks));
+}
+
+auto TrafficTask::PlacementFor(const ServiceRow& row) const
+    -> ServicePlacement {
+  const auto known = view_->placements.find(row.service);
+  const bool is_home = known != view_->placements.end();
+  const auto placement =
+      is_home ? known->second : PlacementOf(row, view_->members);
+  ServicePlacement result{row, {}, {}};
+  for (const auto& id : placement.home) {
+    const auto member =
+        std::find_if(view_->members.begin(), view_->members.end(),
+                     [&](const Member& m) { return m.id == id; });
+    result.home.push_back({id, member == view_->members.end()
+                                   ? FailureDomainId()
+                                   : member->failure_domain});
+  }
+  if (!is_home) {
+    return result;
+  }
+  const auto count = std::min(placement.owners.size(), row.targets.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    if (placement.owners[i] == config_.vm) {
+      result.owned.push_back(row.targets[i].id);
+    }
+  }
+  return result;
+}
+
+auto TrafficTask::CheckHead(const ScannedHead& head) const
+    -> std::variant<BodyAllowance, ErrorKind> {
+  const auto path = PathOf(head.target);
+  if (IsOwnPath(path)) {
+    return BodyAllowance{kOwnBodyBytes};
+  }
+  if (const auto* row = routes_.Find(path)) {
+    return BodyAllowance{row->max_body_bytes};
+  }
+  const bool has_body = head.chunked || head.content_length.value_or(0) > 0;
+  if (has_body) {
+    return view_ && view_->table ? ErrorKind::kNoRoute : ErrorKind::kNotReady;
+  }
+  return BodyAllowance{0};
+}
+
+auto TrafficTask::OnRequest(std::unique_ptr<CallerExchange> exchange) -> void {
+  CheckPause();
+  const auto path = PathOf(exchange->head().target);
+  if (IsOwnPath(path)) {
+    AnswerOwn(*exchange);
+    return;
+  }
+  if (stop_mode_ == StopMode::kHard) {
+    exchange->ReplyError(ErrorKind::kLeaving);
+    return;
+  }
+  if (!view_ || !view_->table || !was_ready_) {
+    exchange->ReplyError(ErrorKind::kNotReady);
+    return;
+  }
+  const auto* row = routes_.Find(path);
+  if (row == nullptr) {
+    exchange->ReplyError(ErrorKind::kNoRoute);
+    return;
+  }
+  auto request = admission_.Admit(std::move(exchange), *row, *view_, Now());
+  if (!request) {
+    return;
+  }
+  auto& service = ServiceOf(*row);
+  const bool was_idle = active() == 0;
+  service.runner->Submit(std::move(*request));
+  if (was_idle) {
+    ScheduleTick();
+  }
+}
+
+auto TrafficTask::AnswerOwn(CallerExchange& exchange) -> void {
+  const auto now = Now();
+  const bool resuming = resume_until_ && now < *resume_until_;
+  AnswerOwnEndpoint(
+      exchange,
+      {.view = view_.get(),
+       .routes = routes_,
+       .ledger = ledger_,
+       .key_limits = config_.key_limits,
+       .address_time_to_live = config_.address_time_to_live,
+       .addresses_known =
+           view_ && !resuming && (view_->ready || view_->leaving),
+       .leaving = stop_mode_ != StopMode::kNone || (view_ && view_->leaving),
+       .now = now},
+      random_);
+}
+
+auto TrafficTask::CheckPause() -> void {
+  const auto now = Now();
+  if (!pause_watch_.WasPaused(now)) {
+    return;
+  }
+  Log(Part::kTraffic, Severity::kWarning, "The process was paused.");
+  resume_until_ = now + kResumeLimit;
+  for (auto& [id, service] : services_) {
+    service.runner->OnResumed();
+  }
+}
+
+auto TrafficTask::OnTick() -> void {
+  CheckPause();
+  for (auto& [id, service] : services_) {
+    service.runner->SyncOwnedTargets();
+  }
+  if (has_news_ && Now() - last_report_ >= kReportPeriod) {
+    SendReports();
+  }
+  ScheduleTick();
+}
+
+auto TrafficTask::ScheduleTick() -> void {
+  const auto delay = active() > 0 ? kBusyTick : kIdleTick;
+  pause_watch_.ExpectTick(Now() + delay);
+  tick_.Schedule(delay);
+}
+
+auto TrafficTask::SendReports() -> void {
+  const auto now = Now();
+  last_report_ = now;
+  has_news_ = active() > 0;
+  TrafficReported reported;
+  MetricsReported metrics{.task = "traffic", .samples = {}};
+  const auto revision =
+      view_ && view_->table ? view_->table->revision : Revision();
+  for (auto& [id, service] : services_) {
+    auto report = service.runner->Report(revision);
+    report.short_wait_p99 = service.metrics.WaitP99(WorkClass::kShort, now);
+    report.long_wait_p99 = service.metrics.WaitP99(WorkClass::kLong, now);
+    service.metrics.AppendTo(metrics.samples, report);
+    reported.services.push_back(std::move(report));
+  }
+  const auto add_gauge = [&](const char* name, const char* help, double value) {
+    MetricSample sample;
+    sample.name = name;
+    sample.help = help;
+    sample.is_counter = false;
+    sample.value = value;
+    metrics.samples.push_back(std::move(sample));
+  };
+  add_gauge("flamingoyoke_caller_connections", "Open caller connections.",
+            static_cast<double>(server_->connections()));
+  add_gauge("flamingoyoke_request_body_bytes",
+            "Bodies that are received or stored.",
+            static_cast<double>(server_->body_bytes()));
+  add_gauge("flamingoyoke_key_ledger_entries", "Idempotency keys in memory.",
+            static_cast<double>(ledger_.size()));
+  outbox_.admin.Post(std::move(reported));
+  outbox_.telemetry.Post(std::move(metrics));
+}
+
+auto TrafficTask::active() const -> std::size_t {
+  std::size_t count = 0;
+  for (const auto& [id, service] : services_) {
+    count += service.runner->active();
+  }
+  return count;
+}
+
+auto TrafficTask::Stop(StopMode mode) -> void {
+  if (mode <= stop_mode_) {
+    return;
+  }
+  stop_mode_ = mode;
+  if (mode == StopMode::kHard) {
+    StopHard();
+    return;
+  }
+  server_->StartClosing(false);
+  leave_timer_.Schedule(config_.address_time_to_live + config_.leave_margin);
+  hard_timer_.Schedule(config_.shutdown_hard_limit);
+}
+
+auto TrafficTask::StopHard() -> void {
+  addresses_expired_ = true;
+  for (auto& [id, service] : services_) {
+    service.runner->FailAll();
+  }
+  server_->StartClosing(true);
+  hard_timer_.Schedule(kFlushLimit);
+  ExitIfDone();
+}
+
+auto TrafficTask::ExitIfDone() -> void {
+  if (!addresses_expired_ || active() > 0) {
+    return;
+  }
+  const bool done =
+      stop_mode_ == StopMode::kHard ? server_->all_answered() : server_->idle();
+  if (done) {
+    context_->Exit();
+  }
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/tests/unit/node/traffic/upstream_fake.h
@@ -0,0 +1,135 @@
+#ifndef FLAMINGOYOKE_TESTS_UNIT_NODE_TRAFFIC_UPSTREAM_FAKE_H_
+#define FLAMINGOYOKE_TESTS_UNIT_NODE_TRAFFIC_UPSTREAM_FAKE_H_
+
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "unit/node/traffic/test_socket.h"
+
+namespace flamingoyoke {
+
+// A small upstream on a free port of the loopback. Each connection has a
+// thread, which reads whole requests and lets the script answer them.
+class UpstreamFake {
+ public:
+  struct Request {
+    std::string head;
+    std::string body;
+  };
+  // Answers on the socket; returns whether the connection stays open.
+  using Script = std::function<bool(const Request&, TestSocket&)>;
+
+  explicit UpstreamFake(Script script) : script_(std::move(script)) {
+    acceptor_ = std::thread([this] { AcceptAll(); });
+  }
+
+  ~UpstreamFake() {
+    listener_.Shutdown();
+    acceptor_.join();
+    {
+      const std::lock_guard lock(mutex_);
+      for (auto& socket : sockets_) {
+        socket.Shutdown();
+      }
+      released_ = true;
+      changed_.notify_all();
+    }
+    for (auto& thread : threads_) {
+      thread.join();
+    }
+  }
+
+  [[nodiscard]] auto port() const -> std::uint16_t { return listener_.port(); }
+
+  // Number of requests that were received whole, probes not included.
+  auto executions() -> std::size_t {
+    const std::lock_guard lock(mutex_);
+    return requests_.size();
+  }
+
+  auto connections() -> std::size_t {
+    const std::lock_guard lock(mutex_);
+    return sockets_.size();
+  }
+
+  // Waits until `count` requests were received; false after 20 s.
+  auto WaitForExecutions(std::size_t count) -> bool {
+    std::unique_lock lock(mutex_);
+    return changed_.wait_for(lock, std::chrono::seconds(20),
+                             [&] { return requests_.size() >= count; });
+  }
+
+  auto request(std::size_t index) -> Request {
+    const std::lock_guard lock(mutex_);
+    return requests_.at(index);
+  }
+
+  // Lets a script wait until the test calls Release; false at the end.
+  auto WaitForRelease() -> void {
+    std::unique_lock lock(mutex_);
+    changed_.wait_for(lock, std::chrono::seconds(20),
+                      [&] { return released_; });
+  }
+  auto Release() -> void {
+    const std::lock_guard lock(mutex_);
+    released_ = true;
+    changed_.notify_all();
+  }
+
+ private:
+  auto AcceptAll() -> void {
+    while (true) {
+      auto accepted = listener_.Accept();
+      if (!accepted.valid()) {
+        return;
+      }
+      const std::lock_guard lock(mutex_);
+      sockets_.push_back(std::move(accepted));
+      threads_.emplace_back(
+          [this, socket = &sockets_.back()] { Serve(*socket); });
+    }
+  }
+
+  auto Serve(TestSocket& socket) -> void {
+    while (true) {
+      const auto message = socket.ReadMessage();
+      if (!message) {
+        return;
+      }
+      const Request request{message->head, message->body};
+      if (request.head.rfind("GET /healthz", 0) == 0) {
+        socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        continue;
+      }
+      {
+        const std::lock_guard lock(mutex_);
+        requests_.push_back(request);
+        changed_.notify_all();
+      }
+      if (!script_(request, socket)) {
+        socket.Shutdown();
+        return;
+      }
+    }
+  }
+
+  Script script_;
+  TestListener listener_;
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  bool released_ = false;
+  std::vector<Request> requests_;
+  std::list<TestSocket> sockets_;
+  std::vector<std::thread> threads_;
+  std::thread acceptor_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_TESTS_UNIT_NODE_TRAFFIC_UPSTREAM_FAKE_H_
