Log the mesh's connections at debug level

Cause: a fresh fleet of four took 5 s to be ready and it was not visible why. Change: connects, disconnects and sends without a connection are logged.

--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -88,12 +88,16 @@
 auto MeshTask::Send(const SendToPeer& order) -> void {
   const auto peer = peers_.find(order.peer);
   if (peer == peers_.end()) {
+    Log(Part::kMesh, LogLevel::kDebug,
+        "has no socket for " + order.peer.value());
     ++traffic_.unsent_messages;
     return;
   }
   const auto bytes = EncodeEnvelope(
       PeerEnvelope{config_.self, config_.incarnation, order.message});
   if (!peer->second->Send(bytes)) {
+    Log(Part::kMesh, LogLevel::kDebug,
+        "has no connection to " + order.peer.value());
     ++traffic_.unsent_messages;
     return;
   }
@@ -104,13 +108,20 @@
 auto MeshTask::ChangeEndpoints(const PeerEndpointsChanged& change) -> void {
   std::erase_if(peers_, [&](const auto& peer) {
     const auto wanted = change.endpoints.find(peer.first);
-    return wanted == change.endpoints.end() ||
-           wanted->second != peer.second->endpoint();
+    if (wanted != change.endpoints.end() &&
+        wanted->second == peer.second->endpoint()) {
+      return false;
+    }
+    Log(Part::kMesh, LogLevel::kDebug,
+        "disconnects from " + peer.first.value());
+    return true;
   });
   for (const auto& [vm, endpoint] : change.endpoints) {
     if (peers_.contains(vm)) {
       continue;
     }
+    Log(Part::kMesh, LogLevel::kDebug,
+        "connects to " + vm.value() + " at " + endpoint);
     try {
       peers_[vm] =
           std::make_unique<PeerSocket>(zmq_context_, config_, endpoint);
