Test the traffic task over loopback sockets

Covers smuggling, bounds, forwarded headers, resets and cut answers with execution counts, stray and late answers, cancellation, back-pressure, keys, leaving and stopping. The tests found that a cut answer could end before its head was sent; a connection now closes after it flushed what it was given.

--- a/src/node/traffic/caller_connection.cc
+++ b/src/node/traffic/caller_connection.cc
@@ -27,8 +27,9 @@
 }
 
 auto ToTimeval(Duration duration) -> timeval {
-  constexpr auto second = std::chrono::seconds(1);
-  return {.tv_sec = duration / second, .tv_usec = (duration % second).count()};
+  const auto seconds = std::chrono::floor<std::chrono::seconds>(duration);
+  return {.tv_sec = seconds.count(),
+          .tv_usec = static_cast<suseconds_t>((duration - seconds).count())};
 }
 
 }  // namespace
@@ -119,11 +120,11 @@
   }
   Adopt();
   const bool was_receiving = scanner_.in_request();
-  evbuffer_ptr position;
+  evbuffer_ptr position{};
   evbuffer_ptr_set(input, &position, info.orig_size, EVBUFFER_PTR_SET);
   auto left = info.n_added;
   while (left > 0) {
-    evbuffer_iovec part;
+    evbuffer_iovec part{};
     if (evbuffer_peek(input, -1, &position, &part, 1) < 1) {
       break;
     }
@@ -231,6 +232,23 @@
   event_active(close_event_.get(), EV_TIMEOUT, 0);
 }
 
+auto CallerConnection::CloseAfterFlush() -> void {
+  bufferevent_disable(bev_, EV_READ);
+  if (pending_output_bytes() == 0) {
+    CloseSoon();
+    return;
+  }
+  bufferevent_setcb(
+      bev_, nullptr,
+      [](bufferevent*, void* self) {
+        static_cast<CallerConnection*>(self)->CloseSoon();
+      },
+      [](bufferevent*, short, void* self) {
+        static_cast<CallerConnection*>(self)->CloseSoon();
+      },
+      this);
+}
+
 auto CallerConnection::OnClosed() -> void {
   connection_ = nullptr;
   timer_.Cancel();
--- a/src/node/traffic/caller_connection.h
+++ b/src/node/traffic/caller_connection.h
@@ -67,6 +67,10 @@
   // Closes the connection from the event loop, not within this call.
   auto CloseSoon() -> void;
 
+  // Closes the connection once what was given to it has left the process, so
+  // that the caller sees where an answer was cut.
+  auto CloseAfterFlush() -> void;
+
   // Used by CallerExchange when it no longer needs the connection.
   auto OnExchangeDetached() -> void { exchange_ = nullptr; }
 
--- a/src/node/traffic/caller_exchange.cc
+++ b/src/node/traffic/caller_exchange.cc
@@ -103,7 +103,7 @@
   state_ = ReplyState::kGone;
   auto* connection = connection_;
   Detach();
-  connection->CloseSoon();
+  connection->CloseAfterFlush();
 }
 
 auto CallerExchange::pending_bytes() const -> std::size_t {
--- a/src/node/traffic/error_answer.cc
+++ b/src/node/traffic/error_answer.cc
@@ -79,10 +79,11 @@
   auto text =
       "HTTP/1.1 " + std::to_string(head.status) + " " + head.reason + "\r\n";
   for (const auto& [name, value] : head.headers) {
-    text += name + ": " + value + "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
-  text += "Content-Length: " + std::to_string(body.size()) +
-          "\r\nConnection: close\r\n\r\n";
+  text.append("Content-Length: ")
+      .append(std::to_string(body.size()))
+      .append("\r\nConnection: close\r\n\r\n");
   return text + body;
 }
 
--- a/src/node/traffic/traffic_task.cc
+++ b/src/node/traffic/traffic_task.cc
@@ -174,9 +174,10 @@
     return found->second;
   }
   auto& made = services_
-                   .emplace(row.service, Service{MakeRunner(row.service),
-                                                 ServiceMetrics(row.service)})
+                   .try_emplace(row.service,
+                                Service{nullptr, ServiceMetrics(row.service)})
                    .first->second;
+  made.runner = MakeRunner(row.service);
   made.runner->Configure(PlacementFor(row));
   return made;
 }
--- /dev/null
+++ b/tests/unit/node/traffic/caller_interface_test.cc
@@ -0,0 +1,270 @@
+// Tests of the callers' side of the traffic task over loopback sockets.
+#include <criterion/criterion.h>
+
+#include <string>
+#include <vector>
+
+#include "unit/node/traffic/traffic_fixture.h"
+
+namespace flamingoyoke {
+namespace {
+
+// Each of these is one request for some parsers and two for others. The
+// upstream must see none, and the connection must end.
+Test(caller_interface, smuggling_cases_get_400_and_a_close) {
+  UpstreamFake upstream(EchoScript());
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  const std::string hidden = "GET /stock/hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+  const std::string start = "POST /stock HTTP/1.1\r\nHost: h\r\n";
+  for (const auto& text : std::vector<std::string>{
+           start + "Content-Length: 5\r\nContent-Length: 50\r\n\r\n" + hidden,
+           start + "Content-Length: +5\r\n\r\nhello" + hidden,
+           start + "Content-Length : 5\r\n\r\nhello" + hidden,
+           start + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + hidden,
+           start + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" +
+               "0\r\n\r\n" + hidden,
+           start + "Content-Length: 0\nX: y\r\n\r\n" + hidden,
+           start + "X: y\r\n Content-Length: 5\r\n\r\n" + hidden,
+           start + "Transfer-Encoding: chunked\r\n\r\n+0\r\n\r\n" + hidden,
+           start + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\n" +
+               hidden,
+           "GET /stock HTTP/1.1\nHost: h\n\n" + hidden,
+       }) {
+    auto caller = node.Connect();
+    cr_assert(caller.Write(text));
+    const auto answer = caller.ReadMessage();
+    cr_assert(answer.has_value(), "no answer to: %s", text.c_str());
+    cr_assert_eq(answer->status(), 400, "%s", text.c_str());
+    cr_assert(answer->header("Flamingoyoke-Outcome") == "not-run");
+    cr_assert(answer->header("Connection") == "close");
+    cr_assert(caller.ReadsEnd(), "the connection stays open");
+  }
+  cr_assert_eq(upstream.executions(), 0U);
+}
+
+// A bad request that comes byte by byte is refused as soon as it is bad, even
+// though evhttp still waits for more.
+Test(caller_interface, bad_bytes_are_refused_without_a_whole_request) {
+  TrafficFixture node({MakeRow("stock", {})});
+  auto caller = node.Connect();
+  for (const char c : std::string("GET /stock HTTP/1.1\r\nHost: h\n")) {
+    cr_assert(caller.Write(std::string_view(&c, 1)));
+  }
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_assert_eq(answer->status(), 400);
+  cr_assert(caller.ReadsEnd());
+}
+
+// A good request followed by a bad one is answered; the bad one never runs.
+Test(caller_interface, bad_request_behind_a_good_one) {
+  UpstreamFake upstream(EchoScript());
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  auto caller = node.Connect();
+  cr_assert(caller.Write(
+      PostRequest("/stock", "good") +
+      "POST /stock HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nbad"));
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_assert_eq(answer->body, std::string("good"));
+  cr_assert(caller.ReadsEnd());
+  cr_assert_eq(upstream.executions(), 1U);
+}
+
+// Requests sent ahead on one connection are answered in order.
+Test(caller_interface, pipelined_requests_are_answered_in_order) {
+  UpstreamFake upstream(EchoScript());
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  auto caller = node.Connect();
+  std::string requests;
+  for (int i = 0; i < 20; ++i) {
+    requests += PostRequest("/stock", "body " + std::to_string(i));
+  }
+  cr_assert(caller.Write(requests));
+  for (int i = 0; i < 20; ++i) {
+    const auto answer = caller.ReadMessage();
+    cr_assert(answer.has_value());
+    cr_assert_eq(answer->body, "body " + std::to_string(i));
+  }
+}
+
+// A body above the row's bound is refused from its head.
+Test(caller_interface, body_above_the_row_is_refused) {
+  UpstreamFake upstream(EchoScript());
+  auto row = MakeRow("stock", {upstream.port()});
+  row.max_body_bytes = 10;
+  TrafficFixture node({row});
+  const auto fits = node.Exchange(PostRequest("/stock", "0123456789"));
+  cr_assert_eq(fits.status(), 200);
+  auto caller = node.Connect();
+  cr_assert(caller.Write(
+      "POST /stock HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n"));
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_assert_eq(answer->status(), 413);
+  cr_assert(answer->header("Flamingoyoke-Outcome") == "not-run");
+  cr_assert_eq(upstream.executions(), 1U);
+}
+
+// Stored bodies share one budget; what does not fit is refused as not run, and
+// the budget comes back when a caller goes away.
+Test(caller_interface, body_budget_is_bounded) {
+  UpstreamFake upstream(EchoScript());
+  auto config = MakeConfig();
+  config.body_budget_bytes = 100;
+  TrafficFixture node({MakeRow("stock", {upstream.port()})}, config);
+  {
+    auto holder = node.Connect();
+    cr_assert(holder.Write(
+        "POST /stock HTTP/1.1\r\nHost: h\r\nContent-Length: 60\r\n\r\nx"));
+    // The answer on this second connection shows when the first head was seen.
+    TestSocket::Message answer;
+    do {
+      answer = node.Exchange(PostRequest("/stock", std::string(60, 'x')));
+    } while (answer.status() == 200);
+    cr_assert_eq(answer.status(), 503);
+    cr_assert(answer.header("Flamingoyoke-Error") == "body-budget-exhausted");
+    cr_assert(answer.header("Flamingoyoke-Outcome") == "not-run");
+  }
+  TestSocket::Message answer;
+  do {
+    answer = node.Exchange(PostRequest("/stock", std::string(60, 'x')));
+  } while (answer.status() == 503);
+  cr_assert_eq(answer.status(), 200);
+}
+
+// A request that never ends is ended by the receive limit.
+Test(caller_interface, slow_request_gets_408) {
+  auto config = MakeConfig();
+  config.receive_limit = std::chrono::milliseconds(50);
+  TrafficFixture node({MakeRow("stock", {})}, config);
+  auto caller = node.Connect();
+  cr_assert(caller.Write("POST /stock HTTP/1.1\r\nHost: h\r\n"));
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_assert_eq(answer->status(), 408);
+  cr_assert(answer->header("Flamingoyoke-Outcome") == "not-run");
+  cr_assert(caller.ReadsEnd());
+}
+
+// A connection without requests does not stay forever.
+Test(caller_interface, idle_connection_is_closed) {
+  auto config = MakeConfig();
+  config.caller_idle_limit = std::chrono::milliseconds(50);
+  TrafficFixture node({}, config);
+  auto caller = node.Connect();
+  cr_assert(caller.ReadsEnd());
+}
+
+// Connections above the bound are closed, the others work on.
+Test(caller_interface, connections_are_bounded) {
+  UpstreamFake upstream(EchoScript());
+  auto config = MakeConfig();
+  config.caller_connections = 1;
+  TrafficFixture node({MakeRow("stock", {upstream.port()})}, config);
+  auto first = node.Connect();
+  cr_assert(first.Write(Get("/stock")));
+  cr_assert(first.ReadMessage().has_value());
+  auto second = node.Connect();
+  cr_assert(second.ReadsEnd());
+  cr_assert(first.Write(Get("/stock")));
+  cr_assert(first.ReadMessage().has_value());
+}
+
+// Headers of the fleet are checked; a typing error must not become a default.
+Test(caller_interface, invalid_headers_are_refused) {
+  UpstreamFake upstream(EchoScript());
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  for (const auto* header :
+       {"Flamingoyoke-Deadline-Ms: soon\r\n", "Flamingoyoke-Deadline-Ms: 0\r\n",
+        "Flamingoyoke-Deadline-Ms: -5\r\n", "Flamingoyoke-Team:\r\n"}) {
+    const auto answer = node.Exchange(Get("/stock", header));
+    cr_assert_eq(answer.status(), 400, "%s", header);
+    cr_assert(answer.header("Flamingoyoke-Error") == "invalid-header");
+  }
+  cr_assert_eq(upstream.executions(), 0U);
+}
+
+// Headers that concern the caller's connection or the fleet stop here, and the
+// trace goes on with a span of this vm.
+Test(caller_interface, forwarded_headers) {
+  UpstreamFake upstream(EchoScript());
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  const auto answer = node.Exchange(
+      Get("/stock",
+          "Connection: X-Hop\r\nX-Hop: 1\r\nX-Kept: 1\r\nTE: trailers\r\n"
+          "Flamingoyoke-Not-Run: 1\r\nFlamingoyoke-Deadline-Ms: 5000\r\n"
+          "traceparent: 00-0123456789abcdef0123456789abcdef-"
+          "0123456789abcdef-01\r\n"));
+  cr_assert_eq(answer.status(), 200);
+  const TestSocket::Message seen{upstream.request(0).head, "", true};
+  cr_assert_not(seen.header("X-Hop"));
+  cr_assert_not(seen.header("TE"));
+  cr_assert_not(seen.header("Flamingoyoke-Not-Run"));
+  cr_assert(seen.header("X-Kept") == "1");
+  cr_assert(seen.header("Host") == "h");
+  const auto deadline = std::stoi(*seen.header("Flamingoyoke-Deadline-Ms"));
+  cr_assert(deadline > 0 && deadline <= 5000);
+  const auto trace = *seen.header("traceparent");
+  cr_assert_eq(trace.substr(0, 36), "00-0123456789abcdef0123456789abcdef-");
+  cr_assert_neq(trace.substr(36, 16), "0123456789abcdef");
+  cr_assert_eq(trace.substr(52), "-01");
+}
+
+// HEAD has no body, whatever length the answer names.
+Test(caller_interface, head_request) {
+  UpstreamFake upstream([](const UpstreamFake::Request&, TestSocket& socket) {
+    return socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n");
+  });
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  auto caller = node.Connect();
+  for (int i = 0; i < 2; ++i) {
+    cr_assert(caller.Write("HEAD /stock HTTP/1.1\r\nHost: h\r\n\r\n"));
+    const auto answer = caller.ReadMessage(false);
+    cr_assert(answer.has_value());
+    cr_assert_eq(answer->status(), 200);
+    cr_assert(answer->header("Content-Length") == "10");
+  }
+  cr_assert(caller.Write("HEAD /other HTTP/1.1\r\nHost: h\r\n\r\n"));
+  cr_assert_eq(caller.ReadMessage(false)->status(), 404);
+  cr_assert(caller.Write(Get("/other")));
+  cr_assert_eq(caller.ReadMessage()->status(), 404);
+}
+
+// Callers learn addresses and keys; nothing else below the own prefix exists.
+Test(caller_interface, addresses_and_keys) {
+  TrafficFixture node({MakeRow("stock", {})});
+  const auto addresses = node.Exchange(
+      Get("/.flamingoyoke/addresses?service=stock&failure_domain=f1"));
+  cr_assert_eq(addresses.status(), 200);
+  cr_assert_neq(addresses.body.find(R"("service":"stock")"), std::string::npos);
+  cr_assert_neq(addresses.body.find(R"("revision":1)"), std::string::npos);
+  cr_assert_neq(addresses.body.find(R"("vm":"vm-a")"), std::string::npos);
+  cr_assert_eq(node.GetKey("stock").find("vm-a-5-"), 0U);
+  const auto unknown =
+      node.Exchange(Get("/.flamingoyoke/addresses?service=none"));
+  cr_assert(unknown.header("Flamingoyoke-Error") == "unknown-service");
+  const auto other = node.Exchange(Get("/.flamingoyoke/x?service=stock"));
+  cr_assert(other.header("Flamingoyoke-Error") == "no-route");
+}
+
+// A vm that is not ready names no addresses and accepts no work.
+Test(caller_interface, not_ready_until_the_view_is) {
+  UpstreamFake upstream(EchoScript());
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  // The fixture publishes a ready view; a node that was ready once keeps its
+  // callers but names no addresses until it is ready again.
+  cr_assert_eq(node.Exchange(Get("/stock")).status(), 200);
+  node.view().ready = false;
+  node.Publish();
+  TestSocket::Message answer;
+  do {
+    answer = node.Exchange(Get("/.flamingoyoke/addresses?service=stock"));
+  } while (answer.status() == 200);
+  cr_assert_eq(answer.status(), 503);
+  cr_assert(answer.header("Flamingoyoke-Error") == "not-ready");
+  cr_assert_eq(node.Exchange(Get("/stock")).status(), 200);
+}
+
+}  // namespace
+}  // namespace flamingoyoke
--- /dev/null
+++ b/tests/unit/node/traffic/stopping_test.cc
@@ -0,0 +1,143 @@
+// Tests of leaving and stopping of the traffic task.
+#include <criterion/criterion.h>
+
+#include <string>
+
+#include "unit/node/traffic/traffic_fixture.h"
+
+namespace flamingoyoke {
+namespace {
+
+// A graceful stop must not cut off a request in flight, nor one that comes
+// while callers may still use the address.
+Test(stopping, graceful_stop_finishes_requests_in_flight) {
+  UpstreamFake* self = nullptr;
+  UpstreamFake upstream(
+      [&](const UpstreamFake::Request& request, TestSocket& socket) {
+        if (request.body == "first") {
+          self->WaitForRelease();
+        }
+        return EchoScript()(request, socket);
+      });
+  self = &upstream;
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  auto caller = node.Connect();
+  cr_assert(caller.Write(PostRequest("/stock", "first")));
+  cr_assert(upstream.WaitForExecutions(1));
+  node.Stop(StopMode::kGraceful);
+  TestSocket::Message second;
+  do {
+    second = node.Exchange(PostRequest("/stock", "second"));
+    cr_assert_eq(second.status(), 200);
+  } while (second.header("Connection") != "close");
+  cr_assert(node.Runs());
+  upstream.Release();
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_assert(answer->whole);
+  cr_assert_eq(answer->body, std::string("first"));
+  cr_assert(answer->header("Connection") == "close");
+  cr_assert(node.Exits());
+}
+
+// A caller whose request is half sent gets its answer too.
+Test(stopping, graceful_stop_waits_for_a_request_being_received) {
+  UpstreamFake upstream(EchoScript());
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  auto caller = node.Connect();
+  const auto request = PostRequest("/stock", "body");
+  cr_assert(caller.Write(request.substr(0, 20)));
+  // The answer on another connection shows that the bytes above were read.
+  cr_assert_eq(node.Exchange(Get("/stock")).status(), 200);
+  node.Stop(StopMode::kGraceful);
+  cr_assert(caller.Write(request.substr(20)));
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_assert_eq(answer->body, std::string("body"));
+  cr_assert(node.Exits());
+}
+
+// An idle node leaves at the end of the addresses' time to live.
+Test(stopping, idle_node_exits) {
+  TrafficFixture node({});
+  auto idle = node.Connect();
+  node.Stop(StopMode::kGraceful);
+  cr_assert(node.Exits());
+  cr_assert(idle.ReadsEnd());
+}
+
+// A leaving vm issues no more keys.
+Test(stopping, leaving_vm_issues_no_keys) {
+  auto config = MakeConfig();
+  config.leave_margin = std::chrono::seconds(30);
+  TrafficFixture node({MakeRow("orders", {})}, config);
+  node.GetKey("orders");
+  node.Stop(StopMode::kGraceful);
+  TestSocket::Message answer;
+  do {
+    answer = node.Exchange(
+        "POST /.flamingoyoke/keys?service=orders HTTP/1.1\r\nHost: h\r\n"
+        "Content-Length: 0\r\n\r\n");
+  } while (answer.status() == 200);
+  cr_assert(answer.header("Flamingoyoke-Error") == "leaving");
+}
+
+// A hard stop tells the truth: what was written is unknown, what waited was
+// not run.
+Test(stopping, hard_stop_answers_truthfully) {
+  UpstreamFake* self = nullptr;
+  UpstreamFake upstream(
+      [&](const UpstreamFake::Request& request, TestSocket& socket) {
+        self->WaitForRelease();
+        return EchoScript()(request, socket);
+      });
+  self = &upstream;
+  auto row = MakeRow("orders", {upstream.port()});
+  row.slots = 1;
+  row.repeatable = false;
+  row.key_policy = KeyPolicy::kOptional;
+  TrafficFixture node({row});
+  auto written = node.Connect();
+  cr_assert(written.Write(PostRequest("/orders", "written")));
+  cr_assert(upstream.WaitForExecutions(1));
+  auto queued = node.Connect();
+  cr_assert(queued.Write(PostRequest("/orders", "queued")));
+  // The answer shows that the node has read the request sent before.
+  cr_assert_eq(node.Exchange(Get("/other")).status(), 404);
+  node.Stop(StopMode::kHard);
+  const auto unknown = written.ReadMessage();
+  cr_assert(unknown.has_value());
+  cr_assert(unknown->header("Flamingoyoke-Error") == "hard-stop-in-flight");
+  cr_assert(unknown->header("Flamingoyoke-Outcome") == "unknown");
+  const auto not_run = queued.ReadMessage();
+  cr_assert(not_run.has_value());
+  cr_assert(not_run->header("Flamingoyoke-Error") == "hard-stop-queued");
+  cr_assert(not_run->header("Flamingoyoke-Outcome") == "not-run");
+  cr_assert(node.Exits());
+  cr_assert_eq(upstream.executions(), 1U);
+}
+
+// The hard limit ends a graceful stop that a request would hold up.
+Test(stopping, hard_limit_ends_a_graceful_stop) {
+  UpstreamFake* self = nullptr;
+  UpstreamFake upstream(
+      [&](const UpstreamFake::Request& request, TestSocket& socket) {
+        self->WaitForRelease();
+        return EchoScript()(request, socket);
+      });
+  self = &upstream;
+  auto config = MakeConfig();
+  config.shutdown_hard_limit = std::chrono::milliseconds(100);
+  TrafficFixture node({MakeRow("stock", {upstream.port()})}, config);
+  auto caller = node.Connect();
+  cr_assert(caller.Write(PostRequest("/stock", "a")));
+  cr_assert(upstream.WaitForExecutions(1));
+  node.Stop(StopMode::kGraceful);
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_assert(answer->header("Flamingoyoke-Outcome") == "unknown");
+  cr_assert(node.Exits());
+}
+
+}  // namespace
+}  // namespace flamingoyoke
--- a/tests/unit/node/traffic/test_socket.h
+++ b/tests/unit/node/traffic/test_socket.h
@@ -7,7 +7,9 @@
 #include <sys/time.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <cerrno>
 #include <cstdint>
 #include <cstdlib>
 #include <optional>
@@ -104,8 +106,8 @@
   // Whether the peer has closed the connection and sent nothing more.
   auto ReadsEnd() -> bool {
     char byte = 0;
-    return buffer_.empty() && recv(descriptor_, &byte, 1, 0) <= 0 &&
-           errno != EAGAIN;
+    const auto got = recv(descriptor_, &byte, 1, 0);
+    return buffer_.empty() && (got == 0 || (got < 0 && errno != EAGAIN));
   }
 
   // Reads one HTTP message framed by Content-Length or chunks. Returns nothing
@@ -208,8 +210,9 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    listen(descriptor_, 64);
+    (void)bind(descriptor_, reinterpret_cast<sockaddr*>(&address),
+               sizeof(address));
+    (void)listen(descriptor_, 64);
     socklen_t size = sizeof(address);
     getsockname(descriptor_, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
--- a/tests/unit/node/traffic/traffic_fixture.h
+++ b/tests/unit/node/traffic/traffic_fixture.h
@@ -63,8 +63,8 @@
 }
 
 // A row with wide limits, so that a slow machine changes no result.
-inline auto MakeRow(const char* service, std::vector<std::uint16_t> ports)
-    -> ServiceRow {
+inline auto MakeRow(const char* service,
+                    const std::vector<std::uint16_t>& ports) -> ServiceRow {
   ServiceRow row;
   row.service = ServiceId(service);
   row.routes = {std::string("/") + service};
--- a/tests/unit/node/traffic/upstream_fake.h
+++ b/tests/unit/node/traffic/upstream_fake.h
@@ -1,11 +1,15 @@
 #ifndef FLAMINGOYOKE_TESTS_UNIT_NODE_TRAFFIC_UPSTREAM_FAKE_H_
 #define FLAMINGOYOKE_TESTS_UNIT_NODE_TRAFFIC_UPSTREAM_FAKE_H_
 
+#include <algorithm>
+#include <chrono>
 #include <condition_variable>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -21,6 +25,10 @@
   struct Request {
     std::string head;
     std::string body;
+    // Number of the connection, and of the request on it, from 0; probes are
+    // not counted.
+    std::size_t connection = 0;
+    std::size_t number = 0;
   };
   // Answers on the socket; returns whether the connection stays open.
   using Script = std::function<bool(const Request&, TestSocket&)>;
@@ -53,9 +61,23 @@
     return requests_.size();
   }
 
+  // Number of requests that came on the given connection.
+  auto executions_on(std::size_t connection) -> std::size_t {
+    const std::lock_guard lock(mutex_);
+    return static_cast<std::size_t>(std::count_if(
+        requests_.begin(), requests_.end(), [&](const Request& request) {
+          return request.connection == connection;
+        }));
+  }
+
+  // Number of connections that requests came on.
   auto connections() -> std::size_t {
     const std::lock_guard lock(mutex_);
-    return sockets_.size();
+    std::set<std::size_t> used;
+    for (const auto& request : requests_) {
+      used.insert(request.connection);
+    }
+    return used.size();
   }
 
   // Waits until `count` requests were received; false after 20 s.
@@ -92,17 +114,20 @@
       const std::lock_guard lock(mutex_);
       sockets_.push_back(std::move(accepted));
       threads_.emplace_back(
-          [this, socket = &sockets_.back()] { Serve(*socket); });
+          [this, socket = &sockets_.back(), index = sockets_.size() - 1] {
+            Serve(*socket, index);
+          });
     }
   }
 
-  auto Serve(TestSocket& socket) -> void {
+  auto Serve(TestSocket& socket, std::size_t connection) -> void {
+    std::size_t number = 0;
     while (true) {
       const auto message = socket.ReadMessage();
       if (!message) {
         return;
       }
-      const Request request{message->head, message->body};
+      const Request request{message->head, message->body, connection, number};
       if (request.head.rfind("GET /healthz", 0) == 0) {
         socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         continue;
@@ -110,6 +135,7 @@
       {
         const std::lock_guard lock(mutex_);
         requests_.push_back(request);
+        ++number;
         changed_.notify_all();
       }
       if (!script_(request, socket)) {
--- /dev/null
+++ b/tests/unit/node/traffic/upstream_interface_test.cc
@@ -0,0 +1,352 @@
+// Tests of the upstreams' side of the traffic task over loopback sockets.
+#include <criterion/criterion.h>
+
+#include <array>
+#include <atomic>
+#include <string>
+#include <vector>
+
+#include "unit/node/traffic/traffic_fixture.h"
+
+namespace flamingoyoke {
+namespace {
+
+auto MakeUnrepeatableRow(const char* service,
+                         const std::vector<std::uint16_t>& ports)
+    -> ServiceRow {
+  auto row = MakeRow(service, ports);
+  row.repeatable = false;
+  row.key_policy = KeyPolicy::kOptional;
+  return row;
+}
+
+// Returns a port on which nothing listens.
+auto ClosedPort() -> std::uint16_t {
+  return TestListener().port();
+}
+
+// Work that was written and reset may have run: it must not be sent again,
+// whatever other targets there are.
+Test(upstream_interface, reset_after_write_of_unrepeatable_work_runs_once) {
+  const auto reset = [](const UpstreamFake::Request&, TestSocket& socket) {
+    socket.Reset();
+    return false;
+  };
+  UpstreamFake first(reset);
+  UpstreamFake second(reset);
+  TrafficFixture node(
+      {MakeUnrepeatableRow("orders", {first.port(), second.port()})});
+  const auto answer = node.Exchange(PostRequest("/orders", "book"));
+  cr_assert_eq(answer.status(), 502);
+  cr_assert(answer.header("Flamingoyoke-Outcome") == "unknown");
+  cr_assert(answer.header("Flamingoyoke-Error") == "upstream-reset");
+  cr_assert_eq(first.executions() + second.executions(), 1U);
+}
+
+// evhttp's client may send a request again by itself when a kept connection
+// ends after the request was written; unrepeatable work must not be.
+Test(upstream_interface, reset_on_a_reused_connection_runs_once) {
+  UpstreamFake upstream(
+      [](const UpstreamFake::Request& request, TestSocket& socket) {
+        if (request.number == 0) {
+          return EchoScript()(request, socket);
+        }
+        socket.Reset();
+        return false;
+      });
+  TrafficFixture node({MakeUnrepeatableRow("orders", {upstream.port()})});
+  // Kept connections may be those of probes, so a reuse comes after a few
+  // requests.
+  constexpr std::size_t most = 20;
+  std::size_t sent = 0;
+  bool reset = false;
+  while (!reset && sent < most) {
+    const auto answer = node.Exchange(PostRequest("/orders", "a"));
+    ++sent;
+    reset = answer.status() != 200;
+    cr_assert(!reset || answer.header("Flamingoyoke-Outcome") == "unknown");
+  }
+  cr_assert(reset);
+  cr_assert_eq(upstream.executions(), sent);
+}
+
+// A kept connection that the upstream closed between requests is not used, so
+// that the next request gets its answer.
+Test(upstream_interface, closed_kept_connection_is_not_used) {
+  UpstreamFake upstream(
+      [](const UpstreamFake::Request& request, TestSocket& socket) {
+        EchoScript()(request, socket);
+        return false;
+      });
+  TrafficFixture node({MakeUnrepeatableRow("orders", {upstream.port()})});
+  for (int i = 0; i < 10; ++i) {
+    const auto answer = node.Exchange(PostRequest("/orders", "a"));
+    // The close may cross the request; then the truth is "unknown".
+    cr_assert(answer.status() == 200 ||
+              answer.header("Flamingoyoke-Outcome") == "unknown");
+  }
+  cr_assert_leq(upstream.executions(), 10U);
+}
+
+// Repeatable work goes to another target after a reset.
+Test(upstream_interface, reset_of_repeatable_work_is_retried) {
+  std::atomic<int> count = 0;
+  const auto script = [&](const UpstreamFake::Request& request,
+                          TestSocket& socket) {
+    if (++count == 1) {
+      socket.Reset();
+      return false;
+    }
+    return EchoScript()(request, socket);
+  };
+  UpstreamFake first(script);
+  UpstreamFake second(script);
+  auto row = MakeRow("stock", {first.port(), second.port()});
+  row.retry_share = 1;
+  TrafficFixture node({row});
+  const auto answer = node.Exchange(PostRequest("/stock", "a"));
+  cr_assert_eq(answer.status(), 200);
+  cr_assert_eq(first.executions() + second.executions(), 2U);
+}
+
+// A refused connection wrote nothing: even unrepeatable work may go elsewhere,
+// and with nowhere else to go the answer is "not run".
+Test(upstream_interface, refused_connection_is_not_run) {
+  TrafficFixture node({MakeUnrepeatableRow("orders", {ClosedPort()})});
+  const auto answer = node.Exchange(
+      PostRequest("/orders", "a", "Flamingoyoke-Deadline-Ms: 200\r\n"));
+  cr_assert(answer.header("Flamingoyoke-Outcome") == "not-run", "%s",
+            answer.head.c_str());
+}
+
+// The upstream says that it did not run the request: it may run elsewhere.
+Test(upstream_interface, shed_answer_is_not_relayed_as_run) {
+  UpstreamFake shedding([](const UpstreamFake::Request&, TestSocket& socket) {
+    return socket.Write(
+        "HTTP/1.1 503 Busy\r\nFlamingoyoke-Not-Run: 1\r\n"
+        "Content-Length: 4\r\n\r\nbusy");
+  });
+  TrafficFixture node({MakeUnrepeatableRow("orders", {shedding.port()})});
+  const auto answer = node.Exchange(
+      PostRequest("/orders", "a", "Flamingoyoke-Deadline-Ms: 200\r\n"));
+  cr_assert(answer.header("Flamingoyoke-Outcome") == "not-run", "%s",
+            answer.head.c_str());
+  cr_assert_eq(answer.body.find("busy"), std::string::npos);
+}
+
+// A server error is a whole answer: it is relayed and not repeated.
+Test(upstream_interface, server_error_is_relayed) {
+  UpstreamFake upstream([](const UpstreamFake::Request&, TestSocket& socket) {
+    return socket.Write("HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\nfail");
+  });
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  const auto answer = node.Exchange(Get("/stock"));
+  cr_assert_eq(answer.status(), 500);
+  cr_assert_eq(answer.body, std::string("fail"));
+  cr_assert(answer.header("Flamingoyoke-Outcome") == "run");
+  cr_assert_eq(upstream.executions(), 1U);
+}
+
+// An answer that is cut must reach the caller as cut, never as whole.
+Test(upstream_interface, cut_answers_are_not_whole) {
+  for (const auto& part : std::vector<std::string>{
+           "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello",
+           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           "5\r\nhello\r\n",
+       }) {
+    UpstreamFake upstream(
+        [&](const UpstreamFake::Request&, TestSocket& socket) {
+          socket.Write(part);
+          return false;
+        });
+    TrafficFixture node({MakeUnrepeatableRow("orders", {upstream.port()})});
+    const auto answer = node.Exchange(PostRequest("/orders", "a"));
+    cr_assert_not(answer.whole, "%s", part.c_str());
+    cr_assert_eq(upstream.executions(), 1U);
+  }
+}
+
+// Without a length or chunks nobody can tell a whole answer from a cut one,
+// and two lengths say nothing.
+Test(upstream_interface, answers_without_safe_framing_are_refused) {
+  for (const auto& text : std::vector<std::string>{
+           "HTTP/1.1 200 OK\r\n\r\nhello",
+           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n"
+           "hello!",
+           "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello",
+           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+           "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+           "HTTP/1.1 103 Early Hints\r\n\r\n"
+           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+           "nonsense\r\n\r\n",
+       }) {
+    UpstreamFake upstream(
+        [&](const UpstreamFake::Request&, TestSocket& socket) {
+          socket.Write(text);
+          return false;
+        });
+    TrafficFixture node({MakeUnrepeatableRow("orders", {upstream.port()})});
+    const auto answer = node.Exchange(PostRequest("/orders", "a"));
+    cr_assert_eq(answer.status(), 502, "%s", text.c_str());
+    cr_assert(answer.header("Flamingoyoke-Outcome") == "unknown");
+  }
+}
+
+// Bytes after an answer must not become the answer to the next request.
+Test(upstream_interface, stray_bytes_never_reach_another_request) {
+  UpstreamFake upstream(
+      [](const UpstreamFake::Request& request, TestSocket& socket) {
+        const auto answer =
+            "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + request.body;
+        return socket.Write(answer +
+                            "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nX");
+      });
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  for (const auto* body : {"a", "b", "c", "d", "e"}) {
+    const auto answer = node.Exchange(PostRequest("/stock", body));
+    cr_assert_eq(answer.body, std::string(body));
+  }
+  cr_assert_eq(upstream.connections(), 5U);
+}
+
+// A late answer belongs to the request that timed out and to no other.
+Test(upstream_interface, late_answer_never_reaches_another_request) {
+  std::atomic<int> count = 0;
+  UpstreamFake* self = nullptr;
+  UpstreamFake upstream(
+      [&](const UpstreamFake::Request& request, TestSocket& socket) {
+        if (++count == 1) {
+          self->WaitForRelease();
+        }
+        return EchoScript()(request, socket);
+      });
+  self = &upstream;
+  auto row = MakeUnrepeatableRow("orders", {upstream.port()});
+  TrafficFixture node({row});
+  const auto late = node.Exchange(
+      PostRequest("/orders", "late", "Flamingoyoke-Deadline-Ms: 100\r\n"));
+  cr_assert_eq(late.status(), 504);
+  cr_assert(late.header("Flamingoyoke-Outcome") == "unknown");
+  upstream.Release();
+  for (int i = 0; i < 5; ++i) {
+    const auto body = std::to_string(i);
+    cr_assert_eq(node.Exchange(PostRequest("/orders", body)).body, body);
+  }
+  cr_assert_eq(upstream.executions_on(upstream.request(0).connection), 1U);
+}
+
+// The caller went away: the upstream sees the end of its connection.
+Test(upstream_interface, cancellation_closes_the_upstream_connection) {
+  std::promise<bool> ended;
+  UpstreamFake upstream([&](const UpstreamFake::Request&, TestSocket& socket) {
+    ended.set_value(socket.ReadsEnd());
+    return false;
+  });
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  auto caller = node.Connect();
+  cr_assert(caller.Write(PostRequest("/stock", "a")));
+  cr_assert(upstream.WaitForExecutions(1));
+  caller.Close();
+  auto result = ended.get_future();
+  cr_assert(result.wait_for(std::chrono::seconds(20)) ==
+            std::future_status::ready);
+  cr_assert(result.get());
+}
+
+// The same when the caller goes away in the middle of its answer.
+Test(upstream_interface, cancellation_during_the_answer) {
+  std::promise<bool> ended;
+  UpstreamFake upstream([&](const UpstreamFake::Request&, TestSocket& socket) {
+    socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello");
+    ended.set_value(socket.ReadsEnd());
+    return false;
+  });
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  auto caller = node.Connect();
+  cr_assert(caller.Write(Get("/stock")));
+  std::array<char, 1> byte{};
+  cr_assert_eq(recv(caller.descriptor(), byte.data(), 1, 0), 1);
+  caller.Close();
+  auto result = ended.get_future();
+  cr_assert(result.wait_for(std::chrono::seconds(20)) ==
+            std::future_status::ready);
+  cr_assert(result.get());
+}
+
+// A caller that reads slowly must hold back the upstream instead of filling
+// this process, and still get every byte.
+Test(upstream_interface, long_answer_is_streamed_with_back_pressure) {
+  constexpr std::size_t size = 64 << 20;
+  std::atomic<std::size_t> written = 0;
+  UpstreamFake upstream([&](const UpstreamFake::Request&, TestSocket& socket) {
+    socket.Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
+                 "\r\n\r\n");
+    const std::string part(1 << 16, 'x');
+    while (written < size && socket.Write(part)) {
+      written += part.size();
+    }
+    return true;
+  });
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  auto caller = node.Connect();
+  cr_assert(caller.Write(Get("/stock")));
+  std::array<char, 1> byte{};
+  cr_assert_eq(recv(caller.descriptor(), byte.data(), 1, MSG_PEEK), 1);
+  // Another request is served while this answer waits for its reader.
+  cr_assert_eq(node.Exchange(Get("/other")).status(), 404);
+  // The kernel's buffers of two connections hold a few megabytes.
+  cr_assert_lt(written.load(), size / 2);
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_assert(answer->whole);
+  cr_assert_eq(answer->body.size(), size);
+}
+
+// Chunked answers and uploads pass through unchanged.
+Test(upstream_interface, chunked_bodies_in_both_directions) {
+  UpstreamFake upstream(
+      [](const UpstreamFake::Request& request, TestSocket& socket) {
+        return socket.Write(
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+            "4\r\n" +
+            request.body + "\r\n0\r\n\r\n");
+      });
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  const auto answer = node.Exchange(
+      "POST /stock HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "1\r\nw\r\n3\r\nxyz\r\n0\r\n\r\n");
+  cr_assert_eq(answer.body, std::string("abcwxyz"));
+  cr_assert(answer.whole);
+}
+
+// Many callers at once: each gets the answer to its own request.
+Test(upstream_interface, answers_are_never_swapped) {
+  UpstreamFake first(EchoScript());
+  UpstreamFake second(EchoScript());
+  TrafficFixture node({MakeRow("stock", {first.port(), second.port()})});
+  std::atomic<int> wrong = 0;
+  std::vector<std::thread> threads;
+  for (int t = 0; t < 8; ++t) {
+    threads.emplace_back([&, t] {
+      auto caller = node.Connect();
+      for (int i = 0; i < 100; ++i) {
+        const auto body = std::to_string(t) + "/" + std::to_string(i);
+        caller.Write(PostRequest("/stock", body));
+        const auto answer = caller.ReadMessage();
+        if (!answer || answer->body != body) {
+          ++wrong;
+        }
+      }
+    });
+  }
+  for (auto& thread : threads) {
+    thread.join();
+  }
+  cr_assert_eq(wrong.load(), 0);
+  // At most the slots of each target were used at a time.
+  cr_assert_leq(first.connections(), 4U);
+  cr_assert_leq(second.connections(), 4U);
+}
+
+}  // namespace
+}  // namespace flamingoyoke
