--- a/src/node/traffic/traffic_task.cc
+++ b/src/node/traffic/traffic_task.cc
@@ -309,7 +309,7 @@
   if (!pause_watch_.WasPaused(now)) {
     return;
   }
-  Log(Part::kTraffic, Severity::kWarning, "The process was paused.");
+  Log(Part::kTraffic, LogLevel::kWarning, "The process was paused.");
   resume_until_ = now + kResumeLimit;
   for (auto& [id, service] : services_) {
     service.runner->OnResumed();
