Test membership and the spread of the table with fakes

The fake fleet joins the real decisions of many vms by a queue of events in virtual time. It showed four faults, fixed here: two guests kept each other for ever, which held 17 peers per node at 40 nodes instead of 7; a vm that hears nobody could convince its peers that all others are dead, since its link still counted as two-way; messages buffered during a pause counted as fresh; and a resumed vm trusted them. Heartbeats now say whether the sender chose the receiver, and after a pause only peers that answer a new sequence are believed.

--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -90,6 +90,9 @@
     }
     return;
   }
+  if (!IsFresh(envelope)) {
+    return;
+  }
   std::visit(
       [&](const auto& message) {
         using Message = std::decay_t<decltype(message)>;
@@ -102,6 +105,20 @@
       envelope.message);
 }
 
+// Messages that came during a pause were kept by the sockets, and say nothing
+// about the present. A heartbeat that reports a sequence sent since is new.
+auto Membership::IsFresh(const PeerEnvelope& envelope) -> bool {
+  if (resume_sequence_ == 0 || fresh_.count(envelope.sender) > 0) {
+    return true;
+  }
+  const auto* heartbeat = std::get_if<Heartbeat>(&envelope.message);
+  if (heartbeat == nullptr || heartbeat->heard_sequence <= resume_sequence_) {
+    return false;
+  }
+  fresh_.insert(envelope.sender);
+  return true;
+}
+
 auto Membership::Take(const SelfAnnounced& event, TimePoint now) -> void {
   tables_ = event.tables;
   if (self_.ready != event.ready) {
@@ -129,6 +146,9 @@
   links_.Restart(now);
   // Others may hold this vm for dead by now.
   AnnounceSelf(now);
+  sequence_ = std::max(sequence_, SequenceAt(now));
+  resume_sequence_ = sequence_;
+  fresh_.clear();
   bootstrap_until_ = now + kBootstrapTime;
   next_contact_ = now;
   next_comparison_ = now;
@@ -160,11 +180,18 @@
   // A new incarnation spreads once the vm announces it with its address.
   list_.Hear(sender, envelope.incarnation, now);
   const bool is_new = links_.Find(sender) == nullptr;
+  if (is_new && !heartbeat.is_chosen && heartbeat.heard_sequence != 0) {
+    // A guest that was dropped here and is about to drop this vm, too.
+    return;
+  }
   auto* link = links_.Admit(sender, now);
   if (link == nullptr) {
     return;
   }
-  link->NoteMessage(now);
+  if (heartbeat.is_chosen) {
+    // Otherwise two guests would keep each other for ever.
+    link->NoteMessage(now);
+  }
   if (!link->NoteHeartbeat(heartbeat, envelope.incarnation, sequence_, now)) {
     return;
   }
@@ -281,6 +308,7 @@
     TakeReportOfSelf(report, now);
     return;
   }
+  auto taken = report;
   if (report.liveness == Liveness::kDead ||
       report.liveness == Liveness::kSuspect) {
     auto* link = links_.Find(report.id);
@@ -292,9 +320,14 @@
     if (!MayClaimDeath(sender, now)) {
       return;
     }
+    auto* from = links_.Find(sender);
+    if (from == nullptr || !from->IsTwoWay(now)) {
+      // The sender may be cut off itself.
+      taken.liveness = Liveness::kSuspect;
+    }
   }
   VmId replaced;
-  const auto result = list_.Merge(report, now, replaced);
+  const auto result = list_.Merge(taken, now, replaced);
   if (result == MergeResult::kNews) {
     spread_.Note(report.id, sender, now);
   }
@@ -372,6 +405,9 @@
 auto Membership::Tick(TimePoint now) -> void {
   ++ticks_;
   sequence_ = std::max(sequence_, SequenceAt(now));
+  if (bootstrap_until_ <= now) {
+    resume_sequence_ = 0;
+  }
   list_.ExpireClaims(now);
   duties_.Expire(now);
   links_.DropSilentGuests(now);
@@ -486,6 +522,7 @@
   heartbeat.ready = self_.ready;
   heartbeat.tables = tables_;
   heartbeat.membership_digest = list_.Digest(self_);
+  heartbeat.is_chosen = link.is_chosen();
   Send(peer, std::move(heartbeat));
 }
 
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -54,6 +54,7 @@
   auto Take(const MembershipStarted& event, TimePoint now) -> void;
   auto Take(const VmListSeeded& event, TimePoint now) -> void;
   auto Take(const PeerEnvelope& envelope, TimePoint now) -> void;
+  auto IsFresh(const PeerEnvelope& envelope) -> bool;
   auto Take(const SelfAnnounced& event, TimePoint now) -> void;
   auto Take(const HomePeersChanged& event, TimePoint now) -> void;
   auto Take(const LeavingDeclared& event, TimePoint now) -> void;
@@ -116,6 +117,10 @@
   // Highest sequence sent. Starts from the clock, so that it also rises when
   // only the fleet task restarts.
   std::uint64_t sequence_ = 0;
+  // Highest sequence sent before the last pause, 0 once it is long ago, and
+  // the peers that have answered a later one.
+  std::uint64_t resume_sequence_ = 0;
+  std::set<VmId> fresh_;
   std::optional<TimePoint> next_tick_;
   TimePoint bootstrap_until_;
   TimePoint next_contact_;
--- a/src/decision/fleet/peer_link.cc
+++ b/src/decision/fleet/peer_link.cc
@@ -33,11 +33,16 @@
   }
   sequence_ = heartbeat.sequence;
   heard_ = now;
+  if (heartbeat.heard_sequence == 0) {
+    // The peer says that it does not hear this vm.
+    heard_back_.reset();
+  }
   // A sequence that was never sent belongs to an earlier process at this
   // address.
   if (heartbeat.heard_sequence > 0 &&
       heartbeat.heard_sequence <= sent_sequence) {
     heard_back_ = now;
+    was_two_way_ = true;
   }
   return true;
 }
--- a/src/decision/fleet/peer_link.h
+++ b/src/decision/fleet/peer_link.h
@@ -25,7 +25,7 @@
   [[nodiscard]] auto is_chosen() const -> bool { return is_chosen_; }
   [[nodiscard]] auto is_home() const -> bool { return is_home_; }
 
-  // Notes any message of the peer.
+  // Notes a message for which a guest is kept.
   auto NoteMessage(TimePoint now) -> void { last_message_ = now; }
   // Notes a heartbeat; `sent_sequence` is the highest that this node has sent.
   // Returns whether it is newer than those before.
@@ -53,9 +53,7 @@
     return is_home_ ? kHomeLimits : kOtherLimits;
   }
   [[nodiscard]] auto last_message() const -> TimePoint { return last_message_; }
-  [[nodiscard]] auto was_two_way() const -> bool {
-    return heard_back_.has_value();
-  }
+  [[nodiscard]] auto was_two_way() const -> bool { return was_two_way_; }
 
   // Since when the digests of the member lists differ.
   std::optional<TimePoint> mismatch_since;
@@ -65,6 +63,7 @@
 
   bool is_chosen_ = false;
   bool is_home_ = false;
+  bool was_two_way_ = false;
   // Since when heartbeats are expected.
   TimePoint since_;
   TimePoint last_message_;
--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -34,6 +34,8 @@
   bool ready = false;
   std::vector<TableDigest> tables;
   std::uint64_t membership_digest = 0;
+  // Whether the sender chose the receiver as a peer and expects heartbeats.
+  bool is_chosen = false;
 };
 
 // Asks a peer whether it hears `subject`; the peer returns it with `reply`.
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -78,7 +78,8 @@
                     .leaving = encoded.leaving(),
                     .ready = encoded.ready(),
                     .tables = {},
-                    .membership_digest = encoded.membership_digest()};
+                    .membership_digest = encoded.membership_digest(),
+                    .is_chosen = encoded.is_chosen()};
   for (const auto& digest : encoded.tables()) {
     message.tables.push_back(ReadDigest(digest));
   }
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -56,6 +56,7 @@
     WriteDigest(digest, encoded->add_tables());
   }
   encoded->set_membership_digest(message.membership_digest);
+  encoded->set_is_chosen(message.is_chosen);
 }
 
 auto BodyWriter::operator()(const IndirectProbe& message) const -> void {
--- /dev/null
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -0,0 +1,498 @@
+#ifndef FLAMINGOYOKE_TESTS_UNIT_DECISION_FLEET_FAKE_FLEET_H_
+#define FLAMINGOYOKE_TESTS_UNIT_DECISION_FLEET_FAKE_FLEET_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/random.h"
+#include "core/time.h"
+#include "decision/fleet/home_index.h"
+#include "decision/fleet/membership.h"
+#include "decision/fleet/reader_election.h"
+#include "decision/fleet/readiness_gate.h"
+#include "decision/fleet/table_spread.h"
+#include "unit/decision/fleet/wire_size.h"
+
+namespace flamingoyoke {
+
+struct FakeFleetOptions {
+  std::size_t nodes = 40;
+  std::size_t domains = 4;
+  // Failure domains are divided among regions in order.
+  std::size_t regions = 1;
+  std::size_t services = 3;
+  std::uint64_t seed = 1;
+  Duration latency = std::chrono::microseconds(500);
+  // Added at random, so that messages overtake each other.
+  Duration jitter = std::chrono::microseconds(200);
+  double loss = 0;
+  double duplication = 0;
+  std::uint32_t shards = 1;
+  // Bytes of a table text.
+  std::size_t table_bytes = 4000;
+};
+
+// The real Membership and TableSpread of many vms, joined by a queue of events
+// in virtual time. The fakes are the network, the platform and the part of the
+// fleet task that passes actions on.
+class FakeFleet {
+ public:
+  struct Counters {
+    std::uint64_t sent_bytes = 0;
+    std::uint64_t sent_messages = 0;
+    std::uint64_t received_bytes = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t rejected_tables = 0;
+  };
+
+  struct Node {
+    Member self;
+    std::unique_ptr<Membership> membership;
+    std::unique_ptr<TableSpread> spread;
+    std::optional<ReadinessGate> gate;
+    HomeIndex homes;
+    bool runs = false;
+    bool is_paused = false;
+    bool has_list = false;
+    bool is_ready = false;
+    bool is_reader = false;
+    bool is_refreshing = false;
+    // Raised at each start, so that events of an earlier process are dropped.
+    std::uint64_t generation = 0;
+    std::map<VmId, std::string> endpoints;
+    std::map<VmId, TimePoint> connected_at;
+    std::set<VmId> home_peers;
+    std::vector<VmId> two_way;
+    std::vector<TableDigest> announced;
+    std::vector<std::function<void()>> held;
+    Counters counters;
+    TimePoint started;
+    std::optional<TimePoint> ready_at;
+    // When the version in force was accepted.
+    TimePoint accepted_at;
+    // Set when a revision went back within the life of a process.
+    bool went_back = false;
+    bool refused_in_force = false;
+    std::size_t most_peers = 0;
+  };
+
+  using LinkFilter = std::function<bool(std::size_t from, std::size_t to)>;
+  using ServiceFilter = std::function<bool(std::size_t node)>;
+
+  explicit FakeFleet(FakeFleetOptions options)
+      : options_(options), random_(options.seed) {
+    for (std::size_t i = 0; i < options_.services; ++i) {
+      ServiceRow row;
+      row.service = ServiceId("service-" + std::to_string(i));
+      rows_.push_back(row);
+    }
+    for (std::size_t i = 0; i < options_.nodes; ++i) {
+      AddVm();
+    }
+  }
+
+  // Adds a vm to the platform's list without starting it; returns its index.
+  auto AddVm() -> std::size_t {
+    const auto index = nodes_.size();
+    Node node;
+    auto& self = node.self;
+    self.id = VmId("vm-" + std::to_string(index));
+    const auto domain = index % options_.domains;
+    self.failure_domain = FailureDomainId("fd-" + std::to_string(domain));
+    self.region = RegionId(
+        "r-" + std::to_string(domain * options_.regions / options_.domains));
+    self.address = "10.0." + std::to_string(index / 250) + "." +
+                   std::to_string(index % 250) + ":80";
+    self.mesh_address = "10.0." + std::to_string(index / 250) + "." +
+                        std::to_string(index % 250) + ":7000";
+    by_address_[self.mesh_address] = index;
+    nodes_.push_back(std::move(node));
+    list_.push_back(nodes_.back().self);
+    return index;
+  }
+
+  // Starts a process with a higher incarnation than any before.
+  auto Start(std::size_t index) -> void {
+    auto& node = nodes_[index];
+    const auto counters = node.counters;
+    node.self.incarnation = Incarnation(1'700'000'000'000 + ++incarnations_);
+    node.membership =
+        std::make_unique<Membership>(node.self, Random(random_.Next()));
+    node.spread =
+        std::make_unique<TableSpread>(options_.shards, Random(random_.Next()));
+    node.gate.emplace(now_);
+    node.homes = HomeIndex();
+    node.runs = true;
+    node.is_paused = node.has_list = node.is_ready = false;
+    node.is_reader = node.is_refreshing = false;
+    ++node.generation;
+    node.endpoints.clear();
+    node.connected_at.clear();
+    node.home_peers.clear();
+    node.two_way.clear();
+    node.announced.clear();
+    node.held.clear();
+    node.counters = counters;
+    node.started = now_;
+    node.ready_at.reset();
+    by_address_[node.self.mesh_address] = index;
+    Decide(index, MembershipStarted{});
+    Decide(index, TableSpreadStarted{});
+    // The platform task reads both keys once, spread over 200 ms.
+    At(index, Duration(random_.Below(200'000)),
+       [this, index] { ReadList(index); });
+    At(index, Duration(random_.Below(200'000)), [this, index] { Read(index); });
+  }
+  auto StartAll() -> void {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      Start(i);
+    }
+  }
+  auto Stop(std::size_t index) -> void {
+    nodes_[index].runs = false;
+    ++nodes_[index].generation;
+  }
+  // A paused process takes messages only after it resumes.
+  auto Pause(std::size_t index) -> void { nodes_[index].is_paused = true; }
+  auto Resume(std::size_t index) -> void {
+    auto& node = nodes_[index];
+    if (!node.runs || !node.is_paused) {
+      return;
+    }
+    node.is_paused = false;
+    node.gate->Resume(now_);
+    node.is_ready = false;
+    Decide(index, MembershipResumed{});
+    for (auto& each : std::exchange(node.held, {})) {
+      each();
+    }
+    Refresh(index);
+  }
+  auto Leave(std::size_t index) -> void { Decide(index, LeavingDeclared{}); }
+
+  // Messages pass only where `filter` says so.
+  auto SetLinks(LinkFilter filter) -> void { links_ = std::move(filter); }
+  auto SetService(ServiceFilter filter) -> void {
+    service_ = std::move(filter);
+  }
+  auto SetLoss(double loss) -> void { options_.loss = loss; }
+
+  // Publishes a table; watchers that reach the service read it.
+  auto Publish(std::uint64_t revision, bool is_valid = true) -> void {
+    published_ = Revision(revision);
+    valid_ = is_valid;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i].runs && nodes_[i].is_reader) {
+        At(i, Milliseconds(1 + random_.Below(3)), [this, i] { Read(i); });
+      }
+    }
+  }
+
+  auto RunFor(Duration duration) -> void {
+    const auto end = now_ + duration;
+    while (!queue_.empty() && queue_.top().at <= end) {
+      auto event = queue_.top();
+      queue_.pop();
+      now_ = event.at;
+      auto& node = nodes_[event.node];
+      if (!node.runs || node.generation != event.generation) {
+        continue;
+      }
+      if (node.is_paused) {
+        node.held.push_back(*event.run);
+        continue;
+      }
+      (*event.run)();
+    }
+    now_ = end;
+  }
+  // Runs until `is_done`, checked each `step`, or for at most `limit`.
+  // Returns the time that it took, or nothing.
+  auto RunUntil(const std::function<bool()>& is_done,
+                Duration limit,
+                Duration step = std::chrono::milliseconds(10))
+      -> std::optional<Duration> {
+    const auto begin = now_;
+    while (now_ - begin < limit) {
+      if (is_done()) {
+        return now_ - begin;
+      }
+      RunFor(step);
+    }
+    return is_done() ? std::optional<Duration>(now_ - begin) : std::nullopt;
+  }
+
+  [[nodiscard]] auto now() const -> TimePoint { return now_; }
+  [[nodiscard]] auto nodes() const -> const std::vector<Node>& {
+    return nodes_;
+  }
+  auto nodes() -> std::vector<Node>& { return nodes_; }
+  auto random() -> Random& { return random_; }
+
+  // What `observer` holds of `subject`.
+  [[nodiscard]] auto Believes(std::size_t observer, std::size_t subject) const
+      -> Liveness {
+    const auto* record =
+        nodes_[observer].membership->list().Find(nodes_[subject].self.id);
+    return record == nullptr ? Liveness::kUnproven : record->member.liveness;
+  }
+  [[nodiscard]] auto RevisionOf(std::size_t index) const -> Revision {
+    const auto digest = nodes_[index].spread->InForce(0);
+    return digest ? digest->revision : Revision();
+  }
+  // Whether all running nodes hold exactly the running ones for alive.
+  [[nodiscard]] auto HasConverged() const -> bool {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      for (std::size_t j = 0; nodes_[i].runs && j < nodes_.size(); ++j) {
+        if (i != j && (Believes(i, j) == Liveness::kAlive) != nodes_[j].runs) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+  [[nodiscard]] auto AllHave(std::uint64_t revision) const -> bool {
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+      if (nodes_[i].runs && RevisionOf(i) != Revision(revision)) {
+        return false;
+      }
+    }
+    return true;
+  }
+  [[nodiscard]] auto AllReady() const -> bool {
+    return std::all_of(nodes_.begin(), nodes_.end(), [](const Node& node) {
+      return !node.runs || node.is_ready;
+    });
+  }
+
+ private:
+  struct Event {
+    TimePoint at;
+    std::uint64_t order = 0;
+    std::size_t node = 0;
+    std::uint64_t generation = 0;
+    std::shared_ptr<std::function<void()>> run;
+
+    auto operator<(const Event& other) const -> bool {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+
+  static auto Milliseconds(std::uint64_t count) -> Duration {
+    return std::chrono::milliseconds(count);
+  }
+
+  auto At(std::size_t node, Duration delay, std::function<void()> run) -> void {
+    queue_.push({now_ + delay, ++orders_, node, nodes_[node].generation,
+                 std::make_shared<std::function<void()>>(std::move(run))});
+  }
+
+  auto Decide(std::size_t index, const MembershipEvent& event) -> void {
+    for (const auto& action : nodes_[index].membership->OnEvent(event, now_)) {
+      std::visit([&](const auto& each) { Act(index, each); }, action);
+    }
+    auto& node = nodes_[index];
+    node.most_peers = std::max(node.most_peers, node.membership->peer_count());
+  }
+  auto Decide(std::size_t index, const TableSpreadEvent& event) -> void {
+    for (const auto& action : nodes_[index].spread->OnEvent(event, now_)) {
+      std::visit([&](const auto& each) { Act(index, each); }, action);
+    }
+  }
+
+  auto Act(std::size_t index, const SendToPeer& action) -> void {
+    auto& node = nodes_[index];
+    const auto endpoint = node.endpoints.find(action.peer);
+    if (endpoint == node.endpoints.end()) {
+      return;
+    }
+    const auto envelope = std::make_shared<const PeerEnvelope>(
+        PeerEnvelope{node.self.id, node.self.incarnation, action.message});
+    const auto bytes = WireSize::Of(*envelope);
+    // ZeroMQ adds 2 bytes to a short frame and 9 to a long one.
+    const auto framed = bytes + (bytes < 256 ? 2 : 9);
+    node.counters.sent_bytes += framed;
+    ++node.counters.sent_messages;
+    const auto found = by_address_.find(endpoint->second);
+    if (found == by_address_.end()) {
+      return;
+    }
+    const auto to = found->second;
+    if ((links_ && !links_(index, to)) || random_.Unit() < options_.loss) {
+      return;
+    }
+    const auto copies = random_.Unit() < options_.duplication ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      const auto ready =
+          std::max(node.connected_at[action.peer] - now_, Duration::zero());
+      const auto delay =
+          ready + options_.latency +
+          Duration(random_.Below(
+              static_cast<std::uint64_t>(options_.jitter.count()) + 1));
+      At(to, delay, [this, to, envelope, framed] {
+        nodes_[to].counters.received_bytes += framed;
+        Decide(to, MembershipEvent(*envelope));
+        Decide(to, TableSpreadEvent(*envelope));
+        AfterMessage(to);
+      });
+    }
+  }
+  auto Act(std::size_t index, const PeersSelected& action) -> void {
+    auto& node = nodes_[index];
+    for (const auto& [vm, address] : action.endpoints) {
+      const auto known = node.endpoints.find(vm);
+      if (known == node.endpoints.end() || known->second != address) {
+        // TCP and ZeroMQ's greeting take two round trips.
+        node.connected_at[vm] = now_ + 4 * options_.latency;
+      }
+    }
+    node.endpoints = action.endpoints;
+  }
+  auto Act(std::size_t index, const MembersChanged& /*action*/) -> void {
+    RefreshSoon(index);
+  }
+  auto Act(std::size_t /*index*/, const SelfSuperseded& /*action*/) -> void {}
+  auto Act(std::size_t index, const WakeMembershipAt& action) -> void {
+    At(index, action.at - now_, [this, index] {
+      Decide(index, MembershipTimer{});
+      AfterMessage(index);
+    });
+  }
+  auto Act(std::size_t index, const CheckTable& action) -> void {
+    const bool is_valid = action.text.front() == 'v';
+    Decide(index, TableChecked{action.digest, is_valid, "refused"});
+  }
+  auto Act(std::size_t index, const TableAccepted& action) -> void {
+    auto& node = nodes_[index];
+    node.accepted_at = now_;
+    node.refused_in_force |= action.text.front() != 'v';
+    node.went_back |= action.digest.revision < last_[{index, node.generation}];
+    last_[{index, node.generation}] = action.digest.revision;
+    RefreshSoon(index);
+  }
+  auto Act(std::size_t index, const TableRejected& /*action*/) -> void {
+    ++nodes_[index].counters.rejected_tables;
+  }
+  auto Act(std::size_t index, const ReaderRoleSet& action) -> void {
+    auto& node = nodes_[index];
+    if (action.is_reader && !node.is_reader) {
+      At(index, Milliseconds(1 + random_.Below(200)),
+         [this, index] { Read(index); });
+    }
+    node.is_reader = action.is_reader;
+  }
+  auto Act(std::size_t index, const WakeTableSpreadAt& action) -> void {
+    At(index, action.at - now_,
+       [this, index] { Decide(index, TableSpreadTimer{}); });
+  }
+
+  auto ReadList(std::size_t index) -> void {
+    ++nodes_[index].counters.reads;
+    nodes_[index].has_list = true;
+    Decide(index, VmListSeeded{list_});
+  }
+  auto Read(std::size_t index) -> void {
+    ++nodes_[index].counters.reads;
+    if (published_ == Revision() || (service_ && !service_(index))) {
+      return;
+    }
+    std::string text(options_.table_bytes, valid_ ? 'v' : 'x');
+    text += std::to_string(published_.value());
+    Decide(index, TableTextRead{0, published_, std::move(text)});
+  }
+
+  // What the fleet task does after each message.
+  auto AfterMessage(std::size_t index) -> void {
+    auto& node = nodes_[index];
+    auto peers = node.membership->TwoWayPeers(now_);
+    if (peers != node.two_way) {
+      node.two_way = std::move(peers);
+      TellTableSpread(index);
+    }
+    Announce(index);
+  }
+  auto TellTableSpread(std::size_t index) -> void {
+    auto& node = nodes_[index];
+    const auto members = node.membership->Members();
+    Decide(index, TableFleetChanged{node.two_way,
+                                    IsElectedReader(node.self.id, members),
+                                    members.size()});
+  }
+  auto Announce(std::size_t index) -> void {
+    auto& node = nodes_[index];
+    ReadinessFacts facts;
+    facts.has_table = node.spread->IsComplete();
+    facts.is_catching_up = node.spread->IsCatchingUp();
+    facts.has_list = node.has_list;
+    facts.other_vms = node.membership->list().other_count();
+    facts.two_way_peers = node.two_way.size();
+    const bool ready = node.gate->IsReady(facts, now_);
+    const auto digests = node.spread->Digests();
+    if (ready == node.is_ready && digests == node.announced) {
+      return;
+    }
+    if (ready && !node.ready_at) {
+      node.ready_at = now_;
+    }
+    node.is_ready = ready;
+    node.announced = digests;
+    Decide(index, SelfAnnounced{ready, digests});
+  }
+  auto RefreshSoon(std::size_t index) -> void {
+    auto& node = nodes_[index];
+    if (!std::exchange(node.is_refreshing, true)) {
+      At(index, Milliseconds(10), [this, index] { Refresh(index); });
+    }
+  }
+  auto Refresh(std::size_t index) -> void {
+    auto& node = nodes_[index];
+    node.is_refreshing = false;
+    const auto members = node.membership->Members();
+    node.homes.Update(members, rows_);
+    std::set<VmId> peers;
+    for (const auto& row : rows_) {
+      const auto& home = node.homes.HomeOf(row.service);
+      if (std::find(home.begin(), home.end(), node.self.id) != home.end()) {
+        peers.insert(home.begin(), home.end());
+      }
+    }
+    peers.erase(node.self.id);
+    if (peers != node.home_peers) {
+      node.home_peers = peers;
+      Decide(index, HomePeersChanged{{peers.begin(), peers.end()}});
+    }
+    TellTableSpread(index);
+    Announce(index);
+  }
+
+  FakeFleetOptions options_;
+  Random random_;
+  std::vector<Node> nodes_;
+  std::vector<Member> list_;
+  std::vector<ServiceRow> rows_;
+  std::map<std::string, std::size_t> by_address_;
+  std::map<std::pair<std::size_t, std::uint64_t>, Revision> last_;
+  std::priority_queue<Event> queue_;
+  std::uint64_t orders_ = 0;
+  std::uint64_t incarnations_ = 0;
+  TimePoint now_ = TimePoint(std::chrono::seconds(1000));
+  LinkFilter links_;
+  ServiceFilter service_;
+  Revision published_;
+  bool valid_ = true;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_TESTS_UNIT_DECISION_FLEET_FAKE_FLEET_H_
--- /dev/null
+++ b/tests/unit/decision/fleet/readiness_gate_test.cc
@@ -0,0 +1,55 @@
+#include "decision/fleet/readiness_gate.h"
+
+#include <criterion/criterion.h>
+
+namespace flamingoyoke {
+namespace {
+
+constexpr TimePoint kStart = TimePoint(std::chrono::seconds(100));
+
+// Guards against serving with the table of a stale configuration service
+// while peers have a newer one.
+Test(readiness_gate, waits_for_peers_that_the_list_shows) {
+  ReadinessGate gate(kStart);
+  ReadinessFacts facts{.has_table = true,
+                       .is_catching_up = false,
+                       .has_list = true,
+                       .other_vms = 39,
+                       .two_way_peers = 1};
+  cr_assert(!gate.IsReady(facts, kStart));
+  facts.two_way_peers = 2;
+  facts.is_catching_up = true;
+  cr_assert(!gate.IsReady(facts, kStart));
+  facts.is_catching_up = false;
+  cr_assert(gate.IsReady(facts, kStart));
+}
+
+// Guards against a vm that never serves because its peers are gone.
+Test(readiness_gate, waits_for_a_bounded_time) {
+  ReadinessGate gate(kStart);
+  const ReadinessFacts facts{.has_table = true, .other_vms = 39};
+  cr_assert(!gate.IsReady(facts, kStart + kPeerWait - Duration(1)));
+  cr_assert(gate.IsReady(facts, kStart + kPeerWait));
+}
+
+// Guards against taking callers without a table.
+Test(readiness_gate, needs_a_table) {
+  ReadinessGate gate(kStart);
+  const ReadinessFacts facts{.has_list = true};
+  cr_assert(!gate.IsReady(facts, kStart + kPeerWait));
+}
+
+// Guards against answering with stale state after a pause.
+Test(readiness_gate, waits_again_after_a_pause) {
+  ReadinessGate gate(kStart);
+  ReadinessFacts facts{.has_table = true, .has_list = true};
+  cr_assert(gate.IsReady(facts, kStart));
+  const auto resumed = kStart + std::chrono::seconds(60);
+  gate.Resume(resumed);
+  facts.other_vms = 39;
+  cr_assert(!gate.IsReady(facts, resumed));
+  cr_assert(gate.IsReady(facts, resumed + kResumePeerWait));
+}
+
+}  // namespace
+}  // namespace flamingoyoke
--- /dev/null
+++ b/tests/unit/decision/fleet/table_spread_test.cc
@@ -0,0 +1,223 @@
+#include "decision/fleet/table_spread.h"
+
+#include <criterion/criterion.h>
+
+#include "decision/fleet/rendezvous.h"
+#include "unit/decision/fleet/fake_fleet.h"
+
+namespace flamingoyoke {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr TimePoint kStart = TimePoint(std::chrono::seconds(100));
+
+template <typename Action>
+auto Find(const std::vector<TableSpreadAction>& actions) -> const Action* {
+  for (const auto& action : actions) {
+    if (const auto* found = std::get_if<Action>(&action)) {
+      return found;
+    }
+  }
+  return nullptr;
+}
+
+auto AskedPeer(const std::vector<TableSpreadAction>& actions) -> std::string {
+  const auto* send = Find<SendToPeer>(actions);
+  return send != nullptr && std::holds_alternative<TablePull>(send->message)
+             ? send->peer.value()
+             : "";
+}
+
+auto From(const std::string& peer, PeerMessage message) -> PeerEnvelope {
+  return {VmId(peer), Incarnation(1), std::move(message)};
+}
+
+auto DigestFor(std::uint64_t revision, const std::string& text) -> TableDigest {
+  return {0, Revision(revision), HashOf(text)};
+}
+
+auto Accept(TableSpread& spread,
+            std::uint64_t revision,
+            const std::string& text) -> void {
+  spread.OnEvent(TableTextRead{0, Revision(revision), text}, kStart);
+  spread.OnEvent(TableChecked{DigestFor(revision, text), true, ""}, kStart);
+}
+
+// Guards against a peer that dies while it is asked for a table.
+Test(table_spread, asks_another_peer_after_a_timeout) {
+  TableSpread spread(1, Random(1));
+  const auto digest = DigestFor(2, "new");
+  cr_assert(AskedPeer(spread.OnEvent(From("a", TableAnnounce{digest}),
+                                     kStart)) == "a");
+  cr_assert(AskedPeer(spread.OnEvent(From("b", TableAnnounce{digest}), kStart))
+                .empty());
+  cr_assert(AskedPeer(spread.OnEvent(TableSpreadTimer{},
+                                     kStart + kPullTimeout)) == "b");
+}
+
+// Guards against damaged data that takes effect or blocks the search.
+Test(table_spread, drops_a_text_that_does_not_match_its_digest) {
+  TableSpread spread(1, Random(1));
+  const auto digest = DigestFor(2, "new");
+  spread.OnEvent(From("a", TableAnnounce{digest}), kStart);
+  spread.OnEvent(From("b", TableAnnounce{digest}), kStart);
+  const auto actions =
+      spread.OnEvent(From("a", TableData{digest, "damaged"}), kStart);
+  cr_assert(Find<CheckTable>(actions) == nullptr);
+  cr_assert(AskedPeer(actions) == "b");
+}
+
+// Guards against an older table from a stale service or peer.
+Test(table_spread, never_goes_back) {
+  TableSpread spread(1, Random(1));
+  Accept(spread, 5, "five");
+  const auto read =
+      spread.OnEvent(TableTextRead{0, Revision(4), "four"}, kStart);
+  cr_assert(Find<CheckTable>(read) == nullptr);
+  const auto data = spread.OnEvent(
+      From("a", TableData{DigestFor(4, "four"), "four"}), kStart);
+  cr_assert(Find<CheckTable>(data) == nullptr);
+  // A check that ends late must not undo a newer version either.
+  spread.OnEvent(TableTextRead{0, Revision(6), "six"}, kStart);
+  spread.OnEvent(TableTextRead{0, Revision(7), "seven"}, kStart);
+  spread.OnEvent(TableChecked{DigestFor(7, "seven"), true, ""}, kStart);
+  spread.OnEvent(TableChecked{DigestFor(6, "six"), true, ""}, kStart);
+  cr_assert(spread.InForce(0)->revision == Revision(7));
+}
+
+// Guards against a refused table that is read or pulled again and again: the
+// watch waits for a later revision, and announcements of it are ignored.
+Test(table_spread, remembers_a_refused_version) {
+  TableSpread spread(1, Random(1));
+  Accept(spread, 5, "five");
+  spread.OnEvent(TableTextRead{0, Revision(6), "bad"}, kStart);
+  const auto actions =
+      spread.OnEvent(TableChecked{DigestFor(6, "bad"), false, "row 2"}, kStart);
+  cr_assert(Find<TableRejected>(actions) != nullptr);
+  const auto* role = Find<ReaderRoleSet>(actions);
+  cr_assert(role != nullptr);
+  cr_assert(role->known == Revision(6));
+  cr_assert(spread.InForce(0)->revision == Revision(5));
+  const auto again =
+      spread.OnEvent(From("a", TableAnnounce{DigestFor(6, "bad")}), kStart);
+  cr_assert(Find<SendToPeer>(again) == nullptr);
+  cr_assert(Find<CheckTable>(spread.OnEvent(
+                TableTextRead{0, Revision(6), "bad"}, kStart)) == nullptr);
+}
+
+// Guards against heartbeats that grow with the number of shards.
+Test(table_spread, sums_the_digests_of_many_shards) {
+  TableSpread full(100, Random(1));
+  for (std::uint32_t shard = 0; shard < 100; ++shard) {
+    const auto text = std::to_string(shard);
+    full.OnEvent(TableTextRead{shard, Revision(1), text}, kStart);
+    full.OnEvent(TableChecked{{shard, Revision(1), HashOf(text)}, true, ""},
+                 kStart);
+  }
+  cr_assert(full.IsComplete());
+  cr_assert_eq(full.Digests().size(), 1);
+  TableSpread fresh(100, Random(2));
+  Heartbeat heartbeat;
+  heartbeat.tables = full.Digests();
+  const auto asked = fresh.OnEvent(From("a", heartbeat), kStart);
+  const auto* pull = Find<SendToPeer>(asked);
+  cr_assert(pull != nullptr);
+  cr_assert_eq(std::get<TablePull>(pull->message).shard, kAllShards);
+  std::size_t announced = 0;
+  for (const auto& action :
+       full.OnEvent(From("b", TablePull{kAllShards, Revision()}), kStart)) {
+    announced += std::holds_alternative<SendToPeer>(action) ? 1 : 0;
+  }
+  cr_assert_eq(announced, 100);
+}
+
+auto MakeFleet() -> FakeFleet {
+  FakeFleetOptions options;
+  options.nodes = 16;
+  FakeFleet fleet(options);
+  fleet.Publish(1);
+  fleet.StartAll();
+  fleet.RunFor(seconds(10));
+  return fleet;
+}
+
+auto FirstReader(const FakeFleet& fleet) -> std::size_t {
+  std::size_t index = 0;
+  while (!fleet.nodes()[index].is_reader) {
+    ++index;
+  }
+  return index;
+}
+
+// Guards against a table that waits for the service to return: one reader
+// that reaches it is enough for all.
+Test(table_spread, one_reader_is_enough) {
+  auto fleet = MakeFleet();
+  const auto reader = FirstReader(fleet);
+  fleet.SetService([reader](std::size_t node) { return node == reader; });
+  fleet.Publish(2);
+  // 3 s is the bound at 40 nodes.
+  cr_assert(fleet.RunUntil([&] { return fleet.AllHave(2); }, seconds(3)));
+}
+
+// Guards against two readers per failure domain becoming all or none.
+Test(table_spread, two_vms_of_each_failure_domain_read) {
+  auto fleet = MakeFleet();
+  std::map<std::string, int> readers;
+  for (const auto& node : fleet.nodes()) {
+    readers[node.self.failure_domain.value()] += node.is_reader ? 1 : 0;
+  }
+  cr_assert_eq(readers.size(), 4);
+  for (const auto& [domain, count] : readers) {
+    cr_assert_eq(count, 2, "%s has %d", domain.c_str(), count);
+  }
+}
+
+// Guards against a fresh vm that serves with the old table of a stale service.
+Test(table_spread, a_fresh_vm_takes_the_newest_of_its_peers) {
+  auto fleet = MakeFleet();
+  fleet.Publish(3);
+  fleet.RunFor(seconds(3));
+  fleet.Publish(2);
+  fleet.Stop(7);
+  fleet.Start(7);
+  bool is_ready = false;
+  for (int step = 0; step < 1000 && !is_ready; ++step) {
+    fleet.RunFor(std::chrono::milliseconds(10));
+    is_ready = fleet.nodes()[7].is_ready;
+  }
+  cr_assert(is_ready);
+  cr_assert(fleet.RevisionOf(7) == Revision(3));
+}
+
+// Guards against a fleet that loses its table while the service is away, and
+// against vms that cannot start without it.
+Test(table_spread, vms_start_while_the_service_is_away) {
+  auto fleet = MakeFleet();
+  fleet.SetService([](std::size_t) { return false; });
+  fleet.RunFor(std::chrono::hours(1));
+  cr_assert(fleet.AllHave(1));
+  fleet.Stop(2);
+  fleet.Start(2);
+  cr_assert(
+      fleet.RunUntil([&] { return fleet.nodes()[2].is_ready; }, seconds(6)));
+}
+
+// Guards against a half of the fleet that stays behind after it was cut off.
+Test(table_spread, a_half_that_was_cut_off_catches_up) {
+  auto fleet = MakeFleet();
+  fleet.SetLinks(
+      [](std::size_t a, std::size_t b) { return (a < 8) == (b < 8); });
+  fleet.SetService([](std::size_t node) { return node < 8; });
+  fleet.RunFor(seconds(20));
+  fleet.Publish(2);
+  fleet.RunFor(seconds(5));
+  cr_assert(fleet.RevisionOf(0) == Revision(2));
+  cr_assert(fleet.RevisionOf(15) == Revision(1));
+  fleet.SetLinks(nullptr);
+  cr_assert(fleet.RunUntil([&] { return fleet.AllHave(2); }, seconds(10)));
+}
+
+}  // namespace
+}  // namespace flamingoyoke
--- /dev/null
+++ b/tests/unit/decision/fleet/wire_size.h
@@ -0,0 +1,102 @@
+#ifndef FLAMINGOYOKE_TESTS_UNIT_DECISION_FLEET_WIRE_SIZE_H_
+#define FLAMINGOYOKE_TESTS_UNIT_DECISION_FLEET_WIRE_SIZE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+
+#include "core/overloaded.h"
+#include "decision/peer/peer_message.h"
+
+namespace flamingoyoke {
+
+// Sizes of the messages of the fleet task as src/wire encodes them, without
+// the encoder, which decisions must not link. tests/unit/wire compares both.
+class WireSize {
+ public:
+  // Returns the bytes of `envelope`.
+  static auto Of(const PeerEnvelope& envelope) -> std::size_t {
+    const auto body =
+        std::visit(Overloaded{
+                       [](const Heartbeat& each) { return Body(each); },
+                       [](const IndirectProbe& each) { return Body(each); },
+                       [](const MemberUpdate& each) { return Body(each); },
+                       [](const TableAnnounce& each) {
+                         return Nested(Digest(each.digest));
+                       },
+                       [](const TablePull& each) {
+                         return Number(each.shard) + Number(each.have.value());
+                       },
+                       [](const TableData& each) {
+                         return Nested(Digest(each.digest)) + Text(each.text);
+                       },
+                       [](const auto&) { return std::size_t{0}; },
+                   },
+                   envelope.message);
+    return Text(envelope.sender.value()) +
+           Number(envelope.incarnation.value()) + Nested(body);
+  }
+
+ private:
+  static auto Varint(std::uint64_t value) -> std::size_t {
+    std::size_t bytes = 1;
+    while (value >= 128) {
+      value /= 128;
+      ++bytes;
+    }
+    return bytes;
+  }
+  // Fields with a default value are left out.
+  static auto Number(std::uint64_t value) -> std::size_t {
+    return value == 0 ? 0 : 1 + Varint(value);
+  }
+  static auto Text(const std::string& text) -> std::size_t {
+    return text.empty() ? 0 : Nested(text.size());
+  }
+  static auto Nested(std::size_t bytes) -> std::size_t {
+    return 1 + Varint(bytes) + bytes;
+  }
+  static auto Fixed(std::uint64_t value) -> std::size_t {
+    return value == 0 ? 0 : 9;
+  }
+  static auto Digest(const TableDigest& digest) -> std::size_t {
+    return Number(digest.shard) + Number(digest.revision.value()) +
+           Fixed(digest.hash);
+  }
+  static auto Body(const Heartbeat& message) -> std::size_t {
+    auto bytes = Number(message.sequence) + Number(message.heard_sequence) +
+                 (message.leaving ? 2 : 0) + (message.ready ? 2 : 0) +
+                 (message.is_chosen ? 2 : 0) + Fixed(message.membership_digest);
+    for (const auto& digest : message.tables) {
+      bytes += Nested(Digest(digest));
+    }
+    return bytes;
+  }
+  static auto Body(const IndirectProbe& message) -> std::size_t {
+    return Text(message.subject.value()) + Number(message.incarnation.value()) +
+           (message.reply ? 2 : 0) + (message.reachable ? 2 : 0);
+  }
+  static auto Body(const MemberUpdate& message) -> std::size_t {
+    std::size_t bytes = message.wants_answer ? 2 : 0;
+    for (const auto& member : message.members) {
+      bytes += Nested(Of(member));
+    }
+    if (!message.bucket_digests.empty()) {
+      bytes += Nested(8 * message.bucket_digests.size());
+    }
+    return bytes;
+  }
+  static auto Of(const Member& member) -> std::size_t {
+    return Text(member.id.value()) + Number(member.incarnation.value()) +
+           Text(member.failure_domain.value()) + Text(member.region.value()) +
+           Text(member.address) + Text(member.mesh_address) +
+           Number(static_cast<std::uint64_t>(member.liveness)) +
+           (member.leaving ? 2 : 0) + (member.ready ? 2 : 0) +
+           Number(member.version);
+  }
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_TESTS_UNIT_DECISION_FLEET_WIRE_SIZE_H_
--- a/tests/unit/wire/peer_codec_test.cc
+++ b/tests/unit/wire/peer_codec_test.cc
@@ -34,7 +34,7 @@
   const ServiceId service("orders");
   const TargetId target("127.0.0.1:9");
   return {
-      Heartbeat{5, 4, true, true, {{1, Revision(2), 3}}, 6},
+      Heartbeat{5, 4, true, true, {{1, Revision(2), 3}}, 6, true},
       IndirectProbe{VmId("b"), Incarnation(3), true, false},
       MemberUpdate{{Member{.id = VmId("c"), .version = 3}}, true, {1, 2}},
       TableAnnounce{{1, Revision(2), 3}},
--- /dev/null
+++ b/tests/unit/wire/wire_size_test.cc
@@ -0,0 +1,45 @@
+#include "unit/decision/fleet/wire_size.h"
+
+#include <criterion/criterion.h>
+
+#include <vector>
+
+#include "wire/peer_codec.h"
+
+namespace flamingoyoke {
+namespace {
+
+auto MakeMember() -> Member {
+  Member member;
+  member.id = VmId("vm-17");
+  member.incarnation = Incarnation(1'700'000'000'123);
+  member.failure_domain = FailureDomainId("fd-1");
+  member.region = RegionId("r-0");
+  member.address = "10.0.0.17:80";
+  member.mesh_address = "10.0.0.17:7000";
+  member.liveness = Liveness::kAlive;
+  member.ready = true;
+  member.version = 3;
+  return member;
+}
+
+// Guards against figures of the fleet benches that count other bytes than the
+// mesh sends.
+Test(wire_size, is_that_of_the_encoded_message) {
+  const std::vector<PeerMessage> messages = {
+      Heartbeat{123456, 123450, false, true, {{0, Revision(9), 77}}, 5},
+      IndirectProbe{VmId("vm-3"), Incarnation(300), true, true},
+      MemberUpdate{{MakeMember(), MakeMember()}, true, {1, 2, 3}},
+      TableAnnounce{{2, Revision(300), 3}},
+      TablePull{1, Revision(200)},
+      TableData{{1, Revision(2), 3}, std::string(3000, 'x')}};
+  for (const auto& message : messages) {
+    const PeerEnvelope envelope{VmId("vm-1"), Incarnation(1'700'000'000'000),
+                                message};
+    cr_assert_eq(WireSize::Of(envelope), EncodeEnvelope(envelope).size(),
+                 "message kind %zu", message.index());
+  }
+}
+
+}  // namespace
+}  // namespace flamingoyoke
