--- a/src/decision/fleet/home_index.cc
+++ b/src/decision/fleet/home_index.cc
@@ -99,9 +99,9 @@
 
 auto HomeIndex::HomeOf(const ServiceId& service) const
     -> const std::vector<VmId>& {
-  static const std::vector<VmId> kNone;
+  static const std::vector<VmId> none;
   const auto found = homes_.find(service);
-  return found == homes_.end() ? kNone : found->second.vms;
+  return found == homes_.end() ? none : found->second.vms;
 }
 
 auto HomeIndex::PlacementsOf(const VmId& vm,
--- a/src/decision/fleet/reader_election.cc
+++ b/src/decision/fleet/reader_election.cc
@@ -9,8 +9,8 @@
 namespace {
 
 auto ScoreOf(const VmId& vm) -> std::uint64_t {
-  static const auto kKey = HashOf("reader");
-  return RendezvousScore(kKey, HashOf(vm.value()));
+  static const auto key = HashOf("reader");
+  return RendezvousScore(key, HashOf(vm.value()));
 }
 
 }  // namespace
--- a/src/decision/fleet/table_spread.cc
+++ b/src/decision/fleet/table_spread.cc
@@ -12,6 +12,9 @@
 namespace flamingoyoke {
 namespace {
 
+// The role of a fresh node depends on the time, which needs no precise timer.
+constexpr Duration kRoleCheck = std::chrono::milliseconds(100);
+
 auto IsBefore(const TableDigest& a, const TableDigest& b) -> bool {
   return std::tie(a.revision, a.hash) < std::tie(b.revision, b.hash);
 }
@@ -302,12 +305,8 @@
     told_role_ = role;
     actions_.emplace_back(role);
   }
-  // The role of a fresh node depends on the time, which needs no precise
-  // timer.
-  constexpr Duration kRoleCheck = std::chrono::milliseconds(100);
   std::optional<TimePoint> wake;
-  if (started_ && !(has_read_ && IsComplete()) &&
-      now < *started_ + kFirstReadTime + kFirstReadTime) {
+  if (started_ && !is_elected_ && (!IsComplete() || role.is_reader)) {
     wake = now + kRoleCheck;
   }
   for (const auto& [shard, pull] : pulls_) {
