Add the operators' command

Operators check tables and settings before publishing them and read reports, so each error has to say what to do and scripts need exit codes that tell faults from wrong usage and unreachable vms.

--- /dev/null
+++ b/src/cli/addresses_command.cc
@@ -0,0 +1,25 @@
+#include "cli/addresses_command.h"
+
+#include <iostream>
+#include <string>
+#include <variant>
+
+#include "cli/vm_page.h"
+
+namespace flamingoyoke {
+
+auto Run(const AddressesCommand& command) -> ExitCode {
+  // Names consist of characters that need no escapes in a query.
+  auto target = "/.flamingoyoke/addresses?service=" + command.service;
+  if (!command.failure_domain.empty()) {
+    target += "&failure_domain=" + command.failure_domain;
+  }
+  const auto page = FetchPage(command.address, target, "caller.address");
+  if (const auto* code = std::get_if<ExitCode>(&page)) {
+    return *code;
+  }
+  std::cout << std::get<std::string>(page) << "\n";
+  return ExitCode::kOk;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/cli/command_line.cc
@@ -0,0 +1,138 @@
+#include "cli/command_line.h"
+
+#include <CLI/CLI.hpp>
+#include <string>
+
+#include "core/name_rule.h"
+
+namespace flamingoyoke {
+namespace {
+
+constexpr const char* kExitCodes =
+    "Exit codes: 0 success, 1 a fault was found, 2 wrong usage, 3 the vm is "
+    "not reachable.";
+
+// Texts of the options, before they become a command.
+struct Arguments {
+  std::string file;
+  std::string address;
+  std::string service;
+  std::string failure_domain;
+  bool json = false;
+  bool csv = false;
+  bool watch = false;
+};
+
+auto ToEndpoint(const std::string& text) -> NamedEndpoint {
+  const auto endpoint = ParseEndpoint(text);
+  if (!endpoint || endpoint->endpoint.port == 0) {
+    throw CLI::ValidationError(
+        "--address", text +
+                         " is not an IP number with a port, for example "
+                         "10.0.0.1:9000");
+  }
+  return *endpoint;
+}
+
+auto CheckName(const std::string& text) -> std::string {
+  return IsValidName(text) ? std::string()
+                           : text + " is not a name: " + kNameRule;
+}
+
+auto AddCommand(CLI::App& app, const char* name, const char* description)
+    -> CLI::App* {
+  auto* command = app.add_subcommand(name, description);
+  command->set_version_flag("--version", FLAMINGOYOKE_VERSION);
+  command->footer(kExitCodes);
+  return command;
+}
+
+auto AddFileCommand(CLI::App& app,
+                    const char* name,
+                    const char* description,
+                    Arguments& arguments) -> CLI::App* {
+  auto* command = AddCommand(app, name, description);
+  command->add_option("FILE", arguments.file, "file to check")->required();
+  return command;
+}
+
+auto AddReport(CLI::App& app, Arguments& arguments) -> CLI::App* {
+  auto* command = AddCommand(app, "report", "Show the report of one vm");
+  command
+      ->add_option("--address", arguments.address,
+                   "IP:PORT of the vm for operators (admin.address)")
+      ->required();
+  auto* json = command->add_flag("--json", arguments.json, "print JSON");
+  auto* csv = command->add_flag("--csv", arguments.csv, "print CSV");
+  json->excludes(csv);
+  command->add_flag("--watch", arguments.watch,
+                    "repeat every second until interrupted");
+  return command;
+}
+
+auto AddAddresses(CLI::App& app, Arguments& arguments) -> CLI::App* {
+  auto* command = AddCommand(
+      app, "addresses", "Show the addresses that callers of a service use");
+  command
+      ->add_option("--address", arguments.address,
+                   "IP:PORT of any vm for callers (caller.address)")
+      ->required();
+  command->add_option("--service", arguments.service, "name of the service")
+      ->required()
+      ->check(CheckName);
+  command
+      ->add_option("--failure-domain", arguments.failure_domain,
+                   "failure domain of the caller")
+      ->check(CheckName);
+  return command;
+}
+
+auto FormOf(const Arguments& arguments) -> ReportForm {
+  if (arguments.json) {
+    return ReportForm::kJson;
+  }
+  return arguments.csv ? ReportForm::kCsv : ReportForm::kText;
+}
+
+}  // namespace
+
+auto ParseCommandLine(int argc, char** argv)
+    -> std::variant<Command, ExitCode> {
+  CLI::App app(
+      "Checks tables and settings of a flamingoyoke fleet and shows "
+      "its reports.",
+      "flamingoyoke");
+  app.set_version_flag("--version", FLAMINGOYOKE_VERSION);
+  app.footer(kExitCodes);
+  app.require_subcommand(1);
+  Arguments arguments;
+  const auto* check_table = AddFileCommand(
+      app, "check-table", "Check a table and list every fault", arguments);
+  const auto* check_settings =
+      AddFileCommand(app, "check-settings",
+                     "Check a settings file and list every fault", arguments);
+  const auto* report = AddReport(app, arguments);
+  AddAddresses(app, arguments);
+  try {
+    app.parse(argc, argv);
+    if (check_table->parsed()) {
+      return Command(CheckTableCommand{arguments.file});
+    }
+    if (check_settings->parsed()) {
+      return Command(CheckSettingsCommand{arguments.file});
+    }
+    const auto address = ToEndpoint(arguments.address);
+    if (report->parsed()) {
+      return Command(
+          ReportCommand{address, FormOf(arguments), arguments.watch});
+    }
+    return Command(
+        AddressesCommand{address, arguments.service, arguments.failure_domain});
+  } catch (const CLI::ParseError& error) {
+    // Prints help and the version to standard output, errors to standard
+    // error.
+    return app.exit(error) == 0 ? ExitCode::kOk : ExitCode::kUsage;
+  }
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/cli/main.cc
@@ -0,0 +1,23 @@
+#include <csignal>
+#include <variant>
+
+#include "cli/addresses_command.h"
+#include "cli/check_commands.h"
+#include "cli/command_line.h"
+#include "cli/report_command.h"
+#include "core/overloaded.h"
+
+auto main(int argc, char** argv) -> int {
+  using flamingoyoke::Command;
+  using flamingoyoke::ExitCode;
+  std::signal(SIGPIPE, SIG_IGN);  // A vm may close its connection at any time.
+  const auto parsed = flamingoyoke::ParseCommandLine(argc, argv);
+  const auto code = std::visit(
+      flamingoyoke::Overloaded{
+          [](const Command& command) {
+            return std::visit([](const auto& c) { return Run(c); }, command);
+          },
+          [](ExitCode early) { return early; }},
+      parsed);
+  return static_cast<int>(code);
+}
--- a/tests/integration/support/child_process.cc
+++ b/tests/integration/support/child_process.cc
@@ -39,7 +39,8 @@
 
 auto Spawn(const std::string& program,
            const std::vector<std::string>& arguments,
-           int output) -> pid_t {
+           int output,
+           Captured captured) -> pid_t {
   std::vector<char*> argv = {const_cast<char*>(program.c_str())};
   for (const auto& argument : arguments) {
     argv.push_back(const_cast<char*>(argument.c_str()));
@@ -48,6 +49,9 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
+  if (captured == Captured::kOutputAndErrors) {
+    posix_spawn_file_actions_adddup2(&actions, output, STDERR_FILENO);
+  }
   pid_t pid = -1;
   const auto error = posix_spawn(&pid, program.c_str(), &actions, nullptr,
                                  argv.data(), environ);
@@ -59,10 +63,11 @@
 }  // namespace
 
 ChildProcess::ChildProcess(const std::string& program,
-                           const std::vector<std::string>& arguments) {
+                           const std::vector<std::string>& arguments,
+                           Captured captured) {
   std::array<int, 2> ends{};
   cr_assert_eq(pipe2(ends.data(), O_CLOEXEC), 0);
-  pid_ = Spawn(program, arguments, ends[1]);
+  pid_ = Spawn(program, arguments, ends[1], captured);
   Running().push_back(pid_);
   close(ends[1]);
   output_descriptor_ = ends[0];
--- a/tests/integration/support/child_process.h
+++ b/tests/integration/support/child_process.h
@@ -10,22 +10,26 @@
 
 namespace flamingoyoke::integration {
 
+// What a test reads of a program.
+enum class Captured { kOutput, kOutputAndErrors };
+
 // A program that a test started. It is ended, by its own process id, when the
 // object is destroyed. Not thread-safe.
 class ChildProcess {
  public:
   // Starts `program` with `arguments`. Aborts the test if that fails.
   ChildProcess(const std::string& program,
-               const std::vector<std::string>& arguments);
+               const std::vector<std::string>& arguments,
+               Captured captured = Captured::kOutput);
   ~ChildProcess();
   ChildProcess(ChildProcess&& other) noexcept;
   auto operator=(ChildProcess&& other) noexcept -> ChildProcess&;
 
-  // Waits for the line "<name> <number>" on standard output and returns the
+  // Waits for the line "<name> <number>" in the output and returns the
   // number. Aborts the test if it does not come within `limit`.
   auto ReadNumber(const std::string& name, std::chrono::seconds limit) -> int;
 
-  // Returns everything written to standard output until the process closes it.
+  // Returns everything written until the process closes its output.
   // Aborts the test after `limit`.
   auto ReadAll(std::chrono::seconds limit) -> std::string;
 
