Never run a timer before its time

Cause: libevent counts a delay from the start of the loop's turn and with a coarse clock, so a timer set late in a turn fired early. A decision that was woken early found nothing due, ordered no further wake, and slept until the next message. Ruled out: the mesh sockets, which connected within a second, and the mailboxes, which lost no wake. Change: a one-shot timer that fires early is set again for the rest; the loop uses the precise clock.

--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -1,9 +1,12 @@
 #include "runtime/event_loop.h"
 
+#include <algorithm>
 #include <chrono>
 #include <new>
 #include <utility>
 
+#include "runtime/clock.h"
+
 namespace flamingoyoke {
 namespace {
 
@@ -14,7 +17,11 @@
 }
 
 auto MakeBase() -> event_base* {
-  auto* base = event_base_new();
+  // The default clock is a few milliseconds coarse.
+  auto* config = event_config_new();
+  event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  auto* base = event_base_new_with_config(config);
+  event_config_free(config);
   if (base == nullptr) {
     throw std::bad_alloc();
   }
@@ -26,6 +33,9 @@
 struct EventLoop::Handle::State {
   Callback callback;
   std::unique_ptr<event, EventDeleter> ev;
+  // When a one-shot timer is due.
+  TimePoint due;
+  bool is_one_shot = false;
 };
 
 auto EventLoop::Handle::StateDeleter::operator()(State* state) const -> void {
@@ -36,8 +46,9 @@
   if (!state_) {
     return;
   }
-  const auto interval =
-      ToTimeval(delay < Duration::zero() ? Duration::zero() : delay);
+  const auto wait = std::max(delay, Duration::zero());
+  state_->due = Now() + wait;
+  const auto interval = ToTimeval(wait);
   event_add(state_->ev.get(), &interval);
 }
 
@@ -63,7 +74,9 @@
 }
 
 auto EventLoop::MakeTimer(Callback callback) -> Handle {
-  return MakeHandle(-1, 0, std::move(callback));
+  auto handle = MakeHandle(-1, 0, std::move(callback));
+  handle.state_->is_one_shot = true;
+  return handle;
 }
 
 auto EventLoop::MakePeriodicTimer(Duration period, Callback callback)
@@ -83,11 +96,22 @@
 auto EventLoop::MakeHandle(int descriptor, short events, Callback callback)
     -> Handle {
   Handle handle;
-  handle.state_.reset(new Handle::State{std::move(callback), nullptr});
+  handle.state_.reset(
+      new Handle::State{std::move(callback), nullptr, {}, false});
   handle.state_->ev.reset(event_new(
       base_.get(), descriptor, events,
-      [](evutil_socket_t, short, void* state) {
-        static_cast<Handle::State*>(state)->callback();
+      [](evutil_socket_t, short, void* context) {
+        auto* state = static_cast<Handle::State*>(context);
+        // Libevent counts a delay from the start of the loop's turn, so a
+        // timer set late in a long turn fires early. A decision that is woken
+        // before its time orders no further wake and would sleep for good.
+        const auto missing = state->due - Now();
+        if (state->is_one_shot && missing > Duration::zero()) {
+          const auto interval = ToTimeval(missing);
+          event_add(state->ev.get(), &interval);
+          return;
+        }
+        state->callback();
       },
       handle.state_.get()));
   if (!handle.state_->ev) {
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -25,7 +25,8 @@
    public:
     Handle() = default;
 
-    // Runs the callback once after `delay`, replacing an earlier schedule.
+    // Runs the callback once after `delay`, never before, replacing an
+    // earlier schedule.
     auto Schedule(Duration delay) -> void;
     // Cancels the schedule, if there is one.
     auto Cancel() -> void;
