--- a/src/cli/report_text.cc
+++ b/src/cli/report_text.cc
@@ -50,6 +50,7 @@
   std::string targets;
   for (const auto& service : services) {
     std::vector<std::string> row;
+    row.reserve(kColumns.size());
     for (const auto& column : kColumns) {
       row.push_back(ToText(service.at(column)));
     }
