--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -22,6 +22,7 @@
 auto AllBenches() -> const std::vector<Bench>& {
   static const std::vector<Bench> benches = {
       {"detection", "time to detect failing targets", RunDetectionBench},
+      {"ejection", "mistakes, flapping, drain and probes", RunEjectionBench},
   };
   return benches;
 }
--- a/bench/benches.h
+++ b/bench/benches.h
@@ -14,6 +14,9 @@
 // Time to detect failing targets.
 auto RunDetectionBench(std::uint64_t seed) -> std::vector<Measure>;
 
+// Healthy targets ejected by mistake, flapping, drain, probes.
+auto RunEjectionBench(std::uint64_t seed) -> std::vector<Measure>;
+
 }  // namespace flamingoyoke
 
 #endif  // FLAMINGOYOKE_BENCH_BENCHES_H_
--- a/bench/detection_bench.cc
+++ b/bench/detection_bench.cc
@@ -9,81 +9,19 @@
 #include <vector>
 
 #include "bench/benches.h"
+#include "bench/detection_profiles.h"
 #include "bench/detection_world.h"
 #include "bench/ideal_cusum.h"
 
 namespace flamingoyoke {
 namespace {
 
-struct Service {
-  std::string_view name;
-  std::size_t targets;
-};
-
-struct Profile {
-  std::string_view name;
-  std::array<Service, 3> services;
-  std::uint32_t slots;
-  Duration one_way;
-};
-
-const std::array<Profile, 2> kProfiles = {
-    Profile{"association",
-            {{{"stock", 8}, {"booking", 14}, {"manifest", 8}}},
-            2,
-            std::chrono::microseconds(500)},
-    Profile{"builder",
-            {{{"catalogue", 9}, {"ledger", 16}, {"design", 8}}},
-            4,
-            std::chrono::microseconds(1000)}};
-
 constexpr int kTrialsPerService = 200;
 constexpr auto kWarmUp = std::chrono::seconds(15);
 // A trial that takes longer counts with this time.
 constexpr auto kLongestTrial = std::chrono::seconds(60);
 constexpr double kRate = 20;
 
-auto SettingOf(const Profile& profile, const Service& service)
-    -> DetectionSetting {
-  DetectionSetting setting;
-  setting.targets = service.targets;
-  setting.slots = profile.slots;
-  setting.one_way = profile.one_way;
-  setting.rate = kRate;
-  return setting;
-}
-
-auto Quantile(std::vector<double> values, double quantile) -> double {
-  std::sort(values.begin(), values.end());
-  const auto last = static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(std::ceil(quantile * last))];
-}
-
-auto MeasureOf(const Profile& profile,
-               std::string name,
-               std::string unit,
-               double value) -> Measure {
-  Measure measure;
-  measure.bench = "detection";
-  measure.profile = profile.name;
-  measure.name = std::move(name);
-  measure.unit = std::move(unit);
-  measure.value = value;
-  return measure;
-}
-
-auto AtMost(Measure measure, double bound) -> Measure {
-  measure.bound_kind = BoundKind::kAtMost;
-  measure.bound = bound;
-  return measure;
-}
-
-auto Against(Measure measure, std::string name, double value) -> Measure {
-  measure.baseline_name = std::move(name);
-  measure.baseline = value;
-  return measure;
-}
-
 using Fault = std::function<void(DetectionWorld&, std::size_t target)>;
 
 // Returns the detection times of one service; see DetectionTimes().
@@ -107,7 +45,7 @@
 
 // Returns the times from a fault of one target until no home node uses it, in
 // seconds, over all services of the profile.
-auto DetectionTimes(const Profile& profile,
+auto DetectionTimes(const DetectionProfile& profile,
                     const Fault& fault,
                     double rate,
                     std::uint64_t seed) -> std::vector<double> {
@@ -127,7 +65,7 @@
   return times;
 }
 
-auto StopMeasures(const Profile& profile, std::uint64_t seed)
+auto StopMeasures(const DetectionProfile& profile, std::uint64_t seed)
     -> std::vector<Measure> {
   constexpr double kMedianBound = 0.5;
   constexpr double kP99Bound = 1;
@@ -136,37 +74,42 @@
       profile,
       [](auto& world, auto target) { world.Upstream(target).is_silent = true; },
       kRate, seed);
-  measures.push_back(AtMost(
-      MeasureOf(profile, "silent stop, median", "s", Quantile(silent, 0.5)),
-      kMedianBound));
-  measures.push_back(AtMost(
-      MeasureOf(profile, "silent stop, p99", "s", Quantile(silent, 0.99)),
-      kP99Bound));
+  measures.push_back(
+      AtMost(MeasureOf("detection", profile, "silent stop, median", "s",
+                       Quantile(silent, 0.5)),
+             kMedianBound));
+  measures.push_back(AtMost(MeasureOf("detection", profile, "silent stop, p99",
+                                      "s", Quantile(silent, 0.99)),
+                            kP99Bound));
   const auto refused = DetectionTimes(
       profile,
       [](auto& world, auto target) {
         world.Upstream(target).is_refusing = true;
       },
       kRate, seed + 1);
-  measures.push_back(AtMost(
-      MeasureOf(profile, "refusing stop, median", "s", Quantile(refused, 0.5)),
-      kMedianBound));
-  measures.push_back(AtMost(
-      MeasureOf(profile, "refusing stop, p99", "s", Quantile(refused, 0.99)),
-      kP99Bound));
+  measures.push_back(
+      AtMost(MeasureOf("detection", profile, "refusing stop, median", "s",
+                       Quantile(refused, 0.5)),
+             kMedianBound));
+  measures.push_back(
+      AtMost(MeasureOf("detection", profile, "refusing stop, p99", "s",
+                       Quantile(refused, 0.99)),
+             kP99Bound));
   constexpr double kHardlyAnyWork = 0.01;
   const auto idle = DetectionTimes(
       profile,
       [](auto& world, auto target) { world.Upstream(target).is_silent = true; },
       kHardlyAnyWork, seed + 2);
-  measures.push_back(MeasureOf(profile, "silent stop without work, median", "s",
+  measures.push_back(MeasureOf("detection", profile,
+                               "silent stop without work, median", "s",
                                Quantile(idle, 0.5)));
-  measures.push_back(MeasureOf(profile, "silent stop without work, p99", "s",
+  measures.push_back(MeasureOf("detection", profile,
+                               "silent stop without work, p99", "s",
                                Quantile(idle, 0.99)));
   return measures;
 }
 
-auto GrayMeasures(const Profile& profile, std::uint64_t seed)
+auto GrayMeasures(const DetectionProfile& profile, std::uint64_t seed)
     -> std::vector<Measure> {
   constexpr double kMedianBound = 1.5;
   constexpr double kP99Bound = 4;
@@ -187,38 +130,43 @@
   const auto naive = ConsecutiveDetectionTimes(kInARow, ideal.ill_rate, kRate,
                                                kBaselineTrials, seed);
   std::vector<Measure> measures;
-  measures.push_back(Against(AtMost(MeasureOf(profile, "gray target, median",
-                                              "s", Quantile(gray, 0.5)),
-                                    kMedianBound),
-                             "ideal CUSUM", Quantile(best, 0.5)));
-  measures.push_back(Against(
-      AtMost(MeasureOf(profile, "gray target, p99", "s", Quantile(gray, 0.99)),
-             kP99Bound),
-      "ideal CUSUM", Quantile(best, 0.99)));
-  measures.push_back(MeasureOf(profile, "baseline: 5 failures in a row, median",
-                               "s", Quantile(naive, 0.5)));
-  measures.push_back(MeasureOf(profile, "baseline: 5 failures in a row, p99",
-                               "s", Quantile(naive, 0.99)));
+  measures.push_back(
+      Against(AtMost(MeasureOf("detection", profile, "gray target, median", "s",
+                               Quantile(gray, 0.5)),
+                     kMedianBound),
+              "ideal CUSUM", Quantile(best, 0.5)));
+  measures.push_back(
+      Against(AtMost(MeasureOf("detection", profile, "gray target, p99", "s",
+                               Quantile(gray, 0.99)),
+                     kP99Bound),
+              "ideal CUSUM", Quantile(best, 0.99)));
+  measures.push_back(MeasureOf("detection", profile,
+                               "baseline: 5 failures in a row, median", "s",
+                               Quantile(naive, 0.5)));
+  measures.push_back(MeasureOf("detection", profile,
+                               "baseline: 5 failures in a row, p99", "s",
+                               Quantile(naive, 0.99)));
   // Without the comparison with the peers, which only lowers the figure.
   IdealCusum plain;
   plain.threshold = Cusum::kThreshold;
   measures.push_back(Against(
-      MeasureOf(profile, "false alarms of the plain test, 10 days", "",
+      MeasureOf("detection", profile, "false alarms of the plain test, 10 days",
+                "",
                 kOutcomes / OutcomesPerFalseAlarm(plain, kExcursions, seed)),
       "bound of the ideal CUSUM", 1));
   return measures;
 }
 
-auto OtherFaultMeasures(const Profile& profile, std::uint64_t seed)
+auto OtherFaultMeasures(const DetectionProfile& profile, std::uint64_t seed)
     -> std::vector<Measure> {
   std::vector<Measure> measures;
   const auto add = [&](const std::string& name, const Fault& fault,
                        std::uint64_t offset) {
     const auto times = DetectionTimes(profile, fault, kRate, seed + offset);
-    measures.push_back(
-        MeasureOf(profile, name + ", median", "s", Quantile(times, 0.5)));
-    measures.push_back(
-        MeasureOf(profile, name + ", p99", "s", Quantile(times, 0.99)));
+    measures.push_back(MeasureOf("detection", profile, name + ", median", "s",
+                                 Quantile(times, 0.5)));
+    measures.push_back(MeasureOf("detection", profile, name + ", p99", "s",
+                                 Quantile(times, 0.99)));
   };
   add(
       "slow target (x10)",
@@ -237,7 +185,7 @@
 
 auto RunDetectionBench(std::uint64_t seed) -> std::vector<Measure> {
   std::vector<Measure> measures;
-  for (const auto& profile : kProfiles) {
+  for (const auto& profile : kDetectionProfiles) {
     for (const auto& part : {StopMeasures, GrayMeasures, OtherFaultMeasures}) {
       const auto figures = part(profile, seed);
       measures.insert(measures.end(), figures.begin(), figures.end());
--- a/src/decision/detection/borrowed_paths.cc
+++ b/src/decision/detection/borrowed_paths.cc
@@ -4,6 +4,53 @@
 
 namespace flamingoyoke {
 
+auto BorrowedPaths::OnStarted(const TargetId& target,
+                              const InFlightAttempt& attempt) -> void {
+  in_flight_[target].Start(attempt);
+}
+
+auto BorrowedPaths::OnEnded(const TargetId& target, AttemptId attempt) -> void {
+  const auto found = in_flight_.find(target);
+  if (found == in_flight_.end()) {
+    return;
+  }
+  found->second.End(attempt);
+  if (!found->second.OldestStart()) {
+    in_flight_.erase(found);
+  }
+}
+
+auto BorrowedPaths::TakeOverdue(Duration limit, TimePoint now)
+    -> std::vector<TargetId> {
+  std::vector<TargetId> targets;
+  for (auto& [target, attempts] : in_flight_) {
+    if (!attempts.TakeOverdue(limit, now).empty()) {
+      targets.push_back(target);
+    }
+  }
+  return targets;
+}
+
+auto BorrowedPaths::NextOverdue(Duration limit) const -> TimePoint {
+  auto wake = TimePoint::max();
+  for (const auto& [target, attempts] : in_flight_) {
+    if (const auto oldest = attempts.OldestTimelyStart()) {
+      wake = std::min(wake, *oldest + limit);
+    }
+  }
+  return wake;
+}
+
+auto BorrowedPaths::Forget(const TargetId& target) -> void {
+  entries_.erase(target);
+  in_flight_.erase(target);
+}
+
+auto BorrowedPaths::Clear() -> void {
+  entries_.clear();
+  in_flight_.clear();
+}
+
 auto BorrowedPaths::OnOutcome(const TargetId& target,
                               bool path_failed,
                               TimePoint now) -> bool {
--- a/src/decision/detection/detector.cc
+++ b/src/decision/detection/detector.cc
@@ -104,15 +104,18 @@
 
 auto Detector::Apply(const AttemptStarted& event, TimePoint now) -> void {
   const auto found = monitors_.find(event.target);
-  if (found == monitors_.end()) {
-    return;
+  if (found != monitors_.end()) {
+    found->second.OnStarted(event, evidence_, now);
+  } else if (HasTarget(event.target)) {
+    borrowed_.OnStarted(event.target,
+                        {event.attempt, now, event.fresh_connection, false});
   }
-  found->second.OnStarted(event, evidence_, now);
   WakeBy(now + evidence_.StallLimit(now));
 }
 
 auto Detector::Apply(const AttemptEnded& event, TimePoint now) -> void {
   const auto found = monitors_.find(event.target);
+  borrowed_.OnEnded(event.target, event.attempt);
   if (found != monitors_.end()) {
     found->second.OnEnded(event, Context(event.target), now);
     if (found->second.IsDue()) {
@@ -353,6 +356,7 @@
   for (auto& [target, monitor] : monitors_) {
     AdvanceMonitor(target, monitor, now);
   }
+  ReportOverdue(now);
   AnswerVerifications(now);
   // An answer may have been the promise that a takeover waits for.
   SyncTakeovers(now);
@@ -441,6 +445,22 @@
   return permits_.Decide(configuration_->row, target, out_of_use, now);
 }
 
+auto Detector::ReportOverdue(TimePoint now) -> void {
+  const auto limit = evidence_.StallLimit(now);
+  for (const auto& target : borrowed_.TakeOverdue(limit, now)) {
+    actions_.emplace_back(RetireConnections{target});
+    TargetOutcomes outcomes;
+    outcomes.target = target;
+    outcomes.timed_out = 1;
+    // The members that do not own the target ignore the report.
+    for (const auto& member : configuration_->home) {
+      if (member.id != configuration_->self) {
+        Send(member.id, OutcomeReport{configuration_->row.service, {outcomes}});
+      }
+    }
+  }
+}
+
 auto Detector::AnswerVerifications(TimePoint now) -> void {
   for (const auto& target : desk_.Waiting()) {
     if (!HasTarget(target)) {
--- a/src/decision/detection/detector.h
+++ b/src/decision/detection/detector.h
@@ -104,6 +104,9 @@
                       TargetMonitor& monitor,
                       TimePoint now) -> void;
   auto DecidePermit(const TargetId& target, TimePoint now) -> bool;
+  // Tells the owners of attempts that hang; both slots of a target may be
+  // lent, so that its owner sees nothing itself.
+  auto ReportOverdue(TimePoint now) -> void;
   auto AnswerVerifications(TimePoint now) -> void;
   auto Announce(TimePoint now) -> void;
   auto PublishShares(TimePoint now) -> void;
--- a/src/decision/detection/target_monitor.cc
+++ b/src/decision/detection/target_monitor.cc
@@ -27,7 +27,9 @@
 constexpr std::uint32_t kProbeWorth = 5;
 constexpr Duration kUnreachableRetry = std::chrono::seconds(2);
 constexpr Duration kReportMemory = std::chrono::seconds(10);
-constexpr std::uint32_t kCorroboration = 2;
+// A borrower reports an attempt that hangs twice: when it is overdue and when
+// it ends.
+constexpr std::uint32_t kCorroboration = 4;
 // Bounds what one repeated or faulty report can do.
 constexpr std::uint32_t kMostReported = 64;
 // A slow target still answers, so it returns before failing ones.
@@ -173,6 +175,8 @@
     }
     reported_path_failures_ += std::min(outcomes.timed_out, kMostReported);
     reported_path_failures_at_ = now;
+    has_reported_suspicion_ = true;
+    is_due_ = true;
   }
   if (auto* trial = std::get_if<TrialPhase>(&phase_)) {
     trial->succeeded += std::min(outcomes.succeeded, kMostReported);
@@ -212,6 +216,7 @@
   idle_probe_started_.reset();
   probe_passed_at_.reset();
   reported_path_failures_ = 0;
+  has_reported_suspicion_ = false;
   is_second_opinion_ = false;
   last_outcome_ = now;
   idle_probe_at_ = now;
@@ -411,6 +416,9 @@
     check_->AdoptProbe(*idle_probe_started_);
     idle_probe_started_.reset();
   }
+  if (std::exchange(has_reported_suspicion_, false)) {
+    StartCheck(context, now, now);
+  }
   if (!check_) {
     return;
   }
--- a/src/decision/detection/target_monitor.h
+++ b/src/decision/detection/target_monitor.h
@@ -163,6 +163,7 @@
   // Path failures that borrowers reported in the last seconds.
   std::uint32_t reported_path_failures_ = 0;
   TimePoint reported_path_failures_at_;
+  bool has_reported_suspicion_ = false;
   bool is_second_opinion_ = false;
   bool is_due_ = false;
   MonitorOrders orders_;
--- a/tests/unit/decision/detection/detector_test.cc
+++ b/tests/unit/decision/detection/detector_test.cc
@@ -2,34 +2,227 @@
 
 #include <criterion/criterion.h>
 
+#include "unit/decision/detection/detection_fixture.h"
+
 namespace flamingoyoke {
 namespace {
 
-auto Configuration() -> DetectionConfigured {
-  DetectionConfigured event;
-  event.row.service = ServiceId("stock");
-  for (const auto* id : {"10.0.0.1:80", "10.0.0.2:80"}) {
-    TargetSpec target;
-    target.id = TargetId(id);
-    event.row.targets.push_back(target);
+constexpr auto kStart = TimePoint(std::chrono::seconds(100));
+
+auto After(std::int64_t milliseconds) -> TimePoint {
+  return kStart + std::chrono::milliseconds(milliseconds);
+}
+
+auto StatusOf(const Detector& detector, std::size_t target) -> TargetStatus {
+  return detector.Statuses().at(target);
+}
+
+auto Notice(std::size_t target, TargetState state, std::uint64_t version)
+    -> EjectionNotice {
+  return {ServiceId("stock"),     FixtureTarget(target), state, version, 0.5,
+          std::chrono::seconds(3)};
+}
+
+auto FromPeer(std::size_t node, PeerMessage message) -> DetectionPeerMessage {
+  return {FixtureVm(node), std::move(message)};
+}
+
+// Guards against new work for a target that said it leaves, and against
+// members that do not learn of it.
+Test(detector, a_drain_signal_takes_the_share_away_and_is_announced) {
+  Detector detector(Random(1));
+  detector.OnEvent(FixtureConfiguration(0), kStart);
+  const auto actions =
+      detector.OnEvent(DrainSignalled{FixtureTarget(1), true}, kStart);
+  cr_assert(StatusOf(detector, 1).state == TargetState::kDraining);
+  cr_assert_eq(StatusOf(detector, 1).share, 0);
+  cr_assert_eq(SentOf<EjectionNotice>(actions).size(), kFixtureNodes - 1);
+}
+
+// Guards against an old notice that arrives late and undoes a newer one.
+Test(detector, a_notice_of_an_old_version_changes_nothing) {
+  Detector detector(Random(1));
+  detector.OnEvent(FixtureConfiguration(0), kStart);
+  detector.OnEvent(FromPeer(1, Notice(1, TargetState::kEjected, 7)), kStart);
+  const auto actions = detector.OnEvent(
+      FromPeer(1, Notice(1, TargetState::kHealthy, 6)), After(1));
+  cr_assert(StatusOf(detector, 1).state == TargetState::kEjected);
+  cr_assert(ActionsOf<SetTargetShare>(actions).empty());
+}
+
+// Guards against a target that stays out of use because its owner was lost.
+Test(detector, a_notice_ends_without_renewal) {
+  Detector detector(Random(1));
+  detector.OnEvent(FixtureConfiguration(0), kStart);
+  detector.OnEvent(FromPeer(1, Notice(1, TargetState::kEjected, 7)), kStart);
+  cr_assert_eq(StatusOf(detector, 1).share, 0);
+  detector.OnEvent(DetectionTimer{}, After(3001));
+  cr_assert_eq(StatusOf(detector, 1).share, 1);
+}
+
+// Guards against owners that push the capacity below the floor together.
+Test(detector, the_floor_brings_back_the_least_ill) {
+  Detector detector(Random(1));
+  detector.OnEvent(FixtureConfiguration(0), kStart);
+  for (const std::size_t target : {1U, 2U, 3U, 5U, 6U}) {
+    auto notice = Notice(target, TargetState::kEjected, 1);
+    notice.severity = target == 3 ? 0.1 : 0.9;
+    detector.OnEvent(FromPeer(1, notice), kStart);
+  }
+  cr_assert_eq(StatusOf(detector, 3).share, 1);
+  cr_assert(StatusOf(detector, 3).state == TargetState::kEjected);
+  cr_assert_eq(StatusOf(detector, 1).share, 0);
+}
+
+// Guards against permits that together go below the floor.
+Test(detector, the_first_home_member_refuses_permits_below_the_floor) {
+  Detector detector(Random(1));
+  detector.OnEvent(FixtureConfiguration(0), kStart);
+  int granted = 0;
+  for (std::size_t target = 0; target < kFixtureTargets; ++target) {
+    const auto actions = detector.OnEvent(
+        FromPeer(1, EjectionPermitRequest{ServiceId("stock"),
+                                          FixtureTarget(target)}),
+        kStart);
+    for (const auto& permit : SentOf<EjectionPermit>(actions)) {
+      granted += permit.granted ? 1 : 0;
+    }
   }
-  event.self = VmId("a");
-  event.home = {{VmId("a"), FailureDomainId("1")},
-                {VmId("b"), FailureDomainId("2")}};
-  event.owned = {TargetId("10.0.0.1:80")};
-  return event;
-}
-
-// Guards against new work for a target that said it leaves.
-Test(detector, a_drain_signal_takes_the_share_away_at_once) {
-  Detector detector(Random(1));
-  detector.OnEvent(Configuration(), TimePoint());
-  detector.OnEvent(DrainSignalled{TargetId("10.0.0.1:80"), true}, TimePoint());
-  const auto statuses = detector.Statuses();
-  cr_assert_eq(statuses.size(), 2);
-  cr_assert(statuses[0].state == TargetState::kDraining);
-  cr_assert_eq(statuses[0].share, 0);
-  cr_assert_eq(statuses[1].share, 1);
+  cr_assert_eq(granted, 4);
+}
+
+// Runs attempts on a target whose every second answer is a server error.
+auto FailHalf(Detector& detector, std::size_t target, TimePoint& now)
+    -> std::vector<DetectionAction> {
+  std::vector<DetectionAction> all;
+  for (std::uint64_t i = 0; i < 40; ++i) {
+    now += std::chrono::milliseconds(25);
+    const auto result =
+        i % 2 == 0 ? AttemptResult::kServerError : AttemptResult::kAnswered;
+    detector.OnEvent(AttemptStarted{AttemptId(i), FixtureTarget(target)}, now);
+    const auto actions =
+        detector.OnEvent(AttemptEnded{AttemptId(i), FixtureTarget(target),
+                                      result, std::chrono::milliseconds(20)},
+                         now);
+    all.insert(all.end(), actions.begin(), actions.end());
+  }
+  return all;
+}
+
+// Guards against a gray target that stays in use while its probes pass, and
+// against an ejection that never ends.
+Test(detector, a_failing_target_is_ejected_and_returns_by_probe_and_trial) {
+  Detector detector(Random(1));
+  detector.OnEvent(FixtureConfiguration(0), kStart);
+  auto now = kStart;
+  FailHalf(detector, 0, now);
+  cr_assert(StatusOf(detector, 0).state == TargetState::kEjected);
+  now += EjectionBackoff::kFirst;
+  const auto actions = detector.OnEvent(DetectionTimer{}, now);
+  cr_assert_eq(ActionsOf<StartProbe>(actions).size(), 2,
+               "the ejected target and the idle one of this owner");
+  detector.OnEvent(ProbeEnded{FixtureTarget(0), true}, now);
+  cr_assert(StatusOf(detector, 0).state == TargetState::kTrial);
+  cr_assert_eq(StatusOf(detector, 0).share, 0.5);
+  for (std::uint64_t i = 100; i < 110; ++i) {
+    now += std::chrono::milliseconds(25);
+    detector.OnEvent(AttemptStarted{AttemptId(i), FixtureTarget(0)}, now);
+    detector.OnEvent(
+        AttemptEnded{AttemptId(i), FixtureTarget(0), AttemptResult::kAnswered,
+                     std::chrono::milliseconds(20)},
+        now);
+  }
+  cr_assert(StatusOf(detector, 0).state == TargetState::kRamping);
+  detector.OnEvent(DetectionTimer{}, now + kRampDuration);
+  cr_assert(StatusOf(detector, 0).state == TargetState::kHealthy);
+}
+
+// Guards against the ejection of a target for a fault that all have.
+Test(detector, a_fault_of_the_whole_service_ejects_nobody) {
+  Detector detector(Random(1));
+  detector.OnEvent(FixtureConfiguration(0), kStart);
+  auto now = kStart;
+  for (int round = 0; round < 100; ++round) {
+    now += std::chrono::milliseconds(50);
+    for (std::size_t node = 1; node < kFixtureNodes; ++node) {
+      LoadReport report;
+      report.service = ServiceId("stock");
+      report.succeeded = 1;
+      report.failed = 1;
+      detector.OnEvent(FromPeer(node, report), now);
+    }
+    const auto result =
+        round % 2 == 0 ? AttemptResult::kServerError : AttemptResult::kAnswered;
+    for (const std::size_t target : {0U, 4U}) {
+      const AttemptId attempt(static_cast<std::uint64_t>(round) * 8 + target);
+      detector.OnEvent(AttemptStarted{attempt, FixtureTarget(target)}, now);
+      detector.OnEvent(AttemptEnded{attempt, FixtureTarget(target), result,
+                                    std::chrono::milliseconds(20)},
+                       now);
+    }
+    cr_assert(StatusOf(detector, 0).state == TargetState::kHealthy);
+    cr_assert(StatusOf(detector, 4).state == TargetState::kHealthy);
+  }
+}
+
+// Starts an attempt that hangs and returns the actions until it is overdue.
+auto Stall(Detector& detector) -> std::vector<DetectionAction> {
+  detector.OnEvent(AttemptStarted{AttemptId(1), FixtureTarget(0)}, kStart);
+  return detector.OnEvent(DetectionTimer{}, After(251));
+}
+
+// Guards against a target that is ejected because one connection went silent.
+Test(detector, a_silent_connection_is_retired_and_ejects_nobody) {
+  Detector detector(Random(1));
+  detector.OnEvent(FixtureConfiguration(0), kStart);
+  const auto actions = Stall(detector);
+  cr_assert_eq(ActionsOf<StartProbe>(actions).size(), 1);
+  cr_assert_eq(ActionsOf<RetireConnections>(actions).size(), 1);
+  detector.OnEvent(ProbeEnded{FixtureTarget(0), true}, After(280));
+  detector.OnEvent(DetectionTimer{}, After(900));
+  cr_assert(StatusOf(detector, 0).state == TargetState::kHealthy);
+}
+
+// Guards against the ejection of a target that only this node cannot reach.
+Test(detector, a_target_that_another_member_reaches_is_handed_over) {
+  Detector detector(Random(1));
+  detector.OnEvent(FixtureConfiguration(0), kStart);
+  Stall(detector);
+  const auto actions =
+      detector.OnEvent(ProbeEnded{FixtureTarget(0), false}, After(260));
+  cr_assert_eq(SentOf<VerifyRequest>(actions).size(), 1);
+  detector.OnEvent(
+      FromPeer(1, VerifyAnswer{ServiceId("stock"), FixtureTarget(0), true}),
+      After(290));
+  cr_assert(StatusOf(detector, 0).state == TargetState::kUnreachable);
+  cr_assert_eq(detector.OwnedTargets().size(), 1);
+}
+
+// Guards against a stopped target that stays in use.
+Test(detector, a_target_that_nobody_reaches_is_ejected) {
+  Detector detector(Random(1));
+  detector.OnEvent(FixtureConfiguration(0), kStart);
+  Stall(detector);
+  detector.OnEvent(ProbeEnded{FixtureTarget(0), false}, After(260));
+  detector.OnEvent(
+      FromPeer(1, VerifyAnswer{ServiceId("stock"), FixtureTarget(0), false}),
+      After(290));
+  cr_assert(StatusOf(detector, 0).state == TargetState::kEjected);
+}
+
+// Guards against a target that nobody serves after its owner handed it over.
+Test(detector, a_verifier_takes_over_and_gives_back) {
+  Detector detector(Random(1));
+  detector.OnEvent(FixtureConfiguration(1), kStart);
+  const auto actions = detector.OnEvent(
+      FromPeer(0, VerifyRequest{ServiceId("stock"), FixtureTarget(0)}), kStart);
+  cr_assert_eq(ActionsOf<StartProbe>(actions).size(), 1);
+  detector.OnEvent(ProbeEnded{FixtureTarget(0), true}, After(25));
+  detector.OnEvent(FromPeer(0, Notice(0, TargetState::kUnreachable, 1)),
+                   After(30));
+  cr_assert_eq(detector.OwnedTargets().size(), 3);
+  detector.OnEvent(FromPeer(0, Notice(0, TargetState::kTrial, 2)), After(40));
+  cr_assert_eq(detector.OwnedTargets().size(), 2);
 }
 
 }  // namespace
