--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -25,6 +25,7 @@
       {"dispatch", "Ways to divide the work", &RunDispatchBench},
       {"short_long", "Short work beside long work", &RunShortLongBench},
       {"detection", "time to detect failing targets", RunDetectionBench},
+      {"ejection", "mistakes, flapping, drain and probes", RunEjectionBench},
   };
   return benches;
 }
--- a/bench/benches.h
+++ b/bench/benches.h
@@ -17,6 +17,9 @@
 // Time to detect failing targets.
 auto RunDetectionBench(std::uint64_t seed) -> std::vector<Measure>;
 
+// Healthy targets ejected by mistake, flapping, drain, probes.
+auto RunEjectionBench(std::uint64_t seed) -> std::vector<Measure>;
+
 }  // namespace flamingoyoke
 
 #endif  // FLAMINGOYOKE_BENCH_BENCHES_H_
