--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -24,6 +24,8 @@
       {"crest", "Twice the capacity for 30 s", &RunCrestBench},
       {"dispatch", "Ways to divide the work", &RunDispatchBench},
       {"short_long", "Short work beside long work", &RunShortLongBench},
+      {"detection", "time to detect failing targets", RunDetectionBench},
+      {"ejection", "mistakes, flapping, drain and probes", RunEjectionBench},
   };
   return benches;
 }
--- a/bench/benches.h
+++ b/bench/benches.h
@@ -14,6 +14,11 @@
 auto RunCrestBench(std::uint64_t seed) -> std::vector<Measure>;
 auto RunDispatchBench(std::uint64_t seed) -> std::vector<Measure>;
 auto RunShortLongBench(std::uint64_t seed) -> std::vector<Measure>;
+// Time to detect failing targets.
+auto RunDetectionBench(std::uint64_t seed) -> std::vector<Measure>;
+
+// Healthy targets ejected by mistake, flapping, drain, probes.
+auto RunEjectionBench(std::uint64_t seed) -> std::vector<Measure>;
 
 }  // namespace flamingoyoke
 
--- a/src/decision/detection/target_monitor.cc
+++ b/src/decision/detection/target_monitor.cc
@@ -27,7 +27,9 @@
 constexpr std::uint32_t kProbeWorth = 5;
 constexpr Duration kUnreachableRetry = std::chrono::seconds(2);
 constexpr Duration kReportMemory = std::chrono::seconds(10);
-constexpr std::uint32_t kCorroboration = 2;
+// A borrower reports an attempt that hangs twice: when it is overdue and when
+// it ends.
+constexpr std::uint32_t kCorroboration = 4;
 // Bounds what one repeated or faulty report can do.
 constexpr std::uint32_t kMostReported = 64;
 // A slow target still answers, so it returns before failing ones.
@@ -68,7 +70,7 @@
   }
   own.MarkAnswered(now);
   NoteOutcome(FailureSort::kPath, false, evidence, now);
-  if (check_ && attempt && attempt->started >= suspected_since_) {
+  if (check_ && now > check_started_) {
     check_->OnProbe(true);
     is_due_ = true;
   }
@@ -173,12 +175,15 @@
     }
     reported_path_failures_ += std::min(outcomes.timed_out, kMostReported);
     reported_path_failures_at_ = now;
+    has_reported_suspicion_ = true;
+    is_due_ = true;
   }
   if (auto* trial = std::get_if<TrialPhase>(&phase_)) {
     trial->succeeded += std::min(outcomes.succeeded, kMostReported);
     trial->failed += std::min(outcomes.failed, kMostReported);
+    is_due_ = true;
   }
-  is_due_ = true;
+  is_due_ = is_due_ || alarms_.IsRaised();
 }
 
 auto TargetMonitor::SetDraining(bool draining, TimePoint now) -> void {
@@ -211,6 +216,7 @@
   idle_probe_started_.reset();
   probe_passed_at_.reset();
   reported_path_failures_ = 0;
+  has_reported_suspicion_ = false;
   is_second_opinion_ = false;
   last_outcome_ = now;
   idle_probe_at_ = now;
@@ -390,7 +396,7 @@
   if (check_ || !IsInUse()) {
     return;
   }
-  check_.emplace(context.verifiers);
+  check_.emplace(context.verifiers, now);
   check_started_ = now;
   suspected_since_ = suspected_since;
   retired_at_ = now;
@@ -410,6 +416,9 @@
     check_->AdoptProbe(*idle_probe_started_);
     idle_probe_started_.reset();
   }
+  if (std::exchange(has_reported_suspicion_, false)) {
+    StartCheck(context, now, now);
+  }
   if (!check_) {
     return;
   }
@@ -443,14 +452,17 @@
 auto TargetMonitor::IsReallySilent(const MonitorContext& context, TimePoint now)
     -> bool {
   auto& evidence = context.evidence;
-  if (evidence.Own(target_).last_answer() > suspected_since_) {
+  const auto last_answer = evidence.Own(target_).last_answer();
+  if (last_answer > check_started_) {
     check_->OnProbe(true);
     return false;
   }
-  // The response times of the peers may have risen since the suspicion.
+  // Another attempt may have been answered after the one that is overdue was
+  // written, just before the target stopped. The response times of the peers
+  // may have risen since the suspicion.
   const bool is_long_enough =
       check_->IsExplicitFailure() ||
-      now - suspected_since_ >=
+      now - std::max(suspected_since_, last_answer) >=
           evidence.StallLimit(now) + ProbeTime(context, now);
   return is_long_enough && !evidence.IsCommonCause(target_, now);
 }
