Keep drain signals for a minute and report metrics before the report

A health endpoint that does not mention a drain ended the drain at the next probe, and so did answers that were already on their way. A drain now ends only with a healthy probe a minute after the last signal. A graceful stop also ends when the last keyed request outlived its caller. Metrics are sent before the report that announces them: one test run in two had found the report without its metrics.

--- a/src/node/traffic/service_runner.cc
+++ b/src/node/traffic/service_runner.cc
@@ -18,6 +18,11 @@
 // in whole milliseconds.
 constexpr Duration kLeastTime = std::chrono::milliseconds(1);
 
+// How long after its last drain signal a target may be used again, if its
+// health endpoint no longer mentions the drain. That endpoint may lag, and a
+// target that leaves is gone by then.
+constexpr Duration kDrainHold = std::chrono::seconds(60);
+
 }  // namespace
 
 auto ServicePlacement::operator==(const ServicePlacement& other) const -> bool {
@@ -121,6 +126,7 @@
 
 auto ServiceRunner::OnResumed() -> void {
   // Ahead of events that wait, as these may come from before the pause.
+  draining_.clear();
   events_.emplace_front(DispatchEvent(DispatchResumed{}));
   events_.emplace_front(DetectionEvent(DetectionResumed{}));
   TakeAll();
@@ -332,8 +338,9 @@
   probes_.erase(found);
   const auto target = lease.target;
   pool_.Release(std::move(lease));
-  if (passed || signals.draining) {
-    OnSignals(target, signals);
+  OnSignals(target, signals);
+  if (passed && !signals.draining) {
+    OnHealthyProbe(target);
   }
   Post(ProbeEnded{target, passed});
 }
@@ -430,21 +437,29 @@
       request->second.answering == id) {
     FinishAnswered(attempt.request);
   }
-  if (answered || result == AttemptResult::kShed) {
-    OnSignals(target, signals);
-  }
+  OnSignals(target, signals);
   Post(AttemptEnded{id, target, result, now - attempt.started});
   Post(AttemptFinished{id, result, signals.load.value_or(-1)});
 }
 
 auto ServiceRunner::OnSignals(const TargetId& target,
                               const UpstreamSignals& signals) -> void {
-  auto& draining = draining_[target];
-  if (draining == signals.draining) {
+  if (!signals.draining) {
+    return;
+  }
+  const bool is_new = draining_.insert_or_assign(target, Now()).second;
+  if (is_new) {
+    Post(DrainSignalled{target, true});
+  }
+}
+
+auto ServiceRunner::OnHealthyProbe(const TargetId& target) -> void {
+  const auto found = draining_.find(target);
+  if (found == draining_.end() || Now() - found->second < kDrainHold) {
     return;
   }
-  draining = signals.draining;
-  Post(DrainSignalled{target, draining});
+  draining_.erase(found);
+  Post(DrainSignalled{target, false});
 }
 
 auto ServiceRunner::OnCallerGone(RequestId id) -> void {
--- a/src/node/traffic/service_runner.h
+++ b/src/node/traffic/service_runner.h
@@ -139,6 +139,8 @@
   auto OnCallerGone(RequestId id) -> void;
   auto OnSignals(const TargetId& target, const UpstreamSignals& signals)
       -> void;
+  // A probe passed without a drain signal.
+  auto OnHealthyProbe(const TargetId& target) -> void;
   auto OnProbeEnd(ProbeId id, bool passed, const UpstreamSignals& signals)
       -> void;
   // Whether a byte of any attempt of the request was written, other than of
@@ -159,8 +161,8 @@
   std::unordered_map<AttemptId, Attempt> attempts_;
   std::unordered_map<ProbeId, UpstreamPool::Lease> probes_;
   std::uint64_t last_probe_ = 0;
-  // Targets whose drain signal was passed to the detector.
-  std::unordered_map<TargetId, bool> draining_;
+  // Last drain signal of each target that drains.
+  std::unordered_map<TargetId, TimePoint> draining_;
   std::vector<TargetId> dispatched_owned_;
   std::deque<Event> events_;
   bool taking_ = false;
--- a/src/node/traffic/traffic_task.cc
+++ b/src/node/traffic/traffic_task.cc
@@ -324,6 +324,8 @@
   if (has_news_ && Now() - last_report_ >= kReportPeriod) {
     SendReports();
   }
+  // Keyed work may end after its caller went away, without any answer sent.
+  ExitIfDone();
   ScheduleTick();
 }
 
@@ -363,8 +365,9 @@
             static_cast<double>(server_->body_bytes()));
   add_gauge("flamingoyoke_key_ledger_entries", "Idempotency keys in memory.",
             static_cast<double>(ledger_.size()));
-  outbox_.admin.Post(std::move(reported));
+  // A report that is seen says that its metrics were sent too.
   outbox_.telemetry.Post(std::move(metrics));
+  outbox_.admin.Post(std::move(reported));
 }
 
 auto TrafficTask::active() const -> std::size_t {
--- /dev/null
+++ b/tests/unit/node/traffic/body_budget_test.cc
@@ -0,0 +1,31 @@
+#include "node/traffic/body_budget.h"
+
+#include <criterion/criterion.h>
+
+#include <utility>
+
+namespace flamingoyoke {
+namespace {
+
+// Every share must come back exactly once, however it is moved around.
+Test(body_budget, shares_come_back_once) {
+  BodyBudget budget(100);
+  {
+    auto first = budget.Take(60);
+    cr_assert(budget.HasRoom(40));
+    cr_assert_not(budget.HasRoom(41));
+    auto second = std::move(first);
+    BodyBudget::Share third;
+    third = std::move(second);
+    cr_assert_eq(third.bytes(), 60U);
+    cr_assert_eq(budget.used(), 60U);
+    auto other = budget.Take(40);
+    third = std::move(other);
+  }
+  cr_assert_eq(budget.used(), 0U);
+  cr_assert(budget.HasRoom(100));
+  cr_assert_not(budget.HasRoom(101));
+}
+
+}  // namespace
+}  // namespace flamingoyoke
--- a/tests/unit/node/traffic/caller_interface_test.cc
+++ b/tests/unit/node/traffic/caller_interface_test.cc
@@ -14,22 +14,18 @@
 Test(caller_interface, smuggling_cases_get_400_and_a_close) {
   UpstreamFake upstream(EchoScript());
   TrafficFixture node({MakeRow("stock", {upstream.port()})});
-  const std::string hidden = "GET /stock/hidden HTTP/1.1\r\nHost: h\r\n\r\n";
   const std::string start = "POST /stock HTTP/1.1\r\nHost: h\r\n";
-  for (const auto& text : std::vector<std::string>{
-           start + "Content-Length: 5\r\nContent-Length: 50\r\n\r\n" + hidden,
-           start + "Content-Length: +5\r\n\r\nhello" + hidden,
-           start + "Content-Length : 5\r\n\r\nhello" + hidden,
-           start + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + hidden,
-           start + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" +
-               "0\r\n\r\n" + hidden,
-           start + "Content-Length: 0\nX: y\r\n\r\n" + hidden,
-           start + "X: y\r\n Content-Length: 5\r\n\r\n" + hidden,
-           start + "Transfer-Encoding: chunked\r\n\r\n+0\r\n\r\n" + hidden,
-           start + "Transfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\n" +
-               hidden,
-           "GET /stock HTTP/1.1\nHost: h\n\n" + hidden,
-       }) {
+  const std::string hidden = "GET /stock/hidden HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const auto* framing :
+       {"Content-Length: 5\r\nContent-Length: 50\r\n\r\n",
+        "Content-Length: +5\r\n\r\nhello", "Content-Length : 5\r\n\r\nhello",
+        "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
+        "Content-Length: 0\nX: y\r\n\r\n", "X: y\r\n Content-Length: 5\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n+0\r\n\r\n",
+        "Transfer-Encoding: chunked\r\n\r\n0\r\nX: y\r\n\r\n", "\n"}) {
+    auto text = start;
+    text.append(framing).append(hidden);
     auto caller = node.Connect();
     cr_assert(caller.Write(text));
     const auto answer = caller.ReadMessage();
@@ -156,6 +152,30 @@
   cr_assert(caller.ReadsEnd());
 }
 
+// A caller that never reads its answer does not hold its connection forever.
+Test(caller_interface, caller_that_reads_nothing_is_closed) {
+  std::promise<bool> ended;
+  UpstreamFake upstream([&](const UpstreamFake::Request&, TestSocket& socket) {
+    socket.Write("HTTP/1.1 200 OK\r\nContent-Length: 1000000000\r\n\r\n");
+    const std::string part(1 << 16, 'x');
+    std::size_t written = 0;
+    while (written < 1000000000 && socket.Write(part)) {
+      written += part.size();
+    }
+    ended.set_value(written < 1000000000);
+    return false;
+  });
+  auto config = MakeConfig();
+  config.caller_write_limit = std::chrono::milliseconds(100);
+  TrafficFixture node({MakeRow("stock", {upstream.port()})}, config);
+  auto caller = node.Connect();
+  cr_assert(caller.Write(Get("/stock")));
+  auto result = ended.get_future();
+  cr_assert(result.wait_for(std::chrono::seconds(20)) ==
+            std::future_status::ready);
+  cr_assert(result.get());
+}
+
 // Connections above the bound are closed, the others work on.
 Test(caller_interface, connections_are_bounded) {
   UpstreamFake upstream(EchoScript());
@@ -211,6 +231,26 @@
   cr_assert_eq(trace.substr(52), "-01");
 }
 
+// curl waits for this before it sends a large body, and the upstream must not
+// be asked to wait too.
+Test(caller_interface, expect_continue) {
+  UpstreamFake upstream(EchoScript());
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  auto caller = node.Connect();
+  cr_assert(
+      caller.Write("POST /stock HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+                   "Content-Length: 4\r\n\r\n"));
+  const auto interim = caller.ReadMessage(false);
+  cr_assert(interim.has_value());
+  cr_assert_eq(interim->status(), 100);
+  cr_assert(caller.Write("body"));
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_assert_eq(answer->body, std::string("body"));
+  const TestSocket::Message seen{upstream.request(0).head, "", true};
+  cr_assert_not(seen.header("Expect"));
+}
+
 // HEAD has no body, whatever length the answer names.
 Test(caller_interface, head_request) {
   UpstreamFake upstream([](const UpstreamFake::Request&, TestSocket& socket) {
--- a/tests/unit/node/traffic/traffic_task_test.cc
+++ b/tests/unit/node/traffic/traffic_task_test.cc
@@ -1,10 +1,14 @@
 #include "node/traffic/traffic_task.h"
 
 #include <criterion/criterion.h>
+#include <poll.h>
 
+#include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "runtime/clock.h"
 #include "unit/node/traffic/traffic_fixture.h"
 
 namespace flamingoyoke {
@@ -46,5 +50,77 @@
   cr_assert_eq(upstream.executions(), 0U);
 }
 
+// Waits for a report in which the service answered `answered` requests.
+auto WaitForReport(TrafficFixture& node, std::uint64_t answered)
+    -> std::optional<ServiceReport> {
+  const auto limit = Now() + std::chrono::seconds(20);
+  auto& mailbox = node.mailboxes().admin;
+  while (Now() < limit) {
+    pollfd waiting{mailbox.descriptor(), POLLIN, 0};
+    poll(&waiting, 1, 1000);
+    for (auto& message : mailbox.TakeAll()) {
+      const auto* reported = std::get_if<TrafficReported>(&message);
+      if (reported != nullptr && !reported->services.empty() &&
+          reported->services[0].answered >= answered) {
+        return reported->services[0];
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+// Operators see each service with its counters, and telemetry gets the same
+// figures with the service as the only label.
+Test(traffic_task, reports_and_metrics) {
+  UpstreamFake upstream(EchoScript());
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  for (int i = 0; i < 3; ++i) {
+    node.Exchange(Get("/stock"));
+  }
+  const auto report = WaitForReport(node, 3);
+  cr_assert(report.has_value());
+  cr_assert_eq(report->service, ServiceId("stock"));
+  cr_assert_eq(report->revision, Revision(1));
+  cr_assert_eq(report->answered, 3U);
+  cr_assert_eq(report->targets.size(), 1U);
+  bool found = false;
+  for (auto& message : node.mailboxes().telemetry.TakeAll()) {
+    const auto* metrics = std::get_if<MetricsReported>(&message);
+    if (metrics == nullptr) {
+      continue;
+    }
+    for (const auto& sample : metrics->samples) {
+      cr_assert(sample.label_name.empty() || sample.label_name == "service");
+      found = found || (sample.name == "flamingoyoke_requests_answered_total" &&
+                        sample.label_value == "stock" && sample.value == 3);
+    }
+  }
+  cr_assert(found);
+}
+
+// A sampled request leaves one span per hop, all in the caller's trace.
+Test(traffic_task, spans_of_a_sampled_request) {
+  UpstreamFake upstream(EchoScript());
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  const std::string trace(32, 'a');
+  node.Exchange(
+      Get("/stock", "traceparent: 00-" + trace + "-bbbbbbbbbbbbbbbb-01\r\n"));
+  cr_assert(WaitForReport(node, 1).has_value());
+  std::map<std::string, SpanFinished> spans;
+  for (auto& message : node.mailboxes().telemetry.TakeAll()) {
+    if (auto* span = std::get_if<SpanFinished>(&message)) {
+      spans[span->name] = *span;
+    }
+  }
+  cr_assert_eq(spans.size(), 3U);
+  for (const auto& [name, span] : spans) {
+    cr_assert_eq(span.trace_id, trace, "%s", name.c_str());
+  }
+  const auto& request = spans["request"];
+  cr_assert_eq(request.parent_span_id, std::string(16, 'b'));
+  cr_assert_eq(spans["queue"].parent_span_id, request.span_id);
+  cr_assert_eq(spans["attempt"].parent_span_id, request.span_id);
+}
+
 }  // namespace
 }  // namespace flamingoyoke
--- a/tests/unit/node/traffic/upstream_interface_test.cc
+++ b/tests/unit/node/traffic/upstream_interface_test.cc
@@ -11,6 +11,9 @@
 namespace flamingoyoke {
 namespace {
 
+constexpr std::size_t kMostRequests = 20;
+constexpr std::size_t kLongAnswer = 64 << 20;
+
 auto MakeUnrepeatableRow(const char* service,
                          const std::vector<std::uint16_t>& ports)
     -> ServiceRow {
@@ -57,10 +60,9 @@
   TrafficFixture node({MakeUnrepeatableRow("orders", {upstream.port()})});
   // Kept connections may be those of probes, so a reuse comes after a few
   // requests.
-  constexpr std::size_t most = 20;
   std::size_t sent = 0;
   bool reset = false;
-  while (!reset && sent < most) {
+  while (!reset && sent < kMostRequests) {
     const auto answer = node.Exchange(PostRequest("/orders", "a"));
     ++sent;
     reset = answer.status() != 200;
@@ -149,11 +151,10 @@
 
 // An answer that is cut must reach the caller as cut, never as whole.
 Test(upstream_interface, cut_answers_are_not_whole) {
-  for (const auto& part : std::vector<std::string>{
-           "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello",
-           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-           "5\r\nhello\r\n",
-       }) {
+  for (const std::string part :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n5\r\nhello\r\n"}) {
     UpstreamFake upstream(
         [&](const UpstreamFake::Request&, TestSocket& socket) {
           socket.Write(part);
@@ -169,17 +170,20 @@
 // Without a length or chunks nobody can tell a whole answer from a cut one,
 // and two lengths say nothing.
 Test(upstream_interface, answers_without_safe_framing_are_refused) {
-  for (const auto& text : std::vector<std::string>{
-           "HTTP/1.1 200 OK\r\n\r\nhello",
-           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n"
-           "hello!",
-           "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\nhello",
-           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
-           "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
-           "HTTP/1.1 103 Early Hints\r\n\r\n"
-           "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
-           "nonsense\r\n\r\n",
-       }) {
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const auto two_encodings =
+      ok + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      "5\r\nhello\r\n0\r\n\r\n";
+  const auto early_hints = "HTTP/1.1 103 Early Hints\r\n\r\n" + ok +
+                           "Content-Length: 5\r\n\r\nhello";
+  const std::vector<std::string> answers{
+      ok + "\r\nhello",
+      ok + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello!",
+      ok + "Content-Length: +5\r\n\r\nhello",
+      two_encodings,
+      early_hints,
+      "nonsense\r\n\r\n"};
+  for (const auto& text : answers) {
     UpstreamFake upstream(
         [&](const UpstreamFake::Request&, TestSocket& socket) {
           socket.Write(text);
@@ -276,13 +280,12 @@
 // A caller that reads slowly must hold back the upstream instead of filling
 // this process, and still get every byte.
 Test(upstream_interface, long_answer_is_streamed_with_back_pressure) {
-  constexpr std::size_t size = 64 << 20;
   std::atomic<std::size_t> written = 0;
   UpstreamFake upstream([&](const UpstreamFake::Request&, TestSocket& socket) {
-    socket.Write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
-                 "\r\n\r\n");
+    socket.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                 std::to_string(kLongAnswer) + "\r\n\r\n");
     const std::string part(1 << 16, 'x');
-    while (written < size && socket.Write(part)) {
+    while (written < kLongAnswer && socket.Write(part)) {
       written += part.size();
     }
     return true;
@@ -295,11 +298,11 @@
   // Another request is served while this answer waits for its reader.
   cr_assert_eq(node.Exchange(Get("/other")).status(), 404);
   // The kernel's buffers of two connections hold a few megabytes.
-  cr_assert_lt(written.load(), size / 2);
+  cr_assert_lt(written.load(), kLongAnswer / 2);
   const auto answer = caller.ReadMessage();
   cr_assert(answer.has_value());
   cr_assert(answer->whole);
-  cr_assert_eq(answer->body.size(), size);
+  cr_assert_eq(answer->body.size(), kLongAnswer);
 }
 
 // Chunked answers and uploads pass through unchanged.
@@ -319,6 +322,43 @@
   cr_assert(answer.whole);
 }
 
+// A drain signal reaches the report: the target gets no new work from then on.
+Test(upstream_interface, draining_target_gets_no_new_work) {
+  UpstreamFake draining([](const UpstreamFake::Request&, TestSocket& socket) {
+    return socket.Write(
+        "HTTP/1.1 200 OK\r\nFlamingoyoke-Drain: 1\r\n"
+        "Content-Length: 0\r\n\r\n");
+  });
+  UpstreamFake staying(EchoScript());
+  auto row = MakeRow("stock", {draining.port(), staying.port()});
+  row.floor = 0;
+  TrafficFixture node({row});
+  while (draining.executions() == 0) {
+    cr_assert_eq(node.Exchange(Get("/stock")).status(), 200);
+  }
+  for (int i = 0; i < 50; ++i) {
+    cr_assert_eq(node.Exchange(Get("/stock")).status(), 200);
+  }
+  cr_assert_eq(draining.executions(), 1U);
+}
+
+// A service whose home set is elsewhere and unreachable has no slots here, and
+// the caller learns that nothing ran.
+Test(upstream_interface, service_without_slots_is_not_run) {
+  UpstreamFake upstream(EchoScript());
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  node.view().placements.clear();
+  node.view().members.clear();
+  node.Publish();
+  TestSocket::Message answer;
+  do {
+    answer = node.Exchange(
+        PostRequest("/stock", "a", "Flamingoyoke-Deadline-Ms: 100\r\n"));
+  } while (answer.status() == 200);
+  cr_assert_eq(answer.status(), 503, "%s", answer.head.c_str());
+  cr_assert(answer.header("Flamingoyoke-Outcome") == "not-run");
+}
+
 // Many callers at once: each gets the answer to its own request.
 Test(upstream_interface, answers_are_never_swapped) {
   UpstreamFake first(EchoScript());
@@ -326,6 +366,7 @@
   TrafficFixture node({MakeRow("stock", {first.port(), second.port()})});
   std::atomic<int> wrong = 0;
   std::vector<std::thread> threads;
+  threads.reserve(8);
   for (int t = 0; t < 8; ++t) {
     threads.emplace_back([&, t] {
       auto caller = node.Connect();
