--- a/tests/integration/support/fleet.cc
+++ b/tests/integration/support/fleet.cc
@@ -8,6 +8,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 #include "integration/support/wait_until.h"
@@ -158,7 +159,7 @@
 }
 
 auto Fleet::WaitForRevision(BlockingHttp& http, int revision) -> bool {
-  return WaitUntil(
+  const bool is_reached = WaitUntil(
       [&] {
         for (const auto& vm : vms_) {
           if (!vm->IsReady(http) || vm->RevisionInForce(http) != revision) {
@@ -168,6 +169,13 @@
         return true;
       },
       kFleetLimit);
+  for (const auto& vm : vms_) {
+    if (!is_reached) {
+      // Shown with the failing test.
+      std::cerr << vm->id() << ": " << vm->Report(http).dump() << "\n";
+    }
+  }
+  return is_reached;
 }
 
 auto ExampleTable(const std::string& file, const std::vector<int>& ports)
