--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -21,7 +21,8 @@
   [[nodiscard]] auto value() const -> const std::string& { return value_; }
   [[nodiscard]] auto empty() const -> bool { return value_.empty(); }
 
-  auto operator<=>(const StringId&) const = default;
+  // clang-tidy 14 takes the defaulted operator for a null pointer.
+  auto operator<=>(const StringId&) const = default;  // NOLINT
 
  private:
   std::string value_;
@@ -36,7 +37,8 @@
 
   [[nodiscard]] constexpr auto value() const -> std::uint64_t { return value_; }
 
-  constexpr auto operator<=>(const NumberId&) const = default;
+  // clang-tidy 14 takes the defaulted operator for a null pointer.
+  constexpr auto operator<=>(const NumberId&) const = default;  // NOLINT
 
  private:
   std::uint64_t value_ = 0;
--- a/src/decision/detection/detector.cc
+++ b/src/decision/detection/detector.cc
@@ -205,7 +205,7 @@
   borrowed_.Clear();
   borrowers_.clear();
   for (auto& [target, ends] : local_drains_) {
-    ends = std::min(ends, now + NoticeBook::kResumeHold);
+    ends = std::min(ends, now + EjectionNoticeStore::kResumeHold);
   }
   for (auto& [target, budget] : budgets_) {
     budget.End();
@@ -484,7 +484,7 @@
     double severity = 0;
     if (has_drain) {
       state = TargetState::kDraining;
-      severity = NoticeBook::kFirstHand;
+      severity = EjectionNoticeStore::kFirstHand;
     } else if (found != monitors_.end()) {
       state = StateOf(found->second.phase());
       severity = SeverityOf(found->second.phase());
--- a/src/decision/detection/detector.h
+++ b/src/decision/detection/detector.h
@@ -13,15 +13,15 @@
 #include "decision/detection/announcer.h"
 #include "decision/detection/borrowed_paths.h"
 #include "decision/detection/detection_event.h"
+#include "decision/detection/ejection_notice_store.h"
 #include "decision/detection/floor_rule.h"
-#include "decision/detection/notice_book.h"
 #include "decision/detection/permit_ledger.h"
 #include "decision/detection/probe_budget.h"
 #include "decision/detection/report_filter.h"
 #include "decision/detection/service_evidence.h"
 #include "decision/detection/target_monitor.h"
 #include "decision/detection/target_status.h"
-#include "decision/detection/verify_desk.h"
+#include "decision/detection/target_verifier.h"
 
 namespace flamingoyoke {
 
@@ -135,9 +135,9 @@
   // Drain signals seen by this node, with their end; TimePoint::max() unless
   // the process was paused since.
   std::map<TargetId, TimePoint> local_drains_;
-  NoticeBook notices_;
+  EjectionNoticeStore notices_;
   PermitLedger permits_;
-  VerifyDesk desk_;
+  TargetVerifier desk_;
   Announcer announcer_;
   BorrowedPaths borrowed_;
   ReportFilter reports_;
--- a/src/decision/detection/notice_book.cc
+++ b/src/decision/detection/ejection_notice_store.cc
@@ -1,4 +1,4 @@
-#include "decision/detection/notice_book.h"
+#include "decision/detection/ejection_notice_store.h"
 
 #include <algorithm>
 
@@ -25,9 +25,9 @@
 
 }  // namespace
 
-auto NoticeBook::OnNotice(const VmId& sender,
-                          const EjectionNotice& notice,
-                          TimePoint now) -> void {
+auto EjectionNoticeStore::OnNotice(const VmId& sender,
+                                   const EjectionNotice& notice,
+                                   TimePoint now) -> void {
   auto& senders = records_[notice.target];
   const auto found = senders.find(sender);
   if (found == senders.end() && senders.size() >= kMostSenders) {
@@ -52,7 +52,7 @@
           : now + std::clamp(notice.duration, Duration::zero(), kLongestHold);
 }
 
-auto NoticeBook::Worst(const TargetId& target, TimePoint now) const
+auto EjectionNoticeStore::Worst(const TargetId& target, TimePoint now) const
     -> std::optional<NoticedState> {
   const auto found = records_.find(target);
   if (found == records_.end()) {
@@ -73,8 +73,8 @@
   return worst;
 }
 
-auto NoticeBook::HasFirstHandDrain(const TargetId& target, TimePoint now) const
-    -> bool {
+auto EjectionNoticeStore::HasFirstHandDrain(const TargetId& target,
+                                            TimePoint now) const -> bool {
   const auto found = records_.find(target);
   return found != records_.end() &&
          std::any_of(found->second.begin(), found->second.end(),
@@ -86,9 +86,9 @@
                      });
 }
 
-auto NoticeBook::IsUnreachableFor(const VmId& sender,
-                                  const TargetId& target,
-                                  TimePoint now) const -> bool {
+auto EjectionNoticeStore::IsUnreachableFor(const VmId& sender,
+                                           const TargetId& target,
+                                           TimePoint now) const -> bool {
   const auto found = records_.find(target);
   if (found == records_.end()) {
     return false;
@@ -99,7 +99,7 @@
          record->second.expires > now;
 }
 
-auto NoticeBook::EndDrains(const TargetId& target) -> void {
+auto EjectionNoticeStore::EndDrains(const TargetId& target) -> void {
   const auto found = records_.find(target);
   if (found == records_.end()) {
     return;
@@ -112,7 +112,7 @@
   }
 }
 
-auto NoticeBook::Resume(TimePoint now) -> void {
+auto EjectionNoticeStore::Resume(TimePoint now) -> void {
   for (auto& [target, senders] : records_) {
     for (auto& [sender, record] : senders) {
       record.expires = now + kResumeHold;
@@ -120,14 +120,14 @@
   }
 }
 
-auto NoticeBook::Retain(const std::vector<TargetId>& targets) -> void {
+auto EjectionNoticeStore::Retain(const std::vector<TargetId>& targets) -> void {
   std::erase_if(records_, [&](const auto& entry) {
     return std::find(targets.begin(), targets.end(), entry.first) ==
            targets.end();
   });
 }
 
-auto NoticeBook::NextExpiry(TimePoint now) const -> TimePoint {
+auto EjectionNoticeStore::NextExpiry(TimePoint now) const -> TimePoint {
   auto next = TimePoint::max();
   for (const auto& [target, senders] : records_) {
     for (const auto& [sender, record] : senders) {
--- a/src/decision/detection/notice_book.h
+++ b/src/decision/detection/ejection_notice_store.h
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOYOKE_DECISION_DETECTION_NOTICE_BOOK_H_
-#define FLAMINGOYOKE_DECISION_DETECTION_NOTICE_BOOK_H_
+#ifndef FLAMINGOYOKE_DECISION_DETECTION_EJECTION_NOTICE_STORE_H_
+#define FLAMINGOYOKE_DECISION_DETECTION_EJECTION_NOTICE_STORE_H_
 
 #include <map>
 #include <optional>
@@ -22,7 +22,7 @@
 // ones by version; among members the worst state that still holds counts, so
 // owners that disagree lead to the same result on every node. Not
 // thread-safe.
-class NoticeBook {
+class EjectionNoticeStore {
  public:
   // Bounds the memory of one target.
   static constexpr std::size_t kMostSenders = 16;
@@ -82,4 +82,4 @@
 
 }  // namespace flamingoyoke
 
-#endif  // FLAMINGOYOKE_DECISION_DETECTION_NOTICE_BOOK_H_
+#endif  // FLAMINGOYOKE_DECISION_DETECTION_EJECTION_NOTICE_STORE_H_
--- a/src/decision/detection/service_evidence.cc
+++ b/src/decision/detection/service_evidence.cc
@@ -76,7 +76,7 @@
 }
 
 auto ServiceEvidence::HealthyRate(const TargetId& target,
-                                  FailureSort sort,
+                                  FailureClass sort,
                                   TimePoint now) -> double {
   std::vector<RateCounts> groups;
   groups.reserve(own_.size() + members_.size());
@@ -85,7 +85,7 @@
       groups.push_back(evidence.Rates(sort).Total(now));
     }
   }
-  if (sort != FailureSort::kSlow) {
+  if (sort != FailureClass::kSlow) {
     for (auto& [id, member] : members_) {
       groups.push_back(member.Outcomes().Total(now));
     }
@@ -94,7 +94,7 @@
 }
 
 auto ServiceEvidence::PeerRateSince(const TargetId& target,
-                                    FailureSort sort,
+                                    FailureClass sort,
                                     TimePoint onset,
                                     TimePoint now) const -> double {
   std::vector<RateCounts> groups;
@@ -109,7 +109,7 @@
       best_own = std::min(best_own.value_or(rate), rate);
     }
   }
-  if (sort != FailureSort::kSlow) {
+  if (sort != FailureClass::kSlow) {
     for (const auto& [id, member] : members_) {
       groups.push_back(member.Outcomes().Since(onset, now));
     }
--- a/src/decision/detection/service_evidence.h
+++ b/src/decision/detection/service_evidence.h
@@ -7,7 +7,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
-#include "decision/detection/failure_sort.h"
+#include "decision/detection/failure_class.h"
 #include "decision/detection/member_evidence.h"
 #include "decision/detection/target_evidence.h"
 
@@ -38,7 +38,7 @@
   // Returns the failure rate of the peers over the last 12.8 s, without the
   // worst group, so that one ill peer does not hide another. Without peers
   // it is a small constant.
-  auto HealthyRate(const TargetId& target, FailureSort sort, TimePoint now)
+  auto HealthyRate(const TargetId& target, FailureClass sort, TimePoint now)
       -> double;
 
   // Returns the failure rate to hold against a target whose evidence began at
@@ -46,7 +46,7 @@
   // of the best of the other owned targets, if higher. When all targets that
   // this node owns fail, the cause is its callers or its links.
   [[nodiscard]] auto PeerRateSince(const TargetId& target,
-                                   FailureSort sort,
+                                   FailureClass sort,
                                    TimePoint onset,
                                    TimePoint now) const -> double;
 
--- a/src/decision/detection/target_alarms.cc
+++ b/src/decision/detection/target_alarms.cc
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-auto TargetAlarms::Add(FailureSort sort,
+auto TargetAlarms::Add(FailureClass sort,
                        bool failed,
                        ServiceEvidence& evidence,
                        TimePoint now) -> void {
@@ -40,7 +40,7 @@
   }
   evidence.Own(target_).Latency().Add(latency, now);
   if (slow_limit_) {
-    Add(FailureSort::kSlow, latency > *slow_limit_, evidence, now);
+    Add(FailureClass::kSlow, latency > *slow_limit_, evidence, now);
   }
 }
 
@@ -50,8 +50,8 @@
 }
 
 auto TargetAlarms::Confirmed(ServiceEvidence& evidence, TimePoint now) const
-    -> std::optional<FailureSort> {
-  for (const auto& entry : EnumNames<FailureSort>::kTable) {
+    -> std::optional<FailureClass> {
+  for (const auto& entry : EnumNames<FailureClass>::kTable) {
     if (TestOf(entry.value).cusum.IsAlarmed() &&
         StandsComparison(entry.value, evidence, now)) {
       return entry.value;
@@ -60,7 +60,7 @@
   return std::nullopt;
 }
 
-auto TargetAlarms::FailureRate(FailureSort sort) const -> double {
+auto TargetAlarms::FailureRate(FailureClass sort) const -> double {
   const auto& counts = TestOf(sort).cusum.counts();
   if (counts.trials == 0) {
     return 0;
@@ -76,7 +76,7 @@
 }
 
 auto TargetAlarms::RefreshWeights(Test& test,
-                                  FailureSort sort,
+                                  FailureClass sort,
                                   ServiceEvidence& evidence,
                                   TimePoint now) const -> void {
   if (now - test.weights_at < kWeightsRefresh) {
@@ -86,7 +86,7 @@
   test.weights = WeightsFor(evidence.HealthyRate(target_, sort, now));
 }
 
-auto TargetAlarms::StandsComparison(FailureSort sort,
+auto TargetAlarms::StandsComparison(FailureClass sort,
                                     ServiceEvidence& evidence,
                                     TimePoint now) const -> bool {
   const auto& cusum = TestOf(sort).cusum;
@@ -95,7 +95,7 @@
   if (cusum.ValueAgainst(peer_rate) < Cusum::kThreshold) {
     return false;
   }
-  if (sort != FailureSort::kSlow) {
+  if (sort != FailureClass::kSlow) {
     return true;
   }
   if (now - cusum.onset() < kSlowConfirmation) {
--- a/src/decision/detection/target_alarms.h
+++ b/src/decision/detection/target_alarms.h
@@ -8,7 +8,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "decision/detection/cusum.h"
-#include "decision/detection/failure_sort.h"
+#include "decision/detection/failure_class.h"
 #include "decision/detection/service_evidence.h"
 #include "decision/detection/target_phase.h"
 
@@ -23,7 +23,7 @@
   explicit TargetAlarms(TargetId target) : target_(std::move(target)) {}
 
   // Adds one outcome here and to the evidence that peers are compared with.
-  auto Add(FailureSort sort,
+  auto Add(FailureClass sort,
            bool failed,
            ServiceEvidence& evidence,
            TimePoint now) -> void;
@@ -40,13 +40,13 @@
   // Returns the sort of failure that stands the comparison with the peers,
   // or nothing.
   auto Confirmed(ServiceEvidence& evidence, TimePoint now) const
-      -> std::optional<FailureSort>;
+      -> std::optional<FailureClass>;
 
   // Returns the failure rate since the onset of the test of `sort`, 0 to 1.
-  [[nodiscard]] auto FailureRate(FailureSort sort) const -> double;
+  [[nodiscard]] auto FailureRate(FailureClass sort) const -> double;
 
   // Returns when the evidence of `sort` last rose from zero.
-  [[nodiscard]] auto Onset(FailureSort sort) const -> TimePoint {
+  [[nodiscard]] auto Onset(FailureClass sort) const -> TimePoint {
     return TestOf(sort).cusum.onset();
   }
 
@@ -60,22 +60,22 @@
     TimePoint weights_at;
   };
 
-  auto TestOf(FailureSort sort) -> Test& {
+  auto TestOf(FailureClass sort) -> Test& {
     return tests_[static_cast<std::size_t>(sort)];
   }
-  [[nodiscard]] auto TestOf(FailureSort sort) const -> const Test& {
+  [[nodiscard]] auto TestOf(FailureClass sort) const -> const Test& {
     return tests_[static_cast<std::size_t>(sort)];
   }
   auto RefreshWeights(Test& test,
-                      FailureSort sort,
+                      FailureClass sort,
                       ServiceEvidence& evidence,
                       TimePoint now) const -> void;
-  auto StandsComparison(FailureSort sort,
+  auto StandsComparison(FailureClass sort,
                         ServiceEvidence& evidence,
                         TimePoint now) const -> bool;
 
   TargetId target_;
-  std::array<Test, kEnumSize<FailureSort>> tests_;
+  std::array<Test, kEnumSize<FailureClass>> tests_;
   std::optional<Duration> slow_limit_;
   TimePoint slow_limit_at_;
 };
--- a/src/decision/detection/target_evidence.h
+++ b/src/decision/detection/target_evidence.h
@@ -4,7 +4,7 @@
 #include <array>
 
 #include "core/time.h"
-#include "decision/detection/failure_sort.h"
+#include "decision/detection/failure_class.h"
 #include "decision/detection/in_flight_attempts.h"
 #include "decision/detection/latency_window.h"
 #include "decision/detection/rate_window.h"
@@ -16,10 +16,10 @@
 class TargetEvidence {
  public:
   // Returns the outcomes of one sort.
-  auto Rates(FailureSort sort) -> RateWindow& {
+  auto Rates(FailureClass sort) -> RateWindow& {
     return rates_[static_cast<std::size_t>(sort)];
   }
-  [[nodiscard]] auto Rates(FailureSort sort) const -> const RateWindow& {
+  [[nodiscard]] auto Rates(FailureClass sort) const -> const RateWindow& {
     return rates_[static_cast<std::size_t>(sort)];
   }
   auto Latency() -> LatencyWindow& { return latency_; }
@@ -33,7 +33,7 @@
   auto MarkAnswered(TimePoint now) -> void { last_answer_ = now; }
 
  private:
-  std::array<RateWindow, kEnumSize<FailureSort>> rates_;
+  std::array<RateWindow, kEnumSize<FailureClass>> rates_;
   LatencyWindow latency_;
   InFlightAttempts in_flight_;
   TimePoint last_answer_;
--- a/src/decision/detection/target_monitor.cc
+++ b/src/decision/detection/target_monitor.cc
@@ -69,7 +69,7 @@
     return;
   }
   own.MarkAnswered(now);
-  NoteOutcome(FailureSort::kPath, false, evidence, now);
+  NoteOutcome(FailureClass::kPath, false, evidence, now);
   if (check_ && now > check_started_) {
     check_->OnProbe(true);
     is_due_ = true;
@@ -78,7 +78,7 @@
     return;
   }
   const bool failed = event.result == AttemptResult::kServerError;
-  NoteOutcome(FailureSort::kServerError, failed, evidence, now);
+  NoteOutcome(FailureClass::kServerError, failed, evidence, now);
   if (auto* trial = std::get_if<TrialPhase>(&phase_)) {
     ++(failed ? trial->failed : trial->succeeded);
     is_due_ = true;
@@ -156,14 +156,14 @@
 auto TargetMonitor::OnReported(const TargetOutcomes& outcomes,
                                ServiceEvidence& evidence,
                                TimePoint now) -> void {
-  const auto add = [&](FailureSort sort, std::uint32_t count, bool failed) {
+  const auto add = [&](FailureClass sort, std::uint32_t count, bool failed) {
     for (std::uint32_t i = 0; i < std::min(count, kMostReported); ++i) {
       NoteOutcome(sort, failed, evidence, now);
     }
   };
-  add(FailureSort::kServerError, outcomes.failed, true);
-  add(FailureSort::kServerError, outcomes.succeeded, false);
-  add(FailureSort::kSlow, outcomes.slow, true);
+  add(FailureClass::kServerError, outcomes.failed, true);
+  add(FailureClass::kServerError, outcomes.succeeded, false);
+  add(FailureClass::kSlow, outcomes.slow, true);
   if (outcomes.succeeded + outcomes.failed > 0) {
     last_outcome_ = now;
   }
@@ -477,16 +477,16 @@
     return;
   }
   switch (*sort) {
-    case FailureSort::kServerError:
+    case FailureClass::kServerError:
       AskPermit({EjectionCause::kServerErrors, alarms_.FailureRate(*sort)},
                 now);
       return;
-    case FailureSort::kSlow:
+    case FailureClass::kSlow:
       AskPermit(
           {EjectionCause::kSlow, kSlowSeverity * alarms_.FailureRate(*sort)},
           now);
       return;
-    case FailureSort::kPath:
+    case FailureClass::kPath:
       JudgeTimeouts(context, now);
       return;
   }
@@ -497,7 +497,7 @@
   if (check_) {
     return;
   }
-  const auto onset = alarms_.Onset(FailureSort::kPath);
+  const auto onset = alarms_.Onset(FailureClass::kPath);
   if (!probe_passed_at_ || *probe_passed_at_ < onset) {
     StartCheck(context, now, now);
     return;
@@ -508,7 +508,7 @@
        now - reported_path_failures_at_ < kReportMemory);
   if (is_corroborated) {
     AskPermit(
-        {EjectionCause::kTimeouts, alarms_.FailureRate(FailureSort::kPath)},
+        {EjectionCause::kTimeouts, alarms_.FailureRate(FailureClass::kPath)},
         now);
     return;
   }
@@ -606,7 +606,7 @@
   return std::max(PathCheck::kLeastProbeTime, context.evidence.StallLimit(now));
 }
 
-auto TargetMonitor::NoteOutcome(FailureSort sort,
+auto TargetMonitor::NoteOutcome(FailureClass sort,
                                 bool failed,
                                 ServiceEvidence& evidence,
                                 TimePoint now) -> void {
@@ -624,7 +624,7 @@
                         (attempt && (attempt->fresh_connection ||
                                      attempt->started > retired_at_));
   if (is_fresh) {
-    NoteOutcome(FailureSort::kPath, true, context.evidence, now);
+    NoteOutcome(FailureClass::kPath, true, context.evidence, now);
   }
   // A path failure does not end a trial; the check tells whose fault it is.
   const auto since = attempt ? attempt->started : now - event.latency;
--- a/src/decision/detection/target_monitor.h
+++ b/src/decision/detection/target_monitor.h
@@ -132,7 +132,7 @@
   auto IsInUse() const -> bool;
   auto ProbeTime(const MonitorContext& context, TimePoint now) const
       -> Duration;
-  auto NoteOutcome(FailureSort sort,
+  auto NoteOutcome(FailureClass sort,
                    bool failed,
                    ServiceEvidence& evidence,
                    TimePoint now) -> void;
--- a/src/decision/detection/verify_desk.cc
+++ b/src/decision/detection/target_verifier.cc
@@ -1,12 +1,12 @@
-#include "decision/detection/verify_desk.h"
+#include "decision/detection/target_verifier.h"
 
 #include <algorithm>
 
 namespace flamingoyoke {
 
-auto VerifyDesk::OnRequest(const VmId& asker,
-                           const TargetId& target,
-                           TimePoint now) -> void {
+auto TargetVerifier::OnRequest(const VmId& asker,
+                               const TargetId& target,
+                               TimePoint now) -> void {
   auto& entry = cases_[target];
   if (entry.askers.size() >= kMostAskers) {
     return;
@@ -18,7 +18,7 @@
   }
 }
 
-auto VerifyDesk::OnProbe(const TargetId& target, bool passed, TimePoint now)
+auto TargetVerifier::OnProbe(const TargetId& target, bool passed, TimePoint now)
     -> void {
   const auto found = cases_.find(target);
   if (found == cases_.end()) {
@@ -35,9 +35,9 @@
   entry.result_at = now;
 }
 
-auto VerifyDesk::TryProbe(const TargetId& target,
-                          ProbeBudget& budget,
-                          TimePoint now) -> bool {
+auto TargetVerifier::TryProbe(const TargetId& target,
+                              ProbeBudget& budget,
+                              TimePoint now) -> bool {
   auto& entry = cases_[target];
   if (entry.result || entry.probe_started || entry.askers.empty()) {
     return false;
@@ -53,7 +53,7 @@
   return is_new;
 }
 
-auto VerifyDesk::TakeAnswers(Duration probe_time, TimePoint now)
+auto TargetVerifier::TakeAnswers(Duration probe_time, TimePoint now)
     -> std::vector<Verification> {
   std::vector<Verification> answers;
   for (auto& [target, entry] : cases_) {
@@ -86,7 +86,7 @@
   return answers;
 }
 
-auto VerifyDesk::Waiting() const -> std::vector<TargetId> {
+auto TargetVerifier::Waiting() const -> std::vector<TargetId> {
   std::vector<TargetId> waiting;
   for (const auto& [target, entry] : cases_) {
     if (!entry.askers.empty() && !entry.result && !entry.probe_started) {
@@ -96,9 +96,9 @@
   return waiting;
 }
 
-auto VerifyDesk::HasPromised(const VmId& asker,
-                             const TargetId& target,
-                             TimePoint now) const -> bool {
+auto TargetVerifier::HasPromised(const VmId& asker,
+                                 const TargetId& target,
+                                 TimePoint now) const -> bool {
   const auto found = cases_.find(target);
   if (found == cases_.end()) {
     return false;
@@ -108,7 +108,7 @@
          now - promise->second < kPromise;
 }
 
-auto VerifyDesk::NextWake(Duration probe_time) const -> TimePoint {
+auto TargetVerifier::NextWake(Duration probe_time) const -> TimePoint {
   auto wake = TimePoint::max();
   for (const auto& [target, entry] : cases_) {
     if (entry.probe_started && !entry.result) {
--- a/src/decision/detection/verify_desk.h
+++ b/src/decision/detection/target_verifier.h
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOYOKE_DECISION_DETECTION_VERIFY_DESK_H_
-#define FLAMINGOYOKE_DECISION_DETECTION_VERIFY_DESK_H_
+#ifndef FLAMINGOYOKE_DECISION_DETECTION_TARGET_VERIFIER_H_
+#define FLAMINGOYOKE_DECISION_DETECTION_TARGET_VERIFIER_H_
 
 #include <map>
 #include <optional>
@@ -21,7 +21,7 @@
 
 // Probes targets for other members within this node's part of the probe
 // bound. Not thread-safe.
-class VerifyDesk {
+class TargetVerifier {
  public:
   // A result is reused for this long, so that two owners that disagree cost
   // one probe.
@@ -80,4 +80,4 @@
 
 }  // namespace flamingoyoke
 
-#endif  // FLAMINGOYOKE_DECISION_DETECTION_VERIFY_DESK_H_
+#endif  // FLAMINGOYOKE_DECISION_DETECTION_TARGET_VERIFIER_H_
--- a/src/decision/dispatch/request_book.cc
+++ b/src/decision/dispatch/request_tracker.cc
@@ -1,23 +1,24 @@
-#include "decision/dispatch/request_book.h"
+#include "decision/dispatch/request_tracker.h"
 
 #include <algorithm>
 
 namespace flamingoyoke {
 
-auto RequestBook::AddRequest(const TrackedRequest& request) -> TrackedRequest& {
+auto RequestTracker::AddRequest(const TrackedRequest& request)
+    -> TrackedRequest& {
   return requests_.insert_or_assign(request.request, request).first->second;
 }
 
-auto RequestBook::FindRequest(RequestId request) -> TrackedRequest* {
+auto RequestTracker::FindRequest(RequestId request) -> TrackedRequest* {
   const auto entry = requests_.find(request);
   return entry == requests_.end() ? nullptr : &entry->second;
 }
 
-auto RequestBook::EraseRequest(RequestId request) -> void {
+auto RequestTracker::EraseRequest(RequestId request) -> void {
   requests_.erase(request);
 }
 
-auto RequestBook::AddAttempt(const TrackedAttempt& attempt) -> void {
+auto RequestTracker::AddAttempt(const TrackedAttempt& attempt) -> void {
   attempts_.insert_or_assign(attempt.attempt, attempt);
   if (auto* request = FindRequest(attempt.request)) {
     request->in_flight.push_back(attempt.attempt);
@@ -25,12 +26,12 @@
   }
 }
 
-auto RequestBook::FindAttempt(AttemptId attempt) -> TrackedAttempt* {
+auto RequestTracker::FindAttempt(AttemptId attempt) -> TrackedAttempt* {
   const auto entry = attempts_.find(attempt);
   return entry == attempts_.end() ? nullptr : &entry->second;
 }
 
-auto RequestBook::TakeAttempt(AttemptId attempt)
+auto RequestTracker::TakeAttempt(AttemptId attempt)
     -> std::optional<TrackedAttempt> {
   const auto entry = attempts_.find(attempt);
   if (entry == attempts_.end()) {
--- a/src/decision/dispatch/request_book.h
+++ b/src/decision/dispatch/request_tracker.h
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOYOKE_DECISION_DISPATCH_REQUEST_BOOK_H_
-#define FLAMINGOYOKE_DECISION_DISPATCH_REQUEST_BOOK_H_
+#ifndef FLAMINGOYOKE_DECISION_DISPATCH_REQUEST_TRACKER_H_
+#define FLAMINGOYOKE_DECISION_DISPATCH_REQUEST_TRACKER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -49,7 +49,7 @@
 };
 
 // The open requests and attempts of one service. Not thread-safe.
-class RequestBook {
+class RequestTracker {
  public:
   // Adds a request; its id must be new.
   auto AddRequest(const TrackedRequest& request) -> TrackedRequest&;
@@ -84,4 +84,4 @@
 
 }  // namespace flamingoyoke
 
-#endif  // FLAMINGOYOKE_DECISION_DISPATCH_REQUEST_BOOK_H_
+#endif  // FLAMINGOYOKE_DECISION_DISPATCH_REQUEST_TRACKER_H_
--- a/src/decision/dispatch/service_dispatcher.h
+++ b/src/decision/dispatch/service_dispatcher.h
@@ -18,7 +18,7 @@
 #include "decision/dispatch/loan_borrower.h"
 #include "decision/dispatch/loan_lender.h"
 #include "decision/dispatch/long_work_policy.h"
-#include "decision/dispatch/request_book.h"
+#include "decision/dispatch/request_tracker.h"
 #include "decision/dispatch/retry_budget.h"
 #include "decision/dispatch/service_times.h"
 #include "decision/dispatch/target_slots.h"
@@ -165,7 +165,7 @@
   std::size_t member_index_ = 0;
   bool is_member_ = false;
   DeadlineQueue queue_;
-  RequestBook book_;
+  RequestTracker book_;
   TargetSlots slots_;
   ServiceTimes times_;
   DemandMeter short_demand_;
--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -206,8 +206,8 @@
   if (heartbeat.leaving) {
     list_.SetLeaving(sender);
   }
-  for (const auto& asker : duties_.TakeAskers(sender)) {
-    Send(asker, IndirectProbe{sender, envelope.incarnation, true, true});
+  for (const auto& requester : duties_.TakeRequesters(sender)) {
+    Send(requester, IndirectProbe{sender, envelope.incarnation, true, true});
   }
   // The reply always reports a sequence, so it is not replied to.
   if (is_new || heartbeat.heard_sequence == 0) {
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -12,12 +12,12 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "core/time.h"
-#include "decision/fleet/helper_duties.h"
 #include "decision/fleet/member.h"
 #include "decision/fleet/member_list.h"
 #include "decision/fleet/membership_event.h"
 #include "decision/fleet/peer_links.h"
-#include "decision/fleet/update_spread.h"
+#include "decision/fleet/pending_indirect_probes.h"
+#include "decision/fleet/update_dissemination.h"
 #include "decision/peer/peer_message.h"
 
 namespace flamingoyoke {
@@ -108,8 +108,8 @@
   Random random_;
   MemberList list_;
   PeerLinks links_;
-  UpdateSpread spread_;
-  HelperDuties duties_;
+  UpdateDissemination spread_;
+  PendingIndirectProbes duties_;
   std::set<VmId> home_peers_;
   std::vector<TableDigest> tables_;
 
--- a/src/decision/fleet/table_spread.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -1,4 +1,4 @@
-#include "decision/fleet/table_spread.h"
+#include "decision/fleet/table_dissemination.h"
 
 #include <algorithm>
 #include <iterator>
@@ -21,17 +21,18 @@
 
 }  // namespace
 
-TableSpread::TableSpread(std::uint32_t shard_count, Random random)
+TableDissemination::TableDissemination(std::uint32_t shard_count, Random random)
     : shard_count_(shard_count), random_(random) {}
 
-auto TableSpread::OnEvent(const TableSpreadEvent& event, TimePoint now)
-    -> std::vector<TableSpreadAction> {
+auto TableDissemination::OnEvent(const TableDisseminationEvent& event,
+                                 TimePoint now)
+    -> std::vector<TableDisseminationAction> {
   std::visit([&](const auto& each) { Take(each, now); }, event);
   ContinuePulls(now);
   return Finish(now);
 }
 
-auto TableSpread::Digests() const -> std::vector<TableDigest> {
+auto TableDissemination::Digests() const -> std::vector<TableDigest> {
   std::vector<TableDigest> digests;
   if (shard_count_ <= kMaxShardsInHeartbeat) {
     for (const auto& [shard, version] : in_force_) {
@@ -50,11 +51,11 @@
   return digests;
 }
 
-auto TableSpread::IsComplete() const -> bool {
+auto TableDissemination::IsComplete() const -> bool {
   return in_force_.size() == shard_count_;
 }
 
-auto TableSpread::InForce(std::uint32_t shard) const
+auto TableDissemination::InForce(std::uint32_t shard) const
     -> std::optional<TableDigest> {
   const auto found = in_force_.find(shard);
   if (found == in_force_.end()) {
@@ -63,7 +64,8 @@
   return found->second.digest;
 }
 
-auto TableSpread::Take(const TableSpreadStarted& event, TimePoint now) -> void {
+auto TableDissemination::Take(const TableDisseminationStarted& event,
+                              TimePoint now) -> void {
   started_ = now;
   first_read_place_ = random_.Unit();
   for (const auto& table : event.restored) {
@@ -71,19 +73,21 @@
   }
 }
 
-auto TableSpread::Take(const TableFleetChanged& event, TimePoint /*now*/)
+auto TableDissemination::Take(const TableFleetChanged& event, TimePoint /*now*/)
     -> void {
   peers_ = event.peers;
   is_elected_ = event.is_elected;
   fleet_size_ = event.fleet_size;
 }
 
-auto TableSpread::Take(const TableTextRead& event, TimePoint /*now*/) -> void {
+auto TableDissemination::Take(const TableTextRead& event, TimePoint /*now*/)
+    -> void {
   has_read_ = true;
   Consider({event.shard, event.revision, HashOf(event.text)}, event.text);
 }
 
-auto TableSpread::Take(const TableChecked& event, TimePoint /*now*/) -> void {
+auto TableDissemination::Take(const TableChecked& event, TimePoint /*now*/)
+    -> void {
   const auto found = candidates_.find(event.digest.shard);
   if (found == candidates_.end() || found->second.digest != event.digest) {
     return;
@@ -105,7 +109,8 @@
   actions_.emplace_back(TableRejected{event.digest, event.reason});
 }
 
-auto TableSpread::Take(const PeerEnvelope& envelope, TimePoint now) -> void {
+auto TableDissemination::Take(const PeerEnvelope& envelope, TimePoint now)
+    -> void {
   std::visit(
       [&](const auto& message) {
         using Message = std::decay_t<decltype(message)>;
@@ -119,15 +124,15 @@
       envelope.message);
 }
 
-auto TableSpread::Take(const TableSpreadTimer& /*event*/, TimePoint /*now*/)
-    -> void {
+auto TableDissemination::Take(const TableDisseminationTimer& /*event*/,
+                              TimePoint /*now*/) -> void {
   // Pulls and the reader's role go on after every event.
   told_wake_.reset();
 }
 
-auto TableSpread::TakeMessage(const VmId& sender,
-                              const Heartbeat& heartbeat,
-                              TimePoint now) -> void {
+auto TableDissemination::TakeMessage(const VmId& sender,
+                                     const Heartbeat& heartbeat,
+                                     TimePoint now) -> void {
   for (const auto& digest : heartbeat.tables) {
     if (digest.shard == kAllShards) {
       TakeSum(sender, digest, now);
@@ -137,15 +142,15 @@
   }
 }
 
-auto TableSpread::TakeMessage(const VmId& sender,
-                              const TableAnnounce& announce,
-                              TimePoint now) -> void {
+auto TableDissemination::TakeMessage(const VmId& sender,
+                                     const TableAnnounce& announce,
+                                     TimePoint now) -> void {
   Pull(sender, announce.digest, now);
 }
 
-auto TableSpread::TakeMessage(const VmId& sender,
-                              const TablePull& pull,
-                              TimePoint /*now*/) -> void {
+auto TableDissemination::TakeMessage(const VmId& sender,
+                                     const TablePull& pull,
+                                     TimePoint /*now*/) -> void {
   if (pull.shard == kAllShards) {
     for (const auto& [shard, version] : in_force_) {
       actions_.emplace_back(SendToPeer{sender, TableAnnounce{version.digest}});
@@ -160,9 +165,9 @@
   }
 }
 
-auto TableSpread::TakeMessage(const VmId& /*sender*/,
-                              const TableData& data,
-                              TimePoint /*now*/) -> void {
+auto TableDissemination::TakeMessage(const VmId& /*sender*/,
+                                     const TableData& data,
+                                     TimePoint /*now*/) -> void {
   const auto pull = pulls_.find(data.digest.shard);
   if (HashOf(data.text) != data.digest.hash) {
     if (pull != pulls_.end()) {
@@ -174,9 +179,9 @@
 }
 
 // Many shards: a peer whose sum differs for long is asked for its digests.
-auto TableSpread::TakeSum(const VmId& sender,
-                          const TableDigest& sum,
-                          TimePoint now) -> void {
+auto TableDissemination::TakeSum(const VmId& sender,
+                                 const TableDigest& sum,
+                                 TimePoint now) -> void {
   if (Digests().front() == sum || shard_count_ <= kMaxShardsInHeartbeat) {
     sum_mismatch_since_.erase(sender);
     return;
@@ -189,8 +194,8 @@
   actions_.emplace_back(SendToPeer{sender, TablePull{kAllShards, Revision()}});
 }
 
-auto TableSpread::Consider(const TableDigest& digest, const std::string& text)
-    -> void {
+auto TableDissemination::Consider(const TableDigest& digest,
+                                  const std::string& text) -> void {
   if (digest.shard >= shard_count_ || !IsNewer(digest) || IsRefused(digest)) {
     return;
   }
@@ -202,7 +207,7 @@
   actions_.emplace_back(CheckTable{digest, text});
 }
 
-auto TableSpread::Accept(Version version) -> void {
+auto TableDissemination::Accept(Version version) -> void {
   const auto digest = version.digest;
   if (!IsNewer(digest)) {
     return;
@@ -218,9 +223,9 @@
   }
 }
 
-auto TableSpread::Pull(const VmId& peer,
-                       const TableDigest& digest,
-                       TimePoint /*now*/) -> void {
+auto TableDissemination::Pull(const VmId& peer,
+                              const TableDigest& digest,
+                              TimePoint /*now*/) -> void {
   if (digest.shard >= shard_count_ || digest.revision == Revision() ||
       !IsNewer(digest) || IsRefused(digest)) {
     return;
@@ -235,7 +240,7 @@
   found->second.AddSource(peer);
 }
 
-auto TableSpread::ContinuePulls(TimePoint now) -> void {
+auto TableDissemination::ContinuePulls(TimePoint now) -> void {
   for (auto it = pulls_.begin(); it != pulls_.end();) {
     auto& pull = it->second;
     if (const auto peer = pull.NextAsk(now)) {
@@ -246,21 +251,21 @@
   }
 }
 
-auto TableSpread::IsNewer(const TableDigest& digest) const -> bool {
+auto TableDissemination::IsNewer(const TableDigest& digest) const -> bool {
   const auto found = in_force_.find(digest.shard);
   return found == in_force_.end() || IsBefore(found->second.digest, digest);
 }
 
-auto TableSpread::IsRefused(const TableDigest& digest) const -> bool {
+auto TableDissemination::IsRefused(const TableDigest& digest) const -> bool {
   return std::find(refused_.begin(), refused_.end(), digest) != refused_.end();
 }
 
-auto TableSpread::HaveOf(std::uint32_t shard) const -> Revision {
+auto TableDissemination::HaveOf(std::uint32_t shard) const -> Revision {
   const auto found = in_force_.find(shard);
   return found == in_force_.end() ? Revision() : found->second.digest.revision;
 }
 
-auto TableSpread::Known() const -> Revision {
+auto TableDissemination::Known() const -> Revision {
   // A shard that is missing must be read whatever its revision is.
   if (!IsComplete() && refused_.empty()) {
     return Revision();
@@ -281,7 +286,7 @@
       ->second;
 }
 
-auto TableSpread::ShouldRead(TimePoint now) const -> bool {
+auto TableDissemination::ShouldRead(TimePoint now) const -> bool {
   if (is_elected_) {
     return true;
   }
@@ -299,7 +304,8 @@
          (!IsComplete() || now < first_read + kFirstReadTime);
 }
 
-auto TableSpread::Finish(TimePoint now) -> std::vector<TableSpreadAction> {
+auto TableDissemination::Finish(TimePoint now)
+    -> std::vector<TableDisseminationAction> {
   const ReaderRoleSet role{ShouldRead(now), Known()};
   if (told_role_ != role) {
     told_role_ = role;
@@ -316,7 +322,7 @@
   }
   if (wake && (!told_wake_ || *wake < *told_wake_)) {
     told_wake_ = wake;
-    actions_.emplace_back(WakeTableSpreadAt{*wake});
+    actions_.emplace_back(WakeTableDisseminationAt{*wake});
   }
   return std::exchange(actions_, {});
 }
--- a/src/decision/fleet/table_spread.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOYOKE_DECISION_FLEET_TABLE_SPREAD_H_
-#define FLAMINGOYOKE_DECISION_FLEET_TABLE_SPREAD_H_
+#ifndef FLAMINGOYOKE_DECISION_FLEET_TABLE_DISSEMINATION_H_
+#define FLAMINGOYOKE_DECISION_FLEET_TABLE_DISSEMINATION_H_
 
 #include <chrono>
 #include <cstddef>
@@ -13,8 +13,8 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "core/time.h"
+#include "decision/fleet/table_dissemination_event.h"
 #include "decision/fleet/table_pull_state.h"
-#include "decision/fleet/table_spread_event.h"
 #include "decision/peer/peer_message.h"
 
 namespace flamingoyoke {
@@ -42,15 +42,15 @@
 // Keeps the newest accepted version of each shard of the table, and passes it
 // on among peers. Versions are ordered by revision, then hash, and never go
 // back. Not thread-safe.
-class TableSpread {
+class TableDissemination {
  public:
   // Precondition: `shard_count` is positive.
-  TableSpread(std::uint32_t shard_count, Random random);
+  TableDissemination(std::uint32_t shard_count, Random random);
 
   // Takes an event at `now`, which never goes back, and returns what has to be
   // done, in order.
-  auto OnEvent(const TableSpreadEvent& event, TimePoint now)
-      -> std::vector<TableSpreadAction>;
+  auto OnEvent(const TableDisseminationEvent& event, TimePoint now)
+      -> std::vector<TableDisseminationAction>;
 
   // Returns what heartbeats say about the table in force.
   [[nodiscard]] auto Digests() const -> std::vector<TableDigest>;
@@ -68,12 +68,12 @@
     std::string text;
   };
 
-  auto Take(const TableSpreadStarted& event, TimePoint now) -> void;
+  auto Take(const TableDisseminationStarted& event, TimePoint now) -> void;
   auto Take(const TableFleetChanged& event, TimePoint now) -> void;
   auto Take(const TableTextRead& event, TimePoint now) -> void;
   auto Take(const TableChecked& event, TimePoint now) -> void;
   auto Take(const PeerEnvelope& envelope, TimePoint now) -> void;
-  auto Take(const TableSpreadTimer& event, TimePoint now) -> void;
+  auto Take(const TableDisseminationTimer& event, TimePoint now) -> void;
 
   auto TakeMessage(const VmId& sender,
                    const Heartbeat& heartbeat,
@@ -97,7 +97,7 @@
   [[nodiscard]] auto HaveOf(std::uint32_t shard) const -> Revision;
   [[nodiscard]] auto Known() const -> Revision;
   [[nodiscard]] auto ShouldRead(TimePoint now) const -> bool;
-  auto Finish(TimePoint now) -> std::vector<TableSpreadAction>;
+  auto Finish(TimePoint now) -> std::vector<TableDisseminationAction>;
 
   std::uint32_t shard_count_;
   Random random_;
@@ -117,9 +117,9 @@
 
   std::optional<ReaderRoleSet> told_role_;
   std::optional<TimePoint> told_wake_;
-  std::vector<TableSpreadAction> actions_;
+  std::vector<TableDisseminationAction> actions_;
 };
 
 }  // namespace flamingoyoke
 
-#endif  // FLAMINGOYOKE_DECISION_FLEET_TABLE_SPREAD_H_
+#endif  // FLAMINGOYOKE_DECISION_FLEET_TABLE_DISSEMINATION_H_
--- a/src/decision/fleet/table_spread_event.h
+++ b/src/decision/fleet/table_dissemination_event.h
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOYOKE_DECISION_FLEET_TABLE_SPREAD_EVENT_H_
-#define FLAMINGOYOKE_DECISION_FLEET_TABLE_SPREAD_EVENT_H_
+#ifndef FLAMINGOYOKE_DECISION_FLEET_TABLE_DISSEMINATION_EVENT_H_
+#define FLAMINGOYOKE_DECISION_FLEET_TABLE_DISSEMINATION_EVENT_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -18,7 +18,7 @@
 
 // Starts the first read; the first event. `restored` are the tables that an
 // earlier task of this process had accepted.
-struct TableSpreadStarted {
+struct TableDisseminationStarted {
   std::vector<TableData> restored;
 };
 
@@ -45,14 +45,14 @@
   std::string reason;
 };
 
-struct TableSpreadTimer {};
+struct TableDisseminationTimer {};
 
-using TableSpreadEvent = std::variant<TableSpreadStarted,
-                                      TableFleetChanged,
-                                      TableTextRead,
-                                      TableChecked,
-                                      PeerEnvelope,
-                                      TableSpreadTimer>;
+using TableDisseminationEvent = std::variant<TableDisseminationStarted,
+                                             TableFleetChanged,
+                                             TableTextRead,
+                                             TableChecked,
+                                             PeerEnvelope,
+                                             TableDisseminationTimer>;
 
 // Actions of the spread of the table.
 
@@ -83,18 +83,18 @@
   auto operator==(const ReaderRoleSet&) const -> bool = default;
 };
 
-// Deliver a TableSpreadTimer at `at`; replaces an earlier order.
-struct WakeTableSpreadAt {
+// Deliver a TableDisseminationTimer at `at`; replaces an earlier order.
+struct WakeTableDisseminationAt {
   TimePoint at;
 };
 
-using TableSpreadAction = std::variant<SendToPeer,
-                                       CheckTable,
-                                       TableAccepted,
-                                       TableRejected,
-                                       ReaderRoleSet,
-                                       WakeTableSpreadAt>;
+using TableDisseminationAction = std::variant<SendToPeer,
+                                              CheckTable,
+                                              TableAccepted,
+                                              TableRejected,
+                                              ReaderRoleSet,
+                                              WakeTableDisseminationAt>;
 
 }  // namespace flamingoyoke
 
-#endif  // FLAMINGOYOKE_DECISION_FLEET_TABLE_SPREAD_EVENT_H_
+#endif  // FLAMINGOYOKE_DECISION_FLEET_TABLE_DISSEMINATION_EVENT_H_
--- a/src/decision/fleet/update_spread.cc
+++ b/src/decision/fleet/update_dissemination.cc
@@ -1,4 +1,4 @@
-#include "decision/fleet/update_spread.h"
+#include "decision/fleet/update_dissemination.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -35,7 +35,7 @@
   return updates;
 }
 
-auto UpdateSpread::Note(const VmId& vm, const VmId& from, TimePoint now)
+auto UpdateDissemination::Note(const VmId& vm, const VmId& from, TimePoint now)
     -> void {
   auto& known_by = known_by_[vm];
   // A new state of the vm is not known by those who told of the one before.
@@ -48,14 +48,14 @@
   }
 }
 
-auto UpdateSpread::NoteKnown(const VmId& vm, const VmId& from) -> void {
+auto UpdateDissemination::NoteKnown(const VmId& vm, const VmId& from) -> void {
   const auto found = known_by_.find(vm);
   if (found != known_by_.end()) {
     found->second.insert(from);
   }
 }
 
-auto UpdateSpread::Take() -> std::map<VmId, std::set<VmId>> {
+auto UpdateDissemination::Take() -> std::map<VmId, std::set<VmId>> {
   due_.reset();
   return std::exchange(known_by_, {});
 }
--- a/src/decision/fleet/update_spread.h
+++ b/src/decision/fleet/update_dissemination.h
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOYOKE_DECISION_FLEET_UPDATE_SPREAD_H_
-#define FLAMINGOYOKE_DECISION_FLEET_UPDATE_SPREAD_H_
+#ifndef FLAMINGOYOKE_DECISION_FLEET_UPDATE_DISSEMINATION_H_
+#define FLAMINGOYOKE_DECISION_FLEET_UPDATE_DISSEMINATION_H_
 
 #include <map>
 #include <optional>
@@ -25,7 +25,7 @@
 
 // Collects changes of members for a moment, and leaves out the peers that
 // told of a change when it is passed on. Not thread-safe.
-class UpdateSpread {
+class UpdateDissemination {
  public:
   // Notes that `vm` changed, as told by `from`; empty if noticed here.
   auto Note(const VmId& vm, const VmId& from, TimePoint now) -> void;
@@ -45,4 +45,4 @@
 
 }  // namespace flamingoyoke
 
-#endif  // FLAMINGOYOKE_DECISION_FLEET_UPDATE_SPREAD_H_
+#endif  // FLAMINGOYOKE_DECISION_FLEET_UPDATE_DISSEMINATION_H_
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -38,7 +38,7 @@
       outlets_(outlets),
       memory_(memory),
       membership_(config_.self, Random(config_.seed)),
-      table_spread_(config_.table_shards, Random(config_.seed + 1)) {}
+      table_dissemination_(config_.table_shards, Random(config_.seed + 1)) {}
 
 auto FleetTask::Start(TaskContext& context) -> Result<void> {
   context_ = &context;
@@ -46,12 +46,12 @@
   membership_timer_ = loop.MakeTimer([this] {
     Decide(PauseCheck{});
     Decide(MembershipTimer{});
-    UpdateTableSpread();
+    UpdateTableDissemination();
     UpdateReadiness();
   });
   table_timer_ = loop.MakeTimer([this] {
     Decide(PauseCheck{});
-    Decide(TableSpreadTimer{});
+    Decide(TableDisseminationTimer{});
   });
   pause_timer_ = loop.MakeTimer(
       [this] { Decide(PauseTick{membership_.peer_count() > 0}); });
@@ -64,7 +64,7 @@
   readiness_timer_.Schedule(kPeerWait);
   Decide(PauseTick{});
   Decide(MembershipStarted{});
-  Decide(TableSpreadStarted{memory_.tables});
+  Decide(TableDisseminationStarted{memory_.tables});
   PublishSoon();
   return {};
 }
@@ -73,7 +73,7 @@
   // Nothing is sent on the ground of what was known before a pause.
   Decide(PauseCheck{});
   std::visit([this](auto& each) { TakeMessage(std::move(each)); }, message);
-  UpdateTableSpread();
+  UpdateTableDissemination();
   UpdateReadiness();
   return {};
 }
@@ -84,7 +84,7 @@
 
 auto FleetTask::TakeMessage(PeerMessageReceived message) -> void {
   Decide(MembershipEvent(message.envelope));
-  Decide(TableSpreadEvent(std::move(message.envelope)));
+  Decide(TableDisseminationEvent(std::move(message.envelope)));
 }
 
 auto FleetTask::TakeMessage(const VmListRead& message) -> void {
@@ -108,8 +108,8 @@
   }
 }
 
-auto FleetTask::Decide(const TableSpreadEvent& event) -> void {
-  for (const auto& action : table_spread_.OnEvent(event, Now())) {
+auto FleetTask::Decide(const TableDisseminationEvent& event) -> void {
+  for (const auto& action : table_dissemination_.OnEvent(event, Now())) {
     std::visit([this](const auto& each) { Act(each); }, action);
   }
 }
@@ -180,7 +180,7 @@
   outlets_.platform.Post(ReaderRoleChanged{action.is_reader, action.known});
 }
 
-auto FleetTask::Act(const WakeTableSpreadAt& action) -> void {
+auto FleetTask::Act(const WakeTableDisseminationAt& action) -> void {
   table_timer_.Schedule(DelayUntil(action.at));
 }
 
@@ -204,13 +204,13 @@
 auto FleetTask::UpdateReadiness() -> void {
   const auto now = Now();
   ReadinessFacts facts;
-  facts.has_table = table_spread_.IsComplete();
-  facts.is_catching_up = table_spread_.IsCatchingUp();
+  facts.has_table = table_dissemination_.IsComplete();
+  facts.is_catching_up = table_dissemination_.IsCatchingUp();
   facts.has_list = has_list_;
   facts.other_vms = membership_.list().other_count();
   facts.two_way_peers = membership_.TwoWayPeers(now).size();
   const bool ready = readiness_->IsReady(facts, now) && !is_superseded_;
-  const auto digests = table_spread_.Digests();
+  const auto digests = table_dissemination_.Digests();
   if (ready == is_ready_ && digests == announced_tables_) {
     return;
   }
@@ -220,17 +220,18 @@
   PublishSoon();
 }
 
-auto FleetTask::UpdateTableSpread() -> void {
+auto FleetTask::UpdateTableDissemination() -> void {
   auto peers = membership_.TwoWayPeers(Now());
   if (peers == two_way_peers_) {
     return;
   }
   two_way_peers_ = std::move(peers);
   const auto members = membership_.Members();
-  TellTableSpread(members);
+  TellTableDissemination(members);
 }
 
-auto FleetTask::TellTableSpread(const std::vector<Member>& members) -> void {
+auto FleetTask::TellTableDissemination(const std::vector<Member>& members)
+    -> void {
   // Before a node knows others it would elect itself, and so would all that
   // start together.
   const bool knows_fleet =
@@ -265,7 +266,7 @@
   }
   UpdateHomePeers(*view);
   two_way_peers_ = membership_.TwoWayPeers(Now());
-  TellTableSpread(view->members);
+  TellTableDissemination(view->members);
   const std::shared_ptr<const FleetView> published = std::move(view);
   outlets_.traffic.Post(FleetViewChanged{published});
   outlets_.admin.Post(FleetViewChanged{published});
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -12,7 +12,7 @@
 #include "decision/fleet/home_index.h"
 #include "decision/fleet/membership.h"
 #include "decision/fleet/readiness_gate.h"
-#include "decision/fleet/table_spread.h"
+#include "decision/fleet/table_dissemination.h"
 #include "decision/pause/pause_detector.h"
 #include "node/control/fleet/fleet_config.h"
 #include "node/control/fleet/table_store.h"
@@ -44,7 +44,7 @@
 
   // Passes an event to a decision and carries out its actions.
   auto Decide(const MembershipEvent& event) -> void;
-  auto Decide(const TableSpreadEvent& event) -> void;
+  auto Decide(const TableDisseminationEvent& event) -> void;
   auto Decide(const PauseEvent& event) -> void;
 
   auto Act(const SendToPeer& action) -> void;
@@ -56,13 +56,13 @@
   auto Act(const TableAccepted& action) -> void;
   auto Act(const TableRejected& action) -> void;
   auto Act(const ReaderRoleSet& action) -> void;
-  auto Act(const WakeTableSpreadAt& action) -> void;
+  auto Act(const WakeTableDisseminationAt& action) -> void;
   auto Act(const PauseDetected& action) -> void;
   auto Act(const WakePauseDetectorAt& action) -> void;
 
   auto UpdateReadiness() -> void;
-  auto UpdateTableSpread() -> void;
-  auto TellTableSpread(const std::vector<Member>& members) -> void;
+  auto UpdateTableDissemination() -> void;
+  auto TellTableDissemination(const std::vector<Member>& members) -> void;
   auto PublishSoon() -> void;
   auto Publish() -> void;
   auto UpdateHomePeers(const FleetView& view) -> void;
@@ -74,7 +74,7 @@
   TaskContext* context_ = nullptr;
 
   Membership membership_;
-  TableSpread table_spread_;
+  TableDissemination table_dissemination_;
   PauseDetector pause_detector_;
   std::optional<ReadinessGate> readiness_;
   TableStore tables_;
--- a/tests/unit/decision/fleet/fake_fleet.h
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -21,7 +21,7 @@
 #include "decision/fleet/membership.h"
 #include "decision/fleet/reader_election.h"
 #include "decision/fleet/readiness_gate.h"
-#include "decision/fleet/table_spread.h"
+#include "decision/fleet/table_dissemination.h"
 #include "unit/decision/fleet/wire_size.h"
 
 namespace flamingoyoke {
@@ -43,9 +43,9 @@
   std::size_t table_bytes = 4000;
 };
 
-// The real Membership and TableSpread of many vms, joined by a queue of events
-// in virtual time. The fakes are the network, the platform and the part of the
-// fleet task that passes actions on.
+// The real Membership and TableDissemination of many vms, joined by a queue of
+// events in virtual time. The fakes are the network, the platform and the part
+// of the fleet task that passes actions on.
 class FakeFleet {
  public:
   struct Counters {
@@ -59,7 +59,7 @@
   struct Node {
     Member self;
     std::unique_ptr<Membership> membership;
-    std::unique_ptr<TableSpread> spread;
+    std::unique_ptr<TableDissemination> spread;
     std::optional<ReadinessGate> gate;
     HomeIndex homes;
     bool runs = false;
@@ -129,8 +129,8 @@
     node.self.incarnation = Incarnation(1'700'000'000'000 + ++incarnations_);
     node.membership =
         std::make_unique<Membership>(node.self, Random(random_.Next()));
-    node.spread =
-        std::make_unique<TableSpread>(options_.shards, Random(random_.Next()));
+    node.spread = std::make_unique<TableDissemination>(options_.shards,
+                                                       Random(random_.Next()));
     node.gate.emplace(now_);
     node.homes = HomeIndex();
     node.runs = true;
@@ -148,7 +148,7 @@
     node.ready_at.reset();
     by_address_[node.self.mesh_address] = index;
     Decide(index, MembershipStarted{});
-    Decide(index, TableSpreadStarted{});
+    Decide(index, TableDisseminationStarted{});
     // The platform task reads both keys once, spread over 200 ms.
     At(index, Duration(random_.Below(200'000)),
        [this, index] { ReadList(index); });
@@ -305,7 +305,7 @@
     auto& node = nodes_[index];
     node.most_peers = std::max(node.most_peers, node.membership->peer_count());
   }
-  auto Decide(std::size_t index, const TableSpreadEvent& event) -> void {
+  auto Decide(std::size_t index, const TableDisseminationEvent& event) -> void {
     for (const auto& action : nodes_[index].spread->OnEvent(event, now_)) {
       std::visit([&](const auto& each) { Act(index, each); }, action);
     }
@@ -343,7 +343,7 @@
       At(to, delay, [this, to, envelope, framed] {
         nodes_[to].counters.received_bytes += framed;
         Decide(to, MembershipEvent(*envelope));
-        Decide(to, TableSpreadEvent(*envelope));
+        Decide(to, TableDisseminationEvent(*envelope));
         AfterMessage(to);
       });
     }
@@ -392,9 +392,9 @@
     }
     node.is_reader = action.is_reader;
   }
-  auto Act(std::size_t index, const WakeTableSpreadAt& action) -> void {
+  auto Act(std::size_t index, const WakeTableDisseminationAt& action) -> void {
     At(index, action.at - now_,
-       [this, index] { Decide(index, TableSpreadTimer{}); });
+       [this, index] { Decide(index, TableDisseminationTimer{}); });
   }
 
   auto ReadList(std::size_t index) -> void {
@@ -418,11 +418,11 @@
     auto peers = node.membership->TwoWayPeers(now_);
     if (peers != node.two_way) {
       node.two_way = std::move(peers);
-      TellTableSpread(index);
+      TellTableDissemination(index);
     }
     Announce(index);
   }
-  auto TellTableSpread(std::size_t index) -> void {
+  auto TellTableDissemination(std::size_t index) -> void {
     auto& node = nodes_[index];
     const auto members = node.membership->Members();
     const bool knows_fleet =
@@ -478,7 +478,7 @@
       node.home_peers = peers;
       Decide(index, HomePeersChanged{{peers.begin(), peers.end()}});
     }
-    TellTableSpread(index);
+    TellTableDissemination(index);
     Announce(index);
   }
 
--- a/tests/unit/decision/fleet/table_spread_test.cc
+++ b/tests/unit/decision/fleet/table_dissemination_test.cc
@@ -1,4 +1,4 @@
-#include "decision/fleet/table_spread.h"
+#include "decision/fleet/table_dissemination.h"
 
 #include <criterion/criterion.h>
 
@@ -13,7 +13,8 @@
 constexpr TimePoint kStart = TimePoint(std::chrono::seconds(100));
 
 template <typename Action>
-auto Find(const std::vector<TableSpreadAction>& actions) -> const Action* {
+auto Find(const std::vector<TableDisseminationAction>& actions)
+    -> const Action* {
   for (const auto& action : actions) {
     if (const auto* found = std::get_if<Action>(&action)) {
       return found;
@@ -22,7 +23,8 @@
   return nullptr;
 }
 
-auto AskedPeer(const std::vector<TableSpreadAction>& actions) -> std::string {
+auto AskedPeer(const std::vector<TableDisseminationAction>& actions)
+    -> std::string {
   const auto* send = Find<SendToPeer>(actions);
   return send != nullptr && std::holds_alternative<TablePull>(send->message)
              ? send->peer.value()
@@ -37,7 +39,7 @@
   return {0, Revision(revision), HashOf(text)};
 }
 
-auto Accept(TableSpread& spread,
+auto Accept(TableDissemination& spread,
             std::uint64_t revision,
             const std::string& text) -> void {
   spread.OnEvent(TableTextRead{0, Revision(revision), text}, kStart);
@@ -45,20 +47,20 @@
 }
 
 // Guards against a peer that dies while it is asked for a table.
-Test(table_spread, asks_another_peer_after_a_timeout) {
-  TableSpread spread(1, Random(1));
+Test(table_dissemination, asks_another_peer_after_a_timeout) {
+  TableDissemination spread(1, Random(1));
   const auto digest = DigestFor(2, "new");
   cr_assert(AskedPeer(spread.OnEvent(From("a", TableAnnounce{digest}),
                                      kStart)) == "a");
   cr_assert(AskedPeer(spread.OnEvent(From("b", TableAnnounce{digest}), kStart))
                 .empty());
-  cr_assert(AskedPeer(spread.OnEvent(TableSpreadTimer{},
+  cr_assert(AskedPeer(spread.OnEvent(TableDisseminationTimer{},
                                      kStart + kPullTimeout)) == "b");
 }
 
 // Guards against damaged data that takes effect or blocks the search.
-Test(table_spread, drops_a_text_that_does_not_match_its_digest) {
-  TableSpread spread(1, Random(1));
+Test(table_dissemination, drops_a_text_that_does_not_match_its_digest) {
+  TableDissemination spread(1, Random(1));
   const auto digest = DigestFor(2, "new");
   spread.OnEvent(From("a", TableAnnounce{digest}), kStart);
   spread.OnEvent(From("b", TableAnnounce{digest}), kStart);
@@ -69,8 +71,8 @@
 }
 
 // Guards against an older table from a stale service or peer.
-Test(table_spread, never_goes_back) {
-  TableSpread spread(1, Random(1));
+Test(table_dissemination, never_goes_back) {
+  TableDissemination spread(1, Random(1));
   Accept(spread, 5, "five");
   const auto read =
       spread.OnEvent(TableTextRead{0, Revision(4), "four"}, kStart);
@@ -88,8 +90,8 @@
 
 // Guards against a refused table that is read or pulled again and again: the
 // watch waits for a later revision, and announcements of it are ignored.
-Test(table_spread, remembers_a_refused_version) {
-  TableSpread spread(1, Random(1));
+Test(table_dissemination, remembers_a_refused_version) {
+  TableDissemination spread(1, Random(1));
   Accept(spread, 5, "five");
   spread.OnEvent(TableTextRead{0, Revision(6), "bad"}, kStart);
   const auto actions =
@@ -107,8 +109,8 @@
 }
 
 // Guards against heartbeats that grow with the number of shards.
-Test(table_spread, sums_the_digests_of_many_shards) {
-  TableSpread full(100, Random(1));
+Test(table_dissemination, sums_the_digests_of_many_shards) {
+  TableDissemination full(100, Random(1));
   for (std::uint32_t shard = 0; shard < 100; ++shard) {
     const auto text = std::to_string(shard);
     full.OnEvent(TableTextRead{shard, Revision(1), text}, kStart);
@@ -117,7 +119,7 @@
   }
   cr_assert(full.IsComplete());
   cr_assert_eq(full.Digests().size(), 1);
-  TableSpread fresh(100, Random(2));
+  TableDissemination fresh(100, Random(2));
   Heartbeat heartbeat;
   heartbeat.tables = full.Digests();
   const auto asked = fresh.OnEvent(From("a", heartbeat), kStart);
@@ -152,7 +154,7 @@
 
 // Guards against a table that waits for the service to return: one reader
 // that reaches it is enough for all.
-Test(table_spread, one_reader_is_enough) {
+Test(table_dissemination, one_reader_is_enough) {
   auto fleet = MakeFleet();
   const auto reader = FirstReader(fleet);
   fleet.SetService([reader](std::size_t node) { return node == reader; });
@@ -162,7 +164,7 @@
 }
 
 // Guards against two readers per failure domain becoming all or none.
-Test(table_spread, two_vms_of_each_failure_domain_read) {
+Test(table_dissemination, two_vms_of_each_failure_domain_read) {
   auto fleet = MakeFleet();
   std::map<std::string, int> readers;
   for (const auto& node : fleet.nodes()) {
@@ -175,7 +177,7 @@
 }
 
 // Guards against a fresh vm that serves with the old table of a stale service.
-Test(table_spread, a_fresh_vm_takes_the_newest_of_its_peers) {
+Test(table_dissemination, a_fresh_vm_takes_the_newest_of_its_peers) {
   auto fleet = MakeFleet();
   fleet.Publish(3);
   fleet.RunFor(seconds(3));
@@ -193,7 +195,7 @@
 
 // Guards against a fleet that loses its table while the service is away, and
 // against vms that cannot start without it.
-Test(table_spread, vms_start_while_the_service_is_away) {
+Test(table_dissemination, vms_start_while_the_service_is_away) {
   auto fleet = MakeFleet();
   fleet.SetService([](std::size_t) { return false; });
   fleet.RunFor(std::chrono::hours(1));
@@ -205,7 +207,7 @@
 }
 
 // Guards against a half of the fleet that stays behind after it was cut off.
-Test(table_spread, a_half_that_was_cut_off_catches_up) {
+Test(table_dissemination, a_half_that_was_cut_off_catches_up) {
   auto fleet = MakeFleet();
   fleet.SetLinks(
       [](std::size_t a, std::size_t b) { return (a < 8) == (b < 8); });
