Let requests on an idle node not put off the tick

Cause: each request that met an idle node set the tick of the traffic task to 100 ms from then, so requests that came one by one or in short bursts put it off for as long as they went on. Reports, the transfer of ownership to the dispatcher and the detection of pauses stood still. Ruled out: the detector, which ejected the target after 6 failures where the tick ran. Change: the tick is only brought forward, never back. A unit test sends requests one by one.

--- a/src/node/traffic/traffic_task.cc
+++ b/src/node/traffic/traffic_task.cc
@@ -331,7 +331,14 @@
 
 auto TrafficTask::ScheduleTick() -> void {
   const auto delay = active() > 0 ? kBusyTick : kIdleTick;
-  pause_watch_.ExpectTick(Now() + delay);
+  const auto due = Now() + delay;
+  // A tick is only brought forward: requests that come one by one, each on an
+  // idle node, would otherwise put it off for as long as they go on.
+  if (tick_.IsPending() && tick_due_ <= due) {
+    return;
+  }
+  tick_due_ = due;
+  pause_watch_.ExpectTick(due);
   tick_.Schedule(delay);
 }
 
--- a/src/node/traffic/traffic_task.h
+++ b/src/node/traffic/traffic_task.h
@@ -101,6 +101,7 @@
   bool has_news_ = true;
   TimePoint last_report_;
   EventLoop::Handle tick_;
+  TimePoint tick_due_;
   EventLoop::Handle leave_timer_;
   EventLoop::Handle hard_timer_;
 };
--- a/tests/unit/node/traffic/traffic_task_test.cc
+++ b/tests/unit/node/traffic/traffic_task_test.cc
@@ -98,6 +98,26 @@
   cr_assert(found);
 }
 
+// Guards against a tick that each request on an idle node puts off: reports,
+// ownership and the detection of pauses stood still while requests came one by
+// one.
+Test(traffic_task, reports_while_requests_come_one_by_one) {
+  UpstreamFake upstream(EchoScript());
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  const auto limit = Now() + std::chrono::seconds(20);
+  bool is_reported = false;
+  while (!is_reported && Now() < limit) {
+    node.Exchange(Get("/stock"));
+    for (auto& message : node.mailboxes().admin.TakeAll()) {
+      const auto* reported = std::get_if<TrafficReported>(&message);
+      is_reported =
+          is_reported || (reported != nullptr && !reported->services.empty() &&
+                          reported->services.front().answered > 0);
+    }
+  }
+  cr_assert(is_reported);
+}
+
 // A sampled request leaves one span per hop, all in the caller's trace.
 Test(traffic_task, spans_of_a_sampled_request) {
   UpstreamFake upstream(EchoScript());
