--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -117,11 +117,11 @@
 }
 
 auto RefuseUnknownGroups(const Json& document, Faults& faults) -> void {
-  constexpr auto groups =
+  constexpr auto kGroups =
       std::to_array<std::string_view>({"vm", "caller", "mesh", "admin",
                                        "platform", "shutdown", "log", "trace"});
   for (const auto& [name, value] : document.items()) {
-    if (std::find(groups.begin(), groups.end(), name) == groups.end()) {
+    if (std::find(kGroups.begin(), kGroups.end(), name) == kGroups.end()) {
       faults.push_back(Json(name.substr(0, kMaxShownName))
                            .dump(-1, ' ', /*ensure_ascii=*/true,
                                  Json::error_handler_t::replace) +
--- a/tests/integration/support/fleet.cc
+++ b/tests/integration/support/fleet.cc
@@ -244,6 +244,7 @@
 auto PortsOf(const std::vector<std::unique_ptr<Upstream>>& upstreams)
     -> std::vector<int> {
   std::vector<int> ports;
+  ports.reserve(upstreams.size());
   for (const auto& upstream : upstreams) {
     ports.push_back(upstream->port());
   }
--- a/tests/standins/platform/platform_task.cc
+++ b/tests/standins/platform/platform_task.cc
@@ -153,7 +153,8 @@
   }
 }
 
-auto PlatformTask::Answer(HttpExchange exchange, HttpReply reply) -> void {
+auto PlatformTask::Answer(HttpExchange exchange, const HttpReply& reply)
+    -> void {
   if (mode_ != PlatformMode::kSlow) {
     exchange.Reply(reply);
     return;
--- a/tests/standins/platform/platform_task.h
+++ b/tests/standins/platform/platform_task.h
@@ -68,7 +68,7 @@
   // Answers the watches whose value has changed, or all with 503 when down.
   auto AnswerWatches() -> void;
   // Sends `reply`, later in slow mode.
-  auto Answer(HttpExchange exchange, HttpReply reply) -> void;
+  auto Answer(HttpExchange exchange, const HttpReply& reply) -> void;
   [[nodiscard]] auto CountersReply() const -> HttpReply;
 
   PlatformOptions options_;
--- a/tests/tsan/runtime_tsan.cc
+++ b/tests/tsan/runtime_tsan.cc
@@ -97,8 +97,7 @@
 // Posts 1 to `count`, waiting whenever the mailbox pushes back.
 auto PostAll(Mailbox<NumberMessage>& mailbox, int count) -> void {
   for (int i = 1; i <= count; ++i) {
-    NumberMessage message = Number{i};
-    while (mailbox.Post(std::move(message)) == PostResult::kRefused) {
+    while (mailbox.Post(Number{i}) == PostResult::kRefused) {
       std::this_thread::sleep_for(std::chrono::microseconds(50));
     }
     mailbox.Post(Latest{i});
@@ -115,8 +114,9 @@
   Mailbox<NumberMessage> mailbox(16);
   TaskHost<SumTask> host(
       "sum", mailbox, [&] { return std::make_unique<SumTask>(sum, starts); });
-  host.Start([&](std::optional<Error>) { has_exited = true; });
+  host.Start([&](const std::optional<Error>&) { has_exited = true; });
   std::vector<std::thread> senders;
+  senders.reserve(kSenders);
   for (int i = 0; i < kSenders; ++i) {
     senders.emplace_back([&] { PostAll(mailbox, kMessages); });
   }
@@ -158,7 +158,7 @@
     return std::make_unique<Outer>(outer_mailbox, std::move(children), limit,
                                    ignore);
   });
-  host.Start([&](std::optional<Error>) { has_exited = true; });
+  host.Start([&](const std::optional<Error>&) { has_exited = true; });
   // The third failure exceeds the inner limit, so the outer one restarts the
   // whole inner tree.
   bool has_restarted = true;
--- a/tests/unit/runtime/idle_test.cc
+++ b/tests/unit/runtime/idle_test.cc
@@ -47,7 +47,7 @@
   Mailbox<NoMessage> mailbox(4);
   TaskHost<IdleTask> host("idle", mailbox,
                           [&] { return std::make_unique<IdleTask>(started); });
-  host.Start([](std::optional<Error>) {});
+  host.Start([](const std::optional<Error>&) {});
   while (!started) {
     std::this_thread::sleep_for(std::chrono::milliseconds(1));
   }
