Clear the linter's findings in unit tests

Cause: a loop over floating-point numbers, growing vectors and copied parameters. Change: the same 29 steps counted by an integer; reserved vectors; references. Conclusion: the checks are the same.

--- a/tests/unit/decision/dispatch/long_work_policy_test.cc
+++ b/tests/unit/decision/dispatch/long_work_policy_test.cc
@@ -12,7 +12,8 @@
                                      AdaptiveCapWithDedicatedTargets()};
   for (const auto& policy : policies) {
     for (std::uint32_t usable = 2; usable <= 16; ++usable) {
-      for (double demand = 0; demand < 20; demand += 0.7) {
+      for (int step = 0; step < 29; ++step) {
+        const double demand = 0.7 * step;
         const auto cap = LongSlotCap(policy, {.usable = usable,
                                               .targets = 2,
                                               .short_demand = demand / 3,
--- a/tests/unit/decision/fleet/home_index_test.cc
+++ b/tests/unit/decision/fleet/home_index_test.cc
@@ -16,6 +16,7 @@
     Random random(seed);
     auto members = MakeServingMembers(30, 5);
     std::vector<ServiceRow> rows;
+    rows.reserve(12);
     for (int i = 0; i < 12; ++i) {
       rows.push_back(MakeRow("service-" + std::to_string(i), 9));
     }
--- a/tests/unit/node/control/fleet/fleet_task_test.cc
+++ b/tests/unit/node/control/fleet/fleet_task_test.cc
@@ -51,7 +51,7 @@
   }
 
   auto Start() -> void {
-    host_->Start([](std::optional<Error>) {});
+    host_->Start([](const std::optional<Error>&) {});
   }
   auto Restart() -> void {
     host_->RequestStop(StopMode::kHard);
