--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -25,6 +25,7 @@
       {"dispatch", "Ways to divide the work", &RunDispatchBench},
       {"short_long", "Short work beside long work", &RunShortLongBench},
       {"detection", "time to detect failing targets", RunDetectionBench},
+      {"fleet", "Membership and the table against fleet size", &RunFleetBench},
   };
   return benches;
 }
--- a/bench/benches.h
+++ b/bench/benches.h
@@ -17,6 +17,9 @@
 // Time to detect failing targets.
 auto RunDetectionBench(std::uint64_t seed) -> std::vector<Measure>;
 
+// Spread of the table, membership and their cost against the fleet size.
+auto RunFleetBench(std::uint64_t seed) -> std::vector<Measure>;
+
 }  // namespace flamingoyoke
 
 #endif  // FLAMINGOYOKE_BENCH_BENCHES_H_
--- /dev/null
+++ b/bench/fleet_bench.cc
@@ -0,0 +1,416 @@
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bench/benches.h"
+#include "bench/measure.h"
+#include "decision/fleet/placement.h"
+#include "unit/decision/fleet/fake_fleet.h"
+#include "unit/decision/fleet/fleet_fixture.h"
+
+namespace flamingoyoke {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// The scale of two years, docs/design.md, section 1.7.
+constexpr double kTargetNodes = 7100;
+constexpr std::uint64_t kRevisions = 5;
+
+// Straight line through points by least squares, over the logarithm of N.
+class LogFit {
+ public:
+  auto Add(std::size_t nodes, double value) -> void {
+    points_.push_back({std::log2(static_cast<double>(nodes)), value});
+  }
+  [[nodiscard]] auto At(double nodes) const -> double {
+    const auto line = Solve();
+    return line.offset + line.slope * std::log2(nodes);
+  }
+  [[nodiscard]] auto slope() const -> double { return Solve().slope; }
+  // Root of the mean squared distance of the points from the line.
+  [[nodiscard]] auto Residual() const -> double {
+    const auto line = Solve();
+    double sum = 0;
+    for (const auto& point : points_) {
+      const auto error = point.y - line.offset - line.slope * point.x;
+      sum += error * error;
+    }
+    return std::sqrt(sum / static_cast<double>(points_.size()));
+  }
+
+ private:
+  struct Point {
+    double x = 0;
+    double y = 0;
+  };
+  struct Line {
+    double offset = 0;
+    double slope = 0;
+  };
+
+  [[nodiscard]] auto Solve() const -> Line {
+    double x = 0;
+    double y = 0;
+    double xx = 0;
+    double xy = 0;
+    for (const auto& point : points_) {
+      x += point.x;
+      y += point.y;
+      xx += point.x * point.x;
+      xy += point.x * point.y;
+    }
+    const auto n = static_cast<double>(points_.size());
+    const auto slope = (n * xy - x * y) / (n * xx - x * x);
+    return {(y - slope * x) / n, slope};
+  }
+
+  std::vector<Point> points_;
+};
+
+class FleetBench {
+ public:
+  explicit FleetBench(std::uint64_t seed) : seed_(seed) {}
+
+  auto Run() -> std::vector<Measure> {
+    LogFit table;
+    for (const std::size_t nodes : {10, 20, 40, 80, 160}) {
+      RunSize(nodes, table);
+    }
+    profile_ = "7100 by fit";
+    AddFit("table in force everywhere", "s", table, 10);
+    RunRegions();
+    RunFaults();
+    RunCosts();
+    return std::move(measures_);
+  }
+
+ private:
+  static auto MakeOptions(std::size_t nodes, std::uint64_t seed)
+      -> FakeFleetOptions {
+    FakeFleetOptions options;
+    options.nodes = nodes;
+    options.seed = seed;
+    return options;
+  }
+
+  auto Add(const std::string& name, const std::string& unit, double value)
+      -> Measure& {
+    Measure measure;
+    measure.bench = "fleet";
+    measure.profile = profile_;
+    measure.name = name;
+    measure.unit = unit;
+    measure.value = value;
+    measures_.push_back(measure);
+    return measures_.back();
+  }
+  auto AddBounded(const std::string& name,
+                  const std::string& unit,
+                  double value,
+                  double bound) -> void {
+    auto& measure = Add(name, unit, value);
+    measure.bound_kind = BoundKind::kAtMost;
+    measure.bound = bound;
+  }
+  auto AddFit(const std::string& name,
+              const std::string& unit,
+              const LogFit& fit,
+              double bound) -> void {
+    AddBounded(name, unit, fit.At(kTargetNodes), bound);
+    Add(name + ", slope per doubling", unit, fit.slope());
+    Add(name + ", residual", unit, fit.Residual());
+  }
+
+  // A time that was not reached counts as the limit, which breaks any bound.
+  static auto Seconds(std::optional<Duration> time, Duration limit) -> double {
+    return ToSeconds(time.value_or(limit));
+  }
+
+  // Reads of the busiest second among the first ten of a restart of all.
+  static auto PeakReads(FakeFleet& fleet) -> double {
+    const auto total = [&] {
+      std::uint64_t sum = 0;
+      for (const auto& node : fleet.nodes()) {
+        sum += node.counters.reads;
+      }
+      return sum;
+    };
+    std::uint64_t peak = 0;
+    for (int second = 0; second < 10; ++second) {
+      const auto before = total();
+      fleet.RunFor(seconds(1));
+      peak = std::max(peak, total() - before);
+    }
+    return static_cast<double>(peak);
+  }
+
+  static auto BytesPerSecond(FakeFleet& fleet) -> double {
+    const auto total = [&] {
+      std::uint64_t sum = 0;
+      for (const auto& node : fleet.nodes()) {
+        sum += node.counters.sent_bytes + node.counters.received_bytes;
+      }
+      return static_cast<double>(sum);
+    };
+    constexpr int kQuietSeconds = 20;
+    const auto before = total();
+    fleet.RunFor(seconds(kQuietSeconds));
+    return (total() - before) / kQuietSeconds /
+           static_cast<double>(fleet.nodes().size());
+  }
+
+  // The longest of several revisions that one reader alone can read.
+  static auto TableTime(FakeFleet& fleet) -> double {
+    std::size_t reader = 0;
+    while (!fleet.nodes()[reader].is_reader) {
+      ++reader;
+    }
+    fleet.SetService([reader](std::size_t node) { return node == reader; });
+    double longest = 0;
+    for (std::uint64_t revision = 2; revision < 2 + kRevisions; ++revision) {
+      fleet.Publish(revision);
+      constexpr Duration kLimit = seconds(30);
+      longest = std::max(
+          longest,
+          Seconds(fleet.RunUntil([&] { return fleet.AllHave(revision); },
+                                 kLimit, milliseconds(1)),
+                  kLimit));
+      fleet.RunFor(seconds(2));
+    }
+    fleet.SetService(nullptr);
+    return longest;
+  }
+
+  auto RunSize(std::size_t nodes, LogFit& table) -> void {
+    profile_ = std::to_string(nodes) + " nodes";
+    FakeFleet fleet(MakeOptions(nodes, seed_));
+    fleet.Publish(1);
+    fleet.StartAll();
+    const auto peak = PeakReads(fleet);
+    Add("platform reads, busiest second of a restart of all", "1/s", peak);
+    const auto rate = BytesPerSecond(fleet);
+    const auto time = TableTime(fleet);
+    table.Add(nodes, time);
+    if (nodes == 40) {
+      AddBounded("bytes sent and received, quiet", "B/s", rate, 2000);
+      AddBounded("table in force everywhere, one reader", "s", time, 3);
+    } else {
+      Add("bytes sent and received, quiet", "B/s", rate);
+      Add("table in force everywhere, one reader", "s", time);
+    }
+    std::size_t peers = 0;
+    for (const auto& node : fleet.nodes()) {
+      peers = std::max(peers, node.most_peers);
+    }
+    AddBounded("most peers of a node", "", static_cast<double>(peers),
+               static_cast<double>(kMaxPeers));
+  }
+
+  // The shape of the two-year scale: 25 failure domains in 7 regions, and
+  // services in proportion to the nodes.
+  auto RunRegions() -> void {
+    LogFit bytes;
+    for (const std::size_t nodes : {50, 100, 200}) {
+      auto options = MakeOptions(nodes, seed_);
+      options.domains = 25;
+      options.regions = 7;
+      options.services = nodes * 3000 / 7100;
+      options.latency = milliseconds(20);
+      FakeFleet fleet(options);
+      fleet.Publish(1);
+      fleet.StartAll();
+      fleet.RunFor(seconds(15));
+      const auto rate = BytesPerSecond(fleet);
+      bytes.Add(nodes, rate);
+      profile_ = std::to_string(nodes) + ", 7 regions";
+      Add("bytes sent and received, quiet", "B/s", rate);
+    }
+    profile_ = "7100, 7 regions";
+    AddFit("bytes sent and received, quiet", "B/s", bytes, 15'000);
+  }
+
+  auto RunFaults() -> void {
+    profile_ = "40 nodes";
+    FakeFleet fleet(MakeOptions(40, seed_));
+    fleet.Publish(1);
+    fleet.StartAll();
+    fleet.RunFor(seconds(10));
+    DetectDeath(fleet);
+    DetectCut(fleet);
+    constexpr Duration kLimit = seconds(60);
+    fleet.SetLinks(
+        [](std::size_t a, std::size_t b) { return (a < 20) == (b < 20); });
+    fleet.RunFor(kLimit);
+    fleet.SetLinks(nullptr);
+    Add("one list and all ready after a partition", "s",
+        Seconds(fleet.RunUntil(
+                    [&] { return fleet.HasConverged() && fleet.AllReady(); },
+                    kLimit),
+                kLimit));
+  }
+
+  auto DetectDeath(FakeFleet& fleet) -> void {
+    constexpr Duration kLimit = seconds(30);
+    double longest = 0;
+    double longest_home = 0;
+    double longest_fresh = 0;
+    for (std::size_t vm = 0; vm < 10; ++vm) {
+      std::vector<std::size_t> home;
+      for (std::size_t i = 0; i < fleet.nodes().size(); ++i) {
+        if (fleet.nodes()[i].home_peers.count(fleet.nodes()[vm].self.id) > 0) {
+          home.push_back(i);
+        }
+      }
+      fleet.Stop(vm);
+      const auto until_home = fleet.RunUntil(
+          [&] {
+            return std::all_of(home.begin(), home.end(), [&](std::size_t i) {
+              return fleet.Believes(i, vm) != Liveness::kAlive;
+            });
+          },
+          kLimit);
+      longest_home = std::max(longest_home, Seconds(until_home, kLimit));
+      const auto until_all =
+          fleet.RunUntil([&] { return fleet.HasConverged(); }, kLimit);
+      longest = std::max(
+          longest, Seconds(until_home, kLimit) + Seconds(until_all, kLimit));
+      fleet.Start(vm);
+      longest_fresh = std::max(
+          longest_fresh,
+          Seconds(fleet.RunUntil([&] { return fleet.nodes()[vm].is_ready; },
+                                 kLimit),
+                  kLimit));
+      fleet.RunFor(seconds(5));
+    }
+    Add("dead vm not used by its home peers, longest of 10", "s", longest_home);
+    Add("dead vm known everywhere, longest of 10", "s", longest);
+    Add("fresh vm ready, longest of 10", "s", longest_fresh);
+  }
+
+  auto DetectCut(FakeFleet& fleet) -> void {
+    constexpr Duration kLimit = seconds(30);
+    double longest = 0;
+    for (std::size_t vm = 0; vm < 10; ++vm) {
+      const auto peer = std::stoul(
+          fleet.nodes()[vm].endpoints.begin()->first.value().substr(3));
+      fleet.SetLinks([=](std::size_t from, std::size_t to) {
+        return from != vm || to != peer;
+      });
+      const auto shows = [&](std::size_t node, std::size_t other) {
+        const auto cut = fleet.nodes()[node].membership->CutOff(fleet.now());
+        return std::count(cut.begin(), cut.end(),
+                          fleet.nodes()[other].self.id) > 0;
+      };
+      longest = std::max(
+          longest,
+          Seconds(
+              fleet.RunUntil([&] { return shows(vm, peer) && shows(peer, vm); },
+                             kLimit),
+              kLimit));
+      fleet.SetLinks(nullptr);
+      fleet.RunFor(seconds(5));
+    }
+    Add("one-way cut known on both sides, longest of 10", "s", longest);
+  }
+
+  // Mean wall-clock time of `work` in microseconds.
+  template <typename Work>
+  static auto Time(int repeats, Work work) -> double {
+    const auto begin = std::chrono::steady_clock::now();
+    for (int i = 0; i < repeats; ++i) {
+      work(i);
+    }
+    const std::chrono::duration<double, std::micro> time =
+        std::chrono::steady_clock::now() - begin;
+    return time.count() / repeats;
+  }
+
+  auto RunCosts() -> void {
+    profile_ = "wall clock";
+    for (const std::size_t count : {40, 400, 7100}) {
+      const auto members = MakeServingMembers(count, 25);
+      std::size_t sum = 0;
+      Add("home set of a service, members " + std::to_string(count), "us",
+          Time(50, [&](int i) {
+            const auto row = MakeRow("s" + std::to_string(i), 1);
+            sum += PlacementOf(row, members).home.size();
+          }));
+      TimeHeartbeats(members);
+    }
+    for (const std::size_t targets : {8, 25, 250}) {
+      const std::vector<VmId> home = {VmId("a"), VmId("b"), VmId("c"),
+                                      VmId("d")};
+      const auto row = MakeRow("s", targets);
+      std::size_t sum = 0;
+      Add("owners of a service, targets " + std::to_string(targets), "us",
+          Time(100, [&](int) { sum += OwnersOf(row.targets, home).size(); }));
+    }
+    for (const std::size_t services : {30, 300, 3000}) {
+      TimeHomeIndex(services);
+    }
+  }
+
+  auto TimeHeartbeats(const std::vector<Member>& others) -> void {
+    auto self = MakeMember(0, 25);
+    Membership membership(self, Random(seed_));
+    TimePoint now(seconds(1000));
+    membership.OnEvent(MembershipStarted{}, now);
+    membership.OnEvent(PeerEnvelope{others[1].id, others[1].incarnation,
+                                    MemberUpdate{others, false, {}}},
+                       now);
+    const auto count = std::to_string(others.size());
+    std::uint64_t sequence = 0;
+    Add("heartbeat received, members " + count, "us", Time(2000, [&](int) {
+          Heartbeat heartbeat;
+          heartbeat.sequence = ++sequence;
+          heartbeat.heard_sequence = 1;
+          heartbeat.is_chosen = true;
+          membership.OnEvent(
+              PeerEnvelope{others[1].id, others[1].incarnation, heartbeat},
+              now);
+        }));
+    Add("member event received, members " + count, "us", Time(50, [&](int i) {
+          auto report = others[2];
+          report.version = static_cast<std::uint64_t>(i) + 1;
+          report.liveness = i % 2 == 0 ? Liveness::kDead : Liveness::kAlive;
+          membership.OnEvent(PeerEnvelope{others[1].id, others[1].incarnation,
+                                          MemberUpdate{{report}, false, {}}},
+                             now);
+        }));
+  }
+
+  auto TimeHomeIndex(std::size_t services) -> void {
+    auto members = MakeServingMembers(7100, 25);
+    std::vector<ServiceRow> rows;
+    for (std::size_t i = 0; i < services; ++i) {
+      rows.push_back(MakeRow("s" + std::to_string(i), 1));
+    }
+    HomeIndex index;
+    const auto count = std::to_string(services);
+    Add("all home sets, 7100 members, services " + count, "us",
+        Time(1, [&](int) { index.Update(members, rows); }));
+    Add("home sets after one change, 7100 members, services " + count, "us",
+        Time(10, [&](int) {
+          members[17].ready = !members[17].ready;
+          index.Update(members, rows);
+        }));
+  }
+
+  std::uint64_t seed_;
+  std::string profile_;
+  std::vector<Measure> measures_;
+};
+
+}  // namespace
+
+auto RunFleetBench(std::uint64_t seed) -> std::vector<Measure> {
+  return FleetBench(seed).Run();
+}
+
+}  // namespace flamingoyoke
--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -264,8 +264,8 @@
     return;
   }
   const auto* known = links_.Find(probe.subject);
-  if (known != nullptr && known->Silence(now) < known->limits().probe &&
-      known->IsHeard(now)) {
+  if (known != nullptr && known->IsHeard(now) &&
+      known->Silence(now) < kFreshSign) {
     Send(envelope.sender,
          IndirectProbe{probe.subject, record->member.incarnation, true, true});
     return;
--- a/src/decision/fleet/membership_timing.h
+++ b/src/decision/fleet/membership_timing.h
@@ -47,8 +47,13 @@
 
 // Peers that are asked about a silent one in each round.
 inline constexpr std::size_t kProbeHelpers = 3;
-// How long a helper waits for a sign of the subject.
-inline constexpr Duration kHelperPatience = std::chrono::milliseconds(900);
+// A helper vouches at once for a subject that it heard this recently. It is
+// less than the silence that makes the others ask, so that nobody vouches for
+// a vm on the ground of a heartbeat from before its death.
+inline constexpr Duration kFreshSign = std::chrono::milliseconds(500);
+// How long a helper waits for a sign of the subject otherwise: until the next
+// heartbeat of a slow link.
+inline constexpr Duration kHelperPatience = std::chrono::milliseconds(1100);
 
 // A vm that was found dead on the other side of a partition, or by an old
 // report, has this long to refute it before its state changes here.
--- a/src/decision/fleet/peer_link.cc
+++ b/src/decision/fleet/peer_link.cc
@@ -60,15 +60,11 @@
 }
 
 auto PeerLink::IsVouched(TimePoint now) const -> bool {
-  return vouched_ && now - *vouched_ <= limits().suspect;
+  return vouched_ && now - *vouched_ <= 2 * limits().probe_period;
 }
 
 auto PeerLink::IsProbeDue(TimePoint now) const -> bool {
-  // A vouched link is asked about again before the vouching ends.
-  const auto period = vouched_ && now - *vouched_ <= limits().probe
-                          ? limits().probe
-                          : limits().probe_period;
-  return !probed_ || now - *probed_ >= period;
+  return !probed_ || now - *probed_ >= limits().probe_period;
 }
 
 auto PeerLink::Silence(TimePoint now) const -> Duration {
--- a/src/decision/fleet/peer_link.h
+++ b/src/decision/fleet/peer_link.h
@@ -44,7 +44,7 @@
   [[nodiscard]] auto IsTwoWay(TimePoint now) const -> bool;
   // Whether the peer was heard so recently that it surely lives.
   [[nodiscard]] auto IsHeard(TimePoint now) const -> bool;
-  // Whether a peer vouched for it within the last limit.
+  // Whether a peer vouched for it within the last two rounds of questions.
   [[nodiscard]] auto IsVouched(TimePoint now) const -> bool;
   [[nodiscard]] auto IsProbeDue(TimePoint now) const -> bool;
   // How long the peer has been silent.
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -227,9 +227,20 @@
   }
   two_way_peers_ = std::move(peers);
   const auto members = membership_.Members();
-  Decide(TableFleetChanged{two_way_peers_,
-                           IsElectedReader(config_.self.id, members),
-                           members.size()});
+  TellTableSpread(members);
+}
+
+auto FleetTask::TellTableSpread(const std::vector<Member>& members) -> void {
+  // Before a node knows others it would elect itself, and so would all that
+  // start together.
+  const bool knows_fleet =
+      is_ready_ ||
+      (has_list_ &&
+       two_way_peers_.size() >=
+           std::min(kPeersToHear, membership_.list().other_count()));
+  const bool is_elected =
+      knows_fleet && IsElectedReader(config_.self.id, members);
+  Decide(TableFleetChanged{two_way_peers_, is_elected, members.size()});
 }
 
 auto FleetTask::PublishSoon() -> void {
@@ -254,9 +265,7 @@
   }
   UpdateHomePeers(*view);
   two_way_peers_ = membership_.TwoWayPeers(Now());
-  Decide(TableFleetChanged{two_way_peers_,
-                           IsElectedReader(view->self, view->members),
-                           view->members.size()});
+  TellTableSpread(view->members);
   const std::shared_ptr<const FleetView> published = std::move(view);
   outlets_.traffic.Post(FleetViewChanged{published});
   outlets_.admin.Post(FleetViewChanged{published});
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -62,6 +62,7 @@
 
   auto UpdateReadiness() -> void;
   auto UpdateTableSpread() -> void;
+  auto TellTableSpread(const std::vector<Member>& members) -> void;
   auto PublishSoon() -> void;
   auto Publish() -> void;
   auto UpdateHomePeers(const FleetView& view) -> void;
--- a/tests/unit/decision/fleet/fake_fleet.h
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -425,9 +425,15 @@
   auto TellTableSpread(std::size_t index) -> void {
     auto& node = nodes_[index];
     const auto members = node.membership->Members();
-    Decide(index, TableFleetChanged{node.two_way,
-                                    IsElectedReader(node.self.id, members),
-                                    members.size()});
+    const bool knows_fleet =
+        node.is_ready ||
+        (node.has_list &&
+         node.two_way.size() >=
+             std::min(kPeersToHear, node.membership->list().other_count()));
+    Decide(index, TableFleetChanged{
+                      node.two_way,
+                      knows_fleet && IsElectedReader(node.self.id, members),
+                      members.size()});
   }
   auto Announce(std::size_t index) -> void {
     auto& node = nodes_[index];
