--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -26,6 +26,7 @@
       {"short_long", "Short work beside long work", &RunShortLongBench},
       {"detection", "time to detect failing targets", RunDetectionBench},
       {"ejection", "mistakes, flapping, drain and probes", RunEjectionBench},
+      {"fleet", "Membership and the table against fleet size", &RunFleetBench},
   };
   return benches;
 }
--- a/bench/benches.h
+++ b/bench/benches.h
@@ -19,6 +19,8 @@
 
 // Healthy targets ejected by mistake, flapping, drain, probes.
 auto RunEjectionBench(std::uint64_t seed) -> std::vector<Measure>;
+// Spread of the table, membership and their cost against the fleet size.
+auto RunFleetBench(std::uint64_t seed) -> std::vector<Measure>;
 
 }  // namespace flamingoyoke
 
