--- a/src/daemon/signal_watch.h
+++ b/src/daemon/signal_watch.h
@@ -10,14 +10,18 @@
 
 namespace flamingoyoke {
 
-// Turns SIGTERM and SIGINT into calls on the thread of a loop, and ignores
-// SIGPIPE, which a write to a closed connection would raise. One per process.
+// Turns SIGTERM, SIGINT and SIGHUP into calls on the thread of a loop, and
+// ignores SIGPIPE, which a write to a closed connection would raise. One per
+// process.
 class SignalWatch {
  public:
   // `count` is 1 for the first signal, 2 for the second, and so on.
   using OnSignal = std::function<void(int count)>;
 
-  SignalWatch(EventLoop& loop, OnSignal on_signal);
+  // Called for each SIGHUP.
+  using OnReload = std::function<void()>;
+
+  SignalWatch(EventLoop& loop, OnSignal on_signal, OnReload on_reload);
 
   SignalWatch(const SignalWatch&) = delete;
   auto operator=(const SignalWatch&) -> SignalWatch& = delete;
@@ -25,12 +29,15 @@
  private:
   using EventPointer = std::unique_ptr<event, EventLoop::EventDeleter>;
 
-  auto Watch(EventLoop& loop, int signal_number) -> EventPointer;
+  auto Watch(EventLoop& loop, int signal_number, event_callback_fn callback)
+      -> EventPointer;
 
   OnSignal on_signal_;
+  OnReload on_reload_;
   int count_ = 0;
   EventPointer terminate_;
   EventPointer interrupt_;
+  EventPointer reload_;
 };
 
 }  // namespace flamingoyoke
--- a/src/decision/dispatch/retry_budget.cc
+++ b/src/decision/dispatch/retry_budget.cc
@@ -25,13 +25,12 @@
   ++Current(now).first_attempts;
 }
 
-auto RetryBudget::Allow(TimePoint now) -> bool {
+auto RetryBudget::HasRoom(TimePoint now) const -> bool {
   if (share_ <= 0) {
     return false;
   }
-  auto& current = Current(now);
   const auto oldest =
-      current.second - static_cast<std::int64_t>(buckets_.size());
+      SecondOf(now) - static_cast<std::int64_t>(buckets_.size());
   std::uint64_t first_attempts = 0;
   std::uint64_t retries = 0;
   for (const auto& bucket : buckets_) {
@@ -41,12 +40,16 @@
     }
   }
   const auto allowed = std::max(
-      kMinRetries,
+      least_,
       static_cast<std::uint64_t>(share_ * static_cast<double>(first_attempts)));
-  if (retries >= allowed) {
+  return retries < allowed;
+}
+
+auto RetryBudget::Allow(TimePoint now) -> bool {
+  if (!HasRoom(now)) {
     return false;
   }
-  ++current.retries;
+  ++Current(now).retries;
   return true;
 }
 
--- a/src/decision/dispatch/retry_budget.h
+++ b/src/decision/dispatch/retry_budget.h
@@ -14,8 +14,13 @@
 // fails as a whole. Not thread-safe.
 class RetryBudget {
  public:
-  // `share` is 0 to 1; 0 allows no retry.
-  auto Configure(double share) -> void { share_ = share; }
+  // `share` is 0 to 1; 0 allows no retry. `least` retries are allowed in a
+  // window even if there were few first attempts; otherwise a quiet service
+  // could never retry.
+  auto Configure(double share, std::uint64_t least = kMinRetries) -> void {
+    share_ = share;
+    least_ = least;
+  }
 
   // Counts the first attempt of a request.
   auto OnFirstAttempt(TimePoint now) -> void;
@@ -23,8 +28,9 @@
   // Counts and allows one more attempt, or returns false.
   auto Allow(TimePoint now) -> bool;
 
-  // Allowed in a window even if there were few first attempts; otherwise a
-  // quiet service could never retry.
+  // Returns whether Allow would allow one more attempt.
+  [[nodiscard]] auto HasRoom(TimePoint now) const -> bool;
+
   static constexpr std::uint64_t kMinRetries = 1;
 
  private:
@@ -37,6 +43,7 @@
   auto Current(TimePoint now) -> Bucket&;
 
   double share_ = 0;
+  std::uint64_t least_ = kMinRetries;
   std::array<Bucket, 10> buckets_;
 };
 
--- a/src/decision/fleet/fleet_view.h
+++ b/src/decision/fleet/fleet_view.h
@@ -7,6 +7,8 @@
 
 #include "core/ids.h"
 #include "decision/fleet/member.h"
+#include "table/registry.h"
+#include "table/routing.h"
 #include "table/service_row.h"
 
 namespace flamingoyoke {
@@ -30,6 +32,12 @@
   Incarnation incarnation;
   // Null until a table is in force.
   std::shared_ptr<const Table> table;
+  // What a published store holds, in place of a table; null until it is in
+  // force.
+  std::shared_ptr<const Routing> routing;
+  std::shared_ptr<const Registry> registry;
+  // Vms that callers of routed services are sent to, best first.
+  std::vector<VmId> entries;
   // All known vms, this one included.
   std::vector<Member> members;
   // Alive vms that do not hear this one or are not heard by it, in order: a
--- a/src/decision/fleet/table_dissemination.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -21,8 +21,10 @@
 
 }  // namespace
 
-TableDissemination::TableDissemination(std::uint32_t shard_count, Random random)
-    : shard_count_(shard_count), random_(random) {}
+TableDissemination::TableDissemination(std::uint32_t shard_count,
+                                       Random random,
+                                       FirstRead first_read)
+    : shard_count_(shard_count), first_read_(first_read), random_(random) {}
 
 auto TableDissemination::OnEvent(const TableDisseminationEvent& event,
                                  TimePoint now)
@@ -293,6 +295,10 @@
   if (!started_ || (has_read_ && IsComplete())) {
     return false;
   }
+  if (first_read_ == FirstRead::kIfAlone) {
+    const auto patience = peers_.empty() ? kAloneTime : kUntoldTime;
+    return !IsComplete() && now - *started_ >= patience;
+  }
   const auto spread = std::max(
       kFirstReadSpread, Duration(static_cast<std::int64_t>(
                             static_cast<double>(fleet_size_) * shard_count_ /
--- a/src/decision/fleet/table_dissemination.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOYOKE_DECISION_FLEET_TABLE_DISSEMINATION_H_
 #define FLAMINGOYOKE_DECISION_FLEET_TABLE_DISSEMINATION_H_
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "core/ids.h"
+#include "core/name_table.h"
 #include "core/random.h"
 #include "core/time.h"
 #include "decision/fleet/table_dissemination_event.h"
@@ -39,13 +41,35 @@
 // arrive within a second.
 inline constexpr Duration kShardMismatchPatience = std::chrono::seconds(2);
 
+// A node that does not read at its start does so after this time if it has no
+// peers, and after the second time if they could not tell it the table.
+inline constexpr Duration kAloneTime = std::chrono::seconds(2);
+inline constexpr Duration kUntoldTime = std::chrono::seconds(5);
+
+// Whether a fresh node reads the source of the table itself.
+enum class FirstRead {
+  kAlways,   // Each node reads once, spread over time.
+  kIfAlone,  // Peers tell it; it reads only if they do not.
+};
+
+template <>
+struct EnumNames<FirstRead> {
+  static constexpr auto kTable = std::to_array<NameEntry<FirstRead>>({
+      {FirstRead::kAlways, "always"},
+      {FirstRead::kIfAlone, "if-alone"},
+  });
+};
+static_assert(IsDense<FirstRead>());
+
 // Keeps the newest accepted version of each shard of the table, and passes it
 // on among peers. Versions are ordered by revision, then hash, and never go
 // back. Not thread-safe.
 class TableDissemination {
  public:
   // Precondition: `shard_count` is positive.
-  TableDissemination(std::uint32_t shard_count, Random random);
+  TableDissemination(std::uint32_t shard_count,
+                     Random random,
+                     FirstRead first_read = FirstRead::kAlways);
 
   // Takes an event at `now`, which never goes back, and returns what has to be
   // done, in order.
@@ -100,6 +124,7 @@
   auto Finish(TimePoint now) -> std::vector<TableDisseminationAction>;
 
   std::uint32_t shard_count_;
+  FirstRead first_read_;
   Random random_;
   std::map<std::uint32_t, Version> in_force_;
   // Versions that wait for their check.
--- /dev/null
+++ b/src/decision/gateway/target_belief.cc
@@ -0,0 +1,60 @@
+#include "decision/gateway/target_belief.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace flamingoyoke {
+namespace {
+
+struct Likelihood {
+  Evidence evidence;
+  // How much likelier the observation is at an ill target than at a sound one.
+  double ratio;
+};
+
+// The ratios of whole answers follow from the two shares of failures. Sound
+// targets break off, time out or refuse less often than they answer 500, so
+// such observations say at least as much. Overdue work is often only long
+// work, and a shed request only a sign of load.
+constexpr auto kLikelihoods = std::to_array<Likelihood>({
+    {Evidence::kSucceeded, (1 - TargetBelief::kIllFailureShare) /
+                               (1 - TargetBelief::kSoundFailureShare)},
+    {Evidence::kFailed,
+     TargetBelief::kIllFailureShare / TargetBelief::kSoundFailureShare},
+    {Evidence::kBroken, 60.0},
+    {Evidence::kTimedOut, 30.0},
+    {Evidence::kOverdue, 8.0},
+    {Evidence::kRefused, 200.0},
+    {Evidence::kShed, 2.0},
+});
+static_assert(kLikelihoods.size() == kEnumSize<Evidence>);
+
+// Keeps certainty from outlasting later observations.
+constexpr double kLeastProbability = 0.004;
+
+}  // namespace
+
+auto TargetBelief::Add(Evidence evidence, TimePoint now) -> void {
+  const auto before = IllProbability(now);
+  const auto ratio = kLikelihoods[static_cast<std::size_t>(evidence)].ratio;
+  const auto odds = before / (1 - before) * ratio;
+  ill_ =
+      std::clamp(odds / (1 + odds), kLeastProbability, 1 - kLeastProbability);
+  last_ = now;
+}
+
+auto TargetBelief::IllProbability(TimePoint now) const -> double {
+  if (last_ == TimePoint::min()) {
+    return kIllShare;
+  }
+  const auto age = std::max(now - last_, Duration::zero());
+  const auto kept = std::exp(-ToSeconds(age) / ToSeconds(kMemory));
+  return kIllShare + (ill_ - kIllShare) * kept;
+}
+
+auto TargetBelief::FailureProbability(TimePoint now) const -> double {
+  const auto ill = IllProbability(now);
+  return ill * kIllFailureShare + (1 - ill) * kSoundFailureShare;
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/decision/gateway/target_belief.h
@@ -0,0 +1,74 @@
+#ifndef FLAMINGOYOKE_DECISION_GATEWAY_TARGET_BELIEF_H_
+#define FLAMINGOYOKE_DECISION_GATEWAY_TARGET_BELIEF_H_
+
+#include <array>
+#include <cstdint>
+
+#include "core/name_table.h"
+#include "core/time.h"
+
+namespace flamingoyoke {
+
+// What one observation says about a target.
+enum class Evidence {
+  kSucceeded,  // A whole answer below 500.
+  kFailed,     // A whole answer of 500 or above.
+  kBroken,     // A reset, or bytes that are no answer to the request.
+  kTimedOut,   // No answer until the request's time was over.
+  kOverdue,    // No answer for far longer than usual; it may still come.
+  kRefused,    // No connection.
+  kShed,       // The target said that it did not run the request.
+};
+
+template <>
+struct EnumNames<Evidence> {
+  static constexpr auto kTable = std::to_array<NameEntry<Evidence>>({
+      {Evidence::kSucceeded, "succeeded"},
+      {Evidence::kFailed, "failed"},
+      {Evidence::kBroken, "broken"},
+      {Evidence::kTimedOut, "timed-out"},
+      {Evidence::kOverdue, "overdue"},
+      {Evidence::kRefused, "refused"},
+      {Evidence::kShed, "shed"},
+  });
+};
+static_assert(IsDense<Evidence>());
+
+// Probability that a target is ill, that is, fails most of its requests while
+// its health endpoint may say that all is well. Each observation updates it
+// by Bayes' rule; between observations it returns to the share of time for
+// which targets are ill, since an illness lasts some seconds. So a target comes
+// back without a probe. Not thread-safe.
+class TargetBelief {
+ public:
+  // Adds an observation. `now` must not go back.
+  auto Add(Evidence evidence, TimePoint now) -> void;
+
+  // Returns the probability that the target is ill, 0 to 1.
+  [[nodiscard]] auto IllProbability(TimePoint now) const -> double;
+
+  // Returns the probability that the next request fails, 0 to 1.
+  [[nodiscard]] auto FailureProbability(TimePoint now) const -> double;
+
+  // Time of the last observation; TimePoint::min() if there was none.
+  [[nodiscard]] auto last_evidence() const -> TimePoint { return last_; }
+
+ private:
+  double ill_ = kIllShare;
+  TimePoint last_ = TimePoint::min();
+
+ public:
+  // Share of time for which a target is expected to be ill. Operators see up
+  // to 30% of the targets of a service ill at a time; one that was not heard
+  // of for long is held for somewhat better than that.
+  static constexpr double kIllShare = 0.2;
+  // Time constant of the return to that share; an illness lasts a few seconds.
+  static constexpr Duration kMemory = std::chrono::milliseconds(3000);
+  // Share of requests that fail at a sound and at an ill target.
+  static constexpr double kSoundFailureShare = 0.012;
+  static constexpr double kIllFailureShare = 0.8;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_GATEWAY_TARGET_BELIEF_H_
--- /dev/null
+++ b/src/decision/gateway/target_pool.cc
@@ -0,0 +1,360 @@
+#include "decision/gateway/target_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace flamingoyoke {
+namespace {
+
+// A peer's slots count for this long after its last report.
+constexpr Duration kPeerUseLife = std::chrono::milliseconds(1000);
+// Slots in use are reported again after this time, well within their life.
+constexpr Duration kRepeatReport = std::chrono::milliseconds(400);
+// A target that shed a request has no room for about half a typical request.
+constexpr Duration kShedPause = std::chrono::milliseconds(60);
+// Above this probability a target gets work only to keep the floor.
+constexpr double kAvoidAbove = 0.5;
+// Below this probability targets count as well and take turns.
+constexpr double kWellBelow = 0.3;
+// A fresh target without any work is tried by repeatable work after the first
+// time and by any work after the second: it may be the capacity that lacks.
+constexpr Duration kTryFresh = std::chrono::milliseconds(300);
+constexpr Duration kTryFreshByAll = std::chrono::milliseconds(1500);
+// Repeatable work looks at targets without evidence for this long.
+constexpr Duration kStaleEvidence = std::chrono::milliseconds(1500);
+// Share of repeatable requests that look at such a target.
+constexpr double kExploreShare = 0.25;
+// Costs are parts of the value of one request.
+constexpr double kLoadCost = 0.05;
+constexpr double kWarmingCost = 0.08;
+// Traffic between failure domains is billed by the byte; a megabyte costs
+// about as much as four lost requests.
+constexpr double kCrossDomainCostPerByte = 4e-6;
+// Answers whose size is not known beforehand.
+constexpr double kTypicalAnswerBytes = 2000;
+// A failure of work that is tried again elsewhere costs little but time.
+constexpr double kRetriedFailureWeight = 0.3;
+// Window and share of failures above which all targets that are well take
+// turns. The floor counts from a tenth of failures.
+constexpr Duration kSpreadWindow = std::chrono::milliseconds(2000);
+constexpr double kSpreadShare = 0.06;
+constexpr std::uint64_t kSpreadTrials = 6;
+
+auto IsTried(const TargetWish& wish, const TargetId& target) -> bool {
+  return wish.tried != nullptr &&
+         std::find(wish.tried->begin(), wish.tried->end(), target) !=
+             wish.tried->end();
+}
+
+// Counts `evidence` in a report to peers.
+auto Count(Evidence evidence, TargetOutcomes& outcomes) -> void {
+  switch (evidence) {
+    case Evidence::kSucceeded:
+      ++outcomes.succeeded;
+      return;
+    case Evidence::kFailed:
+    case Evidence::kBroken:
+    case Evidence::kRefused:
+      ++outcomes.failed;
+      return;
+    case Evidence::kTimedOut:
+      ++outcomes.timed_out;
+      return;
+    case Evidence::kOverdue:
+      ++outcomes.slow;
+      return;
+    case Evidence::kShed:
+      return;
+  }
+}
+
+}  // namespace
+
+TargetPool::TargetPool(Random random, double floor_share)
+    : random_(random), floor_share_(floor_share) {}
+
+auto TargetPool::Configure(const std::vector<RegisteredTarget>& targets,
+                           const FailureDomainId& own_domain,
+                           TimePoint now) -> void {
+  own_domain_ = own_domain;
+  std::map<TargetId, Entry> kept;
+  for (const auto& spec : targets) {
+    const auto known = targets_.find(spec.id);
+    const bool is_same = known != targets_.end() &&
+                         known->second.spec.started_ms == spec.started_ms &&
+                         known->second.spec.host == spec.host &&
+                         known->second.spec.port == spec.port;
+    auto& entry = kept[spec.id];
+    if (is_same) {
+      entry = std::move(known->second);
+    } else {
+      entry.registered = now;
+      entry.news.target = spec.id;
+    }
+    entry.spec = spec;
+  }
+  targets_ = std::move(kept);
+}
+
+auto TargetPool::IsUsable(const Entry& entry) -> bool {
+  return !entry.spec.leaving && !entry.replaced;
+}
+
+auto TargetPool::UsedSlots(const Entry& entry, TimePoint now) -> std::uint32_t {
+  auto used = entry.in_flight;
+  for (const auto& [vm, use] : entry.peers) {
+    if (now - use.heard < kPeerUseLife) {
+      used += use.in_flight;
+    }
+  }
+  return used;
+}
+
+auto TargetPool::IllLimit(TimePoint now) const -> double {
+  std::vector<double> ill;
+  for (const auto& [id, entry] : targets_) {
+    if (IsUsable(entry)) {
+      ill.push_back(entry.belief.IllProbability(now));
+    }
+  }
+  if (ill.empty()) {
+    return kAvoidAbove;
+  }
+  const auto floor = static_cast<std::size_t>(
+      std::ceil(floor_share_ * static_cast<double>(ill.size())));
+  const auto last = std::clamp<std::size_t>(floor, 1, ill.size()) - 1;
+  std::nth_element(ill.begin(), ill.begin() + static_cast<std::ptrdiff_t>(last),
+                   ill.end());
+  return std::max(kAvoidAbove, ill[last]);
+}
+
+auto TargetPool::CostOf(const Entry& entry,
+                        const TargetWish& wish,
+                        TimePoint now) const -> double {
+  const auto weight = wish.may_retry ? kRetriedFailureWeight : 1.0;
+  auto cost = weight * entry.belief.FailureProbability(now);
+  cost += kLoadCost * UsedSlots(entry, now) /
+          std::max<std::uint32_t>(1, entry.spec.slots);
+  if (entry.spec.warming) {
+    cost += kWarmingCost;
+  }
+  if (entry.spec.failure_domain != own_domain_) {
+    cost += kCrossDomainCostPerByte *
+            (static_cast<double>(wish.body_bytes) + kTypicalAnswerBytes);
+  }
+  return cost;
+}
+
+auto TargetPool::MustSpread(TimePoint now) const -> bool {
+  const auto counts = outcomes_.Since(now - kSpreadWindow, now);
+  return counts.trials >= kSpreadTrials &&
+         static_cast<double>(counts.failures) >
+             kSpreadShare * static_cast<double>(counts.trials);
+}
+
+auto TargetPool::FindUntested(const std::vector<Candidate>& candidates,
+                              const TargetWish& wish,
+                              TimePoint now) -> Entry* {
+  for (const auto& candidate : candidates) {
+    const auto& entry = *candidate.entry;
+    const auto age = now - entry.registered;
+    if (!entry.used_by_anyone && entry.in_flight == 0 &&
+        age >= (wish.may_retry ? kTryFresh : kTryFreshByAll)) {
+      return candidate.entry;
+    }
+  }
+  if (!wish.may_retry || random_.Unit() >= kExploreShare) {
+    return nullptr;
+  }
+  Entry* stalest = nullptr;
+  for (const auto& candidate : candidates) {
+    auto& entry = *candidate.entry;
+    if (now - entry.belief.last_evidence() < kStaleEvidence ||
+        UsedSlots(entry, now) > 0) {
+      continue;
+    }
+    if (stalest == nullptr ||
+        entry.belief.last_evidence() < stalest->belief.last_evidence()) {
+      stalest = &entry;
+    }
+  }
+  return stalest;
+}
+
+auto TargetPool::Choose(const TargetWish& wish, TimePoint now)
+    -> std::optional<TargetId> {
+  const auto limit = wish.urgent ? 1.0 : IllLimit(now);
+  std::vector<Candidate> candidates;
+  for (auto& [id, entry] : targets_) {
+    if (!IsUsable(entry) || now < entry.closed_until || IsTried(wish, id) ||
+        UsedSlots(entry, now) >= entry.spec.slots) {
+      continue;
+    }
+    const auto ill = entry.belief.IllProbability(now);
+    if (ill <= limit) {
+      candidates.push_back({&entry, ill, CostOf(entry, wish, now)});
+    }
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  if (const auto* untested = FindUntested(candidates, wish, now)) {
+    return untested->spec.id;
+  }
+  const bool spread = MustSpread(now);
+  const auto is_better = [&](const Candidate& a, const Candidate& b) {
+    const bool a_well = a.ill < kWellBelow;
+    const bool b_well = b.ill < kWellBelow;
+    if (spread && a_well && b_well) {
+      return a.entry->last_used < b.entry->last_used;
+    }
+    return a.cost < b.cost;
+  };
+  const auto best =
+      std::min_element(candidates.begin(), candidates.end(), is_better);
+  return best->entry->spec.id;
+}
+
+auto TargetPool::OnStarted(const TargetId& target, TimePoint now) -> void {
+  const auto found = targets_.find(target);
+  if (found == targets_.end()) {
+    return;
+  }
+  auto& entry = found->second;
+  ++entry.in_flight;
+  entry.last_used = now;
+  entry.used_by_anyone = true;
+  MarkNews(entry);
+}
+
+auto TargetPool::OnEnded(const TargetId& target,
+                         std::optional<Evidence> evidence,
+                         TimePoint now) -> void {
+  const auto found = targets_.find(target);
+  if (found == targets_.end()) {
+    return;
+  }
+  auto& entry = found->second;
+  entry.in_flight -= std::min<std::uint32_t>(entry.in_flight, 1);
+  MarkNews(entry);
+  if (evidence) {
+    Note(entry, *evidence, now);
+  }
+}
+
+auto TargetPool::OnOverdue(const TargetId& target, TimePoint now) -> void {
+  const auto found = targets_.find(target);
+  if (found != targets_.end()) {
+    Note(found->second, Evidence::kOverdue, now);
+  }
+}
+
+auto TargetPool::Note(Entry& entry, Evidence evidence, TimePoint now) -> void {
+  entry.belief.Add(evidence, now);
+  Count(evidence, entry.news);
+  MarkNews(entry);
+  const bool is_failure = evidence == Evidence::kFailed ||
+                          evidence == Evidence::kBroken ||
+                          evidence == Evidence::kTimedOut;
+  if (is_failure || evidence == Evidence::kSucceeded) {
+    outcomes_.Add({1, is_failure ? std::uint64_t{1} : 0}, now);
+  }
+}
+
+auto TargetPool::OnShed(const TargetId& target, TimePoint now) -> void {
+  const auto found = targets_.find(target);
+  if (found != targets_.end()) {
+    found->second.closed_until = now + kShedPause;
+  }
+}
+
+auto TargetPool::OnReplaced(const TargetId& target) -> void {
+  const auto found = targets_.find(target);
+  if (found != targets_.end()) {
+    found->second.replaced = true;
+  }
+}
+
+auto TargetPool::OnResumed() -> void {
+  for (auto& [id, entry] : targets_) {
+    entry.peers.clear();
+  }
+}
+
+auto TargetPool::OnPeerReport(const VmId& peer,
+                              const std::vector<TargetOutcomes>& outcomes,
+                              TimePoint now) -> void {
+  const auto repeat = [&](Entry& entry, Evidence evidence,
+                          std::uint32_t times) {
+    for (std::uint32_t i = 0; i < times; ++i) {
+      entry.belief.Add(evidence, now);
+    }
+  };
+  for (const auto& report : outcomes) {
+    const auto found = targets_.find(report.target);
+    if (found == targets_.end()) {
+      continue;
+    }
+    auto& entry = found->second;
+    entry.peers[peer] = {report.in_flight, now};
+    entry.used_by_anyone = true;
+    repeat(entry, Evidence::kSucceeded, report.succeeded);
+    repeat(entry, Evidence::kOverdue, report.slow);
+    repeat(entry, Evidence::kTimedOut, report.timed_out);
+    repeat(entry, Evidence::kFailed, report.failed);
+    const std::uint64_t failures = report.failed + report.timed_out;
+    outcomes_.Add({failures + report.succeeded, failures}, now);
+  }
+}
+
+auto TargetPool::MarkNews(Entry& entry) -> void {
+  entry.has_news = true;
+  has_news_ = true;
+}
+
+auto TargetPool::TakeNews(TimePoint now) -> std::vector<TargetOutcomes> {
+  std::vector<TargetOutcomes> news;
+  bool more = false;
+  for (auto& [id, entry] : targets_) {
+    const bool repeats =
+        entry.in_flight > 0 && now - entry.told >= kRepeatReport;
+    more = more || entry.in_flight > 0;
+    if (!entry.has_news && !repeats) {
+      continue;
+    }
+    entry.news.target = id;
+    entry.news.in_flight = entry.in_flight;
+    news.push_back(entry.news);
+    entry.news = {};
+    entry.has_news = false;
+    entry.told = now;
+  }
+  has_news_ = more;
+  return news;
+}
+
+auto TargetPool::HasUsable() const -> bool {
+  return std::any_of(targets_.begin(), targets_.end(),
+                     [](const auto& each) { return IsUsable(each.second); });
+}
+
+auto TargetPool::UsableSlots(TimePoint now) const -> std::uint32_t {
+  const auto limit = IllLimit(now);
+  std::uint32_t slots = 0;
+  for (const auto& [id, entry] : targets_) {
+    if (IsUsable(entry) && entry.belief.IllProbability(now) <= limit) {
+      slots += entry.spec.slots;
+    }
+  }
+  return slots;
+}
+
+auto TargetPool::IllProbability(const TargetId& target, TimePoint now) const
+    -> double {
+  const auto found = targets_.find(target);
+  return found == targets_.end() ? 1.0
+                                 : found->second.belief.IllProbability(now);
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/decision/gateway/target_pool.h
@@ -0,0 +1,140 @@
+#ifndef FLAMINGOYOKE_DECISION_GATEWAY_TARGET_POOL_H_
+#define FLAMINGOYOKE_DECISION_GATEWAY_TARGET_POOL_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/random.h"
+#include "core/time.h"
+#include "decision/detection/rate_window.h"
+#include "decision/gateway/target_belief.h"
+#include "decision/peer/peer_message.h"
+#include "table/registry.h"
+
+namespace flamingoyoke {
+
+// What a request needs of a target.
+struct TargetWish {
+  // Whether the request may run on another target if this one fails.
+  bool repeatable = false;
+  // Whether a failure would be followed by an attempt on another target.
+  bool may_retry = false;
+  // Bytes that the request sends.
+  std::uint64_t body_bytes = 0;
+  // Targets that the request was sent to before.
+  const std::vector<TargetId>* tried = nullptr;
+  // Whether the request has waited so long that an ill target is better than
+  // none.
+  bool urgent = false;
+};
+
+// The targets of one service as one gateway knows them: who may get work, what
+// is known of their health, and which slots are taken. Evidence and slots of
+// the other gateways come in by report. Not thread-safe.
+class TargetPool {
+ public:
+  // `floor_share` is the least share of the usable targets that health never
+  // excludes, 0 to 1.
+  TargetPool(Random random, double floor_share);
+
+  // Takes the registered targets of the service; leaving ones get no new work.
+  // What is known of targets that stay is kept.
+  auto Configure(const std::vector<RegisteredTarget>& targets,
+                 const FailureDomainId& own_domain,
+                 TimePoint now) -> void;
+
+  // Returns the best target with a free slot, or nothing if the request should
+  // wait or there is none.
+  auto Choose(const TargetWish& wish, TimePoint now) -> std::optional<TargetId>;
+
+  // An attempt on `target` starts or ends. An attempt that says nothing about
+  // the target ends without evidence.
+  auto OnStarted(const TargetId& target, TimePoint now) -> void;
+  auto OnEnded(const TargetId& target,
+               std::optional<Evidence> evidence,
+               TimePoint now) -> void;
+  // An attempt that runs takes far longer than usual.
+  auto OnOverdue(const TargetId& target, TimePoint now) -> void;
+  // The target said that it has no room; it gets nothing for a moment.
+  auto OnShed(const TargetId& target, TimePoint now) -> void;
+  // Another process answers at the target's address. It gets nothing until it
+  // is registered anew.
+  auto OnReplaced(const TargetId& target) -> void;
+  // The process was paused: what peers reported is old.
+  auto OnResumed() -> void;
+
+  // Takes what the gateway `peer` saw.
+  auto OnPeerReport(const VmId& peer,
+                    const std::vector<TargetOutcomes>& outcomes,
+                    TimePoint now) -> void;
+
+  // Returns what changed since the last call, for the other gateways.
+  auto TakeNews(TimePoint now) -> std::vector<TargetOutcomes>;
+  [[nodiscard]] auto has_news() const -> bool { return has_news_; }
+
+  // Whether any target may get work at all.
+  [[nodiscard]] auto HasUsable() const -> bool;
+  // Slots of the targets that may get work.
+  [[nodiscard]] auto UsableSlots(TimePoint now) const -> std::uint32_t;
+  // Probability that `target` is ill; 1 for one that is unknown.
+  [[nodiscard]] auto IllProbability(const TargetId& target, TimePoint now) const
+      -> double;
+
+ private:
+  struct PeerUse {
+    std::uint32_t in_flight = 0;
+    TimePoint heard;
+  };
+  struct Entry {
+    RegisteredTarget spec;
+    TargetBelief belief;
+    std::uint32_t in_flight = 0;
+    std::map<VmId, PeerUse> peers;
+    TimePoint registered;
+    TimePoint last_used = TimePoint::min();
+    TimePoint closed_until = TimePoint::min();
+    bool used_by_anyone = false;
+    bool replaced = false;
+    // What the other gateways were not told yet.
+    TargetOutcomes news;
+    bool has_news = false;
+    TimePoint told;
+  };
+  struct Candidate {
+    Entry* entry = nullptr;
+    double ill = 0;
+    double cost = 0;
+  };
+
+  [[nodiscard]] static auto IsUsable(const Entry& entry) -> bool;
+  [[nodiscard]] static auto UsedSlots(const Entry& entry, TimePoint now)
+      -> std::uint32_t;
+  // Highest probability of illness with which a target still gets work.
+  [[nodiscard]] auto IllLimit(TimePoint now) const -> double;
+  [[nodiscard]] auto CostOf(const Entry& entry,
+                            const TargetWish& wish,
+                            TimePoint now) const -> double;
+  // Whether so many requests fail that the load must be spread over more
+  // targets.
+  [[nodiscard]] auto MustSpread(TimePoint now) const -> bool;
+  auto FindUntested(const std::vector<Candidate>& candidates,
+                    const TargetWish& wish,
+                    TimePoint now) -> Entry*;
+  auto Note(Entry& entry, Evidence evidence, TimePoint now) -> void;
+  auto MarkNews(Entry& entry) -> void;
+
+  Random random_;
+  double floor_share_;
+  FailureDomainId own_domain_;
+  std::map<TargetId, Entry> targets_;
+  RateWindow outcomes_;
+  bool has_news_ = false;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_GATEWAY_TARGET_POOL_H_
--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -115,6 +115,8 @@
   std::uint32_t failed = 0;
   std::uint32_t timed_out = 0;
   std::uint32_t slow = 0;
+  // Slots of the target that the sender uses now.
+  std::uint32_t in_flight = 0;
 };
 
 struct SlotReturn {
@@ -129,7 +131,8 @@
   ServiceId service;
 };
 
-// Outcomes that a borrower saw, sent to the owner.
+// Outcomes that a borrower saw, sent to the owner, or that a gateway saw, sent
+// to the other gateways.
 struct OutcomeReport {
   ServiceId service;
   std::vector<TargetOutcomes> outcomes;
--- /dev/null
+++ b/src/decision/platform/registry_tracker.cc
@@ -0,0 +1,102 @@
+#include "decision/platform/registry_tracker.h"
+
+#include <utility>
+
+namespace flamingoyoke {
+
+auto RegistryTracker::IsSettled(TimePoint now) const -> bool {
+  return answering_since_ && now - *answering_since_ >= kSettleTime;
+}
+
+auto RegistryTracker::OnListed(std::vector<RegisteredTarget> targets,
+                               TimePoint now) -> void {
+  const auto before = std::exchange(listed_, {});
+  for (auto& target : targets) {
+    missing_.erase(target.id);
+    auto id = target.id;
+    listed_.emplace(std::move(id), std::move(target));
+  }
+  for (const auto& [id, target] : before) {
+    if (listed_.count(id) == 0 && !IsSettled(now)) {
+      missing_.emplace(id, target);
+    }
+  }
+  if (!std::exchange(has_listed_, true) && in_force_) {
+    for (const auto& target : in_force_->targets) {
+      if (listed_.count(target.id) == 0) {
+        missing_.emplace(target.id, target);
+      }
+    }
+  }
+  OnAnswered(now);
+}
+
+auto RegistryTracker::OnChanged(const RegisteredTarget& target, TimePoint now)
+    -> void {
+  missing_.erase(target.id);
+  listed_[target.id] = target;
+  OnAnswered(now);
+}
+
+auto RegistryTracker::OnRemoved(const TargetId& target, TimePoint now) -> void {
+  const auto found = listed_.find(target);
+  if (found != listed_.end()) {
+    // A target that announced its leaving is expected to go.
+    if (!IsSettled(now) && !found->second.leaving) {
+      missing_.emplace(target, found->second);
+    }
+    listed_.erase(found);
+  }
+  OnAnswered(now);
+}
+
+auto RegistryTracker::OnAnswered(TimePoint now) -> void {
+  if (!answering_since_) {
+    answering_since_ = now;
+  }
+  if (IsSettled(now)) {
+    missing_.clear();
+  }
+}
+
+auto RegistryTracker::OnFailed() -> void {
+  answering_since_.reset();
+}
+
+auto RegistryTracker::OnInForce(std::shared_ptr<const Registry> registry)
+    -> void {
+  in_force_ = std::move(registry);
+  if (!in_force_) {
+    return;
+  }
+  // Another reader may have found out already that a missing target is gone.
+  std::map<TargetId, RegisteredTarget> still_missing;
+  for (const auto& target : in_force_->targets) {
+    const auto found = missing_.find(target.id);
+    if (found != missing_.end()) {
+      still_missing.insert(*found);
+    }
+  }
+  missing_ = std::move(still_missing);
+}
+
+auto RegistryTracker::Proposal(Revision as_of, TimePoint /*now*/)
+    -> std::optional<Registry> {
+  if (!has_listed_) {
+    return std::nullopt;
+  }
+  auto all = listed_;
+  all.insert(missing_.begin(), missing_.end());
+  Registry registry;
+  registry.revision = as_of;
+  for (auto& [id, target] : all) {
+    registry.targets.push_back(std::move(target));
+  }
+  if (in_force_ && (in_force_->targets == registry.targets ||
+                    !(in_force_->revision < as_of))) {
+    return std::nullopt;
+  }
+  return registry;
+}
+
+}  // namespace flamingoyoke
--- a/src/node/control/fleet/fleet_config.h
+++ b/src/node/control/fleet/fleet_config.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "core/service_source.h"
 #include "decision/fleet/member.h"
 #include "decision/peer/peer_message.h"
 #include "node/messages.h"
@@ -16,6 +17,12 @@
   // Id, incarnation, addresses, failure domain and region of this vm. The
   // incarnation is positive and higher than that of an earlier process.
   Member self;
+  // Where the services come from.
+  ServiceSource source = ServiceSource::kTable;
+  // Vms to learn the others from, where the platform lists none.
+  std::vector<Member> seeds;
+  // Vms that callers of routed services are sent to.
+  std::uint32_t entries = 3;
   // Number of keys that the table is split over; positive.
   std::uint32_t table_shards = 1;
   std::uint64_t seed = 0;
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "core/overloaded.h"
+#include "decision/fleet/entry_set.h"
 #include "decision/fleet/reader_election.h"
 #include "node/log.h"
 #include "runtime/clock.h"
@@ -15,6 +16,9 @@
 // Changes of one moment share a view: a copy of 7,100 members takes about a
 // millisecond.
 constexpr Duration kPublishDelay = std::chrono::milliseconds(10);
+// Each call to the store is billed. Three readers of different failure domains
+// leave two when one of them is cut off.
+constexpr std::size_t kPublishedReaders = 3;
 constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
 
 auto DelayUntil(TimePoint at) -> Duration {
@@ -38,7 +42,15 @@
       outlets_(outlets),
       memory_(memory),
       membership_(config_.self, Random(config_.seed)),
-      table_dissemination_(config_.table_shards, Random(config_.seed + 1)) {}
+      table_dissemination_(config_.table_shards,
+                           Random(config_.seed + 1),
+                           config_.source == ServiceSource::kPublished
+                               ? FirstRead::kIfAlone
+                               : FirstRead::kAlways) {
+  if (config_.source == ServiceSource::kPublished) {
+    tables_.emplace<PublishedStore>();
+  }
+}
 
 auto FleetTask::Start(TaskContext& context) -> Result<void> {
   context_ = &context;
@@ -65,6 +77,9 @@
   Decide(PauseTick{});
   Decide(MembershipStarted{});
   Decide(TableDisseminationStarted{memory_.tables});
+  if (config_.source == ServiceSource::kPublished) {
+    TakeMessage(VmListRead{config_.seeds, 0});
+  }
   PublishSoon();
   return {};
 }
@@ -148,12 +163,14 @@
 }
 
 auto FleetTask::Act(const CheckTable& action) -> void {
-  const auto reason = tables_.Check(action.digest, action.text);
+  const auto reason = std::visit(
+      [&](auto& store) { return store.Check(action.digest, action.text); },
+      tables_);
   Decide(TableChecked{action.digest, !reason, reason.value_or("")});
 }
 
 auto FleetTask::Act(const TableAccepted& action) -> void {
-  tables_.PutInForce(action.digest);
+  std::visit([&](auto& store) { store.PutInForce(action.digest); }, tables_);
   const auto same_shard = [&](const TableData& table) {
     return table.digest.shard == action.digest.shard;
   };
@@ -161,8 +178,8 @@
   kept.erase(std::remove_if(kept.begin(), kept.end(), same_shard), kept.end());
   kept.push_back({action.digest, action.text});
   Log(Part::kFleet, LogLevel::kInfo,
-      "table revision " + std::to_string(action.digest.revision.value()) +
-          " is in force");
+      "shard " + std::to_string(action.digest.shard) + " of revision " +
+          std::to_string(action.digest.revision.value()) + " is in force");
   UpdateReadiness();
   PublishSoon();
 }
@@ -239,8 +256,7 @@
       (has_list_ &&
        two_way_peers_.size() >=
            std::min(kPeersToHear, membership_.list().other_count()));
-  const bool is_elected =
-      knows_fleet && IsElectedReader(config_.self.id, members);
+  const bool is_elected = knows_fleet && IsReaderAmong(members);
   Decide(TableFleetChanged{two_way_peers_, is_elected, members.size()});
 }
 
@@ -255,15 +271,11 @@
   auto view = std::make_shared<FleetView>();
   view->self = config_.self.id;
   view->incarnation = config_.self.incarnation;
-  view->table = tables_.table();
   view->members = membership_.Members();
   view->cut_off = membership_.CutOff(Now());
   view->ready = is_ready_ && !is_superseded_;
   view->leaving = membership_.self().leaving || is_superseded_;
-  if (view->table) {
-    homes_.Update(view->members, view->table->rows);
-    view->placements = homes_.PlacementsOf(view->self, view->table->rows);
-  }
+  std::visit([&](const auto& store) { FillView(store, *view); }, tables_);
   UpdateHomePeers(*view);
   two_way_peers_ = membership_.TwoWayPeers(Now());
   TellTableDissemination(view->members);
@@ -272,12 +284,62 @@
   outlets_.admin.Post(FleetViewChanged{published});
 }
 
-auto FleetTask::UpdateHomePeers(const FleetView& view) -> void {
+auto FleetTask::FillView(const TableStore& store, FleetView& view) -> void {
+  view.table = store.table();
+  if (view.table) {
+    homes_.Update(view.members, view.table->rows);
+    view.placements = homes_.PlacementsOf(view.self, view.table->rows);
+  }
+}
+
+auto FleetTask::FillView(const PublishedStore& store, FleetView& view) -> void {
+  view.routing = store.routing();
+  view.registry = store.registry();
+  view.entries = EntryVms(view.members, config_.entries);
+  if (view.registry != told_registry_) {
+    told_registry_ = view.registry;
+    outlets_.platform.Post(RegistryInForce{view.registry});
+  }
+}
+
+auto FleetTask::HomePeersOf(const FleetView& view) const -> std::set<VmId> {
   std::set<VmId> peers;
   for (const auto& [service, placement] : view.placements) {
     peers.insert(placement.home.begin(), placement.home.end());
   }
+  const auto& entries = view.entries;
+  if (std::find(entries.begin(), entries.end(), view.self) != entries.end()) {
+    peers.insert(entries.begin(), entries.end());
+  }
   peers.erase(view.self);
+  return peers;
+}
+
+auto FleetTask::IsReaderAmong(const std::vector<Member>& members) const
+    -> bool {
+  if (config_.source == ServiceSource::kTable) {
+    return IsElectedReader(config_.self.id, members);
+  }
+  const auto readers = ReaderVms(members, kPublishedReaders);
+  return std::find(readers.begin(), readers.end(), config_.self.id) !=
+         readers.end();
+}
+
+auto FleetTask::RevisionInForce() const -> Revision {
+  return std::visit(
+      Overloaded{
+          [](const TableStore& store) {
+            return store.table() ? store.table()->revision : Revision();
+          },
+          [](const PublishedStore& store) {
+            return store.routing() ? store.routing()->revision : Revision();
+          },
+      },
+      tables_);
+}
+
+auto FleetTask::UpdateHomePeers(const FleetView& view) -> void {
+  const auto peers = HomePeersOf(view);
   if (peers == home_peers_) {
     return;
   }
@@ -290,7 +352,6 @@
   for (const auto& member : membership_.Members()) {
     alive += member.liveness == Liveness::kAlive ? 1 : 0;
   }
-  const auto table = tables_.table();
   outlets_.telemetry.Post(MetricsReported{
       .task = std::string(ToName(Part::kFleet)),
       .samples = {
@@ -303,7 +364,7 @@
                 membership_.CutOff(Now()).size()),
           Gauge("flamingoyoke_fleet_table_revision",
                 "Revision of the table in force, 0 if there is none.",
-                table ? table->revision.value() : 0),
+                RevisionInForce().value()),
           {.name = "flamingoyoke_fleet_refused_tables_total",
            .help = "Versions of the table that failed their check.",
            .value = static_cast<double>(refused_tables_)},
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <variant>
 #include <vector>
 
 #include "core/result.h"
@@ -15,6 +16,7 @@
 #include "decision/fleet/table_dissemination.h"
 #include "decision/pause/pause_detector.h"
 #include "node/control/fleet/fleet_config.h"
+#include "node/control/fleet/published_store.h"
 #include "node/control/fleet/table_store.h"
 #include "node/messages.h"
 #include "runtime/event_loop.h"
@@ -65,7 +67,16 @@
   auto TellTableDissemination(const std::vector<Member>& members) -> void;
   auto PublishSoon() -> void;
   auto Publish() -> void;
+  // Fills in what the source of services says and who serves what.
+  auto FillView(const TableStore& store, FleetView& view) -> void;
+  auto FillView(const PublishedStore& store, FleetView& view) -> void;
+  // Vms that share state with this one.
+  [[nodiscard]] auto HomePeersOf(const FleetView& view) const -> std::set<VmId>;
   auto UpdateHomePeers(const FleetView& view) -> void;
+  // Whether this vm reads the source of services for others.
+  [[nodiscard]] auto IsReaderAmong(const std::vector<Member>& members) const
+      -> bool;
+  [[nodiscard]] auto RevisionInForce() const -> Revision;
   auto ReportMetrics() -> void;
 
   FleetConfig config_;
@@ -77,7 +88,7 @@
   TableDissemination table_dissemination_;
   PauseDetector pause_detector_;
   std::optional<ReadinessGate> readiness_;
-  TableStore tables_;
+  std::variant<TableStore, PublishedStore> tables_;
   HomeIndex homes_;
 
   bool has_list_ = false;
@@ -86,6 +97,8 @@
   std::vector<TableDigest> announced_tables_;
   std::vector<VmId> two_way_peers_;
   std::set<VmId> home_peers_;
+  // The registry that the reading task was told last.
+  std::shared_ptr<const Registry> told_registry_;
   std::uint64_t refused_tables_ = 0;
   std::uint64_t pauses_ = 0;
 
--- a/src/node/control/platform/platform_task.cc
+++ b/src/node/control/platform/platform_task.cc
@@ -37,6 +37,10 @@
 }
 
 auto PlatformTask::Handle(Message message) -> Result<void> {
+  if (!std::holds_alternative<ReaderRoleChanged>(message)) {
+    // The operators' table names the targets itself.
+    return {};
+  }
   const auto& role = std::get<ReaderRoleChanged>(message);
   vm_list_->SetEnabled(role.is_reader, 0);
   for (auto& table : tables_) {
--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -61,7 +61,7 @@
 }  // namespace
 
 auto ConfigureLog(LogLevel least, LogFormat format) -> void {
-  auto logger = spdlog::stderr_logger_mt("flamingoyoke");
+  auto logger = spdlog::stdout_logger_mt("flamingoyoke");
   logger->set_level(ToSpdlog(least));
   logger->flush_on(spdlog::level::debug);
   logger->set_pattern(
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -13,10 +13,12 @@
 enum class Part {
   kNode,
   kTraffic,
+  kGateway,
   kControl,
   kFleet,
   kMesh,
   kPlatform,
+  kStore,
   kObserve,
   kAdmin,
   kTelemetry,
@@ -27,10 +29,12 @@
   static constexpr auto kTable = std::to_array<NameEntry<Part>>({
       {Part::kNode, "node"},
       {Part::kTraffic, "traffic"},
+      {Part::kGateway, "gateway"},
       {Part::kControl, "control"},
       {Part::kFleet, "fleet"},
       {Part::kMesh, "mesh"},
       {Part::kPlatform, "platform"},
+      {Part::kStore, "store"},
       {Part::kObserve, "observe"},
       {Part::kAdmin, "admin"},
       {Part::kTelemetry, "telemetry"},
@@ -39,7 +43,7 @@
 static_assert(IsDense<Part>());
 
 // Sets the least level and the format of all later lines, which go to
-// standard error. Call once, before any task starts.
+// standard output. Call once, before any task starts.
 auto ConfigureLog(LogLevel least, LogFormat format) -> void;
 
 // Writes one short sentence with the prefix of `part`. A sentence that the
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -14,6 +14,7 @@
 #include "decision/fleet/member.h"
 #include "decision/peer/peer_message.h"
 #include "runtime/mailbox.h"
+#include "table/registry.h"
 
 namespace flamingoyoke {
 
@@ -74,6 +75,14 @@
 inline constexpr MailboxPolicy kMailboxPolicy<ReaderRoleChanged> =
     MailboxPolicy::kCoalesce;
 
+// The registry that the fleet uses, for the task that reads newer ones.
+struct RegistryInForce {
+  std::shared_ptr<const Registry> registry;
+};
+template <>
+inline constexpr MailboxPolicy kMailboxPolicy<RegistryInForce> =
+    MailboxPolicy::kCoalesce;
+
 // The vm is leaving: tell peers, hand out no addresses or keys.
 struct LeavingStarted {};
 template <>
@@ -168,7 +177,7 @@
 using FleetMessage =
     std::variant<PeerMessageReceived, VmListRead, TableRead, LeavingStarted>;
 using MeshMessage = std::variant<PeerMessageToSend, PeerEndpointsChanged>;
-using PlatformMessage = std::variant<ReaderRoleChanged>;
+using PlatformMessage = std::variant<ReaderRoleChanged, RegistryInForce>;
 using AdminMessage = std::
     variant<FleetViewChanged, TrafficReported, TableRefused, MetricsRendered>;
 using TelemetryMessage = std::variant<MetricsReported, SpanFinished>;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -8,11 +8,13 @@
 #include "node/control/fleet/fleet_task.h"
 #include "node/control/mesh/mesh_task.h"
 #include "node/control/platform/platform_task.h"
+#include "node/control/store/store_task.h"
 #include "node/log.h"
 #include "node/messages.h"
 #include "node/node_config.h"
 #include "node/observe/admin/admin_task.h"
 #include "node/observe/telemetry/telemetry_task.h"
+#include "node/traffic/gateway/gateway_task.h"
 #include "node/traffic/traffic_task.h"
 #include "runtime/supervisor.h"
 #include "runtime/task_host.h"
@@ -20,10 +22,11 @@
 namespace flamingoyoke {
 namespace {
 
-using ControlSupervisor = Supervisor<FleetTask, MeshTask, PlatformTask>;
+using ControlSupervisor =
+    Supervisor<FleetTask, MeshTask, PlatformTask, StoreTask>;
 using ObserveSupervisor = Supervisor<AdminTask, TelemetryTask>;
 using RootSupervisor =
-    Supervisor<TrafficTask, ControlSupervisor, ObserveSupervisor>;
+    Supervisor<TrafficTask, GatewayTask, ControlSupervisor, ObserveSupervisor>;
 
 // Each child has one exit in flight at most.
 constexpr std::size_t kSupervisorMailboxCapacity = 16;
@@ -59,7 +62,8 @@
 
 class Node::Tree {
  public:
-  explicit Tree(const Settings& settings) : config_(settings) {}
+  Tree(const Settings& settings, std::optional<Dialect> dialect)
+      : config_(settings), dialect_(std::move(dialect)) {}
 
   auto Start(OnExit on_exit) -> void { root_.Start(std::move(on_exit)); }
 
@@ -72,8 +76,15 @@
  private:
   auto MakeRoot() -> std::unique_ptr<RootSupervisor> {
     std::vector<RootSupervisor::Child> children;
-    children.emplace_back(HostOf<TrafficTask>(
-        Part::kTraffic, mailboxes_.traffic, [this] { return MakeTraffic(); }));
+    if (is_published()) {
+      children.emplace_back(
+          HostOf<GatewayTask>(Part::kGateway, mailboxes_.traffic,
+                              [this] { return MakeGateway(); }));
+    } else {
+      children.emplace_back(
+          HostOf<TrafficTask>(Part::kTraffic, mailboxes_.traffic,
+                              [this] { return MakeTraffic(); }));
+    }
     children.emplace_back(HostOf<ControlSupervisor>(
         Part::kControl, control_mailbox_, [this] { return MakeControl(); }));
     children.emplace_back(HostOf<ObserveSupervisor>(
@@ -89,9 +100,14 @@
                                             [this] { return MakeFleet(); }));
     children.emplace_back(HostOf<MeshTask>(Part::kMesh, mailboxes_.mesh,
                                            [this] { return MakeMesh(); }));
-    children.emplace_back(
-        HostOf<PlatformTask>(Part::kPlatform, mailboxes_.platform,
-                             [this] { return MakePlatform(); }));
+    if (is_published()) {
+      children.emplace_back(HostOf<StoreTask>(Part::kStore, mailboxes_.platform,
+                                              [this] { return MakeStore(); }));
+    } else {
+      children.emplace_back(
+          HostOf<PlatformTask>(Part::kPlatform, mailboxes_.platform,
+                               [this] { return MakePlatform(); }));
+    }
     return std::make_unique<ControlSupervisor>(
         control_mailbox_, std::move(children), RestartLimit{},
         LogEvents(Part::kControl));
@@ -119,6 +135,19 @@
                                          .telemetry = mailboxes_.telemetry});
   }
 
+  auto MakeGateway() -> std::unique_ptr<GatewayTask> {
+    return std::make_unique<GatewayTask>(
+        config_.Gateway(dialect_->gateway),
+        TrafficOutbox{.mesh = mailboxes_.mesh,
+                      .admin = mailboxes_.admin,
+                      .telemetry = mailboxes_.telemetry});
+  }
+
+  auto MakeStore() -> std::unique_ptr<StoreTask> {
+    return std::make_unique<StoreTask>(config_.Store(), dialect_->store,
+                                       mailboxes_.fleet);
+  }
+
   auto MakeFleet() -> std::unique_ptr<FleetTask> {
     return std::make_unique<FleetTask>(
         config_.Fleet(),
@@ -141,7 +170,14 @@
     return std::make_unique<PlatformTask>(config_.Platform(), mailboxes_.fleet);
   }
 
+  // Whether services come from a published store. Without a dialect, nothing
+  // published could be read.
+  [[nodiscard]] auto is_published() const -> bool {
+    return dialect_ && config_.source() == ServiceSource::kPublished;
+  }
+
   const NodeConfig config_;
+  const std::optional<Dialect> dialect_;
   Mailboxes mailboxes_;
   FleetMemory fleet_memory_;
   Mailbox<SupervisorMessage> root_mailbox_{kSupervisorMailboxCapacity};
@@ -152,8 +188,8 @@
                                  root_mailbox_, [this] { return MakeRoot(); }};
 };
 
-Node::Node(const Settings& settings)
-    : tree_(std::make_unique<Tree>(settings)) {}
+Node::Node(const Settings& settings, std::optional<Dialect> dialect)
+    : tree_(std::make_unique<Tree>(settings, std::move(dialect))) {}
 
 Node::~Node() = default;
 
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "core/result.h"
+#include "node/dialect.h"
 #include "runtime/task.h"
 #include "settings/settings.h"
 
@@ -14,11 +15,12 @@
 // One vm of the fleet: the root of the supervisor tree with its mailboxes.
 //
 //   root
-//   |-- traffic    callers and upstreams
+//   |-- traffic    callers and upstreams (gateway with a published store)
 //   |-- control
 //   |   |-- fleet      membership, table, placement
 //   |   |-- mesh       messages between nodes
-//   |   `-- platform   configuration service and list of vms
+//   |   `-- platform   configuration service and list of vms (store with a
+//   |                  published store)
 //   `-- observe
 //       |-- admin      operators
 //       `-- telemetry  metrics and spans
@@ -31,7 +33,10 @@
   // after a requested stop.
   using OnExit = std::function<void(std::optional<Error> error)>;
 
-  explicit Node(const Settings& settings);
+  // `dialect` says how a published store, its callers and its targets spell
+  // things; it is needed if the settings name such a store.
+  explicit Node(const Settings& settings,
+                std::optional<Dialect> dialect = std::nullopt);
   ~Node();
 
   Node(const Node&) = delete;
--- a/src/node/node_config.cc
+++ b/src/node/node_config.cc
@@ -5,11 +5,21 @@
 #include <string>
 #include <utility>
 
+#include "decision/fleet/published_shard.h"
 #include "runtime/clock.h"
 
 namespace flamingoyoke {
 namespace {
 
+// A target is usually in the same region; a second connection elsewhere costs
+// less than waiting for a repeated SYN after a second.
+constexpr Duration kGatewayConnectLimit = std::chrono::milliseconds(200);
+// Callers that keep an address longer than they were told find another one.
+constexpr Duration kGatewayLeaveMargin = std::chrono::milliseconds(1000);
+// Part of the fleet's retries that the gateways share out among themselves. The
+// rest covers vms that old addresses lead to, and windows that differ.
+constexpr double kOwnRetryPart = 0.75;
+
 auto FormatAddress(const NamedEndpoint& address) -> std::string {
   const auto host = address.endpoint.address.is_v6() ? "[" + address.host + "]"
                                                      : address.host;
@@ -49,7 +59,49 @@
   return config;
 }
 
+auto NodeConfig::Gateway(const GatewayDialect& dialect) const -> GatewayConfig {
+  GatewayConfig config;
+  config.traffic = Traffic();
+  config.traffic.connect_limit = kGatewayConnectLimit;
+  config.traffic.leave_margin = kGatewayLeaveMargin;
+  config.dialect = dialect;
+  config.failure_domain = settings_.vm.failure_domain;
+  const auto& gateway = settings_.gateway;
+  config.status_addresses = {gateway.readiness_address,
+                             gateway.directory_address};
+  config.limits.floor_share = gateway.floor_share;
+  config.limits.retry_share = kOwnRetryPart * gateway.retry_share;
+  config.limits.retry_least = static_cast<std::uint64_t>(
+      kOwnRetryPart * gateway.retry_slack / (gateway.entries + 1));
+  return config;
+}
+
+auto NodeConfig::Store() const -> StoreConfig {
+  StoreConfig config;
+  config.host = settings_.platform.address.host;
+  config.port = settings_.platform.address.endpoint.port;
+  config.seed = seed_;
+  return config;
+}
+
 auto NodeConfig::Fleet() const -> FleetConfig {
+  auto config = TableFleet();
+  if (source() == ServiceSource::kTable) {
+    return config;
+  }
+  config.source = ServiceSource::kPublished;
+  config.entries = settings_.gateway.entries;
+  config.table_shards = kPublishedShards;
+  for (const auto& seed : settings_.gateway.seeds) {
+    if (seed.host != settings_.vm.id.value()) {
+      config.seeds.push_back(
+          {.id = VmId(seed.host), .mesh_address = FormatAddress(seed)});
+    }
+  }
+  return config;
+}
+
+auto NodeConfig::TableFleet() const -> FleetConfig {
   return {.self = {.id = settings_.vm.id,
                    .incarnation = incarnation_,
                    .failure_domain = settings_.vm.failure_domain,
--- a/src/node/node_config.h
+++ b/src/node/node_config.h
@@ -5,8 +5,10 @@
 #include "node/control/fleet/fleet_config.h"
 #include "node/control/mesh/mesh_config.h"
 #include "node/control/platform/platform_config.h"
+#include "node/control/store/store_config.h"
 #include "node/observe/admin/admin_config.h"
 #include "node/observe/telemetry/telemetry_config.h"
+#include "node/traffic/gateway/gateway_config.h"
 #include "node/traffic/traffic_config.h"
 #include "settings/settings.h"
 
@@ -22,6 +24,13 @@
   // Each call gives a traffic task an incarnation of its own, since the keys
   // that an earlier one issued are lost with its memory.
   [[nodiscard]] auto Traffic() const -> TrafficConfig;
+  // Precondition: the services come from a published store.
+  [[nodiscard]] auto Gateway(const GatewayDialect& dialect) const
+      -> GatewayConfig;
+  [[nodiscard]] auto Store() const -> StoreConfig;
+  [[nodiscard]] auto source() const -> ServiceSource {
+    return settings_.gateway.source;
+  }
   [[nodiscard]] auto Fleet() const -> FleetConfig;
   [[nodiscard]] auto Mesh() const -> MeshConfig;
   [[nodiscard]] auto Platform() const -> PlatformConfig;
@@ -29,6 +38,8 @@
   [[nodiscard]] auto Telemetry() const -> TelemetryConfig;
 
  private:
+  [[nodiscard]] auto TableFleet() const -> FleetConfig;
+
   const Settings settings_;
   const Incarnation incarnation_;
   const std::uint64_t seed_;
--- a/src/node/traffic/error_answer.cc
+++ b/src/node/traffic/error_answer.cc
@@ -1,6 +1,8 @@
 #include "node/traffic/error_answer.h"
 
 #include <array>
+#include <chrono>
+#include <cstdint>
 #include <string_view>
 
 #include "core/answer_table.h"
@@ -37,6 +39,18 @@
   return "Error";
 }
 
+constexpr auto* kRetryAfterHeader = "Retry-After";
+
+// Returns seconds with three decimals.
+auto FormatSeconds(Duration duration) -> std::string {
+  constexpr std::int64_t kMillisecondsPerSecond = 1000;
+  constexpr std::size_t kDecimals = 3;
+  const auto ms = ToMilliseconds(duration);
+  auto decimals = std::to_string(ms % kMillisecondsPerSecond);
+  decimals.insert(0, kDecimals - decimals.size(), '0');
+  return std::to_string(ms / kMillisecondsPerSecond) + "." + decimals;
+}
+
 // Seconds until a retry makes sense; Retry-After has no finer unit.
 auto RetryAfter(RetryAdvice advice) -> const char* {
   switch (advice) {
@@ -53,6 +67,23 @@
 
 }  // namespace
 
+auto MakeErrorHead(ErrorKind kind, const RetryAfterHint& hint) -> AnswerHead {
+  auto head = MakeErrorHead(kind);
+  if (hint.delay <= Duration::zero()) {
+    return head;
+  }
+  for (auto& [name, value] : head.headers) {
+    if (name == kRetryAfterHeader) {
+      value = hint.fractional
+                  ? FormatSeconds(hint.delay)
+                  : std::to_string(
+                        std::chrono::ceil<std::chrono::seconds>(hint.delay)
+                            .count());
+    }
+  }
+  return head;
+}
+
 auto MakeErrorHead(ErrorKind kind) -> AnswerHead {
   const auto& answer = AnswerFor(kind);
   AnswerHead head{answer.http_status, ReasonOf(answer.http_status), {}};
@@ -60,7 +91,7 @@
   head.headers.emplace_back(kOutcomeHeader, ToName(answer.outcome));
   head.headers.emplace_back(kErrorHeader, ToName(kind));
   if (const auto* seconds = RetryAfter(answer.advice)) {
-    head.headers.emplace_back("Retry-After", seconds);
+    head.headers.emplace_back(kRetryAfterHeader, seconds);
   }
   return head;
 }
--- a/src/node/traffic/error_answer.h
+++ b/src/node/traffic/error_answer.h
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "core/error_kind.h"
+#include "core/time.h"
 #include "node/traffic/http_message.h"
 
 namespace flamingoyoke {
@@ -20,6 +21,19 @@
 // headers. Thread-safe.
 auto MakeErrorHead(ErrorKind kind) -> AnswerHead;
 
+// When a refused caller may come back; a delay of zero leaves it to the kind of
+// the error.
+struct RetryAfterHint {
+  Duration delay = Duration::zero();
+  // Whether callers understand fractions of a second; otherwise whole seconds
+  // are sent, rounded up.
+  bool fractional = false;
+};
+
+// Returns the same with the given hint in place of a retry header of `kind`.
+// Thread-safe.
+auto MakeErrorHead(ErrorKind kind, const RetryAfterHint& hint) -> AnswerHead;
+
 // Returns the body of the answer for `kind`: one line of JSON. Thread-safe.
 auto MakeErrorBody(ErrorKind kind) -> std::string;
 
--- /dev/null
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -0,0 +1,414 @@
+#include "node/traffic/gateway/gateway_task.h"
+
+#include <event2/buffer.h>
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "node/log.h"
+#include "node/traffic/caller_headers.h"
+#include "node/traffic/gateway/gateway_headers.h"
+#include "node/traffic/http_text.h"
+#include "runtime/clock.h"
+
+namespace flamingoyoke {
+namespace {
+
+// Ticks are rare while nothing can be late, so that an idle node sleeps.
+constexpr Duration kBusyTick = std::chrono::milliseconds(100);
+constexpr Duration kIdleTick = std::chrono::seconds(1);
+constexpr Duration kReportPeriod = std::chrono::seconds(1);
+// Longest time to flush the last answers of a hard stop.
+constexpr Duration kFlushLimit = std::chrono::milliseconds(200);
+// Body of a question about status; nothing is read from it.
+constexpr std::uint64_t kStatusBodyBytes = 1024;
+constexpr int kOk = 200;
+constexpr std::uint32_t kDefaultConnections = 64;
+
+auto Counter(std::string name,
+             std::string help,
+             const ServiceId& service,
+             std::uint64_t value) -> MetricSample {
+  MetricSample sample;
+  sample.name = std::move(name);
+  sample.help = std::move(help);
+  sample.label_name = "service";
+  sample.label_value = service.value();
+  sample.value = static_cast<double>(value);
+  return sample;
+}
+
+}  // namespace
+
+GatewayTask::GatewayTask(GatewayConfig config, TrafficOutbox outbox)
+    : config_(std::move(config)),
+      outbox_(outbox),
+      random_(config_.traffic.seed),
+      request_log_(config_.request_lines_per_second) {}
+
+GatewayTask::~GatewayTask() {
+  // Requests hold parts of the server's budget and connections.
+  services_.clear();
+}
+
+auto GatewayTask::Start(TaskContext& context) -> Result<void> {
+  context_ = &context;
+  auto& loop = context.loop();
+  const auto& traffic = config_.traffic;
+  CallerServer::Limits limits;
+  limits.connection = {traffic.request_limits, traffic.receive_limit,
+                       traffic.caller_idle_limit, traffic.caller_write_limit};
+  limits.connections = traffic.caller_connections;
+  limits.body_budget_bytes = traffic.body_budget_bytes;
+  server_ = std::make_unique<CallerServer>(
+      loop, limits,
+      CallerServer::Handler{
+          [this](const ScannedHead& head) { return CheckHead(head); },
+          [this](std::unique_ptr<CallerExchange> exchange) {
+            OnRequest(std::move(exchange));
+          },
+          [this] { ExitIfDone(); }});
+  for (const auto& address : config_.status_addresses) {
+    BOOST_LEAF_CHECK(server_->Listen(address.host, address.endpoint.port));
+  }
+  // Last, as the port of the server is that of its last socket.
+  BOOST_LEAF_CHECK(server_->Listen(traffic.listen_host, traffic.listen_port));
+  tick_ = loop.MakeTimer([this] { OnTick(); });
+  leave_timer_ = loop.MakeTimer([this] {
+    addresses_expired_ = true;
+    server_->StartClosing(true);
+    ExitIfDone();
+  });
+  hard_timer_ = loop.MakeTimer([this] {
+    if (stop_mode_ == StopMode::kHard) {
+      context_->Exit();
+      return;
+    }
+    Stop(StopMode::kHard);
+  });
+  ScheduleTick();
+  Log(Part::kGateway, LogLevel::kInfo,
+      "listens on " + traffic.listen_host + ":" + std::to_string(port()));
+  return {};
+}
+
+auto GatewayTask::Handle(Message message) -> Result<void> {
+  CheckPause();
+  std::visit([this](auto& typed) { Take(typed); }, message);
+  return {};
+}
+
+auto GatewayTask::Take(FleetViewChanged& changed) -> void {
+  if (!changed.view) {
+    return;
+  }
+  const auto before = std::exchange(view_, std::move(changed.view));
+  const bool routing_changed = !before || before->routing != view_->routing;
+  if (routing_changed) {
+    routes_ = RouteIndex(view_->routing);
+  }
+  if (!before || before->ready != view_->ready) {
+    Log(Part::kGateway, LogLevel::kInfo,
+        view_->ready ? "takes callers" : "takes no callers");
+  }
+  if (!before || before->entries != view_->entries) {
+    std::string entries;
+    for (const auto& vm : view_->entries) {
+      entries += " " + vm.value();
+    }
+    Log(Part::kGateway, LogLevel::kInfo, "callers are sent to" + entries);
+  }
+  if (routing_changed || before->registry != view_->registry ||
+      before->entries != view_->entries) {
+    ConfigureServices();
+  }
+}
+
+auto GatewayTask::Take(PeerMessageReceived& received) -> void {
+  const auto* report = std::get_if<OutcomeReport>(&received.envelope.message);
+  if (report == nullptr) {
+    return;
+  }
+  const auto found = services_.find(report->service);
+  if (found != services_.end()) {
+    found->second->OnPeerReport(received.envelope.sender, report->outcomes);
+  }
+}
+
+auto GatewayTask::ConfigureServices() -> void {
+  if (!view_->routing || !view_->registry) {
+    return;
+  }
+  std::unordered_map<ServiceId, std::vector<RegisteredTarget>> targets;
+  for (const auto& target : view_->registry->targets) {
+    targets[target.service].push_back(target);
+  }
+  std::vector<VmId> peers;
+  for (const auto& vm : view_->entries) {
+    if (vm != config_.traffic.vm) {
+      peers.push_back(vm);
+    }
+  }
+  std::unordered_map<ServiceId, std::uint32_t> connections;
+  for (const auto& service : view_->routing->services) {
+    connections[service.id] = service.max_connections;
+    RunnerOf(service.id);
+  }
+  for (auto entry = services_.begin(); entry != services_.end();) {
+    const auto known = connections.find(entry->first);
+    const bool is_gone =
+        known == connections.end() && entry->second->active() == 0;
+    if (is_gone) {
+      entry = services_.erase(entry);
+      continue;
+    }
+    // A service that was removed keeps its targets for requests in flight.
+    entry->second->Configure(
+        targets[entry->first], peers,
+        known == connections.end() ? kDefaultConnections : known->second);
+    ++entry;
+  }
+}
+
+auto GatewayTask::RunnerOf(const ServiceId& service) -> PoolRunner& {
+  auto& runner = services_[service];
+  if (runner) {
+    return *runner;
+  }
+  PoolRunner::Hooks hooks;
+  hooks.check_pause = [this] { CheckPause(); };
+  hooks.on_request_ended = [this, service](const PoolRunner::Record& record) {
+    request_log_.OnRequest(
+        service, record, view_->routing ? view_->routing->revision : Revision(),
+        view_->registry ? view_->registry->revision : Revision());
+  };
+  hooks.send = [this](PeerMessageToSend message) {
+    outbox_.mesh.Post(std::move(message));
+  };
+  runner =
+      std::make_unique<PoolRunner>(context_->loop(), config_, service,
+                                   Random(random_.Next()), std::move(hooks));
+  return *runner;
+}
+
+auto GatewayTask::CheckHead(const ScannedHead& head) const
+    -> std::variant<BodyAllowance, ErrorKind> {
+  const auto path = PathOf(head.target);
+  if (path == config_.dialect.readiness_path ||
+      path == config_.dialect.addresses_path) {
+    return BodyAllowance{kStatusBodyBytes};
+  }
+  if (!view_ || !view_->routing) {
+    const bool has_body = head.chunked || head.content_length.value_or(0) > 0;
+    if (has_body) {
+      return ErrorKind::kNotReady;
+    }
+    return BodyAllowance{0};
+  }
+  return BodyAllowance{view_->routing->bounds.max_body_bytes};
+}
+
+auto GatewayTask::OnRequest(std::unique_ptr<CallerExchange> exchange) -> void {
+  CheckPause();
+  if (AnswerStatus(*exchange)) {
+    return;
+  }
+  if (stop_mode_ == StopMode::kHard) {
+    exchange->ReplyError(ErrorKind::kLeaving);
+    return;
+  }
+  if (!view_ || !view_->routing || !view_->registry) {
+    exchange->ReplyError(ErrorKind::kNotReady);
+    return;
+  }
+  const auto& head = exchange->head();
+  const auto host = FindHeader(head.headers, "Host").value_or("");
+  const auto* route = routes_.Find(host, PathOf(head.target));
+  if (route == nullptr) {
+    Log(Part::kGateway, LogLevel::kInfo,
+        "no route for host " + std::string(host) + " path " +
+            std::string(PathOf(head.target)) + " in revision " +
+            std::to_string(view_->routing->revision.value()));
+    exchange->ReplyError(ErrorKind::kNoRoute);
+    return;
+  }
+  Submit(std::move(exchange), *route);
+}
+
+auto GatewayTask::AnswerStatus(CallerExchange& exchange) -> bool {
+  const auto path = PathOf(exchange.head().target);
+  if (path == config_.dialect.addresses_path) {
+    AnswerAddresses(exchange);
+    return true;
+  }
+  if (path != config_.dialect.readiness_path) {
+    return false;
+  }
+  if (IsReady()) {
+    exchange.Reply({kOk, "OK", {}}, "");
+  } else {
+    exchange.ReplyError(ErrorKind::kNotReady);
+  }
+  return true;
+}
+
+auto GatewayTask::AnswerAddresses(CallerExchange& exchange) -> void {
+  std::vector<std::string> addresses;
+  if (IsReady()) {
+    for (const auto& vm : view_->entries) {
+      const auto member =
+          std::find_if(view_->members.begin(), view_->members.end(),
+                       [&](const Member& each) { return each.id == vm; });
+      if (member != view_->members.end()) {
+        addresses.push_back(member->address);
+      }
+    }
+  }
+  if (addresses.empty()) {
+    exchange.ReplyError(ErrorKind::kNotReady);
+    return;
+  }
+  exchange.Reply({kOk, "OK", {{"Content-Type", "application/json"}}},
+                 config_.dialect.write_addresses(
+                     addresses, config_.traffic.address_time_to_live));
+}
+
+auto GatewayTask::Submit(std::unique_ptr<CallerExchange> exchange,
+                         const Route& route) -> void {
+  const auto& names = config_.dialect.headers;
+  const auto caller = ReadGatewayCaller(names, exchange->head().headers);
+  const auto now = Now();
+  GatewayRequest request;
+  request.id = RequestId(++last_request_);
+  request.caller_id = caller.request_id;
+  request.forwarded = MakeGatewayHead(names, exchange->head(),
+                                      evbuffer_get_length(exchange->body()));
+  request.route = route.name;
+  request.repeatability = route.repeatability;
+  request.arrived = now;
+  request.deadline =
+      now + std::min(caller.time_left.value_or(route.timeout), route.timeout);
+  request.objective = route.objective;
+  request.priority = route.priority;
+  request.max_attempts = std::max<std::uint32_t>(1, route.max_attempts);
+  request.trace =
+      StartTrace(random_, random_.Unit() < config_.traffic.trace_share);
+  request.exchange = std::move(exchange);
+  const bool was_idle = active() == 0;
+  RunnerOf(splits_.Choose(route)).Submit(std::move(request));
+  if (was_idle) {
+    ScheduleTick();
+  }
+}
+
+auto GatewayTask::IsReady() const -> bool {
+  return stop_mode_ == StopMode::kNone && view_ && view_->ready &&
+         !view_->leaving;
+}
+
+auto GatewayTask::CheckPause() -> void {
+  const auto now = Now();
+  if (!pause_watch_.WasPaused(now)) {
+    return;
+  }
+  Log(Part::kGateway, LogLevel::kWarning, "the process was paused");
+  for (auto& [id, runner] : services_) {
+    runner->OnResumed();
+  }
+}
+
+auto GatewayTask::OnTick() -> void {
+  CheckPause();
+  if (Now() - last_report_ >= kReportPeriod) {
+    SendReports();
+  }
+  // Once-only work may end after its caller went away, without any answer.
+  ExitIfDone();
+  ScheduleTick();
+}
+
+auto GatewayTask::ScheduleTick() -> void {
+  const auto delay = active() > 0 ? kBusyTick : kIdleTick;
+  const auto due = Now() + delay;
+  if (tick_.IsPending() && tick_due_ <= due) {
+    return;
+  }
+  tick_due_ = due;
+  pause_watch_.ExpectTick(due);
+  tick_.Schedule(delay);
+}
+
+auto GatewayTask::SendReports() -> void {
+  last_report_ = Now();
+  MetricsReported metrics{.task = "gateway", .samples = {}};
+  for (const auto& [id, runner] : services_) {
+    const auto& counters = runner->dispatcher().counters();
+    const auto add = [&](const char* name, const char* help,
+                         std::uint64_t value) {
+      metrics.samples.push_back(Counter(name, help, id, value));
+    };
+    add("flamingoyoke_gateway_requests_total", "Requests that routes took.",
+        counters.arrived);
+    add("flamingoyoke_gateway_delivered_total",
+        "Requests that got the answer of a target.", counters.delivered);
+    add("flamingoyoke_gateway_delivered_errors_total",
+        "Delivered answers of 500 and above.", counters.delivered_errors);
+    add("flamingoyoke_gateway_refused_total",
+        "Requests that were answered as not run.", counters.refused);
+    add("flamingoyoke_gateway_unknown_total",
+        "Requests whose outcome is not known.", counters.unknown);
+    add("flamingoyoke_gateway_retried_total",
+        "Attempts that followed a failed one.", counters.retried);
+    add("flamingoyoke_gateway_hedged_total",
+        "Second attempts beside a slow one.", counters.hedged);
+  }
+  outbox_.telemetry.Post(std::move(metrics));
+}
+
+auto GatewayTask::active() const -> std::size_t {
+  std::size_t count = 0;
+  for (const auto& [id, runner] : services_) {
+    count += runner->active();
+  }
+  return count;
+}
+
+auto GatewayTask::Stop(StopMode mode) -> void {
+  if (mode <= stop_mode_) {
+    return;
+  }
+  stop_mode_ = mode;
+  if (mode == StopMode::kHard) {
+    StopHard();
+    return;
+  }
+  server_->StartClosing(false);
+  leave_timer_.Schedule(config_.traffic.address_time_to_live +
+                        config_.traffic.leave_margin);
+  hard_timer_.Schedule(config_.traffic.shutdown_hard_limit);
+}
+
+auto GatewayTask::StopHard() -> void {
+  addresses_expired_ = true;
+  for (auto& [id, runner] : services_) {
+    runner->FailAll();
+  }
+  server_->StartClosing(true);
+  hard_timer_.Schedule(kFlushLimit);
+  ExitIfDone();
+}
+
+auto GatewayTask::ExitIfDone() -> void {
+  if (!addresses_expired_ || active() > 0) {
+    return;
+  }
+  const bool done =
+      stop_mode_ == StopMode::kHard ? server_->all_answered() : server_->idle();
+  if (done) {
+    context_->Exit();
+  }
+}
+
+}  // namespace flamingoyoke
--- /dev/null
+++ b/src/node/traffic/gateway/gateway_task.h
@@ -0,0 +1,97 @@
+#ifndef FLAMINGOYOKE_NODE_TRAFFIC_GATEWAY_GATEWAY_TASK_H_
+#define FLAMINGOYOKE_NODE_TRAFFIC_GATEWAY_GATEWAY_TASK_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/random.h"
+#include "core/result.h"
+#include "core/time.h"
+#include "decision/fleet/fleet_view.h"
+#include "decision/gateway/split_chooser.h"
+#include "node/messages.h"
+#include "node/traffic/caller_server.h"
+#include "node/traffic/gateway/gateway_config.h"
+#include "node/traffic/gateway/pool_runner.h"
+#include "node/traffic/gateway/request_log.h"
+#include "node/traffic/pause_watch.h"
+#include "runtime/event_loop.h"
+#include "runtime/task.h"
+#include "table/route_index.h"
+
+namespace flamingoyoke {
+
+// Serves callers by the published routes and the registry of targets, in the
+// place of the traffic task of the operators' table. Satisfies the Task
+// concept; after construction, used on one thread only.
+class GatewayTask {
+ public:
+  using Message = TrafficMessage;
+
+  // The mailboxes must outlive the task.
+  GatewayTask(GatewayConfig config, TrafficOutbox outbox);
+  ~GatewayTask();
+
+  // Listens for callers and for status questions. Fails with kSocketFailed.
+  auto Start(TaskContext& context) -> Result<void>;
+  auto Handle(Message message) -> Result<void>;
+  // Graceful: serves callers with cached addresses for their time to live,
+  // then exits after the last answer. Hard: answers what remains and exits.
+  auto Stop(StopMode mode) -> void;
+
+  // The port for callers. Precondition: Start succeeded.
+  [[nodiscard]] auto port() const -> std::uint16_t { return server_->port(); }
+
+ private:
+  auto Take(FleetViewChanged& changed) -> void;
+  auto Take(PeerMessageReceived& received) -> void;
+  auto ConfigureServices() -> void;
+  auto RunnerOf(const ServiceId& service) -> PoolRunner&;
+
+  auto CheckHead(const ScannedHead& head) const
+      -> std::variant<BodyAllowance, ErrorKind>;
+  auto OnRequest(std::unique_ptr<CallerExchange> exchange) -> void;
+  // Answers questions about this vm and the fleet; returns whether it was one.
+  auto AnswerStatus(CallerExchange& exchange) -> bool;
+  auto AnswerAddresses(CallerExchange& exchange) -> void;
+  auto Submit(std::unique_ptr<CallerExchange> exchange, const Route& route)
+      -> void;
+  [[nodiscard]] auto IsReady() const -> bool;
+  auto CheckPause() -> void;
+  auto OnTick() -> void;
+  auto ScheduleTick() -> void;
+  auto SendReports() -> void;
+  [[nodiscard]] auto active() const -> std::size_t;
+  auto StopHard() -> void;
+  auto ExitIfDone() -> void;
+
+  const GatewayConfig config_;
+  const TrafficOutbox outbox_;
+  Random random_;
+  TaskContext* context_ = nullptr;
+  std::shared_ptr<const FleetView> view_;
+  RouteIndex routes_;
+  SplitChooser splits_;
+  RequestLog request_log_;
+  std::unique_ptr<CallerServer> server_;
+  std::unordered_map<ServiceId, std::unique_ptr<PoolRunner>> services_;
+  PauseWatch pause_watch_;
+  std::uint64_t last_request_ = 0;
+  StopMode stop_mode_ = StopMode::kNone;
+  // Whether callers had the time to forget this vm's address.
+  bool addresses_expired_ = false;
+  TimePoint last_report_;
+  TimePoint tick_due_;
+  EventLoop::Handle tick_;
+  EventLoop::Handle leave_timer_;
+  EventLoop::Handle hard_timer_;
+};
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_NODE_TRAFFIC_GATEWAY_GATEWAY_TASK_H_
--- /dev/null
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -0,0 +1,329 @@
+#include "node/traffic/gateway/pool_runner.h"
+
+#include <event2/buffer.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/answer_table.h"
+#include "core/name_table.h"
+#include "node/traffic/caller_headers.h"
+#include "node/traffic/error_answer.h"
+#include "node/traffic/gateway/gateway_headers.h"
+#include "runtime/clock.h"
+
+namespace flamingoyoke {
+namespace {
+
+// Shortest time that a target is given; a smaller remainder cannot be told in
+// whole milliseconds.
+constexpr Duration kLeastTime = std::chrono::milliseconds(1);
+// A body of this size takes longer to send than most work takes to run.
+constexpr std::size_t kLongBodyBytes = 16 << 10;
+
+auto CopyOf(evbuffer* buffer) -> std::string {
+  std::string text(evbuffer_get_length(buffer), '\0');
+  evbuffer_copyout(buffer, text.data(), text.size());
+  return text;
+}
+
+}  // namespace
+
+PoolRunner::PoolRunner(EventLoop& loop,
+                       const GatewayConfig& config,
+                       const ServiceId& service,
+                       Random random,
+                       Hooks hooks)
+    : loop_(loop),
+      config_(config),
+      hooks_(std::move(hooks)),
+      random_(random),
+      service_(service),
+      dispatcher_(service, Random(random_.Next()), config.limits),
+      pool_(loop, RegisteredUpstreamInterface(config.dialect)),
+      timer_(loop.MakeTimer([this] { Post(PoolTimer{}); })) {}
+
+auto PoolRunner::Configure(const std::vector<RegisteredTarget>& targets,
+                           const std::vector<VmId>& peers,
+                           std::uint32_t connections) -> void {
+  ServiceRow row;
+  row.service = service_;
+  row.connections = connections;
+  row.home = static_cast<std::uint32_t>(peers.size() + 1);
+  for (const auto& target : targets) {
+    row.targets.push_back(
+        {target.id, target.host, target.port, 1.0, target.failure_domain});
+  }
+  pool_.Configure(row);
+  Post(PoolConfigured{targets, config_.failure_domain, peers});
+}
+
+auto PoolRunner::Submit(GatewayRequest request) -> void {
+  const auto id = request.id;
+  request.exchange->set_on_gone([this, id] { OnCallerGone(id); });
+  request.exchange->set_on_drained([this, id] { OnDrained(id); });
+  const auto body_bytes = evbuffer_get_length(request.exchange->body());
+  const PoolRequestArrived arrived{
+      .request = id,
+      .work_class =
+          body_bytes >= kLongBodyBytes ? WorkClass::kLong : WorkClass::kShort,
+      .repeatable = request.repeatability == Repeatability::kRepeatable,
+      .priority = request.priority,
+      .max_attempts = request.max_attempts,
+      .deadline = request.deadline,
+      .objective = request.objective,
+      .body_bytes = body_bytes,
+  };
+  requests_.emplace(id, std::move(request));
+  Post(arrived);
+}
+
+auto PoolRunner::OnPeerReport(const VmId& peer,
+                              const std::vector<TargetOutcomes>& outcomes)
+    -> void {
+  Post(PoolPeerReport{peer, outcomes});
+}
+
+auto PoolRunner::OnResumed() -> void {
+  // Ahead of events that wait, as these may come from before the pause.
+  events_.emplace_front(PoolResumed{});
+  Post(PoolTimer{});
+}
+
+auto PoolRunner::FailAll() -> void {
+  std::vector<RequestId> ids;
+  for (const auto& [id, request] : requests_) {
+    ids.push_back(id);
+  }
+  for (const auto id : ids) {
+    const bool may_have_run = std::any_of(
+        attempts_.begin(), attempts_.end(), [&](const auto& attempt) {
+          const auto& connection = attempt.second.lease.connection;
+          return attempt.second.request == id &&
+                 (!connection || connection->wrote());
+        });
+    Do(RefuseRequest{id, may_have_run ? ErrorKind::kUpstreamReset
+                                      : ErrorKind::kHardStopQueued});
+    Post(PoolRequestCancelled{id});
+  }
+}
+
+auto PoolRunner::Post(PoolEvent event) -> void {
+  if (hooks_.check_pause) {
+    hooks_.check_pause();
+  }
+  events_.push_back(std::move(event));
+  if (taking_) {
+    return;
+  }
+  taking_ = true;
+  while (!events_.empty()) {
+    const auto next = std::move(events_.front());
+    events_.pop_front();
+    Take(next);
+  }
+  taking_ = false;
+}
+
+auto PoolRunner::Take(const PoolEvent& event) -> void {
+  for (const auto& action : dispatcher_.OnEvent(event, Now())) {
+    std::visit([this](const auto& typed) { Do(typed); }, action);
+  }
+  if (const auto* ended = std::get_if<PoolAttemptEnded>(&event)) {
+    // Its answer was delivered or is not wanted.
+    attempts_.erase(ended->attempt);
+  }
+}
+
+auto PoolRunner::Do(const StartAttempt& action) -> void {
+  const auto request = requests_.find(action.request);
+  if (request == requests_.end()) {
+    Post(PoolAttemptEnded{action.attempt, AttemptResult::kCancelled});
+    return;
+  }
+  auto lease = pool_.Acquire(action.target, false);
+  if (!lease.connection) {
+    request->second.history += " " + action.target.value() + "=no-connection";
+    Post(PoolAttemptEnded{action.attempt, AttemptResult::kConnectFailed});
+    return;
+  }
+  auto& attempt =
+      attempts_
+          .emplace(
+              action.attempt,
+              Attempt{
+                  action.request, std::move(lease), Now(), {}, MakeEvbuffer()})
+          .first->second;
+  SendAttempt(action.attempt, attempt, request->second);
+}
+
+auto PoolRunner::SendAttempt(AttemptId id,
+                             Attempt& attempt,
+                             GatewayRequest& request) -> void {
+  const auto left = std::max(request.deadline - Now(), kLeastTime);
+  auto head = request.forwarded;
+  AddAttemptHeaders(config_.dialect.headers, left, attempt.lease.target,
+                    head.headers);
+  head.headers.emplace_back(
+      kTraceHeader, FormatTraceparent(StartSpan(request.trace, random_)));
+  const auto& traffic = config_.traffic;
+  attempt.lease.connection->Send(
+      head, request.exchange->body(),
+      {traffic.connect_limit, left + config_.last_word,
+       traffic.answer_stall_limit},
+      {
+          .on_head =
+              [this, id](const AnswerHead& answer) {
+                const auto found = attempts_.find(id);
+                if (found != attempts_.end()) {
+                  found->second.head = answer;
+                }
+              },
+          .on_body = [this, id](evbuffer* data) { OnAnswerBody(id, data); },
+          .on_end =
+              [this, id](AttemptResult result, const UpstreamSignals& signals) {
+                OnAttemptEnd(id, result, signals);
+              },
+      });
+}
+
+auto PoolRunner::OnAnswerBody(AttemptId id, evbuffer* data) -> void {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return;
+  }
+  auto& attempt = found->second;
+  evbuffer_add_buffer(attempt.body.get(), data);
+  const auto request = requests_.find(attempt.request);
+  if (request == requests_.end()) {
+    return;
+  }
+  auto& exchange = *request->second.exchange;
+  if (!attempt.relaying) {
+    if (evbuffer_get_length(attempt.body.get()) <= config_.held_answer_bytes) {
+      return;
+    }
+    attempt.relaying = true;
+    exchange.StartReply(MakeRelayedHead(attempt.head));
+    Post(PoolAttemptCommitted{id});
+  }
+  exchange.SendBody(attempt.body.get());
+  if (exchange.pending_bytes() > config_.traffic.answer_buffer_bytes) {
+    attempt.lease.connection->PauseReading();
+  }
+}
+
+auto PoolRunner::OnAttemptEnd(AttemptId id,
+                              AttemptResult result,
+                              const UpstreamSignals& signals) -> void {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) {
+    return;
+  }
+  auto& attempt = found->second;
+  const auto target = attempt.lease.target;
+  const auto request = requests_.find(attempt.request);
+  if (request != requests_.end()) {
+    request->second.history +=
+        " " + target.value() + "=" + std::string(ToName(result)) + "/" +
+        std::to_string(ToMilliseconds(Now() - attempt.started));
+  }
+  pool_.Release(std::move(attempt.lease));
+  if (signals.foreign) {
+    // Whatever else comes on connections to this target may be old too.
+    pool_.Retire(target);
+  }
+  Post(PoolAttemptEnded{id, result, signals.other_target});
+}
+
+auto PoolRunner::Do(const CancelAttempt& action) -> void {
+  const auto found = attempts_.find(action.attempt);
+  if (found == attempts_.end() || !found->second.lease.connection) {
+    return;
+  }
+  auto lease = std::move(found->second.lease);
+  attempts_.erase(found);
+  lease.connection->Abandon();
+  pool_.Release(std::move(lease));
+}
+
+auto PoolRunner::Do(const DeliverAnswer& action) -> void {
+  const auto request = requests_.find(action.request);
+  const auto found = attempts_.find(action.attempt);
+  if (request == requests_.end() || found == attempts_.end()) {
+    return;
+  }
+  auto& attempt = found->second;
+  auto& exchange = *request->second.exchange;
+  if (attempt.relaying) {
+    exchange.FinishReply();
+  } else {
+    exchange.Reply(MakeRelayedHead(attempt.head), CopyOf(attempt.body.get()));
+  }
+  Finish(action.request, attempt.head.status, std::nullopt);
+}
+
+auto PoolRunner::Do(const RefuseRequest& action) -> void {
+  const auto found = requests_.find(action.request);
+  if (found == requests_.end()) {
+    return;
+  }
+  auto& exchange = *found->second.exchange;
+  if (exchange.state() == ReplyState::kStreaming) {
+    exchange.Abort();
+  } else {
+    exchange.Reply(
+        MakeErrorHead(action.error,
+                      {.delay = action.retry_after,
+                       .fractional = config_.dialect.fractional_retry_after}),
+        MakeErrorBody(action.error));
+  }
+  Finish(action.request, AnswerFor(action.error).http_status, action.error);
+}
+
+auto PoolRunner::Do(const SendToPeer& action) -> void {
+  if (hooks_.send) {
+    hooks_.send(PeerMessageToSend{action});
+  }
+}
+
+auto PoolRunner::Do(const WakePoolAt& action) -> void {
+  timer_.Schedule(std::max(action.at - Now(), Duration::zero()));
+}
+
+auto PoolRunner::OnDrained(RequestId id) -> void {
+  for (auto& [attempt_id, attempt] : attempts_) {
+    if (attempt.request == id && attempt.relaying && attempt.lease.connection) {
+      attempt.lease.connection->ResumeReading();
+    }
+  }
+}
+
+auto PoolRunner::OnCallerGone(RequestId id) -> void {
+  const auto found = requests_.find(id);
+  if (found == requests_.end()) {
+    return;
+  }
+  const bool is_running =
+      std::any_of(attempts_.begin(), attempts_.end(),
+                  [&](const auto& each) { return each.second.request == id; });
+  if (found->second.repeatability == Repeatability::kOnce && is_running) {
+    // The work cannot be repeated, so it is left to come to its end.
+    OnDrained(id);
+    return;
+  }
+  found->second.history += " caller-gone";
+  Finish(id, 0, std::nullopt);
+  Post(PoolRequestCancelled{id});
+}
+
+auto PoolRunner::Finish(RequestId id,
+                        int status,
+                        std::optional<ErrorKind> error) -> void {
+  auto node = requests_.extract(id);
+  if (!node.empty() && hooks_.on_request_ended) {
+    hooks_.on_request_ended({node.mapped(), status, error, Now()});
+  }
+}
+
+}  // namespace flamingoyoke
--- a/src/node/traffic/service_runner.cc
+++ b/src/node/traffic/service_runner.cc
@@ -44,7 +44,7 @@
       random_(random),
       dispatcher_(Random(random_.Next())),
       detector_(Random(random_.Next())),
-      pool_(loop),
+      pool_(loop, OwnUpstreamInterface()),
       dispatch_timer_(loop.MakeTimer([this] { Post(DispatchTimer{}); })),
       detect_timer_(loop.MakeTimer([this] { Post(DetectionTimer{}); })) {}
 
--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -1,6 +1,9 @@
 #include "node/traffic/upstream_connection.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -27,6 +30,16 @@
 // attempt. This value only keeps evhttp from applying its default of 50 s.
 constexpr int kEvhttpTimeoutSeconds = 24 * 3600;
 
+// Probes of an idle connection: after a second, then each second, until the
+// second one is not answered. A silent connection is found within three
+// seconds, well before most are used again.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+// Written bytes that the peer's kernel does not acknowledge for this long mean
+// that the path is cut.
+constexpr unsigned kUserTimeoutMs = 2000;
+
 // Whether an answer to `method` has a body.
 auto HasBody(evhttp_cmd_type method, int status) -> bool {
   return method != EVHTTP_REQ_HEAD && status >= kOk && status != kNoContent &&
@@ -34,7 +47,9 @@
 }
 
 // Returns whether the end of the answer can be told from a cut connection.
-auto HasSafeFraming(const HttpHeaders& headers) -> bool {
+// A close-delimited answer ends with an orderly close; a reset cuts it.
+auto HasSafeFraming(const HttpHeaders& headers, bool accepts_close_delimited)
+    -> bool {
   int lengths = 0;
   int encodings = 0;
   for (const auto& [name, value] : headers) {
@@ -51,7 +66,8 @@
       }
     }
   }
-  return lengths + encodings == 1;
+  return lengths + encodings == 1 ||
+         (accepts_close_delimited && lengths + encodings == 0);
 }
 
 auto ParseLoad(std::string_view text) -> std::optional<double> {
@@ -76,10 +92,23 @@
   return signals;
 }
 
+auto OwnUpstreamInterface() -> UpstreamInterface {
+  return {.read_signals =
+              [](const RequestHead&, const AnswerHead& answer) {
+                auto signals = ReadSignals(answer.headers);
+                signals.not_run =
+                    signals.not_run && answer.status == kServiceUnavailable;
+                return signals;
+              },
+          .accepts_close_delimited = false};
+}
+
 UpstreamConnection::UpstreamConnection(EventLoop& loop,
                                        const std::string& host,
-                                       std::uint16_t port)
-    : bev_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
+                                       std::uint16_t port,
+                                       const UpstreamInterface& interface)
+    : interface_(interface),
+      bev_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
       timer_(loop.MakeTimer([this] { OnTimer(); })) {
   if (bev_ == nullptr) {
     throw std::bad_alloc();
@@ -94,6 +123,14 @@
         }
       },
       this);
+  evbuffer_add_cb(
+      bufferevent_get_input(bev_),
+      [](evbuffer*, const evbuffer_cb_info* info, void* self) {
+        if (info->n_added > 0) {
+          static_cast<UpstreamConnection*>(self)->OnEarlyInput();
+        }
+      },
+      this);
   connection_.reset(evhttp_connection_base_bufferevent_new(
       loop.base(), nullptr, bev_, host.c_str(), port));
   if (!connection_) {
@@ -123,6 +160,7 @@
                               Observer observer) -> void {
   observer_ = std::move(observer);
   limits_ = limits;
+  sent_ = head;
   head_ = {};
   signals_ = {};
   ++requests_;
@@ -159,9 +197,47 @@
   if (evhttp_make_request(connection_.get(), request, ToCommand(head.method),
                           head.target.c_str()) != 0) {
     End(AttemptResult::kConnectFailed);
+    return;
+  }
+  if (requests_ == 1) {
+    SetSocketOptions();
   }
 }
 
+auto UpstreamConnection::SetSocketOptions() -> void {
+  const auto descriptor = bufferevent_getfd(bev_);
+  if (descriptor < 0) {
+    return;
+  }
+  const auto set = [descriptor](int level, int name, const auto& value) {
+    // Without these options the timers of requests still end each attempt.
+    setsockopt(descriptor, level, name, &value, sizeof(value));
+  };
+  constexpr int kOn = 1;
+  set(IPPROTO_TCP, TCP_NODELAY, kOn);
+  set(SOL_SOCKET, SO_KEEPALIVE, kOn);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+}
+
+auto UpstreamConnection::OnEarlyInput() -> void {
+  auto* output = bufferevent_get_output(bev_);
+  if (!busy_ || answering_ || evbuffer_get_length(output) == 0) {
+    return;
+  }
+  // The upstream answers before it has read the request. evhttp reads answers
+  // only after the last byte of the request, which may never be taken. The
+  // rest is dropped and the connection is not used again.
+  spent_ = true;
+  evbuffer_unfreeze(output, 1);
+  evbuffer_drain(output, evbuffer_get_length(output));
+  evbuffer_freeze(output, 1);
+  bufferevent_trigger(bev_, EV_WRITE,
+                      BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
 auto UpstreamConnection::Abandon() -> void {
   observer_ = {};
   on_idle_close_ = nullptr;
@@ -217,16 +293,18 @@
   const auto* reason = evhttp_request_get_response_code_line(request);
   head_ = {status, reason == nullptr ? "" : reason,
            CopyHeaders(evhttp_request_get_input_headers(request))};
-  signals_ = ReadSignals(head_.headers);
-  if (HasBody(evhttp_request_get_command(request), status) &&
-      !HasSafeFraming(head_.headers)) {
+  signals_ = interface_.read_signals(sent_, head_);
+  const bool has_body = HasBody(evhttp_request_get_command(request), status);
+  if (signals_.foreign ||
+      (has_body &&
+       !HasSafeFraming(head_.headers, interface_.accepts_close_delimited))) {
     spent_ = true;
     answering_ = true;
     return false;
   }
   answering_ = true;
   timer_.Schedule(limits_.stall_limit);
-  signals_.not_run = signals_.not_run && status == kServiceUnavailable;
+  signals_.not_run = signals_.not_run || signals_.other_target;
   if (!signals_.not_run && observer_.on_head) {
     observer_.on_head(head_);
   }
--- a/src/node/traffic/upstream_connection.h
+++ b/src/node/traffic/upstream_connection.h
@@ -21,14 +21,30 @@
 struct UpstreamSignals {
   bool draining = false;
   bool not_run = false;
+  // Whether another target answers at the address; it did not run the request.
+  bool other_target = false;
+  // Whether the answer belongs to another request or is not the target's own.
+  bool foreign = false;
   // Reported load, 0 to 1; not set if none was reported.
   std::optional<double> load;
 };
 
-// Reads the signals from an answer's headers; values outside their range are
-// ignored. Thread-safe.
+// Reads the signals of the project's own upstream interface from the headers
+// of an answer; values outside their range are ignored. Thread-safe.
 auto ReadSignals(const HttpHeaders& headers) -> UpstreamSignals;
 
+// How upstreams are spoken to.
+struct UpstreamInterface {
+  // Reads the signals of the answer to a request.
+  std::function<UpstreamSignals(const RequestHead&, const AnswerHead&)>
+      read_signals;
+  // Whether an answer may end with its connection, without a length.
+  bool accepts_close_delimited = false;
+};
+
+// Returns the project's own upstream interface. Thread-safe.
+auto OwnUpstreamInterface() -> UpstreamInterface;
+
 // One connection to a target, which carries one request at a time. The request
 // is written at most once. Not thread-safe.
 class UpstreamConnection {
@@ -46,9 +62,11 @@
   };
 
   // The connection is opened by the first request. `host` is an IP address.
+  // `interface` must outlive the connection.
   UpstreamConnection(EventLoop& loop,
                      const std::string& host,
-                     std::uint16_t port);
+                     std::uint16_t port,
+                     const UpstreamInterface& interface);
   ~UpstreamConnection();
   UpstreamConnection(const UpstreamConnection&) = delete;
   auto operator=(const UpstreamConnection&) -> UpstreamConnection& = delete;
@@ -95,6 +113,10 @@
     }
   };
 
+  // Bytes came in while the request is still being written.
+  auto OnEarlyInput() -> void;
+  // Lets the kernel find out that the connection went silent.
+  auto SetSocketOptions() -> void;
   auto OnAnswerHead(evhttp_request* request) -> bool;
   auto OnAnswerBody(evhttp_request* request) -> void;
   auto OnAnswerEnd(evhttp_request* request) -> void;
@@ -105,6 +127,7 @@
   [[nodiscard]] auto FailureResult(AttemptResult after_write) const
       -> AttemptResult;
 
+  const UpstreamInterface& interface_;
   bufferevent* bev_;
   std::unique_ptr<evhttp_connection, ConnectionDeleter> connection_;
   EventLoop::Handle timer_;
@@ -112,6 +135,8 @@
   std::function<void()> on_idle_close_;
   Limits limits_{};
   TimePoint deadline_{};
+  // Head of the request without its body, to compare the answer with.
+  RequestHead sent_;
   AnswerHead head_;
   UpstreamSignals signals_;
   std::uint64_t requests_ = 0;
--- a/src/node/traffic/upstream_pool.cc
+++ b/src/node/traffic/upstream_pool.cc
@@ -5,8 +5,10 @@
 
 namespace flamingoyoke {
 
-UpstreamPool::UpstreamPool(EventLoop& loop)
-    : loop_(loop), cleanup_(loop.MakeTimer([this] { discarded_.clear(); })) {}
+UpstreamPool::UpstreamPool(EventLoop& loop, UpstreamInterface interface)
+    : loop_(loop),
+      interface_(std::move(interface)),
+      cleanup_(loop.MakeTimer([this] { discarded_.clear(); })) {}
 
 auto UpstreamPool::Configure(const ServiceRow& row) -> void {
   share_ = std::max<std::size_t>(
@@ -56,7 +58,7 @@
   }
   if (!lease.connection) {
     lease.connection = std::make_unique<UpstreamConnection>(
-        loop_, entry.spec.host, entry.spec.port);
+        loop_, entry.spec.host, entry.spec.port, interface_);
   }
   ++entry.leased;
   return lease;
--- a/src/node/traffic/upstream_pool.h
+++ b/src/node/traffic/upstream_pool.h
@@ -27,7 +27,7 @@
     std::unique_ptr<UpstreamConnection> connection;
   };
 
-  explicit UpstreamPool(EventLoop& loop);
+  UpstreamPool(EventLoop& loop, UpstreamInterface interface);
 
   // Takes the targets of `row` and its share of connections. Idle connections
   // to targets that left the row are closed.
@@ -62,6 +62,7 @@
   auto Discard(std::unique_ptr<UpstreamConnection> connection) -> void;
 
   EventLoop& loop_;
+  const UpstreamInterface interface_;
   std::unordered_map<TargetId, TargetConnections> targets_;
   std::size_t share_ = 1;
   std::vector<std::unique_ptr<UpstreamConnection>> discarded_;
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -22,6 +22,8 @@
 // watches would use up its limit of 2,000 calls a second.
 constexpr CountField kWatchField{1'000, 300'000, "milliseconds"};
 constexpr CountField kHardLimitField{0, 3'600'000, "milliseconds"};
+constexpr CountField kEntriesField{1, 1'000, "vms"};
+constexpr CountField kRetrySlackField{0, 1'000'000, "attempts"};
 constexpr std::size_t kMaxPathLength = 4'096;
 constexpr std::size_t kMaxShownName = 64;
 
@@ -116,17 +118,42 @@
   return trace;
 }
 
+auto ReadGateway(const Json& document, const Settings& settings, Faults& faults)
+    -> GatewaySettings {
+  SettingsGroup group(document, "gateway", faults);
+  GatewaySettings gateway;
+  gateway.source = group.Choice("source", gateway.source);
+  if (gateway.source == ServiceSource::kPublished) {
+    gateway.readiness_address = group.Address("readiness_address");
+    gateway.directory_address = group.Address("directory_address");
+    gateway.seeds = group.Addresses("seeds");
+    gateway.entries = static_cast<std::uint32_t>(
+        group.Count("entries", kEntriesField, gateway.entries));
+    gateway.floor_share = group.Share("floor_share", gateway.floor_share);
+    gateway.retry_share = group.Share("retry_share", gateway.retry_share);
+    gateway.retry_slack = static_cast<std::uint32_t>(
+        group.Count("retry_slack", kRetrySlackField, gateway.retry_slack));
+    if (settings.vm.id.value() != settings.mesh.address.host) {
+      group.Refuse("source", nullptr,
+                   "needs the host of mesh.address as vm.id, since seeds name "
+                   "vms by their address alone");
+    }
+  }
+  group.RefuseUnknownFields();
+  return gateway;
+}
+
 auto RefuseUnknownGroups(const Json& document, Faults& faults) -> void {
-  constexpr auto kGroups =
-      std::to_array<std::string_view>({"vm", "caller", "mesh", "admin",
-                                       "platform", "shutdown", "log", "trace"});
+  constexpr auto kGroups = std::to_array<std::string_view>(
+      {"vm", "caller", "mesh", "admin", "platform", "shutdown", "log", "trace",
+       "gateway"});
   for (const auto& [name, value] : document.items()) {
     if (std::find(kGroups.begin(), kGroups.end(), name) == kGroups.end()) {
       faults.push_back(Json(name.substr(0, kMaxShownName))
                            .dump(-1, ' ', /*ensure_ascii=*/true,
                                  Json::error_handler_t::replace) +
                        " is unknown; the groups are vm, caller, mesh, admin, "
-                       "platform, shutdown, log, trace");
+                       "platform, shutdown, log, trace, gateway");
     }
   }
 }
@@ -160,6 +187,7 @@
   settings.shutdown = ReadShutdown(document, faults);
   settings.log = ReadLog(document, faults);
   settings.trace = ReadTrace(document, faults);
+  settings.gateway = ReadGateway(document, settings, faults);
   RefuseUnknownGroups(document, faults);
   if (!faults.empty()) {
     return Fail(ErrorKind::kSettingsInvalid, Join(faults));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -11,6 +11,7 @@
 #include "core/ids.h"
 #include "core/log_level.h"
 #include "core/result.h"
+#include "core/service_source.h"
 #include "core/time.h"
 
 namespace flamingoyoke {
@@ -80,6 +81,24 @@
   std::string file;
 };
 
+// Services from a published store instead of the operators' table.
+struct GatewaySettings {
+  ServiceSource source = ServiceSource::kTable;
+  // Where readiness is asked, and where callers ask for addresses.
+  NamedEndpoint readiness_address;
+  NamedEndpoint directory_address;
+  // Mesh addresses of vms to learn the others from.
+  std::vector<NamedEndpoint> seeds;
+  // Vms that callers are sent to.
+  std::uint32_t entries = 3;
+  // Least share of a service's targets that health never excludes.
+  double floor_share = 0.7;
+  // Attempts of all gateways after the first one of each request, in 10 s: a
+  // share of the requests, and a number that is allowed beside it.
+  double retry_share = 0.2;
+  std::uint32_t retry_slack = 50;
+};
+
 // What a process is told at start. Everything else is in the table.
 struct Settings {
   VmSettings vm;
@@ -90,6 +109,7 @@
   ShutdownSettings shutdown;
   LogSettings log;
   TraceSettings trace;
+  GatewaySettings gateway;
 };
 
 // Largest settings text.
--- a/src/settings/settings_group.cc
+++ b/src/settings/settings_group.cc
@@ -134,6 +134,29 @@
   return names;
 }
 
+auto SettingsGroup::Addresses(const char* field) -> std::vector<NamedEndpoint> {
+  const auto* value = Find(field);
+  std::vector<NamedEndpoint> addresses;
+  if (value == nullptr) {
+    return addresses;
+  }
+  const bool is_list = value->is_array() && value->size() <= kMaxNames;
+  if (is_list) {
+    for (const auto& each : *value) {
+      auto address = each.is_string() ? ParseEndpoint(each.get<std::string>())
+                                      : std::nullopt;
+      if (address && address->endpoint.port != 0) {
+        addresses.push_back(std::move(*address));
+      }
+    }
+  }
+  if (!is_list || addresses.size() != value->size()) {
+    Refuse(field, value,
+           "must be a list of at most 64 IP numbers, each with a port");
+  }
+  return addresses;
+}
+
 auto SettingsGroup::Text(const char* field, std::size_t max_length)
     -> std::string {
   const auto* value = Find(field);
--- a/src/settings/settings_group.h
+++ b/src/settings/settings_group.h
@@ -46,6 +46,8 @@
   auto Share(const char* field, double fallback) -> double;
   auto Names(const char* field, std::vector<std::string> fallback)
       -> std::vector<std::string>;
+  // List of addresses, which may be empty.
+  auto Addresses(const char* field) -> std::vector<NamedEndpoint>;
   // Text of at most `max_length` bytes without control characters.
   auto Text(const char* field, std::size_t max_length) -> std::string;
   // Text of a CURVE key, never shown in faults.
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -67,7 +67,8 @@
   all.reserve(static_cast<std::size_t>(encoded.outcomes_size()));
   for (const auto& outcomes : encoded.outcomes()) {
     all.push_back({TargetId(outcomes.target()), outcomes.succeeded(),
-                   outcomes.failed(), outcomes.timed_out(), outcomes.slow()});
+                   outcomes.failed(), outcomes.timed_out(), outcomes.slow(),
+                   outcomes.in_flight()});
   }
   return all;
 }
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -30,6 +30,7 @@
   encoded->set_failed(outcomes.failed);
   encoded->set_timed_out(outcomes.timed_out);
   encoded->set_slow(outcomes.slow);
+  encoded->set_in_flight(outcomes.in_flight);
 }
 
 // Writes the service and target that several messages consist of.
--- /dev/null
+++ b/src/wire/published_codec.h
@@ -0,0 +1,34 @@
+#ifndef FLAMINGOYOKE_WIRE_PUBLISHED_CODEC_H_
+#define FLAMINGOYOKE_WIRE_PUBLISHED_CODEC_H_
+
+#include <string>
+#include <string_view>
+
+#include "core/ids.h"
+#include "core/result.h"
+#include "table/registry.h"
+#include "table/routing.h"
+
+namespace flamingoyoke {
+
+// The form in which nodes pass on the published configuration and the
+// registry. The revision is not part of it: nodes name it in the digest. Equal
+// values give equal bytes. All functions are thread-safe.
+
+auto EncodeRouting(const Routing& routing) -> std::string;
+
+// Fails with kMalformedMessage if `bytes` are no routing, or if a route has no
+// service or names an unknown way to repeat it.
+auto DecodeRouting(std::string_view bytes, Revision revision)
+    -> Result<Routing>;
+
+auto EncodeRegistry(const Registry& registry) -> std::string;
+
+// Fails with kMalformedMessage if `bytes` are no registry, or if a port is out
+// of range.
+auto DecodeRegistry(std::string_view bytes, Revision revision)
+    -> Result<Registry>;
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_WIRE_PUBLISHED_CODEC_H_
