Keep a reader that was cut off from bringing back targets

A reader that returned from a cut held entries that had gone meanwhile as lapsed and proposed them again, newer than what the other readers had found.

Change: missing entries are held only while the fleet still uses them, and a reader proposes nothing for 1.2 s after the store answers it again, in which it hears its peers. Watches wait for a change instead of polling, since heartbeats of targets do not change entries.

--- a/src/decision/platform/registry_tracker.cc
+++ b/src/decision/platform/registry_tracker.cc
@@ -66,10 +66,13 @@
 auto RegistryTracker::OnInForce(std::shared_ptr<const Registry> registry)
     -> void {
   in_force_ = std::move(registry);
+}
+
+auto RegistryTracker::DropMissingNotInForce() -> void {
   if (!in_force_) {
+    missing_.clear();
     return;
   }
-  // Another reader may have found out already that a missing target is gone.
   std::map<TargetId, RegisteredTarget> still_missing;
   for (const auto& target : in_force_->targets) {
     const auto found = missing_.find(target.id);
@@ -80,11 +83,15 @@
   missing_ = std::move(still_missing);
 }
 
-auto RegistryTracker::Proposal(Revision as_of, TimePoint /*now*/)
+auto RegistryTracker::Proposal(Revision as_of, TimePoint now)
     -> std::optional<Registry> {
-  if (!has_listed_) {
+  if (!has_listed_ || !answering_since_) {
+    return std::nullopt;
+  }
+  if (in_force_ && now - *answering_since_ < kHearPeersTime) {
     return std::nullopt;
   }
+  DropMissingNotInForce();
   auto all = listed_;
   all.insert(missing_.begin(), missing_.end());
   Registry registry;
--- a/src/decision/platform/registry_tracker.h
+++ b/src/decision/platform/registry_tracker.h
@@ -19,11 +19,16 @@
 //
 // While the store is away, entries of live targets lapse. So a missing entry
 // counts as gone only after the store has answered without a break for
-// kSettleTime, in which live targets register again. Not thread-safe.
+// kSettleTime, in which live targets register again. Only targets that the
+// fleet still uses are held so: a reader that was cut off must not bring back
+// what others found gone meanwhile, and so it first hears from its peers for
+// kHearPeersTime. Not thread-safe.
 class RegistryTracker {
  public:
   // Targets register again within about two seconds after the store's return.
   static constexpr Duration kSettleTime = std::chrono::milliseconds(2300);
+  // A peer sends a heartbeat each second and a table within milliseconds.
+  static constexpr Duration kHearPeersTime = std::chrono::milliseconds(1200);
 
   // The store answered with all entries.
   auto OnListed(std::vector<RegisteredTarget> targets, TimePoint now) -> void;
@@ -45,6 +50,8 @@
  private:
   // Whether missing entries are gone.
   [[nodiscard]] auto IsSettled(TimePoint now) const -> bool;
+  // Another reader may have found out already that a missing target is gone.
+  auto DropMissingNotInForce() -> void;
 
   std::map<TargetId, RegisteredTarget> listed_;
   // Entries that went missing before the store was settled.
--- a/src/node/control/store/store_config.h
+++ b/src/node/control/store/store_config.h
@@ -8,16 +8,19 @@
 
 namespace flamingoyoke {
 
-// Where and how often the published store is read.
+// Where and how the published store is read.
 struct StoreConfig {
   std::string host;
   std::uint16_t port = 0;
-  // Between two watches of a reader. Targets renew their entries all the time,
-  // so that a watch hardly ever waits.
-  Duration read_period = std::chrono::milliseconds(400);
+  // How long a watch waits for a change. A watch on a connection that went
+  // silent is found after this time and the timeout below; the other readers
+  // pass changes on meanwhile.
+  Duration watch_time = std::chrono::milliseconds(1500);
   // The store answers in milliseconds; a connection that stays silent for
   // longer has lost its answer for good.
   Duration read_timeout = std::chrono::milliseconds(1000);
+  // Between two watches, so that changes in quick succession share one.
+  Duration watch_pause = std::chrono::milliseconds(50);
   // Seed of the jitter; differs between processes.
   std::uint64_t seed = 0;
 };
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -83,8 +83,8 @@
 
 auto StoreTask::Watch() -> void {
   reader_->Get(
-      dialect_.watch_target(watch_after_, config_.read_period),
-      config_.read_period,
+      dialect_.watch_target(watch_after_, config_.watch_time),
+      config_.watch_time,
       [this](int status, const std::string& body) { OnWatched(status, body); });
 }
 
@@ -171,7 +171,7 @@
   schedule_.DelayAfterAnswer();
   tracker_.OnAnswered(Now());
   Propose();
-  timer_.Schedule(config_.read_period);
+  timer_.Schedule(config_.watch_pause);
 }
 
 auto StoreTask::TakeItem(const StoreItem& item,
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -40,6 +40,39 @@
   return sample;
 }
 
+auto StateOf(const RegisteredTarget& target) -> std::string {
+  if (target.leaving) {
+    return "leaving";
+  }
+  return target.warming ? "warming" : "ready";
+}
+
+// Writes what changed between two registries; `before` may be null.
+auto LogChanges(const Registry* before, const Registry& after) -> void {
+  std::unordered_map<TargetId, const RegisteredTarget*> known;
+  if (before != nullptr) {
+    for (const auto& target : before->targets) {
+      known.emplace(target.id, &target);
+    }
+  }
+  std::string changes;
+  for (const auto& target : after.targets) {
+    const auto found = known.find(target.id);
+    if (found == known.end() || !(*found->second == target)) {
+      changes += " " + target.id.value() + "=" + StateOf(target);
+    }
+    if (found != known.end()) {
+      known.erase(found);
+    }
+  }
+  for (const auto& [id, target] : known) {
+    changes += " " + id.value() + "=gone";
+  }
+  Log(Part::kGateway, LogLevel::kInfo,
+      "registry revision " + std::to_string(after.revision.value()) + " with " +
+          std::to_string(after.targets.size()) + " targets:" + changes);
+}
+
 }  // namespace
 
 GatewayTask::GatewayTask(GatewayConfig config, TrafficOutbox outbox)
@@ -120,6 +153,10 @@
     }
     Log(Part::kGateway, LogLevel::kInfo, "callers are sent to" + entries);
   }
+  const bool registry_changed = !before || before->registry != view_->registry;
+  if (registry_changed && view_->registry) {
+    LogChanges(before ? before->registry.get() : nullptr, *view_->registry);
+  }
   if (routing_changed || before->registry != view_->registry ||
       before->entries != view_->entries) {
     ConfigureServices();
