Let a restarted fleet read the store at once

Change: a vm that its peers told nothing within 0.1 to 0.4 s reads the store itself and is ready with that, since the store answers with its newest state.

--- a/src/decision/fleet/readiness_gate.cc
+++ b/src/decision/fleet/readiness_gate.cc
@@ -19,7 +19,7 @@
       facts.has_list &&
       facts.two_way_peers >= std::min(kPeersToHear, facts.other_vms) &&
       !facts.is_catching_up;
-  is_ready_ = knows_fleet || now >= wait_until_;
+  is_ready_ = knows_fleet || facts.has_read_newest || now >= wait_until_;
   return is_ready_;
 }
 
--- a/src/decision/fleet/readiness_gate.h
+++ b/src/decision/fleet/readiness_gate.h
@@ -23,6 +23,9 @@
   bool has_table = false;
   // Whether a newer version is being fetched from a peer.
   bool is_catching_up = false;
+  // Whether this process has read the newest table itself, so that peers have
+  // nothing to add.
+  bool has_read_newest = false;
   // Whether the platform's list was read, and how many other vms are known
   // that are not dead.
   bool has_list = false;
--- a/src/decision/fleet/table_dissemination.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -57,6 +57,10 @@
   return in_force_.size() == shard_count_;
 }
 
+auto TableDissemination::HasReadAll() const -> bool {
+  return read_shards_.size() >= shard_count_;
+}
+
 auto TableDissemination::InForce(std::uint32_t shard) const
     -> std::optional<TableDigest> {
   const auto found = in_force_.find(shard);
@@ -85,6 +89,7 @@
 auto TableDissemination::Take(const TableTextRead& event, TimePoint /*now*/)
     -> void {
   has_read_ = true;
+  read_shards_.insert(event.shard);
   Consider({event.shard, event.revision, HashOf(event.text)}, event.text);
 }
 
@@ -295,9 +300,10 @@
   if (!started_ || (has_read_ && IsComplete())) {
     return false;
   }
-  if (first_read_ == FirstRead::kIfAlone) {
-    const auto patience = peers_.empty() ? kAloneTime : kUntoldTime;
-    return !IsComplete() && now - *started_ >= patience;
+  if (first_read_ == FirstRead::kIfUntold) {
+    const auto spread = Duration(static_cast<std::int64_t>(
+        first_read_place_ * static_cast<double>(kUntoldSpread.count())));
+    return !IsComplete() && now - *started_ >= kLeastUntoldTime + spread;
   }
   const auto spread = std::max(
       kFirstReadSpread, Duration(static_cast<std::int64_t>(
--- a/src/decision/fleet/table_dissemination.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,22 +42,23 @@
 // arrive within a second.
 inline constexpr Duration kShardMismatchPatience = std::chrono::seconds(2);
 
-// A node that does not read at its start does so after this time if it has no
-// peers, and after the second time if they could not tell it the table.
-inline constexpr Duration kAloneTime = std::chrono::seconds(2);
-inline constexpr Duration kUntoldTime = std::chrono::seconds(5);
+// A node that leaves the first read to its peers waits this long for them, plus
+// a random part of the second time, so that a restart of all nodes is over in
+// less than a second and is still no read of all nodes at once.
+inline constexpr Duration kLeastUntoldTime = std::chrono::milliseconds(120);
+inline constexpr Duration kUntoldSpread = std::chrono::milliseconds(300);
 
 // Whether a fresh node reads the source of the table itself.
 enum class FirstRead {
   kAlways,   // Each node reads once, spread over time.
-  kIfAlone,  // Peers tell it; it reads only if they do not.
+  kIfUntold,  // Peers tell it; it reads only if they do not.
 };
 
 template <>
 struct EnumNames<FirstRead> {
   static constexpr auto kTable = std::to_array<NameEntry<FirstRead>>({
       {FirstRead::kAlways, "always"},
-      {FirstRead::kIfAlone, "if-alone"},
+      {FirstRead::kIfUntold, "if-untold"},
   });
 };
 static_assert(IsDense<FirstRead>());
@@ -80,6 +82,8 @@
   [[nodiscard]] auto Digests() const -> std::vector<TableDigest>;
   // Whether a version of each shard is in force.
   [[nodiscard]] auto IsComplete() const -> bool;
+  // Whether this node has itself read each shard from its source.
+  [[nodiscard]] auto HasReadAll() const -> bool;
   // Whether a newer version is known to exist and is being fetched.
   [[nodiscard]] auto IsCatchingUp() const -> bool { return !pulls_.empty(); }
   // Returns the version in force of `shard`, or nothing.
@@ -135,6 +139,7 @@
   std::size_t fleet_size_ = 1;
   bool is_elected_ = false;
   bool has_read_ = false;
+  std::set<std::uint32_t> read_shards_;
   // Place of the first read in its spread, 0 to 1.
   double first_read_place_ = 0;
   std::optional<TimePoint> started_;
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -45,7 +45,7 @@
       table_dissemination_(config_.table_shards,
                            Random(config_.seed + 1),
                            config_.source == ServiceSource::kPublished
-                               ? FirstRead::kIfAlone
+                               ? FirstRead::kIfUntold
                                : FirstRead::kAlways) {
   if (config_.source == ServiceSource::kPublished) {
     tables_.emplace<PublishedStore>();
@@ -225,6 +225,10 @@
   facts.is_catching_up = table_dissemination_.IsCatchingUp();
   facts.has_list = has_list_;
   facts.other_vms = membership_.list().other_count();
+  // A published store answers with its newest state, unlike a configuration
+  // service that may be stale.
+  facts.has_read_newest = config_.source == ServiceSource::kPublished &&
+                          table_dissemination_.HasReadAll();
   facts.two_way_peers = membership_.TwoWayPeers(now).size();
   const bool ready = readiness_->IsReady(facts, now) && !is_superseded_;
   const auto digests = table_dissemination_.Digests();
