--- a/src/decision/fleet/table_dissemination.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -14,6 +14,8 @@
 
 // The role of a fresh node depends on the time, which needs no precise timer.
 constexpr Duration kRoleCheck = std::chrono::milliseconds(100);
+// A node whose peers may tell it nothing is in more of a hurry.
+constexpr Duration kUntoldCheck = std::chrono::milliseconds(20);
 
 auto IsBefore(const TableDigest& a, const TableDigest& b) -> bool {
   return std::tie(a.revision, a.hash) < std::tie(b.revision, b.hash);
@@ -325,7 +327,8 @@
   }
   std::optional<TimePoint> wake;
   if (started_ && !is_elected_ && (!IsComplete() || role.is_reader)) {
-    wake = now + kRoleCheck;
+    wake = now + (first_read_ == FirstRead::kIfUntold ? kUntoldCheck
+                                                      : kRoleCheck);
   }
   for (const auto& [shard, pull] : pulls_) {
     if (pull.deadline() && (!wake || *pull.deadline() < *wake)) {
--- a/src/decision/fleet/table_dissemination.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -45,8 +45,8 @@
 // A node that leaves the first read to its peers waits this long for them, plus
 // a random part of the second time, so that a restart of all nodes is over in
 // less than a second and is still no read of all nodes at once.
-inline constexpr Duration kLeastUntoldTime = std::chrono::milliseconds(120);
-inline constexpr Duration kUntoldSpread = std::chrono::milliseconds(300);
+inline constexpr Duration kLeastUntoldTime = std::chrono::milliseconds(40);
+inline constexpr Duration kUntoldSpread = std::chrono::milliseconds(200);
 
 // Whether a fresh node reads the source of the table itself.
 enum class FirstRead {
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -298,7 +298,7 @@
       const auto member =
           std::find_if(view_->members.begin(), view_->members.end(),
                        [&](const Member& each) { return each.id == vm; });
-      if (member != view_->members.end()) {
+      if (member != view_->members.end() && !member->address.empty()) {
         addresses.push_back(member->address);
       }
     }
