Let the belief about a target fade in nine seconds

Change: the belief returns to the share of ill targets (30%) within 9 s; only targets that are not held for ill are explored, by a tenth of the requests.

--- a/src/decision/gateway/target_belief.h
+++ b/src/decision/gateway/target_belief.h
@@ -61,9 +61,9 @@
   // Share of time for which a target is expected to be ill. Operators see up
   // to 30% of the targets of a service ill at a time; one that was not heard
   // of for long is held for somewhat better than that.
-  static constexpr double kIllShare = 0.2;
+  static constexpr double kIllShare = 0.3;
   // Time constant of the return to that share; an illness lasts a few seconds.
-  static constexpr Duration kMemory = std::chrono::milliseconds(3000);
+  static constexpr Duration kMemory = std::chrono::milliseconds(9000);
   // Share of requests that fail at a sound and at an ill target.
   static constexpr double kSoundFailureShare = 0.012;
   static constexpr double kIllFailureShare = 0.8;
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -24,7 +24,7 @@
 // Repeatable work looks at targets without evidence for this long.
 constexpr Duration kStaleEvidence = std::chrono::milliseconds(1500);
 // Share of repeatable requests that look at such a target.
-constexpr double kExploreShare = 0.25;
+constexpr double kExploreShare = 0.1;
 // Costs are parts of the value of one request.
 constexpr double kLoadCost = 0.05;
 constexpr double kWarmingCost = 0.08;
@@ -171,7 +171,7 @@
   for (const auto& candidate : candidates) {
     auto& entry = *candidate.entry;
     if (now - entry.belief.last_evidence() < kStaleEvidence ||
-        UsedSlots(entry, now) > 0) {
+        UsedSlots(entry, now) > 0 || candidate.ill > kAvoidAbove) {
       continue;
     }
     if (stalest == nullptr ||
