Let ill targets get only requests that have waited

Cause: the floor made all but 30% of the targets eligible at once, also those that fail most requests, whenever the sound ones were busy.

Change: a target above 75% probability of illness gets only requests that have waited; the limit rises to any target at half of the objective.

--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -20,8 +20,8 @@
 // Repeatable work gets a second attempt after this many typical times.
 constexpr double kHedgeFactor = 3.0;
 constexpr Duration kLeastHedge = std::chrono::milliseconds(80);
-// Share of the objective after which waiting costs more than an ill target.
-constexpr double kUrgentShare = 0.35;
+// Objectives below this are taken for this.
+constexpr double kLeastObjectiveSeconds = 0.01;
 // A request needs at least this part of a typical time to be worth a start.
 constexpr double kLeastPart = 0.5;
 // Before times are known, work is taken to last this part of its objective.
@@ -391,8 +391,9 @@
                    retries_.HasRoom(now_);
   wish.body_bytes = tracked.info.body_bytes;
   wish.tried = &tracked.tried;
-  wish.urgent =
-      now_ - tracked.arrived > Times(kUrgentShare, tracked.info.objective);
+  wish.waited_share =
+      ToSeconds(now_ - tracked.arrived) /
+      std::max(ToSeconds(tracked.info.objective), kLeastObjectiveSeconds);
   return wish;
 }
 
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -13,8 +13,13 @@
 constexpr Duration kRepeatReport = std::chrono::milliseconds(400);
 // A target that shed a request has no room for about half a typical request.
 constexpr Duration kShedPause = std::chrono::milliseconds(60);
-// Above this probability a target gets work only to keep the floor.
+// Above the first probability a target gets work at once only to keep the
+// floor, and above the second one only from requests that had to wait: an ill
+// target is no capacity.
 constexpr double kAvoidAbove = 0.5;
+constexpr double kIllAbove = 0.75;
+// Part of its objective after which a request takes any target.
+constexpr double kPatientShare = 0.5;
 // Below this probability targets count as well and take turns.
 constexpr double kWellBelow = 0.3;
 // A fresh target without any work is tried by repeatable work after the first
@@ -126,7 +131,7 @@
   const auto last = std::clamp<std::size_t>(floor, 1, ill.size()) - 1;
   std::nth_element(ill.begin(), ill.begin() + static_cast<std::ptrdiff_t>(last),
                    ill.end());
-  return std::max(kAvoidAbove, ill[last]);
+  return std::clamp(ill[last], kAvoidAbove, kIllAbove);
 }
 
 auto TargetPool::CostOf(const Entry& entry,
@@ -184,7 +189,8 @@
 
 auto TargetPool::Choose(const TargetWish& wish, TimePoint now)
     -> std::optional<TargetId> {
-  const auto limit = wish.urgent ? 1.0 : IllLimit(now);
+  const auto patience = std::clamp(1 - wish.waited_share / kPatientShare, 0.0, 1.0);
+  const auto limit = 1 - (1 - IllLimit(now)) * patience;
   std::vector<Candidate> candidates;
   for (auto& [id, entry] : targets_) {
     if (!IsUsable(entry) || now < entry.closed_until || IsTried(wish, id) ||
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -27,9 +27,9 @@
   std::uint64_t body_bytes = 0;
   // Targets that the request was sent to before.
   const std::vector<TargetId>* tried = nullptr;
-  // Whether the request has waited so long that an ill target is better than
-  // none.
-  bool urgent = false;
+  // How long the request has waited, as a part of its objective. The longer it
+  // waits for a target that is well, the better an ill one looks.
+  double waited_share = 0;
 };
 
 // The targets of one service as one gateway knows them: who may get work, what
@@ -113,7 +113,7 @@
   [[nodiscard]] static auto IsUsable(const Entry& entry) -> bool;
   [[nodiscard]] static auto UsedSlots(const Entry& entry, TimePoint now)
       -> std::uint32_t;
-  // Highest probability of illness with which a target still gets work.
+  // Highest probability of illness with which a target gets work at once.
   [[nodiscard]] auto IllLimit(TimePoint now) const -> double;
   [[nodiscard]] auto CostOf(const Entry& entry,
                             const TargetWish& wish,
