--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -234,6 +234,8 @@
   evbuffer_unfreeze(output, 1);
   evbuffer_drain(output, evbuffer_get_length(output));
   evbuffer_freeze(output, 1);
+  // The trigger below must be the only end of the write that evhttp sees.
+  bufferevent_disable(bev_, EV_WRITE);
   bufferevent_trigger(bev_, EV_WRITE,
                       BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
 }
--- /dev/null
+++ b/tests/integration/published_store_test.cc
@@ -0,0 +1,360 @@
+#include <criterion/criterion.h>
+
+#include <csignal>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "integration/support/blocking_http.h"
+#include "integration/support/child_process.h"
+#include "integration/support/fleet.h"
+#include "integration/support/standins.h"
+#include "integration/support/wait_until.h"
+
+namespace flamingoyoke::integration {
+namespace {
+
+TestSuite(published_store, .fini = &ChildProcess::EndAll, .timeout = 300);
+
+constexpr int kOk = 200;
+constexpr std::size_t kGateways = 3;
+constexpr const char* kHost = "orders.example";
+
+// Ports that all vms of a platform share.
+struct Ports {
+  int front = ChoosePort();
+  int ready = ChoosePort();
+  int control = ChoosePort();
+  int directory = ChoosePort();
+  int admin = ChoosePort();
+};
+
+auto AddressOf(std::size_t index) -> std::string {
+  return "127.0.1." + std::to_string(index + 1);
+}
+
+auto EndpointAt(const std::string& host, int port) -> NamedEndpoint {
+  return *ParseEndpoint(host + ":" + std::to_string(port));
+}
+
+// A registered target.
+class Target {
+ public:
+  explicit Target(const std::string& id)
+      : id_(id),
+        process_(ProgramPath("tests/standins/standin_target"), {"--id", id}),
+        port_(process_.ReadNumber("port", kStartLimit)) {}
+
+  auto SetMode(BlockingHttp& http, const std::string& mode) -> void {
+    http.Put(port_, "/control/mode?name=" + mode);
+  }
+  auto Counters(BlockingHttp& http) -> nlohmann::json {
+    return nlohmann::json::parse(http.Get(port_, "/control/counters").body);
+  }
+  [[nodiscard]] auto Entry(const std::string& state) const -> std::string {
+    return nlohmann::json{
+        {"address", "127.0.0.1:" + std::to_string(port_)},
+        {"born", 1000},
+        {"info",
+         {{"service", "orders"},
+          {"version", "v1"},
+          {"zone", "a"},
+          {"slots", 4}}},
+        {"status", {{"state", state}, {"seq", 1}, {"warmup_left_ms", 0}}}}
+        .dump();
+  }
+  [[nodiscard]] auto id() const -> const std::string& { return id_; }
+
+ private:
+  std::string id_;
+  ChildProcess process_;
+  int port_;
+};
+
+// A store, targets and gateways as the users' platform starts them.
+class World {
+ public:
+  explicit World(std::size_t targets)
+      : store_(ProgramPath("tests/standins/standin_store"), {}),
+        store_port_(store_.ReadNumber("port", kStartLimit)) {
+    for (std::size_t i = 0; i < targets; ++i) {
+      targets_.push_back(std::make_unique<Target>("i-" + std::to_string(i)));
+      Register(i, "ready");
+    }
+    PublishRoutes("r4", {"/book/"});
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      gateways_.emplace_back();
+      StartGateway(i);
+    }
+  }
+
+  auto Register(std::size_t index, const std::string& state) -> void {
+    http_.Put(store_port_, "/control/item?key=servers/" + targets_[index]->id(),
+              targets_[index]->Entry(state));
+  }
+
+  auto Store(const std::string& method, const std::string& target) -> void {
+    http_.Send(
+        {.server = Loopback(store_port_), .method = method, .target = target});
+  }
+
+  auto PublishRoutes(const std::string& version,
+                     const std::vector<std::string>& prefixes) -> void {
+    nlohmann::json routes;
+    for (const auto& prefix : prefixes) {
+      routes["once" + prefix] = {{"host", kHost},       {"prefix", prefix},
+                                 {"kind", "unsafe"},    {"timeout_ms", 3000},
+                                 {"slo_ms", 1000},      {"priority", 1},
+                                 {"service", "orders"}, {"max_attempts", 2}};
+    }
+    routes["safe"] = routes.begin().value();
+    routes["safe"]["kind"] = "safe";
+    routes["safe"]["prefix"] = "/look/";
+    const nlohmann::json config = {
+        {"version", version},
+        {"routes", routes},
+        {"services",
+         {{"orders", {{"health_path", "/health"}, {"max_conns", 60}}}}},
+        {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 1048576}}}};
+    http_.Put(store_port_, "/control/item?key=op/config", config.dump());
+  }
+
+  auto StartGateway(std::size_t index) -> void {
+    const auto host = AddressOf(index);
+    const auto at = [&](int port) { return host + ":" + std::to_string(port); };
+    auto seeds = nlohmann::json::array();
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      seeds.push_back(AddressOf(i) + ":" + std::to_string(ports_.control));
+    }
+    const nlohmann::json settings = {
+        {"vm",
+         {{"id", host},
+          {"failure_domain", std::string(1, static_cast<char>('a' + index))},
+          {"region", "r"}}},
+        {"caller", {{"address", at(ports_.front)}, {"address_ttl_ms", 500}}},
+        {"mesh", {{"address", at(ports_.control)}}},
+        {"admin", {{"address", at(ports_.admin)}}},
+        {"platform", {{"address", "127.0.0.1:" + std::to_string(store_port_)}}},
+        {"shutdown", {{"hard_limit_ms", 8000}}},
+        {"gateway",
+         {{"source", "published"},
+          {"readiness_address", at(ports_.ready)},
+          {"directory_address", at(ports_.directory)},
+          {"seeds", seeds},
+          {"entries", 2}}}};
+    const auto file = "/tmp/flamingoyoke-" + std::to_string(getpid()) + "-" +
+                      std::to_string(index) + ".json";
+    std::ofstream(file) << settings.dump();
+    gateways_[index] = std::make_unique<ChildProcess>(
+        ProgramPath("flamingoyoked-platform"),
+        std::vector<std::string>{"--settings", file});
+  }
+
+  auto IsReady(std::size_t index) -> bool {
+    const auto answer =
+        http_.Send({.server = EndpointAt(AddressOf(index), ports_.ready),
+                    .target = "/flamingoyoke/ready",
+                    .timeout = std::chrono::seconds(1)});
+    return answer.status == kOk;
+  }
+
+  auto WaitForAll() -> void {
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      cr_assert(WaitUntil([&] { return IsReady(i); }, kFleetLimit),
+                "gateway %zu is not ready", i);
+    }
+  }
+
+  auto Call(std::size_t gateway,
+            const std::string& path,
+            const std::string& id,
+            const std::string& method = "POST") -> HttpAnswer {
+    return http_.Send({.server = EndpointAt(AddressOf(gateway), ports_.front),
+                       .method = method,
+                       .target = path,
+                       .headers = {{"Host", kHost},
+                                   {"X-Request-Id", id},
+                                   {"X-Request-Deadline-Ms", "3000"}},
+                       .body = method == "POST" ? "order" : ""});
+  }
+
+  // Runs of one request at all targets.
+  auto RunsOf(const std::string& id) -> int {
+    int runs = 0;
+    for (auto& target : targets_) {
+      runs += target->Counters(http_)["by_id"].value(id, 0);
+    }
+    return runs;
+  }
+
+  [[nodiscard]] auto http() -> BlockingHttp& { return http_; }
+  [[nodiscard]] auto target(std::size_t index) -> Target& {
+    return *targets_[index];
+  }
+  [[nodiscard]] auto gateway(std::size_t index) -> ChildProcess& {
+    return *gateways_[index];
+  }
+  [[nodiscard]] auto ports() const -> const Ports& { return ports_; }
+
+ private:
+  BlockingHttp http_;
+  Ports ports_;
+  ChildProcess store_;
+  int store_port_;
+  std::vector<std::unique_ptr<Target>> targets_;
+  std::vector<std::unique_ptr<ChildProcess>> gateways_;
+};
+
+}  // namespace
+
+// Guards against a broken path from a caller over the published routes to a
+// registered target, and against changed answers.
+Test(published_store, serves_a_request_and_names_the_entries) {
+  World world(2);
+  world.WaitForAll();
+  const auto answer = world.Call(0, "/book/1", "first");
+  cr_assert_eq(answer.status, kOk, "status %d: %s", answer.status,
+               answer.body.c_str());
+  cr_assert_eq(answer.body, "body of first");
+  cr_assert_eq(answer.Header("X-Request-Id"), "first");
+  cr_assert(!answer.Header("X-Gateway-Signature").empty());
+  cr_assert_eq(world.RunsOf("first"), 1);
+  cr_assert_eq(world.Call(0, "/none/1", "unrouted").status, 404);
+  cr_assert(WaitUntil(
+      [&] {
+        const auto addresses = world.http().Send(
+            {.server = EndpointAt(AddressOf(2), world.ports().directory),
+             .target = "/flamingoyoke/resolve?name=x&region=r&zone=a"});
+        return addresses.status == kOk &&
+               nlohmann::json::parse(addresses.body)["addrs"].size() == 2;
+      },
+      kFleetLimit));
+}
+
+// Guards against once-only work that runs twice, and against "not run" for
+// work that ran, whatever the targets do.
+Test(published_store, runs_once_only_work_at_most_once) {
+  World world(3);
+  world.WaitForAll();
+  constexpr std::size_t kModes = 5;
+  const char* const modes[kModes] = {"error", "reset", "shed", "foreign",
+                                     "normal"};
+  int number = 0;
+  for (const auto* mode : modes) {
+    world.target(0).SetMode(world.http(), mode);
+    world.target(1).SetMode(world.http(), mode);
+    for (int i = 0; i < 12; ++i) {
+      const auto id = "order-" + std::to_string(++number);
+      const auto answer =
+          world.Call(static_cast<std::size_t>(i) % kGateways, "/book/1", id);
+      const auto runs = world.RunsOf(id);
+      cr_assert_leq(runs, 1, "%s %s", mode, id.c_str());
+      if (answer.status == kOk) {
+        cr_assert_eq(answer.body, "body of " + id);
+        cr_assert_eq(runs, 1);
+      }
+      if (answer.status == 503 || answer.status == 429) {
+        cr_assert_eq(runs, 0, "%s %s", mode, id.c_str());
+      }
+    }
+  }
+}
+
+// Guards against failures that a second target would have spared the caller.
+Test(published_store, repeats_safe_work_on_another_target) {
+  World world(3);
+  world.WaitForAll();
+  world.target(0).SetMode(world.http(), "error");
+  int failed = 0;
+  for (int i = 0; i < 20; ++i) {
+    const auto answer =
+        world.Call(0, "/look/1", "look-" + std::to_string(i), "GET");
+    failed += answer.status == kOk ? 0 : 1;
+  }
+  cr_assert_leq(failed, 1);
+}
+
+// Guards against work for a target two seconds after it announced its leaving,
+// and against a removed entry that comes back.
+Test(published_store, gives_no_work_to_a_leaving_target) {
+  World world(2);
+  world.WaitForAll();
+  world.Register(0, "draining");
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  const auto before = world.target(0).Counters(world.http())["runs"];
+  for (int i = 0; i < 15; ++i) {
+    world.Call(static_cast<std::size_t>(i) % kGateways, "/book/1",
+               "drain-" + std::to_string(i));
+  }
+  cr_assert_eq(world.target(0).Counters(world.http())["runs"], before);
+  cr_assert_eq(world.Call(0, "/book/1", "after-drain").status, kOk);
+}
+
+// Guards against an outage of the store that stops traffic or brings back an
+// older configuration, and against changes that stay unseen when it forgot its
+// history.
+Test(published_store, outlasts_the_store_and_its_history) {
+  World world(2);
+  world.WaitForAll();
+  world.Store("PUT", "/control/mode?down=1");
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  cr_assert_eq(world.Call(0, "/book/1", "store-down").status, kOk);
+  world.PublishRoutes("r9", {"/book/", "/new/"});
+  world.Store("PUT", "/control/compact");
+  world.Store("PUT", "/control/mode?down=0");
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    cr_assert(WaitUntil(
+        [&] { return world.Call(i, "/new/1", "new-route").status == kOk; },
+        kFleetLimit));
+  }
+  // An older version must not replace it.
+  world.PublishRoutes("r5", {"/book/"});
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  cr_assert_eq(world.Call(0, "/new/1", "still-there").status, kOk);
+}
+
+// Guards against a fleet that does not come back when all vms lost power.
+Test(published_store, recovers_after_all_gateways_were_killed) {
+  World world(2);
+  world.WaitForAll();
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    world.gateway(i).Signal(SIGKILL);
+    world.gateway(i).WaitForExit(std::chrono::seconds(20));
+  }
+  for (std::size_t i = 0; i < kGateways; ++i) {
+    world.StartGateway(i);
+  }
+  world.WaitForAll();
+  cr_assert_eq(world.Call(1, "/book/1", "back").status, kOk);
+}
+
+// Guards against a stop that cuts work off, and against a vm that counts as
+// ready while it leaves.
+Test(published_store, sigterm_finishes_what_runs) {
+  World world(2);
+  world.WaitForAll();
+  BlockingHttp callers;
+  constexpr int kRequests = 8;
+  for (int i = 0; i < kRequests; ++i) {
+    callers.Begin({.server = EndpointAt(AddressOf(0), world.ports().front),
+                   .method = "POST",
+                   .target = "/book/1",
+                   .headers = {{"Host", kHost},
+                               {"X-Request-Id", "stop-" + std::to_string(i)},
+                               {"X-Request-Deadline-Ms", "3000"}},
+                   .body = "order"});
+  }
+  callers.RunFor(std::chrono::milliseconds(15));
+  world.gateway(0).Signal(SIGTERM);
+  for (const auto& answer : callers.WaitForAll()) {
+    cr_assert_eq(answer.status, kOk);
+  }
+  cr_assert_not(world.IsReady(0));
+  cr_assert_eq(world.gateway(0).WaitForExit(std::chrono::seconds(20)), 0);
+}
+
+}  // namespace flamingoyoke::integration
--- a/tests/integration/support/fleet.cc
+++ b/tests/integration/support/fleet.cc
@@ -39,18 +39,6 @@
   return is_free;
 }
 
-// Returns a free port, another one at each call. Test programs that run at the
-// same time start at different ports.
-auto ChoosePort() -> int {
-  static int offset = getpid() * kPortsPerProcess;
-  while (true) {
-    const int port = kFirstPort + offset++ % kPortCount;
-    if (IsFree(port)) {
-      return port;
-    }
-  }
-}
-
 auto DomainOf(std::size_t index) -> std::string {
   return std::string(1, kDomains[index % kDomainCount]);
 }
@@ -78,6 +66,16 @@
 
 }  // namespace
 
+auto ChoosePort() -> int {
+  static int offset = getpid() * kPortsPerProcess;
+  while (true) {
+    const int port = kFirstPort + offset++ % kPortCount;
+    if (IsFree(port)) {
+      return port;
+    }
+  }
+}
+
 Vm::Vm(std::size_t index)
     : id_("vm-" + std::to_string(index)),
       failure_domain_(DomainOf(index)),
--- a/tests/integration/support/fleet.h
+++ b/tests/integration/support/fleet.h
@@ -17,6 +17,10 @@
 // sanitizers.
 inline constexpr auto kFleetLimit = std::chrono::seconds(60);
 
+// Returns a free port, another one at each call. Test programs that run at the
+// same time start at different ports.
+auto ChoosePort() -> int;
+
 // One vm of a test fleet. Its ports stay the same over restarts.
 class Vm {
  public:
--- /dev/null
+++ b/tests/standins/store/store_task.h
@@ -0,0 +1,77 @@
+#ifndef FLAMINGOYOKE_TESTS_STANDINS_STORE_STORE_TASK_H_
+#define FLAMINGOYOKE_TESTS_STANDINS_STORE_STORE_TASK_H_
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/result.h"
+#include "runtime/task.h"
+#include "standins/common/http_exchange.h"
+#include "standins/common/http_server.h"
+#include "standins/common/run_task.h"
+#include "standins/common/timer_queue.h"
+
+namespace flamingoyoke::standin {
+
+// The users' published store as their protocol describes it: lists and watches
+// of items. Control:
+//   PUT    /control/item?key=K     publishes the body under the key
+//   DELETE /control/item?key=K     removes the key
+//   PUT    /control/compact        forgets all changes so far
+//   PUT    /control/mode?down=1|0  answers reads with 503
+//   GET    /control/counters       JSON with the calls so far
+class StoreTask {
+ public:
+  using Message = StandinMessage;
+
+  explicit StoreTask(std::uint16_t port);
+
+  auto Start(TaskContext& context) -> Result<void>;
+  auto Handle(Message message) -> Result<void>;
+  auto Stop(StopMode mode) -> void;
+
+ private:
+  struct Change {
+    std::string key;
+    // Not set if the key was removed.
+    std::optional<std::string> value;
+    std::uint64_t revision = 0;
+  };
+  struct Watch {
+    std::string prefix;
+    std::uint64_t after = 0;
+    HttpExchange exchange;
+  };
+
+  auto OnRequest(HttpExchange exchange) -> void;
+  auto OnControl(HttpExchange exchange) -> void;
+  auto OnList(HttpExchange exchange) -> void;
+  auto OnWatch(HttpExchange exchange) -> void;
+  auto Commit(const std::string& key, std::optional<std::string> value) -> void;
+  auto AnswerWatches() -> void;
+  // Returns the changes under `prefix` after a revision.
+  [[nodiscard]] auto EventsAfter(const std::string& prefix,
+                                 std::uint64_t after) const -> nlohmann::json;
+
+  std::uint16_t port_;
+  TaskContext* context_ = nullptr;
+  std::map<std::string, Change> items_;
+  std::vector<Change> history_;
+  std::uint64_t revision_ = 1;
+  // Changes up to this revision are forgotten.
+  std::uint64_t compacted_ = 0;
+  bool is_down_ = false;
+  std::uint64_t reads_ = 0;
+  std::uint64_t next_watch_ = 0;
+  std::optional<HttpServer> server_;
+  std::optional<TimerQueue> timers_;
+  std::map<std::uint64_t, Watch> watches_;
+};
+
+}  // namespace flamingoyoke::standin
+
+#endif  // FLAMINGOYOKE_TESTS_STANDINS_STORE_STORE_TASK_H_
--- /dev/null
+++ b/tests/standins/target/target_task.h
@@ -0,0 +1,82 @@
+#ifndef FLAMINGOYOKE_TESTS_STANDINS_TARGET_TARGET_TASK_H_
+#define FLAMINGOYOKE_TESTS_STANDINS_TARGET_TARGET_TASK_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "core/name_table.h"
+#include "core/result.h"
+#include "runtime/task.h"
+#include "standins/common/http_exchange.h"
+#include "standins/common/http_server.h"
+#include "standins/common/run_task.h"
+#include "standins/common/timer_queue.h"
+
+namespace flamingoyoke::standin {
+
+// What a registered target does with requests.
+enum class TargetMode {
+  kNormal,
+  kError,    // Runs the request and answers 500.
+  kReset,    // Runs the request and closes the connection.
+  kShed,     // Does not run the request and says so.
+  kHang,     // Runs the request and does not answer.
+  kForeign,  // Answers with the id of another request.
+};
+
+template <>
+struct EnumNames<TargetMode> {
+  static constexpr auto kTable = std::to_array<NameEntry<TargetMode>>({
+      {TargetMode::kNormal, "normal"},
+      {TargetMode::kError, "error"},
+      {TargetMode::kReset, "reset"},
+      {TargetMode::kShed, "shed"},
+      {TargetMode::kHang, "hang"},
+      {TargetMode::kForeign, "foreign"},
+  });
+};
+static_assert(IsDense<TargetMode>());
+
+struct TargetOptions {
+  std::uint16_t port = 0;
+  std::string id;
+  std::int64_t service_ms = 20;
+};
+
+// A target of the users' platform, which registers nothing itself. Control:
+//   PUT /control/mode?name=<mode>  switches the mode
+//   GET /control/counters          JSON with the runs of each request id
+class TargetTask {
+ public:
+  using Message = StandinMessage;
+
+  explicit TargetTask(TargetOptions options);
+
+  auto Start(TaskContext& context) -> Result<void>;
+  auto Handle(Message message) -> Result<void>;
+  auto Stop(StopMode mode) -> void;
+
+ private:
+  auto OnRequest(HttpExchange exchange) -> void;
+  auto OnControl(HttpExchange exchange) -> void;
+  auto Run(HttpExchange exchange) -> void;
+  auto Finish(std::uint64_t number) -> void;
+
+  const TargetOptions options_;
+  TaskContext* context_ = nullptr;
+  TargetMode mode_ = TargetMode::kNormal;
+  std::uint64_t runs_ = 0;
+  std::uint64_t misdirected_ = 0;
+  std::map<std::string, int> runs_by_id_;
+  std::uint64_t next_running_ = 0;
+  std::map<std::uint64_t, HttpExchange> running_;
+  std::optional<HttpServer> server_;
+  std::optional<TimerQueue> timers_;
+};
+
+}  // namespace flamingoyoke::standin
+
+#endif  // FLAMINGOYOKE_TESTS_STANDINS_TARGET_TARGET_TASK_H_
--- /dev/null
+++ b/tests/unit/platform/store_values_test.cc
@@ -0,0 +1,148 @@
+#include "platform/store_values.h"
+
+#include <criterion/criterion.h>
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "platform/dialect.h"
+
+namespace flamingoyoke::platform {
+namespace {
+
+constexpr const char* kConfig = R"({"version":"r7","routes":{
+  "r-1":{"host":"a.example","prefix":"/x/","kind":"unsafe","timeout_ms":1200,
+         "slo_ms":600,"priority":1,"service":"s1","max_attempts":2},
+  "r-2":{"host":"b.example","prefix":"/y/","kind":"safe","timeout_ms":1000,
+         "slo_ms":500,"priority":2,"max_attempts":2,
+         "traffic_split":[{"service":"s1","weight":90},
+                          {"service":"s2","weight":10}]},
+  "r-3":{"host":"b.example","prefix":"/z/","kind":"upload","service":"s2"}},
+  "services":{"s1":{"health_path":"/health","max_conns":330},
+              "s2":{"health_path":"/health","max_conns":330}},
+  "limits":{"max_header_bytes":16384,"max_body_bytes":67108864,
+            "header_timeout_ms":3000,"idle_timeout_ms":15000}})";
+
+constexpr const char* kEntry =
+    R"({"address":"10.128.0.9:8080","born":1780000000000,
+        "info":{"service":"s1","version":"v1","zone":"z","slots":2},
+        "status":{"state":"ready","seq":4,"warmup_left_ms":120}})";
+
+auto FindRoute(const Routing& routing, const std::string& name) -> Route {
+  for (const auto& route : routing.routes) {
+    if (route.name == name) {
+      return route;
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+// Guards against names of the platform that are read wrongly, above all what
+// may be repeated.
+Test(store_values, reads_a_configuration) {
+  std::optional<Routing> routing;
+  const auto error = CaptureInto(routing, [] { return ReadRouting(kConfig); });
+  cr_assert_not(error);
+  cr_assert_eq(routing->revision, Revision(7));
+  cr_assert_eq(routing->routes.size(), 3U);
+  const auto once = FindRoute(*routing, "r-1");
+  cr_assert(once.repeatability == Repeatability::kOnce);
+  cr_assert_eq(ToMilliseconds(once.timeout), 1200);
+  cr_assert_eq(ToMilliseconds(once.objective), 600);
+  cr_assert_eq(once.max_attempts, 2U);
+  const auto split = FindRoute(*routing, "r-2");
+  cr_assert(split.repeatability == Repeatability::kRepeatable);
+  cr_assert_eq(split.shares.size(), 2U);
+  cr_assert_eq(split.shares[1].weight, 10U);
+  cr_assert(FindRoute(*routing, "r-3").repeatability == Repeatability::kOnce);
+  cr_assert_eq(routing->bounds.max_body_bytes, 67'108'864U);
+  cr_assert_eq(routing->services.front().max_connections, 330U);
+}
+
+// Guards against a broken configuration that replaces a good one.
+Test(store_values, refuses_what_is_no_configuration) {
+  for (const std::string text :
+       {"", "{", "[]", R"({"version":7,"routes":{},"services":{}})",
+        R"({"version":"7","routes":{},"services":{}})",
+        R"({"version":"rx","routes":{},"services":{}})",
+        R"({"version":"r7","services":{}})",
+        R"({"version":"r7","routes":{"a":{"host":"h"}},"services":{}})"}) {
+    std::optional<Routing> routing;
+    cr_assert(CaptureInto(routing, [&] { return ReadRouting(text); }), "%s",
+              text.c_str());
+  }
+}
+
+Test(store_values, reads_an_entry) {
+  std::optional<RegisteredTarget> target;
+  cr_assert_not(
+      CaptureInto(target, [] { return ReadTarget(TargetId("i-1"), kEntry); }));
+  cr_assert_eq(target->id, TargetId("i-1"));
+  cr_assert_eq(target->host, "10.128.0.9");
+  cr_assert_eq(target->port, 8080);
+  cr_assert_eq(target->slots, 2U);
+  cr_assert(target->warming);
+  cr_assert_not(target->leaving);
+  cr_assert_eq(target->started_ms, 1'780'000'000'000);
+}
+
+// Guards against work for an entry of another writer that names no target.
+Test(store_values, refuses_entries_that_name_no_target) {
+  const std::string good = kEntry;
+  const auto with = [&](const std::string& from, const std::string& to) {
+    auto text = good;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+  };
+  for (const auto& text :
+       {with("\"ready\"", "\"asleep\""), with("10.128.0.9:8080", "nowhere"),
+        with("\"slots\":2", "\"slots\":\"two\""), with("\"zone\":\"z\",", ""),
+        std::string("\xFF\xFE")}) {
+    std::optional<RegisteredTarget> target;
+    cr_assert(
+        CaptureInto(target, [&] { return ReadTarget(TargetId("i-1"), text); }));
+  }
+}
+
+Test(store_values, reads_lists_and_watches) {
+  std::optional<StorePage> page;
+  cr_assert_not(CaptureInto(page, [] {
+    return ReadPage(
+        R"({"items":[{"key":"a","value":"bm9kZS0x","rev":4}],"has_more":true,"as_of":530})");
+  }));
+  cr_assert_eq(page->items.front().value, "node-1");
+  cr_assert(page->has_more);
+  cr_assert_eq(page->as_of, 530U);
+  page.reset();
+  cr_assert_not(CaptureInto(page, [] {
+    return ReadPage(
+        R"({"events":[{"key":"b","rev":5,"tombstone":true}],"as_of":5})");
+  }));
+  cr_assert(page->items.front().removed);
+  page.reset();
+  cr_assert(CaptureInto(page, [] {
+    return ReadPage(R"({"items":[{"key":"a","value":"?","rev":4}],"as_of":1})");
+  }));
+}
+
+Test(store_values, knows_its_keys) {
+  const auto dialect = MakeDialect();
+  const auto& read = dialect.store.read_key;
+  cr_assert(std::holds_alternative<RoutingKey>(read("op/config")));
+  cr_assert(std::holds_alternative<OtherKey>(read("op/other")));
+  cr_assert(std::holds_alternative<OtherKey>(read("servers/")));
+  const auto key = read("servers/i-1");
+  cr_assert_eq(std::get<TargetKey>(key).target, TargetId("i-1"));
+}
+
+Test(store_values, writes_addresses_as_callers_read_them) {
+  const auto dialect = MakeDialect();
+  cr_assert_eq(dialect.gateway.write_addresses({"10.1.0.18:8381"},
+                                               std::chrono::seconds(2)),
+               R"({"addrs":["10.1.0.18:8381"],"ttl_s":2.0})");
+}
+
+}  // namespace flamingoyoke::platform
--- /dev/null
+++ b/tests/unit/wire/published_codec_test.cc
@@ -0,0 +1,75 @@
+#include "wire/published_codec.h"
+
+#include <criterion/criterion.h>
+
+#include <optional>
+
+namespace flamingoyoke {
+namespace {
+
+auto SampleRouting() -> Routing {
+  Route route;
+  route.name = "r-1";
+  route.host = "a.example";
+  route.prefix = "/x/";
+  route.repeatability = Repeatability::kOnce;
+  route.timeout = std::chrono::milliseconds(1200);
+  route.objective = std::chrono::milliseconds(600);
+  route.priority = 2;
+  route.max_attempts = 3;
+  route.shares = {{ServiceId("a"), 90}, {ServiceId("b"), 10}};
+  Routing routing;
+  routing.revision = Revision(7);
+  routing.routes = {route};
+  routing.services = {{ServiceId("a"), "/health", 330}};
+  routing.bounds.max_body_bytes = 64 << 20;
+  return routing;
+}
+
+}  // namespace
+
+// Guards against fields that are lost on the way between nodes.
+Test(published_codec, returns_what_was_encoded) {
+  const auto routing = SampleRouting();
+  std::optional<Routing> decoded;
+  cr_assert_not(CaptureInto(decoded, [&] {
+    return DecodeRouting(EncodeRouting(routing), Revision(7));
+  }));
+  cr_assert(*decoded == routing);
+  Registry registry;
+  registry.revision = Revision(9);
+  registry.targets = {{TargetId("i-1"), ServiceId("a"), "10.0.0.1", 8080,
+                       FailureDomainId("z"), 2, true, true, 1234}};
+  std::optional<Registry> targets;
+  cr_assert_not(CaptureInto(targets, [&] {
+    return DecodeRegistry(EncodeRegistry(registry), Revision(9));
+  }));
+  cr_assert(*targets == registry);
+}
+
+// Guards against readers that announce equal versions as different ones.
+Test(published_codec, equal_values_give_equal_bytes) {
+  auto later = SampleRouting();
+  later.revision = Revision(8);
+  cr_assert_eq(EncodeRouting(SampleRouting()), EncodeRouting(later));
+}
+
+// Guards against a route without a service that is put in force.
+Test(published_codec, refuses_what_no_node_encodes) {
+  auto routing = SampleRouting();
+  routing.routes.front().shares.clear();
+  std::optional<Routing> decoded;
+  cr_assert(CaptureInto(decoded, [&] {
+    return DecodeRouting(EncodeRouting(routing), Revision(1));
+  }));
+  cr_assert(CaptureInto(decoded,
+                        [] { return DecodeRouting("\xFF\xFF", Revision(1)); }));
+  std::optional<Registry> registry;
+  Registry bad;
+  bad.targets.emplace_back();
+  cr_assert(CaptureInto(registry, [&] {
+    return DecodeRegistry(EncodeRegistry(bad), Revision(1));
+  }));
+}
+
+}  // namespace flamingoyoke
