Never write to a connection that was given up

On a vm that woke up from a freeze the connect limit passed in the same turn of the loop in which the connection came up; the attempt was reported as not sent, and evhttp wrote the request before the connection was freed. An abandoned attempt was written in the same way.

Change: a connection that is given up or abandoned loses evhttp's callbacks at once. The test writes_nothing_after_it_was_abandoned failed before (the request was received) and passes now.

--- a/src/node/control/fleet/fleet_config.h
+++ b/src/node/control/fleet/fleet_config.h
@@ -17,15 +17,15 @@
   // Id, incarnation, addresses, failure domain and region of this vm. The
   // incarnation is positive and higher than that of an earlier process.
   Member self;
+  // Number of keys that the table is split over; positive.
+  std::uint32_t table_shards = 1;
+  std::uint64_t seed = 0;
   // Where the services come from.
   ServiceSource source = ServiceSource::kTable;
   // Vms to learn the others from, where the platform lists none.
   std::vector<Member> seeds;
   // Vms that callers of routed services are sent to.
   std::uint32_t entries = 3;
-  // Number of keys that the table is split over; positive.
-  std::uint32_t table_shards = 1;
-  std::uint64_t seed = 0;
 };
 
 // Where the fleet task sends its orders and news.
--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -246,6 +246,13 @@
   busy_ = false;
   spent_ = true;
   timer_.Cancel();
+  StopAllIo();
+}
+
+auto UpstreamConnection::StopAllIo() -> void {
+  // libevent goes on connecting while writing is disabled, and evhttp would
+  // write the request once the connection is there.
+  bufferevent_setcb(bev_, nullptr, nullptr, nullptr, nullptr);
   bufferevent_disable(bev_, EV_READ | EV_WRITE);
 }
 
@@ -360,7 +367,7 @@
     return;
   }
   const auto result = FailureResult(AttemptResult::kTimeout);
-  bufferevent_disable(bev_, EV_READ | EV_WRITE);
+  StopAllIo();
   spent_ = true;
   End(result);
 }
--- a/src/node/traffic/upstream_connection.h
+++ b/src/node/traffic/upstream_connection.h
@@ -113,6 +113,8 @@
     }
   };
 
+  // Lets evhttp neither read nor write any more on this connection.
+  auto StopAllIo() -> void;
   // Bytes came in while the request is still being written.
   auto OnEarlyInput() -> void;
   // Lets the kernel find out that the connection went silent.
--- a/tests/standins/target/target_task.h
+++ b/tests/standins/target/target_task.h
@@ -27,18 +27,26 @@
   kForeign,  // Answers with the id of another request.
 };
 
+}  // namespace flamingoyoke::standin
+
+namespace flamingoyoke {
+
 template <>
-struct EnumNames<TargetMode> {
-  static constexpr auto kTable = std::to_array<NameEntry<TargetMode>>({
-      {TargetMode::kNormal, "normal"},
-      {TargetMode::kError, "error"},
-      {TargetMode::kReset, "reset"},
-      {TargetMode::kShed, "shed"},
-      {TargetMode::kHang, "hang"},
-      {TargetMode::kForeign, "foreign"},
+struct EnumNames<standin::TargetMode> {
+  static constexpr auto kTable = std::to_array<NameEntry<standin::TargetMode>>({
+      {standin::TargetMode::kNormal, "normal"},
+      {standin::TargetMode::kError, "error"},
+      {standin::TargetMode::kReset, "reset"},
+      {standin::TargetMode::kShed, "shed"},
+      {standin::TargetMode::kHang, "hang"},
+      {standin::TargetMode::kForeign, "foreign"},
   });
 };
-static_assert(IsDense<TargetMode>());
+static_assert(IsDense<standin::TargetMode>());
+
+}  // namespace flamingoyoke
+
+namespace flamingoyoke::standin {
 
 struct TargetOptions {
   std::uint16_t port = 0;
