Let other vms read the store when it turns the readers away

The store turned away just the vms that read it for all; their watch noticed after 2.5 s, and nobody read in their place.

Change: a reader that lost the store says so to the fleet; the next vms in order read. A lost store is noticed within 1.1 s (watch 600 ms, answer 500 ms).

--- a/src/decision/fleet/entry_set.cc
+++ b/src/decision/fleet/entry_set.cc
@@ -28,13 +28,18 @@
 
 auto ReaderVms(const std::vector<Member>& members, std::size_t size)
     -> std::vector<VmId> {
-  std::vector<std::size_t> indexes;
+  std::vector<std::size_t> able;
+  std::vector<std::size_t> lost;
   for (std::size_t i = 0; i < members.size(); ++i) {
     if (members[i].liveness == Liveness::kAlive && !members[i].leaving) {
-      indexes.push_back(i);
+      (members[i].lost_source ? lost : able).push_back(i);
     }
   }
-  return Best(members, indexes, size);
+  auto readers = Best(members, able, size);
+  for (const auto& vm : Best(members, lost, size - readers.size())) {
+    readers.push_back(vm);
+  }
+  return readers;
 }
 
 }  // namespace flamingoyoke
--- a/src/decision/fleet/entry_set.h
+++ b/src/decision/fleet/entry_set.h
@@ -18,7 +18,8 @@
 
 // Returns the vms that read the published configuration and the registry for
 // all: the first of the vms that callers are sent to, and before any vm is
-// ready those that will be. Thread-safe.
+// ready those that will be. Vms that lost the store come last: it may turn some
+// away and serve others. Thread-safe.
 auto ReaderVms(const std::vector<Member>& members, std::size_t size)
     -> std::vector<VmId>;
 
--- a/src/decision/fleet/member.h
+++ b/src/decision/fleet/member.h
@@ -43,6 +43,9 @@
   bool leaving = false;
   // Whether the vm has a table in force and takes callers.
   bool ready = false;
+  // Whether the vm cannot read the source of services that it should read for
+  // others.
+  bool lost_source = false;
   // Rises with each change that the vm announces of itself, and when it
   // refutes a claim that it is dead.
   std::uint64_t version = 0;
--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -121,8 +121,9 @@
 
 auto Membership::Take(const SelfAnnounced& event, TimePoint now) -> void {
   tables_ = event.tables;
-  if (self_.ready != event.ready) {
+  if (self_.ready != event.ready || self_.lost_source != event.lost_source) {
     self_.ready = event.ready;
+    self_.lost_source = event.lost_source;
     AnnounceSelf(now);
   }
 }
--- a/src/decision/fleet/membership_event.h
+++ b/src/decision/fleet/membership_event.h
@@ -28,6 +28,8 @@
 struct SelfAnnounced {
   bool ready = false;
   std::vector<TableDigest> tables;
+  // Whether it cannot read the source of services that it should read.
+  bool lost_source = false;
 };
 
 // The other members of the home sets that this vm belongs to.
--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -357,7 +357,7 @@
 }
 
 auto PoolDispatcher::Tell() -> void {
-  if (!pool_.has_news() || now_ - last_told_ < kTellPeriod) {
+  if (!pool_.has_news() || (last_told_ && now_ - *last_told_ < kTellPeriod)) {
     return;
   }
   last_told_ = now_;
--- a/src/decision/gateway/pool_dispatcher.h
+++ b/src/decision/gateway/pool_dispatcher.h
@@ -134,7 +134,7 @@
   std::set<QueueKey> queue_;
   PoolCounters counters_;
   std::uint64_t last_attempt_ = 0;
-  TimePoint last_told_ = TimePoint::min();
+  std::optional<TimePoint> last_told_;
   std::optional<TimePoint> ordered_wake_;
   std::vector<PoolAction> actions_;
 };
--- a/src/decision/gateway/target_belief.cc
+++ b/src/decision/gateway/target_belief.cc
@@ -44,14 +44,18 @@
 }
 
 auto TargetBelief::IllProbability(TimePoint now) const -> double {
-  if (last_ == TimePoint::min()) {
+  if (!last_) {
     return kIllShare;
   }
-  const auto age = std::max(now - last_, Duration::zero());
+  const auto age = EvidenceAge(now);
   const auto kept = std::exp(-ToSeconds(age) / ToSeconds(kMemory));
   return kIllShare + (ill_ - kIllShare) * kept;
 }
 
+auto TargetBelief::EvidenceAge(TimePoint now) const -> Duration {
+  return last_ ? std::max(now - *last_, Duration::zero()) : Duration::max();
+}
+
 auto TargetBelief::FailureProbability(TimePoint now) const -> double {
   const auto ill = IllProbability(now);
   return ill * kIllFailureShare + (1 - ill) * kSoundFailureShare;
--- a/src/decision/gateway/target_belief.h
+++ b/src/decision/gateway/target_belief.h
@@ -2,7 +2,7 @@
 #define FLAMINGOYOKE_DECISION_GATEWAY_TARGET_BELIEF_H_
 
 #include <array>
-#include <cstdint>
+#include <optional>
 
 #include "core/name_table.h"
 #include "core/time.h"
@@ -50,12 +50,12 @@
   // Returns the probability that the next request fails, 0 to 1.
   [[nodiscard]] auto FailureProbability(TimePoint now) const -> double;
 
-  // Time of the last observation; TimePoint::min() if there was none.
-  [[nodiscard]] auto last_evidence() const -> TimePoint { return last_; }
+  // Time since the last observation; Duration::max() if there was none.
+  [[nodiscard]] auto EvidenceAge(TimePoint now) const -> Duration;
 
  private:
   double ill_ = kIllShare;
-  TimePoint last_ = TimePoint::min();
+  std::optional<TimePoint> last_;
 
  public:
   // Share of time for which a target is expected to be ill. Operators see up
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -175,12 +175,12 @@
   Entry* stalest = nullptr;
   for (const auto& candidate : candidates) {
     auto& entry = *candidate.entry;
-    if (now - entry.belief.last_evidence() < kStaleEvidence ||
-        UsedSlots(entry, now) > 0 || candidate.ill > kAvoidAbove) {
+    const auto age = entry.belief.EvidenceAge(now);
+    if (age < kStaleEvidence || UsedSlots(entry, now) > 0 ||
+        candidate.ill > kAvoidAbove) {
       continue;
     }
-    if (stalest == nullptr ||
-        entry.belief.last_evidence() < stalest->belief.last_evidence()) {
+    if (stalest == nullptr || age > stalest->belief.EvidenceAge(now)) {
       stalest = &entry;
     }
   }
@@ -189,7 +189,8 @@
 
 auto TargetPool::Choose(const TargetWish& wish, TimePoint now)
     -> std::optional<TargetId> {
-  const auto patience = std::clamp(1 - wish.waited_share / kPatientShare, 0.0, 1.0);
+  const auto patience =
+      std::clamp(1 - wish.waited_share / kPatientShare, 0.0, 1.0);
   const auto limit = 1 - (1 - IllLimit(now)) * patience;
   std::vector<Candidate> candidates;
   for (auto& [id, entry] : targets_) {
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -19,6 +19,9 @@
 // Each call to the store is billed. Three readers of different failure domains
 // leave two when one of them is cut off.
 constexpr std::size_t kPublishedReaders = 3;
+// A vm that lost the store is a reader again after this time, unless it has
+// lost it by then for good.
+constexpr Duration kSourceRetry = std::chrono::seconds(8);
 constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
 
 auto DelayUntil(TimePoint at) -> Duration {
@@ -68,6 +71,7 @@
   pause_timer_ = loop.MakeTimer(
       [this] { Decide(PauseTick{membership_.peer_count() > 0}); });
   readiness_timer_ = loop.MakeTimer([this] { UpdateReadiness(); });
+  source_timer_ = loop.MakeTimer([this] { SetLostSource(false); });
   publish_timer_ = loop.MakeTimer([this] { Publish(); });
   metrics_timer_ =
       loop.MakePeriodicTimer(kMetricsPeriod, [this] { ReportMetrics(); });
@@ -112,6 +116,23 @@
       TableTextRead{message.shard, message.revision, std::move(message.text)});
 }
 
+auto FleetTask::TakeMessage(const SourceStateChanged& message) -> void {
+  SetLostSource(!message.is_available);
+}
+
+auto FleetTask::SetLostSource(bool lost) -> void {
+  if (lost) {
+    source_timer_.Schedule(kSourceRetry);
+  } else {
+    source_timer_.Cancel();
+  }
+  if (std::exchange(lost_source_, lost) == lost) {
+    return;
+  }
+  Decide(SelfAnnounced{is_ready_, announced_tables_, lost_source_});
+  PublishSoon();
+}
+
 auto FleetTask::TakeMessage(const LeavingStarted& /*message*/) -> void {
   Decide(LeavingDeclared{});
   Publish();
@@ -237,7 +258,7 @@
   }
   is_ready_ = ready;
   announced_tables_ = digests;
-  Decide(SelfAnnounced{is_ready_, announced_tables_});
+  Decide(SelfAnnounced{is_ready_, announced_tables_, lost_source_});
   PublishSoon();
 }
 
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -42,6 +42,7 @@
   auto TakeMessage(PeerMessageReceived message) -> void;
   auto TakeMessage(const VmListRead& message) -> void;
   auto TakeMessage(TableRead message) -> void;
+  auto TakeMessage(const SourceStateChanged& message) -> void;
   auto TakeMessage(const LeavingStarted& message) -> void;
 
   // Passes an event to a decision and carries out its actions.
@@ -62,6 +63,7 @@
   auto Act(const PauseDetected& action) -> void;
   auto Act(const WakePauseDetectorAt& action) -> void;
 
+  auto SetLostSource(bool lost) -> void;
   auto UpdateReadiness() -> void;
   auto UpdateTableDissemination() -> void;
   auto TellTableDissemination(const std::vector<Member>& members) -> void;
@@ -94,6 +96,8 @@
   bool has_list_ = false;
   bool is_ready_ = false;
   bool is_superseded_ = false;
+  // Whether others should read the published store in place of this vm.
+  bool lost_source_ = false;
   std::vector<TableDigest> announced_tables_;
   std::vector<VmId> two_way_peers_;
   std::set<VmId> home_peers_;
@@ -108,6 +112,7 @@
   EventLoop::Handle readiness_timer_;
   EventLoop::Handle publish_timer_;
   EventLoop::Handle metrics_timer_;
+  EventLoop::Handle source_timer_;
 };
 
 }  // namespace flamingoyoke
--- a/src/node/control/store/store_config.h
+++ b/src/node/control/store/store_config.h
@@ -13,12 +13,13 @@
   std::string host;
   std::uint16_t port = 0;
   // How long a watch waits for a change. A watch on a connection that went
-  // silent is found after this time and the timeout below; the other readers
-  // pass changes on meanwhile.
-  Duration watch_time = std::chrono::milliseconds(1500);
+  // silent, or a store that turns this vm away, is found after this time and
+  // the timeout below; then other vms read. Together they stay well below the
+  // two seconds within which a change has to be in force.
+  Duration watch_time = std::chrono::milliseconds(600);
   // The store answers in milliseconds; a connection that stays silent for
   // longer has lost its answer for good.
-  Duration read_timeout = std::chrono::milliseconds(1000);
+  Duration read_timeout = std::chrono::milliseconds(500);
   // Between two watches, so that changes in quick succession share one.
   Duration watch_pause = std::chrono::milliseconds(50);
   // Seed of the jitter; differs between processes.
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -55,6 +55,7 @@
     list_after_.clear();
     list_targets_.clear();
     tracker_.OnFailed();
+    is_available_ = true;
     Read();
   }
 }
@@ -82,10 +83,10 @@
 }
 
 auto StoreTask::Watch() -> void {
-  reader_->Get(
-      dialect_.watch_target(watch_after_, config_.watch_time),
-      config_.watch_time,
-      [this](int status, const std::string& body) { OnWatched(status, body); });
+  reader_->Get(dialect_.watch_target(watch_after_, config_.watch_time),
+               config_.watch_time, [this](int status, const std::string& body) {
+                 OnWatched(status, body);
+               });
 }
 
 auto StoreTask::OnListed(int status, const std::string& body) -> void {
@@ -159,6 +160,7 @@
 auto StoreTask::OnFailed(const std::string& reason) -> void {
   if (std::exchange(is_available_, false)) {
     Log(Part::kStore, LogLevel::kWarning, "lost the store: " + reason);
+    fleet_.Post(SourceStateChanged{false});
   }
   tracker_.OnFailed();
   timer_.Schedule(schedule_.DelayAfterFailure());
@@ -167,6 +169,7 @@
 auto StoreTask::OnAnswered() -> void {
   if (!std::exchange(is_available_, true)) {
     Log(Part::kStore, LogLevel::kInfo, "the store answers again");
+    fleet_.Post(SourceStateChanged{true});
   }
   schedule_.DelayAfterAnswer();
   tracker_.OnAnswered(Now());
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -83,6 +83,11 @@
 inline constexpr MailboxPolicy kMailboxPolicy<RegistryInForce> =
     MailboxPolicy::kCoalesce;
 
+// Whether this vm, as a reader, gets answers from the published store.
+struct SourceStateChanged {
+  bool is_available = true;
+};
+
 // The vm is leaving: tell peers, hand out no addresses or keys.
 struct LeavingStarted {};
 template <>
@@ -174,8 +179,11 @@
     MailboxPolicy::kCoalesce;
 
 using TrafficMessage = std::variant<FleetViewChanged, PeerMessageReceived>;
-using FleetMessage =
-    std::variant<PeerMessageReceived, VmListRead, TableRead, LeavingStarted>;
+using FleetMessage = std::variant<PeerMessageReceived,
+                                  VmListRead,
+                                  TableRead,
+                                  SourceStateChanged,
+                                  LeavingStarted>;
 using MeshMessage = std::variant<PeerMessageToSend, PeerEndpointsChanged>;
 using PlatformMessage = std::variant<ReaderRoleChanged, RegistryInForce>;
 using AdminMessage = std::
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -48,6 +48,7 @@
                 .liveness = liveness,
                 .leaving = encoded.leaving(),
                 .ready = encoded.ready(),
+                .lost_source = encoded.lost_source(),
                 .version = encoded.version()};
 }
 
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -20,6 +20,7 @@
   encoded->set_liveness(static_cast<std::uint32_t>(member.liveness));
   encoded->set_leaving(member.leaving);
   encoded->set_ready(member.ready);
+  encoded->set_lost_source(member.lost_source);
   encoded->set_version(member.version);
 }
 
--- a/tests/unit/decision/fleet/entry_set_test.cc
+++ b/tests/unit/decision/fleet/entry_set_test.cc
@@ -63,4 +63,24 @@
   cr_assert(ReaderVms(members, 3) == entries);
 }
 
+// Guards against a configuration that stays unseen while the store turns just
+// the readers away: the recorded incident inc-0ecc of jutagatt.
+Test(entry_set, others_read_for_vms_that_lost_the_store) {
+  auto members = Members(8);
+  const auto before = ReaderVms(members, 3);
+  for (const auto& vm : before) {
+    Find(members, vm).lost_source = true;
+  }
+  const auto after = ReaderVms(members, 3);
+  cr_assert_eq(after.size(), 3U);
+  for (const auto& vm : after) {
+    cr_assert_eq(std::count(before.begin(), before.end(), vm), 0);
+  }
+  // If all lost it, the first go on trying.
+  for (auto& member : members) {
+    member.lost_source = true;
+  }
+  cr_assert(ReaderVms(members, 3) == before);
+}
+
 }  // namespace flamingoyoke
