Let a registry follow another one at the same revision of the store

An entry went 0.3 s after its vm had become a reader; it was held as lapsed, and when the time for that was over, the store's revision had not moved, so that no newer registry could be proposed.

Change: registries count steps within a revision of the store; a reader that takes over from readers without trouble holds nothing as lapsed.

--- a/src/decision/platform/registry_tracker.cc
+++ b/src/decision/platform/registry_tracker.cc
@@ -1,5 +1,6 @@
 #include "decision/platform/registry_tracker.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace flamingoyoke {
@@ -59,6 +60,13 @@
   }
 }
 
+auto RegistryTracker::OnStarted(bool store_was_well, TimePoint now) -> void {
+  answering_since_.reset();
+  if (store_was_well) {
+    answering_since_ = now - kSettleTime;
+  }
+}
+
 auto RegistryTracker::OnFailed() -> void {
   answering_since_.reset();
 }
@@ -83,7 +91,7 @@
   missing_ = std::move(still_missing);
 }
 
-auto RegistryTracker::Proposal(Revision as_of, TimePoint now)
+auto RegistryTracker::Proposal(std::uint64_t as_of, TimePoint now)
     -> std::optional<Registry> {
   if (!has_listed_ || !answering_since_) {
     return std::nullopt;
@@ -95,14 +103,19 @@
   auto all = listed_;
   all.insert(missing_.begin(), missing_.end());
   Registry registry;
-  registry.revision = as_of;
   for (auto& [id, target] : all) {
     registry.targets.push_back(std::move(target));
   }
-  if (in_force_ && (in_force_->targets == registry.targets ||
-                    !(in_force_->revision < as_of))) {
+  registry.revision = Revision(as_of * kStepsPerRevision);
+  if (!in_force_) {
+    return registry;
+  }
+  const auto used = in_force_->revision.value();
+  if (in_force_->targets == registry.targets ||
+      as_of < used / kStepsPerRevision) {
     return std::nullopt;
   }
+  registry.revision = std::max(registry.revision, Revision(used + 1));
   return registry;
 }
 
--- a/src/decision/platform/registry_tracker.h
+++ b/src/decision/platform/registry_tracker.h
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOYOKE_DECISION_PLATFORM_REGISTRY_TRACKER_H_
 #define FLAMINGOYOKE_DECISION_PLATFORM_REGISTRY_TRACKER_H_
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,14 +40,23 @@
   auto OnAnswered(TimePoint now) -> void;
   // A read failed.
   auto OnFailed() -> void;
+  // This vm becomes a reader. `store_was_well` says that others read the store
+  // without a failure until now, so that nothing has lapsed.
+  auto OnStarted(bool store_was_well, TimePoint now) -> void;
   // The registry that the fleet uses; null before the first.
   auto OnInForce(std::shared_ptr<const Registry> registry) -> void;
 
   // Returns the registry that the fleet should use if it differs from the one
-  // in force. The revision is `as_of`, that of the store's last answer.
-  [[nodiscard]] auto Proposal(Revision as_of, TimePoint now)
+  // in force and `as_of`, the revision of the store's last answer, is not older
+  // than what that one was made of.
+  [[nodiscard]] auto Proposal(std::uint64_t as_of, TimePoint now)
       -> std::optional<Registry>;
 
+  // Registries that may follow each other without a change in the store, as
+  // entries become gone by time alone. The revision of a registry is that of
+  // the store times this number, plus its place among them.
+  static constexpr std::uint64_t kStepsPerRevision = 1024;
+
  private:
   // Whether missing entries are gone.
   [[nodiscard]] auto IsSettled(TimePoint now) const -> bool;
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -22,6 +22,9 @@
 // A vm that lost the store is a reader again after this time, unless it has
 // lost it by then for good.
 constexpr Duration kSourceRetry = std::chrono::seconds(8);
+// Trouble with the store is remembered for this long, and a vm that has just
+// become ready cannot tell; longer than live targets need to register again.
+constexpr Duration kSourceMemory = std::chrono::seconds(4);
 constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
 
 auto DelayUntil(TimePoint at) -> Duration {
@@ -215,7 +218,8 @@
 }
 
 auto FleetTask::Act(const ReaderRoleSet& action) -> void {
-  outlets_.platform.Post(ReaderRoleChanged{action.is_reader, action.known});
+  outlets_.platform.Post(
+      ReaderRoleChanged{action.is_reader, action.known, SourceWasWell()});
 }
 
 auto FleetTask::Act(const WakeTableDisseminationAt& action) -> void {
@@ -256,6 +260,11 @@
   if (ready == is_ready_ && digests == announced_tables_) {
     return;
   }
+  if (ready && !is_ready_) {
+    ready_since_ = now;
+  } else if (!ready) {
+    ready_since_.reset();
+  }
   is_ready_ = ready;
   announced_tables_ = digests;
   Decide(SelfAnnounced{is_ready_, announced_tables_, lost_source_});
@@ -301,6 +310,11 @@
   view->ready = is_ready_ && !is_superseded_;
   view->leaving = membership_.self().leaving || is_superseded_;
   std::visit([&](const auto& store) { FillView(store, *view); }, tables_);
+  const auto& members = view->members;
+  if (std::any_of(members.begin(), members.end(),
+                  [](const Member& each) { return each.lost_source; })) {
+    source_trouble_ = Now();
+  }
   UpdateHomePeers(*view);
   two_way_peers_ = membership_.TwoWayPeers(Now());
   TellTableDissemination(view->members);
@@ -350,6 +364,12 @@
          readers.end();
 }
 
+auto FleetTask::SourceWasWell() const -> bool {
+  const auto now = Now();
+  return ready_since_ && now - *ready_since_ >= kSourceMemory &&
+         (!source_trouble_ || now - *source_trouble_ >= kSourceMemory);
+}
+
 auto FleetTask::RevisionInForce() const -> Revision {
   return std::visit(
       Overloaded{
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -78,6 +78,7 @@
   // Whether this vm reads the source of services for others.
   [[nodiscard]] auto IsReaderAmong(const std::vector<Member>& members) const
       -> bool;
+  [[nodiscard]] auto SourceWasWell() const -> bool;
   [[nodiscard]] auto RevisionInForce() const -> Revision;
   auto ReportMetrics() -> void;
 
@@ -98,6 +99,9 @@
   bool is_superseded_ = false;
   // Whether others should read the published store in place of this vm.
   bool lost_source_ = false;
+  // When this vm became ready, and when a vm last had trouble with the store.
+  std::optional<TimePoint> ready_since_;
+  std::optional<TimePoint> source_trouble_;
   std::vector<TableDigest> announced_tables_;
   std::vector<VmId> two_way_peers_;
   std::set<VmId> home_peers_;
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -54,7 +54,7 @@
     watch_after_ = 0;
     list_after_.clear();
     list_targets_.clear();
-    tracker_.OnFailed();
+    tracker_.OnStarted(changed.source_was_well, Now());
     is_available_ = true;
     Read();
   }
@@ -232,7 +232,7 @@
 }
 
 auto StoreTask::Propose() -> void {
-  const auto registry = tracker_.Proposal(Revision(last_as_of_), Now());
+  const auto registry = tracker_.Proposal(last_as_of_, Now());
   if (!registry) {
     return;
   }
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -70,6 +70,8 @@
 struct ReaderRoleChanged {
   bool is_reader = false;
   Revision known;
+  // Whether the vms that read before had no trouble with the source.
+  bool source_was_well = false;
 };
 template <>
 inline constexpr MailboxPolicy kMailboxPolicy<ReaderRoleChanged> =
--- a/tests/unit/decision/platform/registry_tracker_test.cc
+++ b/tests/unit/decision/platform/registry_tracker_test.cc
@@ -23,7 +23,8 @@
 auto InForce(std::uint64_t revision, std::vector<RegisteredTarget> targets)
     -> std::shared_ptr<const Registry> {
   return std::make_shared<const Registry>(
-      Registry{Revision(revision), std::move(targets)});
+      Registry{Revision(revision * RegistryTracker::kStepsPerRevision),
+               std::move(targets)});
 }
 
 // A reader that has listed `targets` and is settled.
@@ -42,9 +43,10 @@
 Test(registry_tracker, proposes_at_once_while_nothing_is_in_force) {
   RegistryTracker tracker;
   tracker.OnListed({Target("a")}, kStart);
-  const auto registry = tracker.Proposal(Revision(5), kStart);
+  const auto registry = tracker.Proposal(5, kStart);
   cr_assert(registry.has_value());
-  cr_assert_eq(registry->revision, Revision(5));
+  cr_assert_eq(registry->revision,
+               Revision(5 * RegistryTracker::kStepsPerRevision));
   cr_assert_eq(registry->targets.size(), 1U);
 }
 
@@ -52,14 +54,14 @@
 Test(registry_tracker, proposes_nothing_without_a_change_of_meaning) {
   auto tracker = SettledTracker({Target("a")});
   tracker.OnChanged(Target("a"), kStart);
-  cr_assert_not(tracker.Proposal(Revision(11), kStart).has_value());
+  cr_assert_not(tracker.Proposal(11, kStart).has_value());
 }
 
 // Guards against work for a target that left while the store answers.
 Test(registry_tracker, drops_a_removed_target_at_once_when_settled) {
   auto tracker = SettledTracker({Target("a"), Target("b")});
   tracker.OnRemoved(TargetId("a"), kStart);
-  const auto registry = tracker.Proposal(Revision(11), kStart);
+  const auto registry = tracker.Proposal(11, kStart);
   cr_assert(registry.has_value());
   cr_assert_eq(registry->targets.size(), 1U);
   cr_assert_eq(registry->targets.front().id, TargetId("b"));
@@ -74,10 +76,10 @@
   tracker.OnListed({Target("a")}, back);
   const auto soon = back + milliseconds(2000);
   tracker.OnAnswered(soon);
-  cr_assert_not(tracker.Proposal(Revision(12), soon).has_value());
+  cr_assert_not(tracker.Proposal(12, soon).has_value());
   const auto settled = back + milliseconds(2400);
   tracker.OnAnswered(settled);
-  const auto registry = tracker.Proposal(Revision(13), settled);
+  const auto registry = tracker.Proposal(13, settled);
   cr_assert(registry.has_value());
   cr_assert_eq(registry->targets.size(), 1U);
 }
@@ -89,16 +91,46 @@
   tracker.OnFailed();
   const auto back = kStart + milliseconds(9000);
   tracker.OnListed({Target("b"), Target("c")}, back);
-  cr_assert_not(tracker.Proposal(Revision(20), back).has_value(),
+  cr_assert_not(tracker.Proposal(20, back).has_value(),
                 "peers were not heard yet");
   tracker.OnInForce(InForce(19, {Target("b")}));
   const auto heard = back + milliseconds(1300);
   tracker.OnAnswered(heard);
-  const auto registry = tracker.Proposal(Revision(21), heard);
+  const auto registry = tracker.Proposal(21, heard);
   cr_assert(registry.has_value());
   cr_assert_eq(registry->targets.size(), 2U);
   cr_assert_eq(registry->targets.front().id, TargetId("b"));
   cr_assert_eq(registry->targets.back().id, TargetId("c"));
 }
 
+// Guards against work for a target that left: vdm-eendhok scale-2, where the
+// entry went just after this vm became a reader, and nothing else changed in
+// the store after that.
+Test(registry_tracker, a_new_reader_trusts_a_store_that_was_well) {
+  RegistryTracker tracker;
+  tracker.OnInForce(InForce(38, {Target("a"), Target("b")}));
+  tracker.OnStarted(true, kStart);
+  tracker.OnListed({Target("a"), Target("b")}, kStart);
+  tracker.OnRemoved(TargetId("a"), kStart + milliseconds(300));
+  cr_assert(tracker.Proposal(39, kStart + milliseconds(300)).has_value());
+}
+
+// Guards against an entry that is held for ever since the store's revision
+// stands still.
+Test(registry_tracker, drops_a_held_entry_without_a_change_in_the_store) {
+  RegistryTracker tracker;
+  tracker.OnInForce(InForce(38, {Target("a"), Target("b")}));
+  tracker.OnStarted(false, kStart);
+  tracker.OnListed({Target("b")}, kStart);
+  const auto settled = kStart + milliseconds(2400);
+  tracker.OnAnswered(settled);
+  const auto registry = tracker.Proposal(38, settled);
+  cr_assert(registry.has_value());
+  cr_assert_eq(registry->targets.size(), 1U);
+  cr_assert(InForce(38, {})->revision < registry->revision);
+  // A reader that is behind the fleet has nothing to say.
+  tracker.OnInForce(InForce(40, {Target("b"), Target("c")}));
+  cr_assert_not(tracker.Proposal(39, settled).has_value());
+}
+
 }  // namespace flamingoyoke
