Give idle targets work while a tenth of the requests fail

Change: while 9% or more of this vm's requests fail, targets that got nothing for 1.5 s and did not fail within 1.9 s are looked at, so that at most a fifth of them stay idle. Counting failed attempts instead of requests was tried first.

--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -320,6 +320,7 @@
                              bool is_error) -> void {
   ++counters_.delivered;
   counters_.delivered_errors += is_error ? 1 : 0;
+  pool_.OnRequestEnded(!is_error, now_);
   actions_.emplace_back(DeliverAnswer{tracked.info.request, attempt});
   Forget(tracked.info.request);
 }
@@ -330,6 +331,7 @@
   const auto true_error = tracked.may_have_run && claims_not_run
                               ? ErrorKind::kUpstreamReset
                               : error;
+  pool_.OnRequestEnded(false, now_);
   if (AnswerFor(true_error).outcome == Outcome::kUnknown) {
     ++counters_.unknown;
   } else {
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -40,11 +40,24 @@
 constexpr double kTypicalAnswerBytes = 2000;
 // A failure of work that is tried again elsewhere costs little but time.
 constexpr double kRetriedFailureWeight = 0.3;
-// Window and share of failures above which all targets that are well take
-// turns. The floor counts from a tenth of failures.
-constexpr Duration kSpreadWindow = std::chrono::milliseconds(2000);
+// Window of the failing share, and the share above which all targets that are
+// well take turns.
+constexpr Duration kFailingWindow = std::chrono::milliseconds(2000);
+constexpr std::uint64_t kFailingTrials = 6;
 constexpr double kSpreadShare = 0.06;
-constexpr std::uint64_t kSpreadTrials = 6;
+// From this share of failed requests on, the floor asks that sound targets get
+// work every two seconds; it counts from a tenth; a target counts as sound
+// again two seconds after it failed. At most the given part of them may stay
+// idle, which leaves room for targets that only look sound from here.
+constexpr double kFloorShareOfFailures = 0.09;
+constexpr Duration kIdleAfter = std::chrono::milliseconds(1500);
+constexpr Duration kSoundAfter = std::chrono::milliseconds(1900);
+constexpr double kIdleShare = 0.2;
+
+auto IsOlder(const std::optional<TimePoint>& time, Duration age, TimePoint now)
+    -> bool {
+  return !time || now - *time >= age;
+}
 
 auto IsTried(const TargetWish& wish, const TargetId& target) -> bool {
   return wish.tried != nullptr &&
@@ -151,11 +164,41 @@
   return cost;
 }
 
-auto TargetPool::MustSpread(TimePoint now) const -> bool {
-  const auto counts = outcomes_.Since(now - kSpreadWindow, now);
-  return counts.trials >= kSpreadTrials &&
-         static_cast<double>(counts.failures) >
-             kSpreadShare * static_cast<double>(counts.trials);
+auto TargetPool::FailingShare(const RateWindow& window, TimePoint now)
+    -> double {
+  const auto counts = window.Since(now - kFailingWindow, now);
+  return counts.trials < kFailingTrials
+             ? 0.0
+             : static_cast<double>(counts.failures) /
+                   static_cast<double>(counts.trials);
+}
+
+auto TargetPool::FindIdleBelowFloor(const TargetWish& wish, TimePoint now)
+    -> Entry* {
+  std::size_t sound = 0;
+  std::size_t idle = 0;
+  Entry* best = nullptr;
+  for (auto& [id, entry] : targets_) {
+    if (!IsUsable(entry) || !IsOlder(entry.last_failed, kSoundAfter, now)) {
+      continue;
+    }
+    ++sound;
+    if (!IsOlder(entry.last_used, kIdleAfter, now)) {
+      continue;
+    }
+    ++idle;
+    const bool is_better =
+        best == nullptr ||
+        entry.belief.IllProbability(now) < best->belief.IllProbability(now);
+    if (is_better && !IsTried(wish, id) &&
+        UsedSlots(entry, now) < entry.spec.slots && now >= entry.closed_until) {
+      best = &entry;
+    }
+  }
+  // Work that is tried again elsewhere may look at each of them.
+  const auto allowed =
+      wish.may_retry ? 0.0 : kIdleShare * static_cast<double>(sound);
+  return static_cast<double>(idle) > allowed ? best : nullptr;
 }
 
 auto TargetPool::FindUntested(const std::vector<Candidate>& candidates,
@@ -164,7 +207,7 @@
   for (const auto& candidate : candidates) {
     const auto& entry = *candidate.entry;
     const auto age = now - entry.registered;
-    if (!entry.used_by_anyone && entry.in_flight == 0 &&
+    if (!entry.last_used && entry.in_flight == 0 &&
         age >= (wish.may_retry ? kTryFresh : kTryFreshByAll)) {
       return candidate.entry;
     }
@@ -189,6 +232,11 @@
 
 auto TargetPool::Choose(const TargetWish& wish, TimePoint now)
     -> std::optional<TargetId> {
+  if (FailingShare(requests_, now) > kFloorShareOfFailures) {
+    if (const auto* idle = FindIdleBelowFloor(wish, now)) {
+      return idle->spec.id;
+    }
+  }
   const auto patience =
       std::clamp(1 - wish.waited_share / kPatientShare, 0.0, 1.0);
   const auto limit = 1 - (1 - IllLimit(now)) * patience;
@@ -209,7 +257,7 @@
   if (const auto* untested = FindUntested(candidates, wish, now)) {
     return untested->spec.id;
   }
-  const bool spread = MustSpread(now);
+  const bool spread = FailingShare(outcomes_, now) > kSpreadShare;
   const auto is_better = [&](const Candidate& a, const Candidate& b) {
     const bool a_well = a.ill < kWellBelow;
     const bool b_well = b.ill < kWellBelow;
@@ -231,7 +279,6 @@
   auto& entry = found->second;
   ++entry.in_flight;
   entry.last_used = now;
-  entry.used_by_anyone = true;
   MarkNews(entry);
 }
 
@@ -264,6 +311,9 @@
   const bool is_failure = evidence == Evidence::kFailed ||
                           evidence == Evidence::kBroken ||
                           evidence == Evidence::kTimedOut;
+  if (is_failure) {
+    entry.last_failed = now;
+  }
   if (is_failure || evidence == Evidence::kSucceeded) {
     outcomes_.Add({1, is_failure ? std::uint64_t{1} : 0}, now);
   }
@@ -283,6 +333,10 @@
   }
 }
 
+auto TargetPool::OnRequestEnded(bool served, TimePoint now) -> void {
+  requests_.Add({1, served ? std::uint64_t{0} : 1}, now);
+}
+
 auto TargetPool::OnResumed() -> void {
   for (auto& [id, entry] : targets_) {
     entry.peers.clear();
@@ -305,7 +359,12 @@
     }
     auto& entry = found->second;
     entry.peers[peer] = {report.in_flight, now};
-    entry.used_by_anyone = true;
+    if (report.in_flight > 0 || report.succeeded > 0 || report.failed > 0) {
+      entry.last_used = now;
+    }
+    if (report.failed > 0 || report.timed_out > 0) {
+      entry.last_failed = now;
+    }
     repeat(entry, Evidence::kSucceeded, report.succeeded);
     repeat(entry, Evidence::kOverdue, report.slow);
     repeat(entry, Evidence::kTimedOut, report.timed_out);
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -64,6 +64,8 @@
   // Another process answers at the target's address. It gets nothing until it
   // is registered anew.
   auto OnReplaced(const TargetId& target) -> void;
+  // A request ended, with or without a success for its caller.
+  auto OnRequestEnded(bool served, TimePoint now) -> void;
   // The process was paused: what peers reported is old.
   auto OnResumed() -> void;
 
@@ -95,9 +97,10 @@
     std::uint32_t in_flight = 0;
     std::map<VmId, PeerUse> peers;
     TimePoint registered;
-    TimePoint last_used = TimePoint::min();
+    // When a gateway last gave it work, and when it last failed work.
+    std::optional<TimePoint> last_used;
+    std::optional<TimePoint> last_failed;
     TimePoint closed_until = TimePoint::min();
-    bool used_by_anyone = false;
     bool replaced = false;
     // What the other gateways were not told yet.
     TargetOutcomes news;
@@ -118,9 +121,12 @@
   [[nodiscard]] auto CostOf(const Entry& entry,
                             const TargetWish& wish,
                             TimePoint now) const -> double;
-  // Whether so many requests fail that the load must be spread over more
-  // targets.
-  [[nodiscard]] auto MustSpread(TimePoint now) const -> bool;
+  // Share of failures in the last seconds; 0 for too few trials.
+  [[nodiscard]] static auto FailingShare(const RateWindow& window,
+                                         TimePoint now) -> double;
+  // Returns a target that has got no work for so long that the floor of the
+  // service would be missed while many requests fail, or null.
+  auto FindIdleBelowFloor(const TargetWish& wish, TimePoint now) -> Entry*;
   auto FindUntested(const std::vector<Candidate>& candidates,
                     const TargetWish& wish,
                     TimePoint now) -> Entry*;
@@ -131,7 +137,9 @@
   double floor_share_;
   FailureDomainId own_domain_;
   std::map<TargetId, Entry> targets_;
+  // Attempts of all gateways, and requests of this one.
   RateWindow outcomes_;
+  RateWindow requests_;
   bool has_news_ = false;
 };
 
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -380,11 +380,11 @@
 auto GatewayTask::SendReports() -> void {
   last_report_ = Now();
   MetricsReported metrics{.task = "gateway", .samples = {}};
-  for (const auto& [id, runner] : services_) {
-    const auto& counters = runner->dispatcher().counters();
+  for (const auto& service : services_) {
+    const auto& counters = service.second->dispatcher().counters();
     const auto add = [&](const char* name, const char* help,
                          std::uint64_t value) {
-      metrics.samples.push_back(Counter(name, help, id, value));
+      metrics.samples.push_back(Counter(name, help, service.first, value));
     };
     add("flamingoyoke_gateway_requests_total", "Requests that routes took.",
         counters.arrived);
--- a/tests/unit/decision/gateway/target_pool_test.cc
+++ b/tests/unit/decision/gateway/target_pool_test.cc
@@ -151,6 +151,30 @@
   cr_assert_eq(used.size(), 5U);
 }
 
+// Guards against a missed floor: vdm-eendhok hunt-0ea6-7, where a third of the
+// sound targets got nothing for two seconds while a fifth of the requests
+// failed, as they were still held for ill.
+Test(target_pool, looks_at_idle_targets_while_many_requests_fail) {
+  auto pool = MakePool(Targets(8));
+  for (std::size_t i = 0; i < 3; ++i) {
+    Run(pool, TargetNumber(i), Evidence::kFailed, kStart);
+    Run(pool, TargetNumber(i), Evidence::kFailed, kStart);
+  }
+  std::set<TargetId> used;
+  for (int ms = 0; ms < 4000; ms += 40) {
+    const auto now = kStart + milliseconds(ms);
+    const auto chosen = pool.Choose({}, now);
+    cr_assert(chosen.has_value());
+    const bool fails = ms % 200 == 0;
+    Run(pool, *chosen, fails ? Evidence::kFailed : Evidence::kSucceeded, now);
+    pool.OnRequestEnded(!fails, now);
+    if (ms >= 2000) {
+      used.insert(*chosen);
+    }
+  }
+  cr_assert_geq(used.size(), 7U);
+}
+
 // Guards against a repeat on the target that has just failed the request.
 Test(target_pool, never_chooses_a_tried_target_again) {
   auto pool = MakePool(Targets(2));
