--- a/tools/check_layering.py
+++ b/tools/check_layering.py
@@ -25,12 +25,19 @@
     r"condition_variable$|future$|sys/|unistd\.h|time\.h|ctime$|fstream$|"
     r"iostream$|nlohmann/|boost/json|netinet/|arpa/)"
 )
+# Names of the users' platform, which only platform/ may spell.
+PLATFORM_NAMES = re.compile(
+    r"X-Gateway-Signature|X-Expect-Instance|X-Not-Executed|X-Instance-|"
+    r"X-Request-(Id|Deadline)|kv-(watch|range|key)|warmup_left_ms|"
+    r"traffic_split|slo_ms|FLAMINGOYOKE_BOOT|/flamingoyoke/(ready|resolve)"
+)
 # Each task folder may include its own headers and those of src/node itself.
 TASK_FOLDERS = (
     "node/traffic/",
     "node/control/fleet/",
     "node/control/mesh/",
     "node/control/platform/",
+    "node/control/store/",
     "node/observe/admin/",
     "node/observe/telemetry/",
 )
@@ -46,6 +53,11 @@
     layer = relative.split("/")[0]
     own_task = task_folder_of(relative)
     for number, line in enumerate(path.read_text().splitlines(), 1):
+        if PLATFORM_NAMES.search(line):
+            yield (
+                f"src/{relative}:{number}: a name of the users' platform; "
+                "only platform/ may spell it"
+            )
         match = INCLUDE.match(line)
         if not match:
             continue
