Hard-stop in time and continue the caller's trace

A stop answers what remains 0.4 s before the platform ends the process. The gateway passes on the caller's traceparent with a span of its own.

--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -387,7 +387,6 @@
 
 auto PoolDispatcher::WishOf(const Tracked& tracked) const -> TargetWish {
   TargetWish wish;
-  wish.repeatable = tracked.info.repeatable;
   wish.may_retry = tracked.info.repeatable &&
                    tracked.sent + 1 < tracked.info.max_attempts &&
                    retries_.HasRoom(now_);
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -19,8 +19,6 @@
 
 // What a request needs of a target.
 struct TargetWish {
-  // Whether the request may run on another target if this one fails.
-  bool repeatable = false;
   // Whether a failure would be followed by an attempt on another target.
   bool may_retry = false;
   // Bytes that the request sends.
--- a/src/node/node_config.cc
+++ b/src/node/node_config.cc
@@ -1,5 +1,6 @@
 #include "node/node_config.h"
 
+#include <algorithm>
 #include <functional>
 #include <random>
 #include <string>
@@ -16,6 +17,9 @@
 constexpr Duration kGatewayConnectLimit = std::chrono::milliseconds(200);
 // Callers that keep an address longer than they were told find another one.
 constexpr Duration kGatewayLeaveMargin = std::chrono::milliseconds(1000);
+// What is left of the time to stop for answers that say what became of a
+// request; the platform ends the process after that.
+constexpr Duration kHardStopMargin = std::chrono::milliseconds(400);
 // Part of the fleet's retries that the gateways share out among themselves. The
 // rest covers vms that old addresses lead to, and windows that differ.
 constexpr double kOwnRetryPart = 0.75;
@@ -64,6 +68,8 @@
   config.traffic = Traffic();
   config.traffic.connect_limit = kGatewayConnectLimit;
   config.traffic.leave_margin = kGatewayLeaveMargin;
+  config.traffic.shutdown_hard_limit = std::max(
+      config.traffic.shutdown_hard_limit - kHardStopMargin, Duration::zero());
   config.dialect = dialect;
   config.failure_domain = settings_.vm.failure_domain;
   const auto& gateway = settings_.gateway;
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -9,6 +9,7 @@
 
 #include "node/log.h"
 #include "node/traffic/caller_headers.h"
+#include "node/traffic/error_answer.h"
 #include "node/traffic/gateway/gateway_headers.h"
 #include "node/traffic/http_text.h"
 #include "runtime/clock.h"
@@ -330,8 +331,13 @@
   request.objective = route.objective;
   request.priority = route.priority;
   request.max_attempts = std::max<std::uint32_t>(1, route.max_attempts);
+  const auto traceparent =
+      FindHeader(exchange->head().headers, kTraceHeader).value_or("");
+  const auto parent = ParseTraceparent(TrimSpace(traceparent));
   request.trace =
-      StartTrace(random_, random_.Unit() < config_.traffic.trace_share);
+      parent
+          ? StartSpan(*parent, random_)
+          : StartTrace(random_, random_.Unit() < config_.traffic.trace_share);
   request.exchange = std::move(exchange);
   const bool was_idle = active() == 0;
   RunnerOf(splits_.Choose(route)).Submit(std::move(request));
