--- a/src/decision/fleet/table_dissemination.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -327,8 +327,8 @@
   }
   std::optional<TimePoint> wake;
   if (started_ && !is_elected_ && (!IsComplete() || role.is_reader)) {
-    wake = now + (first_read_ == FirstRead::kIfUntold ? kUntoldCheck
-                                                      : kRoleCheck);
+    wake =
+        now + (first_read_ == FirstRead::kIfUntold ? kUntoldCheck : kRoleCheck);
   }
   for (const auto& [shard, pull] : pulls_) {
     if (pull.deadline() && (!wake || *pull.deadline() < *wake)) {
--- a/src/decision/fleet/table_dissemination.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -50,7 +50,7 @@
 
 // Whether a fresh node reads the source of the table itself.
 enum class FirstRead {
-  kAlways,   // Each node reads once, spread over time.
+  kAlways,    // Each node reads once, spread over time.
   kIfUntold,  // Peers tell it; it reads only if they do not.
 };
 
