Tell failing callers from failing targets, and bound probes per second

Three probes within a second came from a second verifier that was asked when the answer of the first was late.

A flag of PathCheck that was never set is gone.

--- /dev/null
+++ b/src/decision/detection/caller_check.h
@@ -0,0 +1,33 @@
+#ifndef FLAMINGOYOKE_DECISION_DETECTION_CALLER_CHECK_H_
+#define FLAMINGOYOKE_DECISION_DETECTION_CALLER_CHECK_H_
+
+#include "decision/detection/rate_window.h"
+
+namespace flamingoyoke {
+
+// Who sent the work that an outcome comes from.
+enum class OutcomeSource {
+  kOwnCallers,  // Callers of this node.
+  kBorrowers,   // Other nodes, which report what they saw.
+};
+
+// Server errors since a test of one target began to rise.
+struct CallerComparison {
+  // Callers of this node, on the target.
+  RateCounts own_here;
+  // Callers of this node, on all other targets.
+  RateCounts own_elsewhere;
+  // Other nodes, on the target.
+  RateCounts others_here;
+  // Failure rate of healthy targets, 0 to 1, exclusive.
+  double healthy_rate = 0;
+};
+
+// Returns the log of how much better a failing target explains the outcomes
+// than requests of this node's callers that fail on every target. 0 without
+// outcomes of others to compare with. Thread-safe.
+auto EvidenceAgainstTarget(const CallerComparison& comparison) -> double;
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_DECISION_DETECTION_CALLER_CHECK_H_
--- a/src/decision/detection/detector.cc
+++ b/src/decision/detection/detector.cc
@@ -123,6 +123,10 @@
     }
     return;
   }
+  const bool has_failed = event.result == AttemptResult::kServerError;
+  if (has_failed || event.result == AttemptResult::kAnswered) {
+    evidence_.BorrowedCallers().Add({1, has_failed ? 1U : 0U}, now);
+  }
   const bool is_path = event.result == AttemptResult::kTimeout ||
                        event.result == AttemptResult::kReset ||
                        event.result == AttemptResult::kConnectFailed ||
--- a/src/decision/detection/member_evidence.cc
+++ b/src/decision/detection/member_evidence.cc
@@ -24,6 +24,8 @@
   if (report.succeeded == 0 || report.p95_latency <= Duration::zero()) {
     return;
   }
+  is_slowed_ =
+      has_latency_ && static_cast<double>(report.median_latency.count()) > p95_;
   const auto p95 = static_cast<double>(report.p95_latency.count());
   const double samples = report.succeeded;
   const double kept = has_latency_ ? std::exp(-samples / kSmoothingSamples) : 0;
@@ -56,6 +58,9 @@
   if (now - last_report_ >= kFresh) {
     return false;
   }
+  if (is_slowed_ && now - last_report_ < 2 * kSilence) {
+    return true;
+  }
   const auto recent = outcomes_.Since(now - kSilence, now);
   if (2 * recent.failures > recent.trials) {
     return true;
--- a/src/decision/detection/member_evidence.h
+++ b/src/decision/detection/member_evidence.h
@@ -38,6 +38,9 @@
   RateWindow outcomes_;
   TimePoint last_report_;
   bool has_latency_ = false;
+  // Whether half of the answers of the last report took longer than the usual
+  // p95, which only a slow-down of many targets does.
+  bool is_slowed_ = false;
   // Microseconds.
   double p95_ = 0;
   Duration peak_ = Duration::zero();
--- a/src/decision/detection/path_check.cc
+++ b/src/decision/detection/path_check.cc
@@ -60,7 +60,7 @@
   if (!is_late || is_settled || is_exhausted_) {
     return orders;
   }
-  if (asked_at_ && now - *asked_at_ < probe_time + kVerifyOverhead) {
+  if (asked_at_ && now < NextAskAt(probe_time)) {
     return orders;
   }
   if (asked_ >= verifiers_.size()) {
@@ -77,10 +77,6 @@
   if (own_ == OwnProbe::kPassed) {
     return PathVerdict::kPathWorks;
   }
-  if (own_ == OwnProbe::kWaiting && is_assumed_down_ && is_refuted_ &&
-      !reached_by_) {
-    return PathVerdict::kTargetDown;
-  }
   if (own_ != OwnProbe::kFailed) {
     return PathVerdict::kPending;
   }
@@ -101,7 +97,7 @@
   std::optional<TimePoint> wake;
   const auto since = own_ == OwnProbe::kRunning ? probe_started_ : started_;
   if (own_ == OwnProbe::kRunning || own_ == OwnProbe::kWaiting) {
-    wake = is_assumed_down_ ? budget.NextAt() : since + probe_time;
+    wake = since + probe_time;
     if (!asked_at_) {
       wake = std::min(*wake, since + kVerifyAfter);
     }
@@ -110,10 +106,17 @@
     wake = std::min(*wake, budget.NextAt());
   }
   if (asked_at_ && !is_refuted_ && !reached_by_) {
-    const auto next = *asked_at_ + probe_time + kVerifyOverhead;
+    const auto next = NextAskAt(probe_time);
     wake = wake ? std::min(*wake, next) : next;
   }
   return wake;
 }
 
+auto PathCheck::NextAskAt(Duration probe_time) const -> TimePoint {
+  const auto answer_due = *asked_at_ + probe_time + kVerifyOverhead;
+  const bool is_last = asked_ >= verifiers_.size();
+  return is_last ? answer_due
+                 : std::max(answer_due, probe_started_ + kProbeWindow);
+}
+
 }  // namespace flamingoyoke
--- a/src/decision/detection/path_check.h
+++ b/src/decision/detection/path_check.h
@@ -45,6 +45,11 @@
   // Round trip to the verifier and the slack of its timers.
   static constexpr Duration kVerifyOverhead = std::chrono::milliseconds(50);
 
+  // A second member is asked this long after this node's own probe: the answer
+  // of the first may be late rather than missing, and three probes within a
+  // second exceed ProbeBudget::kFleetProbesPerSecond.
+  static constexpr Duration kProbeWindow = std::chrono::seconds(1);
+
   struct Orders {
     bool start_probe = false;
     std::optional<VmId> ask;
@@ -67,10 +72,8 @@
   auto Advance(Duration probe_time, ProbeBudget& budget, TimePoint now)
       -> Orders;
 
-  // Returns what is known. While the probe bound forbids a probe of this node,
-  // silence for `probe_time` stands in for it, but only to conclude that the
-  // target is down. The verdict can still change from kTargetDown to others
-  // while the caller waits, if a late pass arrives.
+  // Returns what is known. The verdict can still change from kTargetDown to
+  // others while the caller waits, if a late pass arrives.
   [[nodiscard]] auto Verdict() const -> PathVerdict;
 
   // Returns whether this node's probe was refused or broken rather than
@@ -90,12 +93,15 @@
       -> std::optional<TimePoint>;
 
  private:
+  // Returns when the next member may be asked, or the answer of the last one is
+  // overdue. Requires that a member was asked.
+  [[nodiscard]] auto NextAskAt(Duration probe_time) const -> TimePoint;
+
   enum class OwnProbe { kWaiting, kRunning, kPassed, kFailed };
 
   std::vector<VmId> verifiers_;
   TimePoint started_;
   OwnProbe own_ = OwnProbe::kWaiting;
-  bool is_assumed_down_ = false;
   TimePoint probe_started_;
   std::size_t asked_ = 0;
   std::optional<TimePoint> asked_at_;
--- a/src/decision/detection/service_evidence.cc
+++ b/src/decision/detection/service_evidence.cc
@@ -73,6 +73,7 @@
   for (auto& [target, evidence] : own_) {
     evidence = TargetEvidence();
   }
+  borrowed_callers_ = RateWindow();
 }
 
 auto ServiceEvidence::HealthyRate(const TargetId& target,
@@ -117,6 +118,18 @@
   return std::max(TrimmedRate(groups), best_own.value_or(0));
 }
 
+auto ServiceEvidence::CallersElsewhereSince(const TargetId& target,
+                                            TimePoint onset,
+                                            TimePoint now) const -> RateCounts {
+  auto counts = borrowed_callers_.Since(onset, now);
+  for (const auto& [id, evidence] : own_) {
+    if (id != target) {
+      counts += evidence.Callers().Since(onset, now);
+    }
+  }
+  return counts;
+}
+
 auto ServiceEvidence::PeerP95(const TargetId& target, TimePoint now)
     -> std::optional<Duration> {
   std::vector<Duration> values;
--- a/src/decision/detection/service_evidence.h
+++ b/src/decision/detection/service_evidence.h
@@ -25,6 +25,10 @@
   // Returns the evidence about an owned target, empty at first.
   auto Own(const TargetId& target) -> TargetEvidence& { return own_[target]; }
 
+  // Returns the server errors that callers of this node met on targets of
+  // other owners.
+  auto BorrowedCallers() -> RateWindow& { return borrowed_callers_; }
+
   // Forgets a target that is not owned any more.
   auto Forget(const TargetId& target) -> void { own_.erase(target); }
 
@@ -50,6 +54,12 @@
                                    TimePoint onset,
                                    TimePoint now) const -> double;
 
+  // Returns the server errors that callers of this node met on all other
+  // targets since `onset`.
+  [[nodiscard]] auto CallersElsewhereSince(const TargetId& target,
+                                           TimePoint onset,
+                                           TimePoint now) const -> RateCounts;
+
   // Returns the median of the peers' p95 of response times, or nothing
   // without figures.
   auto PeerP95(const TargetId& target, TimePoint now)
@@ -66,6 +76,7 @@
  private:
   std::map<TargetId, TargetEvidence> own_;
   std::map<VmId, MemberEvidence> members_;
+  RateWindow borrowed_callers_;
   TimePoint stall_limit_at_;
   Duration stall_limit_ = Duration::zero();
 };
--- a/src/decision/detection/target_alarms.h
+++ b/src/decision/detection/target_alarms.h
@@ -7,6 +7,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "decision/detection/caller_check.h"
 #include "decision/detection/cusum.h"
 #include "decision/detection/failure_class.h"
 #include "decision/detection/service_evidence.h"
@@ -25,6 +26,7 @@
   // Adds one outcome here and to the evidence that peers are compared with.
   auto Add(FailureClass sort,
            bool failed,
+           OutcomeSource source,
            ServiceEvidence& evidence,
            TimePoint now) -> void;
 
@@ -58,6 +60,8 @@
     Cusum cusum;
     OutcomeWeights weights = WeightsFor(kLeastHealthyRate);
     TimePoint weights_at;
+    // The part of cusum.counts() that other nodes reported.
+    RateCounts reported;
   };
 
   auto TestOf(FailureClass sort) -> Test& {
@@ -70,6 +74,9 @@
                       FailureClass sort,
                       ServiceEvidence& evidence,
                       TimePoint now) const -> void;
+  [[nodiscard]] auto IsDueToCallers(ServiceEvidence& evidence,
+                                    double healthy_rate,
+                                    TimePoint now) const -> bool;
   auto StandsComparison(FailureClass sort,
                         ServiceEvidence& evidence,
                         TimePoint now) const -> bool;
--- a/src/decision/detection/target_evidence.h
+++ b/src/decision/detection/target_evidence.h
@@ -22,6 +22,10 @@
   [[nodiscard]] auto Rates(FailureClass sort) const -> const RateWindow& {
     return rates_[static_cast<std::size_t>(sort)];
   }
+  // Returns the server errors that callers of this node met, without what
+  // other nodes reported.
+  auto Callers() -> RateWindow& { return callers_; }
+  [[nodiscard]] auto Callers() const -> const RateWindow& { return callers_; }
   auto Latency() -> LatencyWindow& { return latency_; }
   auto InFlight() -> InFlightAttempts& { return in_flight_; }
   [[nodiscard]] auto InFlight() const -> const InFlightAttempts& {
@@ -34,6 +38,7 @@
 
  private:
   std::array<RateWindow, kEnumSize<FailureClass>> rates_;
+  RateWindow callers_;
   LatencyWindow latency_;
   InFlightAttempts in_flight_;
   TimePoint last_answer_;
--- a/src/decision/detection/target_monitor.cc
+++ b/src/decision/detection/target_monitor.cc
@@ -23,6 +23,9 @@
 // ten is within what a healthy target shows on a bad day.
 constexpr std::uint32_t kTrialSuccesses = 10;
 constexpr std::uint32_t kTrialFailures = 2;
+// Two failures in ten answers weigh this much where healthy targets hardly
+// ever fail.
+constexpr double kTrialEvidence = 5;
 // A passed probe in a trial without work counts as this many answers.
 constexpr std::uint32_t kProbeWorth = 5;
 constexpr Duration kUnreachableRetry = std::chrono::seconds(2);
@@ -69,7 +72,8 @@
     return;
   }
   own.MarkAnswered(now);
-  NoteOutcome(FailureClass::kPath, false, evidence, now);
+  alarms_.Add(FailureClass::kPath, false, OutcomeSource::kOwnCallers, evidence,
+              now);
   if (check_ && now > check_started_) {
     check_->OnProbe(true);
     is_due_ = true;
@@ -78,7 +82,8 @@
     return;
   }
   const bool failed = event.result == AttemptResult::kServerError;
-  NoteOutcome(FailureClass::kServerError, failed, evidence, now);
+  alarms_.Add(FailureClass::kServerError, failed, OutcomeSource::kOwnCallers,
+              evidence, now);
   if (auto* trial = std::get_if<TrialPhase>(&phase_)) {
     ++(failed ? trial->failed : trial->succeeded);
     is_due_ = true;
@@ -158,7 +163,7 @@
                                TimePoint now) -> void {
   const auto add = [&](FailureClass sort, std::uint32_t count, bool failed) {
     for (std::uint32_t i = 0; i < std::min(count, kMostReported); ++i) {
-      NoteOutcome(sort, failed, evidence, now);
+      alarms_.Add(sort, failed, OutcomeSource::kBorrowers, evidence, now);
     }
   };
   add(FailureClass::kServerError, outcomes.failed, true);
@@ -285,8 +290,15 @@
                               const MonitorContext& context,
                               TimePoint now) -> void {
   if (phase.failed >= kTrialFailures) {
-    Eject({EjectionCause::kFailedTrial, 1}, now);
-    return;
+    // Failures that the peers show as well do not end a trial.
+    const auto weights = WeightsFor(context.evidence.PeerRateSince(
+        target_, FailureClass::kServerError, phase.since, now));
+    if (phase.failed * weights.on_failure +
+            phase.succeeded * weights.on_success >=
+        kTrialEvidence) {
+      Eject({EjectionCause::kFailedTrial, 1}, now);
+      return;
+    }
   }
   if (phase.succeeded >= kTrialSuccesses) {
     alarms_.Reset(Cusum::kThreshold / 2, now);
@@ -605,13 +617,6 @@
   return std::max(PathCheck::kLeastProbeTime, context.evidence.StallLimit(now));
 }
 
-auto TargetMonitor::NoteOutcome(FailureClass sort,
-                                bool failed,
-                                ServiceEvidence& evidence,
-                                TimePoint now) -> void {
-  alarms_.Add(sort, failed, evidence, now);
-}
-
 auto TargetMonitor::NotePathFailure(
     const AttemptEnded& event,
     const std::optional<InFlightAttempt>& attempt,
@@ -623,7 +628,8 @@
                         (attempt && (attempt->fresh_connection ||
                                      attempt->started > retired_at_));
   if (is_fresh) {
-    NoteOutcome(FailureClass::kPath, true, context.evidence, now);
+    alarms_.Add(FailureClass::kPath, true, OutcomeSource::kOwnCallers,
+                context.evidence, now);
   }
   // A path failure does not end a trial; the check tells whose fault it is.
   const auto since = attempt ? attempt->started : now - event.latency;
--- a/src/decision/detection/target_monitor.h
+++ b/src/decision/detection/target_monitor.h
@@ -132,10 +132,6 @@
   auto IsInUse() const -> bool;
   auto ProbeTime(const MonitorContext& context, TimePoint now) const
       -> Duration;
-  auto NoteOutcome(FailureClass sort,
-                   bool failed,
-                   ServiceEvidence& evidence,
-                   TimePoint now) -> void;
   auto NotePathFailure(const AttemptEnded& event,
                        const std::optional<InFlightAttempt>& attempt,
                        const MonitorContext& context,
--- a/tests/unit/decision/detection/detector_test.cc
+++ b/tests/unit/decision/detection/detector_test.cc
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <cstdint>
+#include <set>
+
 #include "unit/decision/detection/detection_fixture.h"
 
 namespace flamingoyoke {
@@ -225,5 +228,78 @@
   cr_assert_eq(detector.OwnedTargets().size(), 2);
 }
 
+// Plays `seconds` of work on all targets by callers of node 0, with 16
+// requests/s on its own targets 0 and 4 and one request/s on each other one,
+// while the other members report healthy work. `fails` tells whether a request
+// on a target meets a server error. Returns the targets that were out of use
+// at any time.
+template <typename Fails>
+auto TargetsTakenOut(Detector& detector, int seconds, Fails fails)
+    -> std::set<std::size_t> {
+  constexpr int kStepsPerSecond = 16;
+  std::set<std::size_t> out;
+  std::uint64_t attempt = 0;
+  for (int step = 0; step < seconds * kStepsPerSecond; ++step) {
+    const auto now = After(step * 1000 / kStepsPerSecond);
+    for (std::size_t target = 0; target < kFixtureTargets; ++target) {
+      const bool is_owned = target % kFixtureNodes == 0;
+      if (!is_owned && step % kStepsPerSecond != static_cast<int>(target)) {
+        continue;
+      }
+      const auto id = AttemptId(++attempt);
+      detector.OnEvent(AttemptStarted{id, FixtureTarget(target), false}, now);
+      detector.OnEvent(AttemptEnded{id, FixtureTarget(target),
+                                    fails(target) ? AttemptResult::kServerError
+                                                  : AttemptResult::kAnswered,
+                                    std::chrono::milliseconds(20)},
+                       now + std::chrono::milliseconds(20));
+    }
+    for (std::size_t peer = 1; peer < kFixtureNodes && step % 4 == 0; ++peer) {
+      LoadReport report{.service = ServiceId("stock")};
+      report.succeeded = 8;
+      report.median_latency = std::chrono::milliseconds(15);
+      report.p95_latency = std::chrono::milliseconds(60);
+      detector.OnEvent(FromPeer(peer, report),
+                       now + std::chrono::milliseconds(21));
+    }
+    for (std::size_t target = 0; target < kFixtureTargets; ++target) {
+      if (StatusOf(detector, target).share <= 0) {
+        out.insert(target);
+      }
+    }
+  }
+  return out;
+}
+
+// Guards against healthy targets that are taken out because the requests of
+// one node's callers fail wherever they go (bench ejection: 240 of 307
+// mistakes in ten days).
+Test(detector, failing_callers_of_one_node_take_no_target_out) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Detector detector((Random(seed)));
+    detector.OnEvent(FixtureConfiguration(0), kStart);
+    Random random(seed);
+    const double rate = 0.1 + 0.2 * random.Unit();
+    const auto out = TargetsTakenOut(
+        detector, 20, [&](std::size_t) { return random.Unit() < rate; });
+    cr_assert(out.empty(), "seed %d: %zu targets", static_cast<int>(seed),
+              out.size());
+  }
+}
+
+// Guards against a comparison that excuses a target which alone fails.
+Test(detector, a_target_that_alone_fails_is_taken_out) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Detector detector((Random(seed)));
+    detector.OnEvent(FixtureConfiguration(0), kStart);
+    Random random(seed);
+    const auto out = TargetsTakenOut(detector, 5, [&](std::size_t target) {
+      return target == 4 && random.Unit() < 0.3;
+    });
+    cr_assert_eq(out.size(), 1, "seed %d", static_cast<int>(seed));
+    cr_assert_eq(*out.begin(), 4);
+  }
+}
+
 }  // namespace
 }  // namespace flamingoyoke
