Count the requests of all gateways for the floor rule

Cause: a gateway judged by its own requests whether a tenth of a service's requests fail. It sees a third of them, so two failures in 2 s were enough, and unrepeatable work went to targets that had failed two seconds before.

Change: outcome reports carry the requests that ended; the floor rule uses those of all gateways. 'ill' and 'well' become 'unhealthy' and 'healthy' in decision/gateway.

counts_the_requests_of_all_gateways_for_the_floor failed with the peers' counts left out.

--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -229,6 +229,7 @@
 
 auto PoolDispatcher::On(const PoolPeerReport& event) -> void {
   pool_.OnPeerReport(event.peer, event.outcomes, now_);
+  pool_.OnPeerRequests(event.requests, now_);
 }
 
 auto PoolDispatcher::On(const PoolResumed& /*event*/) -> void {
@@ -364,11 +365,13 @@
   }
   last_told_ = now_;
   const auto news = pool_.TakeNews(now_);
-  if (news.empty()) {
+  const auto requests = pool_.TakeRequestNews();
+  if (news.empty() && requests == RequestCounts()) {
     return;
   }
   for (const auto& peer : peers_) {
-    actions_.emplace_back(SendToPeer{peer, OutcomeReport{service_, news}});
+    actions_.emplace_back(
+        SendToPeer{peer, OutcomeReport{service_, news, requests}});
   }
 }
 
--- a/src/decision/gateway/pool_event.h
+++ b/src/decision/gateway/pool_event.h
@@ -62,6 +62,7 @@
 struct PoolPeerReport {
   VmId peer;
   std::vector<TargetOutcomes> outcomes;
+  RequestCounts requests = {};
 };
 
 // The process was paused.
--- a/src/decision/gateway/target_belief.cc
+++ b/src/decision/gateway/target_belief.cc
@@ -8,19 +8,20 @@
 
 struct Likelihood {
   Evidence evidence;
-  // How much likelier the observation is at an ill target than at a sound one.
+  // How much likelier the observation is at an unhealthy target than at a
+  // healthy one.
   double ratio;
 };
 
-// The ratios of whole answers follow from the two shares of failures. Sound
+// The ratios of whole answers follow from the two shares of failures. Healthy
 // targets break off, time out or refuse less often than they answer 500, so
 // such observations say at least as much. Overdue work is often only long
 // work, and a shed request only a sign of load.
 constexpr auto kLikelihoods = std::to_array<Likelihood>({
-    {Evidence::kSucceeded, (1 - TargetBelief::kIllFailureShare) /
-                               (1 - TargetBelief::kSoundFailureShare)},
+    {Evidence::kSucceeded, (1 - TargetBelief::kUnhealthyFailureShare) /
+                               (1 - TargetBelief::kHealthyFailureShare)},
     {Evidence::kFailed,
-     TargetBelief::kIllFailureShare / TargetBelief::kSoundFailureShare},
+     TargetBelief::kUnhealthyFailureShare / TargetBelief::kHealthyFailureShare},
     {Evidence::kBroken, 60.0},
     {Evidence::kTimedOut, 30.0},
     {Evidence::kOverdue, 8.0},
@@ -35,21 +36,21 @@
 }  // namespace
 
 auto TargetBelief::Add(Evidence evidence, TimePoint now) -> void {
-  const auto before = IllProbability(now);
+  const auto before = UnhealthyProbability(now);
   const auto ratio = kLikelihoods[static_cast<std::size_t>(evidence)].ratio;
   const auto odds = before / (1 - before) * ratio;
-  ill_ =
+  unhealthy_ =
       std::clamp(odds / (1 + odds), kLeastProbability, 1 - kLeastProbability);
   last_ = now;
 }
 
-auto TargetBelief::IllProbability(TimePoint now) const -> double {
+auto TargetBelief::UnhealthyProbability(TimePoint now) const -> double {
   if (!last_) {
-    return kIllShare;
+    return kUnhealthyShare;
   }
   const auto age = EvidenceAge(now);
   const auto kept = std::exp(-ToSeconds(age) / ToSeconds(kMemory));
-  return kIllShare + (ill_ - kIllShare) * kept;
+  return kUnhealthyShare + (unhealthy_ - kUnhealthyShare) * kept;
 }
 
 auto TargetBelief::EvidenceAge(TimePoint now) const -> Duration {
@@ -57,8 +58,9 @@
 }
 
 auto TargetBelief::FailureProbability(TimePoint now) const -> double {
-  const auto ill = IllProbability(now);
-  return ill * kIllFailureShare + (1 - ill) * kSoundFailureShare;
+  const auto unhealthy = UnhealthyProbability(now);
+  return unhealthy * kUnhealthyFailureShare +
+         (1 - unhealthy) * kHealthyFailureShare;
 }
 
 }  // namespace flamingoyoke
--- a/src/decision/gateway/target_belief.h
+++ b/src/decision/gateway/target_belief.h
@@ -34,18 +34,18 @@
 };
 static_assert(IsDense<Evidence>());
 
-// Probability that a target is ill, that is, fails most of its requests while
-// its health endpoint may say that all is well. Each observation updates it
-// by Bayes' rule; between observations it returns to the share of time for
-// which targets are ill, since an illness lasts some seconds. So a target comes
-// back without a probe. Not thread-safe.
+// Probability that a target is unhealthy, that is, fails most of its requests
+// while its health endpoint may say that it is healthy. Each observation
+// updates it by Bayes' rule; between observations it returns to the share of
+// time for which targets are unhealthy, since a fault lasts some seconds. So a
+// target comes back without a probe. Not thread-safe.
 class TargetBelief {
  public:
   // Adds an observation. `now` must not go back.
   auto Add(Evidence evidence, TimePoint now) -> void;
 
-  // Returns the probability that the target is ill, 0 to 1.
-  [[nodiscard]] auto IllProbability(TimePoint now) const -> double;
+  // Returns the probability that the target is unhealthy, 0 to 1.
+  [[nodiscard]] auto UnhealthyProbability(TimePoint now) const -> double;
 
   // Returns the probability that the next request fails, 0 to 1.
   [[nodiscard]] auto FailureProbability(TimePoint now) const -> double;
@@ -54,19 +54,19 @@
   [[nodiscard]] auto EvidenceAge(TimePoint now) const -> Duration;
 
  private:
-  double ill_ = kIllShare;
+  double unhealthy_ = kUnhealthyShare;
   std::optional<TimePoint> last_;
 
  public:
-  // Share of time for which a target is expected to be ill. Operators see up
-  // to 30% of the targets of a service ill at a time; one that was not heard
-  // of for long is held for somewhat better than that.
-  static constexpr double kIllShare = 0.3;
-  // Time constant of the return to that share; an illness lasts a few seconds.
+  // Share of time for which a target is expected to be unhealthy. Operators see
+  // up to 30% of the targets of a service unhealthy at a time; one that was not
+  // heard of for long is held for somewhat better than that.
+  static constexpr double kUnhealthyShare = 0.3;
+  // Time constant of the return to that share; a fault lasts a few seconds.
   static constexpr Duration kMemory = std::chrono::milliseconds(9000);
-  // Share of requests that fail at a sound and at an ill target.
-  static constexpr double kSoundFailureShare = 0.012;
-  static constexpr double kIllFailureShare = 0.8;
+  // Share of requests that fail at a healthy and at an unhealthy target.
+  static constexpr double kHealthyFailureShare = 0.012;
+  static constexpr double kUnhealthyFailureShare = 0.8;
 };
 
 }  // namespace flamingoyoke
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -14,14 +14,14 @@
 // A target that shed a request has no room for about half a typical request.
 constexpr Duration kShedPause = std::chrono::milliseconds(60);
 // Above the first probability a target gets work at once only to keep the
-// floor, and above the second one only from requests that had to wait: an ill
-// target is no capacity.
+// floor, and above the second one only from requests that had to wait: an
+// unhealthy target is no capacity.
 constexpr double kAvoidAbove = 0.5;
-constexpr double kIllAbove = 0.75;
+constexpr double kUnhealthyAbove = 0.75;
 // Part of its objective after which a request takes any target.
 constexpr double kPatientShare = 0.5;
-// Below this probability targets count as well and take turns.
-constexpr double kWellBelow = 0.3;
+// Below this probability targets count as healthy and take turns.
+constexpr double kHealthyBelow = 0.3;
 // A fresh target without any work is tried by repeatable work after the first
 // time and by any work after the second: it may be the capacity that lacks.
 constexpr Duration kTryFresh = std::chrono::milliseconds(300);
@@ -41,17 +41,18 @@
 // A failure of work that is tried again elsewhere costs little but time.
 constexpr double kRetriedFailureWeight = 0.3;
 // Window of the failing share, and the share above which all targets that are
-// well take turns.
+// healthy take turns.
 constexpr Duration kFailingWindow = std::chrono::milliseconds(2000);
 constexpr std::uint64_t kFailingTrials = 6;
 constexpr double kSpreadShare = 0.06;
-// From this share of failed requests on, the floor asks that sound targets get
-// work every two seconds; it counts from a tenth; a target counts as sound
-// again two seconds after it failed. At most the given part of them may stay
-// idle, which leaves room for targets that only look sound from here.
+// From this share of failed requests on, the floor asks that healthy targets
+// get work every two seconds; it counts from a tenth; a target counts as
+// healthy again two seconds after it failed. At most the given part of them may
+// stay idle, which leaves room for
+// targets that only look healthy from here.
 constexpr double kFloorShareOfFailures = 0.09;
 constexpr Duration kIdleAfter = std::chrono::milliseconds(1500);
-constexpr Duration kSoundAfter = std::chrono::milliseconds(1900);
+constexpr Duration kHealthyAfter = std::chrono::milliseconds(1900);
 constexpr double kIdleShare = 0.2;
 
 auto IsOlder(const std::optional<TimePoint>& time, Duration age, TimePoint now)
@@ -129,22 +130,23 @@
   return used;
 }
 
-auto TargetPool::IllLimit(TimePoint now) const -> double {
-  std::vector<double> ill;
+auto TargetPool::UnhealthyLimit(TimePoint now) const -> double {
+  std::vector<double> unhealthy;
   for (const auto& [id, entry] : targets_) {
     if (IsUsable(entry)) {
-      ill.push_back(entry.belief.IllProbability(now));
+      unhealthy.push_back(entry.belief.UnhealthyProbability(now));
     }
   }
-  if (ill.empty()) {
+  if (unhealthy.empty()) {
     return kAvoidAbove;
   }
   const auto floor = static_cast<std::size_t>(
-      std::ceil(floor_share_ * static_cast<double>(ill.size())));
-  const auto last = std::clamp<std::size_t>(floor, 1, ill.size()) - 1;
-  std::nth_element(ill.begin(), ill.begin() + static_cast<std::ptrdiff_t>(last),
-                   ill.end());
-  return std::clamp(ill[last], kAvoidAbove, kIllAbove);
+      std::ceil(floor_share_ * static_cast<double>(unhealthy.size())));
+  const auto last = std::clamp<std::size_t>(floor, 1, unhealthy.size()) - 1;
+  std::nth_element(unhealthy.begin(),
+                   unhealthy.begin() + static_cast<std::ptrdiff_t>(last),
+                   unhealthy.end());
+  return std::clamp(unhealthy[last], kAvoidAbove, kUnhealthyAbove);
 }
 
 auto TargetPool::CostOf(const Entry& entry,
@@ -175,21 +177,21 @@
 
 auto TargetPool::FindIdleBelowFloor(const TargetWish& wish, TimePoint now)
     -> Entry* {
-  std::size_t sound = 0;
+  std::size_t healthy = 0;
   std::size_t idle = 0;
   Entry* best = nullptr;
   for (auto& [id, entry] : targets_) {
-    if (!IsUsable(entry) || !IsOlder(entry.last_failed, kSoundAfter, now)) {
+    if (!IsUsable(entry) || !IsOlder(entry.last_failed, kHealthyAfter, now)) {
       continue;
     }
-    ++sound;
+    ++healthy;
     if (!IsOlder(entry.last_used, kIdleAfter, now)) {
       continue;
     }
     ++idle;
     const bool is_better =
-        best == nullptr ||
-        entry.belief.IllProbability(now) < best->belief.IllProbability(now);
+        best == nullptr || entry.belief.UnhealthyProbability(now) <
+                               best->belief.UnhealthyProbability(now);
     if (is_better && !IsTried(wish, id) &&
         UsedSlots(entry, now) < entry.spec.slots && now >= entry.closed_until) {
       best = &entry;
@@ -197,7 +199,7 @@
   }
   // Work that is tried again elsewhere may look at each of them.
   const auto allowed =
-      wish.may_retry ? 0.0 : kIdleShare * static_cast<double>(sound);
+      wish.may_retry ? 0.0 : kIdleShare * static_cast<double>(healthy);
   return static_cast<double>(idle) > allowed ? best : nullptr;
 }
 
@@ -220,7 +222,7 @@
     auto& entry = *candidate.entry;
     const auto age = entry.belief.EvidenceAge(now);
     if (age < kStaleEvidence || UsedSlots(entry, now) > 0 ||
-        candidate.ill > kAvoidAbove) {
+        candidate.unhealthy > kAvoidAbove) {
       continue;
     }
     if (stalest == nullptr || age > stalest->belief.EvidenceAge(now)) {
@@ -239,16 +241,16 @@
   }
   const auto patience =
       std::clamp(1 - wish.waited_share / kPatientShare, 0.0, 1.0);
-  const auto limit = 1 - (1 - IllLimit(now)) * patience;
+  const auto limit = 1 - (1 - UnhealthyLimit(now)) * patience;
   std::vector<Candidate> candidates;
   for (auto& [id, entry] : targets_) {
     if (!IsUsable(entry) || now < entry.closed_until || IsTried(wish, id) ||
         UsedSlots(entry, now) >= entry.spec.slots) {
       continue;
     }
-    const auto ill = entry.belief.IllProbability(now);
-    if (ill <= limit) {
-      candidates.push_back({&entry, ill, CostOf(entry, wish, now)});
+    const auto unhealthy = entry.belief.UnhealthyProbability(now);
+    if (unhealthy <= limit) {
+      candidates.push_back({&entry, unhealthy, CostOf(entry, wish, now)});
     }
   }
   if (candidates.empty()) {
@@ -259,9 +261,9 @@
   }
   const bool spread = FailingShare(outcomes_, now) > kSpreadShare;
   const auto is_better = [&](const Candidate& a, const Candidate& b) {
-    const bool a_well = a.ill < kWellBelow;
-    const bool b_well = b.ill < kWellBelow;
-    if (spread && a_well && b_well) {
+    const bool a_healthy = a.unhealthy < kHealthyBelow;
+    const bool b_healthy = b.unhealthy < kHealthyBelow;
+    if (spread && a_healthy && b_healthy) {
       return a.entry->last_used < b.entry->last_used;
     }
     return a.cost < b.cost;
@@ -335,6 +337,18 @@
 
 auto TargetPool::OnRequestEnded(bool served, TimePoint now) -> void {
   requests_.Add({1, served ? std::uint64_t{0} : 1}, now);
+  ++(served ? request_news_.served : request_news_.unserved);
+  has_news_ = true;
+}
+
+auto TargetPool::OnPeerRequests(const RequestCounts& requests, TimePoint now)
+    -> void {
+  const std::uint64_t unserved = requests.unserved;
+  requests_.Add({requests.served + unserved, unserved}, now);
+}
+
+auto TargetPool::TakeRequestNews() -> RequestCounts {
+  return std::exchange(request_news_, {});
 }
 
 auto TargetPool::OnResumed() -> void {
@@ -406,21 +420,22 @@
 }
 
 auto TargetPool::UsableSlots(TimePoint now) const -> std::uint32_t {
-  const auto limit = IllLimit(now);
+  const auto limit = UnhealthyLimit(now);
   std::uint32_t slots = 0;
   for (const auto& [id, entry] : targets_) {
-    if (IsUsable(entry) && entry.belief.IllProbability(now) <= limit) {
+    if (IsUsable(entry) && entry.belief.UnhealthyProbability(now) <= limit) {
       slots += entry.spec.slots;
     }
   }
   return slots;
 }
 
-auto TargetPool::IllProbability(const TargetId& target, TimePoint now) const
-    -> double {
+auto TargetPool::UnhealthyProbability(const TargetId& target,
+                                      TimePoint now) const -> double {
   const auto found = targets_.find(target);
-  return found == targets_.end() ? 1.0
-                                 : found->second.belief.IllProbability(now);
+  return found == targets_.end()
+             ? 1.0
+             : found->second.belief.UnhealthyProbability(now);
 }
 
 }  // namespace flamingoyoke
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -26,7 +26,7 @@
   // Targets that the request was sent to before.
   const std::vector<TargetId>* tried = nullptr;
   // How long the request has waited, as a part of its objective. The longer it
-  // waits for a target that is well, the better an ill one looks.
+  // waits for a healthy target, the better an unhealthy one looks.
   double waited_share = 0;
 };
 
@@ -72,6 +72,13 @@
                     const std::vector<TargetOutcomes>& outcomes,
                     TimePoint now) -> void;
 
+  // Takes the requests that ended at another gateway.
+  auto OnPeerRequests(const RequestCounts& requests, TimePoint now) -> void;
+
+  // Returns the requests that ended since the last call, for the other
+  // gateways.
+  auto TakeRequestNews() -> RequestCounts;
+
   // Returns what changed since the last call, for the other gateways.
   auto TakeNews(TimePoint now) -> std::vector<TargetOutcomes>;
   [[nodiscard]] auto has_news() const -> bool { return has_news_; }
@@ -80,9 +87,9 @@
   [[nodiscard]] auto HasUsable() const -> bool;
   // Slots of the targets that may get work.
   [[nodiscard]] auto UsableSlots(TimePoint now) const -> std::uint32_t;
-  // Probability that `target` is ill; 1 for one that is unknown.
-  [[nodiscard]] auto IllProbability(const TargetId& target, TimePoint now) const
-      -> double;
+  // Probability that `target` is unhealthy; 1 for one that is unknown.
+  [[nodiscard]] auto UnhealthyProbability(const TargetId& target,
+                                          TimePoint now) const -> double;
 
  private:
   struct PeerUse {
@@ -107,15 +114,16 @@
   };
   struct Candidate {
     Entry* entry = nullptr;
-    double ill = 0;
+    double unhealthy = 0;
     double cost = 0;
   };
 
   [[nodiscard]] static auto IsUsable(const Entry& entry) -> bool;
   [[nodiscard]] static auto UsedSlots(const Entry& entry, TimePoint now)
       -> std::uint32_t;
-  // Highest probability of illness with which a target gets work at once.
-  [[nodiscard]] auto IllLimit(TimePoint now) const -> double;
+  // Highest probability of being unhealthy with which a target gets work at
+  // once.
+  [[nodiscard]] auto UnhealthyLimit(TimePoint now) const -> double;
   [[nodiscard]] auto CostOf(const Entry& entry,
                             const TargetWish& wish,
                             TimePoint now) const -> double;
@@ -135,9 +143,11 @@
   double floor_share_;
   FailureDomainId own_domain_;
   std::map<TargetId, Entry> targets_;
-  // Attempts of all gateways, and requests of this one.
+  // Attempts and requests of all gateways.
   RateWindow outcomes_;
   RateWindow requests_;
+  // Requests that the other gateways were not told yet.
+  RequestCounts request_news_;
   bool has_news_ = false;
 };
 
--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -131,11 +131,20 @@
   ServiceId service;
 };
 
+// Requests that ended, with a success for their callers or without one.
+struct RequestCounts {
+  std::uint32_t served = 0;
+  std::uint32_t unserved = 0;
+
+  auto operator==(const RequestCounts&) const -> bool = default;
+};
+
 // Outcomes that a borrower saw, sent to the owner, or that a gateway saw, sent
-// to the other gateways.
+// to the other gateways. Only gateways count requests.
 struct OutcomeReport {
   ServiceId service;
   std::vector<TargetOutcomes> outcomes;
+  RequestCounts requests = {};
 };
 
 enum class TargetState {
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -171,7 +171,7 @@
   }
   const auto found = services_.find(report->service);
   if (found != services_.end()) {
-    found->second->OnPeerReport(received.envelope.sender, report->outcomes);
+    found->second->OnPeerReport(received.envelope.sender, *report);
   }
 }
 
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -78,10 +78,9 @@
   Post(arrived);
 }
 
-auto PoolRunner::OnPeerReport(const VmId& peer,
-                              const std::vector<TargetOutcomes>& outcomes)
+auto PoolRunner::OnPeerReport(const VmId& peer, const OutcomeReport& report)
     -> void {
-  Post(PoolPeerReport{peer, outcomes});
+  Post(PoolPeerReport{peer, report.outcomes, report.requests});
 }
 
 auto PoolRunner::OnResumed() -> void {
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -82,8 +82,7 @@
   // Runs a request and answers it. Its id must be new.
   auto Submit(GatewayRequest request) -> void;
 
-  auto OnPeerReport(const VmId& peer,
-                    const std::vector<TargetOutcomes>& outcomes) -> void;
+  auto OnPeerReport(const VmId& peer, const OutcomeReport& report) -> void;
   // The process was paused.
   auto OnResumed() -> void;
   // Answers all requests now, each truthfully.
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -157,7 +157,10 @@
 }
 
 auto Read(const wire::OutcomeReport& encoded) -> Result<PeerMessage> {
-  return OutcomeReport{ServiceId(encoded.service()), ReadOutcomes(encoded)};
+  return OutcomeReport{
+      ServiceId(encoded.service()),
+      ReadOutcomes(encoded),
+      {encoded.requests_served(), encoded.requests_unserved()}};
 }
 
 auto Read(const wire::EjectionNotice& encoded) -> Result<PeerMessage> {
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -150,6 +150,8 @@
 auto BodyWriter::operator()(const OutcomeReport& message) const -> void {
   auto* encoded = envelope_.mutable_outcome_report();
   encoded->set_service(message.service.value());
+  encoded->set_requests_served(message.requests.served);
+  encoded->set_requests_unserved(message.requests.unserved);
   for (const auto& outcomes : message.outcomes) {
     WriteOutcomes(outcomes, encoded->add_outcomes());
   }
--- a/tests/unit/decision/gateway/target_belief_test.cc
+++ b/tests/unit/decision/gateway/target_belief_test.cc
@@ -13,8 +13,8 @@
 
 Test(target_belief, starts_from_the_share_of_ill_targets) {
   const TargetBelief belief;
-  cr_assert_float_eq(belief.IllProbability(kStart), TargetBelief::kIllShare,
-                     1e-9);
+  cr_assert_float_eq(belief.UnhealthyProbability(kStart),
+                     TargetBelief::kUnhealthyShare, 1e-9);
 }
 
 // Guards against a target that goes on getting work after it failed twice.
@@ -23,12 +23,12 @@
   belief.Add(Evidence::kSucceeded, kStart);
   belief.Add(Evidence::kSucceeded, kStart);
   belief.Add(Evidence::kFailed, kStart);
-  cr_assert_lt(belief.IllProbability(kStart), 0.75);
+  cr_assert_lt(belief.UnhealthyProbability(kStart), 0.75);
   belief.Add(Evidence::kFailed, kStart);
-  cr_assert_gt(belief.IllProbability(kStart), 0.95);
+  cr_assert_gt(belief.UnhealthyProbability(kStart), 0.95);
 }
 
-// Guards against the loss of sound targets by their rare errors.
+// Guards against the loss of healthy targets by their rare errors.
 Test(target_belief, a_success_after_one_failure_restores_a_sound_target) {
   TargetBelief belief;
   for (int i = 0; i < 5; ++i) {
@@ -36,7 +36,7 @@
   }
   belief.Add(Evidence::kFailed, kStart);
   belief.Add(Evidence::kSucceeded, kStart);
-  cr_assert_lt(belief.IllProbability(kStart), 0.3);
+  cr_assert_lt(belief.UnhealthyProbability(kStart), 0.3);
 }
 
 // Guards against targets that never come back after an illness.
@@ -45,8 +45,10 @@
   belief.Add(Evidence::kFailed, kStart);
   belief.Add(Evidence::kFailed, kStart);
   const auto later = kStart + 3 * TargetBelief::kMemory;
-  cr_assert_lt(belief.IllProbability(later), TargetBelief::kIllShare + 0.05);
-  cr_assert_gt(belief.IllProbability(later), TargetBelief::kIllShare);
+  cr_assert_lt(belief.UnhealthyProbability(later),
+               TargetBelief::kUnhealthyShare + 0.05);
+  cr_assert_gt(belief.UnhealthyProbability(later),
+               TargetBelief::kUnhealthyShare);
 }
 
 // Guards against evidence that cannot be overcome by later evidence.
@@ -58,7 +60,7 @@
   for (int i = 0; i < 8; ++i) {
     belief.Add(Evidence::kSucceeded, kStart);
   }
-  cr_assert_lt(belief.IllProbability(kStart), 0.5);
+  cr_assert_lt(belief.UnhealthyProbability(kStart), 0.5);
 }
 
 }  // namespace flamingoyoke
--- a/tests/unit/decision/gateway/target_pool_test.cc
+++ b/tests/unit/decision/gateway/target_pool_test.cc
@@ -82,8 +82,8 @@
   }
 }
 
-// Guards against once-only work on an ill target as soon as the others are
-// busy, and against work that waits for ever if all are ill.
+// Guards against once-only work on an unhealthy target as soon as the others
+// are busy, and against work that waits for ever if all are unhealthy.
 Test(target_pool, takes_an_ill_target_only_after_a_wait) {
   auto pool = MakePool(Targets(2));
   Run(pool, TargetNumber(0), Evidence::kFailed, kStart);
@@ -152,8 +152,8 @@
 }
 
 // Guards against a missed floor: vdm-eendhok hunt-0ea6-7, where a third of the
-// sound targets got nothing for two seconds while a fifth of the requests
-// failed, as they were still held for ill.
+// healthy targets got nothing for two seconds while a fifth of the requests
+// failed, as they were still held for unhealthy.
 Test(target_pool, looks_at_idle_targets_while_many_requests_fail) {
   auto pool = MakePool(Targets(8));
   for (std::size_t i = 0; i < 3; ++i) {
@@ -175,6 +175,42 @@
   cr_assert_geq(used.size(), 7U);
 }
 
+// Guards against a gateway that takes two failures of its own few requests for
+// a service that fails, while the other gateways serve nearly all: it then
+// sends unrepeatable work to targets that failed two seconds ago.
+Test(target_pool, counts_the_requests_of_all_gateways_for_the_floor) {
+  auto pool = MakePool(Targets(8));
+  for (std::size_t i = 0; i < 3; ++i) {
+    Run(pool, TargetNumber(i), Evidence::kFailed, kStart);
+    Run(pool, TargetNumber(i), Evidence::kFailed, kStart);
+  }
+  std::set<TargetId> used;
+  for (int ms = 0; ms < 4000; ms += 40) {
+    const auto now = kStart + milliseconds(ms);
+    const auto chosen = pool.Choose({}, now);
+    cr_assert(chosen.has_value());
+    Run(pool, *chosen, Evidence::kSucceeded, now);
+    pool.OnRequestEnded(ms % 200 != 0, now);
+    pool.OnPeerRequests({.served = 4}, now);
+    used.insert(*chosen);
+  }
+  for (std::size_t i = 0; i < 3; ++i) {
+    cr_assert(!used.contains(TargetNumber(i)));
+  }
+}
+
+Test(target_pool, tells_requests_that_ended_once) {
+  auto pool = MakePool(Targets(1));
+  pool.OnRequestEnded(true, kStart);
+  pool.OnRequestEnded(true, kStart);
+  pool.OnRequestEnded(false, kStart);
+  cr_assert(pool.has_news());
+  const auto news = pool.TakeRequestNews();
+  cr_assert_eq(news.served, 2U);
+  cr_assert_eq(news.unserved, 1U);
+  cr_assert(pool.TakeRequestNews() == RequestCounts());
+}
+
 // Guards against a repeat on the target that has just failed the request.
 Test(target_pool, never_chooses_a_tried_target_again) {
   auto pool = MakePool(Targets(2));
--- a/tests/unit/node/traffic/gateway/gateway_task_test.cc
+++ b/tests/unit/node/traffic/gateway/gateway_task_test.cc
@@ -224,8 +224,9 @@
     return false;
   };
   UpstreamFake broken(cut);
-  UpstreamFake sound(Always(Answer("200 OK\r\nId: req-1\r\nSigned: x", "ok")));
-  GatewayFixture gateway({broken.port(), sound.port()});
+  UpstreamFake healthy(
+      Always(Answer("200 OK\r\nId: req-1\r\nSigned: x", "ok")));
+  GatewayFixture gateway({broken.port(), healthy.port()});
   for (int i = 0; i < 6; ++i) {
     const auto answer = gateway.Exchange(Request("GET", "/repeatable/1"));
     cr_assert_eq(answer.status(), 200);
--- a/tests/unit/wire/peer_codec_test.cc
+++ b/tests/unit/wire/peer_codec_test.cc
@@ -45,7 +45,7 @@
       SlotLoan{LoanId(1), service, 2, {target, target}, Duration(9)},
       SlotReturn{LoanId(1), service, {target}, {{target, 1, 2, 3, 4}}},
       SlotRecall{LoanId(1), service},
-      OutcomeReport{service, {{target, 1, 2, 3, 4}}},
+      OutcomeReport{service, {{target, 1, 2, 3, 4}}, {5, 6}},
       EjectionNotice{service, target, TargetState::kTrial, 4, 0.5, Duration(8)},
       EjectionPermitRequest{service, target},
       EjectionPermit{service, target, true},
