Excuse targets for routes that allow less time than their work takes

Change: a route whose last three attempts ended at the deadline blames no target for that; an answer in time takes the verdict back.

--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -31,6 +31,9 @@
 // Waiting requests that are looked at in a row without a free target.
 constexpr int kMaxMisses = 8;
 // Shortest time after which a refused caller may come back.
+// A target ends its work this much before the deadline at most: one way of a
+// message and the rounding of the time left to whole milliseconds.
+constexpr Duration kDeadlineSlack = std::chrono::milliseconds(20);
 constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(50);
 
 auto Times(double factor, Duration duration) -> Duration {
@@ -179,7 +182,7 @@
   auto& running = tracked.running;
   running.erase(std::remove(running.begin(), running.end(), event.attempt),
                 running.end());
-  pool_.OnEnded(ended.target, EvidenceOf(event.result), now_);
+  pool_.OnEnded(ended.target, Judge(tracked, event.result), now_);
   if (event.other_instance) {
     pool_.OnReplaced(ended.target);
   } else if (event.result == AttemptResult::kShed) {
@@ -209,6 +212,21 @@
   Refuse(tracked, ErrorOf(event.result));
 }
 
+auto PoolDispatcher::Judge(const Tracked& tracked, AttemptResult result)
+    -> std::optional<Evidence> {
+  const bool at_deadline = (result == AttemptResult::kServerError ||
+                            result == AttemptResult::kTimeout) &&
+                           now_ >= tracked.info.deadline - kDeadlineSlack;
+  const bool is_whole_run = at_deadline || result == AttemptResult::kAnswered;
+  if (is_whole_run) {
+    expiry_.Add(tracked.info.route, at_deadline);
+  }
+  if (at_deadline && expiry_.IsTooShort(tracked.info.route)) {
+    return std::nullopt;
+  }
+  return EvidenceOf(result);
+}
+
 auto PoolDispatcher::TryAgain(Tracked& tracked, AttemptResult result) -> bool {
   const bool may_run_again = tracked.info.repeatable || IsNotRun(result);
   if (!may_run_again || IsTooLate(tracked)) {
@@ -276,7 +294,9 @@
     if (!running.overdue &&
         age > std::max(kLeastOverdue, Times(kOverdueFactor, typical))) {
       running.overdue = true;
-      pool_.OnOverdue(running.target, now_);
+      if (!expiry_.IsTooShort(tracked.info.route)) {
+        pool_.OnOverdue(running.target, now_);
+      }
     }
     if (tracked.info.repeatable && !tracked.committed &&
         tracked.running.size() == 1 &&
--- a/src/decision/gateway/pool_dispatcher.h
+++ b/src/decision/gateway/pool_dispatcher.h
@@ -14,6 +14,7 @@
 #include "decision/dispatch/retry_budget.h"
 #include "decision/dispatch/service_times.h"
 #include "decision/gateway/pool_event.h"
+#include "decision/gateway/route_expiry.h"
 #include "decision/gateway/target_pool.h"
 
 namespace flamingoyoke {
@@ -112,6 +113,9 @@
   auto Refuse(const Tracked& tracked, ErrorKind error) -> void;
   // Forgets a request and cancels what still runs for it.
   auto Forget(RequestId request) -> void;
+  // Returns what the end of an attempt says about its target.
+  auto Judge(const Tracked& tracked, AttemptResult result)
+      -> std::optional<Evidence>;
   auto Tell() -> void;
   auto OrderWake() -> void;
 
@@ -128,6 +132,7 @@
   TargetPool pool_;
   RetryBudget retries_;
   ServiceTimes times_;
+  RouteExpiry expiry_;
   std::vector<VmId> peers_;
   std::unordered_map<RequestId, Tracked> requests_;
   std::unordered_map<AttemptId, Running> attempts_;
--- a/src/decision/gateway/pool_event.h
+++ b/src/decision/gateway/pool_event.h
@@ -2,6 +2,7 @@
 #define FLAMINGOYOKE_DECISION_GATEWAY_POOL_EVENT_H_
 
 #include <cstdint>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -28,6 +29,8 @@
 // A request was stored whole and waits for a target.
 struct PoolRequestArrived {
   RequestId request;
+  // Name of the route, to tell a route's faults from those of targets.
+  std::string route = {};
   WorkClass work_class = WorkClass::kShort;
   bool repeatable = false;
   // Rank among the requests of the service; 0 goes first.
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -65,6 +65,7 @@
   const auto body_bytes = evbuffer_get_length(request.exchange->body());
   const PoolRequestArrived arrived{
       .request = id,
+      .route = request.route,
       .work_class =
           body_bytes >= kLongBodyBytes ? WorkClass::kLong : WorkClass::kShort,
       .repeatable = request.repeatability == Repeatability::kRepeatable,
