Tell partly failing targets from failing ones

Change: the belief has three states (healthy, partly failing, failing) with a table of likelihoods; the failure probability mixes their failure shares.

--- a/src/decision/gateway/target_belief.cc
+++ b/src/decision/gateway/target_belief.cc
@@ -1,32 +1,37 @@
 #include "decision/gateway/target_belief.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <numeric>
 
 namespace flamingoyoke {
 namespace {
 
+constexpr std::size_t kStates = kEnumSize<TargetHealth>;
+
+// Share of requests that fail in each state.
+constexpr std::array<double, kStates> kFailureShares = {0.012, 0.4, 0.9};
+
 struct Likelihood {
   Evidence evidence;
-  // How much likelier the observation is at an unhealthy target than at a
-  // healthy one.
-  double ratio;
+  // How likely the observation is in each state, up to a common factor.
+  std::array<double, kStates> in_state;
 };
 
-// The ratios of whole answers follow from the two shares of failures. Healthy
-// targets break off, time out or refuse less often than they answer 500, so
-// such observations say at least as much. Overdue work is often only long
-// work, and a shed request only a sign of load.
+// Whole answers follow from the shares of failures. Healthy targets break off,
+// time out or refuse less often than they answer 500, so such observations say
+// at least as much. Overdue work is often only long work, and a shed request
+// only a sign of load.
 constexpr auto kLikelihoods = std::to_array<Likelihood>({
-    {Evidence::kSucceeded, (1 - TargetBelief::kUnhealthyFailureShare) /
-                               (1 - TargetBelief::kHealthyFailureShare)},
-    {Evidence::kFailed,
-     TargetBelief::kUnhealthyFailureShare / TargetBelief::kHealthyFailureShare},
-    {Evidence::kBroken, 60.0},
-    {Evidence::kTimedOut, 30.0},
-    {Evidence::kOverdue, 8.0},
-    {Evidence::kRefused, 200.0},
-    {Evidence::kShed, 2.0},
+    {Evidence::kSucceeded,
+     {1 - kFailureShares[0], 1 - kFailureShares[1], 1 - kFailureShares[2]}},
+    {Evidence::kFailed, kFailureShares},
+    {Evidence::kBroken, {1, 25, 60}},
+    {Evidence::kTimedOut, {1, 12, 30}},
+    {Evidence::kOverdue, {1, 4, 8}},
+    {Evidence::kRefused, {1, 80, 200}},
+    {Evidence::kShed, {1, 1.5, 2}},
 });
 static_assert(kLikelihoods.size() == kEnumSize<Evidence>);
 
@@ -36,21 +41,39 @@
 }  // namespace
 
 auto TargetBelief::Add(Evidence evidence, TimePoint now) -> void {
-  const auto before = UnhealthyProbability(now);
-  const auto ratio = kLikelihoods[static_cast<std::size_t>(evidence)].ratio;
-  const auto odds = before / (1 - before) * ratio;
-  unhealthy_ =
-      std::clamp(odds / (1 + odds), kLeastProbability, 1 - kLeastProbability);
+  const auto& likelihood =
+      kLikelihoods[static_cast<std::size_t>(evidence)].in_state;
+  auto next = Probabilities(now);
+  double sum = 0;
+  for (std::size_t i = 0; i < kStates; ++i) {
+    next[i] *= likelihood[i];
+    sum += next[i];
+  }
+  for (auto& probability : next) {
+    probability = std::max(probability / sum, kLeastProbability);
+  }
+  const auto kept = std::accumulate(next.begin(), next.end(), 0.0);
+  for (std::size_t i = 0; i < kStates; ++i) {
+    probabilities_[i] = next[i] / kept;
+  }
   last_ = now;
 }
 
-auto TargetBelief::UnhealthyProbability(TimePoint now) const -> double {
+auto TargetBelief::Probabilities(TimePoint now) const -> PerState {
   if (!last_) {
-    return kUnhealthyShare;
+    return kUsual;
+  }
+  const auto kept = std::exp(-ToSeconds(EvidenceAge(now)) / ToSeconds(kMemory));
+  PerState present = {};
+  for (std::size_t i = 0; i < kStates; ++i) {
+    present[i] = kUsual[i] + (probabilities_[i] - kUsual[i]) * kept;
   }
-  const auto age = EvidenceAge(now);
-  const auto kept = std::exp(-ToSeconds(age) / ToSeconds(kMemory));
-  return kUnhealthyShare + (unhealthy_ - kUnhealthyShare) * kept;
+  return present;
+}
+
+auto TargetBelief::UnhealthyProbability(TimePoint now) const -> double {
+  return 1 -
+         Probabilities(now)[static_cast<std::size_t>(TargetHealth::kHealthy)];
 }
 
 auto TargetBelief::EvidenceAge(TimePoint now) const -> Duration {
@@ -58,9 +81,9 @@
 }
 
 auto TargetBelief::FailureProbability(TimePoint now) const -> double {
-  const auto unhealthy = UnhealthyProbability(now);
-  return unhealthy * kUnhealthyFailureShare +
-         (1 - unhealthy) * kHealthyFailureShare;
+  const auto present = Probabilities(now);
+  return std::inner_product(present.begin(), present.end(),
+                            kFailureShares.begin(), 0.0);
 }
 
 }  // namespace flamingoyoke
--- a/src/decision/gateway/target_belief.h
+++ b/src/decision/gateway/target_belief.h
@@ -34,11 +34,28 @@
 };
 static_assert(IsDense<Evidence>());
 
-// Probability that a target is unhealthy, that is, fails most of its requests
-// while its health endpoint may say that it is healthy. Each observation
-// updates it by Bayes' rule; between observations it returns to the share of
-// time for which targets are unhealthy, since a fault lasts some seconds. So a
-// target comes back without a probe. Not thread-safe.
+// How a target treats its requests, whatever its health endpoint says.
+enum class TargetHealth {
+  kHealthy,
+  kPartlyFailing,  // Fails some of its requests.
+  kFailing,        // Fails nearly all of its requests.
+};
+
+template <>
+struct EnumNames<TargetHealth> {
+  static constexpr auto kTable = std::to_array<NameEntry<TargetHealth>>({
+      {TargetHealth::kHealthy, "healthy"},
+      {TargetHealth::kPartlyFailing, "partly-failing"},
+      {TargetHealth::kFailing, "failing"},
+  });
+};
+static_assert(IsDense<TargetHealth>());
+
+// Probabilities of the states of one target. Each observation updates them by
+// Bayes' rule; between observations they return to the share of time that
+// targets spend in each state, since a fault lasts some seconds. So a target
+// comes back without a probe. Two unhealthy states let requests that find no
+// healthy target prefer those that fail least. Not thread-safe.
 class TargetBelief {
  public:
   // Adds an observation. `now` must not go back.
@@ -53,20 +70,24 @@
   // Time since the last observation; Duration::max() if there was none.
   [[nodiscard]] auto EvidenceAge(TimePoint now) const -> Duration;
 
- private:
-  double unhealthy_ = kUnhealthyShare;
-  std::optional<TimePoint> last_;
-
- public:
   // Share of time for which a target is expected to be unhealthy. Operators see
   // up to 30% of the targets of a service unhealthy at a time; one that was not
   // heard of for long is held for somewhat better than that.
   static constexpr double kUnhealthyShare = 0.3;
   // Time constant of the return to that share; a fault lasts a few seconds.
   static constexpr Duration kMemory = std::chrono::milliseconds(9000);
-  // Share of requests that fail at a healthy and at an unhealthy target.
-  static constexpr double kHealthyFailureShare = 0.012;
-  static constexpr double kUnhealthyFailureShare = 0.8;
+
+ private:
+  // One value per state, in the order of TargetHealth.
+  using PerState = std::array<double, kEnumSize<TargetHealth>>;
+
+  // Share of time in each state. Most unhealthy targets fail nearly all work.
+  static constexpr PerState kUsual = {1 - kUnhealthyShare, 0.08, 0.22};
+
+  [[nodiscard]] auto Probabilities(TimePoint now) const -> PerState;
+
+  PerState probabilities_ = kUsual;
+  std::optional<TimePoint> last_;
 };
 
 }  // namespace flamingoyoke
--- a/tests/unit/decision/gateway/target_belief_test.cc
+++ b/tests/unit/decision/gateway/target_belief_test.cc
@@ -39,7 +39,23 @@
   cr_assert_lt(belief.UnhealthyProbability(kStart), 0.3);
 }
 
-// Guards against targets that never come back after an illness.
+// Guards against taking a target that fails half of its requests for one that
+// fails them all: when no healthy target has room, the former serves some.
+Test(target_belief, tells_partly_failing_targets_from_failing_ones) {
+  TargetBelief partly;
+  TargetBelief failing;
+  for (int i = 0; i < 4; ++i) {
+    partly.Add(Evidence::kFailed, kStart);
+    partly.Add(Evidence::kSucceeded, kStart);
+    failing.Add(Evidence::kFailed, kStart);
+    failing.Add(Evidence::kFailed, kStart);
+  }
+  cr_assert_gt(partly.UnhealthyProbability(kStart), 0.75);
+  cr_assert_lt(partly.FailureProbability(kStart), 0.5);
+  cr_assert_gt(failing.FailureProbability(kStart), 0.85);
+}
+
+// Guards against targets that never come back after a fault.
 Test(target_belief, returns_to_the_usual_share_with_time) {
   TargetBelief belief;
   belief.Add(Evidence::kFailed, kStart);
