Write log lines by a thread of their own

Cause: lines went to standard output from the task that logged them, so a reader that does not read (a full pipe) stopped tasks that serve callers.

Change: spdlog's asynchronous logger with 512 waiting lines; the oldest are dropped beyond that.

Tests: a_reader_that_does_not_read_holds_nobody_up and writes_the_last_lines_before_it_stops; the first was not run on the old code, which has no StopLog().

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -3,11 +3,13 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <optional>
 #include <string>
 
+#include "core/time.h"
 #include "daemon/signal_watch.h"
 #include "node/log.h"
 #include "node/node.h"
@@ -23,6 +25,9 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 constexpr int kExitSettings = 3;
+// A reader that is merely slow takes the last lines within this; one that hangs
+// must not keep the process from its end.
+constexpr Duration kLastLinesPatience = std::chrono::milliseconds(300);
 
 auto ReadFile(const std::string& path) -> std::optional<std::string> {
   std::ifstream file(path, std::ios::binary);
@@ -126,7 +131,12 @@
     return kExitSettings;
   }
   ConfigureLog(settings->log.level, settings->log.format);
-  return RunNode(*settings, settings_path, options);
+  const auto code = RunNode(*settings, settings_path, options);
+  if (!StopLog(kLastLinesPatience)) {
+    // The thread that waits for the reader cannot be joined.
+    std::_Exit(code);
+  }
+  return code;
 }
 
 }  // namespace flamingoyoke
--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -1,10 +1,13 @@
 #include "node/log.h"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <future>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <thread>
 #include <unordered_map>
 
 #include "runtime/clock.h"
@@ -15,6 +18,9 @@
 constexpr Duration kRepeatWindow = std::chrono::seconds(5);
 // Sentences that contain changing values must not fill the memory.
 constexpr std::size_t kMaxRemembered = 256;
+// Lines that wait for a slow reader of standard output, about 0.2 MB; the
+// oldest are dropped beyond that.
+constexpr std::size_t kWaitingLines = 512;
 
 // Fixed before the tasks start, read by all of them.
 LogFormat log_format = LogFormat::kText;
@@ -61,7 +67,9 @@
 }  // namespace
 
 auto ConfigureLog(LogLevel least, LogFormat format) -> void {
-  auto logger = spdlog::stdout_logger_mt("flamingoyoke");
+  spdlog::init_thread_pool(kWaitingLines, 1);
+  auto logger =
+      spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("flamingoyoke");
   logger->set_level(ToSpdlog(least));
   logger->flush_on(spdlog::level::debug);
   logger->set_pattern(
@@ -70,6 +78,16 @@
   log_format = format;
 }
 
+auto StopLog(Duration patience) -> bool {
+  std::promise<void> written;
+  auto is_written = written.get_future();
+  std::thread([written = std::move(written)]() mutable {
+    spdlog::shutdown();
+    written.set_value();
+  }).detach();
+  return is_written.wait_for(patience) == std::future_status::ready;
+}
+
 auto Log(Part part, LogLevel level, std::string_view sentence) -> void {
   const auto spdlog_level = ToSpdlog(level);
   if (!spdlog::should_log(spdlog_level)) {
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -6,6 +6,7 @@
 
 #include "core/log_level.h"
 #include "core/name_table.h"
+#include "core/time.h"
 
 namespace flamingoyoke {
 
@@ -42,10 +43,17 @@
 };
 static_assert(IsDense<Part>());
 
-// Sets the least level and the format of all later lines, which go to
-// standard output. Call once, before any task starts.
+// Sets the least level and the format of all later lines, which go to standard
+// output by a thread of their own, so that a reader that does not read never
+// holds up a task. Call once, before any task starts.
 auto ConfigureLog(LogLevel least, LogFormat format) -> void;
 
+// Writes the lines that wait, for `patience` at most, and returns whether all
+// were written. If not, a thread still waits for the reader, so the process has
+// to end without destructors. Call once, after all tasks ended and instead of
+// any later Log().
+auto StopLog(Duration patience) -> bool;
+
 // Writes one short sentence with the prefix of `part`. A sentence that the
 // same thread repeats within five seconds is counted and not written.
 // `sentence` must hold no body, key or secret. Thread-safe.
--- /dev/null
+++ b/tests/unit/node/log_test.cc
@@ -0,0 +1,59 @@
+#include "node/log.h"
+
+#include <criterion/criterion.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <string>
+
+namespace flamingoyoke {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// Makes standard output a pipe; returns its reading end.
+auto PipeStandardOutput() -> int {
+  std::array<int, 2> ends = {};
+  cr_assert_eq(pipe(ends.data()), 0);
+  cr_assert_neq(dup2(ends[1], STDOUT_FILENO), -1);
+  close(ends[1]);
+  return ends[0];
+}
+
+}  // namespace
+
+// Guards against tasks that stand still, and a process that does not end, since
+// nobody reads the log and the pipe is full (64 KiB on Linux).
+Test(log, a_reader_that_does_not_read_holds_nobody_up) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const int reader = PipeStandardOutput();
+  ConfigureLog(LogLevel::kInfo, LogFormat::kText);
+  const auto start = steady_clock::now();
+  const std::string filler(1000, 'x');
+  for (int i = 0; i < 2000; ++i) {
+    Log(Part::kNode, LogLevel::kInfo, std::to_string(i) + filler);
+  }
+  cr_assert(!StopLog(milliseconds(100)));
+  cr_assert_lt(steady_clock::now() - start, milliseconds(2000));
+  // Lets the waiting thread end.
+  close(reader);
+}
+
+// Guards against the loss of the last lines at the end of the process.
+Test(log, writes_the_last_lines_before_it_stops) {
+  const int reader = PipeStandardOutput();
+  ConfigureLog(LogLevel::kInfo, LogFormat::kText);
+  Log(Part::kNode, LogLevel::kInfo, "the last line");
+  cr_assert(StopLog(milliseconds(2000)));
+  std::array<char, 256> text = {};
+  cr_assert_gt(read(reader, text.data(), text.size() - 1), 0);
+  cr_assert(std::string(text.data()).find("node: the last line") !=
+            std::string::npos);
+  close(reader);
+}
+
+}  // namespace flamingoyoke
