Give both serving tasks one stop procedure

Cause: gateway_task.cc and traffic_task.cc held the same seventy lines: the two timers, the two kinds of stop and the condition to exit.

Change: StopProcedure owns them; each task gives its limits and hooks.

--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -103,25 +103,20 @@
           [this](std::unique_ptr<CallerExchange> exchange) {
             OnRequest(std::move(exchange));
           },
-          [this] { ExitIfDone(); }});
+          [this] { stop_->ExitIfDone(); }});
   for (const auto& address : config_.status_addresses) {
     BOOST_LEAF_CHECK(server_->Listen(address.host, address.endpoint.port));
   }
   // Last, as the port of the server is that of its last socket.
   BOOST_LEAF_CHECK(server_->Listen(traffic.listen_host, traffic.listen_port));
   tick_ = loop.MakeTimer([this] { OnTick(); });
-  leave_timer_ = loop.MakeTimer([this] {
-    addresses_expired_ = true;
-    server_->StartClosing(true);
-    ExitIfDone();
-  });
-  hard_timer_ = loop.MakeTimer([this] {
-    if (stop_mode_ == StopMode::kHard) {
-      context_->Exit();
-      return;
-    }
-    Stop(StopMode::kHard);
-  });
+  stop_.emplace(
+      loop, *server_,
+      StopProcedure::Limits{
+          config_.traffic.address_time_to_live + config_.traffic.leave_margin,
+          config_.traffic.shutdown_hard_limit, kFlushLimit},
+      StopProcedure::Hooks{[this] { return active(); }, [this] { FailAll(); },
+                           [this] { context_->Exit(); }});
   ScheduleTick();
   Log(Part::kGateway, LogLevel::kInfo,
       "listens on " + traffic.listen_host + ":" + std::to_string(port()));
@@ -253,7 +248,7 @@
   if (AnswerStatus(*exchange)) {
     return;
   }
-  if (stop_mode_ == StopMode::kHard) {
+  if (stop_->mode() == StopMode::kHard) {
     exchange->ReplyError(ErrorKind::kLeaving);
     return;
   }
@@ -347,7 +342,7 @@
 }
 
 auto GatewayTask::IsReady() const -> bool {
-  return stop_mode_ == StopMode::kNone && view_ && view_->ready &&
+  return stop_->mode() == StopMode::kNone && view_ && view_->ready &&
          !view_->leaving;
 }
 
@@ -368,7 +363,7 @@
     SendReports();
   }
   // Once-only work may end after its caller went away, without any answer.
-  ExitIfDone();
+  stop_->ExitIfDone();
   ScheduleTick();
 }
 
@@ -419,39 +414,13 @@
 }
 
 auto GatewayTask::Stop(StopMode mode) -> void {
-  if (mode <= stop_mode_) {
-    return;
-  }
-  stop_mode_ = mode;
-  if (mode == StopMode::kHard) {
-    StopHard();
-    return;
-  }
-  server_->StartClosing(false);
-  leave_timer_.Schedule(config_.traffic.address_time_to_live +
-                        config_.traffic.leave_margin);
-  hard_timer_.Schedule(config_.traffic.shutdown_hard_limit);
+  stop_->Start(mode);
 }
 
-auto GatewayTask::StopHard() -> void {
-  addresses_expired_ = true;
+auto GatewayTask::FailAll() -> void {
   for (auto& [id, runner] : services_) {
     runner->FailAll();
   }
-  server_->StartClosing(true);
-  hard_timer_.Schedule(kFlushLimit);
-  ExitIfDone();
-}
-
-auto GatewayTask::ExitIfDone() -> void {
-  if (!addresses_expired_ || active() > 0) {
-    return;
-  }
-  const bool done =
-      stop_mode_ == StopMode::kHard ? server_->all_answered() : server_->idle();
-  if (done) {
-    context_->Exit();
-  }
 }
 
 }  // namespace flamingoyoke
--- a/src/node/traffic/gateway/gateway_task.h
+++ b/src/node/traffic/gateway/gateway_task.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -20,6 +21,7 @@
 #include "node/traffic/gateway/pool_runner.h"
 #include "node/traffic/gateway/request_log.h"
 #include "node/traffic/pause_watch.h"
+#include "node/traffic/stop_procedure.h"
 #include "runtime/event_loop.h"
 #include "runtime/task.h"
 #include "table/route_index.h"
@@ -67,8 +69,7 @@
   auto ScheduleTick() -> void;
   auto SendReports() -> void;
   [[nodiscard]] auto active() const -> std::size_t;
-  auto StopHard() -> void;
-  auto ExitIfDone() -> void;
+  auto FailAll() -> void;
 
   const GatewayConfig config_;
   const TrafficOutbox outbox_;
@@ -82,14 +83,11 @@
   std::unordered_map<ServiceId, std::unique_ptr<PoolRunner>> services_;
   PauseWatch pause_watch_;
   std::uint64_t last_request_ = 0;
-  StopMode stop_mode_ = StopMode::kNone;
-  // Whether callers had the time to forget this vm's address.
-  bool addresses_expired_ = false;
+  // Set by Start(); uses the server and is destroyed before it.
+  std::optional<StopProcedure> stop_;
   TimePoint last_report_;
   TimePoint tick_due_;
   EventLoop::Handle tick_;
-  EventLoop::Handle leave_timer_;
-  EventLoop::Handle hard_timer_;
 };
 
 }  // namespace flamingoyoke
--- /dev/null
+++ b/src/node/traffic/stop_procedure.cc
@@ -0,0 +1,59 @@
+#include "node/traffic/stop_procedure.h"
+
+#include <utility>
+
+namespace flamingoyoke {
+
+StopProcedure::StopProcedure(EventLoop& loop,
+                             CallerServer& server,
+                             const Limits& limits,
+                             Hooks hooks)
+    : server_(server), limits_(limits), hooks_(std::move(hooks)) {
+  leave_timer_ = loop.MakeTimer([this] {
+    addresses_expired_ = true;
+    server_.StartClosing(true);
+    ExitIfDone();
+  });
+  hard_timer_ = loop.MakeTimer([this] {
+    if (mode_ == StopMode::kHard) {
+      hooks_.exit();
+      return;
+    }
+    Start(StopMode::kHard);
+  });
+}
+
+auto StopProcedure::Start(StopMode mode) -> void {
+  if (mode <= mode_) {
+    return;
+  }
+  mode_ = mode;
+  if (mode == StopMode::kHard) {
+    StartHard();
+    return;
+  }
+  server_.StartClosing(false);
+  leave_timer_.Schedule(limits_.serve_for);
+  hard_timer_.Schedule(limits_.hard_limit);
+}
+
+auto StopProcedure::StartHard() -> void {
+  addresses_expired_ = true;
+  hooks_.fail_all();
+  server_.StartClosing(true);
+  hard_timer_.Schedule(limits_.flush_limit);
+  ExitIfDone();
+}
+
+auto StopProcedure::ExitIfDone() -> void {
+  if (!addresses_expired_ || hooks_.active() > 0) {
+    return;
+  }
+  const bool done =
+      mode_ == StopMode::kHard ? server_.all_answered() : server_.idle();
+  if (done) {
+    hooks_.exit();
+  }
+}
+
+}  // namespace flamingoyoke
--- a/src/node/traffic/traffic_task.cc
+++ b/src/node/traffic/traffic_task.cc
@@ -74,21 +74,15 @@
           [this](std::unique_ptr<CallerExchange> exchange) {
             OnRequest(std::move(exchange));
           },
-          [this] { ExitIfDone(); }});
+          [this] { stop_->ExitIfDone(); }});
   BOOST_LEAF_CHECK(server_->Listen(config_.listen_host, config_.listen_port));
   tick_ = loop.MakeTimer([this] { OnTick(); });
-  leave_timer_ = loop.MakeTimer([this] {
-    addresses_expired_ = true;
-    server_->StartClosing(true);
-    ExitIfDone();
-  });
-  hard_timer_ = loop.MakeTimer([this] {
-    if (stop_mode_ == StopMode::kHard) {
-      context_->Exit();
-      return;
-    }
-    Stop(StopMode::kHard);
-  });
+  stop_.emplace(
+      loop, *server_,
+      StopProcedure::Limits{config_.address_time_to_live + config_.leave_margin,
+                            config_.shutdown_hard_limit, kFlushLimit},
+      StopProcedure::Hooks{[this] { return active(); }, [this] { FailAll(); },
+                           [this] { context_->Exit(); }});
   ScheduleTick();
   return {};
 }
@@ -262,7 +256,7 @@
     AnswerOwn(*exchange);
     return;
   }
-  if (stop_mode_ == StopMode::kHard) {
+  if (stop_->mode() == StopMode::kHard) {
     exchange->ReplyError(ErrorKind::kLeaving);
     return;
   }
@@ -299,7 +293,7 @@
        .address_time_to_live = config_.address_time_to_live,
        .addresses_known =
            view_ && !resuming && (view_->ready || view_->leaving),
-       .leaving = stop_mode_ != StopMode::kNone || (view_ && view_->leaving),
+       .leaving = stop_->mode() != StopMode::kNone || (view_ && view_->leaving),
        .now = now},
       random_);
 }
@@ -325,7 +319,7 @@
     SendReports();
   }
   // Keyed work may end after its caller went away, without any answer sent.
-  ExitIfDone();
+  stop_->ExitIfDone();
   ScheduleTick();
 }
 
@@ -386,38 +380,13 @@
 }
 
 auto TrafficTask::Stop(StopMode mode) -> void {
-  if (mode <= stop_mode_) {
-    return;
-  }
-  stop_mode_ = mode;
-  if (mode == StopMode::kHard) {
-    StopHard();
-    return;
-  }
-  server_->StartClosing(false);
-  leave_timer_.Schedule(config_.address_time_to_live + config_.leave_margin);
-  hard_timer_.Schedule(config_.shutdown_hard_limit);
+  stop_->Start(mode);
 }
 
-auto TrafficTask::StopHard() -> void {
-  addresses_expired_ = true;
+auto TrafficTask::FailAll() -> void {
   for (auto& [id, service] : services_) {
     service.runner->FailAll();
   }
-  server_->StartClosing(true);
-  hard_timer_.Schedule(kFlushLimit);
-  ExitIfDone();
-}
-
-auto TrafficTask::ExitIfDone() -> void {
-  if (!addresses_expired_ || active() > 0) {
-    return;
-  }
-  const bool done =
-      stop_mode_ == StopMode::kHard ? server_->all_answered() : server_->idle();
-  if (done) {
-    context_->Exit();
-  }
 }
 
 }  // namespace flamingoyoke
--- a/src/node/traffic/traffic_task.h
+++ b/src/node/traffic/traffic_task.h
@@ -22,6 +22,7 @@
 #include "node/traffic/service_metrics.h"
 #include "node/traffic/service_runner.h"
 #include "node/traffic/span_recorder.h"
+#include "node/traffic/stop_procedure.h"
 #include "node/traffic/traffic_config.h"
 #include "runtime/event_loop.h"
 #include "runtime/task.h"
@@ -74,8 +75,7 @@
   auto ScheduleTick() -> void;
   auto SendReports() -> void;
   [[nodiscard]] auto active() const -> std::size_t;
-  auto StopHard() -> void;
-  auto ExitIfDone() -> void;
+  auto FailAll() -> void;
 
   const TrafficConfig config_;
   const TrafficOutbox outbox_;
@@ -94,16 +94,13 @@
   std::optional<TimePoint> resume_until_;
   // Whether this vm has ever taken callers.
   bool was_ready_ = false;
-  StopMode stop_mode_ = StopMode::kNone;
-  // Whether callers had the time to forget this vm's address.
-  bool addresses_expired_ = false;
+  // Set by Start(); uses the server and is destroyed before it.
+  std::optional<StopProcedure> stop_;
   // Whether something changed since the last report.
   bool has_news_ = true;
   TimePoint last_report_;
   EventLoop::Handle tick_;
   TimePoint tick_due_;
-  EventLoop::Handle leave_timer_;
-  EventLoop::Handle hard_timer_;
 };
 
 }  // namespace flamingoyoke
