Share the slack of retries among all vms

A quarter of the requests comes to the 29 vms that are no entries, a few to each, and every vm had ten retries in any case (the slack over entries + 1).

Change: entries share a third of the slack, all other vms the rest; on the two sites that is six for an entry and one for another vm.

--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -114,6 +114,9 @@
 auto PoolDispatcher::On(const PoolConfigured& event) -> void {
   pool_.Configure(event.targets, event.own_domain, now_);
   peers_ = event.peers;
+  if (event.retry_least) {
+    retries_.Configure(limits_.retry_share, *event.retry_least);
+  }
   if (pool_.HasUsable()) {
     return;
   }
--- a/src/decision/gateway/pool_event.h
+++ b/src/decision/gateway/pool_event.h
@@ -2,6 +2,7 @@
 #define FLAMINGOYOKE_DECISION_GATEWAY_POOL_EVENT_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -24,6 +25,8 @@
   FailureDomainId own_domain;
   // Gateways that callers are sent to, without this one.
   std::vector<VmId> peers;
+  // Retries in 10 s that are allowed in any case; unset leaves the bound.
+  std::optional<std::uint64_t> retry_least = {};
 };
 
 // A request was stored whole and waits for a target.
--- a/src/node/node_config.cc
+++ b/src/node/node_config.cc
@@ -20,8 +20,8 @@
 // What is left of the time to stop for answers that say what became of a
 // request; the platform ends the process after that.
 constexpr Duration kHardStopMargin = std::chrono::milliseconds(400);
-// Part of the fleet's retries that the gateways share out among themselves. The
-// rest covers vms that old addresses lead to, and windows that differ.
+// Part of the share of first attempts that gateways use for retries. The rest
+// covers windows that differ.
 constexpr double kOwnRetryPart = 0.75;
 
 auto FormatAddress(const NamedEndpoint& address) -> std::string {
@@ -77,8 +77,7 @@
                              gateway.directory_address};
   config.limits.floor_share = gateway.floor_share;
   config.limits.retry_share = kOwnRetryPart * gateway.retry_share;
-  config.limits.retry_least = static_cast<std::uint64_t>(
-      kOwnRetryPart * gateway.retry_slack / (gateway.entries + 1));
+  config.retry_slack = gateway.retry_slack;
   return config;
 }
 
--- a/src/node/traffic/gateway/gateway_config.h
+++ b/src/node/traffic/gateway/gateway_config.h
@@ -1,6 +1,8 @@
 #ifndef FLAMINGOYOKE_NODE_TRAFFIC_GATEWAY_GATEWAY_CONFIG_H_
 #define FLAMINGOYOKE_NODE_TRAFFIC_GATEWAY_GATEWAY_CONFIG_H_
 
+#include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "core/endpoint.h"
@@ -22,6 +24,9 @@
   // address for callers.
   std::vector<NamedEndpoint> status_addresses;
   PoolLimits limits;
+  // Retries in 10 s that all vms together may have in any case, for each
+  // service; unset leaves those of `limits` to each vm.
+  std::optional<std::uint32_t> retry_slack = {};
   // Answers up to this size are held back until they are whole, so that a cut
   // one can be replaced; larger ones are relayed as they come.
   std::size_t held_answer_bytes = 256 << 10;
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <utility>
 
+#include "decision/gateway/retry_slack.h"
 #include "node/log.h"
 #include "node/traffic/caller_headers.h"
 #include "node/traffic/error_answer.h"
@@ -154,7 +155,8 @@
     LogChanges(before ? before->registry.get() : nullptr, *view_->registry);
   }
   if (routing_changed || before->registry != view_->registry ||
-      before->entries != view_->entries) {
+      before->entries != view_->entries ||
+      before->members.size() != view_->members.size()) {
     ConfigureServices();
   }
 }
@@ -184,6 +186,14 @@
       peers.push_back(vm);
     }
   }
+  std::optional<std::uint64_t> retry_least;
+  if (config_.retry_slack) {
+    retry_least =
+        RetrySlackOf(*config_.retry_slack,
+                     {.entries = view_->entries.size(),
+                      .members = view_->members.size(),
+                      .is_entry = peers.size() < view_->entries.size()});
+  }
   std::unordered_map<ServiceId, std::uint32_t> connections;
   for (const auto& service : view_->routing->services) {
     connections[service.id] = service.max_connections;
@@ -200,7 +210,8 @@
     // A service that was removed keeps its targets for requests in flight.
     entry->second->Configure(
         targets[entry->first], peers,
-        known == connections.end() ? kDefaultConnections : known->second);
+        known == connections.end() ? kDefaultConnections : known->second,
+        retry_least);
     ++entry;
   }
 }
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -45,7 +45,8 @@
 
 auto PoolRunner::Configure(const std::vector<RegisteredTarget>& targets,
                            const std::vector<VmId>& peers,
-                           std::uint32_t connections) -> void {
+                           std::uint32_t connections,
+                           std::optional<std::uint64_t> retry_least) -> void {
   ServiceRow row;
   row.service = service_;
   row.connections = connections;
@@ -55,7 +56,7 @@
         {target.id, target.host, target.port, 1.0, target.failure_domain});
   }
   pool_.Configure(row);
-  Post(PoolConfigured{targets, config_.failure_domain, peers});
+  Post(PoolConfigured{targets, config_.failure_domain, peers, retry_least});
 }
 
 auto PoolRunner::Submit(GatewayRequest request) -> void {
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -77,7 +77,8 @@
   // one target accepts from the whole fleet.
   auto Configure(const std::vector<RegisteredTarget>& targets,
                  const std::vector<VmId>& peers,
-                 std::uint32_t connections) -> void;
+                 std::uint32_t connections,
+                 std::optional<std::uint64_t> retry_least) -> void;
 
   // Runs a request and answers it. Its id must be new.
   auto Submit(GatewayRequest request) -> void;
