--- a/src/decision/detection/caller_check.h
+++ b/src/decision/detection/caller_check.h
@@ -1,6 +1,9 @@
 #ifndef FLAMINGOYOKE_DECISION_DETECTION_CALLER_CHECK_H_
 #define FLAMINGOYOKE_DECISION_DETECTION_CALLER_CHECK_H_
 
+#include <array>
+
+#include "core/name_table.h"
 #include "decision/detection/rate_window.h"
 
 namespace flamingoyoke {
@@ -11,6 +14,15 @@
   kBorrowers,   // Other nodes, which report what they saw.
 };
 
+template <>
+struct EnumNames<OutcomeSource> {
+  static constexpr auto kTable = std::to_array<NameEntry<OutcomeSource>>({
+      {OutcomeSource::kOwnCallers, "own-callers"},
+      {OutcomeSource::kBorrowers, "borrowers"},
+  });
+};
+static_assert(IsDense<OutcomeSource>());
+
 // Server errors since a test of one target began to rise.
 struct CallerComparison {
   // Callers of this node, on the target.
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -50,8 +50,7 @@
 // without notice, so targets that look healthy get work at all times; from this
 // share of failed requests on, all others get some too. A target counts as
 // healthy again two seconds after it failed. At most the given part of them may
-// stay idle, which leaves room for
-// targets that only look healthy from here.
+// stay idle, which leaves room for targets that only look healthy from here.
 constexpr double kFloorShareOfFailures = 0.09;
 constexpr Duration kIdleAfter = std::chrono::milliseconds(1500);
 constexpr Duration kHealthyAfter = std::chrono::milliseconds(1900);
