Report no progress of a server that is being destroyed

Cause: CallerServer closes its connections in its destructor and told its owner of each once closing had begun. The serving tasks destroy their members in turn, so the call reached a destroyed StopProcedure, and before that class a destroyed map of services. Found by reading the change.

Change: the destructor ends the reports.

reports_no_progress_while_it_is_destroyed failed before the change.

--- a/src/node/traffic/caller_server.cc
+++ b/src/node/traffic/caller_server.cc
@@ -67,6 +67,8 @@
 }
 
 CallerServer::~CallerServer() {
+  // The owner is being destroyed too and must not hear of its progress.
+  closing_ = false;
   // Closes the connections, whose callbacks use the other members.
   http_.reset();
 }
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -155,8 +155,7 @@
     LogChanges(before ? before->registry.get() : nullptr, *view_->registry);
   }
   if (routing_changed || before->registry != view_->registry ||
-      before->entries != view_->entries ||
-      before->members.size() != view_->members.size()) {
+      before->entries != view_->entries || retry_least_ != RetryLeast()) {
     ConfigureServices();
   }
 }
@@ -172,6 +171,18 @@
   }
 }
 
+auto GatewayTask::RetryLeast() const -> std::optional<std::uint64_t> {
+  if (!config_.retry_slack) {
+    return std::nullopt;
+  }
+  const auto& entries = view_->entries;
+  const bool is_entry = std::find(entries.begin(), entries.end(),
+                                  config_.traffic.vm) != entries.end();
+  return RetrySlackOf(*config_.retry_slack, {.entries = entries.size(),
+                                             .members = view_->members.size(),
+                                             .is_entry = is_entry});
+}
+
 auto GatewayTask::ConfigureServices() -> void {
   if (!view_->routing || !view_->registry) {
     return;
@@ -186,14 +197,7 @@
       peers.push_back(vm);
     }
   }
-  std::optional<std::uint64_t> retry_least;
-  if (config_.retry_slack) {
-    retry_least =
-        RetrySlackOf(*config_.retry_slack,
-                     {.entries = view_->entries.size(),
-                      .members = view_->members.size(),
-                      .is_entry = peers.size() < view_->entries.size()});
-  }
+  retry_least_ = RetryLeast();
   std::unordered_map<ServiceId, std::uint32_t> connections;
   for (const auto& service : view_->routing->services) {
     connections[service.id] = service.max_connections;
@@ -211,7 +215,7 @@
     entry->second->Configure(
         targets[entry->first], peers,
         known == connections.end() ? kDefaultConnections : known->second,
-        retry_least);
+        retry_least_);
     ++entry;
   }
 }
--- a/src/node/traffic/gateway/gateway_task.h
+++ b/src/node/traffic/gateway/gateway_task.h
@@ -53,6 +53,9 @@
   auto Take(FleetViewChanged& changed) -> void;
   auto Take(PeerMessageReceived& received) -> void;
   auto ConfigureServices() -> void;
+  // Returns the retries that each service may have in any case at this vm, or
+  // nothing if `limits` of the configuration says it.
+  [[nodiscard]] auto RetryLeast() const -> std::optional<std::uint64_t>;
   auto RunnerOf(const ServiceId& service) -> PoolRunner&;
 
   auto CheckHead(const ScannedHead& head) const
@@ -83,6 +86,9 @@
   std::unordered_map<ServiceId, std::unique_ptr<PoolRunner>> services_;
   PauseWatch pause_watch_;
   std::uint64_t last_request_ = 0;
+  // The value that the services were last configured with. Members come and go
+  // far more often than it changes.
+  std::optional<std::uint64_t> retry_least_;
   // Set by Start(); uses the server and is destroyed before it.
   std::optional<StopProcedure> stop_;
   TimePoint last_report_;
