Take only readers' word for trouble of the store

New readers held a removed target as lapsed for 2.3 s, since vms that had been cut off still said that they had lost the store, while others read it.

Change: SourceHealth, a decision of its own, counts the word of a vm only if it was a reader at the last call; if all vms lost the store, readers are among them and trouble stands.

--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -22,9 +22,6 @@
 // A vm that lost the store is a reader again after this time, unless it has
 // lost it by then for good.
 constexpr Duration kSourceRetry = std::chrono::seconds(8);
-// Trouble with the store is remembered for this long, and a vm that has just
-// become ready cannot tell; longer than live targets need to register again.
-constexpr Duration kSourceMemory = std::chrono::seconds(4);
 constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
 
 auto DelayUntil(TimePoint at) -> Duration {
@@ -311,10 +308,8 @@
   view->leaving = membership_.self().leaving || is_superseded_;
   std::visit([&](const auto& store) { FillView(store, *view); }, tables_);
   const auto& members = view->members;
-  if (std::any_of(members.begin(), members.end(),
-                  [](const Member& each) { return each.lost_source; })) {
-    source_trouble_ = Now();
-  }
+  source_health_.OnMembers(members, ReaderVms(members, kPublishedReaders),
+                           Now());
   UpdateHomePeers(*view);
   two_way_peers_ = membership_.TwoWayPeers(Now());
   TellTableDissemination(view->members);
@@ -366,8 +361,9 @@
 
 auto FleetTask::SourceWasWell() const -> bool {
   const auto now = Now();
-  return ready_since_ && now - *ready_since_ >= kSourceMemory &&
-         (!source_trouble_ || now - *source_trouble_ >= kSourceMemory);
+  // A vm that has just become ready cannot tell.
+  return ready_since_ && now - *ready_since_ >= SourceHealth::kMemory &&
+         source_health_.WasWell(now);
 }
 
 auto FleetTask::RevisionInForce() const -> Revision {
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -13,6 +13,7 @@
 #include "decision/fleet/home_index.h"
 #include "decision/fleet/membership.h"
 #include "decision/fleet/readiness_gate.h"
+#include "decision/fleet/source_health.h"
 #include "decision/fleet/table_dissemination.h"
 #include "decision/pause/pause_detector.h"
 #include "node/control/fleet/fleet_config.h"
@@ -99,9 +100,9 @@
   bool is_superseded_ = false;
   // Whether others should read the published store in place of this vm.
   bool lost_source_ = false;
-  // When this vm became ready, and when a vm last had trouble with the store.
+  // When this vm became ready.
   std::optional<TimePoint> ready_since_;
-  std::optional<TimePoint> source_trouble_;
+  SourceHealth source_health_;
   std::vector<TableDigest> announced_tables_;
   std::vector<VmId> two_way_peers_;
   std::set<VmId> home_peers_;
--- /dev/null
+++ b/tests/unit/decision/fleet/source_health_test.cc
@@ -0,0 +1,89 @@
+#include "decision/fleet/source_health.h"
+
+#include <criterion/criterion.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "decision/fleet/entry_set.h"
+
+namespace flamingoyoke {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+constexpr std::size_t kReaders = 3;
+
+auto Members(std::size_t count) -> std::vector<Member> {
+  std::vector<Member> members(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    members[i].id = VmId("vm-" + std::to_string(i));
+    members[i].failure_domain = FailureDomainId(std::to_string(i % kReaders));
+    members[i].liveness = Liveness::kAlive;
+    members[i].ready = true;
+  }
+  return members;
+}
+
+auto Tell(SourceHealth& health,
+          const std::vector<Member>& members,
+          TimePoint now) -> void {
+  health.OnMembers(members, ReaderVms(members, kReaders), now);
+}
+
+// Sets what one vm says of the store.
+auto SetLost(std::vector<Member>& members, const VmId& vm, bool lost) -> void {
+  for (auto& member : members) {
+    member.lost_source = member.id == vm ? lost : member.lost_source;
+  }
+}
+
+}  // namespace
+
+// Guards against targets that a new reader holds for two seconds after they
+// left, since vms that had been cut off said that they lost the store: jutagatt
+// scale-2 --seed 790409632209.
+Test(source_health, a_vm_that_does_not_read_is_no_sign_of_trouble) {
+  auto members = Members(9);
+  SourceHealth health;
+  Tell(health, members, kStart);
+  const auto readers = ReaderVms(members, kReaders);
+  for (const auto& member : Members(9)) {
+    const bool reads =
+        std::find(readers.begin(), readers.end(), member.id) != readers.end();
+    SetLost(members, member.id, !reads);
+  }
+  Tell(health, members, kStart + milliseconds(100));
+  cr_assert(health.WasWell(kStart + milliseconds(100)));
+}
+
+// Guards against entries that lapsed with the store and are taken for gone.
+Test(source_health, a_reader_that_loses_the_store_is_remembered) {
+  auto members = Members(9);
+  SourceHealth health;
+  Tell(health, members, kStart);
+  SetLost(members, ReaderVms(members, kReaders).front(), true);
+  Tell(health, members, kStart + milliseconds(100));
+  // Others read from now on and have no trouble.
+  Tell(health, members, kStart + milliseconds(200));
+  cr_assert_not(health.WasWell(kStart + milliseconds(4000)));
+  cr_assert(health.WasWell(kStart + milliseconds(4100)));
+}
+
+// Guards against a store that counts as well because all vms lost it long ago.
+Test(source_health, trouble_lasts_while_all_vms_have_lost_the_store) {
+  auto members = Members(4);
+  for (auto& member : members) {
+    member.lost_source = true;
+  }
+  SourceHealth health;
+  for (int ms = 0; ms <= 20'000; ms += 1000) {
+    Tell(health, members, kStart + milliseconds(ms));
+  }
+  cr_assert_not(health.WasWell(kStart + milliseconds(20'000)));
+}
+
+}  // namespace flamingoyoke
