Tell overload, lost messages and slow spreading apart in logs and metrics

Three of the four hypotheses could not be told apart: - load: each vm knows what it has (settings vm.processor_share, cores, link_mbps, memory_mb), measures what callers' requests take, and tells the fleet in its member record; log line and metrics. - messages that a full mailbox dropped are counted and logged. - a version in force names its size, the peer that sent it, the time since it was first named, and the pulls. - a target that leaves is logged with the requests under way there.

--- a/src/decision/fleet/member.h
+++ b/src/decision/fleet/member.h
@@ -7,6 +7,7 @@
 
 #include "core/ids.h"
 #include "core/name_table.h"
+#include "decision/fleet/vm_resources.h"
 
 namespace flamingoyoke {
 
@@ -46,6 +47,10 @@
   // Whether the vm cannot read the source of services that it should read for
   // others.
   bool lost_source = false;
+  // What the vm has for callers' requests; zero if it does not say.
+  VmResources capacity = {};
+  // What callers' requests take there, as LoadMeter announces it.
+  VmResources load = {};
   // Rises with each change that the vm announces of itself, and when it
   // refutes a claim that it is dead.
   std::uint64_t version = 0;
--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -121,9 +121,12 @@
 
 auto Membership::Take(const SelfAnnounced& event, TimePoint now) -> void {
   tables_ = event.tables;
-  if (self_.ready != event.ready || self_.lost_source != event.lost_source) {
-    self_.ready = event.ready;
-    self_.lost_source = event.lost_source;
+  auto announced = self_;
+  announced.ready = event.ready;
+  announced.lost_source = event.lost_source;
+  announced.load = event.load;
+  if (announced != self_) {
+    self_ = announced;
     AnnounceSelf(now);
   }
 }
--- a/src/decision/fleet/membership_event.h
+++ b/src/decision/fleet/membership_event.h
@@ -30,6 +30,8 @@
   std::vector<TableDigest> tables;
   // Whether it cannot read the source of services that it should read.
   bool lost_source = false;
+  // What callers' requests take here.
+  VmResources load = {};
 };
 
 // The other members of the home sets that this vm belongs to.
--- a/src/decision/fleet/membership_timing.h
+++ b/src/decision/fleet/membership_timing.h
@@ -61,7 +61,7 @@
 
 // Changes wait this long, so that those of one moment share a message.
 inline constexpr Duration kSpreadDelay = std::chrono::milliseconds(20);
-// A member takes about 90 bytes; this keeps a message below 6 KB.
+// A member takes about 110 bytes; this keeps a message below 8 KB.
 inline constexpr std::size_t kMembersPerUpdate = 64;
 
 // A difference of digests must last this long before lists are compared:
@@ -73,7 +73,7 @@
 // Between two comparisons that one node starts.
 inline constexpr Duration kComparePeriod = std::chrono::seconds(1);
 // Time that an answer to a comparison takes up for each member it lists. With
-// about 90 bytes a member, answers stay below 90 KB/s.
+// about 110 bytes a member, answers stay below 110 KB/s.
 inline constexpr Duration kAnswerTimePerMember = std::chrono::milliseconds(1);
 
 // A guest is dropped after this time without a message.
--- a/src/decision/fleet/table_dissemination.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -77,7 +77,7 @@
   started_ = now;
   first_read_place_ = random_.Unit();
   for (const auto& table : event.restored) {
-    Consider(table.digest, table.text);
+    Consider({table.digest, table.text, {}});
   }
 }
 
@@ -92,10 +92,10 @@
     -> void {
   has_read_ = true;
   read_shards_.insert(event.shard);
-  Consider({event.shard, event.revision, HashOf(event.text)}, event.text);
+  Consider({{event.shard, event.revision, HashOf(event.text)}, event.text, {}});
 }
 
-auto TableDissemination::Take(const TableChecked& event, TimePoint /*now*/)
+auto TableDissemination::Take(const TableChecked& event, TimePoint now)
     -> void {
   const auto found = candidates_.find(event.digest.shard);
   if (found == candidates_.end() || found->second.digest != event.digest) {
@@ -104,7 +104,7 @@
   auto version = std::move(found->second);
   candidates_.erase(found);
   if (event.is_valid) {
-    Accept(std::move(version));
+    Accept(std::move(version), now);
     return;
   }
   refused_.push_back(event.digest);
@@ -174,7 +174,7 @@
   }
 }
 
-auto TableDissemination::TakeMessage(const VmId& /*sender*/,
+auto TableDissemination::TakeMessage(const VmId& sender,
                                      const TableData& data,
                                      TimePoint /*now*/) -> void {
   const auto pull = pulls_.find(data.digest.shard);
@@ -184,7 +184,7 @@
     }
     return;
   }
-  Consider(data.digest, data.text);
+  Consider({data.digest, data.text, sender});
 }
 
 // Many shards: a peer whose sum differs for long is asked for its digests.
@@ -203,8 +203,8 @@
   actions_.emplace_back(SendToPeer{sender, TablePull{kAllShards, Revision()}});
 }
 
-auto TableDissemination::Consider(const TableDigest& digest,
-                                  const std::string& text) -> void {
+auto TableDissemination::Consider(Version version) -> void {
+  const auto digest = version.digest;
   if (digest.shard >= shard_count_ || !IsNewer(digest) || IsRefused(digest)) {
     return;
   }
@@ -212,20 +212,23 @@
   if (found != candidates_.end() && !IsBefore(found->second.digest, digest)) {
     return;
   }
-  candidates_[digest.shard] = {digest, text};
-  actions_.emplace_back(CheckTable{digest, text});
+  actions_.emplace_back(CheckTable{digest, version.text});
+  candidates_[digest.shard] = std::move(version);
 }
 
-auto TableDissemination::Accept(Version version) -> void {
+auto TableDissemination::Accept(Version version, TimePoint now) -> void {
   const auto digest = version.digest;
   if (!IsNewer(digest)) {
     return;
   }
+  TableOrigin origin{.peer = version.sender};
   const auto pull = pulls_.find(digest.shard);
   if (pull != pulls_.end() && !IsBefore(digest, pull->second.wanted())) {
+    origin.since_named = now - pull->second.since();
+    origin.pulls = pull->second.asked();
     pulls_.erase(pull);
   }
-  actions_.emplace_back(TableAccepted{digest, version.text});
+  actions_.emplace_back(TableAccepted{digest, version.text, origin});
   in_force_[digest.shard] = std::move(version);
   for (const auto& peer : peers_) {
     actions_.emplace_back(SendToPeer{peer, TableAnnounce{digest}});
@@ -234,7 +237,7 @@
 
 auto TableDissemination::Pull(const VmId& peer,
                               const TableDigest& digest,
-                              TimePoint /*now*/) -> void {
+                              TimePoint now) -> void {
   if (digest.shard >= shard_count_ || digest.revision == Revision() ||
       !IsNewer(digest) || IsRefused(digest)) {
     return;
@@ -244,7 +247,8 @@
     return;
   }
   if (found == pulls_.end() || IsBefore(found->second.wanted(), digest)) {
-    found = pulls_.insert_or_assign(digest.shard, TablePullState(digest)).first;
+    found = pulls_.insert_or_assign(digest.shard, TablePullState(digest, now))
+                .first;
   }
   found->second.AddSource(peer);
 }
--- a/src/decision/fleet/table_dissemination.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -94,6 +94,8 @@
   struct Version {
     TableDigest digest;
     std::string text;
+    // Peer that sent it; empty if it was read from its source.
+    VmId sender;
   };
 
   auto Take(const TableDisseminationStarted& event, TimePoint now) -> void;
@@ -116,8 +118,8 @@
   auto TakeSum(const VmId& sender, const TableDigest& sum, TimePoint now)
       -> void;
 
-  auto Consider(const TableDigest& digest, const std::string& text) -> void;
-  auto Accept(Version version) -> void;
+  auto Consider(Version version) -> void;
+  auto Accept(Version version, TimePoint now) -> void;
   auto Pull(const VmId& peer, const TableDigest& digest, TimePoint now) -> void;
   auto ContinuePulls(TimePoint now) -> void;
   [[nodiscard]] auto IsNewer(const TableDigest& digest) const -> bool;
--- a/src/decision/fleet/table_dissemination_event.h
+++ b/src/decision/fleet/table_dissemination_event.h
@@ -62,10 +62,22 @@
   std::string text;
 };
 
+// How a text that is in force came to this node.
+struct TableOrigin {
+  // Peer that sent it; empty if this node read it from its source.
+  VmId peer;
+  // Time since a peer first named the version, and the pulls sent for it.
+  Duration since_named = Duration::zero();
+  std::size_t pulls = 0;
+
+  auto operator==(const TableOrigin&) const -> bool = default;
+};
+
 // The text is accepted and in force from now on.
 struct TableAccepted {
   TableDigest digest;
   std::string text;
+  TableOrigin origin = {};
 };
 
 // A table failed its check and is not in force.
--- a/src/decision/fleet/table_pull_state.h
+++ b/src/decision/fleet/table_pull_state.h
@@ -25,10 +25,16 @@
 // Not thread-safe.
 class TablePullState {
  public:
-  explicit TablePullState(TableDigest wanted) : wanted_(wanted) {}
+  // `now` is when a peer first named the version.
+  TablePullState(TableDigest wanted, TimePoint now)
+      : wanted_(wanted), since_(now) {}
 
   [[nodiscard]] auto wanted() const -> const TableDigest& { return wanted_; }
 
+  [[nodiscard]] auto since() const -> TimePoint { return since_; }
+  // Pulls sent so far.
+  [[nodiscard]] auto asked() const -> std::size_t { return asked_; }
+
   // Notes that `peer` has the version.
   auto AddSource(const VmId& peer) -> void;
 
@@ -46,6 +52,7 @@
 
  private:
   TableDigest wanted_;
+  TimePoint since_;
   std::vector<VmId> sources_;
   std::size_t asked_ = 0;
   std::optional<TimePoint> deadline_;
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -129,7 +129,23 @@
   if (std::exchange(lost_source_, lost) == lost) {
     return;
   }
-  Decide(SelfAnnounced{is_ready_, announced_tables_, lost_source_});
+  AnnounceSelf();
+  PublishSoon();
+}
+
+auto FleetTask::AnnounceSelf() -> void {
+  Decide(SelfAnnounced{is_ready_, announced_tables_, lost_source_, load_});
+}
+
+auto FleetTask::TakeMessage(const LoadMeasured& message) -> void {
+  load_ = message.load;
+  const auto& capacity = config_.self.capacity;
+  Log(Part::kFleet, LogLevel::kInfo,
+      "requests of callers take " + std::to_string(load_.processor_millicores) +
+          " of " + std::to_string(capacity.processor_millicores) +
+          " millicores and " + std::to_string(load_.link_kbps) + " of " +
+          std::to_string(capacity.link_kbps) + " kbit/s");
+  AnnounceSelf();
   PublishSoon();
 }
 
@@ -200,7 +216,13 @@
   kept.push_back({action.digest, action.text});
   Log(Part::kFleet, LogLevel::kInfo,
       "shard " + std::to_string(action.digest.shard) + " of revision " +
-          std::to_string(action.digest.revision.value()) + " is in force");
+          std::to_string(action.digest.revision.value()) + " is in force, " +
+          std::to_string(action.text.size()) + " bytes from " +
+          (action.origin.peer.empty() ? "its source"
+                                      : action.origin.peer.value()) +
+          ", named " +
+          std::to_string(ToMilliseconds(action.origin.since_named)) +
+          " ms ago, pulled " + std::to_string(action.origin.pulls) + " times");
   UpdateReadiness();
   PublishSoon();
 }
@@ -264,7 +286,7 @@
   }
   is_ready_ = ready;
   announced_tables_ = digests;
-  Decide(SelfAnnounced{is_ready_, announced_tables_, lost_source_});
+  AnnounceSelf();
   PublishSoon();
 }
 
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -44,6 +44,7 @@
   auto TakeMessage(const VmListRead& message) -> void;
   auto TakeMessage(TableRead message) -> void;
   auto TakeMessage(const SourceStateChanged& message) -> void;
+  auto TakeMessage(const LoadMeasured& message) -> void;
   auto TakeMessage(const LeavingStarted& message) -> void;
 
   // Passes an event to a decision and carries out its actions.
@@ -65,6 +66,8 @@
   auto Act(const WakePauseDetectorAt& action) -> void;
 
   auto SetLostSource(bool lost) -> void;
+  // Tells the other vms what has changed of this one.
+  auto AnnounceSelf() -> void;
   auto UpdateReadiness() -> void;
   auto UpdateTableDissemination() -> void;
   auto TellTableDissemination(const std::vector<Member>& members) -> void;
@@ -100,6 +103,8 @@
   bool is_superseded_ = false;
   // Whether others should read the published store in place of this vm.
   bool lost_source_ = false;
+  // What callers' requests take on this vm.
+  VmResources load_;
   // When this vm became ready.
   std::optional<TimePoint> ready_since_;
   SourceHealth source_health_;
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -90,6 +90,14 @@
   bool is_available = true;
 };
 
+// What callers' requests take on this vm, for the other vms.
+struct LoadMeasured {
+  VmResources load;
+};
+template <>
+inline constexpr MailboxPolicy kMailboxPolicy<LoadMeasured> =
+    MailboxPolicy::kCoalesce;
+
 // The vm is leaving: tell peers, hand out no addresses or keys.
 struct LeavingStarted {};
 template <>
@@ -185,6 +193,7 @@
                                   VmListRead,
                                   TableRead,
                                   SourceStateChanged,
+                                  LoadMeasured,
                                   LeavingStarted>;
 using MeshMessage = std::variant<PeerMessageToSend, PeerEndpointsChanged>;
 using PlatformMessage = std::variant<ReaderRoleChanged, RegistryInForce>;
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -121,7 +121,7 @@
     children.emplace_back(
         HostOf<TelemetryTask>(Part::kTelemetry, mailboxes_.telemetry, [this] {
           return std::make_unique<TelemetryTask>(config_.Telemetry(),
-                                                 mailboxes_.admin);
+                                                 mailboxes_);
         }));
     return std::make_unique<ObserveSupervisor>(
         observe_mailbox_, std::move(children), RestartLimit{},
@@ -132,7 +132,8 @@
     return std::make_unique<TrafficTask>(
         config_.Traffic(), TrafficOutbox{.mesh = mailboxes_.mesh,
                                          .admin = mailboxes_.admin,
-                                         .telemetry = mailboxes_.telemetry});
+                                         .telemetry = mailboxes_.telemetry,
+                                         .fleet = mailboxes_.fleet});
   }
 
   auto MakeGateway() -> std::unique_ptr<GatewayTask> {
@@ -140,7 +141,8 @@
         config_.Gateway(dialect_->gateway),
         TrafficOutbox{.mesh = mailboxes_.mesh,
                       .admin = mailboxes_.admin,
-                      .telemetry = mailboxes_.telemetry});
+                      .telemetry = mailboxes_.telemetry,
+                      .fleet = mailboxes_.fleet});
   }
 
   auto MakeStore() -> std::unique_ptr<StoreTask> {
--- a/src/node/node_config.cc
+++ b/src/node/node_config.cc
@@ -23,6 +23,12 @@
 // Part of the share of first attempts that gateways use for retries. The rest
 // covers windows that differ.
 constexpr double kOwnRetryPart = 0.75;
+constexpr double kMillicoresPerCore = 1000;
+constexpr double kKbpsPerMbps = 1000;
+// Request bodies may take this part of the memory; answers that are held and
+// the process itself need the rest.
+constexpr std::uint64_t kBodyPartOfMemory = 4;
+constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
 
 auto FormatAddress(const NamedEndpoint& address) -> std::string {
   const auto host = address.endpoint.address.is_v6() ? "[" + address.host + "]"
@@ -55,7 +61,9 @@
   config.seed = seed_;
   config.request_limits.head_bytes = settings_.caller.max_header_bytes;
   config.caller_connections = settings_.caller.max_connections;
-  config.body_budget_bytes = settings_.caller.body_budget_bytes;
+  config.body_budget_bytes =
+      std::min(settings_.caller.body_budget_bytes,
+               settings_.vm.memory_mb * kBytesPerMegabyte / kBodyPartOfMemory);
   config.caller_idle_limit = settings_.caller.idle_timeout;
   config.address_time_to_live = settings_.caller.address_ttl;
   config.shutdown_hard_limit = settings_.shutdown.hard_limit;
@@ -112,12 +120,20 @@
                    .failure_domain = settings_.vm.failure_domain,
                    .region = settings_.vm.region,
                    .address = FormatAddress(settings_.caller.address),
-                   .mesh_address = FormatAddress(settings_.mesh.address)},
+                   .mesh_address = FormatAddress(settings_.mesh.address),
+                   .capacity = Capacity()},
           .table_shards =
               static_cast<std::uint32_t>(settings_.platform.table_keys.size()),
           .seed = seed_};
 }
 
+auto NodeConfig::Capacity() const -> VmResources {
+  const auto& vm = settings_.vm;
+  return {static_cast<std::uint32_t>(kMillicoresPerCore * vm.processor_share *
+                                     vm.cores),
+          static_cast<std::uint32_t>(kKbpsPerMbps * vm.link_mbps)};
+}
+
 auto NodeConfig::Mesh() const -> MeshConfig {
   MeshConfig config{.self = settings_.vm.id,
                     .incarnation = incarnation_,
--- a/src/node/node_config.h
+++ b/src/node/node_config.h
@@ -39,6 +39,8 @@
 
  private:
   [[nodiscard]] auto TableFleet() const -> FleetConfig;
+  // What the vm has for callers' requests.
+  [[nodiscard]] auto Capacity() const -> VmResources;
 
   const Settings settings_;
   const Incarnation incarnation_;
--- a/src/node/observe/telemetry/telemetry_task.cc
+++ b/src/node/observe/telemetry/telemetry_task.cc
@@ -12,9 +12,11 @@
 
 }  // namespace
 
-TelemetryTask::TelemetryTask(TelemetryConfig config,
-                             Mailbox<AdminMessage>& admin)
-    : config_(std::move(config)), admin_(admin), spans_(config_) {}
+TelemetryTask::TelemetryTask(TelemetryConfig config, Mailboxes& mailboxes)
+    : config_(std::move(config)),
+      admin_(mailboxes.admin),
+      mailbox_reporter_(mailboxes),
+      spans_(config_) {}
 
 auto TelemetryTask::Start(TaskContext& context) -> Result<void> {
   context_ = &context;
@@ -43,6 +45,8 @@
 
 auto TelemetryTask::Publish() -> void {
   spans_.Flush();
+  metrics_.Replace(
+      {.task = "mailboxes", .samples = mailbox_reporter_.Report()});
   metrics_.Replace(
       {.task = "telemetry",
        .samples = {{.name = "flamingoyoke_dropped_spans_total",
--- a/src/node/observe/telemetry/telemetry_task.h
+++ b/src/node/observe/telemetry/telemetry_task.h
@@ -2,6 +2,7 @@
 #define FLAMINGOYOKE_NODE_OBSERVE_TELEMETRY_TELEMETRY_TASK_H_
 
 #include "core/result.h"
+#include "node/mailbox_reporter.h"
 #include "node/messages.h"
 #include "node/observe/telemetry/metric_store.h"
 #include "node/observe/telemetry/span_exporter.h"
@@ -16,7 +17,8 @@
  public:
   using Message = TelemetryMessage;
 
-  TelemetryTask(TelemetryConfig config, Mailbox<AdminMessage>& admin);
+  // `mailboxes` are those of the node and outlive the task.
+  TelemetryTask(TelemetryConfig config, Mailboxes& mailboxes);
 
   auto Start(TaskContext& context) -> Result<void>;
   auto Handle(Message message) -> Result<void>;
@@ -27,6 +29,7 @@
 
   TelemetryConfig config_;
   Mailbox<AdminMessage>& admin_;
+  MailboxReporter mailbox_reporter_;
   TaskContext* context_ = nullptr;
   MetricStore metrics_;
   SpanExporter spans_;
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -28,6 +28,9 @@
 constexpr std::uint64_t kStatusBodyBytes = 1024;
 constexpr int kOk = 200;
 constexpr std::uint32_t kDefaultConnections = 64;
+// Headers of a request and of its answer, which are not counted one by one.
+constexpr std::uint64_t kTypicalHeadBytes = 600;
+constexpr double kMillicoresPerCore = 1000;
 
 auto Counter(std::string name,
              std::string help,
@@ -49,32 +52,6 @@
   return target.warming ? "warming" : "ready";
 }
 
-// Writes what changed between two registries; `before` may be null.
-auto LogChanges(const Registry* before, const Registry& after) -> void {
-  std::unordered_map<TargetId, const RegisteredTarget*> known;
-  if (before != nullptr) {
-    for (const auto& target : before->targets) {
-      known.emplace(target.id, &target);
-    }
-  }
-  std::string changes;
-  for (const auto& target : after.targets) {
-    const auto found = known.find(target.id);
-    if (found == known.end() || !(*found->second == target)) {
-      changes += " " + target.id.value() + "=" + StateOf(target);
-    }
-    if (found != known.end()) {
-      known.erase(found);
-    }
-  }
-  for (const auto& [id, target] : known) {
-    changes += " " + id.value() + "=gone";
-  }
-  Log(Part::kGateway, LogLevel::kInfo,
-      "registry revision " + std::to_string(after.revision.value()) + " with " +
-          std::to_string(after.targets.size()) + " targets:" + changes);
-}
-
 }  // namespace
 
 GatewayTask::GatewayTask(GatewayConfig config, TrafficOutbox outbox)
@@ -171,6 +148,41 @@
   }
 }
 
+auto GatewayTask::UnderWay(const RegisteredTarget& target) const
+    -> std::string {
+  const auto runner = services_.find(target.service);
+  const auto count =
+      runner == services_.end() ? 0 : runner->second->under_way(target.id);
+  return count == 0 ? "" : "(" + std::to_string(count) + " under way)";
+}
+
+auto GatewayTask::LogChanges(const Registry* before,
+                             const Registry& after) const -> void {
+  std::unordered_map<TargetId, const RegisteredTarget*> known;
+  if (before != nullptr) {
+    for (const auto& target : before->targets) {
+      known.emplace(target.id, &target);
+    }
+  }
+  std::string changes;
+  for (const auto& target : after.targets) {
+    const auto found = known.find(target.id);
+    if (found == known.end() || !(*found->second == target)) {
+      changes += " " + target.id.value() + "=" + StateOf(target) +
+                 (target.leaving ? UnderWay(target) : "");
+    }
+    if (found != known.end()) {
+      known.erase(found);
+    }
+  }
+  for (const auto& [id, target] : known) {
+    changes += " " + id.value() + "=gone" + UnderWay(*target);
+  }
+  Log(Part::kGateway, LogLevel::kInfo,
+      "registry revision " + std::to_string(after.revision.value()) + " with " +
+          std::to_string(after.targets.size()) + " targets:" + changes);
+}
+
 auto GatewayTask::RetryLeast() const -> std::optional<std::uint64_t> {
   if (!config_.retry_slack) {
     return std::nullopt;
@@ -235,6 +247,7 @@
   hooks.send = [this](PeerMessageToSend message) {
     outbox_.mesh.Post(std::move(message));
   };
+  hooks.on_received = [this](std::size_t bytes) { received_bytes_ += bytes; };
   runner =
       std::make_unique<PoolRunner>(context_->loop(), config_, service,
                                    Random(random_.Next()), std::move(hooks));
@@ -330,6 +343,7 @@
   const auto now = Now();
   GatewayRequest request;
   request.id = RequestId(++last_request_);
+  received_bytes_ += kTypicalHeadBytes + evbuffer_get_length(exchange->body());
   request.caller_id = caller.request_id;
   request.forwarded = MakeGatewayHead(names, exchange->head(),
                                       evbuffer_get_length(exchange->body()));
@@ -374,6 +388,7 @@
 
 auto GatewayTask::OnTick() -> void {
   CheckPause();
+  MeasureLoad();
   if (Now() - last_report_ >= kReportPeriod) {
     SendReports();
   }
@@ -393,9 +408,27 @@
   tick_.Schedule(delay);
 }
 
+auto GatewayTask::MeasureLoad() -> void {
+  const bool changed =
+      load_.Add({ProcessorTime(), received_bytes_, last_request_}, Now());
+  if (changed) {
+    outbox_.fleet.Post(LoadMeasured{load_.announced()});
+  }
+}
+
 auto GatewayTask::SendReports() -> void {
   last_report_ = Now();
   MetricsReported metrics{.task = "gateway", .samples = {}};
+  metrics.samples.push_back(
+      {.name = "flamingoyoke_gateway_processor_cores",
+       .help = "Processor use of the process while it served callers.",
+       .is_counter = false,
+       .value = load_.last().processor_millicores / kMillicoresPerCore});
+  metrics.samples.push_back(
+      {.name = "flamingoyoke_gateway_link_kbps",
+       .help = "Kilobits per second received from callers and upstreams.",
+       .is_counter = false,
+       .value = static_cast<double>(load_.last().link_kbps)});
   for (const auto& service : services_) {
     const auto& counters = service.second->dispatcher().counters();
     const auto add = [&](const char* name, const char* help,
--- a/src/node/traffic/gateway/gateway_task.h
+++ b/src/node/traffic/gateway/gateway_task.h
@@ -14,6 +14,7 @@
 #include "core/result.h"
 #include "core/time.h"
 #include "decision/fleet/fleet_view.h"
+#include "decision/fleet/load_meter.h"
 #include "decision/gateway/split_chooser.h"
 #include "node/messages.h"
 #include "node/traffic/caller_server.h"
@@ -53,6 +54,11 @@
   auto Take(FleetViewChanged& changed) -> void;
   auto Take(PeerMessageReceived& received) -> void;
   auto ConfigureServices() -> void;
+  // Writes what changed between two registries; `before` may be null.
+  auto LogChanges(const Registry* before, const Registry& after) const -> void;
+  // Returns the attempts under way at a target that leaves, for the log.
+  [[nodiscard]] auto UnderWay(const RegisteredTarget& target) const
+      -> std::string;
   // Returns the retries that each service may have in any case at this vm, or
   // nothing if `limits` of the configuration says it.
   [[nodiscard]] auto RetryLeast() const -> std::optional<std::uint64_t>;
@@ -71,6 +77,8 @@
   auto OnTick() -> void;
   auto ScheduleTick() -> void;
   auto SendReports() -> void;
+  // Tells the fleet what the requests take, if it has changed.
+  auto MeasureLoad() -> void;
   [[nodiscard]] auto active() const -> std::size_t;
   auto FailAll() -> void;
 
@@ -86,6 +94,9 @@
   std::unordered_map<ServiceId, std::unique_ptr<PoolRunner>> services_;
   PauseWatch pause_watch_;
   std::uint64_t last_request_ = 0;
+  // Bytes of requests and answers received.
+  std::uint64_t received_bytes_ = 0;
+  LoadMeter load_;
   // The value that the services were last configured with. Members come and go
   // far more often than it changes.
   std::optional<std::uint64_t> retry_least_;
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -109,6 +109,13 @@
   }
 }
 
+auto PoolRunner::under_way(const TargetId& target) const -> std::size_t {
+  return static_cast<std::size_t>(std::count_if(
+      attempts_.begin(), attempts_.end(), [&](const auto& attempt) {
+        return attempt.second.lease.target == target;
+      }));
+}
+
 auto PoolRunner::Post(PoolEvent event) -> void {
   if (hooks_.check_pause) {
     hooks_.check_pause();
@@ -194,6 +201,9 @@
     return;
   }
   auto& attempt = found->second;
+  if (hooks_.on_received) {
+    hooks_.on_received(evbuffer_get_length(data));
+  }
   evbuffer_add_buffer(attempt.body.get(), data);
   const auto request = requests_.find(attempt.request);
   if (request == requests_.end()) {
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -62,6 +62,8 @@
     std::function<void()> check_pause;
     std::function<void(const Record&)> on_request_ended;
     std::function<void(PeerMessageToSend)> send;
+    // Called with the bytes of each part of an answer.
+    std::function<void(std::size_t)> on_received;
   };
 
   // `config` and `loop` must outlive the runner.
@@ -89,6 +91,8 @@
   // Answers all requests now, each truthfully.
   auto FailAll() -> void;
 
+  // Attempts under way at `target`.
+  [[nodiscard]] auto under_way(const TargetId& target) const -> std::size_t;
   // Requests that are not answered yet, and work whose caller is gone.
   [[nodiscard]] auto active() const -> std::size_t { return requests_.size(); }
   [[nodiscard]] auto dispatcher() const -> const PoolDispatcher& {
--- a/src/node/traffic/traffic_config.h
+++ b/src/node/traffic/traffic_config.h
@@ -64,6 +64,7 @@
   Mailbox<MeshMessage>& mesh;
   Mailbox<AdminMessage>& admin;
   Mailbox<TelemetryMessage>& telemetry;
+  Mailbox<FleetMessage>& fleet;
 };
 
 }  // namespace flamingoyoke
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -12,6 +12,11 @@
 using Json = nlohmann::json;
 using Faults = SettingsGroup::Faults;
 
+// A thousandth of a core is the unit in which vms tell each other of theirs.
+constexpr NumberField kProcessorShareField{0.001, 1, "cores"};
+constexpr CountField kCoresField{1, 1'024, "cores"};
+constexpr NumberField kLinkField{0.1, 1'000'000, "megabits per second"};
+constexpr CountField kMemoryField{16, 16'000'000, "megabytes"};
 constexpr CountField kConnectionsField{1, 65'536, "connections"};
 constexpr CountField kHeaderField{1'024, 1'048'576, "bytes"};
 constexpr CountField kIdleField{100, 3'600'000, "milliseconds"};
@@ -33,6 +38,12 @@
   vm.id = VmId(group.Name("id"));
   vm.failure_domain = FailureDomainId(group.Name("failure_domain"));
   vm.region = RegionId(group.Name("region"));
+  vm.processor_share =
+      group.Number("processor_share", kProcessorShareField, vm.processor_share);
+  vm.cores =
+      static_cast<std::uint32_t>(group.Count("cores", kCoresField, vm.cores));
+  vm.link_mbps = group.Number("link_mbps", kLinkField, vm.link_mbps);
+  vm.memory_mb = group.Count("memory_mb", kMemoryField, vm.memory_mb);
   group.RefuseUnknownFields();
   return vm;
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -23,6 +23,11 @@
   VmId id;
   FailureDomainId failure_domain;
   RegionId region;
+  // What the process may use of the machine.
+  double processor_share = 1;
+  std::uint32_t cores = 1;
+  double link_mbps = 1000;
+  std::uint64_t memory_mb = 512;
 };
 
 // The server for callers.
--- a/src/settings/settings_group.cc
+++ b/src/settings/settings_group.cc
@@ -91,6 +91,23 @@
   return count;
 }
 
+auto SettingsGroup::Number(const char* field, NumberField rule, double fallback)
+    -> double {
+  const auto* value = Find(field);
+  if (value == nullptr) {
+    return fallback;
+  }
+  const auto number = value->is_number() ? value->get<double>() : rule.least;
+  if (!value->is_number() || !(number >= rule.least && number <= rule.most)) {
+    Refuse(field, value,
+           "must be a number of " + std::string(rule.unit) + " from " +
+               nlohmann::json(rule.least).dump() + " to " +
+               nlohmann::json(rule.most).dump());
+    return fallback;
+  }
+  return number;
+}
+
 auto SettingsGroup::Milliseconds(const char* field,
                                  CountField rule,
                                  Duration fallback) -> Duration {
--- a/src/settings/settings_group.h
+++ b/src/settings/settings_group.h
@@ -22,6 +22,13 @@
   std::string_view unit;
 };
 
+// Accepted numbers, both ends included, with their unit.
+struct NumberField {
+  double least;
+  double most;
+  std::string_view unit;
+};
+
 // Reads the fields of one group of the settings and lists what is wrong with
 // them. Fields that were not asked for are unknown. Keeps references to its
 // arguments, which must outlive it. Not thread-safe.
@@ -41,6 +48,7 @@
   auto Address(const char* field) -> NamedEndpoint;
   auto Count(const char* field, CountField rule, std::uint64_t fallback)
       -> std::uint64_t;
+  auto Number(const char* field, NumberField rule, double fallback) -> double;
   auto Milliseconds(const char* field, CountField rule, Duration fallback)
       -> Duration;
   auto Share(const char* field, double fallback) -> double;
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -34,6 +34,10 @@
   return {encoded.shard(), Revision(encoded.revision()), encoded.hash()};
 }
 
+auto ReadResources(const wire::VmResources& encoded) -> VmResources {
+  return {encoded.processor_millicores(), encoded.link_kbps()};
+}
+
 auto ReadMember(const wire::Member& encoded) -> Result<Member> {
   if (encoded.id().empty()) {
     return Fail(ErrorKind::kMalformedMessage, "member without an id");
@@ -49,6 +53,8 @@
                 .leaving = encoded.leaving(),
                 .ready = encoded.ready(),
                 .lost_source = encoded.lost_source(),
+                .capacity = ReadResources(encoded.capacity()),
+                .load = ReadResources(encoded.load()),
                 .version = encoded.version()};
 }
 
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -10,6 +10,12 @@
   encoded->set_hash(digest.hash);
 }
 
+auto WriteResources(const VmResources& resources, wire::VmResources* encoded)
+    -> void {
+  encoded->set_processor_millicores(resources.processor_millicores);
+  encoded->set_link_kbps(resources.link_kbps);
+}
+
 auto WriteMember(const Member& member, wire::Member* encoded) -> void {
   encoded->set_id(member.id.value());
   encoded->set_incarnation(member.incarnation.value());
@@ -21,6 +27,8 @@
   encoded->set_leaving(member.leaving);
   encoded->set_ready(member.ready);
   encoded->set_lost_source(member.lost_source);
+  WriteResources(member.capacity, encoded->mutable_capacity());
+  WriteResources(member.load, encoded->mutable_load());
   encoded->set_version(member.version);
 }
 
--- a/tests/unit/decision/fleet/table_dissemination_test.cc
+++ b/tests/unit/decision/fleet/table_dissemination_test.cc
@@ -58,6 +58,24 @@
                                      kStart + kPullTimeout)) == "b");
 }
 
+// Guards against a change in force late without a trace of what held it up.
+Test(table_dissemination,
+     tells_where_a_version_came_from_and_how_long_it_took) {
+  TableDissemination spread(1, Random(1));
+  const auto digest = DigestFor(2, "new");
+  spread.OnEvent(From("a", TableAnnounce{digest}), kStart);
+  spread.OnEvent(From("b", TableAnnounce{digest}), kStart);
+  spread.OnEvent(TableDisseminationTimer{}, kStart + kPullTimeout);
+  const auto arrival = kStart + kPullTimeout + seconds(1);
+  spread.OnEvent(From("a", TableData{digest, "new"}), arrival);
+  const auto actions = spread.OnEvent(TableChecked{digest, true, ""}, arrival);
+  const auto* accepted = Find<TableAccepted>(actions);
+  cr_assert(accepted != nullptr);
+  cr_assert_eq(accepted->origin.peer.value(), std::string("a"));
+  cr_assert(accepted->origin.since_named == kPullTimeout + seconds(1));
+  cr_assert_geq(accepted->origin.pulls, 2U);
+}
+
 // Guards against damaged data that takes effect or blocks the search.
 Test(table_dissemination, drops_a_text_that_does_not_match_its_digest) {
   TableDissemination spread(1, Random(1));
--- a/tests/unit/decision/fleet/wire_size.h
+++ b/tests/unit/decision/fleet/wire_size.h
@@ -93,8 +93,12 @@
            Text(member.address) + Text(member.mesh_address) +
            Number(static_cast<std::uint64_t>(member.liveness)) +
            (member.leaving ? 2 : 0) + (member.ready ? 2 : 0) +
+           Nested(Of(member.capacity)) + Nested(Of(member.load)) +
            Number(member.version);
   }
+  static auto Of(const VmResources& resources) -> std::size_t {
+    return Number(resources.processor_millicores) + Number(resources.link_kbps);
+  }
 };
 
 }  // namespace flamingoyoke
--- a/tests/unit/node/traffic/gateway/gateway_task_test.cc
+++ b/tests/unit/node/traffic/gateway/gateway_task_test.cc
@@ -72,7 +72,7 @@
           return std::make_unique<ListeningGateway>(
               MakeGatewayConfig(),
               TrafficOutbox{mailboxes_.mesh, mailboxes_.admin,
-                            mailboxes_.telemetry},
+                            mailboxes_.telemetry, mailboxes_.fleet},
               port_promise_);
         }) {
     auto port = port_promise_.get_future();
@@ -287,7 +287,8 @@
   TaskHost<ListeningGateway> host("gateway", mailboxes.traffic, [&] {
     return std::make_unique<ListeningGateway>(
         MakeGatewayConfig(),
-        TrafficOutbox{mailboxes.mesh, mailboxes.admin, mailboxes.telemetry},
+        TrafficOutbox{mailboxes.mesh, mailboxes.admin, mailboxes.telemetry,
+                      mailboxes.fleet},
         promise);
   });
   host.Start([](const std::optional<Error>&) {});
--- a/tests/unit/node/traffic/traffic_fixture.h
+++ b/tests/unit/node/traffic/traffic_fixture.h
@@ -87,7 +87,7 @@
           return std::make_unique<ListeningTask>(
               config_,
               TrafficOutbox{mailboxes_.mesh, mailboxes_.admin,
-                            mailboxes_.telemetry},
+                            mailboxes_.telemetry, mailboxes_.fleet},
               port_promise_);
         }) {
     view_.self = config_.vm;
--- a/tests/unit/settings/settings_test.cc
+++ b/tests/unit/settings/settings_test.cc
@@ -63,7 +63,9 @@
 Test(settings, reads_every_field) {
   std::optional<Settings> settings;
   const auto error = Read(std::string(R"({ // A comment.
-    "vm": {"id": "v", "failure_domain": "f", "region": "r"},
+    "vm": {"id": "v", "failure_domain": "f", "region": "r",
+      "processor_share": 0.125, "cores": 3, "link_mbps": 10.5,
+      "memory_mb": 160},
     "caller": {"address": "[::1]:1", "max_connections": 2,
       "max_header_bytes": 2048, "idle_timeout_ms": 400,
       "body_budget_bytes": 5000000, "address_ttl_ms": 600},
@@ -77,6 +79,10 @@
     "trace": {"sample_rate": 0.25, "file": "/tmp/spans"}})",
                           settings);
   cr_assert_not(error.has_value());
+  cr_assert_eq(settings->vm.processor_share, 0.125);
+  cr_assert_eq(settings->vm.cores, 3);
+  cr_assert_eq(settings->vm.link_mbps, 10.5);
+  cr_assert_eq(settings->vm.memory_mb, 160);
   cr_assert_eq(settings->caller.address.host, "::1");
   cr_assert_eq(settings->caller.max_connections, 2);
   cr_assert_eq(settings->caller.max_header_bytes, 2048);
--- a/tests/unit/wire/wire_size_test.cc
+++ b/tests/unit/wire/wire_size_test.cc
@@ -19,6 +19,8 @@
   member.mesh_address = "10.0.0.17:7000";
   member.liveness = Liveness::kAlive;
   member.ready = true;
+  member.capacity = {500, 200'000};
+  member.load = {120, 9'000};
   member.version = 3;
   return member;
 }
