--- a/tests/unit/decision/fleet/entry_set_test.cc
+++ b/tests/unit/decision/fleet/entry_set_test.cc
@@ -22,6 +22,17 @@
   return members;
 }
 
+// A fleet of one strong vm in sixteen, as the grown sites have.
+auto MixedMembers(std::size_t count) -> std::vector<Member> {
+  auto members = Members(count);
+  for (std::size_t i = 0; i < count; ++i) {
+    members[i].capacity = i % 16 < 4 && i / 16 % 4 == 0
+                              ? VmResources{500, 200'000}
+                              : VmResources{100, 10'000};
+  }
+  return members;
+}
+
 auto Find(std::vector<Member>& members, const VmId& id) -> Member& {
   return *std::find_if(members.begin(), members.end(),
                        [&](const Member& each) { return each.id == id; });
@@ -52,6 +63,24 @@
   cr_assert_eq(std::count(after.begin(), after.end(), before[2]), 1);
 }
 
+// Guards against overloaded entries that answer, apply changes and let targets
+// go too late: the incident of issue 13.
+Test(entry_set, entries_have_what_the_load_takes) {
+  auto members = MixedMembers(128);
+  const auto before = EntryVms(members, 3);
+  for (const auto& vm : before) {
+    Find(members, vm).load = {500, 30'000};
+  }
+  std::uint32_t processor_millicores = 0;
+  std::uint32_t link_kbps = 0;
+  for (const auto& vm : EntryVms(members, 3)) {
+    processor_millicores += Find(members, vm).capacity.processor_millicores;
+    link_kbps += Find(members, vm).capacity.link_kbps;
+  }
+  cr_assert_geq(processor_millicores, 3U * 500);
+  cr_assert_geq(link_kbps, 3U * 30'000);
+}
+
 // Guards against a fleet that reads nothing since no vm is ready yet.
 Test(entry_set, readers_need_not_be_ready) {
   auto members = Members(8);
