Give up answers without end

A target in trouble may send bytes without end, in a head or a body, until its caller closes. Callers of a gateway then waited until the target stopped, and the vm kept the whole head in memory.

Cause: evhttp bounds no head by itself, and the stall timer started anew with each piece of a body. A head may now have 64 KiB, and an answer has to be whole by the deadline of its request; at a vm of the operators' table, where large answers go to slow callers, within ten minutes. A held-back answer ends with 504, one that is being relayed with a closed connection; the outcome is unknown in both cases.

--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -178,7 +178,7 @@
   attempt.lease.connection->Send(
       head, request.exchange->body(),
       {traffic.connect_limit, left + config_.last_word,
-       traffic.answer_stall_limit},
+       traffic.answer_stall_limit, left + config_.last_word},
       {
           .on_head =
               [this, id](const AnswerHead& answer) {
--- a/src/node/traffic/service_runner.cc
+++ b/src/node/traffic/service_runner.cc
@@ -240,7 +240,8 @@
   const auto target = attempt.lease.target;
   connection->Send(
       head, request.exchange->body(),
-      {config_.connect_limit, left, config_.answer_stall_limit},
+      {config_.connect_limit, left, config_.answer_stall_limit,
+       config_.answer_whole_limit},
       {
           .on_head = [this, id](const AnswerHead& h) { OnAnswerHead(id, h); },
           .on_body = [this, id](evbuffer* data) { OnAnswerBody(id, data); },
--- a/src/node/traffic/traffic_config.h
+++ b/src/node/traffic/traffic_config.h
@@ -46,6 +46,10 @@
   // How long an answer that has begun may make no progress.
   Duration answer_stall_limit = std::chrono::seconds(30);
 
+  // How long an answer may take from the request to its last byte. Its deadline
+  // is for its beginning: large answers to slow callers take longer.
+  Duration answer_whole_limit = std::chrono::minutes(10);
+
   // How long callers may keep the addresses that they were told.
   Duration address_time_to_live = std::chrono::seconds(10);
   // How much longer a leaving vm serves callers than that.
--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -30,6 +30,10 @@
 // attempt. This value only keeps evhttp from applying its default of 50 s.
 constexpr int kEvhttpTimeoutSeconds = 24 * 3600;
 
+// Largest head of an answer, four times what callers may send by default.
+// evhttp keeps the whole head and has no bound of its own.
+constexpr ev_ssize_t kMaxAnswerHeadBytes = 64 << 10;
+
 // Probes of an idle connection: after a second, then each second, until the
 // second one is not answered. A silent connection is found within three
 // seconds, well before most are used again.
@@ -140,6 +144,8 @@
   // A retry by evhttp could write unrepeatable work twice.
   evhttp_connection_set_retries(connection_.get(), 0);
   evhttp_connection_set_timeout(connection_.get(), kEvhttpTimeoutSeconds);
+  evhttp_connection_set_max_headers_size(connection_.get(),
+                                         kMaxAnswerHeadBytes);
   evhttp_connection_set_closecb(
       connection_.get(),
       [](evhttp_connection*, void* self) {
@@ -167,7 +173,9 @@
   busy_ = true;
   wrote_ = false;
   answering_ = false;
-  deadline_ = Now() + limits.time_limit;
+  const auto now = Now();
+  deadline_ = now + limits.time_limit;
+  whole_deadline_ = now + limits.whole_limit;
   auto* request = evhttp_request_new(
       [](evhttp_request* done, void* self) {
         static_cast<UpstreamConnection*>(self)->OnAnswerEnd(done);
@@ -312,7 +320,7 @@
     return false;
   }
   answering_ = true;
-  timer_.Schedule(limits_.stall_limit);
+  AwaitProgress();
   signals_.not_run = signals_.not_run || signals_.other_target;
   if (!signals_.not_run && observer_.on_head) {
     observer_.on_head(head_);
@@ -324,7 +332,7 @@
   if (!busy_) {
     return;
   }
-  timer_.Schedule(limits_.stall_limit);
+  AwaitProgress();
   if (!signals_.not_run && observer_.on_body) {
     observer_.on_body(evhttp_request_get_input_buffer(request));
   }
@@ -356,22 +364,31 @@
   if (!busy_) {
     return;
   }
-  if (paused_) {
+  const auto now = Now();
+  const bool has_time = now < whole_deadline_;
+  if (paused_ && has_time) {
     // The caller's write limit bounds a paused answer.
-    timer_.Schedule(limits_.stall_limit);
+    AwaitProgress();
     return;
   }
-  const auto now = Now();
   if (wrote_ && !answering_ && now < deadline_) {
     timer_.Schedule(deadline_ - now);
     return;
   }
-  const auto result = FailureResult(AttemptResult::kTimeout);
+  const auto result = answering_ && !has_time
+                          ? AttemptResult::kTimeout
+                          : FailureResult(AttemptResult::kTimeout);
   StopAllIo();
   spent_ = true;
   End(result);
 }
 
+auto UpstreamConnection::AwaitProgress() -> void {
+  timer_.Schedule(
+      std::max(std::min(limits_.stall_limit, whole_deadline_ - Now()),
+               Duration::zero()));
+}
+
 auto UpstreamConnection::OnClosed() -> void {
   spent_ = true;
   if (busy_) {
--- a/src/node/traffic/upstream_connection.h
+++ b/src/node/traffic/upstream_connection.h
@@ -74,11 +74,14 @@
   // Sends a request; `body` may be null and must not change until the
   // connection is destroyed. `time_limit` ends an attempt whose answer has not
   // begun, `connect_limit` one that is not connected, `stall_limit` an answer
-  // without progress. Precondition: usable(), and no request is being sent.
+  // without progress, and `whole_limit` one that is not whole: a target in
+  // trouble may send bytes without end. Precondition: usable(), and no request
+  // is being sent.
   struct Limits {
     Duration connect_limit;
     Duration time_limit;
     Duration stall_limit;
+    Duration whole_limit;
   };
   auto Send(const RequestHead& head,
             evbuffer* body,
@@ -93,8 +96,8 @@
   auto PauseReading() -> void;
   auto ResumeReading() -> void;
 
-  // Whether another request may be sent: nothing was ever cut off, and the
-  // upstream has neither closed the connection nor sent a stray byte.
+  // Whether another request may be sent: nothing was ever cut off or refused,
+  // and the upstream has neither closed the connection nor sent a stray byte.
   [[nodiscard]] auto usable() const -> bool;
   // Whether a request was sent before on this connection.
   [[nodiscard]] auto reused() const -> bool { return requests_ > 1; }
@@ -123,6 +126,8 @@
   auto OnAnswerBody(evhttp_request* request) -> void;
   auto OnAnswerEnd(evhttp_request* request) -> void;
   auto OnTimer() -> void;
+  // Gives an answer that has begun time until it makes progress.
+  auto AwaitProgress() -> void;
   auto OnClosed() -> void;
   auto End(AttemptResult result) -> void;
   // Result of an attempt that ended without a whole answer.
@@ -137,6 +142,7 @@
   std::function<void()> on_idle_close_;
   Limits limits_{};
   TimePoint deadline_{};
+  TimePoint whole_deadline_{};
   // Head of the request without its body, to compare the answer with.
   RequestHead sent_;
   AnswerHead head_;
--- /dev/null
+++ b/tests/unit/node/traffic/gateway/gateway_fixture.h
@@ -0,0 +1,164 @@
+#ifndef FLAMINGOYOKE_TESTS_UNIT_NODE_TRAFFIC_GATEWAY_GATEWAY_FIXTURE_H_
+#define FLAMINGOYOKE_TESTS_UNIT_NODE_TRAFFIC_GATEWAY_GATEWAY_FIXTURE_H_
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "node/traffic/gateway/gateway_task.h"
+#include "runtime/task_host.h"
+#include "unit/node/traffic/test_socket.h"
+#include "unit/node/traffic/upstream_fake.h"
+
+namespace flamingoyoke {
+
+// Tells the port once the task listens.
+class ListeningGateway {
+ public:
+  using Message = TrafficMessage;
+
+  ListeningGateway(GatewayConfig config,
+                   TrafficOutbox outbox,
+                   std::promise<std::uint16_t>& port)
+      : task_(std::move(config), outbox), port_(port) {}
+
+  auto Start(TaskContext& context) -> Result<void> {
+    BOOST_LEAF_CHECK(task_.Start(context));
+    port_.set_value(task_.port());
+    return {};
+  }
+  auto Handle(Message message) -> Result<void> {
+    return task_.Handle(std::move(message));
+  }
+  auto Stop(StopMode mode) -> void { task_.Stop(mode); }
+
+ private:
+  GatewayTask task_;
+  std::promise<std::uint16_t>& port_;
+};
+
+inline auto MakeGatewayConfig() -> GatewayConfig {
+  GatewayConfig config;
+  config.traffic.vm = VmId("vm-a");
+  config.traffic.address_time_to_live = Duration::zero();
+  config.traffic.leave_margin = Duration::zero();
+  config.dialect.headers = {.request_id = "Id",
+                            .time_left_ms = "Left-Ms",
+                            .signature = "Signed",
+                            .expected_target = "Expect-Target",
+                            .not_run = "Not-Run"};
+  config.dialect.readiness_path = "/-/ready";
+  config.dialect.addresses_path = "/-/addresses";
+  config.dialect.write_addresses = [](const std::vector<std::string>& addresses,
+                                      Duration) { return addresses.front(); };
+  config.limits = {.floor_share = 0.7, .retry_share = 0.2, .retry_least = 10};
+  return config;
+}
+
+// A gateway with one route for each kind of work to the given upstreams.
+class GatewayFixture {
+ public:
+  explicit GatewayFixture(const std::vector<std::uint16_t>& upstreams)
+      : host_("gateway", mailboxes_.traffic, [this] {
+          return std::make_unique<ListeningGateway>(
+              MakeGatewayConfig(),
+              TrafficOutbox{mailboxes_.mesh, mailboxes_.admin,
+                            mailboxes_.telemetry, mailboxes_.fleet},
+              port_promise_);
+        }) {
+    auto port = port_promise_.get_future();
+    host_.Start([](const std::optional<Error>&) {});
+    port_ = port.get();
+    Publish(upstreams);
+  }
+
+  auto Publish(const std::vector<std::uint16_t>& upstreams) -> void {
+    auto view = std::make_shared<FleetView>();
+    view->self = VmId("vm-a");
+    view->ready = true;
+    Member self;
+    self.id = view->self;
+    self.address = "10.0.0.1:80";
+    view->members = {self};
+    view->entries = {view->self};
+    Routing routing;
+    routing.revision = Revision(3);
+    routing.services = {{ServiceId("s"), "/health", 30}};
+    for (const auto repeatability :
+         {Repeatability::kOnce, Repeatability::kRepeatable}) {
+      Route route;
+      route.name = std::string(ToName(repeatability));
+      route.host = "h";
+      route.prefix = "/" + route.name + "/";
+      route.repeatability = repeatability;
+      route.timeout = std::chrono::seconds(20);
+      route.objective = std::chrono::seconds(5);
+      route.max_attempts = 2;
+      route.shares = {{ServiceId("s"), 1}};
+      routing.routes.push_back(route);
+    }
+    Registry registry;
+    for (const auto upstream : upstreams) {
+      RegisteredTarget target;
+      target.id = TargetId("t" + std::to_string(upstream));
+      target.service = ServiceId("s");
+      target.host = "127.0.0.1";
+      target.port = upstream;
+      target.slots = 4;
+      registry.targets.push_back(target);
+    }
+    view->routing = std::make_shared<const Routing>(routing);
+    view->registry = std::make_shared<const Registry>(registry);
+    mailboxes_.traffic.Post(FleetViewChanged{view});
+  }
+
+  auto Exchange(const std::string& request) -> TestSocket::Message {
+    auto socket = TestSocket::Connect(port_);
+    cr_assert(socket.Write(request));
+    auto answer = socket.ReadMessage();
+    cr_assert(answer.has_value());
+    return *answer;
+  }
+
+ private:
+  Mailboxes mailboxes_;
+  std::promise<std::uint16_t> port_promise_;
+  std::uint16_t port_ = 0;
+  TaskHost<ListeningGateway> host_;
+};
+
+// Returns a request for the routes of the fixture.
+inline auto Request(const std::string& method,
+                    const std::string& path,
+                    const std::string& body = "",
+                    const std::string& id = "req-1",
+                    const std::string& left_ms = "15000") -> std::string {
+  return method + " " + path + " HTTP/1.1\r\nHost: h\r\nId: " + id +
+         "\r\nLeft-Ms: " + left_ms + "\r\n" +
+         "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// Returns an answer with a length; `head` begins with the status.
+inline auto Answer(const std::string& head, const std::string& body)
+    -> std::string {
+  return "HTTP/1.1 " + head +
+         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+         body;
+}
+
+// Returns the script of an upstream that always answers the same.
+inline auto Always(const std::string& answer) -> UpstreamFake::Script {
+  return [answer](const UpstreamFake::Request&, TestSocket& socket) {
+    return socket.Write(answer);
+  };
+}
+
+}  // namespace flamingoyoke
+
+#endif  // FLAMINGOYOKE_TESTS_UNIT_NODE_TRAFFIC_GATEWAY_GATEWAY_FIXTURE_H_
--- /dev/null
+++ b/tests/unit/node/traffic/gateway/upstream_trouble_test.cc
@@ -0,0 +1,87 @@
+// Tests of the gateway against targets that break the protocol, over loopback
+// sockets.
+#include <criterion/criterion.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "runtime/clock.h"
+#include "unit/node/traffic/gateway/gateway_fixture.h"
+
+namespace flamingoyoke {
+namespace {
+
+TestSuite(upstream_trouble, .timeout = 120);
+
+constexpr const char* kSuccess = "200 OK\r\nId: req-1\r\nSigned: x";
+// Bytes of one piece of an answer without end.
+constexpr std::size_t kPiece = 16 << 10;
+// More than a gateway may keep of one answer that it does not relay.
+constexpr std::size_t kMostKept = 8 << 20;
+
+// Returns the script of an upstream that begins with `start` and then writes
+// `piece` until the gateway closes the connection, or kMostKept was taken.
+// Counts the bytes taken in `taken`.
+auto Endless(const std::string& start,
+             const std::string& piece,
+             std::atomic<std::size_t>& taken) -> UpstreamFake::Script {
+  return
+      [start, piece, &taken](const UpstreamFake::Request&, TestSocket& socket) {
+        socket.Write(start);
+        while (taken < kMostKept && socket.Write(piece)) {
+          taken += piece.size();
+        }
+        return false;
+      };
+}
+
+// Returns the script of an upstream that trickles a body without end.
+auto Trickling(const std::string& start) -> UpstreamFake::Script {
+  return [start](const UpstreamFake::Request&, TestSocket& socket) {
+    socket.Write(start);
+    while (socket.Write("1\r\nx\r\n")) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+  };
+}
+
+}  // namespace
+
+// Guards against memory that grows with the head of an answer without end.
+Test(upstream_trouble, a_head_without_end_is_given_up) {
+  for (const auto& piece :
+       {std::string(kPiece, 'a'), "X: " + std::string(kPiece, 'a') + "\r\n"}) {
+    for (const auto* start : {"", "HTTP/1.1 200 OK\r\n"}) {
+      std::atomic<std::size_t> taken = 0;
+      UpstreamFake upstream(Endless(start, piece, taken));
+      GatewayFixture gateway({upstream.port()});
+      const auto answer = gateway.Exchange(Request("POST", "/once/1", "order"));
+      cr_assert_eq(answer.status(), 502);
+      cr_assert_lt(taken.load(), kMostKept);
+    }
+  }
+}
+
+// Guards against attempts and callers that are held for as long as a target
+// goes on sending.
+Test(upstream_trouble, a_body_without_end_ends_with_the_time_of_the_request) {
+  const std::string head = std::string("HTTP/1.1 ") + kSuccess + "\r\n";
+  const std::string shed = "HTTP/1.1 503 Full\r\nId: req-1\r\nNot-Run: 1\r\n";
+  for (const auto& start :
+       {head + "Transfer-Encoding: chunked\r\n\r\n", head + "\r\n",
+        head + "Content-Length: 1000000000\r\n\r\n",
+        shed + "Transfer-Encoding: chunked\r\n\r\n"}) {
+    UpstreamFake upstream(Trickling(start));
+    GatewayFixture gateway({upstream.port()});
+    const auto sent = Now();
+    const auto answer =
+        gateway.Exchange(Request("POST", "/once/1", "order", "req-1", "600"));
+    cr_assert(answer.status() == 502 || answer.status() == 504);
+    cr_assert_lt(ToMilliseconds(Now() - sent), 5000);
+  }
+}
+
+}  // namespace flamingoyoke
--- a/tests/unit/node/traffic/upstream_connection_test.cc
+++ b/tests/unit/node/traffic/upstream_connection_test.cc
@@ -24,14 +24,15 @@
   const auto interface = OwnUpstreamInterface();
   UpstreamConnection connection(loop, "127.0.0.1", upstream.port(), interface);
   std::optional<AttemptResult> ended;
-  connection.Send(
-      {"POST", "/order", {{"Host", "h"}, {"Content-Length", "0"}}}, nullptr,
-      {milliseconds(1), std::chrono::seconds(5), std::chrono::seconds(5)},
-      {.on_head = nullptr,
-       .on_body = nullptr,
-       .on_end = [&](AttemptResult result, const UpstreamSignals&) {
-         ended = result;
-       }});
+  connection.Send({"POST", "/order", {{"Host", "h"}, {"Content-Length", "0"}}},
+                  nullptr,
+                  {milliseconds(1), std::chrono::seconds(5),
+                   std::chrono::seconds(5), std::chrono::seconds(5)},
+                  {.on_head = nullptr,
+                   .on_body = nullptr,
+                   .on_end = [&](AttemptResult result, const UpstreamSignals&) {
+                     ended = result;
+                   }});
   if (abandon) {
     connection.Abandon();
   }
