Believe no refusal that was written once more

A faulty target may write an earlier refusal once more on a kept connection, where the answer to the next request is due.

Cause: a not-run header or a 421 was believed when the answer named no request. Only an answer with another request's id was refused. Targets name the request in all their answers, so one that names none is foreign now, whatever its status; the caller gets 502, unknown. A connection that carried a refusal is not used again, so the copy meets no later request even where answers name no request, as those of the project's own interface.

a_refusal_written_once_more_is_not_believed got 503 before, and a_connection_with_a_refusal_is_not_used_again reused it; both pass now. Two tests and the stand-in target sent refusals that name no request; they now send the id, as targets do. Their checks are unchanged.

--- a/src/node/traffic/gateway/gateway_headers.cc
+++ b/src/node/traffic/gateway/gateway_headers.cc
@@ -22,12 +22,14 @@
   UpstreamSignals signals;
   signals.other_target = answer.status == dialect.other_target_status;
   signals.not_run = FindHeader(answer.headers, names.not_run).has_value();
-  const auto id = FindHeader(answer.headers, names.request_id);
   const bool is_success =
       answer.status >= kOk && answer.status < kMultipleChoices;
-  signals.foreign =
-      (id && id != FindHeader(request.headers, names.request_id)) ||
-      (is_success && (!id || !FindHeader(answer.headers, names.signature) ||
+  // Targets name the request in all their answers. One that names another, or
+  // none, may be an earlier answer written once more.
+  signals.foreign = FindHeader(answer.headers, names.request_id) !=
+                        FindHeader(request.headers, names.request_id) ||
+                    (is_success &&
+                     (!FindHeader(answer.headers, names.signature) ||
                       FindHeader(answer.headers, "Content-Encoding")));
   return signals;
 }
--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -353,6 +353,9 @@
     spent_ = true;
   }
   if (signals_.not_run) {
+    // A target may write a refusal once more, where it would be taken for the
+    // answer to the next request.
+    spent_ = true;
     End(AttemptResult::kShed);
     return;
   }
--- a/tests/standins/target/target_task.cc
+++ b/tests/standins/target/target_task.cc
@@ -41,14 +41,18 @@
     OnControl(std::move(exchange));
     return;
   }
+  const auto id = exchange.Header("X-Request-Id").value_or("");
   const auto expected = exchange.Header("X-Expect-Instance");
   if (expected && *expected != options_.id) {
     ++misdirected_;
-    exchange.Reply({kMisdirected, {{"X-Instance-Id", options_.id}}, ""});
+    exchange.Reply({kMisdirected,
+                    {{"X-Request-Id", id}, {"X-Instance-Id", options_.id}},
+                    ""});
     return;
   }
   if (mode_ == TargetMode::kShed) {
-    exchange.Reply({kUnavailable, {{"X-Not-Executed", "1"}}, ""});
+    exchange.Reply(
+        {kUnavailable, {{"X-Request-Id", id}, {"X-Not-Executed", "1"}}, ""});
     return;
   }
   Run(std::move(exchange));
--- a/tests/unit/node/traffic/gateway/gateway_task_test.cc
+++ b/tests/unit/node/traffic/gateway/gateway_task_test.cc
@@ -55,7 +55,7 @@
 // Guards against once-only work that is lost when a target sheds it, and
 // against 503 for work that ran.
 Test(gateway_task, sends_shed_work_elsewhere) {
-  UpstreamFake full(Always(Answer("503 Full\r\nNot-Run: 1", "")));
+  UpstreamFake full(Always(Answer("503 Full\r\nId: req-1\r\nNot-Run: 1", "")));
   UpstreamFake idle(Always(Answer("200 OK\r\nId: req-1\r\nSigned: x", "done")));
   GatewayFixture gateway({full.port(), idle.port()});
   for (int i = 0; i < 6; ++i) {
@@ -66,7 +66,7 @@
 
 // Guards against a target that another process has replaced at its address.
 Test(gateway_task, leaves_a_replaced_target_alone) {
-  UpstreamFake other(Always(Answer("421 Misdirected", "")));
+  UpstreamFake other(Always(Answer("421 Misdirected\r\nId: req-1", "")));
   UpstreamFake own(Always(Answer("200 OK\r\nId: req-1\r\nSigned: x", "done")));
   GatewayFixture gateway({other.port(), own.port()});
   for (int i = 0; i < 8; ++i) {
--- a/tests/unit/node/traffic/gateway/upstream_trouble_test.cc
+++ b/tests/unit/node/traffic/gateway/upstream_trouble_test.cc
@@ -84,4 +84,39 @@
   }
 }
 
+// Guards against "not run" for work that ran, when a target writes an earlier
+// refusal once more on a connection that is kept.
+Test(upstream_trouble, a_refusal_written_once_more_is_not_believed) {
+  for (const auto* second :
+       {"503 Full\r\nId: req-1\r\nNot-Run: 1", "503 Full\r\nNot-Run: 1",
+        "421 Misdirected\r\nId: req-1", "421 Misdirected"}) {
+    // The first request on a connection is refused. The next one there runs,
+    // but the refusal is written again in place of its answer.
+    UpstreamFake upstream([second](const UpstreamFake::Request& request,
+                                   TestSocket& socket) {
+      if (request.number == 0 && request.connection == 0) {
+        return socket.Write(Answer("503 Full\r\nId: req-1\r\nNot-Run: 1", ""));
+      }
+      return socket.Write(Answer(second, ""));
+    });
+    GatewayFixture gateway({upstream.port()});
+    gateway.Exchange(Request("POST", "/once/1", "first", "req-1"));
+    const auto answer =
+        gateway.Exchange(Request("POST", "/once/1", "second", "req-2"));
+    cr_assert_eq(answer.status(), 502, "%s: %d", second, answer.status());
+  }
+}
+
+// Guards against once-only work that runs at a second target since a refusal of
+// the same request was written twice: the copy may meet a later request.
+Test(upstream_trouble, a_connection_with_a_refusal_is_not_used_again) {
+  UpstreamFake upstream(
+      Always(Answer("503 Full\r\nId: req-1\r\nNot-Run: 1", "")));
+  GatewayFixture gateway({upstream.port()});
+  for (int i = 0; i < 3; ++i) {
+    gateway.Exchange(Request("POST", "/once/1", "order"));
+  }
+  cr_assert_eq(upstream.connections(), upstream.executions());
+}
+
 }  // namespace flamingoyoke
