Test heads that end midway, cut at each byte

A report from operators of like systems: a target stopped in the middle of its answer's head and callers got a 200 with an empty or short body. It does not happen here: evhttp reports an error unless the blank line after the head was read, whether the close is orderly or a reset. The tests cut an answer with a length at each of its bytes and one without a length at each byte of its head, and pass; no code is changed.

--- a/tests/unit/node/traffic/gateway/upstream_trouble_test.cc
+++ b/tests/unit/node/traffic/gateway/upstream_trouble_test.cc
@@ -119,4 +119,46 @@
   cr_assert_eq(upstream.connections(), upstream.executions());
 }
 
+// Guards against a 200 with an empty or short body from a target that stopped
+// in the middle of the head.
+Test(upstream_trouble, a_head_that_ends_midway_is_no_answer) {
+  const auto whole = std::string("HTTP/1.1 ") + kSuccess +
+                     "\r\nContent-Length: 10\r\n\r\n0123456789";
+  const auto head_bytes = whole.find("\r\n\r\n") + 4;
+  for (const bool resets : {false, true}) {
+    std::size_t cut = 0;
+    UpstreamFake upstream(
+        [&](const UpstreamFake::Request&, TestSocket& socket) {
+          socket.Write(whole.substr(0, cut));
+          if (resets) {
+            socket.Reset();
+          }
+          return false;
+        });
+    for (cut = 0; cut < whole.size(); ++cut) {
+      // A new gateway does not know the target for a failing one yet.
+      GatewayFixture gateway({upstream.port()});
+      const auto answer = gateway.Exchange(Request("POST", "/once/1", "order"));
+      cr_assert_eq(answer.status(), 502, "cut at %zu of %zu: %d", cut,
+                   head_bytes, answer.status());
+    }
+  }
+}
+
+// Guards against the same with an answer that has no length: only its end by a
+// close after a whole head is an end.
+Test(upstream_trouble, a_head_without_a_length_that_ends_midway_is_no_answer) {
+  const auto head = std::string("HTTP/1.1 ") + kSuccess + "\r\n\r\n";
+  std::size_t cut = 0;
+  UpstreamFake upstream([&](const UpstreamFake::Request&, TestSocket& socket) {
+    socket.Write(head.substr(0, cut));
+    return false;
+  });
+  for (cut = 0; cut < head.size(); ++cut) {
+    GatewayFixture gateway({upstream.port()});
+    const auto answer = gateway.Exchange(Request("POST", "/once/1", "order"));
+    cr_assert_eq(answer.status(), 502, "cut at %zu: %d", cut, answer.status());
+  }
+}
+
 }  // namespace flamingoyoke
