Keep versions that a reader could not hand over

A reader of the store that met a full mailbox of the fleet task lost the version it had read: StoreTask ignored the result of Post, and its watch went on behind the version. No vm would have read it again before the next change.

The message has back-pressure now, and TableOutbox keeps the newest version of each shard until the mailbox takes it. The other reader of versions, PlatformTask, already kept its revision.

--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr int kStatusOk = 200;
+// A full mailbox of the fleet task is emptied within its next turn.
+constexpr Duration kPostRetry = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -23,12 +25,19 @@
     : config_(std::move(config)),
       dialect_(std::move(dialect)),
       fleet_(fleet),
+      outbox_(fleet),
       schedule_(Random(config_.seed)) {}
 
 auto StoreTask::Start(TaskContext& context) -> Result<void> {
   context_ = &context;
   reader_ = std::make_unique<StoreReader>(context.loop(), config_);
   timer_ = context.loop().MakeTimer([this] { Read(); });
+  post_timer_ = context.loop().MakeTimer([this] {
+    outbox_.PostKept();
+    if (outbox_.has_kept()) {
+      post_timer_.Schedule(kPostRetry);
+    }
+  });
   return {};
 }
 
@@ -202,8 +211,7 @@
         "refused a published configuration: " + error->detail);
     return;
   }
-  fleet_.Post(
-      TableRead{kRoutingShard, routing->revision, EncodeRouting(*routing)});
+  PostTable({kRoutingShard, routing->revision, EncodeRouting(*routing)});
 }
 
 auto StoreTask::TakeTarget(const TargetId& id,
@@ -236,8 +244,14 @@
   if (!registry) {
     return;
   }
-  fleet_.Post(
-      TableRead{kRegistryShard, registry->revision, EncodeRegistry(*registry)});
+  PostTable({kRegistryShard, registry->revision, EncodeRegistry(*registry)});
+}
+
+auto StoreTask::PostTable(TableRead read) -> void {
+  outbox_.Post(std::move(read));
+  if (outbox_.has_kept()) {
+    post_timer_.Schedule(kPostRetry);
+  }
 }
 
 }  // namespace flamingoyoke
--- a/src/node/control/store/store_task.h
+++ b/src/node/control/store/store_task.h
@@ -12,6 +12,7 @@
 #include "decision/platform/registry_tracker.h"
 #include "node/control/store/store_config.h"
 #include "node/control/store/store_reader.h"
+#include "node/control/store/table_outbox.h"
 #include "node/dialect.h"
 #include "node/messages.h"
 #include "runtime/event_loop.h"
@@ -54,15 +55,18 @@
                   const StoreItem& item,
                   std::vector<RegisteredTarget>* targets) -> void;
   auto Propose() -> void;
+  auto PostTable(TableRead read) -> void;
 
   const StoreConfig config_;
   const StoreDialect dialect_;
   Mailbox<FleetMessage>& fleet_;
+  TableOutbox outbox_;
   TaskContext* context_ = nullptr;
   RegistryTracker tracker_;
   ReadSchedule schedule_;
   std::unique_ptr<StoreReader> reader_;
   EventLoop::Handle timer_;
+  EventLoop::Handle post_timer_;
   bool is_reader_ = false;
   bool is_reading_ = false;
   bool is_available_ = true;
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -64,6 +64,12 @@
   Revision revision;
   std::string text;
 };
+// The reader goes on behind the version that it read, so nobody would read a
+// version again that was dropped.
+template <>
+inline constexpr MailboxPolicy kMailboxPolicy<TableRead> =
+    MailboxPolicy::kBackPressure;
+
 // Whether this node is an elected reader and watches the configuration
 // service, and the newest revision known here.
 struct ReaderRoleChanged {
@@ -88,6 +94,9 @@
 struct SourceStateChanged {
   bool is_available = true;
 };
+template <>
+inline constexpr MailboxPolicy kMailboxPolicy<SourceStateChanged> =
+    MailboxPolicy::kCoalesce;
 
 // What this vm has for callers' requests and what they take, for the other vms.
 struct LoadMeasured {
