Refuse requests that waited too long for the processor

Now a request that has waited in the present turn for more than 250 ms, or a quarter of its time, is refused at once as not run, with a time to come back.

--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -20,6 +20,7 @@
   kInvalidHeader,
   // Admission.
   kBodyBudgetExhausted,
+  kOverloaded,
   kQueueFull,
   kTeamLimit,
   kDeadlineUnreachable,
@@ -67,6 +68,7 @@
       {ErrorKind::kUnknownService, "unknown-service"},
       {ErrorKind::kInvalidHeader, "invalid-header"},
       {ErrorKind::kBodyBudgetExhausted, "body-budget-exhausted"},
+      {ErrorKind::kOverloaded, "overloaded"},
       {ErrorKind::kQueueFull, "queue-full"},
       {ErrorKind::kTeamLimit, "team-limit"},
       {ErrorKind::kDeadlineUnreachable, "deadline-unreachable"},
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "core/answer_table.h"
+#include "decision/gateway/overload_limit.h"
 #include "decision/gateway/retry_slack.h"
 #include "node/log.h"
 #include "node/traffic/caller_headers.h"
@@ -363,6 +365,11 @@
           ? StartSpan(*parent, random_)
           : StartTrace(random_, random_.Unit() < config_.traffic.trace_share);
   request.exchange = std::move(exchange);
+  if (const auto waited = context_->loop().TurnAge();
+      IsOverloaded(waited, request.deadline - now)) {
+    RefuseOverloaded(request, route, waited);
+    return;
+  }
   const bool was_idle = active() == 0;
   RunnerOf(splits_.Choose(route)).Submit(std::move(request));
   if (was_idle) {
@@ -370,6 +377,23 @@
   }
 }
 
+auto GatewayTask::RefuseOverloaded(GatewayRequest& request,
+                                   const Route& route,
+                                   Duration waited) -> void {
+  ++overloaded_;
+  constexpr auto kError = ErrorKind::kOverloaded;
+  request.history = " waited " + std::to_string(ToMilliseconds(waited)) + " ms";
+  request.exchange->Reply(
+      MakeErrorHead(kError,
+                    {.delay = OverloadRetryAfter(waited),
+                     .fractional = config_.dialect.fractional_retry_after}),
+      MakeErrorBody(kError));
+  request_log_.OnRequest(
+      route.shares.front().service,
+      {request, AnswerFor(kError).http_status, kError, Now()},
+      view_->routing->revision, view_->registry->revision);
+}
+
 auto GatewayTask::IsReady() const -> bool {
   return stop_->mode() == StopMode::kNone && view_ && view_->ready &&
          !view_->leaving;
@@ -424,6 +448,10 @@
        .help = "Processor time that callers' requests take, reckoned.",
        .is_counter = false,
        .value = load_.last().processor_millicores / kMillicoresPerCore});
+  metrics.samples.push_back(
+      {.name = "flamingoyoke_gateway_overloaded_total",
+       .help = "Requests refused since this vm was short of processor.",
+       .value = static_cast<double>(overloaded_)});
   metrics.samples.push_back(
       {.name = "flamingoyoke_gateway_link_kbps",
        .help = "Kilobits per second received from callers and upstreams.",
--- a/src/node/traffic/gateway/gateway_task.h
+++ b/src/node/traffic/gateway/gateway_task.h
@@ -72,6 +72,10 @@
   auto AnswerAddresses(CallerExchange& exchange) -> void;
   auto Submit(std::unique_ptr<CallerExchange> exchange, const Route& route)
       -> void;
+  // Answers a request that waited too long for the processor as not run.
+  auto RefuseOverloaded(GatewayRequest& request,
+                        const Route& route,
+                        Duration waited) -> void;
   [[nodiscard]] auto IsReady() const -> bool;
   auto CheckPause() -> void;
   auto OnTick() -> void;
@@ -88,6 +92,8 @@
   // Bytes of requests and answers received.
   std::uint64_t received_bytes_ = 0;
   LoadMeter load_;
+  // Requests refused since this vm was short of processor.
+  std::uint64_t overloaded_ = 0;
   TaskContext* context_ = nullptr;
   std::shared_ptr<const FleetView> view_;
   RouteIndex routes_;
--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -79,6 +79,19 @@
   return handle;
 }
 
+auto EventLoop::TurnAge() -> Duration {
+  // libevent keeps the time of its turn to itself but for this call, whose
+  // clock steps with the time of day: it only tells turns apart.
+  timeval turn{};
+  event_base_gettimeofday_cached(base_.get(), &turn);
+  const auto now = Now();
+  if (turn.tv_sec != turn_.tv_sec || turn.tv_usec != turn_.tv_usec) {
+    turn_ = turn;
+    turn_started_ = now;
+  }
+  return now - turn_started_;
+}
+
 auto EventLoop::MakePeriodicTimer(Duration period, Callback callback)
     -> Handle {
   auto handle = MakeHandle(-1, EV_PERSIST, std::move(callback));
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -2,6 +2,7 @@
 #define FLAMINGOYOKE_RUNTIME_EVENT_LOOP_H_
 
 #include <event2/event.h>
+#include <sys/time.h>
 
 #include <functional>
 #include <memory>
@@ -56,6 +57,11 @@
   // descriptor open for the life of the handle.
   auto WatchReadable(int descriptor, Callback callback) -> Handle;
 
+  // Returns the time since the loop last looked for events, as far as it can be
+  // told: all work that is being done now has waited for that long at least.
+  // Called within a callback.
+  auto TurnAge() -> Duration;
+
   // The loop for libraries that are built on libevent, such as evhttp.
   [[nodiscard]] auto base() const -> event_base* { return base_.get(); }
 
@@ -67,6 +73,9 @@
   auto MakeHandle(int descriptor, short events, Callback callback) -> Handle;
 
   std::unique_ptr<event_base, BaseDeleter> base_;
+  // When libevent last looked for events, and the first call of TurnAge since.
+  timeval turn_{};
+  TimePoint turn_started_{};
 };
 
 }  // namespace flamingoyoke
--- a/tests/unit/runtime/event_loop_test.cc
+++ b/tests/unit/runtime/event_loop_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <vector>
 
 #include "runtime/clock.h"
 
@@ -40,6 +41,34 @@
   cr_assert_not(is_early);
 }
 
+// Guards against overload that stays unseen while one turn of the loop takes
+// long.
+Test(event_loop, tells_how_long_a_turn_takes) {
+  EventLoop loop;
+  std::vector<Duration> ages;
+  const auto work = [&] {
+    ages.push_back(loop.TurnAge());
+    const auto begin = Now();
+    while (Now() - begin < milliseconds(20)) {
+    }
+  };
+  auto first = loop.MakeTimer(work);
+  auto second = loop.MakeTimer([&] {
+    work();
+    loop.Quit();
+  });
+  first.Schedule(milliseconds(5));
+  second.Schedule(milliseconds(5));
+  // Both are due when the loop looks for events.
+  const auto begin = Now();
+  while (Now() - begin < milliseconds(10)) {
+  }
+  loop.Run();
+  cr_assert_eq(ages.size(), 2U);
+  cr_assert(ages[0] < milliseconds(5));
+  cr_assert(ages[1] >= milliseconds(20));
+}
+
 // Guards against a cancelled timer that still runs.
 Test(event_loop, a_cancelled_timer_does_not_run) {
   EventLoop loop;
