Keep the floor of recovered targets while many requests fail

Cause: a fifth of the targets that may be healthy were allowed to stay idle, the least trusted ones, while the rule is about those that are healthy in truth. While more than 9% of the requests fail none may stay idle now.

--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -49,8 +49,11 @@
 // of the requests fail. A power loss of all vms fails that many at once and
 // without notice, so targets that look healthy get work at all times; from this
 // share of failed requests on, all others get some too. A target counts as
-// healthy again two seconds after it failed. At most the given part of them may
-// stay idle, which leaves room for targets that only look healthy from here.
+// healthy again two seconds after it failed. While few requests fail, at most
+// the given part of them may stay idle, which leaves room for targets that only
+// look healthy from here. While many fail none may: those that stayed idle
+// would be the ones that failed before, and they may be most of the healthy
+// ones.
 constexpr double kFloorShareOfFailures = 0.09;
 constexpr Duration kIdleAfter = std::chrono::milliseconds(1500);
 constexpr Duration kHealthyAfter = std::chrono::milliseconds(1900);
@@ -204,8 +207,9 @@
     }
   }
   // Work that is tried again elsewhere may look at each of them.
-  const auto allowed =
-      wish.may_retry ? 0.0 : kIdleShare * static_cast<double>(healthy);
+  const auto allowed = many_fail || wish.may_retry
+                           ? 0.0
+                           : kIdleShare * static_cast<double>(healthy);
   return static_cast<double>(idle) > allowed ? best : nullptr;
 }
 
--- a/tests/unit/decision/gateway/target_pool_test.cc
+++ b/tests/unit/decision/gateway/target_pool_test.cc
@@ -236,6 +236,37 @@
   }
 }
 
+// Guards against a missed floor of targets that failed some seconds ago, while
+// others fail: vdm-eendhok-grown trouble-2, where 6 of 14 such targets got
+// nothing for two seconds.
+Test(target_pool,
+     gives_work_to_all_recovered_targets_while_many_requests_fail) {
+  constexpr std::size_t kTargets = 20;
+  constexpr std::size_t kFailedBefore = 6;
+  auto pool = MakePool(Targets(kTargets));
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    for (int n = 0; n < 3; ++n) {
+      Run(pool, TargetNumber(i),
+          i < kFailedBefore ? Evidence::kFailed : Evidence::kSucceeded, kStart);
+    }
+  }
+  std::map<TargetId, TimePoint> used;
+  int number = 0;
+  for (int ms = 20; ms < 8000; ms += 20) {
+    const auto now = kStart + milliseconds(ms);
+    const auto chosen = pool.Choose({}, now);
+    cr_assert(chosen.has_value());
+    Run(pool, *chosen, Evidence::kSucceeded, now);
+    pool.OnRequestEnded(++number % 6 != 0, now);
+    used[*chosen] = now;
+    std::size_t recent = 0;
+    for (std::size_t i = 0; i < kFailedBefore; ++i) {
+      recent += now - used[TargetNumber(i)] < milliseconds(2000) ? 1 : 0;
+    }
+    cr_assert(ms < 4500 || recent >= 5, "%zu targets at %d ms", recent, ms);
+  }
+}
+
 // Guards against a repeat on the target that has just failed the request.
 Test(target_pool, never_chooses_a_tried_target_again) {
   auto pool = MakePool(Targets(2));
