--- a/tests/unit/decision/fleet/entry_set_test.cc
+++ b/tests/unit/decision/fleet/entry_set_test.cc
@@ -183,9 +183,9 @@
 
 // Guards against a new entry that moves callers of all others.
 Test(entry_set, a_new_entry_takes_callers_only_to_itself) {
-  std::vector<EntryVm> entries;
-  for (int i = 0; i < 8; ++i) {
-    entries.push_back({VmId("vm-" + std::to_string(i)), 100});
+  std::vector<EntryVm> entries(8);
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    entries[i] = {VmId("vm-" + std::to_string(i)), 100};
   }
   auto more = entries;
   more.push_back({VmId("vm-new"), 100});
