Try each idle target from one gateway, and all of them only in bad times

Cause, by reckoning: with 30% of the targets unhealthy, trying every target that was idle for 1.5 s fails about 7% of the requests, which with the usual 5% is above the 9% that starts the trials, so they kept themselves going. And all gateways took a target for idle at the same moment, so each trial was made by several of them before the report of the first one arrived.

Now none may stay idle from 13% of failed requests on, a fifth between 9% and 13% as before, and each gateway draws a time from 1.2 to 1.8 s for each target. The test of the floor (16.7% failed) still has all targets in use.

--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -49,15 +49,22 @@
 // of the requests fail. A power loss of all vms fails that many at once and
 // without notice, so targets that look healthy get work at all times; from this
 // share of failed requests on, all others get some too. A target counts as
-// healthy again two seconds after it failed. While few requests fail, at most
-// the given part of them may stay idle, which leaves room for targets that only
-// look healthy from here. While many fail none may: those that stayed idle
-// would be the ones that failed before, and they may be most of the healthy
-// ones.
+// healthy again two seconds after it failed. At most the given part of them may
+// stay idle, which leaves room for targets that only look healthy from here.
 constexpr double kFloorShareOfFailures = 0.09;
-constexpr Duration kIdleAfter = std::chrono::milliseconds(1500);
 constexpr Duration kHealthyAfter = std::chrono::milliseconds(1900);
 constexpr double kIdleShare = 0.2;
+// From this share of failed requests on none may stay idle: those that did
+// would be the ones that failed before, and on a day with many faults these may
+// be most of the healthy ones. Trying all targets fails about 7% of the
+// requests while 30% of the targets are unhealthy. The share is above the sum
+// of that and of the usual 5%, or else the trials would keep themselves going.
+constexpr double kNoIdleShareOfFailures = 0.13;
+// When a target without work gets some. Each gateway draws a time for each
+// target, so that the first one can tell the others of its request in time, and
+// an unhealthy target is tried by one of them instead of all.
+constexpr Duration kIdleAfterLeast = std::chrono::milliseconds(1200);
+constexpr Duration kIdleAfterMost = std::chrono::milliseconds(1800);
 
 auto IsOlder(const std::optional<TimePoint>& time, Duration age, TimePoint now)
     -> bool {
@@ -180,8 +187,9 @@
 }
 
 auto TargetPool::FindIdleBelowFloor(const TargetWish& wish,
-                                    bool many_fail,
+                                    double failing_share,
                                     TimePoint now) -> Entry* {
+  const bool many_fail = failing_share > kFloorShareOfFailures;
   std::size_t healthy = 0;
   std::size_t idle = 0;
   Entry* best = nullptr;
@@ -194,7 +202,7 @@
       continue;
     }
     ++healthy;
-    if (!IsOlder(entry.last_used, kIdleAfter, now)) {
+    if (!IsOlder(entry.last_used, entry.idle_after, now)) {
       continue;
     }
     ++idle;
@@ -207,9 +215,10 @@
     }
   }
   // Work that is tried again elsewhere may look at each of them.
-  const auto allowed = many_fail || wish.may_retry
-                           ? 0.0
-                           : kIdleShare * static_cast<double>(healthy);
+  const bool none_idle =
+      wish.may_retry || failing_share > kNoIdleShareOfFailures;
+  const auto allowed =
+      none_idle ? 0.0 : kIdleShare * static_cast<double>(healthy);
   return static_cast<double>(idle) > allowed ? best : nullptr;
 }
 
@@ -244,9 +253,10 @@
 
 auto TargetPool::Choose(const TargetWish& wish, TimePoint now)
     -> std::optional<TargetId> {
-  const bool many_fail = FailingShare(requests_, now) > kFloorShareOfFailures;
+  const auto failing_share = FailingShare(requests_, now);
+  const bool many_fail = failing_share > kFloorShareOfFailures;
   if (many_fail) {
-    if (const auto* idle = FindIdleBelowFloor(wish, many_fail, now)) {
+    if (const auto* idle = FindIdleBelowFloor(wish, failing_share, now)) {
       return idle->spec.id;
     }
   }
@@ -271,7 +281,7 @@
     return untested->spec.id;
   }
   if (!many_fail) {
-    if (const auto* idle = FindIdleBelowFloor(wish, many_fail, now)) {
+    if (const auto* idle = FindIdleBelowFloor(wish, failing_share, now)) {
       return idle->spec.id;
     }
   }
@@ -296,7 +306,7 @@
   }
   auto& entry = found->second;
   ++entry.in_flight;
-  entry.last_used = now;
+  NoteUsed(entry, now);
   MarkNews(entry);
 }
 
@@ -390,7 +400,7 @@
     auto& entry = found->second;
     entry.peers[peer] = {report.in_flight, now};
     if (report.in_flight > 0 || report.succeeded > 0 || report.failed > 0) {
-      entry.last_used = now;
+      NoteUsed(entry, now);
     }
     if (report.failed > 0 || report.timed_out > 0) {
       entry.last_failed = now;
@@ -404,6 +414,14 @@
   }
 }
 
+auto TargetPool::NoteUsed(Entry& entry, TimePoint now) -> void {
+  entry.last_used = now;
+  const auto span =
+      static_cast<double>((kIdleAfterMost - kIdleAfterLeast).count());
+  entry.idle_after = kIdleAfterLeast +
+                     Duration(static_cast<std::int64_t>(span * random_.Unit()));
+}
+
 auto TargetPool::MarkNews(Entry& entry) -> void {
   entry.has_news = true;
   has_news_ = true;
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -107,6 +107,8 @@
     TimePoint registered;
     // When a gateway last gave it work, and when it last failed work.
     std::optional<TimePoint> last_used;
+    // How long it may then stay without work, drawn anew each time.
+    Duration idle_after = Duration::zero();
     std::optional<TimePoint> last_failed;
     TimePoint closed_until = TimePoint::min();
     bool replaced = false;
@@ -136,12 +138,14 @@
   // Returns a target that has got no work for so long that the floor of the
   // service would be missed, or null. Unless many requests fail, new targets
   // and those that look unhealthy are left out.
-  auto FindIdleBelowFloor(const TargetWish& wish, bool many_fail, TimePoint now)
-      -> Entry*;
+  auto FindIdleBelowFloor(const TargetWish& wish,
+                          double failing_share,
+                          TimePoint now) -> Entry*;
   auto FindUntested(const std::vector<Candidate>& candidates,
                     const TargetWish& wish,
                     TimePoint now) -> Entry*;
   auto Note(Entry& entry, Evidence evidence, TimePoint now) -> void;
+  auto NoteUsed(Entry& entry, TimePoint now) -> void;
   auto MarkNews(Entry& entry) -> void;
 
   Random random_;
