--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -1,6 +1,7 @@
 #include "node/control/store/store_task.h"
 
 #include <algorithm>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
@@ -17,6 +18,14 @@
 // The fleet task drains a full mailbox in its next iteration.
 constexpr Duration kPostRetryInterval = std::chrono::milliseconds(20);
 
+auto CheckReadable(const StoreItem& item) -> Result<void> {
+  if (!item.unreadable.empty()) {
+    return Fail(ErrorKind::kTableRefused,
+                "the value cannot be decoded: " + item.unreadable);
+  }
+  return {};
+}
+
 }  // namespace
 
 StoreTask::StoreTask(StoreConfig config,
@@ -207,8 +216,10 @@
     return;
   }
   std::optional<Routing> routing;
-  const auto error =
-      CaptureInto(routing, [&] { return dialect_.read_routing(item.value); });
+  const auto error = CaptureInto(routing, [&]() -> Result<Routing> {
+    BOOST_LEAF_CHECK(CheckReadable(item));
+    return dialect_.read_routing(item.value);
+  });
   if (error) {
     Log(Part::kStore, LogLevel::kWarning,
         "rejected the published configuration: " + error->detail);
@@ -225,12 +236,15 @@
     return;
   }
   std::optional<RegisteredTarget> target;
-  const auto error =
-      CaptureInto(target, [&] { return dialect_.read_target(id, item.value); });
+  const auto error = CaptureInto(target, [&]() -> Result<RegisteredTarget> {
+    BOOST_LEAF_CHECK(CheckReadable(item));
+    return dialect_.read_target(id, item.value);
+  });
   if (error) {
+    // Another program may have chosen the id, so it is escaped.
     Log(Part::kStore, LogLevel::kWarning,
-        "invalid registry entry for target " + id.value() + ": " +
-            error->detail);
+        "invalid registry entry for target " +
+            nlohmann::json(id.value()).dump() + ": " + error->detail);
     if (targets == nullptr) {
       tracker_.OnRemoved(id, Now());
     }
--- a/src/node/dialect.h
+++ b/src/node/dialect.h
@@ -56,9 +56,11 @@
 // One entry of the published store.
 struct StoreItem {
   std::string key;
-  // Empty if the entry was removed.
+  // Empty if the entry was removed or is unreadable.
   std::string value;
   bool removed = false;
+  // Why the value cannot be decoded; empty if it can.
+  std::string unreadable = {};
 };
 
 // The store's answer to a list or watch request.
@@ -87,6 +89,7 @@
   std::function<std::string(std::uint64_t after, Duration wait)> watch_target;
   // Status of the store when it has compacted the changes after the revision.
   int compacted_status = 410;
+  // A value that cannot be decoded must not hide the other entries of the page.
   std::function<Result<StorePage>(std::string_view body)> read_page;
   std::function<StoreKey(std::string_view key)> read_key;
   // Both fail with kTableRefused and a reason.
--- a/tests/integration/published_store_test.cc
+++ b/tests/integration/published_store_test.cc
@@ -98,6 +98,11 @@
               targets_[index]->RegistrationJson(state));
   }
 
+  // Publishes what another program wrote among the targets' entries.
+  auto RegisterText(const std::string& id, const std::string& text) -> void {
+    http_.Put(store_port_, "/control/item?key=servers/" + id, text);
+  }
+
   auto SendToStore(const std::string& method, const std::string& target)
       -> void {
     http_.Send(
@@ -325,6 +330,48 @@
   cr_assert_eq(fleet.Call(0, "/new/1", "still-there").status, kOk);
 }
 
+// Guards against VMs that end or stop following the store because another
+// program wrote an odd entry among the targets' ones.
+Test(published_store, follows_the_store_beside_odd_entries) {
+  PublishedStoreFleet fleet(2);
+  constexpr std::size_t kDepth = 100'000;
+  const auto entry = fleet.target(0).RegistrationJson("ready");
+  const auto with = [&](const std::string& from, const std::string& to) {
+    auto text = entry;
+    return text.replace(text.find(from), from.size(), to);
+  };
+  const std::vector<std::string> odd = {
+      std::string(kDepth, '['),
+      "{\"extra\":" + std::string(kDepth, '[') + std::string(kDepth, ']') +
+          "," + entry.substr(1),
+      with("\"slots\":4", "\"slots\":1e300"),
+      with("\"slots\":4", "\"slots\":4000000000"),
+      with("\"born\":1000", "\"born\":1e999"),
+      with("127.0.0.1:", "127.0.0.1:9"),
+      "\xFF\xFE",
+      "[]",
+      "7"};
+  const auto publish_all = [&](const std::string& prefix) {
+    for (std::size_t i = 0; i < odd.size(); ++i) {
+      fleet.RegisterText(prefix + std::to_string(i), odd[i]);
+    }
+  };
+  publish_all("before-");
+  fleet.WaitForAll();
+  publish_all("during-");
+  fleet.PublishRoutes("r9", {"/book/", "/new/"});
+  for (std::size_t i = 0; i < kGatewayCount; ++i) {
+    cr_assert(WaitUntil(
+        [&] { return fleet.Call(i, "/new/1", "new-route").status == kOk; },
+        kFleetTimeout));
+  }
+  for (int i = 0; i < 20; ++i) {
+    cr_assert_eq(
+        fleet.Call(0, "/look/1", "odd-" + std::to_string(i), "GET").status,
+        kOk);
+  }
+}
+
 // Guards against a fleet that cannot restart after all VMs were killed at once.
 Test(published_store, recovers_after_all_gateways_were_killed) {
   PublishedStoreFleet fleet(2);
