Keep the valid entries of a VM list with an invalid one

Cause: one entry with a missing field rejected the whole list, so a VM kept an outdated list for as long as the entry stayed. Change: such entries are logged and left out. keeps_the_valid_entries_beside_an_invalid_one failed before.

--- a/src/node/control/platform/vm_list_reader.h
+++ b/src/node/control/platform/vm_list_reader.h
@@ -9,10 +9,9 @@
 
 namespace flamingoyoke {
 
-// Parses the platform's VM list, a JSON object with an array `vms`. Fails with
-// kPlatformUnavailable if the JSON is malformed or an entry lacks a required
-// field.
-// Thread-safe.
+// Parses the platform's VM list, a JSON object with an array `vms`. Logs and
+// leaves out entries with a missing or invalid field. Fails with
+// kPlatformUnavailable if the JSON is malformed. Thread-safe.
 auto ParseVmList(std::string_view json) -> Result<std::vector<Member>>;
 
 }  // namespace flamingoyoke
