Take only requests that end before a stopping VM has to

What callers see: requests that arrived late in a graceful stop were passed on and cut off at its end, also ones that may not be repeated.

Cause: a stopping VM serves callers that have its address cached until the hard limit, whatever time a request may take.

Change: ShutdownSchedule admits a request only if its deadline passes before the hard limit; others are answered as not run at once and may go to another VM. The gateway and the traffic task both ask it.

--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -368,6 +368,10 @@
              : StartTrace(random_,
                           random_.Unit() < config_.traffic.trace_sample_rate);
   request.exchange = std::move(exchange);
+  if (!stop_->Admits(request.deadline)) {
+    Reject(request, route, ErrorKind::kLeaving, Duration::zero());
+    return;
+  }
   if (const auto waited = context_->loop().TimeSincePoll();
       IsOverloaded(waited, request.deadline - now)) {
     RejectOverloaded(request, route, waited);
@@ -384,17 +388,22 @@
                                    const Route& route,
                                    Duration waited) -> void {
   ++overloaded_;
-  constexpr auto kError = ErrorKind::kOverloaded;
   request.history = " waited " + std::to_string(ToMilliseconds(waited)) + " ms";
+  Reject(request, route, ErrorKind::kOverloaded, OverloadRetryAfter(waited));
+}
+
+auto GatewayTask::Reject(GatewayRequest& request,
+                         const Route& route,
+                         ErrorKind kind,
+                         Duration retry_after) -> void {
   request.exchange->Reply(
-      MakeErrorHead(kError,
-                    {.delay = OverloadRetryAfter(waited),
+      MakeErrorHead(kind,
+                    {.delay = retry_after,
                      .fractional = config_.dialect.fractional_retry_after}),
-      MakeErrorBody(kError));
-  request_log_.OnRequest(
-      route.shares.front().service,
-      {request, AnswerFor(kError).http_status, kError, Now()},
-      view_->routing->revision, view_->registry->revision);
+      MakeErrorBody(kind));
+  request_log_.OnRequest(route.shares.front().service,
+                         {request, AnswerFor(kind).http_status, kind, Now()},
+                         view_->routing->revision, view_->registry->revision);
 }
 
 auto GatewayTask::IsReady() const -> bool {
--- a/src/node/traffic/gateway/gateway_task.h
+++ b/src/node/traffic/gateway/gateway_task.h
@@ -80,6 +80,11 @@
   auto RejectOverloaded(GatewayRequest& request,
                         const Route& route,
                         Duration waited) -> void;
+  // Answers a request that no target was chosen for as not run.
+  auto Reject(GatewayRequest& request,
+              const Route& route,
+              ErrorKind kind,
+              Duration retry_after) -> void;
   [[nodiscard]] auto IsReady() const -> bool;
   auto CheckPause() -> void;
   auto OnTick() -> void;
--- a/src/node/traffic/request_admission.cc
+++ b/src/node/traffic/request_admission.cc
@@ -88,6 +88,7 @@
 auto RequestAdmission::Admit(std::unique_ptr<CallerExchange> exchange,
                              const ServiceRow& row,
                              const FleetView& view,
+                             const AdmitsDeadline& admits_deadline,
                              TimePoint now) -> std::optional<ServiceRequest> {
   std::optional<CallerHeaders> headers;
   const auto error = CaptureInto(
@@ -102,6 +103,10 @@
     return std::nullopt;
   }
   auto request = MakeRequest(std::move(exchange), *headers, row, now);
+  if (!admits_deadline(request.deadline)) {
+    request.exchange->ReplyError(ErrorKind::kLeaving);
+    return std::nullopt;
+  }
   if (uses_key && !ClaimKey(request, *headers->key, view, now)) {
     return std::nullopt;
   }
--- a/src/node/traffic/request_admission.h
+++ b/src/node/traffic/request_admission.h
@@ -2,6 +2,7 @@
 #define FLAMINGOYOKE_NODE_TRAFFIC_REQUEST_ADMISSION_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -28,11 +29,16 @@
   // `traceparent` starts a sampled trace.
   RequestAdmission(KeyLedger& ledger, Random random, double trace_sample_rate);
 
+  // Returns whether this VM still takes a request with the deadline. It does
+  // not if it would have to cut the request off in its shutdown.
+  using AdmitsDeadline = std::function<bool(TimePoint deadline)>;
+
   // Returns the admitted request, or nullopt if a response was sent. `view` is
   // used to find the issuer of a key from another VM.
   auto Admit(std::unique_ptr<CallerExchange> exchange,
              const ServiceRow& row,
              const FleetView& view,
+             const AdmitsDeadline& admits_deadline,
              TimePoint now) -> std::optional<ServiceRequest>;
 
  private:
--- a/src/node/traffic/stop_procedure.cc
+++ b/src/node/traffic/stop_procedure.cc
@@ -2,13 +2,18 @@
 
 #include <utility>
 
+#include "runtime/clock.h"
+
 namespace flamingoyoke {
 
 StopProcedure::StopProcedure(EventLoop& loop,
                              CallerServer& server,
                              const Limits& limits,
                              Hooks hooks)
-    : server_(server), limits_(limits), hooks_(std::move(hooks)) {
+    : server_(server),
+      limits_(limits),
+      hooks_(std::move(hooks)),
+      schedule_(limits.hard_limit) {
   drain_timer_ = loop.MakeTimer([this] {
     addresses_expired_ = true;
     server_.StartClosing(true);
@@ -32,6 +37,7 @@
     StartHard();
     return;
   }
+  schedule_.Start(Now());
   server_.StartClosing(false);
   drain_timer_.Schedule(limits_.drain_time);
   hard_timer_.Schedule(limits_.hard_limit);
--- a/src/node/traffic/stop_procedure.h
+++ b/src/node/traffic/stop_procedure.h
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "core/time.h"
+#include "decision/shutdown/shutdown_schedule.h"
 #include "node/traffic/caller_server.h"
 #include "runtime/event_loop.h"
 #include "runtime/task.h"
@@ -13,7 +14,8 @@
 
 // Graceful shutdown of a task that serves callers. The task keeps serving until
 // no caller can have its address cached, then closes idle connections, and
-// exits after the last response. Not thread-safe.
+// exits after the last response. Meanwhile it takes only requests that end
+// before the hard stop. Not thread-safe.
 class StopProcedure {
  public:
   struct Limits {
@@ -48,6 +50,10 @@
   auto ExitIfDone() -> void;
 
   [[nodiscard]] auto mode() const -> StopMode { return mode_; }
+  // Whether to take a request with `deadline`.
+  [[nodiscard]] auto Admits(TimePoint deadline) const -> bool {
+    return mode_ != StopMode::kHard && schedule_.Admits(deadline);
+  }
 
  private:
   auto StartHard() -> void;
@@ -55,6 +61,7 @@
   CallerServer& server_;
   const Limits limits_;
   const Hooks hooks_;
+  ShutdownSchedule schedule_;
   StopMode mode_ = StopMode::kNone;
   bool addresses_expired_ = false;
   EventLoop::Handle drain_timer_;
--- a/src/node/traffic/traffic_task.cc
+++ b/src/node/traffic/traffic_task.cc
@@ -274,7 +274,9 @@
     exchange->ReplyError(ErrorKind::kNoRoute);
     return;
   }
-  auto request = admission_.Admit(std::move(exchange), *row, *view_, Now());
+  auto request = admission_.Admit(
+      std::move(exchange), *row, *view_,
+      [this](TimePoint deadline) { return stop_->Admits(deadline); }, Now());
   if (!request) {
     return;
   }
--- a/tests/unit/node/traffic/gateway/gateway_fixture.h
+++ b/tests/unit/node/traffic/gateway/gateway_fixture.h
@@ -65,20 +65,32 @@
 // upstreams.
 class GatewayFixture {
  public:
-  explicit GatewayFixture(const std::vector<std::uint16_t>& upstreams)
-      : host_("gateway", mailboxes_.traffic, [this] {
+  explicit GatewayFixture(const std::vector<std::uint16_t>& upstreams,
+                          const GatewayConfig& config = MakeGatewayConfig())
+      : host_("gateway", mailboxes_.traffic, [this, config] {
           return std::make_unique<ListeningGateway>(
-              MakeGatewayConfig(),
+              config,
               TrafficOutbox{mailboxes_.mesh, mailboxes_.admin,
                             mailboxes_.telemetry, mailboxes_.fleet},
               port_promise_);
         }) {
     auto port = port_promise_.get_future();
-    host_.Start([](const std::optional<Error>&) {});
+    exit_future_ = exited_.get_future();
+    host_.Start([this](const std::optional<Error>&) { exited_.set_value(); });
     port_ = port.get();
     Publish(upstreams);
   }
 
+  auto Stop(StopMode mode) -> void { host_.RequestStop(mode); }
+
+  // Waits up to 20 s for the task to end. Returns whether it did.
+  auto WaitForExit() -> bool {
+    return exit_future_.wait_for(std::chrono::seconds(20)) ==
+           std::future_status::ready;
+  }
+
+  auto Connect() -> TestSocket { return TestSocket::Connect(port_); }
+
   auto Publish(const std::vector<std::uint16_t>& upstreams) -> void {
     auto view = std::make_shared<FleetView>();
     view->self = VmId("vm-a");
@@ -131,6 +143,8 @@
   Mailboxes mailboxes_;
   std::promise<std::uint16_t> port_promise_;
   std::uint16_t port_ = 0;
+  std::promise<void> exited_;
+  std::future<void> exit_future_;
   TaskHost<ListeningGateway> host_;
 };
 
--- a/tests/unit/node/traffic/stopping_test.cc
+++ b/tests/unit/node/traffic/stopping_test.cc
@@ -118,6 +118,33 @@
   cr_assert_eq(upstream.executions(), 1U);
 }
 
+// Guards against work that is passed on late in a graceful stop and cut off at
+// the hard limit.
+Test(stopping, takes_no_request_that_may_outlast_the_stop) {
+  UpstreamFake* self = nullptr;
+  UpstreamFake upstream(
+      [&](const UpstreamFake::Request& request, TestSocket& socket) {
+        self->WaitForRelease();
+        return EchoScript()(request, socket);
+      });
+  self = &upstream;
+  auto config = MakeConfig();
+  config.drain_margin = std::chrono::seconds(30);
+  config.shutdown_hard_limit = std::chrono::seconds(2);
+  TrafficFixture node({MakeRow("stock", {upstream.port()})}, config);
+  node.Stop(StopMode::kGraceful);
+  TestSocket::Message answer;
+  do {
+    answer = node.Exchange(Get("/none"));
+  } while (answer.header("Connection") != "close");
+  answer = node.Exchange(PostRequest("/stock", "late"));
+  cr_assert_eq(answer.status(), 503);
+  cr_assert(answer.header("Flamingoyoke-Error") == "leaving");
+  cr_assert(answer.header("Flamingoyoke-Outcome") == "not-run");
+  cr_assert(node.WaitForExit());
+  cr_assert_eq(upstream.executions(), 0U);
+}
+
 // A graceful stop that waits for a request must end at the hard limit.
 Test(stopping, hard_limit_ends_a_graceful_stop) {
   UpstreamFake* self = nullptr;
