Answer the first request of a connection that a stopping VM accepted

What callers see: a new connection is closed without an answer if it was accepted just before a stopping VM closes its idle connections.

Cause: a connection whose first request had not been read counted as idle.

Change: such a connection gets 500 ms for its first request, and the VM does not end before. Connections that had a request are closed at once as before.

--- a/src/node/traffic/caller_connection.cc
+++ b/src/node/traffic/caller_connection.cc
@@ -4,6 +4,7 @@
 #include <event2/event.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -22,6 +23,10 @@
 // response.
 constexpr Duration kRejectLinger = std::chrono::seconds(1);
 
+// Callers send their first request right after connecting; one lost packet is
+// retransmitted within this time.
+constexpr Duration kFirstRequestWait = std::chrono::milliseconds(500);
+
 auto MakeEvent(EventLoop& loop, event_callback_fn callback, void* argument)
     -> event* {
   return event_new(loop.base(), -1, 0, callback, argument);
@@ -229,6 +234,10 @@
                           evhttp_callbacks_.argument);
 }
 
+auto CallerConnection::LimitFirstRequestWait() -> void {
+  timer_.Schedule(std::min(kFirstRequestWait, limits_.idle_timeout));
+}
+
 auto CallerConnection::ScheduleClose() -> void {
   bufferevent_disable(bev_, EV_READ | EV_WRITE);
   event_active(close_event_.get(), EV_TIMEOUT, 0);
--- a/src/node/traffic/caller_connection.h
+++ b/src/node/traffic/caller_connection.h
@@ -59,12 +59,21 @@
 
   // Whether a response is pending or being sent.
   [[nodiscard]] auto busy() const -> bool { return busy_; }
+  // Whether the caller has connected but sent nothing yet. Its request may be
+  // on the way, so closing the connection would cut the request off.
+  [[nodiscard]] auto awaiting_first_request() const -> bool {
+    return !busy_ && !receiving() && !rejecting_ && delivered_requests_ == 0;
+  }
   // Whether a request was received in part.
   [[nodiscard]] auto receiving() const -> bool { return scanner_.in_request(); }
   [[nodiscard]] auto bev() const -> bufferevent* { return bev_; }
   [[nodiscard]] auto closes_after_reply() const -> bool;
   [[nodiscard]] auto pending_output_bytes() const -> std::size_t;
 
+  // Closes the connection unless its first request begins soon. Precondition:
+  // awaiting_first_request().
+  auto LimitFirstRequestWait() -> void;
+
   // Closes the connection in a later event, not within this call.
   auto ScheduleClose() -> void;
 
--- a/src/node/traffic/caller_server.cc
+++ b/src/node/traffic/caller_server.cc
@@ -87,11 +87,13 @@
 
 auto CallerServer::StartClosing(bool close_idle) -> void {
   closing_ = true;
-  if (!close_idle) {
+  if (!close_idle || std::exchange(closes_idle_, true)) {
     return;
   }
   for (const auto& [bev, connection] : connections_) {
-    if (!connection->busy() && !connection->receiving()) {
+    if (connection->awaiting_first_request()) {
+      connection->LimitFirstRequestWait();
+    } else if (!connection->busy() && !connection->receiving()) {
       connection->ScheduleClose();
     }
   }
@@ -100,7 +102,8 @@
 auto CallerServer::idle() const -> bool {
   return std::none_of(
       connections_.begin(), connections_.end(), [](const auto& entry) {
-        return entry.second->busy() || entry.second->receiving();
+        return entry.second->busy() || entry.second->receiving() ||
+               entry.second->awaiting_first_request();
       });
 }
 
@@ -120,6 +123,8 @@
   connections_.emplace(bev, std::move(connection));
   if (connections_.size() > limits_.connections) {
     created->ScheduleClose();
+  } else if (closes_idle_) {
+    created->LimitFirstRequestWait();
   }
   return bev;
 }
--- a/src/node/traffic/caller_server.h
+++ b/src/node/traffic/caller_server.h
@@ -51,10 +51,12 @@
   [[nodiscard]] auto port() const -> std::uint16_t { return port_; }
 
   // Closes each connection after its next response. If `close_idle` is set,
-  // idle connections are closed immediately.
+  // connections without a pending request are closed: at once if they had one
+  // before, else soon unless their first request arrives.
   auto StartClosing(bool close_idle) -> void;
 
-  // Whether no request is being received and no response is pending.
+  // Whether no request is being received or about to be, and no response is
+  // pending.
   [[nodiscard]] auto idle() const -> bool;
   // Whether no response is pending or being sent.
   [[nodiscard]] auto all_answered() const -> bool;
@@ -82,6 +84,7 @@
   BodyBudget budget_;
   CallerConnection::Owner owner_;
   bool closing_ = false;
+  bool closes_idle_ = false;
   std::uint16_t port_ = 0;
   std::unordered_map<bufferevent*, std::unique_ptr<CallerConnection>>
       connections_;
--- a/tests/unit/node/traffic/stopping_test.cc
+++ b/tests/unit/node/traffic/stopping_test.cc
@@ -57,6 +57,39 @@
   cr_assert(node.WaitForExit());
 }
 
+// Guards against closing the connection of a caller that connected before idle
+// connections were closed and whose first request is on the way.
+Test(stopping, answers_the_first_request_of_a_new_connection) {
+  UpstreamFake* self = nullptr;
+  UpstreamFake upstream(
+      [&](const UpstreamFake::Request& request, TestSocket& socket) {
+        if (request.body == "first") {
+          self->WaitForRelease();
+        }
+        return EchoScript()(request, socket);
+      });
+  self = &upstream;
+  TrafficFixture node({MakeRow("stock", {upstream.port()})});
+  auto caller = node.Connect();
+  cr_assert(caller.Write(PostRequest("/stock", "first")));
+  cr_assert(upstream.WaitForExecutions(1));
+  auto late = node.Connect();
+  node.Stop(StopMode::kGraceful);
+  TestSocket::Message answer;
+  do {
+    answer = node.Exchange(Get("/stock"));
+  } while (answer.header("Connection") != "close");
+  // The timer that closes idle connections has expired by now.
+  node.Exchange(Get("/stock"));
+  cr_assert(late.Write(PostRequest("/stock", "late")));
+  const auto response = late.ReadMessage();
+  cr_assert(response.has_value());
+  cr_assert_eq(response->body, std::string("late"));
+  upstream.Release();
+  cr_assert(caller.ReadMessage().has_value());
+  cr_assert(node.WaitForExit());
+}
+
 // An idle node must exit when the cached addresses have expired, and close idle
 // connections.
 Test(stopping, idle_node_exits) {
