Keep a reset mesh connection from ending the process

Cause: libzmq 4.3.4 stops reading a connection when the queue of received messages is full. If the peer then resets the connection, the engine is kept in an error state until the queue has room. A heartbeat that becomes due in that state, or a heartbeat of the peer among the data read before, calls out_event(), whose assertion !_io_error (stream_engine_base.cpp:331) aborts the process. It takes a slow VM, a flood and a reset; a stranger at the mesh port can do it.

Change: the receiving socket has no queue limit, so that reading never stops, and ZeroMQ heartbeats are off on all mesh sockets. Membership has silent links reopened instead: ReopenLink after 500 ms without a two-way link and every 3 s while it lasts. TCP keepalive releases connections whose peer is gone. Errors of ZeroMQ calls in callbacks restart the mesh task instead of reaching libevent.

--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -444,6 +444,9 @@
     if (link.is_chosen()) {
       CheckSilence(vm, link, now);
     }
+    if (link.TakeReopenDue(now)) {
+      actions_.emplace_back(ReopenLink{vm});
+    }
   }
   ContactAbsentVms(now);
   for (const auto& [vm, link] : links_.links()) {
--- a/src/decision/fleet/membership_event.h
+++ b/src/decision/fleet/membership_event.h
@@ -65,6 +65,12 @@
   std::map<VmId, std::string> endpoints;
 };
 
+// No heartbeat gets through to `peer` or back: replace the connection to it, in
+// case something in between has dropped its state.
+struct ReopenLink {
+  VmId peer;
+};
+
 // Membership::Members() or Membership::CutOff() changed.
 struct MembersChanged {};
 
@@ -80,6 +86,7 @@
 
 using MembershipAction = std::variant<SendToPeer,
                                       PeersSelected,
+                                      ReopenLink,
                                       MembersChanged,
                                       SelfSuperseded,
                                       WakeMembershipAt>;
--- a/src/decision/fleet/membership_timing.h
+++ b/src/decision/fleet/membership_timing.h
@@ -46,6 +46,13 @@
     std::chrono::milliseconds(3000), std::chrono::milliseconds(4000),
     std::chrono::milliseconds(5000), std::chrono::milliseconds(1000)};
 
+// How long a link must not have been two-way before its connection is reopened.
+// Longer than a tick, so that one late heartbeat does not count.
+inline constexpr Duration kLinkReopenDelay = std::chrono::milliseconds(500);
+// Time between two attempts to reopen a link. A connection is established
+// within one second, and the slowest heartbeats are sent once per second.
+inline constexpr Duration kLinkReopenPeriod = std::chrono::seconds(3);
+
 // Number of peers that are asked about a silent one in each round.
 inline constexpr std::size_t kIndirectProbeFanout = 3;
 // A helper acknowledges a subject at once if it heard from it this recently.
--- a/src/decision/fleet/peer_link.cc
+++ b/src/decision/fleet/peer_link.cc
@@ -70,6 +70,18 @@
   return !last_probe_ || now - *last_probe_ >= limits().probe_period;
 }
 
+auto PeerLink::TakeReopenDue(TimePoint now) -> bool {
+  if (IsTwoWay(now)) {
+    reopen_at_ = now + kLinkReopenDelay;
+    return false;
+  }
+  if (now < reopen_at_) {
+    return false;
+  }
+  reopen_at_ = now + kLinkReopenPeriod;
+  return true;
+}
+
 auto PeerLink::Silence(TimePoint now) const -> Duration {
   return now - (last_heartbeat_ && *last_heartbeat_ > heartbeats_expected_since_
                     ? *last_heartbeat_
--- a/src/decision/fleet/peer_link.h
+++ b/src/decision/fleet/peer_link.h
@@ -16,7 +16,9 @@
 class PeerLink {
  public:
   explicit PeerLink(TimePoint now)
-      : heartbeats_expected_since_(now), last_activity_(now) {}
+      : heartbeats_expected_since_(now),
+        last_activity_(now),
+        reopen_at_(now + kLinkReopenPeriod) {}
 
   // Marks the peer as chosen by this node, which expects its heartbeats from
   // now on. `is_home` tells whether both are in the home set of a service.
@@ -49,6 +51,10 @@
   // probes.
   [[nodiscard]] auto HasRecentIndirectAck(TimePoint now) const -> bool;
   [[nodiscard]] auto IsProbeDue(TimePoint now) const -> bool;
+  // Returns whether the connection to the peer must be reopened, because the
+  // link has not been two-way for kLinkReopenDelay, or kLinkReopenPeriod after
+  // it was created or last reopened. Must be called on every tick.
+  auto TakeReopenDue(TimePoint now) -> bool;
   // How long the peer has been silent.
   [[nodiscard]] auto Silence(TimePoint now) const -> Duration;
   [[nodiscard]] auto limits() const -> const SilenceTimeouts& {
@@ -77,6 +83,7 @@
   std::optional<TimePoint> last_ack_;
   std::optional<TimePoint> last_indirect_ack_;
   std::optional<TimePoint> last_probe_;
+  TimePoint reopen_at_;
 };
 
 }  // namespace flamingoyoke
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -191,6 +191,10 @@
   PublishSoon();
 }
 
+auto FleetTask::Execute(const ReopenLink& action) -> void {
+  outlets_.mesh.Post(PeerLinkSilent{action.peer});
+}
+
 auto FleetTask::Execute(const SelfSuperseded& action) -> void {
   if (std::exchange(is_superseded_, true)) {
     return;
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -56,6 +56,7 @@
   auto Execute(const SendToPeer& action) -> void;
   auto Execute(const PeersSelected& action) -> void;
   auto Execute(const MembersChanged& action) -> void;
+  auto Execute(const ReopenLink& action) -> void;
   auto Execute(const SelfSuperseded& action) -> void;
   auto Execute(const WakeMembershipAt& action) -> void;
   auto Execute(const CheckTable& action) -> void;
--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -3,6 +3,7 @@
 #include <google/protobuf/stubs/logging.h>
 #include <zmq.h>
 
+#include <cerrno>
 #include <string>
 #include <type_traits>
 #include <utility>
@@ -60,7 +61,7 @@
 }
 
 auto MeshTask::Listen(EventLoop& loop) -> void {
-  SetCommonOptions(receiver_);
+  SetReceiverOptions(receiver_);
   if (config_.HasKeys()) {
     authenticator_.emplace(zmq_context_, loop, config_);
     SetKeys(receiver_, config_, /*is_server=*/true);
@@ -77,6 +78,7 @@
       Overloaded{
           [this](const PeerMessageToSend& send) { Send(send.order); },
           [this](const PeerEndpointsChanged& change) { UpdatePeers(change); },
+          [this](const PeerLinkSilent& silent) { Reconnect(silent.peer); },
       },
       message);
   return {};
@@ -119,24 +121,50 @@
     return true;
   });
   for (const auto& [vm, endpoint] : change.endpoints) {
-    if (peers_.contains(vm)) {
-      continue;
-    }
-    Log(Part::kMesh, LogLevel::kDebug,
-        "connecting to " + vm.value() + " at " + endpoint);
-    try {
-      peers_[vm] =
-          std::make_unique<PeerSocket>(zmq_context_, config_, endpoint);
-    } catch (const zmq::error_t& error) {
-      peers_.erase(vm);
-      Log(Part::kMesh, LogLevel::kWarning,
-          "cannot connect to " + vm.value() + " at " + endpoint + ": " +
-              error.what());
+    if (!peers_.contains(vm)) {
+      Connect(vm, endpoint);
     }
   }
 }
 
+auto MeshTask::Connect(const VmId& vm, const std::string& endpoint) -> void {
+  Log(Part::kMesh, LogLevel::kDebug,
+      "connecting to " + vm.value() + " at " + endpoint);
+  try {
+    peers_[vm] = std::make_unique<PeerSocket>(zmq_context_, config_, endpoint);
+  } catch (const zmq::error_t& error) {
+    peers_.erase(vm);
+    Log(Part::kMesh, LogLevel::kWarning,
+        "cannot connect to " + vm.value() + " at " + endpoint + ": " +
+            error.what());
+  }
+}
+
+auto MeshTask::Reconnect(const VmId& vm) -> void {
+  const auto peer = peers_.find(vm);
+  if (peer == peers_.end()) {
+    return;
+  }
+  ++counts_.reconnects;
+  const auto endpoint = peer->second->endpoint();
+  Connect(vm, endpoint);
+}
+
 auto MeshTask::ReceiveAll() -> void {
+  try {
+    ReceiveBatch();
+  } catch (const zmq::error_t& error) {
+    // An exception must not reach libevent, which would end the process.
+    if (error.num() == EINTR) {
+      receive_timer_.Schedule(Duration::zero());
+      return;
+    }
+    context_->Abort({ErrorKind::kSocketFailed,
+                     std::string("cannot receive: ") + error.what()});
+  }
+}
+
+auto MeshTask::ReceiveBatch() -> void {
   // The ZeroMQ descriptor is edge-triggered: it does not signal again until the
   // socket has been drained.
   for (int received = 0; received < kMaxReceiveBatch;) {
@@ -198,6 +226,9 @@
           Counter("flamingoyoke_mesh_malformed_messages_total",
                   "Messages that could not be decoded.",
                   counts_.malformed_messages),
+          Counter("flamingoyoke_mesh_reconnects_total",
+                  "Connections to peers reopened because they were silent.",
+                  counts_.reconnects),
           Counter("flamingoyoke_mesh_refused_peers_total",
                   "Connections refused for a wrong key.", refused),
       }});
--- a/src/node/control/mesh/mesh_task.h
+++ b/src/node/control/mesh/mesh_task.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 #include <zmq.hpp>
 
@@ -48,12 +49,18 @@
     std::uint64_t sent_bytes = 0;
     std::uint64_t unsent_messages = 0;
     std::uint64_t malformed_messages = 0;
+    std::uint64_t reconnects = 0;
   };
 
   auto Listen(EventLoop& loop) -> void;
   auto Send(const SendToPeer& order) -> void;
   auto UpdatePeers(const PeerEndpointsChanged& change) -> void;
+  auto Connect(const VmId& vm, const std::string& endpoint) -> void;
+  // Replaces the connection to a peer, which a middlebox may have dropped.
+  auto Reconnect(const VmId& vm) -> void;
   auto ReceiveAll() -> void;
+  // Throws zmq::error_t.
+  auto ReceiveBatch() -> void;
   auto Receive(std::string_view bytes) -> void;
   auto Deliver(PeerEnvelope envelope) -> void;
   auto ReportMetrics() -> void;
--- a/src/node/control/mesh/peer_socket.cc
+++ b/src/node/control/mesh/peer_socket.cc
@@ -11,7 +11,7 @@
                        std::string endpoint)
     : endpoint_(std::move(endpoint)),
       socket_(context, zmq::socket_type::dealer) {
-  SetCommonOptions(socket_);
+  SetSenderOptions(socket_);
   SetKeys(socket_, config, /*is_server=*/false);
   // Drops messages to a disconnected peer instead of queueing them: they would
   // be outdated once it reconnects.
@@ -20,8 +20,13 @@
 }
 
 auto PeerSocket::Send(std::string_view bytes) -> bool {
-  return socket_.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
-      .has_value();
+  try {
+    return socket_.send(zmq::buffer(bytes), zmq::send_flags::dontwait)
+        .has_value();
+  } catch (const zmq::error_t&) {
+    // Counted by the caller as not sent, like a full queue.
+    return false;
+  }
 }
 
 }  // namespace flamingoyoke
--- a/src/node/control/mesh/socket_options.h
+++ b/src/node/control/mesh/socket_options.h
@@ -7,9 +7,14 @@
 
 namespace flamingoyoke {
 
-// Sets the options common to all mesh sockets: limits on queue length and
-// message size, no linger, and heartbeats that detect dead connections.
-auto SetCommonOptions(zmq::socket_t& socket) -> void;
+// Sets the options of the socket that receives from all peers: limits on
+// message size and handshake time, no linger, and TCP keepalive. Not
+// thread-safe.
+auto SetReceiverOptions(zmq::socket_t& socket) -> void;
+
+// Sets the options of a socket that sends to one peer: those of the receiver,
+// and limits on queue lengths. Not thread-safe.
+auto SetSenderOptions(zmq::socket_t& socket) -> void;
 
 // Configures `socket` with the CURVE key pair of the fleet, as the server or
 // the client side of the handshake. Does nothing if `config` has no keys.
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -50,6 +50,12 @@
 inline constexpr MailboxPolicy kMailboxPolicy<PeerEndpointsChanged> =
     MailboxPolicy::kCoalesce;
 
+// The link to a peer is silent: reopen the connection. Sent again while the
+// link stays silent.
+struct PeerLinkSilent {
+  VmId peer;
+};
+
 // The platform's list of VMs.
 struct VmListRead {
   std::vector<Member> members;
@@ -209,7 +215,8 @@
                                   SourceStateChanged,
                                   LoadMeasured,
                                   LeavingStarted>;
-using MeshMessage = std::variant<PeerMessageToSend, PeerEndpointsChanged>;
+using MeshMessage =
+    std::variant<PeerMessageToSend, PeerEndpointsChanged, PeerLinkSilent>;
 using PlatformMessage = std::variant<ReaderRoleChanged, RegistryInForce>;
 using AdminMessage = std::
     variant<FleetViewChanged, TrafficReported, TableRefused, MetricsRendered>;
--- a/tests/unit/decision/fleet/fake_fleet.h
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -57,6 +57,7 @@
   };
 
   struct Node {
+    std::uint64_t reopened_links = 0;
     Member self;
     std::unique_ptr<Membership> membership;
     std::unique_ptr<TableDissemination> table_dissemination;
@@ -196,6 +197,10 @@
     published_ = Revision(revision);
     valid_ = is_valid;
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
+  // Drops what `from` sends to `to` until it reopens the connection.
+  auto SilenceConnection(std::size_t from, std::size_t to) -> void {
+    silent_.insert({from, to});
+  }
       if (nodes_[i].is_running && nodes_[i].is_reader) {
         Schedule(i, Milliseconds(1 + random_.Below(3)), [this, i] { Read(i); });
       }
@@ -336,7 +341,8 @@
       return;
     }
     const auto to = found->second;
-    if ((links_ && !links_(index, to)) || random_.Unit() < options_.loss) {
+    if ((links_ && !links_(index, to)) || silent_.contains({index, to}) ||
+        random_.Unit() < options_.loss) {
       return;
     }
     const auto copies = random_.Unit() < options_.duplication ? 2 : 1;
@@ -375,6 +381,15 @@
     Schedule(index, action.at - now_, [this, index] {
       Dispatch(index, MembershipTimer{});
       AfterMessage(index);
+  auto Execute(std::size_t index, const ReopenLink& action) -> void {
+    auto& node = nodes_[index];
+    ++node.counters.reopened_links;
+    const auto endpoint = node.endpoints.find(action.peer);
+    if (endpoint != node.endpoints.end()) {
+      silent_.erase({index, by_address_[endpoint->second]});
+      node.connected_at[action.peer] = now_ + 4 * options_.latency;
+    }
+  }
     });
   }
   auto Execute(std::size_t index, const CheckTable& action) -> void {
@@ -512,3 +527,4 @@
 }  // namespace flamingoyoke
 
 #endif  // FLAMINGOYOKE_TESTS_UNIT_DECISION_FLEET_FAKE_FLEET_H_
+  std::set<std::pair<std::size_t, std::size_t>> silent_;
--- a/tests/unit/decision/fleet/membership_test.cc
+++ b/tests/unit/decision/fleet/membership_test.cc
@@ -58,6 +58,47 @@
   cr_assert(fleet.HasConverged());
 }
 
+// Guards against connections that stay silent for good after something between
+// two VMs has dropped their state, in one direction and in both.
+Test(membership, silent_connections_are_reopened) {
+  for (const bool both : {false, true}) {
+    auto fleet = MakeFleet();
+    const auto peer =
+        std::stoul(fleet.nodes()[0].endpoints.begin()->first.value().substr(3));
+    const auto is_linked = [&](std::size_t from, std::size_t to) {
+      const auto linked =
+          fleet.nodes()[from].membership->TwoWayPeers(fleet.now());
+      return std::count(linked.begin(), linked.end(),
+                        fleet.nodes()[to].self.id) > 0;
+    };
+    fleet.SilenceConnection(0, peer);
+    if (both) {
+      fleet.SilenceConnection(peer, 0);
+    }
+    cr_assert(fleet.RunUntil([&] { return !is_linked(0, peer); }, seconds(5)));
+    cr_assert(fleet.RunUntil(
+        [&] { return is_linked(0, peer) && is_linked(peer, 0); }, seconds(5)));
+    cr_assert(fleet.HasConverged());
+  }
+}
+
+// Guards against reopening links that work, which loses queued messages, also
+// while some messages are lost.
+Test(membership, working_links_are_not_reopened) {
+  auto fleet = MakeFleet();
+  const auto count = [&] {
+    std::uint64_t sum = 0;
+    for (const auto& node : fleet.nodes()) {
+      sum += node.counters.reopened_links;
+    }
+    return sum;
+  };
+  const auto before = count();
+  fleet.SetLoss(0.02);
+  fleet.RunFor(seconds(60));
+  cr_assert_eq(count(), before);
+}
+
 // Guards against declaring a VM dead because one link to it is cut in one
 // direction: other peers acknowledge it, and both ends detect the cut.
 Test(membership, one_way_cut_is_detected_by_both_ends_without_false_death) {
--- /dev/null
+++ b/tests/unit/node/control/mesh/mesh_task_test.cc
@@ -0,0 +1,158 @@
+#include "node/control/mesh/mesh_task.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "unit/node/control/mesh/mesh_stranger.h"
+#include "wire/peer_codec.h"
+
+namespace flamingoyoke {
+namespace {
+
+TestSuite(mesh_task, .timeout = 120);
+
+// More messages than ZeroMQ queues for a socket that is not read.
+constexpr int kFloodMessages = 20'000;
+constexpr int kMessagesPerPing = 10;
+// More than the sending socket queues, less than the kernel buffers.
+constexpr std::size_t kAnswerBytes = 32 << 10;
+// Longer than the heartbeat period of a ZeroMQ connection that has one.
+constexpr auto kTimerWait = std::chrono::milliseconds(2500);
+constexpr auto kDeliveryWait = std::chrono::milliseconds(300);
+
+// A mesh task whose thread gets no processor time unless the test calls Run().
+class StarvedMesh {
+ public:
+  StarvedMesh()
+      : port_(TestListener().port()),
+        task_({.self = VmId("vm-a"),
+               .incarnation = Incarnation(1),
+               .address = "127.0.0.1:" + std::to_string(port_),
+               .public_key = {},
+               .secret_key = {}},
+              {mailboxes_.fleet, mailboxes_.traffic, mailboxes_.telemetry}),
+        context_(loop_) {
+    const auto error = CaptureError([this] { return task_.Start(context_); });
+    cr_assert_not(error, "%s", error ? error->detail.c_str() : "");
+  }
+
+  // Lets the task connect to a peer at `port`.
+  auto ConnectTo(std::uint16_t port) -> void {
+    const auto error = CaptureError([&] {
+      return task_.Handle(PeerEndpointsChanged{
+          {{VmId("vm-b"), "127.0.0.1:" + std::to_string(port)}}});
+    });
+    cr_assert_not(error);
+  }
+
+  // Lets the task run for `duration`.
+  auto Run(Duration duration) -> void {
+    auto timer = loop_.MakeTimer([this] { loop_.Quit(); });
+    timer.Schedule(duration);
+    loop_.Run();
+  }
+
+  // Whether the task receives the message of a peer.
+  auto Receives() -> bool {
+    mailboxes_.fleet.TakeAll();
+    MeshStranger peer(port_);
+    cr_assert(peer.ShakeHands());
+    const PeerEnvelope envelope{VmId("vm-b"), Incarnation(1), Heartbeat{}};
+    peer.Write(MeshStranger::Message(EncodeEnvelope(envelope)));
+    Run(kDeliveryWait);
+    return !mailboxes_.fleet.TakeAll().empty();
+  }
+
+  [[nodiscard]] auto port() const -> std::uint16_t { return port_; }
+
+ private:
+  EventLoop loop_;
+  Mailboxes mailboxes_;
+  std::uint16_t port_;
+  MeshTask task_;
+  TaskContext context_;
+};
+
+}  // namespace
+
+// Guards against an abort inside ZeroMQ: a peer whose messages fill the queue
+// of a VM short of processor time resets its connection.
+Test(mesh_task, survives_the_reset_of_a_connection_with_a_full_queue) {
+  StarvedMesh mesh;
+  MeshStranger peer(mesh.port());
+  cr_assert(peer.ShakeHands());
+  std::string flood;
+  for (int i = 0; i < kFloodMessages; ++i) {
+    flood += MeshStranger::Message("x");
+  }
+  cr_assert(peer.Write(flood));
+  std::this_thread::sleep_for(kDeliveryWait);
+  peer.Reset();
+  std::this_thread::sleep_for(kTimerWait);
+  mesh.Run(kDeliveryWait);
+  cr_assert(mesh.Receives());
+}
+
+// Guards against the same abort caused by a peer's own ZeroMQ heartbeats that
+// wait behind its messages.
+Test(mesh_task, survives_heartbeats_queued_before_a_reset) {
+  StarvedMesh mesh;
+  MeshStranger peer(mesh.port());
+  cr_assert(peer.ShakeHands());
+  std::string flood;
+  for (int i = 0; i < kFloodMessages; ++i) {
+    flood += MeshStranger::Message("x");
+    if (i % kMessagesPerPing == 0) {
+      flood += MeshStranger::Ping();
+    }
+  }
+  cr_assert(peer.Write(flood));
+  std::this_thread::sleep_for(kDeliveryWait);
+  peer.Reset();
+  std::this_thread::sleep_for(kDeliveryWait);
+  mesh.Run(kDeliveryWait);
+  cr_assert(mesh.Receives());
+}
+
+// Guards against the same abort on the connection that sends: the process at
+// the address of a peer sends messages, which are never read, and resets.
+Test(mesh_task, survives_a_peer_that_answers_and_resets) {
+  StarvedMesh mesh;
+  MeshListener listener;
+  mesh.ConnectTo(listener.port());
+  auto peer = listener.Accept();
+  cr_assert(peer.ShakeHands());
+  std::string flood;
+  for (int i = 0; i < kFloodMessages; ++i) {
+    flood += MeshStranger::Message("x") + MeshStranger::Ping();
+  }
+  peer.Write(flood.substr(0, kAnswerBytes));
+  std::this_thread::sleep_for(kDeliveryWait);
+  peer.Reset();
+  std::this_thread::sleep_for(kTimerWait);
+  mesh.Run(kDeliveryWait);
+  cr_assert(mesh.Receives());
+}
+
+// Guards against a stranger that ends the process in the handshake: each prefix
+// of a connection is followed by a reset, then by garbage.
+Test(mesh_task, survives_strangers_in_the_handshake) {
+  StarvedMesh mesh;
+  cr_assert(mesh.Receives());
+  const auto whole = MeshStranger::Greeting() + MeshStranger::Ready() +
+                     MeshStranger::Ping() + MeshStranger::Message("x");
+  for (std::size_t size = 0; size <= whole.size(); ++size) {
+    MeshStranger leaving(mesh.port());
+    leaving.Write(whole.substr(0, size));
+    leaving.Reset();
+    MeshStranger faulty(mesh.port());
+    faulty.Write(whole.substr(0, size) + std::string(64, '\xEE'));
+    mesh.Run(std::chrono::milliseconds(2));
+  }
+  cr_assert(mesh.Receives());
+}
+
+}  // namespace flamingoyoke
