Accept callers with the newest published table only

Cause, by reading (the case was seen once and not traced): a process that starts anew takes its first table from whichever peer it hears first, and accepts callers once two peers are linked, even if these started anew as well and hold the same outdated table. The gateway answered 404 by that table even before the VM was ready. After a pause, a read from before it still counted as new.

Change: with a published store, which always returns its newest state, a process reads it once before it accepts callers, and again after a pause. If the store does not answer within 1 s, two linked peers that accept callers themselves are needed; after 5 s any table will do. Until it was ready once, a gateway answers requests as not run.

Evidence: with the gate and the count of trusted peers as before, fleet_restart::without_the_store_ready_peers_decide and the new case of readiness_gate fail; with the gateway as before, answers_no_caller_by_its_routes_before_it_was_ready fails. All pass now. The other two tests of fleet_restart were not seen to fail.

--- a/src/decision/fleet/readiness_gate.cc
+++ b/src/decision/fleet/readiness_gate.cc
@@ -7,6 +7,7 @@
 auto ReadinessGate::Resume(TimePoint now) -> void {
   wait_until_ = is_ready_ ? now + kResumePeerWait
                           : std::max(wait_until_, now + kResumePeerWait);
+  source_wait_until_ = std::max(source_wait_until_, now + kSourceReadWait);
   is_ready_ = false;
 }
 
@@ -15,8 +16,10 @@
   if (is_ready_ || !facts.has_table) {
     return is_ready_;
   }
+  const bool awaits_source =
+      facts.is_source_current && now < source_wait_until_;
   const bool knows_fleet =
-      facts.has_list &&
+      !awaits_source && facts.has_list &&
       facts.two_way_peers >= std::min(kMinTwoWayPeers, facts.other_vms) &&
       !facts.is_catching_up;
   is_ready_ = knows_fleet || facts.has_read_newest || now >= wait_until_;
--- a/src/decision/fleet/readiness_gate.h
+++ b/src/decision/fleet/readiness_gate.h
@@ -12,6 +12,9 @@
 // How long a new process waits for peers to report their table versions, so
 // that it does not serve an old table from a stale configuration service.
 inline constexpr Duration kStartupPeerWait = std::chrono::seconds(5);
+// How long a process that reads its table before it accepts callers waits for
+// the source. After that, peers that accept callers themselves are trusted.
+inline constexpr Duration kSourceReadWait = std::chrono::seconds(1);
 // How long a process waits for peers after a pause.
 inline constexpr Duration kResumePeerWait = std::chrono::seconds(2);
 // Number of two-way peers to wait for; not a quorum.
@@ -26,11 +29,15 @@
   // Whether this process has read the newest table itself, in which case peers
   // cannot have a newer one.
   bool has_read_newest = false;
+  // Whether the source always returns its newest table, so that it is worth
+  // waiting for.
+  bool is_source_current = false;
   // Whether the platform's list was read, and the number of other known VMs
   // that are not dead.
   bool has_list = false;
   std::size_t other_vms = 0;
-  // Peers with a two-way link.
+  // Peers with a two-way link. With a current source, only those that accept
+  // callers: others may have no table, or an outdated one from the same peer.
   std::size_t two_way_peers = 0;
 };
 
@@ -38,7 +45,8 @@
 class ReadinessGate {
  public:
   explicit ReadinessGate(TimePoint started)
-      : wait_until_(started + kStartupPeerWait) {}
+      : wait_until_(started + kStartupPeerWait),
+        source_wait_until_(started + kSourceReadWait) {}
 
   // Resets readiness after a pause of the process.
   auto Resume(TimePoint now) -> void;
@@ -53,6 +61,7 @@
 
  private:
   TimePoint wait_until_;
+  TimePoint source_wait_until_;
   bool is_ready_ = false;
 };
 
--- a/src/decision/fleet/table_dissemination.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -15,9 +15,6 @@
 // The role of a new node depends on the time since its start, which needs no
 // precise timer.
 constexpr Duration kRoleCheckPeriod = std::chrono::milliseconds(100);
-// With FirstRead::kPeersFirst the waits are short, so the role is checked more
-// often.
-constexpr Duration kPeersFirstCheckPeriod = std::chrono::milliseconds(20);
 
 auto IsBefore(const TableDigest& a, const TableDigest& b) -> bool {
   return std::tie(a.revision, a.hash) < std::tie(b.revision, b.hash);
@@ -61,8 +58,8 @@
   return in_force_.size() == shard_count_;
 }
 
-auto TableDissemination::HasReadAll() const -> bool {
-  return read_shards_.size() >= shard_count_;
+auto TableDissemination::HasReadNewest() const -> bool {
+  return IsComplete() && has_read_newest_;
 }
 
 auto TableDissemination::InForce(std::uint32_t shard) const
@@ -93,11 +90,24 @@
 auto TableDissemination::Handle(const TableTextRead& event, TimePoint /*now*/)
     -> void {
   has_read_ = true;
-  read_shards_.insert(event.shard);
   SubmitForCheck(
       {{event.shard, event.revision, HashOf(event.text)}, event.text, {}});
 }
 
+auto TableDissemination::Handle(const SourceRead& event, TimePoint /*now*/)
+    -> void {
+  // A read requested before a pause may be delivered after it.
+  if (started_ && event.requested_at >= *started_) {
+    has_read_newest_ = true;
+  }
+}
+
+auto TableDissemination::Handle(const TableDisseminationResumed& /*event*/,
+                                TimePoint now) -> void {
+  started_ = now;
+  has_read_newest_ = false;
+}
+
 auto TableDissemination::Handle(const TableChecked& event, TimePoint now)
     -> void {
   const auto found = candidates_.find(event.digest.shard);
@@ -310,25 +320,43 @@
   if (is_elected_) {
     return true;
   }
-  if (!started_ || (has_read_ && IsComplete())) {
+  if (!started_ || now < FirstReadDue()) {
     return false;
   }
-  if (first_read_ == FirstRead::kPeersFirst) {
-    const auto jitter = Duration(static_cast<std::int64_t>(
-        first_read_offset_ *
-        static_cast<double>(kFirstReadPeerWaitJitter.count())));
-    return !IsComplete() && now - *started_ >= kFirstReadPeerWait + jitter;
-  }
-  const auto jitter = std::max(
-      kFirstReadJitter, Duration(static_cast<std::int64_t>(
-                            static_cast<double>(fleet_size_) * shard_count_ /
-                            kFirstReadsPerSecond * 1e6)));
-  const auto first_read =
-      *started_ +
-      Duration(static_cast<std::int64_t>(first_read_offset_ *
-                                         static_cast<double>(jitter.count())));
-  return now >= first_read &&
-         (!IsComplete() || now < first_read + kFirstReadTimeout);
+  if (first_read_ == FirstRead::kBeforeReady) {
+    return !HasReadNewest();
+  }
+  if (has_read_ && IsComplete()) {
+    return false;
+  }
+  return !IsComplete() || now < FirstReadDue() + kFirstReadTimeout;
+}
+
+auto TableDissemination::FirstReadDue() const -> TimePoint {
+  const auto least_jitter = first_read_ == FirstRead::kBeforeReady
+                                ? kPromptReadJitter
+                                : kFirstReadJitter;
+  const auto jitter =
+      std::max(least_jitter, Duration(static_cast<std::int64_t>(
+                                 static_cast<double>(fleet_size_) *
+                                 shard_count_ / kFirstReadsPerSecond * 1e6)));
+  return *started_ +
+         Duration(static_cast<std::int64_t>(
+             first_read_offset_ * static_cast<double>(jitter.count())));
+}
+
+auto TableDissemination::RoleCheckDue(bool is_reader, TimePoint now) const
+    -> std::optional<TimePoint> {
+  if (!started_ || is_elected_) {
+    return std::nullopt;
+  }
+  if (first_read_ == FirstRead::kBeforeReady) {
+    const bool is_waiting = !is_reader && !HasReadNewest();
+    return is_waiting ? std::optional(std::max(FirstReadDue(), now))
+                      : std::nullopt;
+  }
+  const bool may_change = !IsComplete() || is_reader;
+  return may_change ? std::optional(now + kRoleCheckPeriod) : std::nullopt;
 }
 
 auto TableDissemination::CollectActions(TimePoint now)
@@ -338,11 +366,7 @@
     reported_role_ = role;
     actions_.emplace_back(role);
   }
-  std::optional<TimePoint> wake;
-  if (started_ && !is_elected_ && (!IsComplete() || role.is_reader)) {
-    wake = now + (first_read_ == FirstRead::kPeersFirst ? kPeersFirstCheckPeriod
-                                                        : kRoleCheckPeriod);
-  }
+  auto wake = RoleCheckDue(role.is_reader, now);
   for (const auto& [shard, pull] : pulls_) {
     if (pull.deadline() && (!wake || *pull.deadline() < *wake)) {
       wake = pull.deadline();
--- a/src/decision/fleet/table_dissemination.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -8,7 +8,6 @@
 #include <deque>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -43,24 +42,24 @@
 // requested, because announcements arrive within a second.
 inline constexpr Duration kDigestSumMismatchDelay = std::chrono::seconds(2);
 
-// With FirstRead::kPeersFirst, a node waits this long for its peers, plus a
-// random part of the second time. A restart of all nodes then completes in less
-// than a second without all nodes reading at once.
-inline constexpr Duration kFirstReadPeerWait = std::chrono::milliseconds(40);
-inline constexpr Duration kFirstReadPeerWaitJitter =
-    std::chrono::milliseconds(200);
+// With FirstRead::kBeforeReady, the first read is spread over this time instead
+// of kFirstReadJitter, because callers wait for it.
+inline constexpr Duration kPromptReadJitter = std::chrono::milliseconds(240);
 
-// Whether a new node reads the source of the table itself.
+// When a new node reads the source of the table itself.
 enum class FirstRead {
-  kAlways,      // Each node reads once, spread over time.
-  kPeersFirst,  // Reads only if no peer has sent it the table.
+  // Once, spread over time: the source may be stale, so peers decide.
+  kSpread,
+  // Before it accepts callers: the source always returns its newest state,
+  // whereas the table of a peer may be outdated.
+  kBeforeReady,
 };
 
 template <>
 struct EnumNames<FirstRead> {
   static constexpr auto kTable = std::to_array<NameEntry<FirstRead>>({
-      {FirstRead::kAlways, "always"},
-      {FirstRead::kPeersFirst, "if-untold"},
+      {FirstRead::kSpread, "spread"},
+      {FirstRead::kBeforeReady, "before-ready"},
   });
 };
 static_assert(IsDense<FirstRead>());
@@ -73,7 +72,7 @@
   // Precondition: `shard_count` is positive.
   TableDissemination(std::uint32_t shard_count,
                      Random random,
-                     FirstRead first_read = FirstRead::kAlways);
+                     FirstRead first_read = FirstRead::kSpread);
 
   // Handles an event at `now`, which never goes back, and returns the actions
   // to carry out, in order.
@@ -84,8 +83,9 @@
   [[nodiscard]] auto Digests() const -> std::vector<TableDigest>;
   // Whether a version of each shard is in force.
   [[nodiscard]] auto IsComplete() const -> bool;
-  // Whether this node itself has read each shard from its source.
-  [[nodiscard]] auto HasReadAll() const -> bool;
+  // Whether this node has read the newest state of the source itself since its
+  // start or its last pause.
+  [[nodiscard]] auto HasReadNewest() const -> bool;
   // Whether a newer version is known to exist and is being fetched.
   [[nodiscard]] auto IsCatchingUp() const -> bool { return !pulls_.empty(); }
   // Returns the version in force of `shard`, or nothing.
@@ -103,6 +103,8 @@
   auto Handle(const TableDisseminationStarted& event, TimePoint now) -> void;
   auto Handle(const TableFleetChanged& event, TimePoint now) -> void;
   auto Handle(const TableTextRead& event, TimePoint now) -> void;
+  auto Handle(const SourceRead& event, TimePoint now) -> void;
+  auto Handle(const TableDisseminationResumed& event, TimePoint now) -> void;
   auto Handle(const TableChecked& event, TimePoint now) -> void;
   auto Handle(const PeerEnvelope& envelope, TimePoint now) -> void;
   auto Handle(const TableDisseminationTimer& event, TimePoint now) -> void;
@@ -130,7 +132,12 @@
   [[nodiscard]] auto IsRejected(const TableDigest& digest) const -> bool;
   [[nodiscard]] auto RevisionInForce(std::uint32_t shard) const -> Revision;
   [[nodiscard]] auto KnownRevision() const -> Revision;
+  // When this node reads the source for the first time. Precondition: started.
+  [[nodiscard]] auto FirstReadDue() const -> TimePoint;
   [[nodiscard]] auto ShouldRead(TimePoint now) const -> bool;
+  // When the role may change without an event.
+  [[nodiscard]] auto RoleCheckDue(bool is_reader, TimePoint now) const
+      -> std::optional<TimePoint>;
   auto CollectActions(TimePoint now) -> std::vector<TableDisseminationAction>;
 
   std::uint32_t shard_count_;
@@ -145,9 +152,10 @@
   std::size_t fleet_size_ = 1;
   bool is_elected_ = false;
   bool has_read_ = false;
-  std::set<std::uint32_t> read_shards_;
+  bool has_read_newest_ = false;
   // Position of the first read within its jitter, 0 to 1.
   double first_read_offset_ = 0;
+  // Start of the process or end of its last pause.
   std::optional<TimePoint> started_;
   std::map<VmId, TimePoint> sum_mismatch_since_;
 
--- a/src/decision/fleet/table_dissemination_event.h
+++ b/src/decision/fleet/table_dissemination_event.h
@@ -37,6 +37,15 @@
   std::string text;
 };
 
+// All that the source held when the read was requested has been delivered by
+// TableTextRead. Only for sources that always return their newest state.
+struct SourceRead {
+  TimePoint requested_at;
+};
+
+// The process was paused, so what it has read before may be outdated.
+struct TableDisseminationResumed {};
+
 // Result of a CheckTable.
 struct TableChecked {
   TableDigest digest;
@@ -50,6 +59,8 @@
 using TableDisseminationEvent = std::variant<TableDisseminationStarted,
                                              TableFleetChanged,
                                              TableTextRead,
+                                             SourceRead,
+                                             TableDisseminationResumed,
                                              TableChecked,
                                              PeerEnvelope,
                                              TableDisseminationTimer>;
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -52,8 +52,8 @@
       table_dissemination_(config_.table_shards,
                            Random(config_.seed + 1),
                            config_.source == ServiceSource::kPublished
-                               ? FirstRead::kPeersFirst
-                               : FirstRead::kAlways),
+                               ? FirstRead::kBeforeReady
+                               : FirstRead::kSpread),
       entries_(config_.least_entries),
       capacity_(config_.self.capacity) {
   if (config_.source == ServiceSource::kPublished) {
@@ -122,6 +122,10 @@
       TableTextRead{message.shard, message.revision, std::move(message.text)});
 }
 
+auto FleetTask::HandleMessage(const SourceRead& message) -> void {
+  ProcessEvent(TableDisseminationEvent(message));
+}
+
 auto FleetTask::HandleMessage(const SourceStateChanged& message) -> void {
   SetLostSource(!message.is_available);
 }
@@ -187,14 +191,14 @@
   outlets_.mesh.Post(PeerEndpointsChanged{action.endpoints});
 }
 
-auto FleetTask::Execute(const MembersChanged& /*action*/) -> void {
-  PublishSoon();
-}
-
 auto FleetTask::Execute(const ReopenLink& action) -> void {
   outlets_.mesh.Post(PeerLinkSilent{action.peer});
 }
 
+auto FleetTask::Execute(const MembersChanged& /*action*/) -> void {
+  PublishSoon();
+}
+
 auto FleetTask::Execute(const SelfSuperseded& action) -> void {
   if (std::exchange(is_superseded_, true)) {
     return;
@@ -265,6 +269,7 @@
   readiness_->Resume(Now());
   readiness_timer_.Schedule(kResumePeerWait);
   ProcessEvent(MembershipResumed{});
+  ProcessEvent(TableDisseminationResumed{});
   two_way_peers_.clear();
   UpdateReadiness();
   Publish();
@@ -283,9 +288,10 @@
   facts.other_vms = membership_.list().other_count();
   // A published store always returns its newest state, whereas a configuration
   // service may be stale.
-  facts.has_read_newest = config_.source == ServiceSource::kPublished &&
-                          table_dissemination_.HasReadAll();
-  facts.two_way_peers = membership_.TwoWayPeers(now).size();
+  facts.is_source_current = config_.source == ServiceSource::kPublished;
+  facts.has_read_newest =
+      facts.is_source_current && table_dissemination_.HasReadNewest();
+  facts.two_way_peers = CountTrustedPeers(now);
   const bool ready = readiness_->IsReady(facts, now) && !is_superseded_;
   const auto digests = table_dissemination_.Digests();
   if (ready == is_ready_ && digests == announced_tables_) {
@@ -302,6 +308,18 @@
   PublishSoon();
 }
 
+auto FleetTask::CountTrustedPeers(TimePoint now) const -> std::size_t {
+  const auto peers = membership_.TwoWayPeers(now);
+  if (config_.source == ServiceSource::kTable) {
+    return peers.size();
+  }
+  return static_cast<std::size_t>(
+      std::count_if(peers.begin(), peers.end(), [this](const VmId& peer) {
+        const auto* record = membership_.list().Find(peer);
+        return record != nullptr && record->member.ready;
+      }));
+}
+
 auto FleetTask::UpdateTableDissemination() -> void {
   const auto now = Now();
   auto peers = membership_.TwoWayPeers(now);
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -44,6 +44,7 @@
   auto HandleMessage(PeerMessageReceived message) -> void;
   auto HandleMessage(const VmListRead& message) -> void;
   auto HandleMessage(TableRead message) -> void;
+  auto HandleMessage(const SourceRead& message) -> void;
   auto HandleMessage(const SourceStateChanged& message) -> void;
   auto HandleMessage(const LoadMeasured& message) -> void;
   auto HandleMessage(const LeavingStarted& message) -> void;
@@ -55,8 +56,8 @@
 
   auto Execute(const SendToPeer& action) -> void;
   auto Execute(const PeersSelected& action) -> void;
-  auto Execute(const MembersChanged& action) -> void;
   auto Execute(const ReopenLink& action) -> void;
+  auto Execute(const MembersChanged& action) -> void;
   auto Execute(const SelfSuperseded& action) -> void;
   auto Execute(const WakeMembershipAt& action) -> void;
   auto Execute(const CheckTable& action) -> void;
@@ -71,6 +72,8 @@
   // Announces changes of this VM's member record to the other VMs.
   auto AnnounceSelf() -> void;
   auto UpdateReadiness() -> void;
+  // Returns the number of peers that count for the readiness of this VM.
+  [[nodiscard]] auto CountTrustedPeers(TimePoint now) const -> std::size_t;
   auto UpdateTableDissemination() -> void;
   auto NotifyTableDissemination(const std::vector<Member>& members) -> void;
   auto PublishSoon() -> void;
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -88,6 +88,7 @@
     return;
   }
   is_reading_ = true;
+  requested_at_ = Now();
   if (watch_after_ == 0) {
     RequestList();
     return;
@@ -195,6 +196,9 @@
   schedule_.DelayAfterAnswer();
   tracker_.OnAnswered(Now());
   PostRegistry();
+  if (!outbox_.has_pending()) {
+    fleet_.Post(SourceRead{requested_at_});
+  }
   read_timer_.Schedule(config_.watch_interval);
 }
 
--- a/src/node/control/store/store_task.h
+++ b/src/node/control/store/store_task.h
@@ -71,6 +71,8 @@
   bool is_reader_ = false;
   bool is_reading_ = false;
   bool is_available_ = true;
+  // When the list or watch in progress was requested.
+  TimePoint requested_at_;
   // Revision to watch from; 0 until a list is complete.
   std::uint64_t watch_after_ = 0;
   // State of a list request in progress: the last key read, the revision of the
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -12,6 +12,7 @@
 #include "core/time.h"
 #include "decision/fleet/fleet_view.h"
 #include "decision/fleet/member.h"
+#include "decision/fleet/table_dissemination_event.h"
 #include "decision/peer/peer_message.h"
 #include "runtime/mailbox.h"
 #include "table/registry.h"
@@ -99,6 +100,12 @@
 inline constexpr MailboxPolicy kMailboxPolicy<RegistryInForce> =
     MailboxPolicy::kCoalesce;
 
+// A read of the published store succeeded, and all versions that it returned
+// have been posted.
+template <>
+inline constexpr MailboxPolicy kMailboxPolicy<SourceRead> =
+    MailboxPolicy::kCoalesce;
+
 // Whether the published store answers this VM in its role as a reader.
 struct SourceStateChanged {
   bool is_available = true;
@@ -212,6 +219,7 @@
 using FleetMessage = std::variant<PeerMessageReceived,
                                   VmListRead,
                                   TableRead,
+                                  SourceRead,
                                   SourceStateChanged,
                                   LoadMeasured,
                                   LeavingStarted>;
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -119,6 +119,7 @@
     return;
   }
   const auto before = std::exchange(view_, std::move(changed.view));
+  has_been_ready_ = has_been_ready_ || view_->ready;
   const bool routing_changed = !before || before->routing != view_->routing;
   if (routing_changed) {
     routes_ = RouteIndex(view_->routing);
@@ -284,7 +285,7 @@
     exchange->ReplyError(ErrorKind::kLeaving);
     return;
   }
-  if (!view_ || !view_->routing || !view_->registry) {
+  if (!has_been_ready_ || !view_->routing || !view_->registry) {
     exchange->ReplyError(ErrorKind::kNotReady);
     return;
   }
--- a/src/node/traffic/gateway/gateway_task.h
+++ b/src/node/traffic/gateway/gateway_task.h
@@ -105,6 +105,8 @@
   std::uint64_t overloaded_ = 0;
   TaskContext* context_ = nullptr;
   std::shared_ptr<const FleetView> view_;
+  // Until then the routes may be outdated, so no request is answered by them.
+  bool has_been_ready_ = false;
   RouteIndex routes_;
   ServiceSplitter splitter_;
   RequestLog request_log_;
--- a/tests/unit/decision/fleet/fake_fleet.h
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -41,6 +41,9 @@
   std::uint32_t shards = 1;
   // Size of a table text.
   std::size_t table_bytes = 4000;
+  // Whether the source is a published store, which always returns its newest
+  // table and which only readers read.
+  bool is_published = false;
 };
 
 // The real Membership and TableDissemination of many VMs, connected by an event
@@ -54,10 +57,10 @@
     std::uint64_t received_bytes = 0;
     std::uint64_t reads = 0;
     std::uint64_t rejected_tables = 0;
+    std::uint64_t reopened_links = 0;
   };
 
   struct Node {
-    std::uint64_t reopened_links = 0;
     Member self;
     std::unique_ptr<Membership> membership;
     std::unique_ptr<TableDissemination> table_dissemination;
@@ -132,7 +135,8 @@
     node.membership =
         std::make_unique<Membership>(node.self, Random(random_.Next()));
     node.table_dissemination = std::make_unique<TableDissemination>(
-        options_.shards, Random(random_.Next()));
+        options_.shards, Random(random_.Next()),
+        options_.is_published ? FirstRead::kBeforeReady : FirstRead::kSpread);
     node.gate.emplace(now_);
     node.homes = HomeIndex();
     node.is_running = true;
@@ -155,8 +159,10 @@
     // ms.
     Schedule(index, Duration(random_.Below(200'000)),
              [this, index] { ReadList(index); });
-    Schedule(index, Duration(random_.Below(200'000)),
-             [this, index] { Read(index); });
+    if (!options_.is_published) {
+      Schedule(index, Duration(random_.Below(200'000)),
+               [this, index] { Read(index); });
+    }
   }
   auto StartAll() -> void {
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
@@ -178,6 +184,7 @@
     node.gate->Resume(now_);
     node.is_ready = false;
     Dispatch(index, MembershipResumed{});
+    Dispatch(index, TableDisseminationResumed{});
     for (auto& each : std::exchange(node.deferred, {})) {
       each();
     }
@@ -190,6 +197,10 @@
   auto SetService(ServiceFilter filter) -> void {
     service_ = std::move(filter);
   }
+  // Drops what `from` sends to `to` until it reopens the connection.
+  auto SilenceConnection(std::size_t from, std::size_t to) -> void {
+    silent_.insert({from, to});
+  }
   auto SetLoss(double loss) -> void { options_.loss = loss; }
 
   // Publishes a table; readers that reach the service read it.
@@ -197,10 +208,6 @@
     published_ = Revision(revision);
     valid_ = is_valid;
     for (std::size_t i = 0; i < nodes_.size(); ++i) {
-  // Drops what `from` sends to `to` until it reopens the connection.
-  auto SilenceConnection(std::size_t from, std::size_t to) -> void {
-    silent_.insert({from, to});
-  }
       if (nodes_[i].is_running && nodes_[i].is_reader) {
         Schedule(i, Milliseconds(1 + random_.Below(3)), [this, i] { Read(i); });
       }
@@ -286,6 +293,8 @@
   }
 
  private:
+  static constexpr Duration kReadRetryPeriod = std::chrono::milliseconds(250);
+
   struct Event {
     TimePoint at;
     std::uint64_t order = 0;
@@ -372,15 +381,6 @@
     }
     node.endpoints = action.endpoints;
   }
-  auto Execute(std::size_t index, const MembersChanged& /*action*/) -> void {
-    RefreshSoon(index);
-  }
-  auto Execute(std::size_t /*index*/, const SelfSuperseded& /*action*/)
-      -> void {}
-  auto Execute(std::size_t index, const WakeMembershipAt& action) -> void {
-    Schedule(index, action.at - now_, [this, index] {
-      Dispatch(index, MembershipTimer{});
-      AfterMessage(index);
   auto Execute(std::size_t index, const ReopenLink& action) -> void {
     auto& node = nodes_[index];
     ++node.counters.reopened_links;
@@ -390,6 +390,15 @@
       node.connected_at[action.peer] = now_ + 4 * options_.latency;
     }
   }
+  auto Execute(std::size_t index, const MembersChanged& /*action*/) -> void {
+    RefreshSoon(index);
+  }
+  auto Execute(std::size_t /*index*/, const SelfSuperseded& /*action*/)
+      -> void {}
+  auto Execute(std::size_t index, const WakeMembershipAt& action) -> void {
+    Schedule(index, action.at - now_, [this, index] {
+      Dispatch(index, MembershipTimer{});
+      AfterMessage(index);
     });
   }
   auto Execute(std::size_t index, const CheckTable& action) -> void {
@@ -430,11 +439,18 @@
   auto Read(std::size_t index) -> void {
     ++nodes_[index].counters.reads;
     if (published_ == Revision() || (service_ && !service_(index))) {
+      if (options_.is_published && nodes_[index].is_reader) {
+        Schedule(index, kReadRetryPeriod, [this, index] { Read(index); });
+      }
       return;
     }
     std::string text(options_.table_bytes, valid_ ? 'v' : 'x');
     text += std::to_string(published_.value());
     Dispatch(index, TableTextRead{0, published_, std::move(text)});
+    if (options_.is_published) {
+      Dispatch(index, SourceRead{now_});
+      Announce(index);
+    }
   }
 
   // The fleet task does this after each message.
@@ -467,7 +483,10 @@
     facts.is_catching_up = node.table_dissemination->IsCatchingUp();
     facts.has_list = node.has_list;
     facts.other_vms = node.membership->list().other_count();
-    facts.two_way_peers = node.two_way.size();
+    facts.is_source_current = options_.is_published;
+    facts.has_read_newest =
+        options_.is_published && node.table_dissemination->HasReadNewest();
+    facts.two_way_peers = CountTrustedPeers(node);
     const bool ready = node.gate->IsReady(facts, now_);
     const auto digests = node.table_dissemination->Digests();
     if (ready == node.is_ready && digests == node.announced) {
@@ -480,6 +499,14 @@
     node.announced = digests;
     Dispatch(index, SelfAnnounced{ready, digests});
   }
+  [[nodiscard]] auto CountTrustedPeers(const Node& node) const -> std::size_t {
+    return static_cast<std::size_t>(std::count_if(
+        node.two_way.begin(), node.two_way.end(), [&](const VmId& peer) {
+          const auto* record = node.membership->list().Find(peer);
+          return !options_.is_published ||
+                 (record != nullptr && record->member.ready);
+        }));
+  }
   auto RefreshSoon(std::size_t index) -> void {
     auto& node = nodes_[index];
     if (!std::exchange(node.is_refreshing, true)) {
@@ -519,6 +546,7 @@
   std::uint64_t incarnations_ = 0;
   TimePoint now_ = TimePoint(std::chrono::seconds(1000));
   LinkFilter links_;
+  std::set<std::pair<std::size_t, std::size_t>> silent_;
   ServiceFilter service_;
   Revision published_;
   bool valid_ = true;
@@ -527,4 +555,3 @@
 }  // namespace flamingoyoke
 
 #endif  // FLAMINGOYOKE_TESTS_UNIT_DECISION_FLEET_FAKE_FLEET_H_
-  std::set<std::pair<std::size_t, std::size_t>> silent_;
--- /dev/null
+++ b/tests/unit/decision/fleet/fleet_restart_test.cc
@@ -0,0 +1,132 @@
+// Tests which table VMs accept callers with when many start anew at once.
+#include <criterion/criterion.h>
+
+#include <cstdint>
+
+#include "unit/decision/fleet/fake_fleet.h"
+
+namespace flamingoyoke {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::size_t kNodes = 24;
+// The only VM that missed the newest table.
+constexpr std::size_t kOutdated = 0;
+// VMs from this one on start anew.
+constexpr std::size_t kFirstRestarted = kNodes / 2;
+constexpr std::uint64_t kOldRevision = 1;
+constexpr std::uint64_t kNewRevision = 2;
+
+auto IsRestarted(std::size_t index) -> bool {
+  return index >= kFirstRestarted;
+}
+
+// A fleet that reads a published store, with one outdated VM. Half of it starts
+// anew and hears that VM and itself only.
+auto MakeFleetWithOutdatedVm(std::uint64_t seed) -> FakeFleet {
+  FakeFleetOptions options;
+  options.nodes = kNodes;
+  options.seed = seed;
+  options.is_published = true;
+  FakeFleet fleet(options);
+  fleet.Publish(kOldRevision);
+  fleet.StartAll();
+  fleet.RunFor(seconds(10));
+  cr_assert(fleet.AllReady());
+  fleet.SetLinks([](std::size_t, std::size_t to) { return to != kOutdated; });
+  fleet.SetService([](std::size_t node) { return node != kOutdated; });
+  fleet.Publish(kNewRevision);
+  fleet.RunFor(seconds(3));
+  cr_assert_eq(fleet.RevisionOf(kOutdated), Revision(kOldRevision));
+  cr_assert_eq(fleet.RevisionOf(1), Revision(kNewRevision));
+  for (std::size_t i = kFirstRestarted; i < kNodes; ++i) {
+    fleet.Stop(i);
+  }
+  fleet.SetLinks([](std::size_t from, std::size_t to) {
+    const bool is_side = IsRestarted(from) || from == kOutdated;
+    return is_side == (IsRestarted(to) || to == kOutdated);
+  });
+  for (std::size_t i = kFirstRestarted; i < kNodes; ++i) {
+    fleet.Start(i);
+  }
+  return fleet;
+}
+
+// Returns the number of restarted VMs that accept callers.
+auto CountReady(const FakeFleet& fleet) -> std::size_t {
+  std::size_t ready = 0;
+  for (std::size_t i = kFirstRestarted; i < kNodes; ++i) {
+    ready += fleet.nodes()[i].is_ready ? 1 : 0;
+  }
+  return ready;
+}
+
+auto CheckReadyOnesAreCurrent(const FakeFleet& fleet) -> void {
+  for (std::size_t i = kFirstRestarted; i < kNodes; ++i) {
+    cr_assert(!fleet.nodes()[i].is_ready ||
+                  fleet.RevisionOf(i) == Revision(kNewRevision),
+              "vm %zu accepts callers with an outdated table", i);
+  }
+}
+
+}  // namespace
+
+// Guards against refusing or misrouting callers by the outdated table that a
+// restarted VM got from the first peer it heard.
+Test(fleet_restart, restarted_vms_accept_callers_with_the_newest_table_only) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    auto fleet = MakeFleetWithOutdatedVm(seed);
+    for (int step = 0; step < 200; ++step) {
+      fleet.RunFor(milliseconds(10));
+      CheckReadyOnesAreCurrent(fleet);
+    }
+    cr_assert_eq(CountReady(fleet), kNodes - kFirstRestarted);
+  }
+}
+
+// Guards against restarted VMs that trust each other while they cannot read the
+// store, and against VMs that stay out of use although ready peers are there.
+Test(fleet_restart, without_the_store_ready_peers_decide) {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    auto fleet = MakeFleetWithOutdatedVm(seed);
+    fleet.SetService([](std::size_t node) {
+      return node != kOutdated && !IsRestarted(node);
+    });
+    for (int step = 0; step < 200; ++step) {
+      fleet.RunFor(milliseconds(10));
+      cr_assert_eq(CountReady(fleet), 0U);
+    }
+    fleet.SetLinks([](std::size_t, std::size_t) { return true; });
+    cr_assert(fleet.RunUntil(
+        [&] {
+          CheckReadyOnesAreCurrent(fleet);
+          return CountReady(fleet) == kNodes - kFirstRestarted;
+        },
+        kStartupPeerWait));
+  }
+}
+
+// Guards against a VM that trusts what it read before a pause.
+Test(fleet_restart, a_paused_vm_reads_again_before_it_accepts_callers) {
+  FakeFleetOptions options;
+  options.nodes = kNodes;
+  options.is_published = true;
+  FakeFleet fleet(options);
+  fleet.Publish(kOldRevision);
+  fleet.StartAll();
+  fleet.RunFor(seconds(10));
+  fleet.Pause(kFirstRestarted);
+  fleet.Publish(kNewRevision);
+  fleet.RunFor(seconds(5));
+  fleet.Resume(kFirstRestarted);
+  cr_assert(fleet.RunUntil(
+      [&] {
+        CheckReadyOnesAreCurrent(fleet);
+        return fleet.nodes()[kFirstRestarted].is_ready;
+      },
+      seconds(2)));
+}
+
+}  // namespace flamingoyoke
--- a/tests/unit/decision/fleet/readiness_gate_test.cc
+++ b/tests/unit/decision/fleet/readiness_gate_test.cc
@@ -24,6 +24,24 @@
   cr_assert(gate.IsReady(facts, kStart));
 }
 
+// Guards against trusting peers while the newest table can be read, and against
+// waiting for a store that does not answer.
+Test(readiness_gate, waits_for_a_current_source_before_it_trusts_peers) {
+  ReadinessGate gate(kStart);
+  ReadinessFacts facts{.has_table = true,
+                       .is_source_current = true,
+                       .has_list = true,
+                       .other_vms = 39,
+                       .two_way_peers = 2};
+  cr_assert(!gate.IsReady(facts, kStart));
+  cr_assert(!gate.IsReady(facts, kStart + kSourceReadWait - Duration(1)));
+  auto read = facts;
+  read.has_read_newest = true;
+  read.two_way_peers = 0;
+  cr_assert(ReadinessGate(kStart).IsReady(read, kStart));
+  cr_assert(gate.IsReady(facts, kStart + kSourceReadWait));
+}
+
 // Guards against a VM that never becomes ready because its peers are gone.
 Test(readiness_gate, waits_for_a_bounded_time) {
   ReadinessGate gate(kStart);
--- a/tests/unit/node/traffic/gateway/gateway_fixture.h
+++ b/tests/unit/node/traffic/gateway/gateway_fixture.h
@@ -66,7 +66,8 @@
 class GatewayFixture {
  public:
   explicit GatewayFixture(const std::vector<std::uint16_t>& upstreams,
-                          const GatewayConfig& config = MakeGatewayConfig())
+                          const GatewayConfig& config = MakeGatewayConfig(),
+                          bool is_ready = true)
       : host_("gateway", mailboxes_.traffic, [this, config] {
           return std::make_unique<ListeningGateway>(
               config,
@@ -78,7 +79,7 @@
     exit_future_ = exited_.get_future();
     host_.Start([this](const std::optional<Error>&) { exited_.set_value(); });
     port_ = port.get();
-    Publish(upstreams);
+    Publish(upstreams, is_ready);
   }
 
   auto Stop(StopMode mode) -> void { host_.RequestStop(mode); }
@@ -91,10 +92,11 @@
 
   auto Connect() -> TestSocket { return TestSocket::Connect(port_); }
 
-  auto Publish(const std::vector<std::uint16_t>& upstreams) -> void {
+  auto Publish(const std::vector<std::uint16_t>& upstreams,
+               bool is_ready = true) -> void {
     auto view = std::make_shared<FleetView>();
     view->self = VmId("vm-a");
-    view->ready = true;
+    view->ready = is_ready;
     Member self;
     self.id = view->self;
     self.address = "10.0.0.1:80";
--- a/tests/unit/node/traffic/gateway/gateway_task_test.cc
+++ b/tests/unit/node/traffic/gateway/gateway_task_test.cc
@@ -40,6 +40,30 @@
   cr_assert_eq(sent.head.find("Left-Ms: 15000\r\nLeft-Ms"), std::string::npos);
 }
 
+// Guards against a process that has just started and answers by the outdated
+// routes of a peer before it knows the newest ones.
+Test(gateway_task, answers_no_caller_by_its_routes_before_it_was_ready) {
+  UpstreamFake upstream(
+      Always(Answer("200 OK\r\nId: req-1\r\nSigned: x", "done")));
+  GatewayFixture gateway({upstream.port()}, MakeGatewayConfig(), false);
+  for (const auto* path : {"/once/1", "/none/1"}) {
+    const auto answer = gateway.Exchange(Request("POST", path, "order"));
+    cr_assert_eq(answer.status(), 503, "%s", path);
+    cr_assert(answer.header("Flamingoyoke-Outcome") == "not-run");
+  }
+  cr_assert_eq(upstream.executions(), 0U);
+  gateway.Publish({upstream.port()});
+  TestSocket::Message answer;
+  do {
+    answer = gateway.Exchange(Request("POST", "/once/1", "order"));
+  } while (answer.status() == 503);
+  cr_assert_eq(answer.status(), 200);
+  // A pause takes the readiness back, but callers are still served.
+  gateway.Publish({upstream.port()}, false);
+  cr_assert_eq(gateway.Exchange(Request("POST", "/none/1", "order")).status(),
+               404);
+}
+
 // Guards against relaying a successful answer that belongs to another request
 // or does not come from the target.
 Test(gateway_task, never_relays_a_foreign_success) {
