Contact other VMs when nearly all peers fall silent together

Cause: 55% of the VMs lost power at once, among them all peers of a VM that lived.

Change: a VM that hears fewer than two peers for 1.3 s contacts live VMs that are no peers, three on each tick.

Evidence: a_vm_that_lost_all_its_peers_hears_of_the_next_change failed before and passes now, as do all 216 tests of the decisions.

--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -20,6 +20,11 @@
       std::max<std::int64_t>(ToMilliseconds(now.time_since_epoch()), 0));
 }
 
+// A node that hears fewer than kBootstrapLinks peers for this long contacts
+// other live VMs, without waiting until it declares its peers dead: they may
+// have been lost together. Longer than the period of the slow heartbeats.
+constexpr Duration kMaxPeerSilence = std::chrono::milliseconds(1300);
+
 }  // namespace
 
 Membership::Membership(Member self, Random random)
@@ -449,6 +454,7 @@
     }
   }
   ContactAbsentVms(now);
+  ReplaceSilentPeers(now);
   for (const auto& [vm, link] : links_.links()) {
     if (link.is_home() || ticks_ % kTicksPerSlowHeartbeat == 0) {
       SendHeartbeat(vm, link, now);
@@ -521,6 +527,32 @@
       Duration(random_.Below(static_cast<std::uint64_t>(period.count())));
 }
 
+auto Membership::ReplaceSilentPeers(TimePoint now) -> void {
+  std::size_t heard = 0;
+  for (const auto& [vm, link] : links_.links()) {
+    const bool is_heard =
+        link.IsTwoWay(now) && link.Silence(now) <= kMaxPeerSilence;
+    heard += is_heard ? 1 : 0;
+  }
+  if (heard >= kBootstrapLinks) {
+    return;
+  }
+  std::vector<VmId> others;
+  for (const auto& [vm, record] : list_.records()) {
+    if (IsPresent(record) && links_.Find(vm) == nullptr) {
+      others.push_back(vm);
+    }
+  }
+  const auto count = std::min(kBootstrapContacts, others.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto& vm = others[random_.Below(others.size())];
+    if (auto* link = links_.FindOrAdd(vm, now)) {
+      link->RecordActivity(now);
+      SendHeartbeat(vm, *link, now);
+    }
+  }
+}
+
 auto Membership::AbsentVms() const -> std::vector<VmId> {
   std::vector<VmId> absent;
   for (const auto& [vm, record] : list_.records()) {
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -90,7 +90,8 @@
   auto Tick(TimePoint now) -> void;
   auto CheckSilence(const VmId& vm, PeerLink& link, TimePoint now) -> void;
   auto ContactAbsentVms(TimePoint now) -> void;
-  auto ContactRandom(bool compares, TimePoint now) -> void;
+  // Contacts live VMs that are no peers if most peers have fallen silent.
+  auto ReplaceSilentPeers(TimePoint now) -> void;
   [[nodiscard]] auto AbsentVms() const -> std::vector<VmId>;
 
   // Sending.
--- a/tests/unit/decision/fleet/fleet_restart_test.cc
+++ b/tests/unit/decision/fleet/fleet_restart_test.cc
@@ -2,6 +2,7 @@
 #include <criterion/criterion.h>
 
 #include <cstdint>
+#include <string>
 
 #include "unit/decision/fleet/fake_fleet.h"
 
@@ -108,6 +109,35 @@
   }
 }
 
+// Guards against a VM that hears of no change until it has declared all its
+// peers dead, because they were lost together.
+Test(fleet_restart, a_vm_that_lost_all_its_peers_hears_of_the_next_change) {
+  // A change must be in force everywhere two seconds after it was accepted.
+  constexpr auto kApplyLimit = seconds(2);
+  constexpr auto kChangeDelay = milliseconds(900);
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    FakeFleetOptions options;
+    options.nodes = 40;
+    options.seed = seed;
+    options.is_published = true;
+    FakeFleet fleet(options);
+    fleet.Publish(kOldRevision);
+    fleet.StartAll();
+    fleet.RunFor(seconds(10));
+    const std::size_t lonely = options.nodes - 1;
+    for (const auto& [vm, address] : fleet.nodes()[lonely].endpoints) {
+      fleet.Stop(std::stoul(vm.value().substr(3)));
+    }
+    fleet.RunFor(kChangeDelay);
+    fleet.Publish(kNewRevision);
+    cr_assert(
+        fleet.RunUntil(
+            [&] { return fleet.RevisionOf(lonely) == Revision(kNewRevision); },
+            kApplyLimit),
+        "seed %d", static_cast<int>(seed));
+  }
+}
+
 // Guards against a VM that trusts what it read before a pause.
 Test(fleet_restart, a_paused_vm_reads_again_before_it_accepts_callers) {
   FakeFleetOptions options;
