Return borrowed slots of targets that left the table

Cause: a VM kept a loan of a slot of the removed target, or got one from a lender with the older table. Its connection pool doesn't know the target, so the attempt ended at once as not connected and used up the retry budget, which is small with few requests.

Slots of targets that the service no longer has are now returned with the new table, and loans of unknown targets are rejected.

The new test loan_borrower::no_slot_of_a_target_that_left_the_table_is_used fails by its first check on the old code, which kept the slot.

--- a/src/decision/dispatch/loan_borrower.cc
+++ b/src/decision/dispatch/loan_borrower.cc
@@ -41,14 +41,31 @@
 }  // namespace
 
 auto LoanBorrower::Configure(const ServiceId& service,
-                             const std::vector<VmId>& lenders) -> void {
+                             const std::vector<VmId>& lenders,
+                             std::set<TargetId> targets)
+    -> std::vector<SendToPeer> {
   service_ = service;
+  targets_ = std::move(targets);
   std::map<VmId, Lender> configured;
   for (const auto& vm : lenders) {
     const auto known = lenders_.find(vm);
     configured.emplace(vm, known == lenders_.end() ? Lender() : known->second);
   }
   lenders_ = std::move(configured);
+  std::vector<SendToPeer> returns;
+  for (auto slot = slots_.begin(); slot != slots_.end();) {
+    if (targets_.contains(slot->second.target)) {
+      ++slot;
+    } else if (slot->second.busy) {
+      slot->second.recalled = true;
+      ++slot;
+    } else {
+      returns.push_back(MakeReturn(slot->first, slot->second));
+      RecordEndedLoan(slot->first, slot->second.expires_at);
+      slot = slots_.erase(slot);
+    }
+  }
+  return returns;
 }
 
 auto LoanBorrower::OnLoadReport(const VmId& lender, const LoadReport& report)
@@ -160,9 +177,9 @@
                           TimePoint now) -> std::optional<SendToPeer> {
   const LoanKey key{lender, loan.loan};
   const auto request = requests_.find(loan.sequence);
-  const bool is_expected = request != requests_.end() &&
-                           request->second.lender == lender &&
-                           loan.targets.size() == 1;
+  const bool is_expected =
+      request != requests_.end() && request->second.lender == lender &&
+      loan.targets.size() == 1 && targets_.contains(loan.targets.front());
   if (!is_expected || ended_loans_.contains(key)) {
     return MakeRejection(lender, loan);
   }
--- a/src/decision/dispatch/loan_borrower.h
+++ b/src/decision/dispatch/loan_borrower.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "core/ids.h"
@@ -40,10 +41,13 @@
   explicit LoanBorrower(std::uint64_t first_sequence)
       : last_sequence_(first_sequence) {}
 
-  // Sets the service and the members of the home set that may lend slots. State
-  // of members that stay is kept.
-  auto Configure(const ServiceId& service, const std::vector<VmId>& lenders)
-      -> void;
+  // Sets the service, the members of the home set that may lend slots, and the
+  // targets that this node can connect to. State of members that stay is kept.
+  // Returns the slots of targets that the service no longer has; busy ones are
+  // returned when their attempt ends.
+  auto Configure(const ServiceId& service,
+                 const std::vector<VmId>& lenders,
+                 std::set<TargetId> targets) -> std::vector<SendToPeer>;
 
   // Records the number of idle slots of a lender.
   auto OnLoadReport(const VmId& lender, const LoadReport& report) -> void;
@@ -58,7 +62,8 @@
                     TimePoint now) -> std::vector<SendToPeer>;
 
   // Accepts a loan or its renewal. Returns the SlotReturn to send if the loan
-  // can't be used.
+  // can't be used, for example because its lender has another table and lends a
+  // slot of a target that this node doesn't know.
   auto OnLoan(const VmId& lender, const SlotLoan& loan, TimePoint now)
       -> std::optional<SendToPeer>;
 
@@ -149,6 +154,7 @@
 
   ServiceId service_;
   std::map<VmId, Lender> lenders_;
+  std::set<TargetId> targets_;
   std::uint64_t last_sequence_;
   // By sequence number; kept for kLoanDuration.
   std::map<std::uint64_t, OutstandingRequest> requests_;
--- a/src/decision/dispatch/service_dispatcher.cc
+++ b/src/decision/dispatch/service_dispatcher.cc
@@ -136,7 +136,14 @@
   queue_.SetLimits(event.row.queue_limit, kMaxQueuedBodyBytes);
   team_limiter_.Configure(event.row.team_rate, event.row.team_burst);
   retry_budget_.Configure(event.row.retry_share);
-  borrower_.Configure(event.row.service, peers_);
+  std::set<TargetId> targets;
+  for (const auto& target : event.row.targets) {
+    targets.insert(target.id);
+  }
+  for (auto& returned :
+       borrower_.Configure(event.row.service, peers_, std::move(targets))) {
+    actions_.emplace_back(std::move(returned));
+  }
   slots_.Configure(event.row, event.owned);
   RecallFromUnusableTargets();
 }
--- a/tests/unit/decision/dispatch/loan_borrower_test.cc
+++ b/tests/unit/decision/dispatch/loan_borrower_test.cc
@@ -18,7 +18,7 @@
 
 class Fixture {
  public:
-  Fixture() { borrower_.Configure(kService, {kLender}); }
+  Fixture() { borrower_.Configure(kService, {kLender}, {kTarget}); }
 
   // Requests one slot and returns the message that was sent.
   auto RequestSlots() -> SlotRequest {
@@ -68,6 +68,24 @@
   cr_assert(fixture.borrower_.slots().empty());
 }
 
+// Guards against an attempt on a target that the table no longer has: in
+// table_in_force::replaced_under_load a lookup got 502 connect-failed.
+Test(loan_borrower, no_slot_of_a_target_that_left_the_table_is_used) {
+  Fixture fixture;
+  const auto request = fixture.RequestSlots();
+  cr_assert_not(
+      fixture.borrower_.OnLoan(kLender, Fixture::LoanFor(request), kNow));
+  const auto returns = fixture.borrower_.Configure(kService, {kLender},
+                                                   {TargetId("10.0.0.2:80")});
+  cr_assert_eq(returns.size(), 1U);
+  cr_assert(fixture.borrower_.slots().empty());
+  // A lender with the older table still lends slots of the target.
+  auto late = Fixture::LoanFor(request);
+  late.loan = LoanId(10);
+  cr_assert(fixture.borrower_.OnLoan(kLender, late, kNow));
+  cr_assert(fixture.borrower_.slots().empty());
+}
+
 // Guards against the use of a returned slot because a duplicate of its loan
 // arrives.
 Test(loan_borrower, a_duplicate_of_a_returned_loan_is_rejected) {
