Show whether entry VMs exchange outcomes; describe the owners of targets

A VM that can't report outcomes to the other entries, or isn't reported to, was not visible outside a debug log. A log line and two metrics show it now.

--- a/src/decision/gateway/target_ownership.cc
+++ b/src/decision/gateway/target_ownership.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <cstddef>
-#include <unordered_map>
 #include <utility>
 
 #include "decision/fleet/rendezvous.h"
@@ -56,24 +55,21 @@
 auto OwningGateways(const std::vector<EntryVm>& entries,
                     const std::vector<Member>& members)
     -> std::vector<PoolGateway> {
-  std::unordered_map<VmId, const Member*> by_id;
-  for (const auto& member : members) {
-    by_id.emplace(member.id, &member);
-  }
   std::vector<PoolGateway> loaded;
   std::vector<PoolGateway> all;
   std::uint64_t loaded_weight = 0;
   std::uint64_t weight = 0;
   for (const auto& entry : entries) {
-    const auto found = by_id.find(entry.vm);
-    if (found == by_id.end()) {
+    const auto found = std::lower_bound(
+        members.begin(), members.end(), entry.vm,
+        [](const Member& member, const VmId& vm) { return member.id < vm; });
+    if (found == members.end() || found->id != entry.vm) {
       continue;
     }
-    const PoolGateway gateway = {entry.vm, found->second->failure_domain,
-                                 entry.weight};
+    const PoolGateway gateway = {entry.vm, found->failure_domain, entry.weight};
     all.push_back(gateway);
     weight += entry.weight;
-    if (found->second->load.processor_millicores > 0) {
+    if (found->load.processor_millicores > 0) {
       loaded.push_back(gateway);
       loaded_weight += entry.weight;
     }
--- a/src/decision/gateway/target_ownership.h
+++ b/src/decision/gateway/target_ownership.h
@@ -25,7 +25,8 @@
 // Returns the gateways that own targets: the `entries`, weighted like their
 // callers. An entry that gets no requests yet owns nothing while at least half
 // of the entries by weight get some, because its targets would be idle until
-// callers ask for addresses again. Thread-safe.
+// callers ask for addresses again. `members` must be ordered by id.
+// Thread-safe.
 auto OwningGateways(const std::vector<EntryVm>& entries,
                     const std::vector<Member>& members)
     -> std::vector<PoolGateway>;
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -102,6 +102,10 @@
   auto TakeUnreportedOutcomes(TimePoint now) -> std::vector<TargetOutcomes>;
   [[nodiscard]] auto has_unreported() const -> bool { return has_unreported_; }
 
+  // Number of targets that this gateway owns.
+  [[nodiscard]] auto owned_count() const -> std::size_t {
+    return owned_.size();
+  }
   // Returns whether any target accepts requests.
   [[nodiscard]] auto HasUsable() const -> bool;
   // Returns whether a target that is not in `tried` accepts requests.
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -135,6 +135,13 @@
     }
     Log(Part::kGateway, LogLevel::kInfo, "entry VMs:" + entries);
   }
+  if (view_->IsEntry(view_->self) &&
+      (!before || before->linked_entries != view_->linked_entries)) {
+    Log(Part::kGateway, LogLevel::kInfo,
+        "exchanges outcomes with " +
+            std::to_string(view_->linked_entries.size()) + " of " +
+            std::to_string(view_->entries.size() - 1) + " other entry VMs");
+  }
   const bool registry_changed = !before || before->registry != view_->registry;
   if (registry_changed && view_->registry) {
     LogRegistryChanges(before ? before->registry.get() : nullptr,
@@ -474,6 +481,18 @@
        .help = "Kilobits per second received from callers and upstreams.",
        .is_counter = false,
        .value = static_cast<double>(load_.last().link_kbps)});
+  if (view_) {
+    metrics.samples.push_back(
+        {.name = "flamingoyoke_gateway_linked_entries",
+         .help = "Other entry vms that outcomes are exchanged with.",
+         .is_counter = false,
+         .value = static_cast<double>(view_->linked_entries.size())});
+    metrics.samples.push_back(
+        {.name = "flamingoyoke_gateway_entries",
+         .help = "Vms that callers are directed to, as this vm sees them.",
+         .is_counter = false,
+         .value = static_cast<double>(view_->entries.size())});
+  }
   for (const auto& service : services_) {
     const auto& counters = service.second->dispatcher().counters();
     const auto add = [&](const char* name, const char* help,
@@ -494,6 +513,10 @@
         "Attempts that followed a failed one.", counters.retried);
     add("flamingoyoke_gateway_hedged_total",
         "Second attempts beside a slow one.", counters.hedged);
+    add("flamingoyoke_gateway_owned_targets",
+        "Targets that this vm tries before those of other entry vms.",
+        service.second->dispatcher().pool().owned_count());
+    metrics.samples.back().is_counter = false;
   }
   outbox_.telemetry.Post(std::move(metrics));
 }
--- a/tests/unit/decision/fleet/fake_fleet.h
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -32,6 +32,8 @@
   // Failure domains are assigned to regions in order.
   std::size_t regions = 1;
   std::size_t services = 3;
+  // Number of VMs in the home set of each service.
+  std::uint32_t home = 4;
   std::uint64_t seed = 1;
   Duration latency = std::chrono::microseconds(500);
   // Upper limit of a random delay that reorders messages.
@@ -100,6 +102,7 @@
     for (std::size_t i = 0; i < options_.services; ++i) {
       ServiceRow row;
       row.service = ServiceId("service-" + std::to_string(i));
+      row.home = options_.home;
       rows_.push_back(row);
     }
     for (std::size_t i = 0; i < options_.nodes; ++i) {
--- a/tests/unit/decision/fleet/membership_test.cc
+++ b/tests/unit/decision/fleet/membership_test.cc
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
+#include "decision/fleet/membership_timing.h"
 #include "unit/decision/fleet/fake_fleet.h"
 
 namespace flamingoyoke {
@@ -240,5 +243,62 @@
   cr_assert_leq(after - before, 2000UL * 40 * 20);
 }
 
+// Returns the smallest number of links that a VM of the home set has to others
+// of it.
+auto FewestHomeLinks(const FakeFleet& fleet) -> std::size_t {
+  auto fewest = fleet.nodes().size();
+  for (const auto& node : fleet.nodes()) {
+    if (!node.is_running || node.home_peers.empty()) {
+      continue;
+    }
+    const auto linked = node.membership->TwoWayPeers(fleet.now());
+    fewest = std::min(fewest,
+                      static_cast<std::size_t>(std::count_if(
+                          linked.begin(), linked.end(), [&](const VmId& peer) {
+                            return node.home_peers.contains(peer);
+                          })));
+  }
+  return fewest;
+}
+
+// Guards against entry VMs that lose their links to each other while a large
+// fleet starts, and then choose targets without the outcomes of the others.
+Test(membership, home_peers_stay_linked_in_a_large_fleet) {
+  FakeFleetOptions options;
+  options.nodes = 120;
+  options.domains = 6;
+  options.services = 1;
+  options.home = 13;
+  FakeFleet fleet(options);
+  fleet.Publish(1);
+  fleet.StartAll();
+  fleet.RunFor(seconds(5));
+  cr_assert_eq(FewestHomeLinks(fleet), 12U);
+  // One is lost and another takes its place.
+  for (std::size_t i = 0; i < fleet.nodes().size(); ++i) {
+    if (!fleet.nodes()[i].home_peers.empty()) {
+      fleet.Stop(i);
+      break;
+    }
+  }
+  fleet.RunFor(seconds(6));
+  cr_assert_eq(FewestHomeLinks(fleet), 12U);
+}
+
+// Guards against a set of entry VMs that outgrows the peers which a VM may have
+// and then has no links at all: each keeps kMaxHomePeers.
+Test(membership, a_large_home_set_keeps_links_up_to_the_limit) {
+  FakeFleetOptions options;
+  options.nodes = 60;
+  options.domains = 6;
+  options.services = 1;
+  options.home = 40;
+  FakeFleet fleet(options);
+  fleet.Publish(1);
+  fleet.StartAll();
+  fleet.RunFor(seconds(5));
+  cr_assert_geq(FewestHomeLinks(fleet), kMaxHomePeers);
+}
+
 }  // namespace
 }  // namespace flamingoyoke
