--- a/src/decision/platform/read_schedule.cc
+++ b/src/decision/platform/read_schedule.cc
@@ -32,6 +32,14 @@
   return Jitter(std::min(kMinBackOff * (1 << doublings), kMaxBackOff));
 }
 
+auto ReadSchedule::WatchInterval(Duration minimum, std::size_t registry_bytes)
+    -> Duration {
+  const auto seconds =
+      static_cast<double>(registry_bytes) / kRegistryBytesPerSecond;
+  const Duration batch(static_cast<std::int64_t>(seconds * 1e6));
+  return std::max(minimum, std::min(batch, kMaxWatchInterval));
+}
+
 auto ReadSchedule::Jitter(Duration duration) -> Duration {
   const auto half = duration / 2;
   return half + Duration(random_.Below(half.count() + 1));
--- a/src/decision/platform/read_schedule.h
+++ b/src/decision/platform/read_schedule.h
@@ -1,6 +1,9 @@
 #ifndef FLAMINGOYOKE_DECISION_PLATFORM_READ_SCHEDULE_H_
 #define FLAMINGOYOKE_DECISION_PLATFORM_READ_SCHEDULE_H_
 
+#include <chrono>
+#include <cstddef>
+
 #include "core/random.h"
 #include "core/time.h"
 
@@ -11,6 +14,12 @@
 // restart or an outage. Not thread-safe.
 class ReadSchedule {
  public:
+  // A new version of the registry travels whole to every VM. Versions are read
+  // no faster than this many bytes per second, a fifth of a link of 10 Mbit/s.
+  static constexpr double kRegistryBytesPerSecond = 250'000;
+  // Changes, such as a target that leaves, wait at most this long.
+  static constexpr Duration kMaxWatchInterval = std::chrono::milliseconds(250);
+
   explicit ReadSchedule(Random random) : random_(random) {}
 
   // Returns the delay before the first read of a process.
@@ -24,6 +33,12 @@
   // with random jitter over the upper half.
   auto DelayAfterFailure() -> Duration;
 
+  // Returns the delay between two watches, in which changes of a registry of
+  // `registry_bytes` are batched. At least `minimum`.
+  [[nodiscard]] static auto WatchInterval(Duration minimum,
+                                          std::size_t registry_bytes)
+      -> Duration;
+
  private:
   auto Jitter(Duration duration) -> Duration;
 
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -199,7 +199,8 @@
   if (!outbox_.has_pending()) {
     fleet_.Post(SourceRead{requested_at_});
   }
-  read_timer_.Schedule(config_.watch_interval);
+  read_timer_.Schedule(
+      ReadSchedule::WatchInterval(config_.watch_interval, registry_bytes_));
 }
 
 auto StoreTask::ApplyItem(const StoreItem& item,
@@ -266,7 +267,9 @@
   if (!registry) {
     return;
   }
-  PostVersion({kRegistryShard, registry->revision, EncodeRegistry(*registry)});
+  auto text = EncodeRegistry(*registry);
+  registry_bytes_ = text.size();
+  PostVersion({kRegistryShard, registry->revision, std::move(text)});
 }
 
 auto StoreTask::PostVersion(TableRead read) -> void {
--- a/src/node/control/store/store_task.h
+++ b/src/node/control/store/store_task.h
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOYOKE_NODE_CONTROL_STORE_STORE_TASK_H_
 #define FLAMINGOYOKE_NODE_CONTROL_STORE_STORE_TASK_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -81,6 +82,8 @@
   std::uint64_t list_revision_ = 0;
   std::vector<RegisteredTarget> list_targets_;
   std::uint64_t last_revision_ = 0;
+  // Size of the registry that was posted last.
+  std::size_t registry_bytes_ = 0;
 };
 
 }  // namespace flamingoyoke
--- a/tests/unit/decision/platform/read_schedule_test.cc
+++ b/tests/unit/decision/platform/read_schedule_test.cc
@@ -43,4 +43,18 @@
 }
 
 }  // namespace
+// Guards against bytes that grow with the square of the targets while many of
+// them register: on jutagatt-large each VM got 72 versions of the registry, of
+// up to 61 kB, within four seconds.
+Test(read_schedule, batches_changes_of_a_large_registry) {
+  constexpr auto kMinimum = milliseconds(50);
+  cr_assert(ReadSchedule::WatchInterval(kMinimum, 0) == kMinimum);
+  cr_assert(ReadSchedule::WatchInterval(kMinimum, 3'000) == kMinimum);
+  const auto large = ReadSchedule::WatchInterval(kMinimum, 61'000);
+  cr_assert_leq(61'000 / ToSeconds(large), 250'000.0);
+  // A target that leaves must get no requests after two seconds.
+  cr_assert(ReadSchedule::WatchInterval(kMinimum, 7'500'000) ==
+            milliseconds(250));
+}
+
 }  // namespace flamingoyoke
