--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -68,14 +68,11 @@
 // Above this failure share no target may stay idle. The idle ones would be
 // those that failed before, and with many faults these can be most of the
 // healthy targets. Trying all targets fails about 7% of the requests while 30%
-// of the targets are unhealthy. The threshold exceeds the sum of these 7% and
-// the usual 5%, as otherwise the failed trials alone would keep the share above
-// it.
+// of the targets are unhealthy; the share leaves these failures out, which
+// would keep it above the threshold.
 constexpr double kNoIdleFailureShare = 0.13;
-// Range of the time after which an idle target gets a request. Each gateway
-// draws a random time for each target so that the first one can report its
-// request before the others act. An unhealthy target is then tried by one
-// gateway instead of all.
+// Range of the time after which an idle target gets a request. The time is
+// random, as targets that failed together would else be tried together.
 constexpr Duration kMinIdleTime = std::chrono::milliseconds(1200);
 constexpr Duration kMaxIdleTime = std::chrono::milliseconds(1800);
 
@@ -306,6 +303,8 @@
   }
   const auto patience =
       std::clamp(1 - requirements.wait_share / kMaxWaitShare, 0.0, 1.0);
+  // Unhealthy targets are needed for the floor only while many requests fail;
+  // otherwise they get requests that waited, for their capacity.
   const auto least = many_fail ? MaxUnhealthyProbability(now) : kAvoidThreshold;
   const auto limit = 1 - (1 - least) * patience;
   auto* chosen =
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -198,7 +198,7 @@
   double floor_share_;
   FailureDomainId own_domain_;
   std::map<TargetId, TargetState> targets_;
-  // The targets by owner.
+  // The targets that this gateway owns and those of others, in targets_.
   std::vector<TargetState*> owned_;
   std::vector<TargetState*> others_;
   // Attempts and requests of all gateways.
