--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A heartbeat that the store applies late makes a draining target ready again."""
+"""A heartbeat that was held up by a cut makes a draining target ready again."""
 
 import asyncio
 import os
@@ -16,9 +16,9 @@
 async def case(record, trouble):
     fleet = Fleet(record, 4)
     fleet.route("look", "/look/", "safe", "stock", timeout_ms=1000)
-    for i in range(4):
+    for i in range(5):
         await fleet.add_target(Target(record, "i-%d" % i, "stock",
-                                      zone="abcd"[i]))
+                                      zone="abcd"[i % 4]))
     leaving = fleet.targets[0]
     beats = {target.id: 4 for target in fleet.targets}
     states = {target.id: "ready" for target in fleet.targets}
@@ -44,7 +44,6 @@
     try:
         await fleet.start()
         await fleet.wait_ready()
-        start = time.monotonic()
         tasks = [asyncio.ensure_future(beat(target))
                  for target in fleet.targets[1:]]
 
@@ -60,31 +59,44 @@
                 await asyncio.sleep(0.03)
         tasks += [asyncio.ensure_future(use(index)) for index in range(12)]
 
-        # platform_lost: a write is done 1 to 6 s later and not answered.
-        late = entry(leaving)
-        record("%s writes seq %d; the store %s" % (
-            leaving.id, late["status"]["seq"],
-            "loses the answer and does it 5.0 s later" if trouble else
-            "does it at once"))
-        if not trouble:
-            write(leaving, late)
-        await asyncio.sleep(1.5)
-        write(leaving, entry(leaving))
-        await asyncio.sleep(1.5)
+        async def until(seconds):
+            await asyncio.sleep(max(0, start + seconds - time.monotonic()))
+
+        # srv_cut: the target is cut off from the store for 3.2 s, while
+        # requests still reach it. TCP sends a held up segment again 0.2, 0.6,
+        # 1.4, 3.0 and 6.2 s after the first time.
+        start = time.monotonic()
+        held_up = entry(leaving)
+        if trouble:
+            record("%s is cut off from the store; its heartbeat of seq %d is "
+                   "held up" % (leaving.id, held_up["status"]["seq"]))
+        else:
+            write(leaving, held_up)
+        for seconds in (1.5, 3.0):
+            await until(seconds)
+            value = entry(leaving)
+            if not trouble:
+                write(leaving, value)
+        await until(3.2)
+        if trouble:
+            record("the cut ends")
+        await until(3.4)
+        # On a new connection.
         write(leaving, entry(leaving))
-        await asyncio.sleep(0.3)
+        await until(4.0)
         states[leaving.id] = "draining"
         write(leaving, entry(leaving))
         acknowledged = time.monotonic()
         record("the store acknowledged that %s is draining" % leaving.id)
-        await asyncio.sleep(1.5)
+        await until(5.5)
         write(leaving, entry(leaving))
-        await asyncio.sleep(0.2)
+        await until(6.2)
         if trouble:
-            write(leaving, late)
-        await asyncio.sleep(1.3)
+            record("the heartbeat that was held up arrives")
+            write(leaving, held_up)
+        await until(7.0)
         write(leaving, entry(leaving))
-        await asyncio.sleep(1.5)
+        await until(9.0)
         late_runs = [run for run in leaving.runs
                      if run[0] > acknowledged + DRAIN_S]
         for run in late_runs[:5]:
