Reject bodies that evhttp does not read

Cause: the request scanner skipped the body of a HEAD request, while evhttp, which parses the same bytes next, read it as a new request. A request inside the body was run and answered on its own.

Change: the scanner has one rule for each method.

The scanner test names the new error, so it does not compile on the old code.

--- a/src/core/answer_table.cc
+++ b/src/core/answer_table.cc
@@ -18,6 +18,7 @@
 constexpr auto kAnswers = std::to_array<AnswerEntry>({
     {kMalformedRequest, {400, kNotRun, kNever}},
     {kConflictingHeaders, {400, kNotRun, kNever}},
+    {kUnexpectedBody, {400, kNotRun, kNever}},
     {kRequestTooLarge, {413, kNotRun, kNever}},
     {kRequestTooSlow, {408, kNotRun, kLater}},
     {kNoRoute, {404, kNotRun, kNever}},
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -13,6 +13,7 @@
   // Request parsing and routing.
   kMalformedRequest,
   kConflictingHeaders,
+  kUnexpectedBody,
   kRequestTooLarge,
   kRequestTooSlow,
   kNoRoute,
@@ -62,6 +63,7 @@
   static constexpr auto kTable = std::to_array<NameEntry<ErrorKind>>({
       {ErrorKind::kMalformedRequest, "malformed-request"},
       {ErrorKind::kConflictingHeaders, "conflicting-headers"},
+      {ErrorKind::kUnexpectedBody, "unexpected-body"},
       {ErrorKind::kRequestTooLarge, "request-too-large"},
       {ErrorKind::kRequestTooSlow, "request-too-slow"},
       {ErrorKind::kNoRoute, "no-route"},
--- a/src/node/traffic/request_scanner.cc
+++ b/src/node/traffic/request_scanner.cc
@@ -9,9 +9,20 @@
 namespace flamingoyoke {
 namespace {
 
-// Methods for which evhttp delivers the request body.
-constexpr auto kMethods = std::to_array<std::string_view>(
-    {"GET", "POST", "HEAD", "PUT", "DELETE", "OPTIONS", "PATCH"});
+struct MethodRule {
+  std::string_view name;
+  // Whether evhttp reads the body of such a request. Otherwise it would parse
+  // the body as the next request.
+  bool may_have_body;
+};
+
+constexpr auto kMethods = std::to_array<MethodRule>({{"GET", true},
+                                                     {"POST", true},
+                                                     {"HEAD", false},
+                                                     {"PUT", true},
+                                                     {"DELETE", true},
+                                                     {"OPTIONS", true},
+                                                     {"PATCH", true}});
 constexpr std::string_view kVersion = "HTTP/1.1";
 constexpr std::string_view kReservedHeaderPrefix = "flamingoyoke-";
 // 15 hexadecimal digits and CRLF; evhttp does not support chunk extensions.
@@ -26,6 +37,13 @@
              kReservedHeaderPrefix;
 }
 
+auto FindMethod(std::string_view name) -> const MethodRule* {
+  const auto* found =
+      std::find_if(kMethods.begin(), kMethods.end(),
+                   [&](const MethodRule& rule) { return rule.name == name; });
+  return found == kMethods.end() ? nullptr : found;
+}
+
 auto IsOriginForm(std::string_view target) -> bool {
   return !target.empty() && target.front() == '/' &&
          std::all_of(target.begin(), target.end(),
@@ -146,9 +164,8 @@
   }
   const auto method = line.substr(0, first);
   const auto target = line.substr(first + 1, last - first - 1);
-  const bool known =
-      std::find(kMethods.begin(), kMethods.end(), method) != kMethods.end();
-  if (!known || !IsOriginForm(target) || line.substr(last + 1) != kVersion) {
+  if (FindMethod(method) == nullptr || !IsOriginForm(target) ||
+      line.substr(last + 1) != kVersion) {
     SetViolation(ErrorKind::kMalformedRequest);
     return;
   }
@@ -209,6 +226,11 @@
     SetViolation(ErrorKind::kMalformedRequest);
     return;
   }
+  const bool has_body = head_.chunked || head_.content_length.value_or(0) > 0;
+  if (has_body && !FindMethod(head_.method)->may_have_body) {
+    SetViolation(ErrorKind::kUnexpectedBody);
+    return;
+  }
   const auto checked = check_(head_);
   if (const auto* kind = std::get_if<ErrorKind>(&checked)) {
     SetViolation(*kind);
--- a/tests/unit/node/traffic/request_scanner_test.cc
+++ b/tests/unit/node/traffic/request_scanner_test.cc
@@ -84,6 +84,19 @@
   }
 }
 
+// Guards against requests that are smuggled in the body of a HEAD request:
+// evhttp does not read that body and parses it as the next request.
+Test(request_scanner, rejects_a_body_that_evhttp_does_not_read) {
+  for (const auto* framing :
+       {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    const std::string head =
+        std::string("HEAD /a HTTP/1.1\r\nHost: h\r\n") + framing + "\r\n";
+    cr_assert(Scan(head) == ErrorKind::kUnexpectedBody);
+  }
+  cr_assert_not(
+      Scan("HEAD /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"));
+}
+
 // Repeated or contradicting framing headers must be refused, even with equal
 // values.
 Test(request_scanner, conflicting_framing) {
