Close caller connections only after the caller has read all answers

Cause: evhttp closes the socket as soon as an answer with Connection: close is in the kernel's buffer. A pipelined request that arrives after that is answered with a reset, which discards the rest of the answer. Own errors lingered, other closes and the exit of the process did not.

Change: one lingering close for answers that close the connection, own errors, truncated answers, idle timeouts and stops: half-close, discard input within a limit in bytes and time, close once the caller has acknowledged everything. The process does not exit while a connection lingers and grace remains.

--- a/src/node/traffic/caller_connection.cc
+++ b/src/node/traffic/caller_connection.cc
@@ -2,6 +2,8 @@
 
 #include <event2/buffer.h>
 #include <event2/event.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -10,6 +12,8 @@
 #include <utility>
 
 #include "node/traffic/error_response.h"
+#include "node/traffic/http_text.h"
+#include "runtime/clock.h"
 
 namespace flamingoyoke {
 namespace {
@@ -18,10 +22,12 @@
 // Reading stops above this and resumes after the response.
 constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
 
-// Lingering close: time for the caller to read an error response and close. An
-// immediate close with unread input would reset the connection and discard the
-// response.
-constexpr Duration kRejectLinger = std::chrono::seconds(1);
+// Interval between the checks of a lingering close. The connection is closed
+// after two checks in a row that find all output acknowledged.
+constexpr Duration kLingerPeriod = std::chrono::milliseconds(500);
+// Input that a lingering close discards at most, such as the rest of a rejected
+// upload.
+constexpr std::uint64_t kMaxLingerBytes = 8 << 20;
 
 // Callers send their first request right after connecting; one lost packet is
 // retransmitted within this time.
@@ -32,6 +38,23 @@
   return event_new(loop.base(), -1, 0, callback, argument);
 }
 
+// Returns the number of sent bytes that the peer has not acknowledged.
+auto UnacknowledgedBytes(int descriptor) -> int {
+  int bytes = 0;
+  return ioctl(descriptor, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
+// Returns whether `headers` ask for the connection to be closed, and removes
+// the header.
+auto TakeConnectionClose(evkeyvalq* headers) -> bool {
+  const char* value = evhttp_find_header(headers, "Connection");
+  const bool closes = value != nullptr && EqualsIgnoringCase(value, "close");
+  if (closes) {
+    evhttp_remove_header(headers, "Connection");
+  }
+  return closes;
+}
+
 auto ToTimeval(Duration duration) -> timeval {
   const auto seconds = std::chrono::floor<std::chrono::seconds>(duration);
   return {.tv_sec = seconds.count(),
@@ -166,14 +189,11 @@
 
 auto CallerConnection::Reject(ErrorKind kind) -> void {
   rejecting_ = true;
+  DiscardInput();
   bufferevent_setcb(
-      bev_,
-      [](bufferevent* bev, void*) {
-        auto* input = bufferevent_get_input(bev);
-        evbuffer_drain(input, evbuffer_get_length(input));
-      },
+      bev_, nullptr,
       [](bufferevent*, void* self) {
-        static_cast<CallerConnection*>(self)->OnRejectSent();
+        static_cast<CallerConnection*>(self)->StartLingering();
       },
       [](bufferevent*, short, void* self) {
         static_cast<CallerConnection*>(self)->Close();
@@ -185,9 +205,39 @@
   timer_.Schedule(limits_.write_timeout);
 }
 
-auto CallerConnection::OnRejectSent() -> void {
+auto CallerConnection::StartLingering() -> void {
+  if (std::exchange(lingering_, true)) {
+    return;
+  }
+  busy_ = false;
+  linger_started_ = Now();
+  DiscardInput();
+  bufferevent_enable(bev_, EV_READ);
   shutdown(bufferevent_getfd(bev_), SHUT_WR);
-  timer_.Schedule(kRejectLinger);
+  timer_.Schedule(kLingerPeriod);
+}
+
+auto CallerConnection::DiscardInput() -> void {
+  auto* input = bufferevent_get_input(bev_);
+  const auto bytes = evbuffer_get_length(input);
+  discarded_bytes_ += bytes;
+  evbuffer_drain(input, bytes);
+  if (discarded_bytes_ > kMaxLingerBytes) {
+    timer_.Schedule(Duration::zero());
+  }
+}
+
+auto CallerConnection::OnLingerTimer() -> void {
+  const bool is_acknowledged =
+      UnacknowledgedBytes(bufferevent_getfd(bev_)) == 0;
+  const bool is_received =
+      std::exchange(was_acknowledged_, is_acknowledged) && is_acknowledged;
+  if (is_received || discarded_bytes_ > kMaxLingerBytes ||
+      Now() - linger_started_ >= limits_.write_timeout) {
+    ScheduleClose();
+    return;
+  }
+  timer_.Schedule(kLingerPeriod);
 }
 
 auto CallerConnection::OnRequest(evhttp_request* request)
@@ -203,8 +253,8 @@
   }
   evhttp_request_set_on_complete_cb(
       request,
-      [](evhttp_request*, void* self) {
-        static_cast<CallerConnection*>(self)->OnReplySent();
+      [](evhttp_request* sent, void* self) {
+        static_cast<CallerConnection*>(self)->OnReplySent(sent);
       },
       this);
   auto exchange =
@@ -244,20 +294,18 @@
 }
 
 auto CallerConnection::CloseAfterFlush() -> void {
-  bufferevent_disable(bev_, EV_READ);
-  if (pending_output_bytes() == 0) {
-    ScheduleClose();
-    return;
-  }
   bufferevent_setcb(
       bev_, nullptr,
       [](bufferevent*, void* self) {
-        static_cast<CallerConnection*>(self)->ScheduleClose();
+        static_cast<CallerConnection*>(self)->StartLingering();
       },
       [](bufferevent*, short, void* self) {
         static_cast<CallerConnection*>(self)->ScheduleClose();
       },
       this);
+  if (pending_output_bytes() == 0) {
+    StartLingering();
+  }
 }
 
 auto CallerConnection::OnClosed() -> void {
@@ -270,10 +318,19 @@
   owner_.on_closed(this);
 }
 
-auto CallerConnection::OnReplySent() -> void {
+auto CallerConnection::OnReplySent(evhttp_request* request) -> void {
   busy_ = false;
-  timer_.Schedule(scanner_.in_request() ? limits_.receive_timeout
-                                        : limits_.idle_timeout);
+  // evhttp would close the connection at once for these headers.
+  const bool request_closes =
+      TakeConnectionClose(evhttp_request_get_input_headers(request));
+  const bool response_closes =
+      TakeConnectionClose(evhttp_request_get_output_headers(request));
+  if (request_closes || response_closes) {
+    StartLingering();
+  } else {
+    timer_.Schedule(scanner_.in_request() ? limits_.receive_timeout
+                                          : limits_.idle_timeout);
+  }
   owner_.on_reply_sent(this);
 }
 
@@ -281,11 +338,20 @@
   if (connection_ == nullptr || busy_) {
     return;
   }
-  if (scanner_.in_request() && !rejecting_) {
+  if (lingering_) {
+    OnLingerTimer();
+    return;
+  }
+  if (rejecting_) {
+    // The caller does not read the error response.
+    Close();
+    return;
+  }
+  if (scanner_.in_request()) {
     Reject(ErrorKind::kRequestTooSlow);
     return;
   }
-  Close();
+  StartLingering();
 }
 
 auto CallerConnection::closes_after_reply() const -> bool {
--- a/src/node/traffic/caller_connection.h
+++ b/src/node/traffic/caller_connection.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <variant>
 
 #include "core/error_kind.h"
@@ -59,10 +60,14 @@
 
   // Whether a response is pending or being sent.
   [[nodiscard]] auto busy() const -> bool { return busy_; }
+  // Whether the last response was written and the connection is only kept
+  // until the caller has received it.
+  [[nodiscard]] auto lingering() const -> bool { return lingering_; }
   // Whether the caller has connected but sent nothing yet. Its request may be
   // on the way, so closing the connection would cut the request off.
   [[nodiscard]] auto awaiting_first_request() const -> bool {
-    return !busy_ && !receiving() && !rejecting_ && delivered_requests_ == 0;
+    return !busy_ && !receiving() && !rejecting_ && !lingering_ &&
+           delivered_requests_ == 0;
   }
   // Whether a request was received in part.
   [[nodiscard]] auto receiving() const -> bool { return scanner_.in_request(); }
@@ -81,6 +86,14 @@
   // caller receives every byte of a truncated response.
   auto CloseAfterFlush() -> void;
 
+  // Lingering close: sends the end of the stream, discards what the caller
+  // still sends, and closes once the caller has closed or has had time to read
+  // all responses. An immediate close with unread input would reset the
+  // connection and discard responses that the caller has not received yet. No
+  // effect if the connection lingers already. Precondition: the output buffer
+  // is empty.
+  auto StartLingering() -> void;
+
   // Called by CallerExchange when it no longer uses the connection.
   auto OnExchangeDetached() -> void { exchange_ = nullptr; }
 
@@ -100,13 +113,16 @@
   auto OnViolation(ErrorKind kind) -> void;
   // Sends an error response without evhttp and closes.
   auto Reject(ErrorKind kind) -> void;
-  auto OnRejectSent() -> void;
+  // Drops the received input and counts it towards the limit of a lingering
+  // close.
+  auto DiscardInput() -> void;
+  auto OnLingerTimer() -> void;
   // Detects that the caller disconnects while the response is pending.
   auto WatchForDisconnect() -> void;
   // Makes evhttp free the connection by reporting EOF to it.
   auto Close() -> void;
   auto OnClosed() -> void;
-  auto OnReplySent() -> void;
+  auto OnReplySent(evhttp_request* request) -> void;
   auto OnTimer() -> void;
 
   EventLoop& loop_;
@@ -123,6 +139,12 @@
   std::uint64_t delivered_requests_ = 0;
   bool busy_ = false;
   bool rejecting_ = false;
+  bool lingering_ = false;
+  TimePoint linger_started_;
+  // Input that was dropped since the connection began to close.
+  std::uint64_t discarded_bytes_ = 0;
+  // Whether the caller had acknowledged all output at the last check.
+  bool was_acknowledged_ = false;
   EventLoop::Handle timer_;
   std::unique_ptr<event, EventLoop::EventDeleter> attach_event_;
   std::unique_ptr<event, EventLoop::EventDeleter> close_event_;
--- a/src/node/traffic/caller_server.cc
+++ b/src/node/traffic/caller_server.cc
@@ -94,7 +94,7 @@
     if (connection->awaiting_first_request()) {
       connection->LimitFirstRequestWait();
     } else if (!connection->busy() && !connection->receiving()) {
-      connection->ScheduleClose();
+      connection->StartLingering();
     }
   }
 }
@@ -103,13 +103,16 @@
   return std::none_of(
       connections_.begin(), connections_.end(), [](const auto& entry) {
         return entry.second->busy() || entry.second->receiving() ||
+               entry.second->lingering() ||
                entry.second->awaiting_first_request();
       });
 }
 
 auto CallerServer::all_answered() const -> bool {
-  return std::none_of(connections_.begin(), connections_.end(),
-                      [](const auto& entry) { return entry.second->busy(); });
+  return std::none_of(
+      connections_.begin(), connections_.end(), [](const auto& entry) {
+        return entry.second->busy() || entry.second->lingering();
+      });
 }
 
 auto CallerServer::MakeConnection() -> bufferevent* {
--- a/src/node/traffic/caller_server.h
+++ b/src/node/traffic/caller_server.h
@@ -55,10 +55,11 @@
   // before, else soon unless their first request arrives.
   auto StartClosing(bool close_idle) -> void;
 
-  // Whether no request is being received or about to be, and no response is
-  // pending.
+  // Whether no request is being received or about to be, no response is
+  // pending, and callers have received all responses.
   [[nodiscard]] auto idle() const -> bool;
-  // Whether no response is pending or being sent.
+  // Whether no response is pending or being sent, and callers have received the
+  // last response of each connection that was closed.
   [[nodiscard]] auto all_answered() const -> bool;
 
   [[nodiscard]] auto connections() const -> std::size_t {
--- a/tests/unit/node/traffic/gateway/gateway_fixture.h
+++ b/tests/unit/node/traffic/gateway/gateway_fixture.h
@@ -90,7 +90,11 @@
            std::future_status::ready;
   }
 
-  auto Connect() -> TestSocket { return TestSocket::Connect(port_); }
+  // `receive_buffer` is the size of the kernel's buffer in bytes; 0 keeps the
+  // default.
+  auto Connect(int receive_buffer = 0) -> TestSocket {
+    return TestSocket::Connect(port_, receive_buffer);
+  }
 
   auto Publish(const std::vector<std::uint16_t>& upstreams,
                bool is_ready = true) -> void {
--- a/tests/unit/node/traffic/gateway/gateway_stopping_test.cc
+++ b/tests/unit/node/traffic/gateway/gateway_stopping_test.cc
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <string>
+#include <thread>
 
 #include "unit/node/traffic/gateway/gateway_fixture.h"
 
@@ -58,4 +59,36 @@
   cr_assert(gateway.WaitForExit());
 }
 
+// Guards against answers that are cut off by a reset: a closing connection that
+// still gets a pipelined request must not discard what the caller has not read
+// yet.
+Test(gateway_stopping, a_late_pipelined_request_cuts_off_no_answer) {
+  const std::string body(60'000, 'x');
+  UpstreamFake upstream(Always(Answer(kSuccess, body)));
+  GatewayFixture gateway({upstream.port()}, MakeStoppingConfig());
+  auto caller = gateway.Connect(4096);
+  cr_assert(caller.Write(Request("GET", "/repeatable/1")));
+  cr_assert(caller.ReadMessage()->whole);
+  gateway.Stop(StopMode::kGraceful);
+  TestSocket::Message status;
+  do {
+    status = gateway.Exchange("GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+  } while (status.status() == 200);
+  cr_assert(caller.Write(Request("GET", "/repeatable/2", "", "req-1", "1500")));
+  cr_assert(upstream.WaitForExecutions(2));
+  // The answer is in the buffers of the kernel by then, and most of it unread.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  cr_assert(caller.Write(Request("GET", "/repeatable/3")));
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_assert(answer->whole, "%zu of %zu bytes", answer->body.size(),
+            body.size());
+  cr_assert(answer->header("Connection") == "close");
+  cr_assert_not(caller.ReadMessage().has_value());
+  cr_assert_eq(upstream.executions(), 2U);
+  caller.Close();
+  cr_assert(gateway.WaitForExit());
+}
+
 }  // namespace flamingoyoke
--- a/tests/unit/node/traffic/test_socket.h
+++ b/tests/unit/node/traffic/test_socket.h
@@ -68,8 +68,15 @@
   }
   ~TestSocket() { Close(); }
 
-  static auto Connect(std::uint16_t port) -> TestSocket {
+  // `receive_buffer` is the size of the kernel's buffer in bytes; 0 keeps the
+  // default.
+  static auto Connect(std::uint16_t port, int receive_buffer = 0)
+      -> TestSocket {
     TestSocket socket(::socket(AF_INET, SOCK_STREAM, 0));
+    if (receive_buffer > 0) {
+      setsockopt(socket.descriptor_, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                 sizeof(receive_buffer));
+    }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
