Reserve memory for chunked bodies as they arrive

Cause: the whole allowance was reserved for each chunked request. With a max_body_bytes of 64 MiB that is more than the budget, so that every chunked request was answered 503 (body-budget-exhausted).

Change: the scanner asks before each chunk, and only its size is reserved.

--- a/src/node/traffic/body_budget.h
+++ b/src/node/traffic/body_budget.h
@@ -29,6 +29,13 @@
       }
     }
 
+    // Reserves `bytes` more. Precondition: CanReserve(bytes), and this was
+    // returned by Reserve().
+    auto Grow(std::uint64_t bytes) -> void {
+      budget_->used_ += bytes;
+      bytes_ += bytes;
+    }
+
     [[nodiscard]] auto bytes() const -> std::uint64_t { return bytes_; }
 
    private:
--- a/src/node/traffic/caller_connection.cc
+++ b/src/node/traffic/caller_connection.cc
@@ -73,8 +73,10 @@
       limits_(limits),
       budget_(budget),
       owner_(owner),
-      scanner_(limits.request,
-               [this](const ScannedHead& head) { return CheckHead(head); }),
+      scanner_(
+          limits.request,
+          [this](const ScannedHead& head) { return CheckHead(head); },
+          [this](std::uint64_t bytes) { return ReserveChunk(bytes); }),
       timer_(loop.MakeTimer([this] { OnTimer(); })) {
   evbuffer_add_cb(
       bufferevent_get_input(bev),
@@ -131,7 +133,8 @@
     return checked;
   }
   const auto allowance = std::get<BodyAllowance>(checked).max_bytes;
-  const auto bytes = head.chunked ? allowance : head.content_length.value_or(0);
+  // The size of a chunked body is unknown; each chunk is reserved as it comes.
+  const auto bytes = head.content_length.value_or(0);
   if (bytes > allowance) {
     return ErrorKind::kRequestTooLarge;
   }
@@ -142,9 +145,23 @@
   return checked;
 }
 
+auto CallerConnection::ReserveChunk(std::uint64_t bytes)
+    -> std::optional<ErrorKind> {
+  if (!budget_.CanReserve(bytes)) {
+    return ErrorKind::kBodyBudgetExhausted;
+  }
+  // The request that is being received is the last one.
+  reservations_.back().Grow(bytes);
+  return std::nullopt;
+}
+
 auto CallerConnection::OnInput(evbuffer* input, const evbuffer_cb_info& info)
     -> void {
-  if (info.n_added == 0 || rejecting_) {
+  if (info.n_added == 0) {
+    return;
+  }
+  if (rejecting_ || lingering_) {
+    DiscardInput();
     return;
   }
   AttachEvhttp();
--- a/src/node/traffic/caller_connection.h
+++ b/src/node/traffic/caller_connection.h
@@ -109,6 +109,7 @@
   auto AttachEvhttp() -> void;
   auto CheckHead(const ScannedHead& head)
       -> std::variant<BodyAllowance, ErrorKind>;
+  auto ReserveChunk(std::uint64_t bytes) -> std::optional<ErrorKind>;
   auto OnInput(evbuffer* input, const evbuffer_cb_info& info) -> void;
   auto OnViolation(ErrorKind kind) -> void;
   // Sends an error response without evhttp and closes.
--- a/src/node/traffic/request_scanner.cc
+++ b/src/node/traffic/request_scanner.cc
@@ -52,8 +52,12 @@
 
 }  // namespace
 
-RequestScanner::RequestScanner(Limits limits, HeadCheck check)
-    : limits_(limits), check_(std::move(check)) {}
+RequestScanner::RequestScanner(Limits limits,
+                               HeadCheck check,
+                               ChunkCheck check_chunk)
+    : limits_(limits),
+      check_(std::move(check)),
+      check_chunk_(std::move(check_chunk)) {}
 
 auto RequestScanner::Consume(std::string_view bytes)
     -> std::optional<ErrorKind> {
@@ -263,6 +267,12 @@
     SetViolation(ErrorKind::kRequestTooLarge);
     return;
   }
+  if (check_chunk_) {
+    if (const auto kind = check_chunk_(*size)) {
+      SetViolation(*kind);
+      return;
+    }
+  }
   remaining_allowance_ -= *size;
   remaining_body_bytes_ = *size;
   part_ = *size == 0 ? ScanPart::kLastChunk : ScanPart::kChunkData;
--- a/src/node/traffic/request_scanner.h
+++ b/src/node/traffic/request_scanner.h
@@ -70,8 +70,12 @@
   // Accepts or refuses a request when its head is complete.
   using HeadCheck =
       std::function<std::variant<BodyAllowance, ErrorKind>(const ScannedHead&)>;
+  // Accepts or refuses the next chunk of a body by its size in bytes.
+  using ChunkCheck =
+      std::function<std::optional<ErrorKind>(std::uint64_t bytes)>;
 
-  RequestScanner(Limits limits, HeadCheck check);
+  // Without `check_chunk`, chunks are limited by the allowance only.
+  RequestScanner(Limits limits, HeadCheck check, ChunkCheck check_chunk = {});
 
   // Scans the next bytes. After the first violation, input is ignored and every
   // call returns that violation.
@@ -103,6 +107,7 @@
 
   const Limits limits_;
   const HeadCheck check_;
+  const ChunkCheck check_chunk_;
   ScanPart part_ = ScanPart::kRequestLine;
   std::string line_;
   std::size_t head_bytes_ = 0;
