Ignore SIGHUP until its handler is set

The default action ended a process that was told to reload while it started. By reading; no test brings the signal about within these milliseconds.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -104,6 +104,9 @@
 }  // namespace
 
 auto RunDaemon(int argc, char** argv, const DaemonOptions& options) -> int {
+  // The default action would end a process that is told to reload its settings
+  // while it starts.
+  std::signal(SIGHUP, SIG_IGN);
   CLI::App app("Daemon of one VM in a flamingoyoke fleet.");
   app.set_version_flag("--version", options.name + " " + options.version);
   std::string settings_path;
