Cancel once-only requests whose caller left before they were written

Such a request was kept while its connection was being opened, and then tried on another target. Nothing has run yet, so it ends with its caller.

--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -99,18 +99,21 @@
     ids.push_back(id);
   }
   for (const auto id : ids) {
-    const bool may_have_run = std::any_of(
-        attempts_.begin(), attempts_.end(), [&](const auto& attempt) {
-          const auto& connection = attempt.second.lease.connection;
-          return attempt.second.request == id &&
-                 (!connection || connection->has_written());
-        });
-    Execute(RefuseRequest{id, may_have_run ? ErrorKind::kUpstreamReset
-                                           : ErrorKind::kHardStopQueued});
+    Execute(RefuseRequest{id, MayHaveRun(id) ? ErrorKind::kUpstreamReset
+                                             : ErrorKind::kHardStopQueued});
     Post(PoolRequestCancelled{id});
   }
 }
 
+auto PoolRunner::MayHaveRun(RequestId id) const -> bool {
+  return std::any_of(attempts_.begin(), attempts_.end(),
+                     [&](const auto& attempt) {
+                       const auto& connection = attempt.second.lease.connection;
+                       return attempt.second.request == id &&
+                              (!connection || connection->has_written());
+                     });
+}
+
 auto PoolRunner::running_attempts(const TargetId& target) const -> std::size_t {
   return static_cast<std::size_t>(std::count_if(
       attempts_.begin(), attempts_.end(), [&](const auto& attempt) {
@@ -318,10 +321,8 @@
   if (found == requests_.end()) {
     return;
   }
-  const bool is_running =
-      std::any_of(attempts_.begin(), attempts_.end(),
-                  [&](const auto& each) { return each.second.request == id; });
-  if (found->second.repeatability == Repeatability::kOnce && is_running) {
+  const bool may_have_run = MayHaveRun(id);
+  if (found->second.repeatability == Repeatability::kOnce && may_have_run) {
     // The request cannot be repeated, so its running attempt may finish.
     OnDrained(id);
     return;
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -130,6 +130,8 @@
   auto OnAttemptEnd(AttemptId id,
                     AttemptResult result,
                     const UpstreamSignals& signals) -> void;
+  // Returns whether bytes of a running attempt of the request were written.
+  [[nodiscard]] auto MayHaveRun(RequestId id) const -> bool;
   auto OnDrained(RequestId id) -> void;
   auto OnCallerGone(RequestId id) -> void;
   auto Finish(RequestId id, int status, std::optional<ErrorKind> error) -> void;
