Resume a watch whose connection was cut

Cause: a watch whose connection ended counted as a store that was down. Entries that are missing after such a time are kept for 2.3 s, and each cut started that time anew, so that removed targets stayed in use.

Change: the client tells a cut, a timeout, an unreachable store and an answer that is too large apart. A cut watch is resumed at its revision, first with a short wait so that it is answered before the next cut. Only if none is answered for a second does the store count as unavailable. The client also limits what it reads for one answer, interim responses and chunk sizes included.

--- a/src/node/control/store/store_reader.cc
+++ b/src/node/control/store/store_reader.cc
@@ -1,6 +1,7 @@
 #include "node/control/store/store_reader.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 
 #include <utility>
 
@@ -10,6 +11,9 @@
 // A page holds up to a megabyte of values, encoded in base64.
 constexpr ev_ssize_t kMaxResponseBytes = 4 << 20;
 constexpr ev_ssize_t kMaxHeaderBytes = 8 << 10;
+// Maximum number of bytes read for one response. Includes interim responses,
+// chunk sizes and blank lines, which evhttp does not limit.
+constexpr std::size_t kMaxReceivedBytes = 6 << 20;
 
 auto CopyBody(evhttp_request* request) -> std::string {
   auto* buffer = evhttp_request_get_input_buffer(request);
@@ -23,7 +27,7 @@
 StoreReader::StoreReader(EventLoop& loop, const StoreConfig& config)
     : loop_(loop), config_(config), timeout_timer_(loop.MakeTimer([this] {
         connection_.reset();
-        Complete(0, {});
+        Complete({.outcome = failure_});
       })) {}
 
 StoreReader::~StoreReader() {
@@ -42,13 +46,40 @@
   evhttp_connection_set_max_body_size(connection_.get(), kMaxResponseBytes);
   evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeaderBytes);
   evhttp_connection_set_retries(connection_.get(), 0);
+  evbuffer_add_cb(
+      bufferevent_get_input(
+          evhttp_connection_get_bufferevent(connection_.get())),
+      [](evbuffer*, const evbuffer_cb_info* info, void* reader) {
+        static_cast<StoreReader*>(reader)->OnInput(info->n_added);
+      },
+      this);
   return true;
 }
 
+auto StoreReader::OnInput(std::size_t bytes) -> void {
+  received_bytes_ += bytes;
+  if (received_bytes_ > kMaxReceivedBytes) {
+    // While its callbacks are set, evhttp enables reading again.
+    auto* bev = evhttp_connection_get_bufferevent(connection_.get());
+    bufferevent_setcb(bev, nullptr, nullptr, nullptr, nullptr);
+    bufferevent_disable(bev, EV_READ | EV_WRITE);
+    auto* input = bufferevent_get_input(bev);
+    evbuffer_drain(input, evbuffer_get_length(input));
+    FailSoon(ReadOutcome::kTooLarge);
+  }
+}
+
+auto StoreReader::FailSoon(ReadOutcome outcome) -> void {
+  failure_ = outcome;
+  timeout_timer_.Schedule(Duration::zero());
+}
+
 auto StoreReader::Get(const std::string& path,
                       Duration wait,
                       OnResponse on_response) -> void {
   on_response_ = std::move(on_response);
+  failure_ = ReadOutcome::kTimedOut;
+  received_bytes_ = 0;
   timeout_timer_.Schedule(config_.read_timeout + wait);
   if (!EnsureConnection()) {
     return;
@@ -58,6 +89,14 @@
         static_cast<StoreReader*>(reader)->OnRequestDone(done);
       },
       this);
+  evhttp_request_set_error_cb(
+      request, [](evhttp_request_error error, void* reader) {
+        if (error == EVREQ_HTTP_EOF || error == EVREQ_HTTP_BUFFER_ERROR) {
+          static_cast<StoreReader*>(reader)->failure_ = ReadOutcome::kCut;
+        } else if (error == EVREQ_HTTP_DATA_TOO_LONG) {
+          static_cast<StoreReader*>(reader)->failure_ = ReadOutcome::kTooLarge;
+        }
+      });
   evhttp_add_header(evhttp_request_get_output_headers(request), "Host",
                     config_.host.c_str());
   if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET,
@@ -74,18 +113,18 @@
   const auto status =
       request == nullptr ? 0 : evhttp_request_get_response_code(request);
   if (status == 0) {
-    // The connection must not be freed within its own callback, so the timer
-    // callback frees it.
-    timeout_timer_.Schedule(Duration::zero());
+    // The error callback has run before if the connection was established.
+    FailSoon(failure_ == ReadOutcome::kTimedOut ? ReadOutcome::kUnreachable
+                                                : failure_);
     return;
   }
-  Complete(status, CopyBody(request));
+  Complete({ReadOutcome::kAnswered, status, CopyBody(request)});
 }
 
-auto StoreReader::Complete(int status, std::string body) -> void {
+auto StoreReader::Complete(Response response) -> void {
   timeout_timer_.Cancel();
   if (const auto on_response = std::exchange(on_response_, nullptr)) {
-    on_response(status, std::move(body));
+    on_response(response);
   }
 }
 
--- a/src/node/control/store/store_reader.h
+++ b/src/node/control/store/store_reader.h
@@ -3,10 +3,12 @@
 
 #include <event2/http.h>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
 
+#include "decision/platform/watch_recovery.h"
 #include "node/control/store/store_config.h"
 #include "runtime/event_loop.h"
 
@@ -17,8 +19,13 @@
 // outlive its loop.
 class StoreReader {
  public:
-  // Called with status 0 if no complete response arrived in time.
-  using OnResponse = std::function<void(int status, std::string body)>;
+  struct Response {
+    ReadOutcome outcome = ReadOutcome::kAnswered;
+    // Unset unless the outcome is kAnswered.
+    int status = 0;
+    std::string body;
+  };
+  using OnResponse = std::function<void(const Response&)>;
 
   // `config` must outlive the reader.
   StoreReader(EventLoop& loop, const StoreConfig& config);
@@ -39,12 +46,20 @@
   };
 
   auto EnsureConnection() -> bool;
+  // Limits what a faulty store can make this process keep.
+  auto OnInput(std::size_t bytes) -> void;
   auto OnRequestDone(evhttp_request* request) -> void;
-  auto Complete(int status, std::string body) -> void;
+  // Ends the request with `outcome` in a later event, as the connection must
+  // not be freed within its own callbacks.
+  auto FailSoon(ReadOutcome outcome) -> void;
+  auto Complete(Response response) -> void;
 
   EventLoop& loop_;
   const StoreConfig& config_;
   OnResponse on_response_;
+  // The outcome that timeout_timer_ reports.
+  ReadOutcome failure_ = ReadOutcome::kTimedOut;
+  std::size_t received_bytes_ = 0;
   EventLoop::Handle timeout_timer_;
   std::unique_ptr<evhttp_connection, ConnectionDeleter> connection_;
 };
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -17,6 +17,17 @@
 constexpr int kStatusOk = 200;
 // The fleet task drains a full mailbox in its next iteration.
 constexpr Duration kPostRetryInterval = std::chrono::milliseconds(20);
+// Delay before a watch that was cut is resumed.
+constexpr Duration kResumeDelay = std::chrono::milliseconds(20);
+// A resumed watch waits this long only, so that it is answered before the next
+// cut.
+constexpr Duration kResumedWatchTimeout = std::chrono::milliseconds(1);
+
+auto DescribeFailure(const StoreReader::Response& response) -> std::string {
+  return response.outcome == ReadOutcome::kAnswered
+             ? "with status " + std::to_string(response.status)
+             : "without an answer: " + std::string(ToName(response.outcome));
+}
 
 auto CheckReadable(const StoreItem& item) -> Result<void> {
   if (!item.unreadable.empty()) {
@@ -98,25 +109,26 @@
 
 auto StoreTask::RequestList() -> void {
   reader_->Get(dialect_.list_target(list_cursor_), Duration::zero(),
-               [this](int status, const std::string& body) {
-                 OnListResponse(status, body);
+               [this](const StoreReader::Response& response) {
+                 OnListResponse(response);
                });
 }
 
 auto StoreTask::RequestWatch() -> void {
-  reader_->Get(dialect_.watch_target(watch_after_, config_.watch_timeout),
-               config_.watch_timeout,
-               [this](int status, const std::string& body) {
-                 OnWatchResponse(status, body);
+  const auto wait =
+      recovery_.is_resuming() ? kResumedWatchTimeout : config_.watch_timeout;
+  reader_->Get(dialect_.watch_target(watch_after_, wait), wait,
+               [this](const StoreReader::Response& response) {
+                 OnWatchResponse(response);
                });
 }
 
-auto StoreTask::OnListResponse(int status, const std::string& body) -> void {
+auto StoreTask::OnListResponse(const StoreReader::Response& response) -> void {
   is_reading_ = false;
   std::optional<StorePage> page;
-  if (status == kStatusOk) {
+  if (response.status == kStatusOk) {
     const auto error =
-        CaptureInto(page, [&] { return dialect_.read_page(body); });
+        CaptureInto(page, [&] { return dialect_.read_page(response.body); });
     if (error) {
       OnReadFailed("cannot decode the list response: " + error->detail);
       return;
@@ -125,7 +137,7 @@
   if (!page) {
     list_cursor_.clear();
     list_targets_.clear();
-    OnReadFailed("list request failed with status " + std::to_string(status));
+    OnReadFailed("list request failed " + DescribeFailure(response));
     return;
   }
   if (list_cursor_.empty()) {
@@ -149,9 +161,13 @@
   OnReadSucceeded();
 }
 
-auto StoreTask::OnWatchResponse(int status, const std::string& body) -> void {
+auto StoreTask::OnWatchResponse(const StoreReader::Response& response) -> void {
   is_reading_ = false;
-  if (status == dialect_.compacted_status) {
+  if (response.outcome != ReadOutcome::kAnswered) {
+    OnWatchEnded(response.outcome);
+    return;
+  }
+  if (response.status == dialect_.compacted_status) {
     Log(Part::kStore, LogLevel::kWarning,
         "the store has compacted the changes after revision " +
             std::to_string(watch_after_) + "; listing all keys again");
@@ -159,13 +175,13 @@
     StartRead();
     return;
   }
-  if (status != kStatusOk) {
-    OnReadFailed("watch request failed with status " + std::to_string(status));
+  if (response.status != kStatusOk) {
+    OnReadFailed("watch request failed " + DescribeFailure(response));
     return;
   }
   std::optional<StorePage> page;
   const auto error =
-      CaptureInto(page, [&] { return dialect_.read_page(body); });
+      CaptureInto(page, [&] { return dialect_.read_page(response.body); });
   if (error) {
     OnReadFailed("cannot decode the watch response: " + error->detail);
     return;
@@ -178,6 +194,17 @@
   OnReadSucceeded();
 }
 
+auto StoreTask::OnWatchEnded(ReadOutcome outcome) -> void {
+  if (!recovery_.ShouldResume(outcome, Now())) {
+    OnReadFailed("watch request failed " + DescribeFailure({outcome, 0, {}}));
+    return;
+  }
+  Log(Part::kStore, LogLevel::kInfo,
+      "the connection of a watch was cut; resuming after revision " +
+          std::to_string(watch_after_));
+  read_timer_.Schedule(kResumeDelay);
+}
+
 auto StoreTask::OnReadFailed(const std::string& reason) -> void {
   if (std::exchange(is_available_, false)) {
     Log(Part::kStore, LogLevel::kWarning,
@@ -194,6 +221,7 @@
     fleet_.Post(SourceStateChanged{true});
   }
   schedule_.DelayAfterAnswer();
+  recovery_.OnAnswered();
   tracker_.OnAnswered(Now());
   PostRegistry();
   if (!outbox_.has_pending()) {
--- a/src/node/control/store/store_task.h
+++ b/src/node/control/store/store_task.h
@@ -11,6 +11,7 @@
 #include "core/result.h"
 #include "decision/platform/read_schedule.h"
 #include "decision/platform/registry_tracker.h"
+#include "decision/platform/watch_recovery.h"
 #include "node/control/store/store_config.h"
 #include "node/control/store/store_reader.h"
 #include "node/control/store/table_outbox.h"
@@ -44,8 +45,10 @@
   auto StartRead() -> void;
   auto RequestList() -> void;
   auto RequestWatch() -> void;
-  auto OnListResponse(int status, const std::string& body) -> void;
-  auto OnWatchResponse(int status, const std::string& body) -> void;
+  auto OnListResponse(const StoreReader::Response& response) -> void;
+  auto OnWatchResponse(const StoreReader::Response& response) -> void;
+  // A watch ended without an answer.
+  auto OnWatchEnded(ReadOutcome outcome) -> void;
   auto OnReadFailed(const std::string& reason) -> void;
   auto OnReadSucceeded() -> void;
   // Applies one entry. While listing, targets are appended to `targets`; while
@@ -66,6 +69,9 @@
   TaskContext* context_ = nullptr;
   RegistryTracker tracker_;
   ReadSchedule schedule_;
+  WatchRecovery recovery_;
+  // Reports of targets that were ignored, as newer ones are known.
+  std::uint64_t outdated_reports_ = 0;
   std::unique_ptr<StoreReader> reader_;
   EventLoop::Handle read_timer_;
   EventLoop::Handle post_timer_;
