Bound the age of the view that a VM acts on

Cause: three VMs read the store and five more notice their loss within a second. A VM that stands by for nothing notices the loss of all eight only when its slow links time out, after 4 s, and acts on the old configuration and registry.

Change: heartbeats carry the newest confirmation that a reader follows the store. A VM without one for gateway.max_view_age_ms (1 s, half of the time within which a change must be in force) reads the store itself, after a delay that spreads such reads. A confirmation that is much newer is passed on at once, which stops the others; a substitute stops when an elected reader, or another substitute that is ranked before it, confirms. Messages that carry it are ordered by reader, incarnation and sequence.

--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -149,6 +149,17 @@
   }
 }
 
+auto Membership::Handle(const SourceConfirmed& event, TimePoint now) -> void {
+  source_ = event.newest;
+  source_set_ = now;
+  if (!event.announce) {
+    return;
+  }
+  for (const auto& [vm, link] : links_.links()) {
+    SendHeartbeat(vm, link, now);
+  }
+}
+
 auto Membership::Handle(const HomePeersChanged& event, TimePoint /*now*/)
     -> void {
   home_peers_ = std::set<VmId>(event.peers.begin(), event.peers.end());
@@ -584,6 +595,10 @@
   heartbeat.tables = tables_;
   heartbeat.membership_digest = list_.Digest(self_);
   heartbeat.is_chosen = link.is_chosen();
+  heartbeat.source = source_;
+  if (heartbeat.source) {
+    heartbeat.source->age += now - source_set_;
+  }
   Send(peer, std::move(heartbeat));
 }
 
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -60,6 +60,7 @@
   auto Handle(const PeerEnvelope& envelope, TimePoint now) -> void;
   auto IsFreshAfterResume(const PeerEnvelope& envelope) -> bool;
   auto Handle(const SelfAnnounced& event, TimePoint now) -> void;
+  auto Handle(const SourceConfirmed& event, TimePoint now) -> void;
   auto Handle(const HomePeersChanged& event, TimePoint now) -> void;
   auto Handle(const LeavingDeclared& event, TimePoint now) -> void;
   auto Handle(const MembershipResumed& event, TimePoint now) -> void;
@@ -117,6 +118,9 @@
   PendingIndirectProbes pending_probes_;
   std::set<VmId> home_peers_;
   std::vector<TableDigest> tables_;
+  // For heartbeats: the newest confirmation, and when it had its age.
+  std::optional<SourceConfirmation> source_;
+  TimePoint source_set_;
 
   std::uint64_t ticks_ = 0;
   // Highest sequence sent. Initialized from the clock, so that it also
--- a/src/decision/fleet/membership_event.h
+++ b/src/decision/fleet/membership_event.h
@@ -2,6 +2,7 @@
 #define FLAMINGOYOKE_DECISION_FLEET_MEMBERSHIP_EVENT_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -36,6 +37,13 @@
   VmResources load = {};
 };
 
+// The newest confirmation that a reader follows the published store, for the
+// heartbeats. With `announce`, all peers get a heartbeat at once.
+struct SourceConfirmed {
+  std::optional<SourceConfirmation> newest;
+  bool announce = false;
+};
+
 // The other members of the home sets that this VM belongs to.
 struct HomePeersChanged {
   std::vector<VmId> peers;
@@ -53,6 +61,7 @@
                                      VmListSeeded,
                                      PeerEnvelope,
                                      SelfAnnounced,
+                                     SourceConfirmed,
                                      HomePeersChanged,
                                      LeavingDeclared,
                                      MembershipResumed,
--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -27,6 +28,19 @@
   auto operator==(const TableDigest&) const -> bool = default;
 };
 
+// States that a reader followed the published store `age` ago. Ordered by
+// incarnation and sequence for each reader.
+struct SourceConfirmation {
+  VmId reader;
+  Incarnation incarnation;
+  std::uint64_t sequence = 0;
+  Duration age = Duration::zero();
+  // Whether it is an elected reader, not a substitute for lost ones.
+  bool is_elected = false;
+
+  auto operator==(const SourceConfirmation&) const -> bool = default;
+};
+
 struct Heartbeat {
   std::uint64_t sequence = 0;
   // Highest sequence received from the receiver; 0 if none was received
@@ -38,6 +52,8 @@
   std::uint64_t membership_digest = 0;
   // Whether the sender chose the receiver as a peer and expects its heartbeats.
   bool is_chosen = false;
+  // The newest confirmation that the sender knows.
+  std::optional<SourceConfirmation> source = {};
 };
 
 // Asks a peer whether it hears `subject`; the peer sends it back with `reply`
@@ -120,6 +136,9 @@
   std::uint32_t slow = 0;
   // Slots of the target that the sender currently uses.
   std::uint32_t in_flight = 0;
+  // How long the sender sends nothing to the target because the target asked
+  // for it, or said that it leaves.
+  Duration avoid = Duration::zero();
 };
 
 struct SlotReturn {
--- a/src/node/control/fleet/fleet_config.h
+++ b/src/node/control/fleet/fleet_config.h
@@ -1,10 +1,12 @@
 #ifndef FLAMINGOYOKE_NODE_CONTROL_FLEET_FLEET_CONFIG_H_
 #define FLAMINGOYOKE_NODE_CONTROL_FLEET_FLEET_CONFIG_H_
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
 #include "core/service_source.h"
+#include "core/time.h"
 #include "decision/fleet/member.h"
 #include "decision/peer/peer_message.h"
 #include "node/messages.h"
@@ -28,6 +30,9 @@
   // Minimum number of entry VMs for callers of routed services, kept even while
   // the fleet is idle.
   std::uint32_t least_entries = 3;
+  // Maximum age of the published configuration and registry. A VM without a
+  // confirmation of a reader for this long reads the store itself.
+  Duration max_view_age = std::chrono::seconds(1);
 };
 
 // Mailboxes of the tasks that the fleet task sends messages to.
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -27,6 +27,8 @@
 // has lost the store for good by then.
 constexpr Duration kSourceRetryDelay = std::chrono::seconds(8);
 constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
+// Period of the check whether a substitute reader is still needed.
+constexpr Duration kSubstituteCheckPeriod = std::chrono::milliseconds(100);
 
 auto DelayUntil(TimePoint at) -> Duration {
   return std::max(at - Now(), Duration::zero());
@@ -55,7 +57,11 @@
                                ? FirstRead::kBeforeReady
                                : FirstRead::kSpread),
       entries_(config_.least_entries),
-      capacity_(config_.self.capacity) {
+      capacity_(config_.self.capacity),
+      freshness_(config_.self.id,
+                 config_.self.incarnation,
+                 config_.max_view_age,
+                 Random(config_.seed + 2)) {
   if (config_.source == ServiceSource::kPublished) {
     tables_.emplace<PublishedStore>();
   }
@@ -66,6 +72,7 @@
   auto& loop = context.loop();
   membership_timer_ = loop.MakeTimer([this] {
     ProcessEvent(PauseCheck{});
+    UpdateFreshness();
     ProcessEvent(MembershipTimer{});
     UpdateTableDissemination();
     UpdateReadiness();
@@ -78,11 +85,17 @@
       [this] { ProcessEvent(PauseTick{membership_.peer_count() > 0}); });
   readiness_timer_ = loop.MakeTimer([this] { UpdateReadiness(); });
   source_timer_ = loop.MakeTimer([this] { SetLostSource(false); });
+  freshness_timer_ = loop.MakeTimer([this] {
+    ProcessEvent(PauseCheck{});
+    NotifyTableDissemination(membership_.Members());
+    ScheduleFreshnessCheck();
+  });
   publish_timer_ = loop.MakeTimer([this] { Publish(); });
   metrics_timer_ =
       loop.MakePeriodicTimer(kMetricsPeriod, [this] { ReportMetrics(); });
   const auto now = Now();
   readiness_.emplace(now);
+  freshness_.OnStarted(now);
   readiness_timer_.Schedule(kStartupPeerWait);
   ProcessEvent(PauseTick{});
   ProcessEvent(MembershipStarted{});
@@ -91,6 +104,7 @@
     HandleMessage(VmListRead{config_.seeds, 0});
   }
   PublishSoon();
+  ScheduleFreshnessCheck();
   return {};
 }
 
@@ -108,6 +122,11 @@
 }
 
 auto FleetTask::HandleMessage(PeerMessageReceived message) -> void {
+  const auto* heartbeat = std::get_if<Heartbeat>(&message.envelope.message);
+  if (heartbeat != nullptr && heartbeat->source) {
+    freshness_.OnConfirmation(*heartbeat->source, Now());
+    UpdateFreshness();
+  }
   ProcessEvent(MembershipEvent(message.envelope));
   ProcessEvent(TableDisseminationEvent(std::move(message.envelope)));
 }
@@ -124,12 +143,38 @@
 
 auto FleetTask::HandleMessage(const SourceRead& message) -> void {
   ProcessEvent(TableDisseminationEvent(message));
+  has_read_as_reader_ = is_reader_;
+  UpdateFreshness();
 }
 
 auto FleetTask::HandleMessage(const SourceStateChanged& message) -> void {
+  has_read_as_reader_ = has_read_as_reader_ && message.is_available;
   SetLostSource(!message.is_available);
 }
 
+auto FleetTask::UpdateFreshness() -> void {
+  if (config_.source != ServiceSource::kPublished) {
+    return;
+  }
+  const auto now = Now();
+  // A reader that lost the store is still elected only if all VMs lost it. More
+  // reads by others would not help then.
+  if (is_reader_ && (has_read_as_reader_ || (is_elected_ && lost_source_))) {
+    freshness_.OnFollowing(is_elected_, now);
+  }
+  ProcessEvent(MembershipEvent(SourceConfirmed{
+      freshness_.Newest(now), freshness_.TakeAnnouncementDue()}));
+  ScheduleFreshnessCheck();
+}
+
+auto FleetTask::ScheduleFreshnessCheck() -> void {
+  if (config_.source == ServiceSource::kPublished) {
+    const auto delay = DelayUntil(freshness_.due());
+    freshness_timer_.Schedule(
+        is_substitute_ ? std::max(delay, kSubstituteCheckPeriod) : delay);
+  }
+}
+
 auto FleetTask::SetLostSource(bool lost) -> void {
   if (lost) {
     source_timer_.Schedule(kSourceRetryDelay);
@@ -253,6 +298,9 @@
 }
 
 auto FleetTask::Execute(const ReaderRoleSet& action) -> void {
+  if (std::exchange(is_reader_, action.is_reader) != action.is_reader) {
+    has_read_as_reader_ = false;
+  }
   outlets_.platform.Post(
       ReaderRoleChanged{action.is_reader, action.known, WasSourceHealthy()});
 }
@@ -267,6 +315,7 @@
       "the process was paused for " +
           std::to_string(ToMilliseconds(action.duration)) + " ms");
   readiness_->Resume(Now());
+  freshness_.OnStarted(Now());
   readiness_timer_.Schedule(kResumePeerWait);
   ProcessEvent(MembershipResumed{});
   ProcessEvent(TableDisseminationResumed{});
@@ -342,8 +391,9 @@
       (has_list_ &&
        two_way_peers_.size() >=
            std::min(kMinTwoWayPeers, membership_.list().other_count()));
-  const bool is_elected = knows_fleet && IsReader(members);
-  ProcessEvent(TableFleetChanged{two_way_peers_, is_elected, members.size()});
+  is_elected_ = knows_fleet && IsReader(members);
+  const bool reads = is_elected_ || IsSubstitute(members.size());
+  ProcessEvent(TableFleetChanged{two_way_peers_, reads, members.size()});
 }
 
 auto FleetTask::PublishSoon() -> void {
@@ -436,6 +486,27 @@
          readers.end();
 }
 
+auto FleetTask::IsSubstitute(std::size_t fleet_size) -> bool {
+  if (config_.source != ServiceSource::kPublished) {
+    return false;
+  }
+  const auto now = Now();
+  freshness_.SetFleetSize(fleet_size);
+  const bool was_substitute = is_substitute_;
+  is_substitute_ = freshness_.ShouldRead(now);
+  if (is_substitute_ && !was_substitute) {
+    ++substitutions_;
+    Log(Part::kFleet, LogLevel::kWarning,
+        "no reader of the store confirmed for " +
+            std::to_string(ToMilliseconds(freshness_.Age(now))) +
+            " ms; reading it as a substitute");
+  } else if (was_substitute && !is_substitute_) {
+    Log(Part::kFleet, LogLevel::kInfo,
+        "another reader follows the store; no longer a substitute");
+  }
+  return is_substitute_;
+}
+
 auto FleetTask::WasSourceHealthy() const -> bool {
   const auto now = Now();
   // A VM that has just become ready has not observed the source long enough.
@@ -486,6 +557,13 @@
           {.name = "flamingoyoke_fleet_refused_tables_total",
            .help = "Versions of the table that failed their check.",
            .value = static_cast<double>(rejected_tables_)},
+          {.name = "flamingoyoke_fleet_source_age_seconds",
+           .help = "Time since a reader of the store last confirmed.",
+           .is_counter = false,
+           .value = ToSeconds(freshness_.Age(Now()))},
+          {.name = "flamingoyoke_fleet_substitutions_total",
+           .help = "Times that this vm read the store for lost readers.",
+           .value = static_cast<double>(substitutions_)},
           {.name = "flamingoyoke_fleet_pauses_total",
            .help = "Times that the process was paused.",
            .value = static_cast<double>(pauses_)},
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -14,6 +14,7 @@
 #include "decision/fleet/home_index.h"
 #include "decision/fleet/membership.h"
 #include "decision/fleet/readiness_gate.h"
+#include "decision/fleet/source_freshness.h"
 #include "decision/fleet/source_health.h"
 #include "decision/fleet/table_dissemination.h"
 #include "decision/pause/pause_detector.h"
@@ -69,6 +70,11 @@
   auto Execute(const WakePauseDetectorAt& action) -> void;
 
   auto SetLostSource(bool lost) -> void;
+  // Confirms that this VM follows the store if it does, and passes the newest
+  // confirmation to the membership.
+  auto UpdateFreshness() -> void;
+  // Schedules the check for lost readers.
+  auto ScheduleFreshnessCheck() -> void;
   // Announces changes of this VM's member record to the other VMs.
   auto AnnounceSelf() -> void;
   auto UpdateReadiness() -> void;
@@ -88,6 +94,8 @@
   auto UpdateHomePeers(const FleetView& view) -> void;
   // Returns whether this VM reads the service source on behalf of others.
   [[nodiscard]] auto IsReader(const std::vector<Member>& members) const -> bool;
+  // Returns whether this VM reads the published store in place of lost readers.
+  [[nodiscard]] auto IsSubstitute(std::size_t fleet_size) -> bool;
   [[nodiscard]] auto WasSourceHealthy() const -> bool;
   [[nodiscard]] auto ActiveRevision() const -> Revision;
   auto ReportMetrics() -> void;
@@ -116,6 +124,13 @@
   // Time at which this VM became ready.
   std::optional<TimePoint> ready_since_;
   SourceHealth source_health_;
+  SourceFreshness freshness_;
+  // The role last sent to the task that reads the source, and whether that task
+  // has read the source in this role.
+  bool is_reader_ = false;
+  bool has_read_as_reader_ = false;
+  bool is_elected_ = false;
+  bool is_substitute_ = false;
   std::vector<TableDigest> announced_tables_;
   std::vector<VmId> two_way_peers_;
   std::set<VmId> silent_peers_;
@@ -124,6 +139,8 @@
   std::shared_ptr<const Registry> posted_registry_;
   std::uint64_t rejected_tables_ = 0;
   std::uint64_t pauses_ = 0;
+  // Times that this VM began to read the store as a substitute.
+  std::uint64_t substitutions_ = 0;
 
   EventLoop::Handle membership_timer_;
   EventLoop::Handle table_timer_;
@@ -132,6 +149,7 @@
   EventLoop::Handle publish_timer_;
   EventLoop::Handle metrics_timer_;
   EventLoop::Handle source_timer_;
+  EventLoop::Handle freshness_timer_;
 };
 
 }  // namespace flamingoyoke
--- a/src/node/node_config.cc
+++ b/src/node/node_config.cc
@@ -107,6 +107,7 @@
   }
   config.source = ServiceSource::kPublished;
   config.least_entries = settings_.gateway.least_entries;
+  config.max_view_age = settings_.gateway.max_view_age;
   config.table_shards = kPublishedShards;
   for (const auto& seed : settings_.gateway.seeds) {
     if (seed.host != settings_.vm.id.value()) {
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -29,6 +29,7 @@
 constexpr IntegerFieldRange kWatchRange{1'000, 300'000, "milliseconds"};
 constexpr IntegerFieldRange kHardLimitRange{0, 3'600'000, "milliseconds"};
 constexpr IntegerFieldRange kEntriesRange{1, 1'000, "VMs"};
+constexpr IntegerFieldRange kViewAgeRange{200, 60'000, "milliseconds"};
 constexpr IntegerFieldRange kRequestTimeRange{1, 1'000'000, "microseconds"};
 constexpr IntegerFieldRange kRetrySlackRange{0, 1'000'000, "attempts"};
 constexpr std::size_t kMaxPathLength = 4'096;
@@ -142,6 +143,9 @@
     gateway.seeds = group.Addresses("seeds");
     gateway.least_entries = static_cast<std::uint32_t>(
         group.Integer("least_entries", kEntriesRange, gateway.least_entries));
+    gateway.max_view_age = std::chrono::milliseconds(group.Integer(
+        "max_view_age_ms", kViewAgeRange,
+        static_cast<std::uint64_t>(ToMilliseconds(gateway.max_view_age))));
     gateway.request_processor_time = std::chrono::microseconds(group.Integer(
         "request_processor_us", kRequestTimeRange,
         static_cast<std::uint64_t>(gateway.request_processor_time.count())));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -98,6 +98,9 @@
   std::vector<NamedEndpoint> seeds;
   // Minimum number of VMs in directory responses while the fleet is idle.
   std::uint32_t least_entries = 3;
+  // Maximum time without news of the published store before a VM reads it
+  // itself. Half of the two seconds within which a change must be in force.
+  Duration max_view_age = std::chrono::seconds(1);
   // Processor time per request. The default corresponds to 0.064 of a core at
   // 49 requests/s.
   Duration request_processor_time = std::chrono::microseconds(1300);
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -1,5 +1,6 @@
 #include "wire/body_reader.h"
 
+#include <chrono>
 #include <cmath>
 #include <cstdint>
 #include <string>
@@ -76,7 +77,8 @@
   for (const auto& outcomes : encoded.outcomes()) {
     all.push_back({TargetId(outcomes.target()), outcomes.succeeded(),
                    outcomes.failed(), outcomes.timed_out(), outcomes.slow(),
-                   outcomes.in_flight()});
+                   outcomes.in_flight(),
+                   std::chrono::milliseconds(outcomes.avoid_ms())});
   }
   return all;
 }
@@ -92,6 +94,13 @@
   for (const auto& digest : encoded.tables()) {
     message.tables.push_back(ReadDigest(digest));
   }
+  if (encoded.has_source()) {
+    const auto& source = encoded.source();
+    message.source = SourceConfirmation{
+        VmId(source.reader()), Incarnation(source.incarnation()),
+        source.sequence(), std::chrono::milliseconds(source.age_ms()),
+        source.is_elected()};
+  }
   return message;
 }
 
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -1,5 +1,8 @@
 #include "wire/body_writer.h"
 
+#include <algorithm>
+#include <limits>
+
 namespace flamingoyoke {
 namespace {
 
@@ -32,6 +35,11 @@
   encoded->set_version(member.version);
 }
 
+auto ToWireMilliseconds(Duration duration) -> std::uint32_t {
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      ToMilliseconds(duration), 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
 auto WriteOutcomes(const TargetOutcomes& outcomes,
                    wire::TargetOutcomes* encoded) -> void {
   encoded->set_target(outcomes.target.value());
@@ -40,6 +48,7 @@
   encoded->set_timed_out(outcomes.timed_out);
   encoded->set_slow(outcomes.slow);
   encoded->set_in_flight(outcomes.in_flight);
+  encoded->set_avoid_ms(ToWireMilliseconds(outcomes.avoid));
 }
 
 // Writes the service and target fields that several messages share.
@@ -67,6 +76,14 @@
   }
   encoded->set_membership_digest(message.membership_digest);
   encoded->set_is_chosen(message.is_chosen);
+  if (message.source) {
+    auto* source = encoded->mutable_source();
+    source->set_reader(message.source->reader.value());
+    source->set_incarnation(message.source->incarnation.value());
+    source->set_sequence(message.source->sequence);
+    source->set_age_ms(ToWireMilliseconds(message.source->age));
+    source->set_is_elected(message.source->is_elected);
+  }
 }
 
 auto BodyWriter::operator()(const IndirectProbe& message) const -> void {
--- /dev/null
+++ b/tests/unit/decision/fleet/source_freshness_test.cc
@@ -0,0 +1,96 @@
+#include "decision/fleet/source_freshness.h"
+
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <cstddef>
+#include <vector>
+
+namespace flamingoyoke {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+constexpr Duration kMaxAge = std::chrono::seconds(1);
+
+auto MakeFreshness(const char* vm, std::uint64_t seed = 1) -> SourceFreshness {
+  SourceFreshness freshness(VmId(vm), Incarnation(1), kMaxAge, Random(seed));
+  freshness.SetFleetSize(32);
+  freshness.OnStarted(kStart);
+  return freshness;
+}
+
+auto Confirmed(const char* reader,
+               std::uint64_t sequence,
+               Duration age,
+               bool is_elected = true) -> SourceConfirmation {
+  return {VmId(reader), Incarnation(1), sequence, age, is_elected};
+}
+
+}  // namespace
+
+// Guards against a fleet that acts on an old configuration: in the review's
+// case 3, VMs whose readers had lost power noticed it after 4 s.
+Test(source_freshness, reads_within_the_maximum_age_after_the_last_reader) {
+  auto freshness = MakeFreshness("vm-a");
+  const auto last = kStart + milliseconds(5000);
+  freshness.OnConfirmation(Confirmed("vm-z", 7, milliseconds(200)),
+                           last + milliseconds(200));
+  cr_assert_not(freshness.ShouldRead(last + milliseconds(990)));
+  cr_assert(freshness.ShouldRead(last + milliseconds(1100)));
+}
+
+// Guards against a confirmation that was held up on its way, or that a peer
+// repeats, and that makes the view look newer than it is.
+Test(source_freshness, a_late_confirmation_changes_nothing) {
+  auto freshness = MakeFreshness("vm-a");
+  const auto last = kStart + milliseconds(5000);
+  freshness.OnConfirmation(Confirmed("vm-z", 7, milliseconds(0)), last);
+  const auto later = last + milliseconds(900);
+  freshness.OnConfirmation(Confirmed("vm-z", 7, milliseconds(10)), later);
+  freshness.OnConfirmation(Confirmed("vm-z", 6, milliseconds(10)), later);
+  cr_assert(freshness.ShouldRead(last + milliseconds(1100)));
+}
+
+// Guards against more calls to the store than before the readers were lost.
+Test(source_freshness, a_substitute_stops_for_a_better_reader) {
+  auto freshness = MakeFreshness("vm-b");
+  auto now = kStart + milliseconds(5000);
+  cr_assert(freshness.ShouldRead(now));
+  freshness.OnFollowing(false, now);
+  now += milliseconds(50);
+  freshness.OnConfirmation(Confirmed("vm-c", 1, Duration::zero(), false), now);
+  cr_assert(freshness.ShouldRead(now), "stopped for a lower-ranked substitute");
+  freshness.OnConfirmation(Confirmed("vm-a", 1, Duration::zero(), false), now);
+  cr_assert_not(freshness.ShouldRead(now));
+  auto other = MakeFreshness("vm-b");
+  cr_assert(other.ShouldRead(now));
+  other.OnConfirmation(Confirmed("vm-z", 1, Duration::zero(), true), now);
+  cr_assert_not(other.ShouldRead(now), "did not stop for an elected reader");
+}
+
+// Guards against a storm of reads: VMs that lose their readers at the same
+// moment must not all read before the first one has confirmed.
+Test(source_freshness, few_of_many_vms_read_before_the_first_confirms) {
+  constexpr std::size_t kVms = 500;
+  constexpr Duration kConfirmationDelay = milliseconds(50);
+  std::vector<SourceFreshness> vms;
+  for (std::size_t i = 0; i < kVms; ++i) {
+    vms.push_back(MakeFreshness(("vm-" + std::to_string(i)).c_str(), i));
+    vms.back().SetFleetSize(kVms);
+  }
+  const auto lost = kStart + SourceFreshness::kStartGrace;
+  TimePoint first = TimePoint::max();
+  std::size_t readers = 0;
+  for (const auto& vm : vms) {
+    first = std::min(first, vm.due());
+  }
+  for (auto& vm : vms) {
+    readers += vm.due() <= first + kConfirmationDelay ? 1 : 0;
+    cr_assert_leq(ToMilliseconds(vm.due() - lost), 500);
+  }
+  cr_assert_leq(readers, kVms / 5);
+}
+
+}  // namespace flamingoyoke
--- a/tests/unit/wire/peer_codec_test.cc
+++ b/tests/unit/wire/peer_codec_test.cc
@@ -14,6 +14,8 @@
 namespace flamingoyoke {
 namespace {
 
+using std::chrono::milliseconds;
+
 auto Decode(const std::string& bytes) -> std::optional<PeerEnvelope> {
   std::optional<PeerEnvelope> envelope;
   CaptureInto(envelope, [&] { return DecodeEnvelope(bytes); });
@@ -30,11 +32,14 @@
   return envelope->message;
 }
 
+const SourceConfirmation kSource{VmId("r"), Incarnation(8), 9,
+                                 milliseconds(250), true};
+
 auto AllMessages() -> std::vector<PeerMessage> {
   const ServiceId service("orders");
   const TargetId target("127.0.0.1:9");
   return {
-      Heartbeat{5, 4, true, true, {{1, Revision(2), 3}}, 6, true},
+      Heartbeat{5, 4, true, true, {{1, Revision(2), 3}}, 6, true, kSource},
       IndirectProbe{VmId("b"), Incarnation(3), true, false},
       MemberUpdate{{Member{.id = VmId("c"), .version = 3}}, true, {1, 2}},
       TableAnnounce{{1, Revision(2), 3}},
@@ -45,7 +50,8 @@
       SlotLoan{LoanId(1), service, 2, {target, target}, Duration(9)},
       SlotReturn{LoanId(1), service, {target}, {{target, 1, 2, 3, 4}}},
       SlotRecall{LoanId(1), service},
-      OutcomeReport{service, {{target, 1, 2, 3, 4}}, {5, 6}},
+      OutcomeReport{
+          service, {{target, 1, 2, 3, 4, 5, milliseconds(70)}}, {5, 6}},
       EjectionNotice{service, target, TargetState::kTrial, 4, 0.5, Duration(8)},
       EjectionPermitRequest{service, target},
       EjectionPermit{service, target, true},
@@ -77,6 +83,9 @@
   const auto heartbeat = std::get<Heartbeat>(RoundTrip(AllMessages()[0]));
   cr_assert_eq(heartbeat.heard_sequence, 4);
   cr_assert(heartbeat.tables.front() == (TableDigest{1, Revision(2), 3}));
+  cr_assert(heartbeat.source == kSource);
+  const auto report = std::get<OutcomeReport>(RoundTrip(AllMessages()[11]));
+  cr_assert(report.outcomes.front().avoid == milliseconds(70));
 }
 
 // Guards against an enum value of a newer version that is used as an index
