Honour targets that leave or ask for a rest

Cause: nothing read the header by which a target says in its answers that it leaves, nor the Retry-After of a 503.

Change: TargetAvailability tracks what a target wants from this gateway. A start that said that it leaves gets no more requests, whatever the registry says. One that asked for a rest gets none until it is over, then one at a time until one succeeds; the end is spread at random over the gateways. A rest says nothing about health and does not prove that a request did not run. If all targets leave, or rest longer than a request can wait, the request is refused at once with the time left.

--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -124,6 +124,10 @@
   if (event.min_retries) {
     retry_budget_.Configure(limits_.retry_share, *event.min_retries);
   }
+  RefuseWithoutTargets();
+}
+
+auto PoolDispatcher::RefuseWithoutTargets() -> void {
   if (pool_.HasUsable()) {
     return;
   }
@@ -133,6 +137,23 @@
   }
 }
 
+auto PoolDispatcher::On(const PoolTargetSignalled& event) -> void {
+  const auto found = attempts_.find(event.attempt);
+  if (found == attempts_.end()) {
+    return;
+  }
+  const auto& target = found->second.target;
+  if (event.leaving) {
+    ++counters_.leaving_answers;
+    pool_.OnLeaving(target);
+    RefuseWithoutTargets();
+  }
+  if (event.rest > Duration::zero()) {
+    ++counters_.rest_answers;
+    pool_.OnRest(target, event.rest, now_);
+  }
+}
+
 auto PoolDispatcher::On(const PoolRequestArrived& event) -> void {
   ++counters_.arrived;
   auto& active = requests_[event.request];
@@ -152,8 +173,9 @@
     return;
   }
   const auto wait = EstimateWait(active);
-  if (now_ + wait + Scale(kMinTimeFactor, ExpectedServiceTime(active)) >
-      event.deadline) {
+  if (!OpensInTime(active) ||
+      now_ + wait + Scale(kMinTimeFactor, ExpectedServiceTime(active)) >
+          event.deadline) {
     Refuse(active, ErrorKind::kDeadlineUnreachable);
     return;
   }
@@ -193,7 +215,9 @@
   auto& running = active.running;
   running.erase(std::remove(running.begin(), running.end(), event.attempt),
                 running.end());
-  pool_.OnEnded(ended.target, AssessTarget(active, event.result), now_);
+  const auto evidence = AssessTarget(active, event.result);
+  pool_.OnEnded(ended.target, event.asked_for_rest ? std::nullopt : evidence,
+                now_);
   if (event.other_instance) {
     pool_.OnReplaced(ended.target);
   } else if (event.result == AttemptResult::kShed) {
@@ -239,12 +263,18 @@
   return EvidenceFor(result);
 }
 
+auto PoolDispatcher::OpensInTime(const ActiveRequest& active) const -> bool {
+  const auto opens = pool_.OpensAt(active.tried, now_);
+  return opens && *opens + Scale(kMinTimeFactor, ExpectedServiceTime(active)) <=
+                      active.info.deadline;
+}
+
 auto PoolDispatcher::QueueRetry(ActiveRequest& active, AttemptResult result)
     -> bool {
   const bool may_run_again = active.info.repeatable || IsNotRun(result);
   // A request goes to each target at most once. Without an untried target it
   // would stay in the queue until its deadline.
-  if (!may_run_again || IsTooLate(active) || !pool_.HasUntried(active.tried)) {
+  if (!may_run_again || IsTooLate(active) || !OpensInTime(active)) {
     return false;
   }
   if (result == AttemptResult::kConnectFailed) {
@@ -457,7 +487,9 @@
     -> Duration {
   const auto slots = pool_.UsableSlots(now_);
   if (slots == 0) {
-    return active.info.objective;
+    // Targets that rest open again at a known time.
+    const auto opens = pool_.OpensAt({}, now_);
+    return opens && *opens > now_ ? *opens - now_ : active.info.objective;
   }
   const auto ahead = static_cast<std::size_t>(
       std::distance(queue_.begin(), queue_.lower_bound(QueueKeyOf(active))));
--- a/src/decision/gateway/pool_dispatcher.h
+++ b/src/decision/gateway/pool_dispatcher.h
@@ -44,6 +44,9 @@
   std::uint64_t retried = 0;
   std::uint64_t hedged = 0;
   std::uint64_t unknown = 0;
+  // Answers in which a target said that it leaves, or asked for a rest.
+  std::uint64_t leaving_answers = 0;
+  std::uint64_t rest_answers = 0;
 };
 
 // Schedules the requests of one service on one gateway: decides when and on
@@ -99,11 +102,17 @@
   auto On(const PoolRequestArrived& event) -> void;
   auto On(const PoolRequestCancelled& event) -> void;
   auto On(const PoolAttemptCommitted& event) -> void;
+  auto On(const PoolTargetSignalled& event) -> void;
   auto On(const PoolAttemptEnded& event) -> void;
   auto On(const PoolPeerReport& event) -> void;
   auto On(const PoolResumed& event) -> void;
   auto On(const PoolTimer& event) -> void;
 
+  // Refuses all queued requests if no target is left for them.
+  auto RefuseWithoutTargets() -> void;
+  // Returns whether a target that the request has not tried opens early enough
+  // before its deadline.
+  [[nodiscard]] auto OpensInTime(const ActiveRequest& active) const -> bool;
   // Queues the request for another attempt. Returns false if none is allowed.
   auto QueueRetry(ActiveRequest& active, AttemptResult result) -> bool;
   auto StartQueued() -> void;
--- a/src/decision/gateway/pool_event.h
+++ b/src/decision/gateway/pool_event.h
@@ -68,11 +68,22 @@
   AttemptId attempt;
 };
 
+// The head of the attempt's answer says what the target wants.
+struct PoolTargetSignalled {
+  AttemptId attempt;
+  // Whether the target leaves.
+  bool leaving = false;
+  // How long the target wants no requests; zero if it does not say.
+  Duration rest = Duration::zero();
+};
+
 struct PoolAttemptEnded {
   AttemptId attempt;
   AttemptResult result = AttemptResult::kAnswered;
   // Whether a different process than the registered one answered.
   bool other_instance = false;
+  // Whether the target asked for a rest, which says nothing about its health.
+  bool asked_for_rest = false;
 };
 
 // Outcomes reported by another gateway.
@@ -91,6 +102,7 @@
                                PoolRequestArrived,
                                PoolRequestCancelled,
                                PoolAttemptCommitted,
+                               PoolTargetSignalled,
                                PoolAttemptEnded,
                                PoolPeerReport,
                                PoolResumed,
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -76,6 +76,15 @@
 constexpr Duration kMinIdleTime = std::chrono::milliseconds(1200);
 constexpr Duration kMaxIdleTime = std::chrono::milliseconds(1800);
 
+// Added to a rest: the time that its answer took to arrive is not known.
+constexpr Duration kRestMargin = std::chrono::milliseconds(50);
+// Gateways resume sending over this part of the rest, up to the maximum.
+constexpr int kRestPerSpread = 4;
+constexpr Duration kMaxRestSpread = std::chrono::milliseconds(500);
+// Maximum number of targets that are missing in the registry whose leaving is
+// remembered.
+constexpr std::size_t kMaxAnnouncedLeaving = 1024;
+
 auto IsUnsetOrOlder(const std::optional<TimePoint>& time,
                     Duration age,
                     TimePoint now) -> bool {
@@ -138,9 +147,19 @@
       state.unreported.target = spec.id;
     }
     state.spec = spec;
+    const auto leaving = announced_leaving_.find(spec.id);
+    if (leaving != announced_leaving_.end() &&
+        leaving->second == spec.started_ms) {
+      state.availability.OnLeaving();
+    }
     state.owned = gateways.empty() || owned.contains(spec.id);
   }
   targets_ = std::move(kept);
+  if (announced_leaving_.size() > kMaxAnnouncedLeaving + targets_.size()) {
+    std::erase_if(announced_leaving_, [this](const auto& each) {
+      return !targets_.contains(each.first);
+    });
+  }
   owned_.clear();
   others_.clear();
   for (auto& [id, state] : targets_) {
@@ -149,7 +168,30 @@
 }
 
 auto TargetPool::IsUsable(const TargetState& state) -> bool {
-  return !state.spec.leaving && !state.replaced;
+  return !state.spec.leaving && !state.replaced &&
+         !state.availability.has_left();
+}
+
+auto TargetPool::IsAwake(const TargetState& state, TimePoint now) -> bool {
+  return IsUsable(state) &&
+         state.availability.At(now) != Availability::kResting;
+}
+
+auto TargetPool::AllowsRequest(const TargetState& state,
+                               const TargetRequirements& requirements,
+                               TimePoint now) -> bool {
+  switch (state.availability.At(now)) {
+    case Availability::kOpen:
+      return true;
+    case Availability::kAvoided:
+      return requirements.accepts_avoided;
+    case Availability::kReopening:
+      return state.in_flight == 0;
+    case Availability::kResting:
+    case Availability::kLeaving:
+      return false;
+  }
+  return false;
 }
 
 auto TargetPool::UsedSlots(const TargetState& state, TimePoint now)
@@ -166,7 +208,7 @@
 auto TargetPool::MaxUnhealthyProbability(TimePoint now) const -> double {
   std::vector<double> unhealthy;
   for (const auto* state : owned_) {
-    if (IsUsable(*state)) {
+    if (IsAwake(*state, now)) {
       unhealthy.push_back(state->health.UnhealthyProbability(now));
     }
   }
@@ -227,7 +269,7 @@
     const bool looks_healthy =
         state.last_used.has_value() &&
         state.health.UnhealthyProbability(now) <= kAvoidThreshold;
-    if (!IsUsable(state) ||
+    if (!IsAwake(state, now) ||
         !IsUnsetOrOlder(state.last_failed, kRecoveryTime, now) ||
         (!many_fail && !looks_healthy)) {
       continue;
@@ -285,13 +327,24 @@
 auto TargetPool::HasRoom(const TargetState& state,
                          const TargetRequirements& requirements,
                          TimePoint now) -> bool {
-  return IsUsable(state) && now >= state.blocked_until &&
-         !IsTried(requirements, state.spec.id) &&
+  return IsUsable(state) && AllowsRequest(state, requirements, now) &&
+         now >= state.blocked_until && !IsTried(requirements, state.spec.id) &&
          UsedSlots(state, now) < state.spec.slots;
 }
 
 auto TargetPool::Choose(const TargetRequirements& requirements, TimePoint now)
     -> std::optional<TargetId> {
+  auto chosen = ChooseAny(requirements, now);
+  if (!chosen && CountOf(Availability::kAvoided, now) > 0) {
+    auto relaxed = requirements;
+    relaxed.accepts_avoided = true;
+    chosen = ChooseAny(relaxed, now);
+  }
+  return chosen;
+}
+
+auto TargetPool::ChooseAny(const TargetRequirements& requirements,
+                           TimePoint now) -> std::optional<TargetId> {
   const auto failure_share = FailureShare(requests_, now);
   const bool many_fail = failure_share > kFloorFailureShare;
   is_trial_ = false;
@@ -424,6 +477,9 @@
                                 Evidence evidence,
                                 TimePoint now) -> void {
   state.health.Add(evidence, now);
+  if (evidence == Evidence::kSucceeded) {
+    state.availability.OnSucceeded(now);
+  }
   CountOutcome(evidence, state.unreported);
   MarkUnreported(state);
   const bool is_failure = evidence == Evidence::kFailed ||
@@ -444,6 +500,32 @@
   }
 }
 
+auto TargetPool::OnLeaving(const TargetId& target) -> void {
+  const auto found = targets_.find(target);
+  if (found == targets_.end() || found->second.availability.has_left()) {
+    return;
+  }
+  auto& state = found->second;
+  state.availability.OnLeaving();
+  announced_leaving_[target] = state.spec.started_ms;
+  MarkUnreported(state);
+}
+
+auto TargetPool::OnRest(const TargetId& target, Duration rest, TimePoint now)
+    -> void {
+  const auto found = targets_.find(target);
+  if (found == targets_.end()) {
+    return;
+  }
+  const auto spread = std::min(Duration(rest / kRestPerSpread), kMaxRestSpread);
+  found->second.availability.OnRest(
+      rest,
+      kRestMargin + Duration(static_cast<std::int64_t>(
+                        random_.Unit() * static_cast<double>(spread.count()))),
+      now);
+  MarkUnreported(found->second);
+}
+
 auto TargetPool::OnReplaced(const TargetId& target) -> void {
   const auto found = targets_.find(target);
   if (found != targets_.end()) {
@@ -489,6 +571,7 @@
     }
     auto& state = found->second;
     state.peers[peer] = {report.in_flight, now};
+    state.availability.OnReported(report.avoid, now);
     if (report.in_flight > 0 || report.succeeded > 0 || report.failed > 0) {
       RecordUse(state, now);
     }
@@ -529,6 +612,7 @@
     }
     state.unreported.target = id;
     state.unreported.in_flight = state.in_flight;
+    state.unreported.avoid = state.availability.AvoidTime(now);
     unreported.push_back(state.unreported);
     state.unreported = {};
     state.has_unreported = false;
@@ -543,18 +627,37 @@
                      [](const auto& each) { return IsUsable(each.second); });
 }
 
-auto TargetPool::HasUntried(const std::vector<TargetId>& tried) const -> bool {
-  return std::any_of(targets_.begin(), targets_.end(), [&](const auto& each) {
-    return IsUsable(each.second) &&
-           std::find(tried.begin(), tried.end(), each.first) == tried.end();
-  });
+auto TargetPool::OpensAt(const std::vector<TargetId>& tried,
+                         TimePoint now) const -> std::optional<TimePoint> {
+  std::optional<TimePoint> first;
+  for (const auto& [id, state] : targets_) {
+    if (!IsUsable(state) ||
+        std::find(tried.begin(), tried.end(), id) != tried.end()) {
+      continue;
+    }
+    const auto opens = state.availability.OpensAt(now);
+    first = std::min(first.value_or(opens), opens);
+    if (*first == now) {
+      break;
+    }
+  }
+  return first;
+}
+
+auto TargetPool::CountOf(Availability availability, TimePoint now) const
+    -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(targets_.begin(), targets_.end(), [&](const auto& each) {
+        return each.second.availability.At(now) == availability;
+      }));
 }
 
 auto TargetPool::UsableSlots(TimePoint now) const -> std::uint32_t {
   const auto limit = MaxUnhealthyProbability(now);
   std::uint32_t slots = 0;
   for (const auto& [id, state] : targets_) {
-    if (IsUsable(state) && state.health.UnhealthyProbability(now) <= limit) {
+    if (IsAwake(state, now) &&
+        state.health.UnhealthyProbability(now) <= limit) {
       slots += state.spec.slots;
     }
   }
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -11,6 +11,7 @@
 #include "core/random.h"
 #include "core/time.h"
 #include "decision/detection/rate_window.h"
+#include "decision/gateway/target_availability.h"
 #include "decision/gateway/target_health_estimator.h"
 #include "decision/gateway/target_ownership.h"
 #include "decision/peer/peer_message.h"
@@ -29,6 +30,8 @@
   // Time in the queue as a share of the request's objective. The longer a
   // request waits, the less healthy a target it accepts.
   double wait_share = 0;
+  // Whether targets that other gateways avoid are accepted, too.
+  bool accepts_avoided = false;
 };
 
 // The targets of one service as seen by one gateway: which are usable, how
@@ -72,6 +75,11 @@
   auto OnOverdue(const TargetId& target, TimePoint now) -> void;
   // The target shed a request; it gets none for a short time.
   auto OnShed(const TargetId& target, TimePoint now) -> void;
+  // The target said that it leaves. This start of it gets no more requests,
+  // whatever the registry says.
+  auto OnLeaving(const TargetId& target) -> void;
+  // The target asked for a rest: it gets no requests for that long.
+  auto OnRest(const TargetId& target, Duration rest, TimePoint now) -> void;
   // A different process answers at the target's address. The target is unusable
   // until it registers again.
   auto OnReplaced(const TargetId& target) -> void;
@@ -108,9 +116,13 @@
   }
   // Returns whether any target accepts requests.
   [[nodiscard]] auto HasUsable() const -> bool;
-  // Returns whether a target that is not in `tried` accepts requests.
-  [[nodiscard]] auto HasUntried(const std::vector<TargetId>& tried) const
-      -> bool;
+  // Returns when the first of the targets that are not in `tried` accepts
+  // requests: `now` unless all of them rest. Nothing if there is none.
+  [[nodiscard]] auto OpensAt(const std::vector<TargetId>& tried,
+                             TimePoint now) const -> std::optional<TimePoint>;
+  // Returns the number of registered targets with the given availability.
+  [[nodiscard]] auto CountOf(Availability availability, TimePoint now) const
+      -> std::size_t;
   // Returns the number of slots of the targets that accept requests
   // immediately.
   [[nodiscard]] auto UsableSlots(TimePoint now) const -> std::uint32_t;
@@ -138,6 +150,7 @@
     std::optional<TimePoint> last_failed;
     TimePoint blocked_until = TimePoint::min();
     bool replaced = false;
+    TargetAvailability availability;
     // Outcomes that are not yet reported to the other gateways.
     TargetOutcomes unreported;
     bool has_unreported = false;
@@ -150,7 +163,16 @@
     double placement_cost = 0;
   };
 
+  // Returns whether the target is neither leaving nor replaced.
   [[nodiscard]] static auto IsUsable(const TargetState& state) -> bool;
+  // Returns whether it is usable and does not rest.
+  [[nodiscard]] static auto IsAwake(const TargetState& state, TimePoint now)
+      -> bool;
+  // Returns whether what the target or other gateways said allows a request.
+  [[nodiscard]] static auto AllowsRequest(
+      const TargetState& state,
+      const TargetRequirements& requirements,
+      TimePoint now) -> bool;
   [[nodiscard]] static auto UsedSlots(const TargetState& state, TimePoint now)
       -> std::uint32_t;
   // Returns the highest unhealthy probability at which a target gets requests
@@ -180,6 +202,8 @@
   [[nodiscard]] static auto HasRoom(const TargetState& state,
                                     const TargetRequirements& requirements,
                                     TimePoint now) -> bool;
+  auto ChooseAny(const TargetRequirements& requirements, TimePoint now)
+      -> std::optional<TargetId>;
   auto ChooseOwned(const TargetRequirements& requirements,
                    double limit,
                    bool many_fail,
@@ -206,6 +230,9 @@
   RateWindow requests_;
   // Ended requests that are not yet reported to the other gateways.
   RequestCounts unreported_requests_;
+  // Start times of the targets that said that they leave. Kept while they are
+  // missing in the registry, where the same start may appear again.
+  std::map<TargetId, std::int64_t> announced_leaving_;
   bool is_trial_ = false;
   bool has_unreported_ = false;
 };
--- a/src/node/dialect.h
+++ b/src/node/dialect.h
@@ -34,6 +34,8 @@
   std::string expected_target;
   // Present if the target did not execute the request.
   std::string not_run;
+  // "1" in the answers of a target that leaves.
+  std::string leaving = {};
 };
 
 // The protocol between a gateway and its callers and health checks.
--- a/src/node/traffic/gateway/gateway_headers.cc
+++ b/src/node/traffic/gateway/gateway_headers.cc
@@ -5,12 +5,15 @@
 
 #include "node/traffic/caller_headers.h"
 #include "node/traffic/http_text.h"
+#include "node/traffic/retry_after.h"
+#include "runtime/clock.h"
 
 namespace flamingoyoke {
 namespace {
 
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
+constexpr int kServiceUnavailable = 503;
 // Longer times are treated as errors. Also prevents overflow when the time is
 // added to the clock.
 constexpr std::uint64_t kMaxTimeLeftMs = 24ULL * 3600 * 1000;
@@ -22,6 +25,12 @@
   UpstreamSignals signals;
   signals.other_target = answer.status == dialect.misdirected_status;
   signals.not_run = FindHeader(answer.headers, names.not_run).has_value();
+  signals.draining =
+      !names.leaving.empty() &&
+      TrimSpace(FindHeader(answer.headers, names.leaving).value_or("")) == "1";
+  if (answer.status == kServiceUnavailable) {
+    signals.rest = FindRetryAfter(answer.headers, WallClockMs());
+  }
   const bool is_success =
       answer.status >= kOk && answer.status < kMultipleChoices;
   // Targets repeat the request ID in all answers. An answer with another ID or
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -529,6 +529,24 @@
         "Attempts that followed a failed one.", counters.retried);
     add("flamingoyoke_gateway_hedged_total",
         "Second attempts beside a slow one.", counters.hedged);
+    add("flamingoyoke_gateway_leaving_answers_total",
+        "Answers in which a target said that it leaves.",
+        counters.leaving_answers);
+    add("flamingoyoke_gateway_rest_answers_total",
+        "Answers in which a target asked for a rest.", counters.rest_answers);
+    const auto add_gauge = [&](const char* name, const char* help,
+                               Availability availability) {
+      add(name, help,
+          service.second->dispatcher().pool().CountOf(availability,
+                                                      last_report_));
+      metrics.samples.back().is_counter = false;
+    };
+    add_gauge("flamingoyoke_gateway_leaving_targets",
+              "Registered targets that said that they leave.",
+              Availability::kLeaving);
+    add_gauge("flamingoyoke_gateway_resting_targets",
+              "Targets that asked for a rest which is not over.",
+              Availability::kResting);
     add("flamingoyoke_gateway_owned_targets",
         "Targets that this vm tries before those of other entry vms.",
         service.second->dispatcher().pool().owned_count());
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -193,6 +193,10 @@
       {traffic.connect_timeout, left + config_.answer_grace,
        traffic.response_stall_timeout, left + config_.answer_grace},
       {
+          .on_signals =
+              [this, id](const UpstreamSignals& signals) {
+                OnSignals(id, signals);
+              },
           .on_head =
               [this, id](const ResponseHead& answer) {
                 const auto found = attempts_.find(id);
@@ -208,6 +212,29 @@
       });
 }
 
+auto PoolRunner::OnSignals(AttemptId id, const UpstreamSignals& signals)
+    -> void {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end() || (!signals.draining && !signals.rest)) {
+    return;
+  }
+  const auto target = found->second.lease.target;
+  if (signals.draining) {
+    Log(Part::kGateway, LogLevel::kInfo,
+        "target " + target.value() + " of service " + service_.value() +
+            " said that it leaves");
+    pool_.Retire(target);
+  }
+  if (signals.rest) {
+    Log(Part::kGateway, LogLevel::kInfo,
+        "target " + target.value() + " of service " + service_.value() +
+            " asked for a rest of " +
+            std::to_string(ToMilliseconds(*signals.rest)) + " ms");
+  }
+  Post(PoolTargetSignalled{id, signals.draining,
+                           signals.rest.value_or(Duration::zero())});
+}
+
 auto PoolRunner::OnAnswerBody(AttemptId id, evbuffer* data) -> void {
   const auto found = attempts_.find(id);
   if (found == attempts_.end()) {
@@ -276,7 +303,8 @@
     // Other data on connections to this target may be outdated too.
     pool_.Retire(target);
   }
-  Post(PoolAttemptEnded{id, result, signals.other_target});
+  Post(PoolAttemptEnded{id, result, signals.other_target,
+                        signals.rest.has_value()});
 }
 
 auto PoolRunner::Execute(const CancelAttempt& action) -> void {
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -129,7 +129,12 @@
 
   auto SendAttempt(AttemptId id, Attempt& attempt, GatewayRequest& request)
       -> void;
+  // The head of the answer says what the target wants.
+  auto OnSignals(AttemptId id, const UpstreamSignals& signals) -> void;
   auto OnAnswerBody(AttemptId id, evbuffer* data) -> void;
+  // Sends buffered data of an answer to its caller, and pauses the target while
+  // the caller is slower.
+  auto Relay(AttemptId id, Attempt& attempt, CallerExchange& exchange) -> void;
   auto OnAttemptEnd(AttemptId id,
                     AttemptResult result,
                     const UpstreamSignals& signals) -> void;
--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -371,8 +371,13 @@
     return false;
   }
   response_started_ = true;
-  ScheduleProgressTimer();
+  if (!signals_.oversized) {
+    ScheduleProgressTimer();
+  }
   signals_.not_run = signals_.not_run || signals_.other_target;
+  if (observer_.on_signals && !signals_.other_target) {
+    observer_.on_signals(signals_);
+  }
   if (!signals_.not_run && observer_.on_head) {
     observer_.on_head(response_head_);
   }
--- a/src/node/traffic/upstream_connection.h
+++ b/src/node/traffic/upstream_connection.h
@@ -58,6 +58,9 @@
   // Callbacks for the current request. They must not destroy the connection or
   // its event loop.
   struct Observer {
+    // Called with the signals of each response head that is from the target and
+    // about the request, also if the request was not run.
+    std::function<void(const UpstreamSignals&)> on_signals = {};
     // Called with the response head, unless the response reports that the
     // request was not run.
     std::function<void(const ResponseHead&)> on_head;
--- a/tests/unit/decision/gateway/pool_dispatcher_test.cc
+++ b/tests/unit/decision/gateway/pool_dispatcher_test.cc
@@ -391,4 +391,67 @@
   }
 }
 
+// Guards against targets that look ill because they asked for a rest, and that
+// then get fewer requests than others after it.
+Test(pool_dispatcher, a_rest_says_nothing_about_health) {
+  for (const auto result :
+       {AttemptResult::kShed, AttemptResult::kServerError}) {
+    auto [dispatcher, attempt] = StartSingleAttempt(false, 4);
+    const auto before =
+        dispatcher.pool().UnhealthyProbability(attempt.target, kStart);
+    dispatcher.OnEvent(
+        PoolTargetSignalled{attempt.attempt, false, milliseconds(500)}, kStart);
+    dispatcher.OnEvent(PoolAttemptEnded{attempt.attempt, result, false, true},
+                       kStart);
+    cr_assert_leq(
+        dispatcher.pool().UnhealthyProbability(attempt.target, kStart), before);
+    cr_assert_eq(dispatcher.pool().CountOf(Availability::kResting, kStart), 1U);
+  }
+}
+
+// Guards against retries, hedges and queued requests that reach a leaving
+// target, and against requests that wait for one.
+Test(pool_dispatcher, queued_requests_never_reach_a_leaving_target) {
+  PoolDispatcher dispatcher(ServiceId("s"), Random(1), MakeLimits());
+  dispatcher.OnEvent(PoolConfigured{MakeTargets(1), {}, {}}, kStart);
+  std::vector<StartAttempt> starts;
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    for (const auto& start : ActionsOf<StartAttempt>(
+             dispatcher.OnEvent(MakeArrival(id, true, kStart), kStart))) {
+      starts.push_back(start);
+    }
+  }
+  cr_assert_eq(starts.size(), 2U, "the target has two slots");
+  const auto actions = dispatcher.OnEvent(
+      PoolTargetSignalled{starts[0].attempt, true, Duration::zero()}, kStart);
+  const auto refusals = ActionsOf<RefuseRequest>(actions);
+  cr_assert_eq(refusals.size(), 2U);
+  for (const auto& refusal : refusals) {
+    cr_assert(refusal.error == ErrorKind::kNoTarget);
+    cr_assert(AnswerFor(refusal.error).outcome == Outcome::kNotRun);
+  }
+  const auto later = dispatcher.OnEvent(MakeArrival(9, true, kStart), kStart);
+  cr_assert(ActionsOf<StartAttempt>(later).empty());
+}
+
+// Guards against a gateway that empties a service by faulty reports: other
+// targets are preferred, but the avoided ones are used when they are needed.
+Test(pool_dispatcher, targets_that_others_avoid_are_used_last) {
+  PoolDispatcher dispatcher(ServiceId("s"), Random(1), MakeLimits());
+  dispatcher.OnEvent(PoolConfigured{MakeTargets(2), {}, {}}, kStart);
+  TargetOutcomes avoided{.target = TargetId("t0"),
+                         .avoid = std::chrono::hours(1)};
+  dispatcher.OnEvent(PoolPeerReport{VmId("b"), {avoided}}, kStart);
+  std::map<TargetId, int> started;
+  for (std::uint64_t id = 1; id <= 4; ++id) {
+    for (const auto& start : ActionsOf<StartAttempt>(
+             dispatcher.OnEvent(MakeArrival(id, false, kStart), kStart))) {
+      ++started[start.target];
+      cr_assert(id > 2 || start.target == TargetId("t1"));
+    }
+  }
+  cr_assert_eq(started[TargetId("t0")], 2);
+  cr_assert_eq(started[TargetId("t1")], 2);
+}
+
 }  // namespace flamingoyoke
--- a/tests/unit/node/traffic/gateway/gateway_fixture.h
+++ b/tests/unit/node/traffic/gateway/gateway_fixture.h
@@ -52,7 +52,8 @@
                             .remaining_time_ms = "Left-Ms",
                             .signature = "Signed",
                             .expected_target = "Expect-Target",
-                            .not_run = "Not-Run"};
+                            .not_run = "Not-Run",
+                            .leaving = "Leaving"};
   config.dialect.readiness_path = "/-/ready";
   config.dialect.addresses_path = "/-/addresses";
   config.dialect.write_addresses = [](const std::vector<std::string>& addresses,
--- /dev/null
+++ b/tests/unit/node/traffic/gateway/target_signal_test.cc
@@ -0,0 +1,115 @@
+// Tests of the gateway with targets that say that they leave or ask for a rest,
+// over loopback sockets.
+#include <criterion/criterion.h>
+
+#include <chrono>
+#include <string>
+#include <thread>
+
+#include "runtime/clock.h"
+#include "unit/node/traffic/gateway/gateway_fixture.h"
+
+namespace flamingoyoke {
+namespace {
+
+TestSuite(target_signal, .timeout = 120);
+
+constexpr const char* kSuccess = "200 OK\r\nId: req-1\r\nSigned: x";
+
+}  // namespace
+
+// Guards against new work for a target that said that it leaves, whatever the
+// registry says.
+Test(target_signal, a_leaving_target_gets_no_more_requests) {
+  UpstreamFake leaving(
+      Always(Answer(std::string(kSuccess) + "\r\nLeaving: 1", "bye")));
+  UpstreamFake other(Always(Answer(kSuccess, "done")));
+  GatewayFixture gateway({leaving.port()});
+  gateway.Exchange(Request("POST", "/once/1", "order"));
+  gateway.Publish({leaving.port(), other.port()});
+  for (int i = 0; i < 30; ++i) {
+    gateway.Exchange(Request("POST", "/once/1", "order"));
+    if (i == 15) {
+      // The entry disappears and comes back.
+      gateway.Publish({other.port()});
+      gateway.Publish({leaving.port(), other.port()});
+    }
+  }
+  cr_assert_eq(leaving.executions(), 1U);
+  cr_assert_gt(other.executions(), 0U);
+}
+
+// Guards against requests that wait for a target which will not come back.
+Test(target_signal, requests_are_refused_when_all_targets_leave) {
+  UpstreamFake leaving(
+      Always(Answer(std::string(kSuccess) + "\r\nLeaving: 1", "bye")));
+  GatewayFixture gateway({leaving.port()});
+  gateway.Exchange(Request("POST", "/once/1", "order"));
+  const auto sent = Now();
+  const auto answer = gateway.Exchange(Request("POST", "/once/1", "order"));
+  cr_assert_eq(answer.status(), 503);
+  cr_assert(answer.header("Flamingoyoke-Outcome") == "not-run");
+  cr_assert(answer.header("Retry-After").has_value());
+  cr_assert_lt(ToMilliseconds(Now() - sent), 2000);
+  cr_assert_eq(leaving.executions(), 1U);
+}
+
+// Guards against requests to a target that asked for a rest: at most two may
+// reach it until the rest is over.
+Test(target_signal, a_resting_target_gets_no_requests) {
+  constexpr auto kRest = std::chrono::seconds(2);
+  UpstreamFake resting(Always(Answer(
+      "503 Busy\r\nId: req-1\r\nNot-Run: 1\r\nRetry-After: 2", "later")));
+  UpstreamFake other(Always(Answer(kSuccess, "done")));
+  GatewayFixture gateway({resting.port(), other.port()});
+  const auto start = Now();
+  while (resting.executions() == 0 && Now() - start < kRest) {
+    gateway.Exchange(Request("POST", "/once/1", "order"));
+  }
+  cr_assert_eq(resting.executions(), 1U);
+  const auto asked = Now();
+  while (Now() - asked < kRest - std::chrono::milliseconds(100)) {
+    const auto answer = gateway.Exchange(Request("POST", "/once/1", "order"));
+    cr_assert_eq(answer.status(), 200);
+    gateway.Publish({resting.port(), other.port()});
+  }
+  cr_assert_leq(resting.executions(), 2U);
+  const auto before = resting.executions();
+  while (resting.executions() == before &&
+         Now() - asked < kRest + std::chrono::seconds(10)) {
+    gateway.Exchange(Request("POST", "/once/1", "order"));
+  }
+  cr_assert_gt(resting.executions(), before, "never tried again");
+}
+
+// Guards against requests that wait in vain: with all targets at rest, a
+// request that the rest outlasts is refused at once with the time left.
+Test(target_signal, a_request_that_a_rest_outlasts_is_refused_at_once) {
+  UpstreamFake resting(Always(Answer(
+      "503 Busy\r\nId: req-1\r\nNot-Run: 1\r\nRetry-After: 30", "later")));
+  GatewayFixture gateway({resting.port()});
+  gateway.Exchange(Request("POST", "/once/1", "order"));
+  const auto sent = Now();
+  const auto answer =
+      gateway.Exchange(Request("POST", "/once/1", "order", "req-1", "3000"));
+  cr_assert_eq(answer.status(), 503);
+  cr_assert(answer.header("Flamingoyoke-Outcome") == "not-run");
+  cr_assert_geq(std::stoi(*answer.header("Retry-After")), 25);
+  cr_assert_lt(ToMilliseconds(Now() - sent), 2000);
+  cr_assert_eq(resting.executions(), 1U);
+}
+
+// Guards against a 503 with Retry-After but without the proof that the request
+// did not run: it says no more than what it says.
+Test(target_signal, a_rest_alone_does_not_prove_that_a_request_did_not_run) {
+  UpstreamFake resting(
+      Always(Answer("503 Busy\r\nId: req-1\r\nRetry-After: 1", "later")));
+  UpstreamFake other(Always(Answer(kSuccess, "done")));
+  GatewayFixture gateway({resting.port(), other.port()});
+  for (int i = 0; i < 10; ++i) {
+    gateway.Exchange(Request("POST", "/once/1", "order"));
+  }
+  cr_assert_eq(resting.executions() + other.executions(), 10U);
+}
+
+}  // namespace flamingoyoke
