Test and measure the loss of all readers of the store

fleet_restart/a_fleet_that_lost_all_readers_hears_of_the_next_change loses the eight VMs that read or stand by, with the real membership, dissemination and freshness of 9, 15 and 32 VMs and five seeds.

--- a/tests/unit/decision/fleet/fake_fleet.h
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -17,10 +17,12 @@
 
 #include "core/random.h"
 #include "core/time.h"
+#include "decision/fleet/entry_set.h"
 #include "decision/fleet/home_index.h"
 #include "decision/fleet/membership.h"
 #include "decision/fleet/reader_election.h"
 #include "decision/fleet/readiness_gate.h"
+#include "decision/fleet/source_freshness.h"
 #include "decision/fleet/table_dissemination.h"
 #include "unit/decision/fleet/wire_size.h"
 
@@ -46,6 +48,10 @@
   // Whether the source is a published store, which always returns its newest
   // table and which only readers read.
   bool is_published = false;
+  // Maximum age of the view of a published store; zero leaves the readers that
+  // the fleet elects alone to read it. If set, readers are elected as for a
+  // published store.
+  Duration max_view_age = Duration::zero();
 };
 
 // The real Membership and TableDissemination of many VMs, connected by an event
@@ -67,6 +73,10 @@
     std::unique_ptr<Membership> membership;
     std::unique_ptr<TableDissemination> table_dissemination;
     std::optional<ReadinessGate> gate;
+    std::optional<SourceFreshness> freshness;
+    bool has_read_as_reader = false;
+    bool is_elected = false;
+    bool is_freshness_check_pending = false;
     HomeIndex homes;
     bool is_running = false;
     bool is_paused = false;
@@ -141,6 +151,14 @@
         options_.shards, Random(random_.Next()),
         options_.is_published ? FirstRead::kBeforeReady : FirstRead::kSpread);
     node.gate.emplace(now_);
+    node.freshness.reset();
+    node.has_read_as_reader = node.is_elected = false;
+    node.is_freshness_check_pending = false;
+    if (options_.max_view_age > Duration::zero()) {
+      node.freshness.emplace(node.self.id, node.self.incarnation,
+                             options_.max_view_age, Random(random_.Next()));
+      node.freshness->OnStarted(now_);
+    }
     node.homes = HomeIndex();
     node.is_running = true;
     node.is_paused = node.has_list = node.is_ready = false;
@@ -297,6 +315,8 @@
 
  private:
   static constexpr Duration kReadRetryPeriod = std::chrono::milliseconds(250);
+  static constexpr Duration kSubstituteCheckPeriod =
+      std::chrono::milliseconds(100);
 
   struct Event {
     TimePoint at;
@@ -367,6 +387,11 @@
               static_cast<std::uint64_t>(options_.jitter.count()) + 1));
       Schedule(to, delay, [this, to, envelope, framed] {
         nodes_[to].counters.received_bytes += framed;
+        const auto* heartbeat = std::get_if<Heartbeat>(&envelope->message);
+        if (nodes_[to].freshness && heartbeat != nullptr && heartbeat->source) {
+          nodes_[to].freshness->OnConfirmation(*heartbeat->source, now_);
+          UpdateFreshness(to);
+        }
         Dispatch(to, MembershipEvent(*envelope));
         Dispatch(to, TableDisseminationEvent(*envelope));
         AfterMessage(to);
@@ -400,6 +425,7 @@
       -> void {}
   auto Execute(std::size_t index, const WakeMembershipAt& action) -> void {
     Schedule(index, action.at - now_, [this, index] {
+      UpdateFreshness(index);
       Dispatch(index, MembershipTimer{});
       AfterMessage(index);
     });
@@ -426,6 +452,9 @@
       Schedule(index, Milliseconds(1 + random_.Below(200)),
                [this, index] { Read(index); });
     }
+    if (node.is_reader != action.is_reader) {
+      node.has_read_as_reader = false;
+    }
     node.is_reader = action.is_reader;
   }
   auto Execute(std::size_t index, const WakeTableDisseminationAt& action)
@@ -452,6 +481,8 @@
     Dispatch(index, TableTextRead{0, published_, std::move(text)});
     if (options_.is_published) {
       Dispatch(index, SourceRead{now_});
+      nodes_[index].has_read_as_reader = nodes_[index].is_reader;
+      UpdateFreshness(index);
       Announce(index);
     }
   }
@@ -474,10 +505,51 @@
         (node.has_list &&
          node.two_way.size() >=
              std::min(kMinTwoWayPeers, node.membership->list().other_count()));
-    Dispatch(index, TableFleetChanged{
-                        node.two_way,
-                        knows_fleet && IsElectedReader(node.self.id, members),
-                        members.size()});
+    node.is_elected = knows_fleet && IsReader(node, members);
+    bool reads = node.is_elected;
+    if (node.freshness) {
+      node.freshness->SetFleetSize(members.size());
+      reads = node.freshness->ShouldRead(now_) || reads;
+    }
+    Dispatch(index, TableFleetChanged{node.two_way, reads, members.size()});
+  }
+  auto IsReader(const Node& node, const std::vector<Member>& members) const
+      -> bool {
+    constexpr std::size_t kReaders = 3;
+    if (!node.freshness) {
+      return IsElectedReader(node.self.id, members);
+    }
+    const auto readers =
+        ReaderVms(members, kReaders, node.membership->SilentHomePeers(now_));
+    return std::find(readers.begin(), readers.end(), node.self.id) !=
+           readers.end();
+  }
+  // The fleet task does this on each tick and each confirmation.
+  auto UpdateFreshness(std::size_t index) -> void {
+    auto& node = nodes_[index];
+    if (!node.freshness) {
+      return;
+    }
+    if (node.is_reader && node.has_read_as_reader) {
+      node.freshness->OnFollowing(node.is_elected, now_);
+    }
+    Dispatch(index, SourceConfirmed{node.freshness->Newest(now_),
+                                    node.freshness->TakeAnnouncementDue()});
+    CheckFreshnessAt(index, node.freshness->due());
+  }
+  auto CheckFreshnessAt(std::size_t index, TimePoint at) -> void {
+    if (std::exchange(nodes_[index].is_freshness_check_pending, true)) {
+      return;
+    }
+    Schedule(index, std::max(at - now_, Duration::zero()), [this, index] {
+      auto& node = nodes_[index];
+      node.is_freshness_check_pending = false;
+      const auto due = node.freshness->due();
+      if (due <= now_) {
+        UpdateTableDissemination(index);
+      }
+      CheckFreshnessAt(index, std::max(due, now_ + kSubstituteCheckPeriod));
+    });
   }
   auto Announce(std::size_t index) -> void {
     auto& node = nodes_[index];
@@ -528,6 +600,14 @@
         peers.insert(home.begin(), home.end());
       }
     }
+    if (node.freshness) {
+      constexpr std::size_t kReaderCandidates = 8;
+      const auto candidates = ReaderVms(members, kReaderCandidates);
+      if (std::find(candidates.begin(), candidates.end(), node.self.id) !=
+          candidates.end()) {
+        peers.insert(candidates.begin(), candidates.end());
+      }
+    }
     peers.erase(node.self.id);
     if (peers != node.home_peers) {
       node.home_peers = peers;
--- a/tests/unit/decision/fleet/fleet_restart_test.cc
+++ b/tests/unit/decision/fleet/fleet_restart_test.cc
@@ -1,6 +1,7 @@
 // Tests which table VMs accept callers with when many start anew at once.
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 
@@ -138,6 +139,56 @@
   }
 }
 
+// Guards against a fleet that acts on an old configuration for 4 s after all
+// VMs that read the store, or stand by to read it, lost power together.
+Test(fleet_restart, a_fleet_that_lost_all_readers_hears_of_the_next_change) {
+  constexpr auto kApplyLimit = seconds(2);
+  constexpr std::size_t kLost = 8;
+  for (const std::size_t nodes : {9, 15, 32}) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      FakeFleetOptions options;
+      options.nodes = nodes;
+      options.seed = seed;
+      options.is_published = true;
+      options.max_view_age = seconds(1);
+      FakeFleet fleet(options);
+      fleet.Publish(kOldRevision);
+      fleet.StartAll();
+      fleet.RunFor(seconds(10));
+      const auto members = fleet.nodes().front().membership->Members();
+      for (const auto& vm : ReaderVms(members, kLost)) {
+        fleet.Stop(std::stoul(vm.value().substr(3)));
+      }
+      fleet.RunFor(milliseconds(50));
+      fleet.Publish(kNewRevision);
+      cr_assert(fleet.RunUntil([&] { return fleet.AllHave(kNewRevision); },
+                               kApplyLimit),
+                "%d VMs, seed %d", static_cast<int>(nodes),
+                static_cast<int>(seed));
+    }
+  }
+}
+
+// Guards against more calls to the store while nothing is wrong.
+Test(fleet_restart, only_the_elected_vms_read_a_calm_store) {
+  FakeFleetOptions options;
+  options.nodes = 32;
+  options.is_published = true;
+  options.max_view_age = seconds(1);
+  FakeFleet fleet(options);
+  fleet.Publish(kOldRevision);
+  fleet.StartAll();
+  fleet.RunFor(seconds(10));
+  for (int second = 0; second < 60; ++second) {
+    fleet.RunFor(seconds(1));
+    const auto readers = std::count_if(
+        fleet.nodes().begin(), fleet.nodes().end(),
+        [](const FakeFleet::Node& node) { return node.is_reader; });
+    cr_assert_eq(readers, 3, "%d readers in second %d",
+                 static_cast<int>(readers), second);
+  }
+}
+
 // Guards against a VM that trusts what it read before a pause.
 Test(fleet_restart, a_paused_vm_reads_again_before_it_accepts_callers) {
   FakeFleetOptions options;
