--- a/src/decision/platform/registry_tracker.cc
+++ b/src/decision/platform/registry_tracker.cc
@@ -21,7 +21,7 @@
   return available_since_ && now - *available_since_ >= kSettleTime;
 }
 
-auto RegistryTracker::OnListed(std::vector<RegisteredTarget> targets,
+auto RegistryTracker::OnListed(const std::vector<RegisteredTarget>& targets,
                                TimePoint now) -> void {
   const auto previous = std::exchange(listed_, {});
   for (const auto& target : targets) {
--- a/src/decision/platform/registry_tracker.h
+++ b/src/decision/platform/registry_tracker.h
@@ -38,7 +38,8 @@
   static constexpr Duration kPeerSyncTime = std::chrono::milliseconds(1200);
 
   // The store returned the complete list of entries.
-  auto OnListed(std::vector<RegisteredTarget> targets, TimePoint now) -> void;
+  auto OnListed(const std::vector<RegisteredTarget>& targets, TimePoint now)
+      -> void;
   // The store reported a changed or removed entry.
   auto OnChanged(const RegisteredTarget& target, TimePoint now) -> void;
   auto OnRemoved(const TargetId& target, TimePoint now) -> void;
--- a/src/node/control/store/store_reader.cc
+++ b/src/node/control/store/store_reader.cc
@@ -121,7 +121,7 @@
   Complete({ReadOutcome::kAnswered, status, CopyBody(request)});
 }
 
-auto StoreReader::Complete(Response response) -> void {
+auto StoreReader::Complete(const Response& response) -> void {
   timeout_timer_.Cancel();
   if (const auto on_response = std::exchange(on_response_, nullptr)) {
     on_response(response);
--- a/src/node/control/store/store_reader.h
+++ b/src/node/control/store/store_reader.h
@@ -52,7 +52,7 @@
   // Ends the request with `outcome` in a later event, as the connection must
   // not be freed within its own callbacks.
   auto FailSoon(ReadOutcome outcome) -> void;
-  auto Complete(Response response) -> void;
+  auto Complete(const Response& response) -> void;
 
   EventLoop& loop_;
   const StoreConfig& config_;
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -14,6 +14,7 @@
 #include "node/traffic/caller_headers.h"
 #include "node/traffic/error_response.h"
 #include "node/traffic/gateway/gateway_headers.h"
+#include "node/traffic/gateway/gateway_metrics.h"
 #include "node/traffic/http_text.h"
 #include "runtime/clock.h"
 
@@ -37,19 +38,6 @@
 // once, one in sixteen callers has no working address until it asks again.
 constexpr std::size_t kAddressesPerCaller = 4;
 
-auto MakeCounter(std::string name,
-                 std::string help,
-                 const ServiceId& service,
-                 std::uint64_t value) -> MetricSample {
-  MetricSample sample;
-  sample.name = std::move(name);
-  sample.help = std::move(help);
-  sample.label_name = "service";
-  sample.label_value = service.value();
-  sample.value = static_cast<double>(value);
-  return sample;
-}
-
 auto DescribeState(const RegisteredTarget& target) -> std::string {
   if (target.leaving) {
     return "leaving";
@@ -509,48 +497,8 @@
          .is_counter = false,
          .value = static_cast<double>(view_->entries.size())});
   }
-  for (const auto& service : services_) {
-    const auto& counters = service.second->dispatcher().counters();
-    const auto add = [&](const char* name, const char* help,
-                         std::uint64_t value) {
-      metrics.samples.push_back(MakeCounter(name, help, service.first, value));
-    };
-    add("flamingoyoke_gateway_requests_total", "Requests that routes took.",
-        counters.arrived);
-    add("flamingoyoke_gateway_delivered_total",
-        "Requests that got the answer of a target.", counters.delivered);
-    add("flamingoyoke_gateway_delivered_errors_total",
-        "Delivered answers of 500 and above.", counters.delivered_errors);
-    add("flamingoyoke_gateway_refused_total",
-        "Requests that were answered as not run.", counters.refused);
-    add("flamingoyoke_gateway_unknown_total",
-        "Requests whose outcome is not known.", counters.unknown);
-    add("flamingoyoke_gateway_retried_total",
-        "Attempts that followed a failed one.", counters.retried);
-    add("flamingoyoke_gateway_hedged_total",
-        "Second attempts beside a slow one.", counters.hedged);
-    add("flamingoyoke_gateway_leaving_answers_total",
-        "Answers in which a target said that it leaves.",
-        counters.leaving_answers);
-    add("flamingoyoke_gateway_rest_answers_total",
-        "Answers in which a target asked for a rest.", counters.rest_answers);
-    const auto add_gauge = [&](const char* name, const char* help,
-                               Availability availability) {
-      add(name, help,
-          service.second->dispatcher().pool().CountOf(availability,
-                                                      last_report_));
-      metrics.samples.back().is_counter = false;
-    };
-    add_gauge("flamingoyoke_gateway_leaving_targets",
-              "Registered targets that said that they leave.",
-              Availability::kLeaving);
-    add_gauge("flamingoyoke_gateway_resting_targets",
-              "Targets that asked for a rest which is not over.",
-              Availability::kResting);
-    add("flamingoyoke_gateway_owned_targets",
-        "Targets that this vm tries before those of other entry vms.",
-        service.second->dispatcher().pool().owned_count());
-    metrics.samples.back().is_counter = false;
+  for (const auto& [id, runner] : services_) {
+    AddServiceSamples(id, runner->dispatcher(), last_report_, metrics.samples);
   }
   outbox_.telemetry.Post(std::move(metrics));
 }
--- a/tests/unit/node/traffic/gateway/upstream_fault_test.cc
+++ b/tests/unit/node/traffic/gateway/upstream_fault_test.cc
@@ -75,7 +75,7 @@
   const struct {
     std::string start;
     std::string unit;
-  } kCases[] = {
+  } cases[] = {
       {"", "HTTP/1.1 100 Continue\r\n\r\n"},
       {"", "HTTP/1.1 100 Continue\r\nX: y\r\n\r\n"},
       {chunked, "0"},
@@ -83,7 +83,7 @@
       {chunked + "fffffffffff\r\n", "x"},
       {chunked + "0\r\n", "X: y\r\n"},
   };
-  for (const auto& each : kCases) {
+  for (const auto& each : cases) {
     std::string piece;
     while (piece.size() < kPieceBytes) {
       piece += each.unit;
