--- a/src/node/control/platform/key_watch.cc
+++ b/src/node/control/platform/key_watch.cc
@@ -1,6 +1,7 @@
 #include "node/control/platform/key_watch.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 
 #include <algorithm>
 #include <charconv>
@@ -14,6 +15,9 @@
 // The configuration service limits values to a megabyte.
 constexpr ev_ssize_t kMaxValueBytes = 1 << 20;
 constexpr ev_ssize_t kMaxHeaderBytes = 8 << 10;
+// Maximum number of bytes read for one response. Includes interim responses,
+// chunk sizes and blank lines, which evhttp does not limit.
+constexpr std::size_t kMaxReceivedBytes = 2 << 20;
 // The service normally responds within milliseconds; after this timeout it
 // counts as unavailable.
 constexpr Duration kReadTimeout = std::chrono::seconds(2);
@@ -91,6 +95,14 @@
   }
   evhttp_connection_set_max_body_size(connection_.get(), kMaxValueBytes);
   evhttp_connection_set_max_headers_size(connection_.get(), kMaxHeaderBytes);
+  received_bytes_ = 0;
+  evbuffer_add_cb(
+      bufferevent_get_input(
+          evhttp_connection_get_bufferevent(connection_.get())),
+      [](evbuffer*, const evbuffer_cb_info* info, void* watch) {
+        static_cast<KeyWatch*>(watch)->OnInput(info->n_added);
+      },
+      this);
   const auto timeout =
       kReadTimeout + (has_read_ ? config_.watch_timeout : Duration::zero());
   const auto seconds = std::chrono::ceil<std::chrono::seconds>(timeout);
@@ -109,6 +121,24 @@
                       RequestPath().c_str());
 }
 
+auto KeyWatch::OnInput(std::size_t bytes) -> void {
+  received_bytes_ += bytes;
+  if (received_bytes_ <= kMaxReceivedBytes || !is_reading_) {
+    return;
+  }
+  // While its callbacks are set, evhttp enables reading again. The connection
+  // is freed by the next read.
+  auto* bev = evhttp_connection_get_bufferevent(connection_.get());
+  bufferevent_setcb(bev, nullptr, nullptr, nullptr, nullptr);
+  bufferevent_disable(bev, EV_READ | EV_WRITE);
+  auto* input = bufferevent_get_input(bev);
+  evbuffer_drain(input, evbuffer_get_length(input));
+  is_reading_ = false;
+  on_failure_("response for key " + key_ + " exceeds " +
+              std::to_string(kMaxReceivedBytes) + " bytes");
+  read_timer_.Schedule(schedule_.DelayAfterFailure());
+}
+
 auto KeyWatch::OnRequestDone(evhttp_request* request) -> void {
   is_reading_ = false;
   const auto succeeded = HandleResponse(request);
--- a/src/node/control/platform/key_watch.h
+++ b/src/node/control/platform/key_watch.h
@@ -3,6 +3,7 @@
 
 #include <event2/http.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -44,6 +45,8 @@
     }
   };
 
+  // Limits what a faulty service can make this process keep.
+  auto OnInput(std::size_t bytes) -> void;
   auto Read() -> void;
   auto OnRequestDone(evhttp_request* request) -> void;
   // Returns whether the read succeeded. A missing key counts as a failure.
@@ -65,6 +68,8 @@
   EventLoop::Handle read_timer_;
   // Declared last so that it is destroyed first: its pending request refers to
   // the members above.
+  // Bytes received for the current request.
+  std::size_t received_bytes_ = 0;
   std::unique_ptr<evhttp_connection, ConnectionDeleter> connection_;
 };
 
