Share confirmations with the membership on ticks only

Each heartbeat made the membership collect its actions a second time. It learns the newest confirmation on its ticks now, and at once only if peers must.

--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -125,7 +125,10 @@
   const auto* heartbeat = std::get_if<Heartbeat>(&message.envelope.message);
   if (heartbeat != nullptr && heartbeat->source) {
     freshness_.OnConfirmation(*heartbeat->source, Now());
-    UpdateFreshness();
+    if (freshness_.TakeAnnouncementDue()) {
+      ShareConfirmation(true);
+    }
+    ScheduleFreshnessCheck();
   }
   ProcessEvent(MembershipEvent(message.envelope));
   ProcessEvent(TableDisseminationEvent(std::move(message.envelope)));
@@ -162,11 +165,15 @@
   if (is_reader_ && (has_read_as_reader_ || (is_elected_ && lost_source_))) {
     freshness_.OnFollowing(is_elected_, now);
   }
-  ProcessEvent(MembershipEvent(SourceConfirmed{
-      freshness_.Newest(now), freshness_.TakeAnnouncementDue()}));
+  ShareConfirmation(freshness_.TakeAnnouncementDue());
   ScheduleFreshnessCheck();
 }
 
+auto FleetTask::ShareConfirmation(bool announce) -> void {
+  ProcessEvent(
+      MembershipEvent(SourceConfirmed{freshness_.Newest(Now()), announce}));
+}
+
 auto FleetTask::ScheduleFreshnessCheck() -> void {
   if (config_.source == ServiceSource::kPublished) {
     const auto delay = DelayUntil(freshness_.due());
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -73,6 +73,9 @@
   // Confirms that this VM follows the store if it does, and passes the newest
   // confirmation to the membership.
   auto UpdateFreshness() -> void;
+  // Passes the newest confirmation to the membership; with `announce`, all
+  // peers get it at once.
+  auto ShareConfirmation(bool announce) -> void;
   // Schedules the check for lost readers.
   auto ScheduleFreshnessCheck() -> void;
   // Announces changes of this VM's member record to the other VMs.
