Let a repeated stop signal shorten nothing

Callers saw: a VM that gets SIGTERM a second time broke off the requests at which targets were at work, answered them itself (502, upstream-reset, unknown) and exited with most of its grace time left.

Cause: the second SIGTERM or SIGINT asked for a hard stop by design. The platform names one SIGTERM and a SIGKILL after the grace time, and gives a repeated SIGTERM no other meaning.

Change: further stop signals are logged and change nothing. Requests end within shutdown.hard_limit_ms, as after one signal. SIGKILL ends a process at once.

Evidence: with the old daemon.cc, shutdown/repeated_signals_cut_nothing_off and published_store/repeated_signals_finish_what_runs fail (status 502) while the tests with one signal pass.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -75,9 +75,14 @@
   const SignalWatch signals(
       loop,
       [&](int count) {
-        Log(Part::kNode, LogLevel::kInfo,
-            count == 1 ? "stopping gracefully" : "stopping immediately");
-        node.Stop(count == 1 ? StopMode::kGraceful : StopMode::kHard);
+        if (count > 1) {
+          Log(Part::kNode, LogLevel::kInfo,
+              "already stopping; requests in flight are finished until "
+              "shutdown.hard_limit_ms");
+          return;
+        }
+        Log(Part::kNode, LogLevel::kInfo, "stopping gracefully");
+        node.Stop(StopMode::kGraceful);
       },
       [&] { RevalidateSettings(settings_path); });
   const auto watch =
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -19,8 +19,9 @@
 };
 
 // Runs the daemon of one VM until it exits, and returns the exit code of the
-// process. The first SIGTERM or SIGINT stops it gracefully, the second one
-// immediately. Call once per process.
+// process. The first SIGTERM or SIGINT stops it gracefully. Further ones change
+// nothing: supervisors repeat signals, and a repeated one must not break off
+// the requests that the stop waits for. Call once per process.
 auto RunDaemon(int argc, char** argv, const DaemonOptions& options) -> int;
 
 }  // namespace flamingoyoke
--- a/tests/integration/published_store_test.cc
+++ b/tests/integration/published_store_test.cc
@@ -22,6 +22,7 @@
 
 constexpr int kOk = 200;
 constexpr std::size_t kGatewayCount = 3;
+constexpr int kServiceMs = 20;
 
 // Ports that all VMs of a platform share.
 struct Ports {
@@ -43,9 +44,10 @@
 // A registered target.
 class Target {
  public:
-  explicit Target(const std::string& id)
+  Target(const std::string& id, int service_ms)
       : id_(id),
-        process_(ProgramPath("tests/standins/standin_target"), {"--id", id}),
+        process_(ProgramPath("tests/standins/standin_target"),
+                 {"--id", id, "--service-ms", std::to_string(service_ms)}),
         port_(process_.ReadNumber("port", kStartTimeout)) {}
 
   auto SetMode(BlockingHttp& http, const std::string& mode) -> void {
@@ -79,11 +81,12 @@
 // started as on the users' platform.
 class PublishedStoreFleet {
  public:
-  explicit PublishedStoreFleet(std::size_t targets)
+  explicit PublishedStoreFleet(std::size_t targets, int service_ms = kServiceMs)
       : store_(ProgramPath("tests/standins/standin_store"), {}),
         store_port_(store_.ReadNumber("port", kStartTimeout)) {
     for (std::size_t i = 0; i < targets; ++i) {
-      targets_.push_back(std::make_unique<Target>("i-" + std::to_string(i)));
+      targets_.push_back(
+          std::make_unique<Target>("i-" + std::to_string(i), service_ms));
       Register(i, "ready");
     }
     PublishRoutes("r4", {"/book/"});
@@ -387,14 +390,10 @@
   cr_assert_eq(fleet.Call(1, "/book/1", "back").status, kOk);
 }
 
-// Guards against a graceful shutdown that aborts requests in flight, and
-// against a VM that reports ready while it shuts down.
-Test(published_store, sigterm_finishes_what_runs) {
-  PublishedStoreFleet fleet(2);
-  fleet.WaitForAll();
-  BlockingHttp callers;
-  constexpr int kRequestCount = 8;
-  for (int i = 0; i < kRequestCount; ++i) {
+// Starts `count` non-repeatable requests to the first gateway.
+auto StartOrders(BlockingHttp& callers, PublishedStoreFleet& fleet, int count)
+    -> void {
+  for (int i = 0; i < count; ++i) {
     callers.StartCall(
         {.server = EndpointAt(AddressOf(0), fleet.ports().front),
          .method = "POST",
@@ -403,6 +402,15 @@
                      {"X-Request-Deadline-Ms", "3000"}},
          .body = "order"});
   }
+}
+
+// Guards against a graceful shutdown that aborts requests in flight, and
+// against a VM that reports ready while it shuts down.
+Test(published_store, sigterm_finishes_what_runs) {
+  PublishedStoreFleet fleet(2);
+  fleet.WaitForAll();
+  BlockingHttp callers;
+  StartOrders(callers, fleet, 8);
   callers.RunFor(std::chrono::milliseconds(15));
   fleet.gateway(0).Signal(SIGTERM);
   for (const auto& answer : callers.WaitForAll()) {
@@ -412,4 +420,24 @@
   cr_assert_eq(fleet.gateway(0).WaitForExit(std::chrono::seconds(20)), 0);
 }
 
+// Guards against a further signal during a graceful shutdown that aborts the
+// requests at which targets are at work.
+Test(published_store, repeated_signals_finish_what_runs) {
+  constexpr int kLongServiceMs = 1200;
+  constexpr int kOrderCount = 6;
+  PublishedStoreFleet fleet(2, kLongServiceMs);
+  fleet.WaitForAll();
+  BlockingHttp callers;
+  StartOrders(callers, fleet, kOrderCount);
+  callers.RunFor(std::chrono::milliseconds(300));
+  for (const auto signal : {SIGTERM, SIGTERM, SIGHUP, SIGINT, SIGTERM}) {
+    fleet.gateway(0).Signal(signal);
+    callers.RunFor(std::chrono::milliseconds(50));
+  }
+  for (const auto& answer : callers.WaitForAll()) {
+    cr_assert_eq(answer.status, kOk, "status %d", answer.status);
+  }
+  cr_assert_eq(fleet.gateway(0).WaitForExit(std::chrono::seconds(20)), 0);
+}
+
 }  // namespace flamingoyoke::integration
--- a/tests/integration/shutdown_test.cc
+++ b/tests/integration/shutdown_test.cc
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <chrono>
 #include <csignal>
 #include <string>
 #include <vector>
@@ -16,9 +17,14 @@
 constexpr int kUploadCount = 12;
 constexpr std::size_t kUploadBytes = 2'000'000;
 
-// Guards against a graceful shutdown that aborts requests in flight. When
-// SIGTERM arrives, some long uploads are running and others are queued.
-Test(shutdown, sigterm_cuts_nothing_off) {
+struct TimedSignal {
+  int signal;
+  std::chrono::milliseconds pause_before;
+};
+
+// Sends `signals` to a VM while long uploads are running and others are queued,
+// and checks that each upload is answered or was not run.
+auto CheckStopDuringUploads(const std::vector<TimedSignal>& signals) -> void {
   BlockingHttp http;
   const auto upstreams = StartUpstreams(2, {"--slots", "2"});
   Fleet fleet(kVmCount);
@@ -43,7 +49,10 @@
                0;
       },
       kFleetTimeout));
-  fleet.vm(0).process().Signal(SIGTERM);
+  for (const auto& [signal, pause_before] : signals) {
+    http.RunFor(pause_before);
+    fleet.vm(0).process().Signal(signal);
+  }
   const auto answers = http.WaitForAll();
   for (std::size_t index = 0; index < answers.size(); ++index) {
     const auto& answer = answers[index];
@@ -62,6 +71,22 @@
   cr_assert_eq(fleet.vm(0).process().WaitForExit(kFleetTimeout), 0);
 }
 
+// Guards against a graceful shutdown that aborts requests in flight.
+Test(shutdown, sigterm_cuts_nothing_off) {
+  CheckStopDuringUploads({{SIGTERM, std::chrono::milliseconds(0)}});
+}
+
+// Guards against a further signal during a graceful shutdown that aborts the
+// requests in flight.
+Test(shutdown, repeated_signals_cut_nothing_off) {
+  using std::chrono::milliseconds;
+  CheckStopDuringUploads({{SIGTERM, milliseconds(0)},
+                          {SIGTERM, milliseconds(40)},
+                          {SIGHUP, milliseconds(20)},
+                          {SIGINT, milliseconds(60)},
+                          {SIGTERM, milliseconds(100)}});
+}
+
 // Guards against address lists that still contain a VM that has shut down.
 Test(shutdown, leaving_vm_is_not_handed_out) {
   BlockingHttp http;
