Reject request targets that evhttp does not read

Callers saw: a request for "//:x" got no answer of the gateway; the connection ended.

Cause: evhttp reads two leading slashes as the start of an authority. If that is invalid it drops the request, which the scanner had accepted.

Change: the scanner asks evhttp's own parser about targets with two leading slashes and answers 400 (malformed-request) for those it does not read.

Evidence: request_scanner/rejects_a_target_that_evhttp_does_not_read fails with the check switched off (accepted: //:x) and passes with it.

--- a/src/node/traffic/request_scanner.cc
+++ b/src/node/traffic/request_scanner.cc
@@ -1,6 +1,10 @@
 #include "node/traffic/request_scanner.h"
 
+#include <event2/http.h>
+
 #include <algorithm>
+#include <memory>
+#include <string>
 #include <utility>
 
 #include "core/overloaded.h"
@@ -50,6 +54,21 @@
                      [](char c) { return c > ' ' && c < 0x7f && c != '#'; });
 }
 
+// Returns whether evhttp delivers a request with `target`, which is in origin
+// form. evhttp reads two leading slashes as the start of an authority, and
+// drops the request without an answer if that is not valid.
+auto IsReadByEvhttp(std::string_view target) -> bool {
+  constexpr std::string_view kAuthorityPrefix = "//";
+  if (target.substr(0, kAuthorityPrefix.size()) != kAuthorityPrefix) {
+    return true;
+  }
+  const std::unique_ptr<evhttp_uri, decltype(&evhttp_uri_free)> parsed(
+      evhttp_uri_parse_with_flags(std::string(target).c_str(),
+                                  EVHTTP_URI_NONCONFORMANT),
+      &evhttp_uri_free);
+  return parsed != nullptr;
+}
+
 }  // namespace
 
 RequestScanner::RequestScanner(Limits limits,
@@ -169,7 +188,7 @@
   const auto method = line.substr(0, first);
   const auto target = line.substr(first + 1, last - first - 1);
   if (FindMethod(method) == nullptr || !IsOriginForm(target) ||
-      line.substr(last + 1) != kVersion) {
+      !IsReadByEvhttp(target) || line.substr(last + 1) != kVersion) {
     SetViolation(ErrorKind::kMalformedRequest);
     return;
   }
--- a/tests/unit/node/traffic/request_scanner_test.cc
+++ b/tests/unit/node/traffic/request_scanner_test.cc
@@ -97,6 +97,22 @@
       Scan("HEAD /a HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"));
 }
 
+// Guards against requests that get no answer: evhttp reads two leading slashes
+// as the start of an authority and drops the request if that is invalid.
+Test(request_scanner, rejects_a_target_that_evhttp_does_not_read) {
+  for (const auto* target : {"//:x", "//h:99999/a", "//[/a"}) {
+    cr_assert(
+        Scan(std::string("GET ") + target + " HTTP/1.1\r\nHost: h\r\n\r\n") ==
+            ErrorKind::kMalformedRequest,
+        "accepted: %s", target);
+  }
+  for (const auto* target : {"//h/a", "//x", "/a//:x", "/"}) {
+    cr_assert_not(
+        Scan(std::string("GET ") + target + " HTTP/1.1\r\nHost: h\r\n\r\n"),
+        "refused: %s", target);
+  }
+}
+
 // Repeated or contradicting framing headers must be refused, even with equal
 // values.
 Test(request_scanner, conflicting_framing) {
