Order the reports of load and outcomes

Cause: a LoadReport or an OutcomeReport that was delayed, for example on a connection that was replaced, overwrote what a newer one had said: slots in use at a target, or idle slots of a lender, until the next report.

Change: the reports carry a number. ReportOrder tells older copies of the same sender; they change no slots. Their outcomes happened and still count.

--- a/src/decision/dispatch/load_reporter.cc
+++ b/src/decision/dispatch/load_reporter.cc
@@ -41,7 +41,8 @@
           .queue_length = queue_length,
           .idle_slots = idle_slots,
           .succeeded = std::exchange(succeeded_, 0),
-          .failed = std::exchange(failed_, 0)};
+          .failed = std::exchange(failed_, 0),
+          .sequence = ++last_sequence_};
 }
 
 auto LoadReporter::NextWake(std::uint32_t idle_slots, bool busy) const
--- a/src/decision/dispatch/load_reporter.h
+++ b/src/decision/dispatch/load_reporter.h
@@ -46,6 +46,7 @@
 
  private:
   std::optional<TimePoint> last_sent_at_;
+  std::uint64_t last_sequence_ = 0;
   std::uint32_t reported_idle_slots_ = 0;
   bool reported_busy_ = false;
   std::uint32_t succeeded_ = 0;
--- a/src/decision/dispatch/loan_borrower.cc
+++ b/src/decision/dispatch/loan_borrower.cc
@@ -68,10 +68,12 @@
   return returns;
 }
 
-auto LoanBorrower::OnLoadReport(const VmId& lender, const LoadReport& report)
-    -> void {
+auto LoanBorrower::OnLoadReport(const VmId& lender,
+                                const LoadReport& report,
+                                TimePoint now) -> void {
   const auto entry = lenders_.find(lender);
-  if (entry != lenders_.end()) {
+  if (entry != lenders_.end() &&
+      load_reports_.Accept(lender, report.sequence, now)) {
     entry->second.idle_slots = report.idle_slots;
   }
 }
--- a/src/decision/dispatch/loan_borrower.h
+++ b/src/decision/dispatch/loan_borrower.h
@@ -14,6 +14,7 @@
 #include "decision/dispatch/attempt.h"
 #include "decision/dispatch/loan_key.h"
 #include "decision/peer/peer_message.h"
+#include "decision/peer/report_order.h"
 
 namespace flamingoyoke {
 
@@ -49,8 +50,10 @@
                  const std::vector<VmId>& lenders,
                  std::set<TargetId> targets) -> std::vector<SendToPeer>;
 
-  // Records the number of idle slots of a lender.
-  auto OnLoadReport(const VmId& lender, const LoadReport& report) -> void;
+  // Records the number of idle slots of a lender, unless a newer report of it
+  // arrived before.
+  auto OnLoadReport(const VmId& lender, const LoadReport& report, TimePoint now)
+      -> void;
 
   // Requests slots for `waiting` requests of `work_class`, minus those that are
   // still outstanding. Outstanding slot requests are not withdrawn when no
@@ -154,6 +157,7 @@
 
   ServiceId service_;
   std::map<VmId, Lender> lenders_;
+  ReportOrder load_reports_;
   std::set<TargetId> targets_;
   std::uint64_t last_sequence_;
   // By sequence number; kept for kLoanDuration.
--- a/src/decision/dispatch/service_dispatcher.cc
+++ b/src/decision/dispatch/service_dispatcher.cc
@@ -309,7 +309,7 @@
 
 auto ServiceDispatcher::OnPeerMessage(const VmId& sender,
                                       const LoadReport& message) -> void {
-  borrower_.OnLoadReport(sender, message);
+  borrower_.OnLoadReport(sender, message, now_);
 }
 
 auto ServiceDispatcher::OnPeerMessage(const VmId& sender,
--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -291,7 +291,7 @@
 }
 
 auto PoolDispatcher::On(const PoolPeerReport& event) -> void {
-  pool_.OnPeerReport(event.peer, event.outcomes, now_);
+  pool_.OnPeerReport(event.peer, event.outcomes, now_, event.sequence);
   pool_.OnPeerRequests(event.requests, now_);
 }
 
@@ -441,9 +441,11 @@
   if (unreported.empty() && requests == RequestCounts()) {
     return;
   }
+  ++last_report_sequence_;
   for (const auto& peer : peers_) {
-    actions_.emplace_back(
-        SendToPeer{peer, OutcomeReport{service_, unreported, requests}});
+    actions_.emplace_back(SendToPeer{
+        peer,
+        OutcomeReport{service_, unreported, requests, last_report_sequence_}});
   }
 }
 
--- a/src/decision/gateway/pool_dispatcher.h
+++ b/src/decision/gateway/pool_dispatcher.h
@@ -159,6 +159,7 @@
   PoolCounters counters_;
   std::uint64_t last_attempt_ = 0;
   std::optional<TimePoint> last_report_;
+  std::uint64_t last_report_sequence_ = 0;
   std::optional<TimePoint> scheduled_wake_;
   std::vector<PoolAction> actions_;
 };
--- a/src/decision/gateway/pool_event.h
+++ b/src/decision/gateway/pool_event.h
@@ -91,6 +91,8 @@
   VmId peer;
   std::vector<TargetOutcomes> outcomes;
   RequestCounts requests = {};
+  // Number of the report; see ReportOrder.
+  std::uint64_t sequence = 0;
 };
 
 // The process resumed after a pause.
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -623,7 +623,9 @@
 
 auto TargetPool::OnPeerReport(const VmId& peer,
                               const std::vector<TargetOutcomes>& outcomes,
-                              TimePoint now) -> void {
+                              TimePoint now,
+                              std::uint64_t sequence) -> void {
+  const bool is_newest = report_order_.Accept(peer, sequence, now);
   const auto repeat = [&](TargetState& state, Evidence evidence,
                           std::uint32_t times) {
     for (std::uint32_t i = 0; i < times; ++i) {
@@ -636,7 +638,9 @@
       continue;
     }
     auto& state = found->second;
-    state.peers[peer] = {report.in_flight, now};
+    if (is_newest) {
+      state.peers[peer] = {report.in_flight, now};
+    }
     state.availability.OnReported(report.avoid, now);
     if (report.in_flight > 0 || report.succeeded > 0 || report.failed > 0) {
       RecordUse(state, now);
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -15,6 +15,7 @@
 #include "decision/gateway/target_health_estimator.h"
 #include "decision/gateway/target_ownership.h"
 #include "decision/peer/peer_message.h"
+#include "decision/peer/report_order.h"
 #include "table/registry.h"
 
 namespace flamingoyoke {
@@ -93,10 +94,13 @@
   // outdated.
   auto OnResumed() -> void;
 
-  // Applies the outcomes reported by the gateway `peer`.
+  // Applies the outcomes reported by the gateway `peer`. All outcomes count,
+  // but the slots in use only if no report with a higher `sequence` arrived
+  // before.
   auto OnPeerReport(const VmId& peer,
                     const std::vector<TargetOutcomes>& outcomes,
-                    TimePoint now) -> void;
+                    TimePoint now,
+                    std::uint64_t sequence = 0) -> void;
 
   // Adds the requests that ended at another gateway.
   auto OnPeerRequests(const RequestCounts& requests, TimePoint now) -> void;
@@ -229,6 +233,7 @@
   double floor_share_;
   FailureDomainId own_domain_;
   std::map<TargetId, TargetState> targets_;
+  ReportOrder report_order_;
   // The targets that this gateway owns and those of others, in targets_.
   std::vector<TargetState*> owned_;
   std::vector<TargetState*> others_;
--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -103,6 +103,8 @@
   // Response times of requests to owned targets.
   Duration median_latency = Duration::zero();
   Duration p95_latency = Duration::zero();
+  // Number of the report; see ReportOrder.
+  std::uint64_t sequence = 0;
 };
 
 struct SlotRequest {
@@ -167,6 +169,8 @@
   ServiceId service;
   std::vector<TargetOutcomes> outcomes;
   RequestCounts requests = {};
+  // Number of the report; see ReportOrder.
+  std::uint64_t sequence = 0;
 };
 
 enum class TargetState {
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -89,7 +89,7 @@
 
 auto PoolRunner::OnPeerReport(const VmId& peer, const OutcomeReport& report)
     -> void {
-  Post(PoolPeerReport{peer, report.outcomes, report.requests});
+  Post(PoolPeerReport{peer, report.outcomes, report.requests, report.sequence});
 }
 
 auto PoolRunner::OnResumed() -> void {
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -143,7 +143,8 @@
                     .succeeded = encoded.succeeded(),
                     .failed = encoded.failed(),
                     .median_latency = median,
-                    .p95_latency = p95};
+                    .p95_latency = p95,
+                    .sequence = encoded.sequence()};
 }
 
 auto Read(const wire::SlotRequest& encoded) -> Result<PeerMessage> {
@@ -173,10 +174,10 @@
 }
 
 auto Read(const wire::OutcomeReport& encoded) -> Result<PeerMessage> {
-  return OutcomeReport{
-      ServiceId(encoded.service()),
-      ReadOutcomes(encoded),
-      {encoded.requests_served(), encoded.requests_unserved()}};
+  return OutcomeReport{ServiceId(encoded.service()),
+                       ReadOutcomes(encoded),
+                       {encoded.requests_served(), encoded.requests_unserved()},
+                       encoded.sequence()};
 }
 
 auto Read(const wire::EjectionNotice& encoded) -> Result<PeerMessage> {
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -130,6 +130,7 @@
   encoded->set_failed(message.failed);
   encoded->set_median_latency_us(ToMicroseconds(message.median_latency));
   encoded->set_p95_latency_us(ToMicroseconds(message.p95_latency));
+  encoded->set_sequence(message.sequence);
 }
 
 auto BodyWriter::operator()(const SlotRequest& message) const -> void {
@@ -177,6 +178,7 @@
   encoded->set_service(message.service.value());
   encoded->set_requests_served(message.requests.served);
   encoded->set_requests_unserved(message.requests.unserved);
+  encoded->set_sequence(message.sequence);
   for (const auto& outcomes : message.outcomes) {
     WriteOutcomes(outcomes, encoded->add_outcomes());
   }
--- a/tests/unit/decision/dispatch/loan_borrower_test.cc
+++ b/tests/unit/decision/dispatch/loan_borrower_test.cc
@@ -46,6 +46,25 @@
                 .empty());
 }
 
+// Guards against a delayed report of a lender that hides its idle slots: a slot
+// is then asked of each lender, one at a time, instead of an idle one.
+Test(loan_borrower, a_delayed_load_report_changes_nothing) {
+  Fixture fixture;
+  const auto report = [&](std::uint32_t idle_slots, std::uint64_t sequence) {
+    LoadReport load;
+    load.service = kService;
+    load.idle_slots = idle_slots;
+    load.sequence = sequence;
+    fixture.borrower_.OnLoadReport(kLender, load, kNow);
+  };
+  report(3, 8);
+  report(0, 7);
+  const auto sends = fixture.borrower_.RequestSlots(WorkClass::kShort, 3,
+                                                    fixture.random_, kNow);
+  cr_assert_eq(sends.size(), 1);
+  cr_assert_eq(std::get<SlotRequest>(sends.front().message).wanted, 3U);
+}
+
 // Guards against a loan that the borrower uses after it expired at the lender:
 // its duration counts from when the request was sent, however late the loan
 // arrives.
--- a/tests/unit/decision/gateway/target_pool_test.cc
+++ b/tests/unit/decision/gateway/target_pool_test.cc
@@ -73,6 +73,22 @@
   cr_assert(pool.Choose({}, kStart + seconds(2)).has_value());
 }
 
+// Guards against a delayed report that frees the slots which a newer one of the
+// same gateway said are in use.
+Test(target_pool, a_delayed_report_frees_no_slots) {
+  auto pool = MakePool(MakeTargets(1));
+  const auto report = [&](std::uint32_t in_flight, std::uint64_t sequence) {
+    pool.OnPeerReport(VmId("peer"),
+                      {{.target = MakeTargetId(0), .in_flight = in_flight}},
+                      kStart, sequence);
+  };
+  report(2, 8);
+  report(0, 7);
+  cr_assert_not(pool.Choose({}, kStart).has_value());
+  report(0, 9);
+  cr_assert(pool.Choose({}, kStart).has_value());
+}
+
 // Guards against sending non-repeatable requests to a failing target.
 Test(target_pool, avoids_a_target_that_a_peer_reported_failing) {
   auto pool = MakePool(MakeTargets(2));
--- a/tests/unit/wire/peer_codec_test.cc
+++ b/tests/unit/wire/peer_codec_test.cc
@@ -45,13 +45,13 @@
       TableAnnounce{{1, Revision(2), 3}},
       TablePull{1, Revision(2)},
       TableData{{1, Revision(2), 3}, "service,route\n"},
-      LoadReport{service, 1, 2, 3, 4, Duration(5), Duration(6)},
+      LoadReport{service, 1, 2, 3, 4, Duration(5), Duration(6), 7},
       SlotRequest{service, 2, 3, WorkClass::kLong, {LoanId(4)}},
       SlotLoan{LoanId(1), service, 2, {target, target}, Duration(9)},
       SlotReturn{LoanId(1), service, {target}, {{target, 1, 2, 3, 4}}},
       SlotRecall{LoanId(1), service},
       OutcomeReport{
-          service, {{target, 1, 2, 3, 4, 5, milliseconds(70)}}, {5, 6}},
+          service, {{target, 1, 2, 3, 4, 5, milliseconds(70)}}, {5, 6}, 7},
       EjectionNotice{service, target, TargetState::kTrial, 4, 0.5, Duration(8)},
       EjectionPermitRequest{service, target},
       EjectionPermit{service, target, true},
@@ -70,6 +70,9 @@
 
 // Guards against fields that are lost in encoding or decoding.
 Test(peer_codec, fields_survive_a_round_trip) {
+  cr_assert_eq(std::get<LoadReport>(RoundTrip(AllMessages()[6])).sequence, 7U);
+  cr_assert_eq(std::get<OutcomeReport>(RoundTrip(AllMessages()[11])).sequence,
+               7U);
   const auto loan = std::get<SlotLoan>(RoundTrip(AllMessages()[8]));
   cr_assert(loan.loan == LoanId(1));
   cr_assert_eq(loan.targets.size(), 2);
