Repeat a failed read of the store on a new connection

The watches of all readers had gone silent, or the lists after a compacted history had been cut, while the store answered every new connection.

Cause: one connection that failed was taken for a store that was away, after which missing entries are kept for 2.3 s. Only a watch whose connection was cut was excepted, not one that went silent, and no list.

Change: WatchRecovery becomes ReadRecovery. A list or watch whose connection was cut or went silent is repeated on a new connection. Only if no read is answered within 1.5 s after the first failed one was requested does the store count as unavailable. A refused connection, an error answer, and a reader that was never answered count at once, as before, so that other VMs take over.

Why it works: an entry of a live target expires after three missed heartbeats, and so only in an outage of more than 3 s. If the store answers within 1.5 s, an entry that went missing was removed.

The stand-in store had ignored DELETE on its control path, and nothing had used it.

--- a/src/node/control/store/store_config.h
+++ b/src/node/control/store/store_config.h
@@ -12,10 +12,10 @@
 struct StoreConfig {
   std::string host;
   std::uint16_t port = 0;
-  // How long the store may hold a watch open. A stalled connection, or a store
-  // that rejects this VM, is detected after watch_timeout + read_timeout; other
-  // VMs then take over reading. The sum stays well below the two seconds within
-  // which a change must take effect.
+  // How long the store may hold a watch open. A stalled connection is detected
+  // after watch_timeout + read_timeout. The sum stays below
+  // ReadRecovery::kMaxUnansweredTime, so that the read can be repeated before
+  // other VMs take over.
   Duration watch_timeout = std::chrono::milliseconds(600);
   // The store normally responds within milliseconds. After this timeout the
   // request counts as failed and its connection is closed.
--- a/src/node/control/store/store_reader.cc
+++ b/src/node/control/store/store_reader.cc
@@ -75,12 +75,12 @@
 }
 
 auto StoreReader::Get(const std::string& path,
-                      Duration wait,
+                      Duration timeout,
                       OnResponse on_response) -> void {
   on_response_ = std::move(on_response);
   failure_ = ReadOutcome::kTimedOut;
   received_bytes_ = 0;
-  timeout_timer_.Schedule(config_.read_timeout + wait);
+  timeout_timer_.Schedule(timeout);
   if (!EnsureConnection()) {
     return;
   }
--- a/src/node/control/store/store_reader.h
+++ b/src/node/control/store/store_reader.h
@@ -8,7 +8,7 @@
 #include <memory>
 #include <string>
 
-#include "decision/platform/watch_recovery.h"
+#include "decision/platform/read_recovery.h"
 #include "node/control/store/store_config.h"
 #include "runtime/event_loop.h"
 
@@ -33,9 +33,9 @@
   auto operator=(const StoreReader&) -> StoreReader& = delete;
   ~StoreReader();
 
-  // Requests `path`, allowing `wait` on top of the read timeout for the
-  // response. Precondition: no request is in progress.
-  auto Get(const std::string& path, Duration wait, OnResponse on_response)
+  // Requests `path`, allowing `timeout` for the response. Precondition: no
+  // request is in progress.
+  auto Get(const std::string& path, Duration timeout, OnResponse on_response)
       -> void;
 
  private:
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -17,11 +17,11 @@
 constexpr int kStatusOk = 200;
 // The fleet task drains a full mailbox in its next iteration.
 constexpr Duration kPostRetryInterval = std::chrono::milliseconds(20);
-// Delay before a watch that was cut is resumed.
-constexpr Duration kResumeDelay = std::chrono::milliseconds(20);
-// A resumed watch waits this long only, so that it is answered before the next
-// cut.
-constexpr Duration kResumedWatchTimeout = std::chrono::milliseconds(1);
+// Delay before an unanswered read is repeated on a new connection.
+constexpr Duration kRetryDelay = std::chrono::milliseconds(20);
+// A repeated watch waits this long only, so that it is answered before its
+// connection fails, too.
+constexpr Duration kRetriedWatchTimeout = std::chrono::milliseconds(1);
 
 auto DescribeFailure(const StoreReader::Response& response) -> std::string {
   return response.outcome == ReadOutcome::kAnswered
@@ -84,6 +84,7 @@
     watch_after_ = 0;
     list_cursor_.clear();
     list_targets_.clear();
+    recovery_.OnStarted();
     tracker_.OnStarted(changed.source_was_healthy, Now());
     is_available_ = true;
     StartRead();
@@ -108,7 +109,8 @@
 }
 
 auto StoreTask::RequestList() -> void {
-  reader_->Get(dialect_.list_target(list_cursor_), Duration::zero(),
+  reader_->Get(dialect_.list_target(list_cursor_),
+               ReadTimeout(Duration::zero()),
                [this](const StoreReader::Response& response) {
                  OnListResponse(response);
                });
@@ -116,13 +118,17 @@
 
 auto StoreTask::RequestWatch() -> void {
   const auto wait =
-      recovery_.is_resuming() ? kResumedWatchTimeout : config_.watch_timeout;
-  reader_->Get(dialect_.watch_target(watch_after_, wait), wait,
+      recovery_.is_retrying() ? kRetriedWatchTimeout : config_.watch_timeout;
+  reader_->Get(dialect_.watch_target(watch_after_, wait), ReadTimeout(wait),
                [this](const StoreReader::Response& response) {
                  OnWatchResponse(response);
                });
 }
 
+auto StoreTask::ReadTimeout(Duration wait) const -> Duration {
+  return recovery_.LimitTimeout(config_.read_timeout + wait, Now());
+}
+
 auto StoreTask::OnListResponse(const StoreReader::Response& response) -> void {
   is_reading_ = false;
   std::optional<StorePage> page;
@@ -137,6 +143,10 @@
   if (!page) {
     list_cursor_.clear();
     list_targets_.clear();
+    if (response.outcome != ReadOutcome::kAnswered) {
+      OnUnanswered("list", response.outcome);
+      return;
+    }
     OnReadFailed("list request failed " + DescribeFailure(response));
     return;
   }
@@ -164,7 +174,7 @@
 auto StoreTask::OnWatchResponse(const StoreReader::Response& response) -> void {
   is_reading_ = false;
   if (response.outcome != ReadOutcome::kAnswered) {
-    OnWatchEnded(response.outcome);
+    OnUnanswered("watch", response.outcome);
     return;
   }
   if (response.status == dialect_.compacted_status) {
@@ -194,15 +204,17 @@
   OnReadSucceeded();
 }
 
-auto StoreTask::OnWatchEnded(ReadOutcome outcome) -> void {
-  if (!recovery_.ShouldResume(outcome, Now())) {
-    OnReadFailed("watch request failed " + DescribeFailure({outcome, 0, {}}));
+auto StoreTask::OnUnanswered(const std::string& read, ReadOutcome outcome)
+    -> void {
+  if (!recovery_.ShouldRetry(outcome, requested_at_, Now())) {
+    OnReadFailed(read + " request failed " + DescribeFailure({outcome, 0, {}}));
     return;
   }
   Log(Part::kStore, LogLevel::kInfo,
-      "the connection of a watch was cut; resuming after revision " +
-          std::to_string(watch_after_));
-  read_timer_.Schedule(kResumeDelay);
+      "a " + read + " after revision " + std::to_string(watch_after_) +
+          " ended without an answer: " + std::string(ToName(outcome)) +
+          "; retrying on a new connection");
+  read_timer_.Schedule(kRetryDelay);
 }
 
 auto StoreTask::OnReadFailed(const std::string& reason) -> void {
--- a/src/node/control/store/store_task.h
+++ b/src/node/control/store/store_task.h
@@ -9,9 +9,9 @@
 
 #include "core/ids.h"
 #include "core/result.h"
+#include "decision/platform/read_recovery.h"
 #include "decision/platform/read_schedule.h"
 #include "decision/platform/registry_tracker.h"
-#include "decision/platform/watch_recovery.h"
 #include "node/control/store/store_config.h"
 #include "node/control/store/store_reader.h"
 #include "node/control/store/table_outbox.h"
@@ -47,8 +47,11 @@
   auto RequestWatch() -> void;
   auto OnListResponse(const StoreReader::Response& response) -> void;
   auto OnWatchResponse(const StoreReader::Response& response) -> void;
-  // A watch ended without an answer.
-  auto OnWatchEnded(ReadOutcome outcome) -> void;
+  // Returns how long to wait for an answer that the store may hold back for
+  // `wait`.
+  [[nodiscard]] auto ReadTimeout(Duration wait) const -> Duration;
+  // A list or watch, named by `read`, ended without an answer.
+  auto OnUnanswered(const std::string& read, ReadOutcome outcome) -> void;
   auto OnReadFailed(const std::string& reason) -> void;
   auto OnReadSucceeded() -> void;
   // Applies one entry. While listing, targets are appended to `targets`; while
@@ -69,7 +72,7 @@
   TaskContext* context_ = nullptr;
   RegistryTracker tracker_;
   ReadSchedule schedule_;
-  WatchRecovery recovery_;
+  ReadRecovery recovery_;
   // Reports of targets that were ignored, as newer ones are known.
   std::uint64_t outdated_reports_ = 0;
   std::unique_ptr<StoreReader> reader_;
--- a/tests/integration/published_store_test.cc
+++ b/tests/integration/published_store_test.cc
@@ -197,6 +197,23 @@
          .body = method == "POST" ? "order" : ""});
   }
 
+  // Ends every watch that waits at some moment of a short time as `end`, so
+  // that no reader is left between two watches.
+  auto EndAllWatches(const std::string& end) -> void {
+    for (int i = 0; i < 15; ++i) {
+      SendToStore("PUT", "/control/watches?end=" + end);
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+  }
+
+  // Removes the entry of a target and returns when the store acknowledged it.
+  auto Unregister(std::size_t index, const std::string& options = "")
+      -> std::chrono::steady_clock::time_point {
+    SendToStore("DELETE",
+                "/control/item?key=servers/" + targets_[index]->id() + options);
+    return std::chrono::steady_clock::now();
+  }
+
   // Returns how often all targets together ran request `id`.
   auto CountRuns(const std::string& id) -> int {
     int runs = 0;
@@ -310,6 +327,63 @@
   cr_assert_eq(fleet.Call(0, "/book/1", "after-drain").status, kOk);
 }
 
+// Waits until live targets that a reader misses after its start would have
+// registered again, after which it drops a removed target at once.
+auto WaitUntilSettled(PublishedStoreFleet& fleet) -> void {
+  fleet.WaitForAll();
+  std::this_thread::sleep_for(std::chrono::milliseconds(3500));
+}
+
+// Checks that target 0, whose entry was removed at `removed`, gets no requests
+// from two seconds later on.
+auto ExpectDropped(PublishedStoreFleet& fleet,
+                   std::chrono::steady_clock::time_point removed) -> void {
+  std::this_thread::sleep_until(removed + std::chrono::seconds(2));
+  const auto runs = [&] {
+    return fleet.target(0).Counters(fleet.http())["runs"].get<int>();
+  };
+  const auto before = runs();
+  constexpr int kCalls = 30;
+  for (int i = 0; i < kCalls; ++i) {
+    fleet.Call(static_cast<std::size_t>(i) % kGatewayCount, "/look/1",
+               "removed-" + std::to_string(i), "GET");
+  }
+  cr_assert_eq(runs(), before, "%d of %d requests went to the removed target",
+               runs() - before, kCalls);
+}
+
+// Guards against requests to a removed target because the connections of all
+// waiting watches were closed or reset just before.
+Test(published_store, drops_a_removed_target_after_watches_were_cut) {
+  for (const std::string end : {"cut", "reset"}) {
+    PublishedStoreFleet fleet(2);
+    WaitUntilSettled(fleet);
+    fleet.EndAllWatches(end);
+    ExpectDropped(fleet, fleet.Unregister(0));
+  }
+}
+
+// Guards against requests to a removed target because the connections of all
+// waiting watches went silent just before, as a link does that forgets them.
+Test(published_store, drops_a_removed_target_after_watches_went_silent) {
+  PublishedStoreFleet fleet(2);
+  WaitUntilSettled(fleet);
+  fleet.EndAllWatches("silent");
+  ExpectDropped(fleet, fleet.Unregister(0));
+}
+
+// Guards against requests to a removed target because the connections of the
+// lists that follow a compacted history were closed at first.
+Test(published_store, drops_a_removed_target_after_lists_were_cut) {
+  PublishedStoreFleet fleet(2);
+  WaitUntilSettled(fleet);
+  fleet.SendToStore("PUT", "/control/lists?cut=1");
+  const auto removed = fleet.Unregister(0, "&compact=1");
+  fleet.EndAllWatches("cut");
+  fleet.SendToStore("PUT", "/control/lists?cut=0");
+  ExpectDropped(fleet, removed);
+}
+
 // Guards against a store outage that stops traffic or restores an older
 // configuration, and against changes that are missed when the store has
 // compacted its history.
--- a/tests/standins/common/http_client.cc
+++ b/tests/standins/common/http_client.cc
@@ -24,6 +24,9 @@
   if (method == "POST") {
     return EVHTTP_REQ_POST;
   }
+  if (method == "DELETE") {
+    return EVHTTP_REQ_DELETE;
+  }
   return method == "PUT" ? EVHTTP_REQ_PUT : EVHTTP_REQ_GET;
 }
 
--- a/tests/standins/common/http_exchange.cc
+++ b/tests/standins/common/http_exchange.cc
@@ -56,6 +56,8 @@
       return "PUT";
     case EVHTTP_REQ_POST:
       return "POST";
+    case EVHTTP_REQ_DELETE:
+      return "DELETE";
     default:
       return "OTHER";
   }
@@ -126,4 +128,12 @@
   evhttp_connection_free(evhttp_request_get_connection(request_.release()));
 }
 
+auto HttpExchange::Reset() -> void {
+  const linger at_once{.l_onoff = 1, .l_linger = 0};
+  auto* connection = evhttp_request_get_connection(request_.get());
+  setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
+             SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  Abort();
+}
+
 }  // namespace flamingoyoke::standin
--- a/tests/standins/common/http_exchange.h
+++ b/tests/standins/common/http_exchange.h
@@ -53,6 +53,10 @@
   // sent.
   auto Abort() -> void;
 
+  // Resets the connection instead of answering. Precondition: no answer was
+  // sent.
+  auto Reset() -> void;
+
  private:
   struct UnansweredDeleter {
     auto operator()(evhttp_request* request) const -> void;
--- a/tests/standins/store/store_task.cc
+++ b/tests/standins/store/store_task.cc
@@ -83,9 +83,17 @@
   if (path == "/control/item" && !key.empty()) {
     Commit(key, exchange.Method() == "DELETE" ? std::nullopt
                                               : std::optional(exchange.Body()));
+    if (exchange.Number("compact", 0) > 0) {
+      Compact();
+    }
   } else if (path == "/control/compact") {
-    compacted_revision_ = revision_;
-    history_.clear();
+    Compact();
+  } else if (path == "/control/lists") {
+    cuts_lists_ = exchange.Number("cut", 0) > 0;
+  } else if (const auto end =
+                 FromName<WatchEnd>(exchange.Query("end").value_or(""));
+             path == "/control/watches" && end) {
+    EndWatches(*end);
   } else if (path == "/control/mode") {
     is_down_ = exchange.Number("down", 0) > 0;
   } else {
@@ -96,7 +104,32 @@
   AnswerWatches();
 }
 
+auto StoreTask::Compact() -> void {
+  compacted_revision_ = revision_;
+  history_.clear();
+}
+
+auto StoreTask::EndWatches(WatchEnd end) -> void {
+  for (auto& [id, watch] : std::exchange(watches_, {})) {
+    switch (end) {
+      case WatchEnd::kCut:
+        watch.exchange.Abort();
+        break;
+      case WatchEnd::kReset:
+        watch.exchange.Reset();
+        break;
+      case WatchEnd::kSilent:
+        silent_.push_back(std::move(watch.exchange));
+        break;
+    }
+  }
+}
+
 auto StoreTask::OnList(HttpExchange exchange) -> void {
+  if (cuts_lists_) {
+    exchange.Abort();
+    return;
+  }
   const auto prefix = exchange.Query("prefix").value_or("");
   const auto after = exchange.Query("after").value_or("");
   auto items = nlohmann::json::array();
--- a/tests/standins/store/store_task.h
+++ b/tests/standins/store/store_task.h
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOYOKE_TESTS_STANDINS_STORE_STORE_TASK_H_
 #define FLAMINGOYOKE_TESTS_STANDINS_STORE_STORE_TASK_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -8,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "core/name_table.h"
 #include "core/result.h"
 #include "runtime/task.h"
 #include "standins/common/http_exchange.h"
@@ -17,12 +19,38 @@
 
 namespace flamingoyoke::standin {
 
+// How the control endpoint ends waiting watches.
+enum class WatchEnd { kCut, kReset, kSilent };
+
+}  // namespace flamingoyoke::standin
+
+namespace flamingoyoke {
+
+template <>
+struct EnumNames<standin::WatchEnd> {
+  static constexpr auto kTable = std::to_array<NameEntry<standin::WatchEnd>>({
+      {standin::WatchEnd::kCut, "cut"},
+      {standin::WatchEnd::kReset, "reset"},
+      {standin::WatchEnd::kSilent, "silent"},
+  });
+};
+static_assert(IsDense<standin::WatchEnd>());
+
+}  // namespace flamingoyoke
+
+namespace flamingoyoke::standin {
+
 // The store of the users' platform, with the list and watch calls of its
 // protocol. Control:
 //   PUT    /control/item?key=K     publishes the body under the key
-//   DELETE /control/item?key=K     removes the key
+//   DELETE /control/item?key=K     removes the key; with `compact=1` also drops
+//                                  the history before any watch is answered
 //   PUT    /control/compact        drops the history of changes
 //   PUT    /control/mode?down=1|0  answers reads with 503
+//   PUT    /control/watches?end=E  ends the waiting watches: `cut` closes their
+//                                  connections, `reset` resets them, `silent`
+//                                  sends nothing more on them
+//   PUT    /control/lists?cut=1|0  closes the connection of each list call
 //   GET    /control/counters       JSON with the calls so far
 class StoreTask {
  public:
@@ -51,6 +79,8 @@
   auto OnControl(HttpExchange exchange) -> void;
   auto OnList(HttpExchange exchange) -> void;
   auto OnWatch(HttpExchange exchange) -> void;
+  auto Compact() -> void;
+  auto EndWatches(WatchEnd end) -> void;
   auto Commit(const std::string& key, std::optional<std::string> value) -> void;
   auto AnswerWatches() -> void;
   // Returns the changes under `prefix` with a revision above `after`.
@@ -65,11 +95,14 @@
   // The history no longer holds changes up to this revision.
   std::uint64_t compacted_revision_ = 0;
   bool is_down_ = false;
+  bool cuts_lists_ = false;
   std::uint64_t reads_ = 0;
   std::uint64_t next_watch_ = 0;
   std::optional<HttpServer> server_;
   std::optional<TimerQueue> timers_;
   std::map<std::uint64_t, Watch> watches_;
+  // Calls that are never answered. Their connections stay open.
+  std::vector<HttpExchange> silent_;
 };
 
 }  // namespace flamingoyoke::standin
--- a/tests/unit/node/control/store/store_reader_test.cc
+++ b/tests/unit/node/control/store/store_reader_test.cc
@@ -28,11 +28,10 @@
   StoreConfig config;
   config.host = "127.0.0.1";
   config.port = listener.port();
-  config.read_timeout = std::chrono::seconds(5);
   StoreReader::Response result;
   {
     StoreReader reader(loop, config);
-    reader.Get("/list", Duration::zero(),
+    reader.Get("/list", std::chrono::seconds(5),
                [&](const StoreReader::Response& response) {
                  result = response;
                  loop.Quit();
