Open a new connection to the store when a VM becomes a reader

What callers could see: requests to a removed target for longer than 2 s (DRAIN) after a change of readers.

Cause: a VM reads the store once at its start and keeps the connection. A link may drop it without notice while it is idle. The first list of the new reader then timed out, and the reader reported the store as lost.

Change: the task of the store closes its connection when the VM becomes a reader.

--- a/src/node/control/store/store_reader.h
+++ b/src/node/control/store/store_reader.h
@@ -33,6 +33,11 @@
   auto operator=(const StoreReader&) -> StoreReader& = delete;
   ~StoreReader();
 
+  // Closes the connection, so that the next request opens a new one. A link may
+  // have dropped an idle connection without notice. Precondition: no request is
+  // in progress.
+  auto CloseConnection() -> void { connection_.reset(); }
+
   // Requests `path`, allowing `timeout` for the response. Precondition: no
   // request is in progress.
   auto Get(const std::string& path, Duration timeout, OnResponse on_response)
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -84,6 +84,7 @@
     watch_after_ = 0;
     list_cursor_.clear();
     list_targets_.clear();
+    reader_->CloseConnection();
     recovery_.OnStarted();
     tracker_.OnStarted(changed.source_was_healthy, Now());
     is_available_ = true;
