Move the fleet of a published store to the tests' support

Gateways write their logs to files in a folder of the test: a process whose log nobody reads blocks when the pipe is full. The folder stays if the test is aborted.

--- a/tests/integration/published_store_test.cc
+++ b/tests/integration/published_store_test.cc
@@ -1,18 +1,13 @@
 #include <criterion/criterion.h>
 
+#include <chrono>
 #include <csignal>
-#include <fstream>
-#include <map>
-#include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
 #include <vector>
 
-#include "integration/support/blocking_http.h"
-#include "integration/support/child_process.h"
-#include "integration/support/fleet.h"
-#include "integration/support/standins.h"
+#include "integration/support/published_fleet.h"
 #include "integration/support/wait_until.h"
 
 namespace flamingoyoke::integration {
@@ -21,225 +16,7 @@
 TestSuite(published_store, .fini = &ChildProcess::KillAll, .timeout = 300);
 
 constexpr int kOk = 200;
-constexpr std::size_t kGatewayCount = 3;
-constexpr int kServiceMs = 20;
-
-// Ports that all VMs of a platform share.
-struct Ports {
-  int front = AllocatePort();
-  int ready = AllocatePort();
-  int control = AllocatePort();
-  int directory = AllocatePort();
-  int admin = AllocatePort();
-};
-
-auto AddressOf(std::size_t index) -> std::string {
-  return "127.0.1." + std::to_string(index + 1);
-}
-
-auto EndpointAt(const std::string& host, int port) -> NamedEndpoint {
-  return *ParseEndpoint(host + ":" + std::to_string(port));
-}
-
-// A registered target.
-class Target {
- public:
-  Target(const std::string& id, int service_ms)
-      : id_(id),
-        process_(ProgramPath("tests/standins/standin_target"),
-                 {"--id", id, "--service-ms", std::to_string(service_ms)}),
-        port_(process_.ReadNumber("port", kStartTimeout)) {}
-
-  auto SetMode(BlockingHttp& http, const std::string& mode) -> void {
-    http.Put(port_, "/control/mode?name=" + mode);
-  }
-  auto Counters(BlockingHttp& http) -> nlohmann::json {
-    return nlohmann::json::parse(http.Get(port_, "/control/counters").body);
-  }
-  [[nodiscard]] auto RegistrationJson(const std::string& state) const
-      -> std::string {
-    return nlohmann::json{
-        {"address", "127.0.0.1:" + std::to_string(port_)},
-        {"born", 1000},
-        {"info",
-         {{"service", "orders"},
-          {"version", "v1"},
-          {"zone", "a"},
-          {"slots", 4}}},
-        {"status", {{"state", state}, {"seq", 1}, {"warmup_left_ms", 0}}}}
-        .dump();
-  }
-  [[nodiscard]] auto id() const -> const std::string& { return id_; }
-
- private:
-  std::string id_;
-  ChildProcess process_;
-  int port_;
-};
-
-// A published store, its registered targets and the gateways that read from it,
-// started as on the users' platform.
-class PublishedStoreFleet {
- public:
-  explicit PublishedStoreFleet(std::size_t targets, int service_ms = kServiceMs)
-      : store_(ProgramPath("tests/standins/standin_store"), {}),
-        store_port_(store_.ReadNumber("port", kStartTimeout)) {
-    for (std::size_t i = 0; i < targets; ++i) {
-      targets_.push_back(
-          std::make_unique<Target>("i-" + std::to_string(i), service_ms));
-      Register(i, "ready");
-    }
-    PublishRoutes("r4", {"/book/"});
-    for (std::size_t i = 0; i < kGatewayCount; ++i) {
-      gateways_.emplace_back();
-      StartGateway(i);
-    }
-  }
-
-  auto Register(std::size_t index, const std::string& state) -> void {
-    http_.Put(store_port_, "/control/item?key=servers/" + targets_[index]->id(),
-              targets_[index]->RegistrationJson(state));
-  }
-
-  // Publishes what another program wrote among the targets' entries.
-  auto RegisterText(const std::string& id, const std::string& text) -> void {
-    http_.Put(store_port_, "/control/item?key=servers/" + id, text);
-  }
-
-  auto SendToStore(const std::string& method, const std::string& target)
-      -> void {
-    http_.Send(
-        {.server = Loopback(store_port_), .method = method, .target = target});
-  }
-
-  auto PublishRoutes(const std::string& version,
-                     const std::vector<std::string>& prefixes) -> void {
-    nlohmann::json routes;
-    // The Host header of a test request is the address it connects to, so each
-    // gateway address needs its own routes.
-    for (std::size_t i = 0; i < kGatewayCount; ++i) {
-      const auto host = AddressOf(i);
-      const auto add = [&](const std::string& prefix, const char* kind) {
-        routes[host + prefix] = {{"host", host},        {"prefix", prefix},
-                                 {"kind", kind},        {"timeout_ms", 3000},
-                                 {"slo_ms", 1000},      {"priority", 1},
-                                 {"service", "orders"}, {"max_attempts", 2}};
-      };
-      for (const auto& prefix : prefixes) {
-        add(prefix, "unsafe");
-      }
-      add("/look/", "safe");
-    }
-    const nlohmann::json config = {
-        {"version", version},
-        {"routes", routes},
-        {"services",
-         {{"orders", {{"health_path", "/health"}, {"max_conns", 60}}}}},
-        {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 1048576}}}};
-    http_.Put(store_port_, "/control/item?key=op/config", config.dump());
-  }
-
-  auto StartGateway(std::size_t index) -> void {
-    const auto host = AddressOf(index);
-    const auto at = [&](int port) { return host + ":" + std::to_string(port); };
-    auto seeds = nlohmann::json::array();
-    for (std::size_t i = 0; i < kGatewayCount; ++i) {
-      seeds.push_back(AddressOf(i) + ":" + std::to_string(ports_.control));
-    }
-    const nlohmann::json settings = {
-        {"vm",
-         {{"id", host},
-          {"failure_domain", std::string(1, static_cast<char>('a' + index))},
-          {"region", "r"}}},
-        {"caller", {{"address", at(ports_.front)}, {"address_ttl_ms", 500}}},
-        {"mesh", {{"address", at(ports_.control)}}},
-        {"admin", {{"address", at(ports_.admin)}}},
-        {"platform", {{"address", "127.0.0.1:" + std::to_string(store_port_)}}},
-        {"shutdown", {{"hard_limit_ms", 8000}}},
-        {"gateway",
-         {{"source", "published"},
-          {"readiness_address", at(ports_.ready)},
-          {"directory_address", at(ports_.directory)},
-          {"seeds", seeds},
-          {"least_entries", 2}}}};
-    const auto file = "/tmp/flamingoyoke-" + std::to_string(getpid()) + "-" +
-                      std::to_string(index) + ".json";
-    std::ofstream(file) << settings.dump();
-    gateways_[index] = std::make_unique<ChildProcess>(
-        ProgramPath("flamingoyoked-platform"),
-        std::vector<std::string>{"--settings", file});
-  }
-
-  auto IsReady(std::size_t index) -> bool {
-    const auto answer =
-        http_.Send({.server = EndpointAt(AddressOf(index), ports_.ready),
-                    .target = "/flamingoyoke/ready",
-                    .timeout = std::chrono::seconds(1)});
-    return answer.status == kOk;
-  }
-
-  auto WaitForAll() -> void {
-    for (std::size_t i = 0; i < kGatewayCount; ++i) {
-      cr_assert(WaitUntil([&] { return IsReady(i); }, kFleetTimeout),
-                "gateway %zu is not ready", i);
-    }
-  }
-
-  auto Call(std::size_t gateway,
-            const std::string& path,
-            const std::string& id,
-            const std::string& method = "POST") -> HttpAnswer {
-    return http_.Send(
-        {.server = EndpointAt(AddressOf(gateway), ports_.front),
-         .method = method,
-         .target = path,
-         .headers = {{"X-Request-Id", id}, {"X-Request-Deadline-Ms", "3000"}},
-         .body = method == "POST" ? "order" : ""});
-  }
-
-  // Ends every watch that waits at some moment of a short time as `end`, so
-  // that no reader is left between two watches.
-  auto EndAllWatches(const std::string& end) -> void {
-    for (int i = 0; i < 15; ++i) {
-      SendToStore("PUT", "/control/watches?end=" + end);
-      std::this_thread::sleep_for(std::chrono::milliseconds(10));
-    }
-  }
-
-  // Removes the entry of a target and returns when the store acknowledged it.
-  auto Unregister(std::size_t index, const std::string& options = "")
-      -> std::chrono::steady_clock::time_point {
-    SendToStore("DELETE",
-                "/control/item?key=servers/" + targets_[index]->id() + options);
-    return std::chrono::steady_clock::now();
-  }
-
-  // Returns how often all targets together ran request `id`.
-  auto CountRuns(const std::string& id) -> int {
-    int runs = 0;
-    for (auto& target : targets_) {
-      runs += target->Counters(http_)["by_id"].value(id, 0);
-    }
-    return runs;
-  }
-
-  [[nodiscard]] auto http() -> BlockingHttp& { return http_; }
-  [[nodiscard]] auto target(std::size_t index) -> Target& {
-    return *targets_[index];
-  }
-  [[nodiscard]] auto gateway(std::size_t index) -> ChildProcess& {
-    return *gateways_[index];
-  }
-  [[nodiscard]] auto ports() const -> const Ports& { return ports_; }
-
- private:
-  BlockingHttp http_;
-  Ports ports_;
-  ChildProcess store_;
-  int store_port_;
-  std::vector<std::unique_ptr<Target>> targets_;
-  std::vector<std::unique_ptr<ChildProcess>> gateways_;
-};
+constexpr std::size_t kGatewayCount = PublishedStoreFleet::kDefaultGateways;
 
 }  // namespace
 
@@ -259,7 +36,7 @@
   cr_assert(WaitUntil(
       [&] {
         const auto addresses = fleet.http().Send(
-            {.server = EndpointAt(AddressOf(2), fleet.ports().directory),
+            {.server = fleet.DirectoryOf(2),
              .target = "/flamingoyoke/resolve?name=x&region=r&zone=a"});
         return addresses.status == kOk &&
                nlohmann::json::parse(addresses.body)["addrs"].size() == 2;
@@ -469,7 +246,7 @@
     -> void {
   for (int i = 0; i < count; ++i) {
     callers.StartCall(
-        {.server = EndpointAt(AddressOf(0), fleet.ports().front),
+        {.server = fleet.FrontOf(0),
          .method = "POST",
          .target = "/book/1",
          .headers = {{"X-Request-Id", "stop-" + std::to_string(i)},
--- a/tests/integration/support/child_process.cc
+++ b/tests/integration/support/child_process.cc
@@ -14,6 +14,8 @@
 #include <thread>
 #include <utility>
 
+#include "core/overloaded.h"
+
 namespace flamingoyoke::integration {
 namespace {
 
@@ -40,7 +42,7 @@
 auto Spawn(const std::string& program,
            const std::vector<std::string>& arguments,
            int output,
-           CapturedOutput captured) -> pid_t {
+           bool has_stderr) -> pid_t {
   std::vector<char*> argv = {const_cast<char*>(program.c_str())};
   for (const auto& argument : arguments) {
     argv.push_back(const_cast<char*>(argument.c_str()));
@@ -49,7 +51,7 @@
   posix_spawn_file_actions_t actions;
   posix_spawn_file_actions_init(&actions);
   posix_spawn_file_actions_adddup2(&actions, output, STDOUT_FILENO);
-  if (captured == CapturedOutput::kStdoutAndStderr) {
+  if (has_stderr) {
     posix_spawn_file_actions_adddup2(&actions, output, STDERR_FILENO);
   }
   pid_t pid = -1;
@@ -64,13 +66,27 @@
 
 ChildProcess::ChildProcess(const std::string& program,
                            const std::vector<std::string>& arguments,
-                           CapturedOutput captured) {
-  std::array<int, 2> ends{};
-  cr_assert_eq(pipe2(ends.data(), O_CLOEXEC), 0);
-  pid_ = Spawn(program, arguments, ends[1], captured);
+                           const ChildOutput& output) {
+  std::visit(
+      Overloaded{[&](const OutputFile& file) {
+                   constexpr mode_t kMode = 0600;
+                   const int log =
+                       open(file.path.c_str(),
+                            O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, kMode);
+                   cr_assert_geq(log, 0, "cannot open %s", file.path.c_str());
+                   pid_ = Spawn(program, arguments, log, true);
+                   close(log);
+                 },
+                 [&](CapturedOutput captured) {
+                   std::array<int, 2> ends{};
+                   cr_assert_eq(pipe2(ends.data(), O_CLOEXEC), 0);
+                   pid_ = Spawn(program, arguments, ends[1],
+                                captured == CapturedOutput::kStdoutAndStderr);
+                   close(ends[1]);
+                   output_descriptor_ = ends[0];
+                 }},
+      output);
   RunningPids().push_back(pid_);
-  close(ends[1]);
-  output_descriptor_ = ends[0];
 }
 
 ChildProcess::~ChildProcess() {
--- a/tests/integration/support/child_process.h
+++ b/tests/integration/support/child_process.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace flamingoyoke::integration {
@@ -13,6 +14,14 @@
 // Output streams of a child process that the test reads.
 enum class CapturedOutput { kStdout, kStdoutAndStderr };
 
+// A file to which the output of a child process is appended. The process never
+// blocks because nobody reads its log.
+struct OutputFile {
+  std::string path;
+};
+
+using ChildOutput = std::variant<CapturedOutput, OutputFile>;
+
 // A child process of a test. The destructor kills it by its process id. Not
 // thread-safe.
 class ChildProcess {
@@ -20,13 +29,14 @@
   // Starts `program` with `arguments`. Aborts the test if that fails.
   ChildProcess(const std::string& program,
                const std::vector<std::string>& arguments,
-               CapturedOutput captured = CapturedOutput::kStdout);
+               const ChildOutput& output = CapturedOutput::kStdout);
   ~ChildProcess();
   ChildProcess(ChildProcess&& other) noexcept;
   auto operator=(ChildProcess&& other) noexcept -> ChildProcess&;
 
   // Waits for the line "<name> <number>" in the output and returns the
-  // number. Aborts the test if it does not come within `limit`.
+  // number. Aborts the test if it does not come within `limit`. Precondition:
+  // the output is captured.
   auto ReadNumber(const std::string& name, std::chrono::seconds limit) -> int;
 
   // Returns everything written until the process closes its output.
--- /dev/null
+++ b/tests/integration/support/published_fleet.cc
@@ -0,0 +1,218 @@
+#include "integration/support/published_fleet.h"
+
+#include <criterion/criterion.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <thread>
+
+#include "integration/support/wait_until.h"
+
+namespace flamingoyoke::integration {
+namespace {
+
+constexpr int kOk = 200;
+
+auto EndpointAt(const std::string& host, int port) -> NamedEndpoint {
+  return *ParseEndpoint(host + ":" + std::to_string(port));
+}
+
+auto MakeFolder() -> std::string {
+  auto path =
+      (std::filesystem::temp_directory_path() / "flamingoyoke-XXXXXX").string();
+  cr_assert(mkdtemp(path.data()) != nullptr);
+  return path;
+}
+
+}  // namespace
+
+RegisteredStandin::RegisteredStandin(const std::string& id, int service_ms)
+    : id_(id),
+      process_(ProgramPath("tests/standins/standin_target"),
+               {"--id", id, "--service-ms", std::to_string(service_ms)}),
+      port_(process_.ReadNumber("port", kStartTimeout)) {}
+
+auto RegisteredStandin::SetMode(BlockingHttp& http, const std::string& mode)
+    -> void {
+  http.Put(port_, "/control/mode?name=" + mode);
+}
+
+auto RegisteredStandin::Counters(BlockingHttp& http) -> nlohmann::json {
+  return nlohmann::json::parse(http.Get(port_, "/control/counters").body);
+}
+
+auto RegisteredStandin::RegistrationJson(const std::string& state,
+                                         int start,
+                                         int sequence) const -> std::string {
+  return nlohmann::json{
+      {"address", "127.0.0.1:" + std::to_string(port_)},
+      {"born", start},
+      {"info",
+       {{"service", "orders"}, {"version", "v1"}, {"zone", "a"}, {"slots", 4}}},
+      {"status", {{"state", state}, {"seq", sequence}, {"warmup_left_ms", 0}}}}
+      .dump();
+}
+
+PublishedStoreFleet::PublishedStoreFleet(std::size_t targets,
+                                         int service_ms,
+                                         std::size_t gateways)
+    : folder_(MakeFolder()),
+      store_(ProgramPath("tests/standins/standin_store"), {}),
+      store_port_(store_.ReadNumber("port", kStartTimeout)) {
+  for (std::size_t i = 0; i < targets; ++i) {
+    targets_.push_back(std::make_unique<RegisteredStandin>(
+        "i-" + std::to_string(i), service_ms));
+    Register(i, "ready");
+  }
+  gateways_.resize(gateways);
+  PublishRoutes("r4", {"/book/"});
+  for (std::size_t i = 0; i < gateways; ++i) {
+    StartGateway(i);
+  }
+}
+
+PublishedStoreFleet::~PublishedStoreFleet() {
+  gateways_.clear();
+  std::filesystem::remove_all(folder_);
+}
+
+auto PublishedStoreFleet::Register(std::size_t index, const std::string& state)
+    -> void {
+  RegisterText(targets_[index]->id(), targets_[index]->RegistrationJson(state));
+}
+
+auto PublishedStoreFleet::RegisterText(const std::string& id,
+                                       const std::string& text) -> void {
+  http_.Put(store_port_, "/control/item?key=servers/" + id, text);
+}
+
+auto PublishedStoreFleet::Unregister(std::size_t index,
+                                     const std::string& options)
+    -> std::chrono::steady_clock::time_point {
+  SendToStore("DELETE",
+              "/control/item?key=servers/" + targets_[index]->id() + options);
+  return std::chrono::steady_clock::now();
+}
+
+auto PublishedStoreFleet::SendToStore(const std::string& method,
+                                      const std::string& target) -> void {
+  http_.Send(
+      {.server = Loopback(store_port_), .method = method, .target = target});
+}
+
+auto PublishedStoreFleet::EndAllWatches(const std::string& end) -> void {
+  for (int i = 0; i < 15; ++i) {
+    SendToStore("PUT", "/control/watches?end=" + end);
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+}
+
+auto PublishedStoreFleet::PublishRoutes(
+    const std::string& version,
+    const std::vector<std::string>& prefixes) -> void {
+  nlohmann::json routes;
+  // The Host header of a test request is the address it connects to, so each
+  // gateway address needs its own routes.
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    const auto host = AddressOf(i);
+    const auto add = [&](const std::string& prefix, const char* kind) {
+      routes[host + prefix] = {{"host", host},        {"prefix", prefix},
+                               {"kind", kind},        {"timeout_ms", 3000},
+                               {"slo_ms", 1000},      {"priority", 1},
+                               {"service", "orders"}, {"max_attempts", 2}};
+    };
+    for (const auto& prefix : prefixes) {
+      add(prefix, "unsafe");
+    }
+    add("/look/", "safe");
+  }
+  const nlohmann::json config = {
+      {"version", version},
+      {"routes", routes},
+      {"services",
+       {{"orders", {{"health_path", "/health"}, {"max_conns", 60}}}}},
+      {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 1048576}}}};
+  http_.Put(store_port_, "/control/item?key=op/config", config.dump());
+}
+
+auto PublishedStoreFleet::StartGateway(std::size_t index) -> void {
+  const auto host = AddressOf(index);
+  const auto at = [&](int port) { return host + ":" + std::to_string(port); };
+  auto seeds = nlohmann::json::array();
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    seeds.push_back(AddressOf(i) + ":" + std::to_string(ports_.control));
+  }
+  const nlohmann::json settings = {
+      {"vm",
+       {{"id", host},
+        {"failure_domain", std::string(1, static_cast<char>('a' + index))},
+        {"region", "r"}}},
+      {"caller", {{"address", at(ports_.front)}, {"address_ttl_ms", 500}}},
+      {"mesh", {{"address", at(ports_.control)}}},
+      {"admin", {{"address", at(ports_.admin)}}},
+      {"platform", {{"address", "127.0.0.1:" + std::to_string(store_port_)}}},
+      {"shutdown", {{"hard_limit_ms", 8000}}},
+      {"gateway",
+       {{"source", "published"},
+        {"readiness_address", at(ports_.ready)},
+        {"directory_address", at(ports_.directory)},
+        {"seeds", seeds},
+        {"least_entries", 2}}}};
+  const auto path = folder_ + "/gateway-" + std::to_string(index);
+  std::ofstream(path + ".json") << settings.dump();
+  gateways_[index] = std::make_unique<ChildProcess>(
+      ProgramPath("flamingoyoked-platform"),
+      std::vector<std::string>{"--settings", path + ".json"},
+      OutputFile{path + ".log"});
+}
+
+auto PublishedStoreFleet::IsReady(std::size_t index) -> bool {
+  const auto answer =
+      http_.Send({.server = EndpointAt(AddressOf(index), ports_.ready),
+                  .target = "/flamingoyoke/ready",
+                  .timeout = std::chrono::seconds(1)});
+  return answer.status == kOk;
+}
+
+auto PublishedStoreFleet::WaitForAll() -> void {
+  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+    cr_assert(WaitUntil([&] { return IsReady(i); }, kFleetTimeout),
+              "gateway %zu is not ready", i);
+  }
+}
+
+auto PublishedStoreFleet::Call(std::size_t gateway,
+                               const std::string& path,
+                               const std::string& id,
+                               const std::string& method) -> HttpAnswer {
+  return http_.Send(
+      {.server = FrontOf(gateway),
+       .method = method,
+       .target = path,
+       .headers = {{"X-Request-Id", id}, {"X-Request-Deadline-Ms", "3000"}},
+       .body = method == "POST" ? "order" : ""});
+}
+
+auto PublishedStoreFleet::CountRuns(const std::string& id) -> int {
+  int runs = 0;
+  for (auto& target : targets_) {
+    runs += target->Counters(http_)["by_id"].value(id, 0);
+  }
+  return runs;
+}
+
+auto PublishedStoreFleet::AddressOf(std::size_t gateway) -> std::string {
+  return "127.0.1." + std::to_string(gateway + 1);
+}
+
+auto PublishedStoreFleet::FrontOf(std::size_t gateway) const -> NamedEndpoint {
+  return EndpointAt(AddressOf(gateway), ports_.front);
+}
+
+auto PublishedStoreFleet::DirectoryOf(std::size_t gateway) const
+    -> NamedEndpoint {
+  return EndpointAt(AddressOf(gateway), ports_.directory);
+}
+
+}  // namespace flamingoyoke::integration
--- /dev/null
+++ b/tests/integration/support/published_fleet.h
@@ -0,0 +1,128 @@
+#ifndef FLAMINGOYOKE_TESTS_INTEGRATION_SUPPORT_PUBLISHED_FLEET_H_
+#define FLAMINGOYOKE_TESTS_INTEGRATION_SUPPORT_PUBLISHED_FLEET_H_
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "integration/support/blocking_http.h"
+#include "integration/support/child_process.h"
+#include "integration/support/fleet.h"
+#include "integration/support/standins.h"
+
+namespace flamingoyoke::integration {
+
+// Ports that all VMs of a platform share.
+struct PlatformPorts {
+  int front = AllocatePort();
+  int ready = AllocatePort();
+  int control = AllocatePort();
+  int directory = AllocatePort();
+  int admin = AllocatePort();
+};
+
+// A registered target.
+class RegisteredStandin {
+ public:
+  RegisteredStandin(const std::string& id, int service_ms);
+
+  // Switches to a mode of the stand-in, for example "error".
+  auto SetMode(BlockingHttp& http, const std::string& mode) -> void;
+  auto Counters(BlockingHttp& http) -> nlohmann::json;
+  // Returns the entry of the target in the store. The target starts anew with
+  // each `start`.
+  [[nodiscard]] auto RegistrationJson(const std::string& state,
+                                      int start = 1000,
+                                      int sequence = 1) const -> std::string;
+  [[nodiscard]] auto id() const -> const std::string& { return id_; }
+
+ private:
+  std::string id_;
+  ChildProcess process_;
+  int port_;
+};
+
+// A published store, its registered targets and the gateways that read from it,
+// started as on the users' platform. Not thread-safe.
+class PublishedStoreFleet {
+ public:
+  static constexpr std::size_t kDefaultGateways = 3;
+
+  explicit PublishedStoreFleet(std::size_t targets,
+                               int service_ms = 20,
+                               std::size_t gateways = kDefaultGateways);
+  PublishedStoreFleet(const PublishedStoreFleet&) = delete;
+  auto operator=(const PublishedStoreFleet&) -> PublishedStoreFleet& = delete;
+  // Removes the logs, which stay if the test is aborted.
+  ~PublishedStoreFleet();
+
+  auto Register(std::size_t index, const std::string& state) -> void;
+
+  // Publishes what another program wrote among the targets' entries.
+  auto RegisterText(const std::string& id, const std::string& text) -> void;
+
+  // Removes the entry of a target and returns when the store acknowledged it.
+  auto Unregister(std::size_t index, const std::string& options = "")
+      -> std::chrono::steady_clock::time_point;
+
+  auto SendToStore(const std::string& method, const std::string& target)
+      -> void;
+
+  // Ends every watch that waits at some moment of a short time as `end`, so
+  // that no reader is left between two watches.
+  auto EndAllWatches(const std::string& end) -> void;
+
+  // Publishes a configuration with a route for non-repeatable requests for each
+  // prefix, and one for safe requests with the prefix "/look/".
+  auto PublishRoutes(const std::string& version,
+                     const std::vector<std::string>& prefixes) -> void;
+
+  auto StartGateway(std::size_t index) -> void;
+  auto IsReady(std::size_t index) -> bool;
+  // Aborts the test unless all gateways become ready.
+  auto WaitForAll() -> void;
+
+  auto Call(std::size_t gateway,
+            const std::string& path,
+            const std::string& id,
+            const std::string& method = "POST") -> HttpAnswer;
+
+  // Returns how often all targets together ran request `id`.
+  auto CountRuns(const std::string& id) -> int;
+
+  // Address of a gateway, without a port.
+  [[nodiscard]] static auto AddressOf(std::size_t gateway) -> std::string;
+  // Where callers connect to a gateway.
+  [[nodiscard]] auto FrontOf(std::size_t gateway) const -> NamedEndpoint;
+  [[nodiscard]] auto DirectoryOf(std::size_t gateway) const -> NamedEndpoint;
+
+  // Folder with the settings and logs of the gateways.
+  [[nodiscard]] auto folder() const -> const std::string& { return folder_; }
+  [[nodiscard]] auto http() -> BlockingHttp& { return http_; }
+  [[nodiscard]] auto target(std::size_t index) -> RegisteredStandin& {
+    return *targets_[index];
+  }
+  [[nodiscard]] auto gateway(std::size_t index) -> ChildProcess& {
+    return *gateways_[index];
+  }
+  [[nodiscard]] auto gateways() const -> std::size_t {
+    return gateways_.size();
+  }
+  [[nodiscard]] auto targets() const -> std::size_t { return targets_.size(); }
+
+ private:
+  std::string folder_;
+  BlockingHttp http_;
+  PlatformPorts ports_;
+  ChildProcess store_;
+  int store_port_;
+  std::vector<std::unique_ptr<RegisteredStandin>> targets_;
+  std::vector<std::unique_ptr<ChildProcess>> gateways_;
+};
+
+}  // namespace flamingoyoke::integration
+
+#endif  // FLAMINGOYOKE_TESTS_INTEGRATION_SUPPORT_PUBLISHED_FLEET_H_
