Answer watches behind a compacted history with 410 in the stand-in

Cause: a watch that was waiting when the history was dropped got only the changes after that, with a revision that hid the lost ones. The store answers 410 instead when history is no longer available.

--- a/tests/standins/store/store_task.cc
+++ b/tests/standins/store/store_task.cc
@@ -209,6 +209,8 @@
     const auto events = EventsAfter(watch.prefix, watch.after);
     if (is_down_) {
       watch.exchange.Reply({kUnavailable, {}, ""});
+    } else if (watch.after < compacted_revision_) {
+      watch.exchange.Reply({kGone, {}, ""});
     } else if (!events.empty()) {
       watch.exchange.Reply(
           JsonReply({{"events", events}, {"as_of", revision_}}));
