--- a/src/daemon/signal_watch.h
+++ b/src/daemon/signal_watch.h
@@ -11,8 +11,9 @@
 namespace flamingoyoke {
 
 // Delivers SIGTERM, SIGINT and SIGHUP as callbacks on the thread of a loop, and
-// ignores SIGPIPE, which a write to a closed connection would raise. Create one
-// per process.
+// ignores SIGPIPE, which a write to a closed connection would raise. After its
+// destruction, further SIGTERM and SIGINT change nothing. Create one per
+// process.
 class SignalWatch {
  public:
   // Called for each SIGTERM or SIGINT. `count` is 1 for the first, 2 for the
--- a/tests/integration/published_store_test.cc
+++ b/tests/integration/published_store_test.cc
@@ -1,5 +1,6 @@
 #include <criterion/criterion.h>
 
+#include <array>
 #include <chrono>
 #include <csignal>
 #include <nlohmann/json.hpp>
@@ -291,4 +292,18 @@
   cr_assert_eq(fleet.gateway(0).WaitForExit(std::chrono::seconds(20)), 0);
 }
 
+// Guards against a process that a further signal ends while it exits: its last
+// log lines are lost and its exit code says that it was killed.
+Test(published_store, signals_during_the_exit_keep_its_code) {
+  PublishedStoreFleet fleet(1);
+  fleet.WaitForAll();
+  constexpr std::array<int, 3> kSignals = {SIGTERM, SIGINT, SIGHUP};
+  auto& process = fleet.gateway(0);
+  for (std::size_t i = 0; process.IsRunning(); ++i) {
+    process.Signal(kSignals.at(i % kSignals.size()));
+    std::this_thread::sleep_for(std::chrono::microseconds(100));
+  }
+  cr_assert_eq(process.WaitForExit(std::chrono::seconds(20)), 0);
+}
+
 }  // namespace flamingoyoke::integration
