--- a/tests/integration/soak_test.cc
+++ b/tests/integration/soak_test.cc
@@ -519,8 +519,8 @@
   auto CheckCalls() -> void {
     std::map<std::string, int> runs;
     for (std::size_t i = 0; i < fleet_.targets(); ++i) {
-      for (const auto& [id, count] :
-           fleet_.target(i).Counters(fleet_.http())["by_id"].items()) {
+      const auto counters = fleet_.target(i).Counters(fleet_.http());
+      for (const auto& [id, count] : counters.at("by_id").items()) {
         runs[id] += count.get<int>();
       }
     }
