Keep the message of exceptions in errors

Operators of a process whose threads were refused read "control exceeded its restart limit: unknown error". LEAF catches exceptions at the handlers that turn results into errors, and the handler for everything else had no message. The handlers now take the text of a standard exception.

result/exceptions_keep_their_message failed before ("unknown error").

--- a/src/core/result.h
+++ b/src/core/result.h
@@ -4,6 +4,7 @@
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
 #include <boost/leaf/result.hpp>
+#include <exception>
 #include <optional>
 #include <string>
 #include <utility>
@@ -29,8 +30,9 @@
 }
 
 // Calls `function`, which returns a Result<T>, and stores its value in `out`.
-// Returns the error, or nullopt on success. LEAF stores the error object only
-// while such a handler is on the stack.
+// Returns the error, or nullopt on success. An exception becomes a kInternal
+// error with its message. LEAF stores the error object only while such a
+// handler is on the stack.
 template <typename T, typename Function>
 auto CaptureInto(std::optional<T>& out, Function&& function)
     -> std::optional<Error> {
@@ -44,6 +46,10 @@
         return std::optional<Error>();
       },
       [](const Error& error) { return std::optional<Error>(error); },
+      [](const std::exception& exception) {
+        return std::optional<Error>(
+            Error{ErrorKind::kInternal, exception.what()});
+      },
       [] {
         return std::optional<Error>(
             Error{ErrorKind::kInternal, "unknown error"});
@@ -51,7 +57,7 @@
 }
 
 // Calls `function`, which returns a Result<void>, and returns its error, or
-// nullopt on success.
+// nullopt on success. An exception becomes a kInternal error with its message.
 template <typename Function>
 auto CaptureError(Function&& function) -> std::optional<Error> {
   return boost::leaf::try_handle_all(
@@ -63,6 +69,10 @@
         return std::optional<Error>();
       },
       [](const Error& error) { return std::optional<Error>(error); },
+      [](const std::exception& exception) {
+        return std::optional<Error>(
+            Error{ErrorKind::kInternal, exception.what()});
+      },
       [] {
         return std::optional<Error>(
             Error{ErrorKind::kInternal, "unknown error"});
