Delay repeated restarts of a failed child

A process whose threads or descriptors were refused for a moment used up its five restarts within milliseconds and exited with code 1. The supervisor restarted a failed child at once, each time. A refused thread counts as a failure of the child that it was meant for; it threw out of the supervisor before. The messages that were taken from the mailbox together with the one that failed go back; they were lost.

--- a/src/core/answer_table.cc
+++ b/src/core/answer_table.cc
@@ -54,6 +54,7 @@
     {kMailboxFull, {503, kNotRun, kLater}},
     {kMalformedMessage, {500, kNotRun, kNever}},
     {kSocketFailed, {500, kNotRun, kLater}},
+    {kAddressInUse, {500, kNotRun, kLater}},
     {kChildFailed, {500, kUnknown, kOnlyIfRepeatable}},
     {kInternal, {500, kUnknown, kOnlyIfRepeatable}},
 });
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -54,6 +54,7 @@
   kMailboxFull,
   kMalformedMessage,
   kSocketFailed,
+  kAddressInUse,
   kChildFailed,
   kInternal,
 };
@@ -99,6 +100,7 @@
       {ErrorKind::kMailboxFull, "mailbox-full"},
       {ErrorKind::kMalformedMessage, "malformed-message"},
       {ErrorKind::kSocketFailed, "socket-failed"},
+      {ErrorKind::kAddressInUse, "address-in-use"},
       {ErrorKind::kChildFailed, "child-failed"},
       {ErrorKind::kInternal, "internal"},
   });
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -37,8 +37,9 @@
     std::visit(Overloaded{
                    [&](const ChildRestarted& restarted) {
                      Log(part, LogLevel::kWarning,
-                         "restarting " + restarted.child + ": " +
-                             restarted.error.detail);
+                         "restarting " + restarted.child + " in " +
+                             std::to_string(ToMilliseconds(restarted.delay)) +
+                             " ms: " + restarted.error.detail);
                    },
                    [&](const RestartLimitExceeded& exceeded) {
                      Log(part, LogLevel::kError,
--- a/src/runtime/mailbox.h
+++ b/src/runtime/mailbox.h
@@ -94,6 +94,15 @@
     return taken;
   }
 
+  // Queues `messages`, which TakeAll returned, again before all others, even
+  // beyond the capacity. Thread-safe; called by the task that owns the mailbox.
+  auto PutBack(std::deque<Message>&& messages) -> void {
+    const std::lock_guard lock(mutex_);
+    for (; !messages.empty(); messages.pop_back()) {
+      messages_.push_front(std::move(messages.back()));
+    }
+  }
+
   // Wakes the task without posting a message. Thread-safe.
   auto Wake() -> void { wake_.Signal(); }
 
--- a/src/runtime/supervisor.h
+++ b/src/runtime/supervisor.h
@@ -10,10 +10,11 @@
 #include <variant>
 #include <vector>
 
+#include "core/overloaded.h"
 #include "core/result.h"
 #include "runtime/clock.h"
 #include "runtime/mailbox.h"
-#include "runtime/restart_window.h"
+#include "runtime/restart_policy.h"
 #include "runtime/task.h"
 #include "runtime/task_host.h"
 
@@ -36,6 +37,7 @@
 struct ChildRestarted {
   std::string child;
   Error error;
+  Duration delay;
 };
 struct RestartLimitExceeded {
   std::string child;
@@ -43,11 +45,12 @@
 };
 using SupervisorEvent = std::variant<ChildRestarted, RestartLimitExceeded>;
 
-// Starts its children in order and restarts a child that fails. Once a child
-// exceeds its restart limit, the supervisor itself fails, which escalates the
-// failure to its parent. A graceful stop goes through the children in the same
-// order, each after the previous one has exited, so list first the child that
-// must finish first. A supervisor is a task and can be supervised itself.
+// Starts its children in order and restarts a child that fails, after the delay
+// of its restart policy. Once a child exceeds its restart limit, the supervisor
+// itself fails, which escalates the failure to its parent. A graceful stop goes
+// through the children in the same order, each after the previous one has
+// exited, so list first the child that must finish first. A supervisor is a
+// task and can be supervised itself.
 template <Task... Ts>
 class Supervisor {
  public:
@@ -63,7 +66,7 @@
              Observer observer)
       : mailbox_(mailbox), observer_(std::move(observer)) {
     for (auto& child : children) {
-      children_.push_back({std::move(child), RestartWindow(limit), false});
+      children_.push_back({std::move(child), RestartPolicy(limit), false, {}});
     }
   }
 
@@ -73,6 +76,8 @@
     // mailbox; they would be attributed to the new children.
     mailbox_.TakeAll();
     for (std::size_t i = 0; i < children_.size(); ++i) {
+      children_[i].restart_timer =
+          context.loop().MakeTimer([this, i] { StartChild(i); });
       StartChild(i);
     }
     return {};
@@ -87,14 +92,18 @@
       return;
     }
     stop_mode_ = mode;
+    for (auto& entry : children_) {
+      entry.restart_timer.Cancel();
+    }
     StopNext();
   }
 
  private:
   struct Entry {
     Child host;
-    RestartWindow restarts;
+    RestartPolicy restarts;
     bool running = false;
+    EventLoop::Handle restart_timer;
   };
 
   auto StartChild(std::size_t index) -> void {
@@ -122,14 +131,21 @@
         std::visit([](auto& host) { return host->name(); }, entry.host);
     const auto error = exited.error.value_or(
         Error{ErrorKind::kChildFailed, "exited without a stop request"});
-    if (!entry.restarts.AllowRestart(Now())) {
-      observer_(RestartLimitExceeded{name, error});
-      return Fail(ErrorKind::kChildFailed,
+    return std::visit(
+        Overloaded{
+            [&](const RestartAfter& restart) -> Result<void> {
+              observer_(ChildRestarted{name, error, restart.delay});
+              entry.restart_timer.Schedule(restart.delay);
+              return {};
+            },
+            [&](const EscalateFailure&) -> Result<void> {
+              observer_(RestartLimitExceeded{name, error});
+              return Fail(
+                  ErrorKind::kChildFailed,
                   name + " exceeded its restart limit: " + error.detail);
-    }
-    observer_(ChildRestarted{name, error});
-    StartChild(exited.child);
-    return {};
+            },
+        },
+        entry.restarts.OnFailure(error, Now()));
   }
 
   // Stops the first running child, or all of them in hard mode, and exits when
--- a/src/runtime/task_host.h
+++ b/src/runtime/task_host.h
@@ -23,8 +23,8 @@
 class TaskHost {
  public:
   using Factory = std::function<std::unique_ptr<T>()>;
-  // Called on the task's thread when it ends; `error` is empty after a
-  // regular exit.
+  // Called on the task's thread when it ends, or by Start if the thread was
+  // refused; `error` is empty after a regular exit.
   using OnExit = std::function<void(std::optional<Error> error)>;
 
   // `name` identifies the task in logs. `mailbox` must outlive the host.
@@ -46,9 +46,13 @@
 
   // Starts a new task. Precondition: none is running (Join was called after
   // the last exit).
-  auto Start(OnExit on_exit) -> void {
-    thread_ = std::thread(
-        [this, on_exit = std::move(on_exit)] { on_exit(RunTask()); });
+  auto Start(const OnExit& on_exit) -> void {
+    try {
+      thread_ = std::thread([this, on_exit] { on_exit(RunTask()); });
+    } catch (const std::exception& exception) {
+      on_exit(Error{ErrorKind::kInternal,
+                    "cannot start a thread: " + std::string(exception.what())});
+    }
   }
 
   // Asks the task to stop. Later calls can only raise the mode. Thread-safe.
@@ -109,8 +113,15 @@
 
   auto HandleAll(T& task) -> Result<void> {
     auto messages = mailbox_.TakeAll();
-    for (auto& message : messages) {
-      BOOST_LEAF_CHECK(task.Handle(std::move(message)));
+    while (!messages.empty()) {
+      auto message = std::move(messages.front());
+      messages.pop_front();
+      const auto failure =
+          CaptureError([&] { return task.Handle(std::move(message)); });
+      if (failure) {
+        mailbox_.PutBack(std::move(messages));
+        return Fail(failure->kind, failure->detail);
+      }
     }
     return {};
   }
--- a/tests/unit/runtime/supervisor_test.cc
+++ b/tests/unit/runtime/supervisor_test.cc
@@ -13,17 +13,23 @@
 struct Ping {};
 using ProbeMessage = std::variant<FailNow, Ping>;
 
-// A task that fails on request and counts its starts and messages.
+// A task that fails on request, or when started before `shortage_end`, and
+// counts its starts and messages.
 class ProbeTask {
  public:
   using Message = ProbeMessage;
 
-  ProbeTask(std::atomic<int>& starts, std::atomic<int>& pings)
-      : starts_(starts), pings_(pings) {}
+  ProbeTask(std::atomic<int>& starts,
+            std::atomic<int>& pings,
+            TimePoint shortage_end)
+      : starts_(starts), pings_(pings), shortage_end_(shortage_end) {}
 
   auto Start(TaskContext& context) -> Result<void> {
     context_ = &context;
     ++starts_;
+    if (Now() < shortage_end_) {
+      return Fail(ErrorKind::kInternal, "shortage made by the test");
+    }
     return {};
   }
 
@@ -40,6 +46,7 @@
  private:
   std::atomic<int>& starts_;
   std::atomic<int>& pings_;
+  const TimePoint shortage_end_;
   TaskContext* context_ = nullptr;
 };
 
@@ -62,6 +69,7 @@
   std::atomic<int> pings = 0;
   std::atomic<bool> exited = false;
   std::optional<Error> exit_error;
+  TimePoint shortage_end;
   Mailbox<ProbeMessage> child_mailbox{8};
   Mailbox<SupervisorMessage> mailbox{8};
   TaskHost<ProbeSupervisor> host{"probe-supervisor", mailbox,
@@ -69,9 +77,10 @@
 
   auto MakeSupervisor() -> std::unique_ptr<ProbeSupervisor> {
     std::vector<ProbeSupervisor::Child> children;
-    children.emplace_back(std::make_unique<TaskHost<ProbeTask>>(
-        "probe", child_mailbox,
-        [this] { return std::make_unique<ProbeTask>(starts, pings); }));
+    children.emplace_back(
+        std::make_unique<TaskHost<ProbeTask>>("probe", child_mailbox, [this] {
+          return std::make_unique<ProbeTask>(starts, pings, shortage_end);
+        }));
     return std::make_unique<ProbeSupervisor>(
         mailbox, std::move(children),
         RestartLimit{.restarts = 3, .window = std::chrono::seconds(60)},
@@ -100,6 +109,20 @@
   cr_assert_not(fixture.exit_error.has_value());
 }
 
+// Guards against the loss of messages that were taken from the mailbox together
+// with the one that failed.
+Test(supervisor, keeps_the_messages_behind_a_failed_one) {
+  Fixture fixture;
+  fixture.child_mailbox.Post(FailNow{});
+  fixture.child_mailbox.Post(Ping{});
+  fixture.child_mailbox.Post(Ping{});
+  fixture.Start();
+  cr_assert(WaitFor([&] { return fixture.pings == 2; }));
+  cr_assert_eq(fixture.starts, 2);
+  fixture.host.RequestStop(StopMode::kGraceful);
+  cr_assert(WaitFor([&] { return fixture.exited.load(); }));
+}
+
 // Guards against a child that is restarted without end.
 Test(supervisor, escalates_the_failure_past_the_restart_limit) {
   Fixture fixture;
@@ -114,5 +137,29 @@
   cr_assert_eq(fixture.starts, 4);
 }
 
+// Guards against restarts that are used up before a brief shortage of threads
+// or descriptors is over.
+Test(supervisor, restarts_outlast_a_brief_shortage) {
+  Fixture fixture;
+  fixture.shortage_end = Now() + std::chrono::milliseconds(200);
+  fixture.child_mailbox.Post(Ping{});
+  fixture.Start();
+  cr_assert(WaitFor([&] { return fixture.pings == 1 || fixture.exited; }));
+  cr_assert_not(fixture.exited);
+  fixture.host.RequestStop(StopMode::kGraceful);
+  cr_assert(WaitFor([&] { return fixture.exited.load(); }));
+}
+
+// Guards against a stop that waits for the restart of a failed child.
+Test(supervisor, stops_while_a_restart_is_pending) {
+  Fixture fixture;
+  fixture.shortage_end = Now() + std::chrono::seconds(60);
+  fixture.Start();
+  cr_assert(WaitFor([&] { return fixture.starts == 3; }));
+  fixture.host.RequestStop(StopMode::kGraceful);
+  cr_assert(WaitFor([&] { return fixture.exited.load(); }));
+  cr_assert_not(fixture.exit_error.has_value());
+}
+
 }  // namespace
 }  // namespace flamingoyoke
