Wait for an address that is in use at the start

A process whose front, ready, control or directory address was held by another socket exited with code 1 within milliseconds, 4 of 4, also if the address became free 1.5 s later. A predecessor that still runs or an outgoing connection that was given the port is enough. The failure counted like a fault of the task.

The VM is not ready until its servers for callers and for peers listen, so that callers are not sent to the socket of another process. Settings that name one address twice are refused, since the process would wait for itself.

The unit tests need the new types.

--- a/src/decision/fleet/readiness_gate.cc
+++ b/src/decision/fleet/readiness_gate.cc
@@ -13,7 +13,7 @@
 
 auto ReadinessGate::IsReady(const ReadinessFacts& facts, TimePoint now)
     -> bool {
-  if (is_ready_ || !facts.has_table) {
+  if (is_ready_ || !facts.has_table || !facts.is_listening) {
     return is_ready_;
   }
   const bool awaits_source =
--- a/src/decision/fleet/readiness_gate.h
+++ b/src/decision/fleet/readiness_gate.h
@@ -22,6 +22,9 @@
 
 // Inputs of the readiness decision.
 struct ReadinessFacts {
+  // Whether callers and peers can connect to this VM. False at the start while
+  // another socket holds one of its addresses.
+  bool is_listening = false;
   // Whether each shard of the table has a version in force.
   bool has_table = false;
   // Whether a newer version is being fetched from a peer.
--- a/src/node/control/fleet/fleet_config.h
+++ b/src/node/control/fleet/fleet_config.h
@@ -50,6 +50,9 @@
 struct FleetMemory {
   // Active text of each shard.
   std::vector<TableData> tables;
+  // Whether the servers for callers and for peers have started once.
+  bool serves_callers = false;
+  bool serves_peers = false;
 };
 
 }  // namespace flamingoyoke
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -212,6 +212,14 @@
   PublishSoon();
 }
 
+auto FleetTask::HandleMessage(const CallerServerStarted& /*message*/) -> void {
+  memory_.serves_callers = true;
+}
+
+auto FleetTask::HandleMessage(const PeerServerStarted& /*message*/) -> void {
+  memory_.serves_peers = true;
+}
+
 auto FleetTask::HandleMessage(const LeavingStarted& /*message*/) -> void {
   ProcessEvent(LeavingDeclared{});
   Publish();
@@ -338,6 +346,7 @@
 auto FleetTask::UpdateReadiness() -> void {
   const auto now = Now();
   ReadinessFacts facts;
+  facts.is_listening = memory_.serves_callers && memory_.serves_peers;
   facts.has_table = table_dissemination_.IsComplete();
   facts.is_catching_up = table_dissemination_.IsCatchingUp();
   facts.has_list = has_list_;
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -48,6 +48,8 @@
   auto HandleMessage(const SourceRead& message) -> void;
   auto HandleMessage(const SourceStateChanged& message) -> void;
   auto HandleMessage(const LoadMeasured& message) -> void;
+  auto HandleMessage(const CallerServerStarted& message) -> void;
+  auto HandleMessage(const PeerServerStarted& message) -> void;
   auto HandleMessage(const LeavingStarted& message) -> void;
 
   // Passes an event to a decision module and executes the resulting actions.
--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -10,6 +10,7 @@
 
 #include "core/overloaded.h"
 #include "node/control/mesh/socket_options.h"
+#include "node/listen_error.h"
 #include "node/log.h"
 #include "wire/peer_codec.h"
 
@@ -51,11 +52,11 @@
   try {
     Listen(context.loop());
   } catch (const zmq::error_t& error) {
-    return Fail(ErrorKind::kSocketFailed,
-                "cannot listen on " + config_.address + ": " + error.what());
+    return FailListen(config_.address, error.num(), error.what());
   }
   metrics_timer_ = context.loop().MakePeriodicTimer(
       kMetricsPeriod, [this] { ReportMetrics(); });
+  outlets_.fleet.Post(PeerServerStarted{});
   Log(Part::kMesh, LogLevel::kInfo, "listening on " + config_.address);
   return {};
 }
--- a/src/node/control/mesh/mesh_task.h
+++ b/src/node/control/mesh/mesh_task.h
@@ -34,8 +34,8 @@
 
   MeshTask(MeshConfig config, MeshOutlets outlets);
 
-  // Binds the configured address. Fails with kSocketFailed if it cannot be
-  // bound, such as when it is in use.
+  // Binds the configured address. Fails with kAddressInUse or
+  // kSocketFailed if it cannot be bound.
   auto Start(TaskContext& context) -> Result<void>;
   auto Handle(Message message) -> Result<void>;
   auto Stop(StopMode mode) -> void;
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -124,6 +124,17 @@
 inline constexpr MailboxPolicy kMailboxPolicy<LoadMeasured> =
     MailboxPolicy::kCoalesce;
 
+// The server for callers listens on its addresses.
+struct CallerServerStarted {};
+template <>
+inline constexpr MailboxPolicy kMailboxPolicy<CallerServerStarted> =
+    MailboxPolicy::kCoalesce;
+// The server for peers listens on its address.
+struct PeerServerStarted {};
+template <>
+inline constexpr MailboxPolicy kMailboxPolicy<PeerServerStarted> =
+    MailboxPolicy::kCoalesce;
+
 // The VM is leaving: inform peers, and stop handing out addresses and keys.
 struct LeavingStarted {};
 template <>
@@ -222,6 +233,8 @@
                                   SourceRead,
                                   SourceStateChanged,
                                   LoadMeasured,
+                                  CallerServerStarted,
+                                  PeerServerStarted,
                                   LeavingStarted>;
 using MeshMessage =
     std::variant<PeerMessageToSend, PeerEndpointsChanged, PeerLinkSilent>;
--- a/src/node/observe/admin/admin_task.cc
+++ b/src/node/observe/admin/admin_task.cc
@@ -9,6 +9,7 @@
 
 #include "core/name_table.h"
 #include "core/overloaded.h"
+#include "node/listen_error.h"
 #include "node/log.h"
 #include "node/observe/admin/report_renderer.h"
 
@@ -86,9 +87,9 @@
       this);
   if (evhttp_bind_socket(server_.get(), config_.host.c_str(), config_.port) !=
       0) {
-    return Fail(ErrorKind::kSocketFailed, "cannot listen on " + config_.host +
-                                              ":" +
-                                              std::to_string(config_.port));
+    const int error = EVUTIL_SOCKET_ERROR();
+    return FailListen(config_.host + ":" + std::to_string(config_.port), error,
+                      evutil_socket_error_to_string(error));
   }
   Log(Part::kAdmin, LogLevel::kInfo,
       "listening on " + config_.host + ":" + std::to_string(config_.port));
--- a/src/node/observe/admin/admin_task.h
+++ b/src/node/observe/admin/admin_task.h
@@ -23,8 +23,8 @@
 
   explicit AdminTask(AdminConfig config);
 
-  // Listens on the configured address. Fails with kSocketFailed if the address
-  // cannot be bound.
+  // Listens on the configured address. Fails with kAddressInUse or
+  // kSocketFailed if the address cannot be bound.
   auto Start(TaskContext& context) -> Result<void>;
   auto Handle(Message message) -> Result<void>;
   auto Stop(StopMode mode) -> void;
--- a/src/node/traffic/caller_server.cc
+++ b/src/node/traffic/caller_server.cc
@@ -9,6 +9,8 @@
 #include <new>
 #include <utility>
 
+#include "node/listen_error.h"
+
 namespace flamingoyoke {
 namespace {
 
@@ -78,8 +80,9 @@
   auto* socket =
       evhttp_bind_socket_with_handle(http_.get(), host.c_str(), port);
   if (socket == nullptr) {
-    return Fail(ErrorKind::kSocketFailed,
-                "cannot listen on " + host + ":" + std::to_string(port));
+    const int error = EVUTIL_SOCKET_ERROR();
+    return FailListen(host + ":" + std::to_string(port), error,
+                      evutil_socket_error_to_string(error));
   }
   port_ = PortOf(evhttp_bound_socket_get_fd(socket));
   return {};
--- a/src/node/traffic/caller_server.h
+++ b/src/node/traffic/caller_server.h
@@ -44,7 +44,7 @@
   auto operator=(const CallerServer&) -> CallerServer& = delete;
 
   // Listens on `host`:`port`; port 0 selects a free port. Fails with
-  // kSocketFailed.
+  // kAddressInUse or kSocketFailed.
   auto Listen(const std::string& host, std::uint16_t port) -> Result<void>;
 
   // The port that the server listens on.
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -92,6 +92,7 @@
       StopProcedure::Hooks{[this] { return active(); }, [this] { FailAll(); },
                            [this] { context_->Exit(); }});
   ScheduleTick();
+  outbox_.fleet.Post(CallerServerStarted{});
   Log(Part::kGateway, LogLevel::kInfo,
       "listening on " + traffic.listen_host + ":" + std::to_string(port()));
   return {};
--- a/src/node/traffic/gateway/gateway_task.h
+++ b/src/node/traffic/gateway/gateway_task.h
@@ -40,7 +40,8 @@
   GatewayTask(GatewayConfig config, TrafficOutbox outbox);
   ~GatewayTask();
 
-  // Listens for callers and status requests. Fails with kSocketFailed.
+  // Listens for callers and status requests. Fails with kAddressInUse or
+  // kSocketFailed.
   auto Start(TaskContext& context) -> Result<void>;
   auto Handle(Message message) -> Result<void>;
   // Graceful: serves callers with cached addresses until these expire, then
--- a/src/node/traffic/traffic_task.cc
+++ b/src/node/traffic/traffic_task.cc
@@ -89,6 +89,7 @@
       StopProcedure::Hooks{[this] { return active(); }, [this] { FailAll(); },
                            [this] { context_->Exit(); }});
   ScheduleTick();
+  outbox_.fleet.Post(CallerServerStarted{});
   return {};
 }
 
--- a/src/node/traffic/traffic_task.h
+++ b/src/node/traffic/traffic_task.h
@@ -41,7 +41,8 @@
   TrafficTask(TrafficConfig config, TrafficOutbox outbox);
   ~TrafficTask();
 
-  // Starts the server for callers. Fails with kSocketFailed.
+  // Starts the server for callers. Fails with kAddressInUse or
+  // kSocketFailed.
   auto Start(TaskContext& context) -> Result<void>;
   auto Handle(Message message) -> Result<void>;
   // A graceful stop keeps serving until cached addresses have expired and exits
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -1,7 +1,9 @@
 #include "settings/settings.h"
 
 #include <algorithm>
+#include <map>
 #include <utility>
+#include <vector>
 
 #include "settings/json_document.h"
 #include "settings/settings_group.h"
@@ -164,6 +166,37 @@
   return gateway;
 }
 
+// Returns the addresses that the process listens on, with their fields.
+auto ListenAddresses(const Settings& settings)
+    -> std::vector<std::pair<std::string, const NamedEndpoint*>> {
+  std::vector<std::pair<std::string, const NamedEndpoint*>> addresses = {
+      {"caller.address", &settings.caller.address},
+      {"mesh.address", &settings.mesh.address},
+      {"admin.address", &settings.admin.address}};
+  if (settings.gateway.source == ServiceSource::kPublished) {
+    addresses.emplace_back("gateway.readiness_address",
+                           &settings.gateway.readiness_address);
+    addresses.emplace_back("gateway.directory_address",
+                           &settings.gateway.directory_address);
+  }
+  return addresses;
+}
+
+// A process would wait forever for an address that it holds itself.
+auto AddEqualAddressFaults(const Settings& settings, Faults& faults) -> void {
+  std::map<std::string, std::string> fields;
+  for (const auto& [field, address] : ListenAddresses(settings)) {
+    if (address->text.empty()) {
+      continue;
+    }
+    const auto [first, is_new] = fields.emplace(address->text, field);
+    if (!is_new) {
+      faults.push_back(field + " is " + address->text + " like " +
+                       first->second + "; each needs an address of its own");
+    }
+  }
+}
+
 auto AddUnknownGroupFaults(const Json& document, Faults& faults) -> void {
   constexpr auto kGroups = std::to_array<std::string_view>(
       {"vm", "caller", "mesh", "admin", "platform", "shutdown", "log", "trace",
@@ -210,6 +243,7 @@
   settings.trace = ReadTrace(document, faults);
   settings.gateway = ReadGateway(document, settings, faults);
   AddUnknownGroupFaults(document, faults);
+  AddEqualAddressFaults(settings, faults);
   if (!faults.empty()) {
     return Fail(ErrorKind::kSettingsInvalid, Join(faults));
   }
--- a/tests/integration/support/published_fleet.cc
+++ b/tests/integration/support/published_fleet.cc
@@ -210,6 +210,16 @@
   return EndpointAt(AddressOf(gateway), ports_.front);
 }
 
+auto PublishedStoreFleet::AddressesOf(std::size_t gateway) const
+    -> std::vector<NamedEndpoint> {
+  std::vector<NamedEndpoint> addresses;
+  for (const int port : {ports_.front, ports_.ready, ports_.control,
+                         ports_.directory, ports_.admin}) {
+    addresses.push_back(EndpointAt(AddressOf(gateway), port));
+  }
+  return addresses;
+}
+
 auto PublishedStoreFleet::DirectoryOf(std::size_t gateway) const
     -> NamedEndpoint {
   return EndpointAt(AddressOf(gateway), ports_.directory);
--- a/tests/integration/support/published_fleet.h
+++ b/tests/integration/support/published_fleet.h
@@ -99,6 +99,10 @@
   [[nodiscard]] auto FrontOf(std::size_t gateway) const -> NamedEndpoint;
   [[nodiscard]] auto DirectoryOf(std::size_t gateway) const -> NamedEndpoint;
 
+  // All addresses that a gateway listens on.
+  [[nodiscard]] auto AddressesOf(std::size_t gateway) const
+      -> std::vector<NamedEndpoint>;
+
   // Folder with the settings and logs of the gateways.
   [[nodiscard]] auto folder() const -> const std::string& { return folder_; }
   [[nodiscard]] auto http() -> BlockingHttp& { return http_; }
--- a/tests/unit/decision/fleet/fake_fleet.h
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -554,6 +554,7 @@
   auto Announce(std::size_t index) -> void {
     auto& node = nodes_[index];
     ReadinessFacts facts;
+    facts.is_listening = true;
     facts.has_table = node.table_dissemination->IsComplete();
     facts.is_catching_up = node.table_dissemination->IsCatchingUp();
     facts.has_list = node.has_list;
--- a/tests/unit/decision/fleet/readiness_gate_test.cc
+++ b/tests/unit/decision/fleet/readiness_gate_test.cc
@@ -11,7 +11,8 @@
 // have a newer one.
 Test(readiness_gate, waits_for_peers_that_the_list_shows) {
   ReadinessGate gate(kStart);
-  ReadinessFacts facts{.has_table = true,
+  ReadinessFacts facts{.is_listening = true,
+                       .has_table = true,
                        .is_catching_up = false,
                        .has_list = true,
                        .other_vms = 39,
@@ -28,7 +29,8 @@
 // waiting for a store that does not answer.
 Test(readiness_gate, waits_for_a_current_source_before_it_trusts_peers) {
   ReadinessGate gate(kStart);
-  ReadinessFacts facts{.has_table = true,
+  ReadinessFacts facts{.is_listening = true,
+                       .has_table = true,
                        .is_source_current = true,
                        .has_list = true,
                        .other_vms = 39,
@@ -45,7 +47,8 @@
 // Guards against a VM that never becomes ready because its peers are gone.
 Test(readiness_gate, waits_for_a_bounded_time) {
   ReadinessGate gate(kStart);
-  const ReadinessFacts facts{.has_table = true, .other_vms = 39};
+  const ReadinessFacts facts{
+      .is_listening = true, .has_table = true, .other_vms = 39};
   cr_assert(!gate.IsReady(facts, kStart + kStartupPeerWait - Duration(1)));
   cr_assert(gate.IsReady(facts, kStart + kStartupPeerWait));
 }
@@ -53,14 +56,24 @@
 // Guards against accepting callers without a table.
 Test(readiness_gate, needs_a_table) {
   ReadinessGate gate(kStart);
-  const ReadinessFacts facts{.has_list = true};
+  const ReadinessFacts facts{.is_listening = true, .has_list = true};
   cr_assert(!gate.IsReady(facts, kStart + kStartupPeerWait));
 }
 
+// Guards against callers that are sent to an address of another process.
+Test(readiness_gate, needs_its_addresses) {
+  ReadinessGate gate(kStart);
+  ReadinessFacts facts{.has_table = true, .has_read_newest = true};
+  cr_assert(!gate.IsReady(facts, kStart + kStartupPeerWait));
+  facts.is_listening = true;
+  cr_assert(gate.IsReady(facts, kStart));
+}
+
 // Guards against answering callers with stale state after a pause.
 Test(readiness_gate, waits_again_after_a_pause) {
   ReadinessGate gate(kStart);
-  ReadinessFacts facts{.has_table = true, .has_list = true};
+  ReadinessFacts facts{
+      .is_listening = true, .has_table = true, .has_list = true};
   cr_assert(gate.IsReady(facts, kStart));
   const auto resumed = kStart + std::chrono::seconds(60);
   gate.Resume(resumed);
--- a/tests/unit/node/control/fleet/fleet_task_test.cc
+++ b/tests/unit/node/control/fleet/fleet_task_test.cc
@@ -68,6 +68,12 @@
     Start();
   }
 
+  // Reports that the servers for callers and for peers listen.
+  auto StartServers() -> void {
+    Post(CallerServerStarted{});
+    Post(PeerServerStarted{});
+  }
+
   auto Post(FleetMessage message) -> void {
     mailboxes_.fleet.Post(std::move(message));
   }
@@ -101,9 +107,30 @@
   return view.ready;
 }
 
+// Guards against callers that are sent to a VM whose address another process
+// holds, and against a restart of the task that forgets the servers.
+Test(fleet_task, is_ready_only_once_its_servers_listen) {
+  Node node;
+  node.Post(VmListRead{{MakeMember("vm-1")}, 1});
+  node.Post(TableRead{0, Revision(3), kTable});
+  node.Post(PeerServerStarted{});
+  const auto has_table = [](const FleetView& view) {
+    return view.table != nullptr;
+  };
+  const auto waiting = node.AwaitView(has_table);
+  cr_assert(waiting);
+  cr_assert_not(waiting->ready);
+  node.Post(CallerServerStarted{});
+  cr_assert(node.AwaitView(IsReadyView));
+  node.Restart();
+  node.Post(VmListRead{{MakeMember("vm-1")}, 1});
+  cr_assert(node.AwaitView(IsReadyView));
+}
+
 // Guards against a fleet of a single VM that never becomes ready.
 Test(fleet_task, publishes_a_ready_view_on_a_single_vm) {
   Node node;
+  node.StartServers();
   node.Post(VmListRead{{MakeMember("vm-1")}, 1});
   node.Post(TableRead{0, Revision(3), kTable});
   const auto view = node.AwaitView(IsReadyView);
@@ -119,6 +146,7 @@
 // Guards against an invalid table that is activated or not reported.
 Test(fleet_task, keeps_the_active_table_and_reports_an_invalid_one) {
   Node node;
+  node.StartServers();
   node.Post(VmListRead{{MakeMember("vm-1")}, 1});
   node.Post(TableRead{0, Revision(3), kTable});
   cr_assert(node.AwaitView(IsReadyView) != nullptr);
@@ -142,6 +170,7 @@
 // while the configuration service returns a stale revision.
 Test(fleet_task, keeps_the_revision_across_a_restart) {
   Node node;
+  node.StartServers();
   node.Post(VmListRead{{MakeMember("vm-1")}, 1});
   node.Post(TableRead{0, Revision(3), kTable});
   cr_assert(node.AwaitView(IsReadyView) != nullptr);
@@ -156,6 +185,7 @@
 // Guards against VMs that are listed but never contacted.
 Test(fleet_task, contacts_listed_vms) {
   Node node;
+  node.StartServers();
   node.Post(VmListRead{{MakeMember("vm-1"), MakeMember("vm-2")}, 1});
   const auto end = Now() + kTimeout;
   bool is_contacted = false;
--- a/tests/unit/node/traffic/caller_server_test.cc
+++ b/tests/unit/node/traffic/caller_server_test.cc
@@ -10,6 +10,33 @@
 
 namespace flamingoyoke {
 
+auto MakeServer(EventLoop& loop) -> CallerServer {
+  return {loop, CallerServer::Limits{},
+          CallerServer::Handler{
+              [](const ScannedHead&) -> std::variant<BodyAllowance, ErrorKind> {
+                return BodyAllowance{0};
+              },
+              [](std::unique_ptr<CallerExchange>) {}, [] {}}};
+}
+
+// Guards against an address in use that counts as a lasting failure.
+Test(caller_server, tells_an_address_in_use_from_other_errors) {
+  EventLoop loop;
+  auto first = MakeServer(loop);
+  cr_assert(first.Listen("127.0.0.1", 0));
+  auto second = MakeServer(loop);
+  const auto in_use =
+      CaptureError([&] { return second.Listen("127.0.0.1", first.port()); });
+  cr_assert(in_use);
+  cr_assert(in_use->kind == ErrorKind::kAddressInUse, "%s",
+            in_use->detail.c_str());
+  // An address of documentation, which no machine has.
+  const auto unknown =
+      CaptureError([&] { return second.Listen("192.0.2.1", 1); });
+  cr_assert(unknown);
+  cr_assert(unknown->kind == ErrorKind::kSocketFailed);
+}
+
 // Guards against callbacks into a task that is being destroyed: the destructor
 // of the server closes open connections, when other members of the task may be
 // destroyed already.
