Share one malloc arena and use small thread stacks

Under an address-space limit at the size that the settings name (260 MB) a process exited with code 1, and at 400 to 540 MB some exited or aborted in libzmq or on std::bad_alloc: 1, 3, 4, 1 and 4 of 5 VMs became ready at 260, 400, 460, 500 and 540 MB. Each of 11 threads reserved a malloc arena of 64 MB and a stack of 8 MB; 11 MB in all were used.

A refused thread or descriptor outside of any task ends the process with its reason.

address_space/gateways_run_within_the_memory_of_the_smallest_vm fails with the old program ("gateway 1 is not ready" after 60 s).

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -4,12 +4,14 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <exception>
 #include <fstream>
 #include <iterator>
 #include <optional>
 #include <string>
 
 #include "core/time.h"
+#include "daemon/process_limits.h"
 #include "daemon/signal_watch.h"
 #include "node/log.h"
 #include "node/node.h"
@@ -106,12 +108,7 @@
   return kExitOk;
 }
 
-}  // namespace
-
-auto RunDaemon(int argc, char** argv, const DaemonOptions& options) -> int {
-  // The default action would end a process that is told to reload its settings
-  // while it starts.
-  std::signal(SIGHUP, SIG_IGN);
+auto Run(int argc, char** argv, const DaemonOptions& options) -> int {
   CLI::App app("Daemon of one VM in a flamingoyoke fleet.");
   app.set_version_flag("--version", options.name + " " + options.version);
   std::string settings_path;
@@ -148,4 +145,20 @@
   return code;
 }
 
+}  // namespace
+
+auto RunDaemon(int argc, char** argv, const DaemonOptions& options) -> int {
+  // The default action would end a process that is told to reload its settings
+  // while it starts.
+  std::signal(SIGHUP, SIG_IGN);
+  LimitAddressSpace();
+  try {
+    return Run(argc, argv, options);
+  } catch (const std::exception& exception) {
+    // The system refused memory, a thread or a descriptor outside of any task.
+    std::fprintf(stderr, "%s: %s\n", options.name.c_str(), exception.what());
+    return kExitFailed;
+  }
+}
+
 }  // namespace flamingoyoke
--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -7,6 +7,7 @@
 #include <future>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <system_error>
 #include <thread>
 #include <unordered_map>
 
@@ -82,10 +83,14 @@
 auto StopLog(Duration timeout) -> bool {
   std::promise<void> written;
   auto is_written = written.get_future();
-  std::thread([written = std::move(written)]() mutable {
-    spdlog::shutdown();
-    written.set_value();
-  }).detach();
+  try {
+    std::thread([written = std::move(written)]() mutable {
+      spdlog::shutdown();
+      written.set_value();
+    }).detach();
+  } catch (const std::system_error&) {
+    return false;
+  }
   return is_written.wait_for(timeout) == std::future_status::ready;
 }
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Runs the Criterion programs of a build folder and counts their tests.
+"""Runs the Criterion programs of build folders and counts their tests.
 
 A failing test that is listed in KNOWN-RED.txt is printed but does not fail the
 run; any other failure does. An entry of KNOWN-RED.txt starts with a line
@@ -26,15 +26,19 @@
 
 def main():
     root = pathlib.Path(__file__).resolve().parent.parent
-    build = root / sys.argv[1]
     known = known_red(root)
-    programs = sorted(
-        path
-        for path in (build / "tests").rglob("*_test")
-        if path.is_file() and path.stat().st_mode & 0o111
-    )
     passed = failed = skipped = 0
     unexpected = []
+    programs = []
+    for build in sys.argv[1:]:
+        found = sorted(
+            path
+            for path in (root / build / "tests").rglob("*_test")
+            if path.is_file() and path.stat().st_mode & 0o111
+        )
+        if not found:
+            unexpected.append(f"{build}: no test programs")
+        programs += found
     for program in programs:
         run = subprocess.run(
             [str(program), "--color=never", "-j", "4"],
