Write libevent's warnings to the log

libevent writes its warnings to standard error from the thread of the task. If nobody reads that pipe, the task blocks in the write.

The warnings go to the log, which drops lines rather than block and suppresses repeats.

log/takes_the_warnings_of_libevent failed before: standard error: [warn] event_base_loop: reentrant invocation.

--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -1,5 +1,6 @@
 #include "node/log.h"
 
+#include <event2/event.h>
 #include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
@@ -40,6 +41,19 @@
   return spdlog::level::err;
 }
 
+auto FromLibeventSeverity(int severity) -> LogLevel {
+  switch (severity) {
+    case EVENT_LOG_DEBUG:
+      return LogLevel::kDebug;
+    case EVENT_LOG_MSG:
+      return LogLevel::kInfo;
+    case EVENT_LOG_WARN:
+      return LogLevel::kWarning;
+    default:
+      return LogLevel::kError;
+  }
+}
+
 struct Repeat {
   TimePoint last_written;
   unsigned skipped = 0;
@@ -78,9 +92,16 @@
       format == LogFormat::kJson ? "%v" : "%Y-%m-%dT%H:%M:%S.%e%z %l %v");
   spdlog::set_default_logger(logger);
   log_format = format;
+  // By default, libevent writes to standard error, which blocks the task if
+  // nobody reads it.
+  event_set_log_callback([](int severity, const char* message) {
+    Log(Part::kNode, FromLibeventSeverity(severity),
+        std::string("libevent: ") + message);
+  });
 }
 
 auto StopLog(Duration timeout) -> bool {
+  event_set_log_callback([](int, const char*) {});
   std::promise<void> written;
   auto is_written = written.get_future();
   try {
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -45,6 +45,7 @@
 
 // Sets the minimum level and the format of the log. A background thread writes
 // the lines to standard output, so that a blocked pipe never delays a task.
+// Warnings of libevent go to the log as well.
 // Call once, before any task starts.
 auto ConfigureLog(LogLevel min_level, LogFormat format) -> void;
 
