Keep descriptors for others than callers

While idle callers held all descriptors (soft limit 256 with 600 callers, 1,024 with 1,500), the gateway's thread used 51% to 100% of a core, wrote 14 to 22 MB/s of "Error from accept() call" and accepted nobody, not the question for readiness either. The settings allow 1,500 connections, and 1,024 descriptors are a usual soft limit of a plain machine.

The socket that cannot be accepted stays readable, so the loop never waited. The process raises its soft limit to the hard one and keeps callers' connections at half of it, with a log line. A caller beyond the bound is closed before the next one is accepted.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -1,7 +1,9 @@
 #include "daemon/daemon.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <csignal>
+#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -31,6 +33,10 @@
 // a slow reader; a reader that hangs must not block the exit.
 constexpr Duration kLogFlushTimeout = std::chrono::milliseconds(300);
 
+// Share of the descriptors that callers may use. The rest remains for
+// upstreams, peers, the platform and operators.
+constexpr std::uint64_t kCallerDescriptorDivisor = 2;
+
 auto ReadFile(const std::string& path) -> std::optional<std::string> {
   std::ifstream file(path, std::ios::binary);
   if (!file) {
@@ -67,6 +73,23 @@
       "the settings file is valid; changes take effect at the next start");
 }
 
+// Keeps callers from using up the descriptors of the process. Does nothing if
+// the limit `descriptors` is 0, which stands for an unknown one.
+auto BoundCallerConnections(std::uint64_t descriptors, Settings& settings)
+    -> void {
+  auto& connections = settings.caller.max_connections;
+  const auto bound =
+      std::max<std::uint64_t>(1, descriptors / kCallerDescriptorDivisor);
+  if (descriptors == 0 || connections <= bound) {
+    return;
+  }
+  Log(Part::kNode, LogLevel::kWarning,
+      "keeps at most " + std::to_string(bound) +
+          " connections of callers instead of " + std::to_string(connections) +
+          ": the limit of open descriptors is " + std::to_string(descriptors));
+  connections = static_cast<std::uint32_t>(bound);
+}
+
 auto RunNode(const Settings& settings,
              const std::string& settings_path,
              const DaemonOptions& options) -> int {
@@ -137,6 +160,7 @@
     return kExitSettings;
   }
   ConfigureLog(settings->log.level, settings->log.format);
+  BoundCallerConnections(RaiseDescriptorLimit(), *settings);
   const auto code = RunNode(*settings, settings_path, options);
   if (!StopLog(kLogFlushTimeout)) {
     // The log thread is blocked on its reader and cannot be joined.
--- a/src/daemon/process_limits.cc
+++ b/src/daemon/process_limits.cc
@@ -2,6 +2,7 @@
 
 #include <malloc.h>
 #include <pthread.h>
+#include <sys/resource.h>
 
 #include <cstddef>
 
@@ -28,4 +29,14 @@
   pthread_attr_destroy(&attributes);
 }
 
+auto RaiseDescriptorLimit() -> std::uint64_t {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    return 0;
+  }
+  const auto soft = limit.rlim_cur;
+  limit.rlim_cur = limit.rlim_max;
+  return setrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : soft;
+}
+
 }  // namespace flamingoyoke
--- a/src/node/observe/admin/admin_task.cc
+++ b/src/node/observe/admin/admin_task.cc
@@ -85,12 +85,15 @@
         static_cast<AdminTask*>(task)->HandleRequest(request);
       },
       this);
-  if (evhttp_bind_socket(server_.get(), config_.host.c_str(), config_.port) !=
-      0) {
+  auto* socket = evhttp_bind_socket_with_handle(
+      server_.get(), config_.host.c_str(), config_.port);
+  if (socket == nullptr) {
     const int error = EVUTIL_SOCKET_ERROR();
     return FailListen(config_.host + ":" + std::to_string(config_.port), error,
                       evutil_socket_error_to_string(error));
   }
+  accept_pause_.emplace(context.loop(), Part::kAdmin);
+  accept_pause_->Watch(evhttp_bound_socket_get_listener(socket));
   Log(Part::kAdmin, LogLevel::kInfo,
       "listening on " + config_.host + ":" + std::to_string(config_.port));
   return {};
--- a/src/node/observe/admin/admin_task.h
+++ b/src/node/observe/admin/admin_task.h
@@ -4,9 +4,11 @@
 #include <event2/http.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/result.h"
+#include "node/accept_pause.h"
 #include "node/messages.h"
 #include "node/observe/admin/admin_config.h"
 #include "node/observe/admin/report.h"
@@ -41,6 +43,7 @@
   TaskContext* context_ = nullptr;
   Report report_;
   std::string metrics_;
+  std::optional<AcceptPause> accept_pause_;
   std::unique_ptr<evhttp, ServerDeleter> server_;
 };
 
--- a/src/node/traffic/caller_server.cc
+++ b/src/node/traffic/caller_server.cc
@@ -43,6 +43,7 @@
              .on_closed = [this](CallerConnection* c) { OnClosed(c); },
              .on_reply_sent = [this](CallerConnection*) { ReportProgress(); }},
       cleanup_timer_(loop.MakeTimer([this] { closed_.clear(); })),
+      accept_pause_(loop, Part::kTraffic),
       http_(evhttp_new(loop.base())) {
   if (!http_) {
     throw std::bad_alloc();
@@ -84,6 +85,7 @@
     return FailListen(host + ":" + std::to_string(port), error,
                       evutil_socket_error_to_string(error));
   }
+  accept_pause_.Watch(evhttp_bound_socket_get_listener(socket));
   port_ = PortOf(evhttp_bound_socket_get_fd(socket));
   return {};
 }
@@ -129,6 +131,7 @@
   connections_.emplace(bev, std::move(connection));
   if (connections_.size() > limits_.connections) {
     created->ScheduleClose();
+    accept_pause_.PauseForIteration();
   } else if (closes_idle_) {
     created->LimitFirstRequestWait();
   }
--- a/src/node/traffic/caller_server.h
+++ b/src/node/traffic/caller_server.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "core/result.h"
+#include "node/accept_pause.h"
 #include "node/traffic/body_budget.h"
 #include "node/traffic/caller_connection.h"
 #include "node/traffic/caller_exchange.h"
@@ -92,6 +93,7 @@
   // Closed connections whose callbacks may still be running.
   std::vector<std::unique_ptr<CallerConnection>> closed_;
   EventLoop::Handle cleanup_timer_;
+  AcceptPause accept_pause_;
   std::unique_ptr<evhttp, EvhttpDeleter> http_;
 };
 
