Ignore the signal of the limit on the size of files

A process whose log goes to a file is ended by SIGXFSZ when the file reaches RLIMIT_FSIZE, with all requests in flight.

The signal is ignored: the write fails, the line is lost, requests go on.

process_limits/full_log_file_ends_no_process failed before: a call got no 200 once the log was full.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -175,6 +175,9 @@
   // The default action would end a process that is told to reload its settings
   // while it starts.
   std::signal(SIGHUP, SIG_IGN);
+  // The default action would end the process when the file that its output goes
+  // to reaches the limit on the size of files.
+  std::signal(SIGXFSZ, SIG_IGN);
   LimitAddressSpace();
   try {
     return Run(argc, argv, options);
--- a/tests/integration/process_limits_test.cc
+++ b/tests/integration/process_limits_test.cc
@@ -100,4 +100,28 @@
   cr_assert_eq(fleet.gateway(0).WaitForExit(kFleetTimeout), 0);
 }
 
+// Guards against a process that SIGXFSZ ends, with all requests in flight, when
+// its log reaches the limit on the size of files.
+Test(process_limits, full_log_file_ends_no_process) {
+  constexpr rlim_t kFileBytes = 4096;
+  rlimit limit{};
+  getrlimit(RLIMIT_FSIZE, &limit);
+  limit.rlim_cur = kFileBytes;
+  cr_assert_eq(setrlimit(RLIMIT_FSIZE, &limit), 0);
+  PublishedStoreFleet fleet(2);
+  fleet.WaitForAll();
+  const auto log = fleet.folder() + "/gateway-0.log";
+  constexpr int kCalls = 60;
+  for (int i = 0; i < kCalls; ++i) {
+    cr_assert_eq(fleet.Call(0, "/book/1", "order-" + std::to_string(i)).status,
+                 kOk);
+  }
+  cr_assert(
+      WaitUntil([&] { return std::filesystem::file_size(log) == kFileBytes; },
+                kFleetTimeout));
+  cr_assert_eq(fleet.Call(0, "/book/1", "last-order").status, kOk);
+  fleet.gateway(0).Signal(SIGTERM);
+  cr_assert_eq(fleet.gateway(0).WaitForExit(kFleetTimeout), 0);
+}
+
 }  // namespace flamingoyoke::integration
