Refuse requests that cannot start in time while they are queued

What callers saw: on 20 VMs at twice their capacity a request came back as 503 up to 3.3 s after its arrival, shortly before its deadline.

Cause: the wait was estimated once, at the arrival. More urgent requests that came later passed by, and a request that a target shed was queued again without an estimate. Either was refused only when it was too late even to start.

Change: queued requests are estimated again with each event, and a shed one before it is queued again. The estimate, and with it Retry-After, sets aside the share of the slots that more urgent requests used in the last two seconds, at most four fifths. A request queues behind others only if 1.25 times its wait fits.

Not played: real processes at twice the capacity.

--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -38,6 +38,13 @@
 // A target may end its work this long before the deadline, for the network
 // delay and for rounding the remaining time to whole milliseconds.
 constexpr Duration kDeadlineTolerance = std::chrono::milliseconds(20);
+// A request is queued behind others only if its estimated wait times this fits
+// its deadline. Otherwise a small growth of the wait would refuse it later.
+constexpr double kQueuedWaitMargin = 1.25;
+// Largest share of a gateway's slots that is set aside for more urgent requests
+// when a wait is estimated. Without a short queue of less urgent requests slots
+// stay empty whenever the more urgent ones pause.
+constexpr double kMaxShareBefore = 0.8;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(50);
 
 auto Scale(double factor, Duration duration) -> Duration {
@@ -108,7 +115,7 @@
     -> std::vector<PoolAction> {
   now_ = now;
   std::visit([this](const auto& typed) { On(typed); }, event);
-  ExpireQueued();
+  RefuseUnreachable();
   CheckRunning();
   StartQueued();
   ReportToPeers();
@@ -172,7 +179,8 @@
     Start(active, *target);
     return;
   }
-  const auto wait = EstimateWait(active);
+  const auto wait =
+      Scale(queue_.empty() ? 1.0 : kQueuedWaitMargin, EstimateWait(active));
   if (!OpensInTime(active) ||
       now_ + wait + Scale(kMinTimeFactor, ExpectedServiceTime(active)) >
           event.deadline) {
@@ -215,6 +223,9 @@
   auto& running = active.running;
   running.erase(std::remove(running.begin(), running.end(), event.attempt),
                 running.end());
+  if (!IsNotRun(event.result)) {
+    run_shares_.Add(active.info.priority, now_);
+  }
   const auto evidence = AssessTarget(active, event.result);
   pool_.OnEnded(ended.target, event.asked_for_rest ? std::nullopt : evidence,
                 now_);
@@ -274,7 +285,9 @@
   const bool may_run_again = active.info.repeatable || IsNotRun(result);
   // A request goes to each target at most once. Without an untried target it
   // would stay in the queue until its deadline.
-  if (!may_run_again || IsTooLate(active) || !OpensInTime(active)) {
+  if (!may_run_again || !OpensInTime(active) ||
+      !CanStartInTime(active, CountAhead(active),
+                      SlotsFor(active.info.priority))) {
     return false;
   }
   if (result == AttemptResult::kConnectFailed) {
@@ -319,14 +332,26 @@
   }
 }
 
-auto PoolDispatcher::ExpireQueued() -> void {
-  std::vector<RequestId> late;
+auto PoolDispatcher::RefuseUnreachable() -> void {
+  if (queue_.empty()) {
+    return;
+  }
+  std::vector<RequestId> unreachable;
+  std::size_t ahead = 0;
+  std::optional<std::uint32_t> last_priority;
+  double slots = 0;
   for (const auto& [priority, deadline, id] : queue_) {
-    if (IsTooLate(requests_.at(id))) {
-      late.push_back(id);
+    if (last_priority != priority) {
+      last_priority = priority;
+      slots = SlotsFor(priority);
+    }
+    if (CanStartInTime(requests_.at(id), ahead, slots)) {
+      ++ahead;
+    } else {
+      unreachable.push_back(id);
     }
   }
-  for (const auto id : late) {
+  for (const auto id : unreachable) {
     Refuse(requests_.at(id), ErrorKind::kDeadlineUnreachable);
   }
 }
@@ -487,18 +512,46 @@
 
 auto PoolDispatcher::EstimateWait(const ActiveRequest& active) const
     -> Duration {
-  const auto slots = pool_.UsableSlots(now_);
-  if (slots == 0) {
+  const auto ahead = CountAhead(active);
+  // More urgent requests that are yet to come delay a long wait only.
+  const auto slots = SlotsFor(ahead == 0 ? 0 : active.info.priority);
+  if (slots <= 0) {
     // Targets that rest open again at a known time.
     const auto opens = pool_.OpensAt({}, now_);
     return opens && *opens > now_ ? *opens - now_ : active.info.objective;
   }
-  const auto ahead = static_cast<std::size_t>(
-      std::distance(queue_.begin(), queue_.lower_bound(QueueKeyOf(active))));
+  return EstimateTurn(active, ahead + 1, slots);
+}
+
+auto PoolDispatcher::SlotsFor(std::uint32_t priority) const -> double {
+  const auto before = run_shares_.ShareBefore(priority, now_);
   // The slots are shared with the other gateways.
-  const auto share =
-      static_cast<double>((ahead + 1) * gateways_) / static_cast<double>(slots);
-  return Scale(share, ExpectedServiceTime(active));
+  return static_cast<double>(pool_.UsableSlots(now_)) *
+         (1 - std::min(before, kMaxShareBefore)) /
+         static_cast<double>(gateways_);
+}
+
+auto PoolDispatcher::CountAhead(const ActiveRequest& active) const
+    -> std::size_t {
+  return static_cast<std::size_t>(
+      std::distance(queue_.begin(), queue_.lower_bound(QueueKeyOf(active))));
+}
+
+auto PoolDispatcher::EstimateTurn(const ActiveRequest& active,
+                                  std::size_t started,
+                                  double slots) const -> Duration {
+  return Scale(static_cast<double>(started) / slots,
+               ExpectedServiceTime(active));
+}
+
+auto PoolDispatcher::CanStartInTime(const ActiveRequest& active,
+                                    std::size_t ahead,
+                                    double slots) const -> bool {
+  // Without a usable slot the wait is unknown.
+  const auto wait =
+      slots <= 0 ? Duration::zero() : EstimateTurn(active, ahead, slots);
+  return wait + Scale(kMinTimeFactor, ExpectedServiceTime(active)) <=
+         active.info.deadline - now_;
 }
 
 auto PoolDispatcher::IsTooLate(const ActiveRequest& active) const -> bool {
--- a/src/decision/gateway/pool_dispatcher.h
+++ b/src/decision/gateway/pool_dispatcher.h
@@ -15,6 +15,7 @@
 #include "decision/dispatch/service_times.h"
 #include "decision/gateway/pool_event.h"
 #include "decision/gateway/route_timeout_tracker.h"
+#include "decision/gateway/run_shares.h"
 #include "decision/gateway/target_pool.h"
 
 namespace flamingoyoke {
@@ -116,7 +117,8 @@
   // Queues the request for another attempt. Returns false if none is allowed.
   auto QueueRetry(ActiveRequest& active, AttemptResult result) -> bool;
   auto StartQueued() -> void;
-  auto ExpireQueued() -> void;
+  // Refuses the queued requests that cannot start in time any more.
+  auto RefuseUnreachable() -> void;
   auto CheckRunning() -> void;
   auto Hedge(ActiveRequest& active) -> void;
   auto Start(ActiveRequest& active, const TargetId& target) -> void;
@@ -141,6 +143,22 @@
   // Returns the estimated time until a slot is free for one more request.
   [[nodiscard]] auto EstimateWait(const ActiveRequest& active) const
       -> Duration;
+  // Returns this gateway's part of the usable slots that is left for requests
+  // of `priority` and less urgent ones, by the recent attempts.
+  [[nodiscard]] auto SlotsFor(std::uint32_t priority) const -> double;
+  // Returns the number of queued requests that start before `active`.
+  [[nodiscard]] auto CountAhead(const ActiveRequest& active) const
+      -> std::size_t;
+  // Returns the estimated time until `started` requests have got one of
+  // `slots`, of which there must be some.
+  [[nodiscard]] auto EstimateTurn(const ActiveRequest& active,
+                                  std::size_t started,
+                                  double slots) const -> Duration;
+  // Returns whether the request can start early enough before its deadline if
+  // `ahead` requests start before it and the next slot is free at once.
+  [[nodiscard]] auto CanStartInTime(const ActiveRequest& active,
+                                    std::size_t ahead,
+                                    double slots) const -> bool;
   [[nodiscard]] auto IsTooLate(const ActiveRequest& active) const -> bool;
   [[nodiscard]] static auto QueueKeyOf(const ActiveRequest& active) -> QueueKey;
 
@@ -150,6 +168,7 @@
   TargetPool pool_;
   RetryBudget retry_budget_;
   ServiceTimes service_times_;
+  RunShares run_shares_;
   RouteTimeoutTracker route_timeouts_;
   std::vector<VmId> peers_;
   std::size_t gateways_ = 1;
--- a/tests/unit/decision/gateway/pool_dispatcher_test.cc
+++ b/tests/unit/decision/gateway/pool_dispatcher_test.cc
@@ -278,6 +278,50 @@
   cr_assert_lt(dispatcher.queued(), 20U);
 }
 
+// Guards against a shed request that is held until its deadline behind more
+// urgent ones.
+Test(pool_dispatcher, refuses_a_shed_request_that_cannot_run_in_time) {
+  PoolDispatcher dispatcher(ServiceId("s"), Random(1), MakeLimits());
+  dispatcher.OnEvent(PoolConfigured{.targets = MakeTargets(3), .gateways = 20},
+                     kStart);
+  std::vector<StartAttempt> running;
+  for (std::uint64_t id = 1; id <= 7; ++id) {
+    auto arrival = MakeArrival(id, false, kStart);
+    arrival.priority = id == 7 ? 0 : 1;
+    for (const auto& start :
+         ActionsOf<StartAttempt>(dispatcher.OnEvent(arrival, kStart))) {
+      running.push_back(start);
+    }
+  }
+  cr_assert_eq(running.size(), 6U);
+  cr_assert_eq(dispatcher.queued(), 1U);
+  const auto refused = ActionsOf<RefuseRequest>(dispatcher.OnEvent(
+      PoolAttemptEnded{running.front().attempt, AttemptResult::kShed},
+      kStart + milliseconds(500)));
+  cr_assert_eq(refused.size(), 1U);
+  cr_assert_eq(refused.front().request.value(), 1U);
+  cr_assert_gt(refused.front().retry_after, milliseconds(500));
+  cr_assert(AnswerFor(refused.front().error).outcome == Outcome::kNotRun);
+}
+
+// Guards against a queued request that is held until its deadline after more
+// urgent ones came before it.
+Test(pool_dispatcher, refuses_a_queued_request_that_others_overtake) {
+  PoolDispatcher dispatcher(ServiceId("s"), Random(1), MakeLimits());
+  dispatcher.OnEvent(PoolConfigured{MakeTargets(1), {}, {}}, kStart);
+  for (std::uint64_t id = 1; id <= 20; ++id) {
+    auto arrival = MakeArrival(id, false, kStart);
+    arrival.priority = id == 3 ? 2 : 1;
+    dispatcher.OnEvent(arrival, kStart);
+  }
+  const auto refused = ActionsOf<RefuseRequest>(
+      dispatcher.OnEvent(PoolTimer{}, kStart + milliseconds(300)));
+  cr_assert(std::any_of(refused.begin(), refused.end(), [](const auto& each) {
+    return each.request.value() == 3;
+  }));
+  cr_assert_gt(dispatcher.queued(), 4U);
+}
+
 // Guards against running urgent requests after less urgent ones of the same
 // service.
 Test(pool_dispatcher, runs_the_most_urgent_queued_request_first) {
