Test that a log that nobody reads blocks nothing

The test gives two gateways a pipe of 4 KiB as standard output and standard error, with log level debug, fills it and then the queue of 512 lines, and closes the read end of one. All requests are answered, both stay ready, and SIGTERM ends them with code 0.

Not shown: libevent and libzmq write warnings to standard error on the thread that meets them. No such warning was provoked.

--- a/tests/integration/published_store_test.cc
+++ b/tests/integration/published_store_test.cc
@@ -17,6 +17,9 @@
 TestSuite(published_store, .fini = &ChildProcess::KillAll, .timeout = 300);
 
 constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+// Bytes in a pipe of 4 KiB into which no further line of the log may fit.
+constexpr int kFullPipe = 3800;
 constexpr std::size_t kGatewayCount = PublishedStoreFleet::kDefaultGateways;
 
 }  // namespace
@@ -306,4 +309,45 @@
   cr_assert_eq(process.WaitForExit(std::chrono::seconds(20)), 0);
 }
 
+// Guards against a gateway that stops serving or doesn't end because its log is
+// not read, on standard output or on standard error.
+Test(published_store, an_unread_log_holds_nothing_up) {
+  PublishedStoreFleet fleet(2);
+  fleet.RestartGateway(0, "debug", UnreadPipe{});
+  fleet.RestartGateway(1, "debug", UnreadPipe{});
+  fleet.WaitForAll();
+  int requests = 0;
+  // Each request without a route is a line of the log.
+  const auto check_requests = [&](const std::string& path, int status,
+                                  int count) {
+    for (int i = 0; i < count; ++i) {
+      const auto id = std::to_string(++requests);
+      for (const std::size_t gateway : {0, 1}) {
+        const auto answer = fleet.Call(gateway, path + id, id);
+        cr_assert_eq(answer.status, status, "%s: %d", id.c_str(),
+                     answer.status);
+      }
+    }
+  };
+  const auto check_ready = [&] {
+    cr_assert(fleet.IsReady(0));
+    cr_assert(fleet.IsReady(1));
+  };
+  // More lines than wait for the writer.
+  check_requests("/none/", kNotFound, 700);
+  cr_assert_gt(fleet.gateway(0).UnreadBytes(), kFullPipe);
+  cr_assert_gt(fleet.gateway(1).UnreadBytes(), kFullPipe);
+  check_requests("/look/", kOk, 100);
+  check_ready();
+  fleet.gateway(1).CloseOutput();
+  check_requests("/none/", kNotFound, 100);
+  check_requests("/look/", kOk, 100);
+  check_ready();
+  for (const std::size_t gateway : {0, 1}) {
+    fleet.gateway(gateway).Signal(SIGTERM);
+    cr_assert_eq(fleet.gateway(gateway).WaitForExit(std::chrono::seconds(20)),
+                 0);
+  }
+}
+
 }  // namespace flamingoyoke::integration
--- a/tests/integration/support/child_process.cc
+++ b/tests/integration/support/child_process.cc
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <poll.h>
 #include <spawn.h>
+#include <sys/ioctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -23,6 +24,7 @@
 
 constexpr auto kPollInterval = std::chrono::milliseconds(5);
 constexpr std::size_t kReadSize = 65'536;
+constexpr int kSmallPipe = 4096;
 
 // Child processes that have been started and not yet reaped.
 auto RunningPids() -> std::vector<pid_t>& {
@@ -84,6 +86,14 @@
                                 captured == CapturedOutput::kStdoutAndStderr);
                    close(ends[1]);
                    output_descriptor_ = ends[0];
+                 },
+                 [&](UnreadPipe) {
+                   std::array<int, 2> ends{};
+                   cr_assert_eq(pipe2(ends.data(), O_CLOEXEC), 0);
+                   cr_assert_geq(fcntl(ends[1], F_SETPIPE_SZ, kSmallPipe), 0);
+                   pid_ = Spawn(program, arguments, ends[1], true);
+                   close(ends[1]);
+                   output_descriptor_ = ends[0];
                  }},
       output);
   RunningPids().push_back(pid_);
@@ -134,6 +144,16 @@
   return output_;
 }
 
+auto ChildProcess::UnreadBytes() const -> int {
+  int bytes = 0;
+  cr_assert_eq(ioctl(output_descriptor_, FIONREAD, &bytes), 0);
+  return bytes;
+}
+
+auto ChildProcess::CloseOutput() -> void {
+  close(std::exchange(output_descriptor_, -1));
+}
+
 auto ChildProcess::Signal(int signal) const -> void {
   cr_assert_not(exit_code_.has_value(), "the process has already exited");
   cr_assert_eq(kill(pid_, signal), 0);
--- a/tests/integration/support/child_process.h
+++ b/tests/integration/support/child_process.h
@@ -14,13 +14,16 @@
 // Output streams of a child process that the test reads.
 enum class CapturedOutput { kStdout, kStdoutAndStderr };
 
-// A file to which the output of a child process is appended. The process never
-// blocks because nobody reads its log.
+// A file to which the output of a child process is appended.
 struct OutputFile {
   std::string path;
 };
 
-using ChildOutput = std::variant<CapturedOutput, OutputFile>;
+// A pipe of the smallest size to which standard output and standard error of a
+// child process are written and from which nobody reads.
+struct UnreadPipe {};
+
+using ChildOutput = std::variant<CapturedOutput, OutputFile, UnreadPipe>;
 
 // A child process of a test. The destructor kills it by its process id. Not
 // thread-safe.
@@ -43,6 +46,13 @@
   // Aborts the test after `limit`.
   auto ReadAll(std::chrono::seconds limit) -> std::string;
 
+  // Returns the number of bytes in the pipe to which the process writes.
+  // Precondition: the output is a pipe that is not closed.
+  [[nodiscard]] auto UnreadBytes() const -> int;
+
+  // Closes the read end of the pipe to which the process writes.
+  auto CloseOutput() -> void;
+
   // Sends `signal`. Precondition: the process has not been waited for.
   auto Signal(int signal) const -> void;
 
--- a/tests/integration/support/published_fleet.cc
+++ b/tests/integration/support/published_fleet.cc
@@ -137,6 +137,21 @@
 }
 
 auto PublishedStoreFleet::StartGateway(std::size_t index) -> void {
+  StartGateway(
+      index, "info",
+      OutputFile{folder_ + "/gateway-" + std::to_string(index) + ".log"});
+}
+
+auto PublishedStoreFleet::RestartGateway(std::size_t index,
+                                         const std::string& log_level,
+                                         const ChildOutput& output) -> void {
+  gateways_[index].reset();
+  StartGateway(index, log_level, output);
+}
+
+auto PublishedStoreFleet::StartGateway(std::size_t index,
+                                       const std::string& log_level,
+                                       const ChildOutput& output) -> void {
   const auto host = AddressOf(index);
   const auto at = [&](int port) { return host + ":" + std::to_string(port); };
   auto seeds = nlohmann::json::array();
@@ -153,18 +168,18 @@
       {"admin", {{"address", at(ports_.admin)}}},
       {"platform", {{"address", "127.0.0.1:" + std::to_string(store_port_)}}},
       {"shutdown", {{"hard_limit_ms", 8000}}},
+      {"log", {{"level", log_level}}},
       {"gateway",
        {{"source", "published"},
         {"readiness_address", at(ports_.ready)},
         {"directory_address", at(ports_.directory)},
         {"seeds", seeds},
         {"least_entries", 2}}}};
-  const auto path = folder_ + "/gateway-" + std::to_string(index);
-  std::ofstream(path + ".json") << settings.dump();
+  const auto path = folder_ + "/gateway-" + std::to_string(index) + ".json";
+  std::ofstream(path) << settings.dump();
   gateways_[index] = std::make_unique<ChildProcess>(
       ProgramPath("flamingoyoked-platform"),
-      std::vector<std::string>{"--settings", path + ".json"},
-      OutputFile{path + ".log"});
+      std::vector<std::string>{"--settings", path}, output);
 }
 
 auto PublishedStoreFleet::IsReady(std::size_t index) -> bool {
--- a/tests/integration/support/published_fleet.h
+++ b/tests/integration/support/published_fleet.h
@@ -80,7 +80,13 @@
   auto PublishRoutes(const std::string& version,
                      const std::vector<std::string>& prefixes) -> void;
 
+  // Starts a gateway that writes its log of level "info" to a file.
   auto StartGateway(std::size_t index) -> void;
+  // Ends a gateway and starts it again with a log of level `log_level`, which
+  // goes to `output`.
+  auto RestartGateway(std::size_t index,
+                      const std::string& log_level,
+                      const ChildOutput& output) -> void;
   auto IsReady(std::size_t index) -> bool;
   // Aborts the test unless all gateways become ready.
   auto WaitForAll() -> void;
@@ -118,6 +124,10 @@
   [[nodiscard]] auto targets() const -> std::size_t { return targets_.size(); }
 
  private:
+  auto StartGateway(std::size_t index,
+                    const std::string& log_level,
+                    const ChildOutput& output) -> void;
+
   std::string folder_;
   BlockingHttp http_;
   PlatformPorts ports_;
