--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -66,7 +66,7 @@
   Tree(const Settings& settings, std::optional<Dialect> dialect)
       : config_(settings), dialect_(std::move(dialect)) {}
 
-  auto Start(OnExit on_exit) -> void { root_.Start(std::move(on_exit)); }
+  auto Start(const OnExit& on_exit) -> void { root_.Start(on_exit); }
 
   auto Stop(StopMode mode) -> void {
     // Lets peers stop directing callers here while traffic drains.
@@ -197,8 +197,8 @@
 
 Node::~Node() = default;
 
-auto Node::Start(OnExit on_exit) -> void {
-  tree_->Start(std::move(on_exit));
+auto Node::Start(const OnExit& on_exit) -> void {
+  tree_->Start(on_exit);
 }
 
 auto Node::Stop(StopMode mode) -> void {
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -43,7 +43,7 @@
   auto operator=(const Node&) -> Node& = delete;
 
   // Starts the tree and returns. Call once.
-  auto Start(OnExit on_exit) -> void;
+  auto Start(const OnExit& on_exit) -> void;
 
   // Requests a stop of all tasks. kGraceful finishes all accepted requests;
   // kHard answers the remaining requests at once. Thread-safe.
