Run the tasks of a VM on two loops instead of eleven threads

A process had 13 threads: 40 VMs have 520, 32 have 416, and a limit of 512 tasks for a user is a usual one. That the users' machines have this limit is not known.

Cause: each task had a thread of its own, though a VM has a fifth of a core.

TaskPlacement now says on which loop a host runs its task. The task of callers keeps its thread; the supervisors and the other tasks share the loop of the root, which runs on the main thread. Telemetry keeps a thread while it writes spans to a file.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -18,7 +18,6 @@
 #include "node/log.h"
 #include "node/node.h"
 #include "runtime/event_loop.h"
-#include "runtime/wake_descriptor.h"
 #include "settings/settings.h"
 
 namespace flamingoyoke {
@@ -94,7 +93,6 @@
              const std::string& settings_path,
              const DaemonOptions& options) -> int {
   EventLoop loop;
-  WakeDescriptor node_exited;
   std::optional<Error> failure;
   Node node(settings, options.dialect);
   const SignalWatch signals(
@@ -110,16 +108,12 @@
         node.Stop(StopMode::kGraceful);
       },
       [&] { RevalidateSettings(settings_path); });
-  const auto watch =
-      loop.WatchReadable(node_exited.descriptor(), [&] { loop.Quit(); });
   Log(Part::kNode, LogLevel::kInfo,
       "starting vm " + settings.vm.id.value() + " in failure domain " +
           settings.vm.failure_domain.value());
-  // Signaling the descriptor orders the write of `failure` before the read
-  // below.
-  node.Start([&](std::optional<Error> error) {
+  node.Start(loop, [&](std::optional<Error> error) {
     failure = std::move(error);
-    node_exited.Signal();
+    loop.Quit();
   });
   loop.Run();
   if (failure) {
--- a/src/daemon/process_limits.cc
+++ b/src/daemon/process_limits.cc
@@ -12,7 +12,7 @@
 // Each further arena reserves 64 MB of address space, one for each thread by
 // default. Tasks rarely allocate at the same time.
 constexpr int kMallocArenas = 1;
-// The default is the soft stack limit, usually 8 MB for each of 13 threads.
+// The default is the soft stack limit, usually 8 MB for each thread.
 constexpr std::size_t kThreadStackBytes = 1 << 20;
 
 }  // namespace
--- a/src/node/control/platform/key_watch.cc
+++ b/src/node/control/platform/key_watch.cc
@@ -99,8 +99,9 @@
   evbuffer_add_cb(
       bufferevent_get_input(
           evhttp_connection_get_bufferevent(connection_.get())),
-      [](evbuffer*, const evbuffer_cb_info* info, void* watch) {
-        static_cast<KeyWatch*>(watch)->OnInput(info->n_added);
+      [](evbuffer*, const evbuffer_cb_info* info, void* self) {
+        auto* watch = static_cast<KeyWatch*>(self);
+        watch->loop_.Invoke([watch, info] { watch->OnInput(info->n_added); });
       },
       this);
   const auto timeout =
@@ -110,8 +111,9 @@
                                 static_cast<int>(seconds.count()));
   is_reading_ = true;
   auto* request = evhttp_request_new(
-      [](evhttp_request* done, void* watch) {
-        static_cast<KeyWatch*>(watch)->OnRequestDone(done);
+      [](evhttp_request* done, void* self) {
+        auto* watch = static_cast<KeyWatch*>(self);
+        watch->loop_.Invoke([watch, done] { watch->OnRequestDone(done); });
       },
       this);
   auto* headers = evhttp_request_get_output_headers(request);
--- a/src/node/control/store/store_reader.cc
+++ b/src/node/control/store/store_reader.cc
@@ -85,8 +85,9 @@
     return;
   }
   auto* request = evhttp_request_new(
-      [](evhttp_request* done, void* reader) {
-        static_cast<StoreReader*>(reader)->OnRequestDone(done);
+      [](evhttp_request* done, void* self) {
+        auto* reader = static_cast<StoreReader*>(self);
+        reader->loop_.Invoke([reader, done] { reader->OnRequestDone(done); });
       },
       this);
   evhttp_request_set_error_cb(
--- a/src/node/node.cc
+++ b/src/node/node.cc
@@ -53,10 +53,13 @@
 
 // Returns a host for task `T`. `make` creates the task at each start.
 template <typename T, typename Make>
-auto MakeTaskHost(Part part, Mailbox<typename T::Message>& mailbox, Make make)
+auto MakeTaskHost(Part part,
+                  Mailbox<typename T::Message>& mailbox,
+                  Make make,
+                  TaskPlacement placement = TaskPlacement::kSupervisorLoop)
     -> std::unique_ptr<TaskHost<T>> {
   return std::make_unique<TaskHost<T>>(std::string(ToName(part)), mailbox,
-                                       std::move(make));
+                                       std::move(make), placement);
 }
 
 }  // namespace
@@ -66,7 +69,9 @@
   Tree(const Settings& settings, std::optional<Dialect> dialect)
       : config_(settings), dialect_(std::move(dialect)) {}
 
-  auto Start(const OnExit& on_exit) -> void { root_.Start(on_exit); }
+  auto Start(EventLoop& loop, const OnExit& on_exit) -> void {
+    root_.Start(loop, on_exit);
+  }
 
   auto Stop(StopMode mode) -> void {
     // Lets peers stop directing callers here while traffic drains.
@@ -78,13 +83,13 @@
   auto MakeRoot() -> std::unique_ptr<RootSupervisor> {
     std::vector<RootSupervisor::Child> children;
     if (uses_published_store()) {
-      children.emplace_back(
-          MakeTaskHost<GatewayTask>(Part::kGateway, mailboxes_.traffic,
-                                    [this] { return MakeGateway(); }));
+      children.emplace_back(MakeTaskHost<GatewayTask>(
+          Part::kGateway, mailboxes_.traffic, [this] { return MakeGateway(); },
+          TaskPlacement::kOwnThread));
     } else {
-      children.emplace_back(
-          MakeTaskHost<TrafficTask>(Part::kTraffic, mailboxes_.traffic,
-                                    [this] { return MakeTraffic(); }));
+      children.emplace_back(MakeTaskHost<TrafficTask>(
+          Part::kTraffic, mailboxes_.traffic, [this] { return MakeTraffic(); },
+          TaskPlacement::kOwnThread));
     }
     children.emplace_back(MakeTaskHost<ControlSupervisor>(
         Part::kControl, control_mailbox_, [this] { return MakeControl(); }));
@@ -120,10 +125,12 @@
         Part::kAdmin, mailboxes_.admin,
         [this] { return std::make_unique<AdminTask>(config_.Admin()); }));
     children.emplace_back(MakeTaskHost<TelemetryTask>(
-        Part::kTelemetry, mailboxes_.telemetry, [this] {
+        Part::kTelemetry, mailboxes_.telemetry,
+        [this] {
           return std::make_unique<TelemetryTask>(config_.Telemetry(),
                                                  mailboxes_);
-        }));
+        },
+        TelemetryPlacement()));
     return std::make_unique<ObserveSupervisor>(
         observe_mailbox_, std::move(children), RestartLimit{},
         LogEvents(Part::kObserve));
@@ -173,6 +180,13 @@
     return std::make_unique<PlatformTask>(config_.Platform(), mailboxes_.fleet);
   }
 
+  // Writes to a file may block.
+  [[nodiscard]] auto TelemetryPlacement() const -> TaskPlacement {
+    return config_.Telemetry().trace_file.empty()
+               ? TaskPlacement::kSupervisorLoop
+               : TaskPlacement::kOwnThread;
+  }
+
   // Whether services come from a published store, which also requires a dialect
   // to read it.
   [[nodiscard]] auto uses_published_store() const -> bool {
@@ -189,7 +203,8 @@
   // Declared last, so that it is destroyed first: its tasks use all members
   // above.
   TaskHost<RootSupervisor> root_{std::string(ToName(Part::kNode)),
-                                 root_mailbox_, [this] { return MakeRoot(); }};
+                                 root_mailbox_, [this] { return MakeRoot(); },
+                                 TaskPlacement::kSupervisorLoop};
 };
 
 Node::Node(const Settings& settings, std::optional<Dialect> dialect)
@@ -197,8 +212,8 @@
 
 Node::~Node() = default;
 
-auto Node::Start(const OnExit& on_exit) -> void {
-  tree_->Start(on_exit);
+auto Node::Start(EventLoop& loop, const OnExit& on_exit) -> void {
+  tree_->Start(loop, on_exit);
 }
 
 auto Node::Stop(StopMode mode) -> void {
--- a/src/node/observe/admin/admin_task.cc
+++ b/src/node/observe/admin/admin_task.cc
@@ -81,8 +81,10 @@
   evhttp_set_max_body_size(server_.get(), kMaxBodyBytes);
   evhttp_set_gencb(
       server_.get(),
-      [](evhttp_request* request, void* task) {
-        static_cast<AdminTask*>(task)->HandleRequest(request);
+      [](evhttp_request* request, void* self) {
+        auto* task = static_cast<AdminTask*>(self);
+        task->context_->loop().Invoke(
+            [task, request] { task->HandleRequest(request); });
       },
       this);
   auto* socket = evhttp_bind_socket_with_handle(
--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -16,6 +16,10 @@
           .tv_usec = static_cast<suseconds_t>((duration - seconds).count())};
 }
 
+// Priorities of events; lower ones run first.
+constexpr int kUrgent = 0;
+constexpr int kPriorities = 2;
+
 auto MakeBase() -> event_base* {
   // Without the flag, timers have a resolution of a few milliseconds.
   auto* config = event_config_new();
@@ -25,12 +29,15 @@
   if (base == nullptr) {
     throw std::bad_alloc();
   }
+  // Other events have the last priority by default.
+  event_base_priority_init(base, kPriorities);
   return base;
 }
 
 }  // namespace
 
 struct EventLoop::Handle::State {
+  EventLoop& loop;
   Callback callback;
   std::unique_ptr<event, EventDeleter> ev;
   // Expiry of a one-shot timer.
@@ -52,6 +59,12 @@
   event_add(state_->ev.get(), &interval);
 }
 
+auto EventLoop::Handle::Trigger() -> void {
+  if (state_) {
+    event_active(state_->ev.get(), EV_TIMEOUT, 0);
+  }
+}
+
 auto EventLoop::Handle::Cancel() -> void {
   if (state_) {
     event_del(state_->ev.get());
@@ -63,14 +76,33 @@
          event_pending(state_->ev.get(), EV_TIMEOUT | EV_READ, nullptr) != 0;
 }
 
-EventLoop::EventLoop() : base_(MakeBase()) {}
+EventLoop::EventLoop() : own_base_(MakeBase()), base_(own_base_.get()) {}
+
+EventLoop::EventLoop(EventLoop& host, PartHandlers handlers)
+    : base_(host.base()), part_(std::move(handlers)) {}
 
 auto EventLoop::Run() -> void {
-  event_base_loop(base_.get(), EVLOOP_NO_EXIT_ON_EMPTY);
+  event_base_loop(base_, EVLOOP_NO_EXIT_ON_EMPTY);
 }
 
 auto EventLoop::Quit() -> void {
-  event_base_loopbreak(base_.get());
+  if (part_) {
+    part_->on_quit();
+    return;
+  }
+  event_base_loopbreak(base_);
+}
+
+auto EventLoop::Invoke(const Callback& callback) -> void {
+  if (!part_) {
+    callback();
+    return;
+  }
+  try {
+    callback();
+  } catch (const std::exception& exception) {
+    part_->on_exception(exception);
+  }
 }
 
 auto EventLoop::MakeTimer(Callback callback) -> Handle {
@@ -83,7 +115,7 @@
   // libevent exposes the cached time of an iteration only as wall-clock time,
   // which can step. It serves only to detect that a new iteration has started.
   timeval poll_time{};
-  event_base_gettimeofday_cached(base_.get(), &poll_time);
+  event_base_gettimeofday_cached(base_, &poll_time);
   const auto now = Now();
   if (poll_time.tv_sec != poll_time_.tv_sec ||
       poll_time.tv_usec != poll_time_.tv_usec) {
@@ -100,6 +132,12 @@
   return handle;
 }
 
+auto EventLoop::MakeUrgent(Callback callback) -> Handle {
+  auto handle = MakeHandle(-1, 0, std::move(callback));
+  event_priority_set(handle.state_->ev.get(), kUrgent);
+  return handle;
+}
+
 auto EventLoop::WatchReadable(int descriptor, Callback callback) -> Handle {
   auto handle =
       MakeHandle(descriptor, EV_READ | EV_PERSIST, std::move(callback));
@@ -111,9 +149,9 @@
     -> Handle {
   Handle handle;
   handle.state_.reset(
-      new Handle::State{std::move(callback), nullptr, {}, false});
+      new Handle::State{*this, std::move(callback), nullptr, {}, false});
   handle.state_->ev.reset(event_new(
-      base_.get(), descriptor, events,
+      base_, descriptor, events,
       [](evutil_socket_t, short, void* context) {
         auto* state = static_cast<Handle::State*>(context);
         // libevent counts a delay from the start of the iteration, so a timer
@@ -126,7 +164,7 @@
           event_add(state->ev.get(), &interval);
           return;
         }
-        state->callback();
+        state->loop.Invoke(state->callback);
       },
       handle.state_.get()));
   if (!handle.state_->ev) {
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -4,15 +4,18 @@
 #include <event2/event.h>
 #include <sys/time.h>
 
+#include <exception>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "core/time.h"
 
 namespace flamingoyoke {
 
-// A libevent loop owned by one task. Not thread-safe: call all methods on the
-// thread that runs the loop, or before it starts.
+// A libevent loop, or the part of one that belongs to one of several tasks on
+// the same thread. Not thread-safe: call all methods on the thread that runs
+// the loop, or before it starts.
 class EventLoop {
  public:
   struct EventDeleter {
@@ -29,6 +32,9 @@
     // Runs the callback once, no earlier than `delay` from now. Replaces an
     // earlier schedule.
     auto Schedule(Duration delay) -> void;
+    // Runs the callback as soon as the current one has returned; with an urgent
+    // handle, before any other event.
+    auto Trigger() -> void;
     // Cancels a pending run, if there is one.
     auto Cancel() -> void;
     [[nodiscard]] auto IsPending() const -> bool;
@@ -42,17 +48,38 @@
     std::unique_ptr<State, StateDeleter> state_;
   };
 
+  // What happens to a part of a loop instead of to the loop itself. `on_quit`
+  // is called by Quit, `on_exception` with each exception of a callback.
+  struct PartHandlers {
+    Callback on_quit;
+    std::function<void(const std::exception& exception)> on_exception;
+  };
+
+  // Creates a loop of its own. Throws std::bad_alloc if the system refuses its
+  // descriptors.
   EventLoop();
+  // Creates a part of `host`, which must outlive it.
+  EventLoop(EventLoop& host, PartHandlers handlers);
 
-  // Runs until Quit is called. Blocks while no event is pending.
+  EventLoop(const EventLoop&) = delete;
+  auto operator=(const EventLoop&) -> EventLoop& = delete;
+
+  // Runs until Quit is called. Blocks while no event is pending. Precondition:
+  // this is not a part of another loop.
   auto Run() -> void;
   // Makes Run return after the current callback.
   auto Quit() -> void;
 
+  // Calls `callback`, treating its exceptions like those of a timer. For
+  // callbacks of libraries that use base().
+  auto Invoke(const Callback& callback) -> void;
+
   // Returns a timer that is not yet scheduled.
   auto MakeTimer(Callback callback) -> Handle;
   // Returns a timer that runs `callback` each `period`.
   auto MakePeriodicTimer(Duration period, Callback callback) -> Handle;
+  // Returns a handle that runs `callback` when triggered, before other events.
+  auto MakeUrgent(Callback callback) -> Handle;
   // Calls `callback` whenever `descriptor` is readable. The caller keeps the
   // descriptor open for the life of the handle.
   auto WatchReadable(int descriptor, Callback callback) -> Handle;
@@ -63,7 +90,7 @@
   auto TimeSincePoll() -> Duration;
 
   // The underlying loop, for libraries built on libevent such as evhttp.
-  [[nodiscard]] auto base() const -> event_base* { return base_.get(); }
+  [[nodiscard]] auto base() const -> event_base* { return base_; }
 
  private:
   struct BaseDeleter {
@@ -72,7 +99,10 @@
 
   auto MakeHandle(int descriptor, short events, Callback callback) -> Handle;
 
-  std::unique_ptr<event_base, BaseDeleter> base_;
+  // Empty in a part of another loop.
+  std::unique_ptr<event_base, BaseDeleter> own_base_;
+  event_base* const base_;
+  std::optional<PartHandlers> part_;
   // Time of libevent's last poll, and of the first TimeSincePoll call since.
   timeval poll_time_{};
   TimePoint iteration_start_{};
--- a/src/runtime/supervisor.h
+++ b/src/runtime/supervisor.h
@@ -20,7 +20,7 @@
 
 namespace flamingoyoke {
 
-// Posted by a child's thread when its task has ended.
+// Posted by a child when its task has ended.
 struct ChildExited {
   std::size_t child = 0;
   std::optional<Error> error;
@@ -110,11 +110,12 @@
     children_[index].running = true;
     std::visit(
         [&](auto& host) {
-          host->Start([this, index](std::optional<Error> error) {
-            // Never refused: the mailbox holds at most one message per child,
-            // far below its capacity.
-            mailbox_.Post(ChildExited{index, std::move(error)});
-          });
+          host->Start(context_->loop(),
+                      [this, index](std::optional<Error> error) {
+                        // Never refused: the mailbox holds at most one message
+                        // per child, far below its capacity.
+                        mailbox_.Post(ChildExited{index, std::move(error)});
+                      });
         },
         children_[index].host);
   }
--- a/src/runtime/task_host.h
+++ b/src/runtime/task_host.h
@@ -1,57 +1,97 @@
 #ifndef FLAMINGOYOKE_RUNTIME_TASK_HOST_H_
 #define FLAMINGOYOKE_RUNTIME_TASK_HOST_H_
 
+#include <array>
 #include <atomic>
 #include <exception>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <system_error>
 #include <thread>
 #include <utility>
 
+#include "core/name_table.h"
 #include "core/result.h"
 #include "runtime/event_loop.h"
 #include "runtime/mailbox.h"
 #include "runtime/task.h"
+#include "runtime/task_run.h"
 
 namespace flamingoyoke {
 
-// Runs one task at a time on a dedicated thread. The mailbox outlives the
-// task, so messages sent during a restart are kept.
+// Which loop a task runs on.
+enum class TaskPlacement {
+  kOwnThread,       // A loop of its own. For work that may take long or block.
+  kSupervisorLoop,  // The loop of its supervisor, which it shares.
+};
+
+template <>
+struct EnumNames<TaskPlacement> {
+  static constexpr auto kTable = std::to_array<NameEntry<TaskPlacement>>({
+      {TaskPlacement::kOwnThread, "own-thread"},
+      {TaskPlacement::kSupervisorLoop, "supervisor-loop"},
+  });
+};
+static_assert(IsDense<TaskPlacement>());
+
+// Runs one task at a time on a thread of its own or on a loop that it shares
+// with other tasks. The mailbox outlives the task, so messages sent during a
+// restart are kept.
 template <Task T>
 class TaskHost {
  public:
-  using Factory = std::function<std::unique_ptr<T>()>;
-  // Called on the task's thread when it ends, or by Start if the thread was
-  // refused; `error` is empty after a regular exit.
+  using Factory = typename TaskRun<T>::Factory;
+  // Called on the task's thread when it has ended, or by Start if it could not
+  // be started; `error` is empty after a regular exit.
   using OnExit = std::function<void(std::optional<Error> error)>;
 
   // `name` identifies the task in logs. `mailbox` must outlive the host.
   // `factory` makes the task at each start.
   TaskHost(std::string name,
            Mailbox<typename T::Message>& mailbox,
-           Factory factory)
+           Factory factory,
+           TaskPlacement placement = TaskPlacement::kOwnThread)
       : name_(std::move(name)),
         mailbox_(mailbox),
-        factory_(std::move(factory)) {}
+        factory_(std::move(factory)),
+        placement_(placement) {}
 
   TaskHost(const TaskHost&) = delete;
   auto operator=(const TaskHost&) -> TaskHost& = delete;
 
+  // Ends the task. Precondition: called on the task's loop if it shares one.
   ~TaskHost() {
     RequestStop(StopMode::kHard);
+    if (placement_ == TaskPlacement::kSupervisorLoop && run_) {
+      run_->StopNow();
+      run_.reset();
+    }
     Join();
   }
 
-  // Starts a new task. Precondition: none is running (Join was called after
-  // the last exit).
+  // Starts a new task. `loop` is the one of its supervisor and must outlive the
+  // host. Preconditions: no task is running (Join was called after the last
+  // exit); called on the thread of `loop`.
+  auto Start(EventLoop& loop, const OnExit& on_exit) -> void {
+    if (placement_ == TaskPlacement::kOwnThread) {
+      Start(on_exit);
+      return;
+    }
+    if (auto error = StartOn(loop, on_exit)) {
+      on_exit(std::move(error));
+    }
+  }
+
+  // Starts a new task on a thread of its own. Precondition: none is running,
+  // and the placement is kOwnThread.
   auto Start(const OnExit& on_exit) -> void {
     try {
-      thread_ = std::thread([this, on_exit] { on_exit(RunTask()); });
-    } catch (const std::exception& exception) {
+      thread_ = std::thread([this, on_exit] { on_exit(RunOnThread()); });
+    } catch (const std::system_error& refusal) {
       on_exit(Error{ErrorKind::kInternal,
-                    "cannot start a thread: " + std::string(exception.what())});
+                    "cannot start a thread: " + std::string(refusal.what())});
     }
   }
 
@@ -63,7 +103,7 @@
     mailbox_.Wake();
   }
 
-  // Waits until the thread of the task has ended.
+  // Waits until the thread of the task has ended, if it has one.
   auto Join() -> void {
     if (thread_.joinable()) {
       thread_.join();
@@ -73,64 +113,65 @@
   [[nodiscard]] auto name() const -> const std::string& { return name_; }
 
  private:
-  auto RunTask() -> std::optional<Error> {
-    try {
-      EventLoop loop;
-      TaskContext context(loop);
-      const auto error = CaptureError([&] { return RunIn(context); });
-      return error ? error : context.error();
-    } catch (const std::exception& exception) {
-      return Error{ErrorKind::kInternal, exception.what()};
+  // Starts the task on `loop`. Returns the error if that fails; otherwise
+  // `on_exit` is called later.
+  auto StartOn(EventLoop& loop, const OnExit& on_exit) -> std::optional<Error> {
+    end_ = loop.MakeUrgent([this, on_exit] {
+      auto error = run_->error();
+      run_.reset();
+      on_exit(std::move(error));
+    });
+    run_.emplace(loop, mailbox_, stop_mode_, [this] { end_.Trigger(); });
+    auto error = run_->Start(factory_);
+    if (error) {
+      run_.reset();
+      // The task may have ended itself before its start failed.
+      end_ = {};
     }
+    return error;
   }
 
-  auto RunIn(TaskContext& context) -> Result<void> {
-    auto task = factory_();
-    BOOST_LEAF_CHECK(task->Start(context));
-    auto signaled_mode = StopMode::kNone;
-    std::optional<Error> failure;
-    const auto on_wake = [&] {
-      failure = CaptureError([&] { return HandleAll(*task); });
-      if (failure) {
-        context.loop().Quit();
-        return;
-      }
-      const auto mode = stop_mode_.load();
-      if (mode > signaled_mode) {
-        signaled_mode = mode;
-        task->Stop(mode);
-      }
-    };
-    auto watch = context.loop().WatchReadable(mailbox_.descriptor(), on_wake);
-    // Handles messages and stop requests that arrived before the watch.
-    mailbox_.Wake();
-    context.loop().Run();
-    if (failure) {
-      return Fail(failure->kind, failure->detail);
+  auto RunOnThread() -> std::optional<Error> {
+    std::optional<Error> error;
+    try {
+      EventLoop loop;
+      error = RunOn(loop);
+      // Both use the loop.
+      run_.reset();
+      end_ = {};
+    } catch (const std::exception& exception) {
+      error = Error{ErrorKind::kInternal, exception.what()};
     }
-    return {};
+    return error;
   }
 
-  auto HandleAll(T& task) -> Result<void> {
-    auto messages = mailbox_.TakeAll();
-    while (!messages.empty()) {
-      auto message = std::move(messages.front());
-      messages.pop_front();
-      const auto failure =
-          CaptureError([&] { return task.Handle(std::move(message)); });
-      if (failure) {
-        mailbox_.PutBack(std::move(messages));
-        return Fail(failure->kind, failure->detail);
+  auto RunOn(EventLoop& loop) -> std::optional<Error> {
+    try {
+      std::optional<Error> error;
+      const auto start_error = StartOn(loop, [&](std::optional<Error> failure) {
+        error = std::move(failure);
+        loop.Quit();
+      });
+      if (start_error) {
+        return start_error;
       }
+      loop.Run();
+      return error;
+    } catch (const std::exception& exception) {
+      return Error{ErrorKind::kInternal, exception.what()};
     }
-    return {};
   }
 
   const std::string name_;
   Mailbox<typename T::Message>& mailbox_;
-  Factory factory_;
+  const Factory factory_;
+  const TaskPlacement placement_;
   std::atomic<StopMode> stop_mode_ = StopMode::kNone;
   std::thread thread_;
+  // Used on the task's thread only. Ends the run, which must not be destroyed
+  // within one of the task's own callbacks.
+  EventLoop::Handle end_;
+  std::optional<TaskRun<T>> run_;
 };
 
 }  // namespace flamingoyoke
--- a/tests/tsan/runtime_tsan.cc
+++ b/tests/tsan/runtime_tsan.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <memory>
 #include <optional>
+#include <string>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -134,7 +135,7 @@
 }
 
 // A nested supervisor restarts its child while messages arrive, and stops.
-auto NestedSupervisorRestarts() -> bool {
+auto NestedSupervisorRestarts(TaskPlacement placement) -> bool {
   using Inner = Supervisor<SumTask>;
   using Outer = Supervisor<Inner>;
   std::atomic<long> sum = 0;
@@ -148,14 +149,15 @@
   const auto make_inner = [&] {
     std::vector<Inner::Child> children;
     children.emplace_back(std::make_unique<TaskHost<SumTask>>(
-        "sum", leaf, [&] { return std::make_unique<SumTask>(sum, starts); }));
+        "sum", leaf, [&] { return std::make_unique<SumTask>(sum, starts); },
+        placement));
     return std::make_unique<Inner>(inner_mailbox, std::move(children), limit,
                                    ignore);
   };
   TaskHost<Outer> host("outer", outer_mailbox, [&] {
     std::vector<Outer::Child> children;
-    children.emplace_back(
-        std::make_unique<TaskHost<Inner>>("inner", inner_mailbox, make_inner));
+    children.emplace_back(std::make_unique<TaskHost<Inner>>(
+        "inner", inner_mailbox, make_inner, placement));
     return std::make_unique<Outer>(outer_mailbox, std::move(children), limit,
                                    ignore);
   });
@@ -173,8 +175,11 @@
   host.RequestStop(StopMode::kGraceful);
   const auto has_stopped = WaitFor([&] { return has_exited.load(); });
   host.Join();
-  return Check(has_restarted && is_alive && has_stopped,
-               "a nested supervisor restarts its children and stops");
+  return Check(
+      has_restarted && is_alive && has_stopped,
+      ("a nested supervisor restarts its children and stops, placement " +
+       std::string(ToName(placement)))
+          .c_str());
 }
 
 }  // namespace
@@ -182,6 +187,10 @@
 
 auto main() -> int {
   const auto first = flamingoyoke::ConcurrentSendersOneTask();
-  const auto second = flamingoyoke::NestedSupervisorRestarts();
-  return first && second ? 0 : 1;
+  bool restarts = true;
+  for (const auto placement : {flamingoyoke::TaskPlacement::kOwnThread,
+                               flamingoyoke::TaskPlacement::kSupervisorLoop}) {
+    restarts = flamingoyoke::NestedSupervisorRestarts(placement) && restarts;
+  }
+  return first && restarts ? 0 : 1;
 }
