--- a/tools/measure_processes.py
+++ b/tools/measure_processes.py
@@ -5,13 +5,14 @@
 Starts gateways of a published store on loopback with the project's stand-ins.
 Prints the tasks, descriptors, memory, address space, wake-ups and processor
 time of a gateway, and how often processes ended by themselves. Restarts an
-ended process after 0.5 s.
+ended process after 0.5 s. With --routes, prints how long a gateway takes to
+answer callers and operators while it takes in configurations of that size.
 
 The limit on tasks counts all threads of a user and doesn't hold for root, so
 with --tasks the gateways run under an unused user id.
 
 usage: tools/measure_processes.py DAEMON STANDINS [--gateways N] [--tasks N]
-           [--added N] [--stops SECONDS] [--seconds S] [--seed N]
+           [--added N] [--stops SECONDS] [--seconds S] [--seed N] [--routes N]
 """
 import argparse
 import json
@@ -160,6 +161,27 @@
                 pass
         return count
 
+    def answer_times(self, routes, seconds):
+        """Returns sorted answer times in ms by server of the first gateway,
+        while a configuration is published each second."""
+        times = {"ready": [], "admin": []}
+        paths = {"ready": "/flamingoyoke/ready", "admin": "/livez"}
+        end = time.monotonic() + seconds
+        next_version = time.monotonic()
+        version = 2
+        while time.monotonic() < end:
+            if time.monotonic() >= next_version:
+                next_version += 1
+                # The store answers before any gateway has read the version.
+                self.publish(f"r{version}", routes - version % 2)
+                version += 1
+            for server, path in paths.items():
+                start = time.monotonic()
+                http("GET", address(0, server), path)
+                times[server].append((time.monotonic() - start) * 1000)
+            time.sleep(0.002)
+        return {server: sorted(values) for server, values in times.items()}
+
     def last_lines(self, index):
         lines = (self.folder / f"gateway-{index}.log").read_text().splitlines()
         return lines[-2:]
@@ -207,6 +229,8 @@
                         help="mean time between SIGTERMs in seconds")
     parser.add_argument("--seconds", type=float, default=20)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--routes", type=int, default=0,
+                        help="routes of configurations that are published")
     arguments = parser.parse_args()
     fleet = Fleet(arguments)
     try:
@@ -220,7 +244,14 @@
               f"{len(fleet.processes)}")
         running = [p.pid for p in fleet.processes.values()
                    if p.poll() is None]
-        if running and not arguments.stops:
+        if arguments.routes:
+            times = fleet.answer_times(arguments.routes, arguments.seconds)
+            for server, values in times.items():
+                print(f"{server}: {len(values)} answers, median "
+                      f"{values[len(values) // 2]:.1f} ms, 99 in 100 within "
+                      f"{values[len(values) * 99 // 100]:.1f} ms, slowest "
+                      f"{values[-1]:.1f} ms")
+        elif running and not arguments.stops:
             before = [usage_of(pid) for pid in running]
             fleet.run(arguments.seconds)
             after = [usage_of(pid) for pid in running
