Tell the limits of a process at its start, and what it uses of them

Users saw processes end by themselves and had nothing to tell a limit on tasks from one on descriptors or memory: neither the log nor /metrics names them.

One log line at the start now has the limits in force (tasks of the user and of the control group, descriptors, address space), and the gauges flamingoyoke_process_threads and flamingoyoke_process_descriptors tell what the process uses. They are read every 5 s at most, with reports that are made anyway; what cannot be read is left out.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -18,6 +18,7 @@
 #include "node/log.h"
 #include "node/node.h"
 #include "runtime/event_loop.h"
+#include "runtime/system_limits.h"
 #include "settings/settings.h"
 
 namespace flamingoyoke {
@@ -111,6 +112,7 @@
   Log(Part::kNode, LogLevel::kInfo,
       "starting vm " + settings.vm.id.value() + " in failure domain " +
           settings.vm.failure_domain.value());
+  Log(Part::kNode, LogLevel::kInfo, "limits: " + Describe(ReadSystemLimits()));
   node.Start(loop, [&](std::optional<Error> error) {
     failure = std::move(error);
     loop.Quit();
--- a/src/node/observe/telemetry/telemetry_task.cc
+++ b/src/node/observe/telemetry/telemetry_task.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/overloaded.h"
+#include "runtime/clock.h"
 
 namespace flamingoyoke {
 namespace {
@@ -47,6 +48,8 @@
   spans_.Flush();
   metrics_.Replace(
       {.task = "mailboxes", .samples = mailbox_reporter_.Report()});
+  metrics_.Replace(
+      {.task = "process", .samples = process_reporter_.Report(Now())});
   metrics_.Replace(
       {.task = "telemetry",
        .samples = {{.name = "flamingoyoke_dropped_spans_total",
--- a/src/node/observe/telemetry/telemetry_task.h
+++ b/src/node/observe/telemetry/telemetry_task.h
@@ -7,6 +7,7 @@
 #include "node/observe/telemetry/metric_store.h"
 #include "node/observe/telemetry/span_exporter.h"
 #include "node/observe/telemetry/telemetry_config.h"
+#include "node/process_reporter.h"
 #include "runtime/task.h"
 
 namespace flamingoyoke {
@@ -30,6 +31,7 @@
   TelemetryConfig config_;
   Mailbox<AdminMessage>& admin_;
   MailboxReporter mailbox_reporter_;
+  ProcessReporter process_reporter_;
   TaskContext* context_ = nullptr;
   MetricStore metrics_;
   SpanExporter spans_;
