Wait for what the system refuses a task at its start

Under a limit on tasks a process ended with code 1: "observe exceeded its restart limit: cannot start a thread: Resource temporarily unavailable". A refused thread, descriptor or memory counted like a fault of the task, though it passes by itself, as an address in use does.

Such errors now have a kind of their own, kResourceRefused: std::bad_alloc, the numbers EAGAIN, EMFILE, ENFILE, ENOMEM and ENOBUFS of std::system_error, and those of a failed listen. Its answer to callers is that of kInternal, since it may come from anywhere. While a task has never run, its supervisor starts it again after 0.2 s to 1.6 s without limit; once it has run, refusals count as before. The error names the limits in force.

Whether a task has run is now told by its TaskHost. RestartPolicy took it from other failures, so a task that failed at its start for another reason was not waited for.

--- a/src/core/answer_table.cc
+++ b/src/core/answer_table.cc
@@ -55,6 +55,7 @@
     {kMalformedMessage, {500, kNotRun, kNever}},
     {kSocketFailed, {500, kNotRun, kLater}},
     {kAddressInUse, {500, kNotRun, kLater}},
+    {kResourceRefused, {500, kUnknown, kOnlyIfRepeatable}},
     {kChildFailed, {500, kUnknown, kOnlyIfRepeatable}},
     {kInternal, {500, kUnknown, kOnlyIfRepeatable}},
 });
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -55,6 +55,7 @@
   kMalformedMessage,
   kSocketFailed,
   kAddressInUse,
+  kResourceRefused,
   kChildFailed,
   kInternal,
 };
@@ -101,6 +102,7 @@
       {ErrorKind::kMalformedMessage, "malformed-message"},
       {ErrorKind::kSocketFailed, "socket-failed"},
       {ErrorKind::kAddressInUse, "address-in-use"},
+      {ErrorKind::kResourceRefused, "resource-refused"},
       {ErrorKind::kChildFailed, "child-failed"},
       {ErrorKind::kInternal, "internal"},
   });
--- a/src/core/result.h
+++ b/src/core/result.h
@@ -20,6 +20,14 @@
   std::string detail;
 };
 
+// Returns the error that `exception` stands for: kResourceRefused if the system
+// refused memory, a thread or a descriptor, otherwise kInternal. Thread-safe.
+auto ToError(const std::exception& exception) -> Error;
+
+// Returns whether a system call that failed with `error_number` was refused
+// memory, a thread or a descriptor. Thread-safe.
+auto IsResourceShortage(int error_number) -> bool;
+
 template <typename T>
 using Result = boost::leaf::result<T>;
 
@@ -30,8 +38,8 @@
 }
 
 // Calls `function`, which returns a Result<T>, and stores its value in `out`.
-// Returns the error, or nullopt on success. An exception becomes a kInternal
-// error with its message. LEAF stores the error object only while such a
+// Returns the error, or nullopt on success. An exception becomes an error with
+// its message. LEAF stores the error object only while such a
 // handler is on the stack.
 template <typename T, typename Function>
 auto CaptureInto(std::optional<T>& out, Function&& function)
@@ -47,8 +55,7 @@
       },
       [](const Error& error) { return std::optional<Error>(error); },
       [](const std::exception& exception) {
-        return std::optional<Error>(
-            Error{ErrorKind::kInternal, exception.what()});
+        return std::make_optional(ToError(exception));
       },
       [] {
         return std::optional<Error>(
@@ -57,7 +64,7 @@
 }
 
 // Calls `function`, which returns a Result<void>, and returns its error, or
-// nullopt on success. An exception becomes a kInternal error with its message.
+// nullopt on success. An exception becomes an error with its message.
 template <typename Function>
 auto CaptureError(Function&& function) -> std::optional<Error> {
   return boost::leaf::try_handle_all(
@@ -70,8 +77,7 @@
       },
       [](const Error& error) { return std::optional<Error>(error); },
       [](const std::exception& exception) {
-        return std::optional<Error>(
-            Error{ErrorKind::kInternal, exception.what()});
+        return std::make_optional(ToError(exception));
       },
       [] {
         return std::optional<Error>(
--- a/src/node/listen_error.h
+++ b/src/node/listen_error.h
@@ -8,8 +8,9 @@
 namespace flamingoyoke {
 
 // Creates the error of a task that cannot listen on `address` because of the
-// system error `error_number`: kAddressInUse, which supervisors retry, or
-// kSocketFailed. `reason` describes the system error. Thread-safe.
+// system error `error_number`: kAddressInUse or kResourceRefused, which
+// supervisors retry, or kSocketFailed. `reason` describes the system error.
+// Thread-safe.
 auto FailListen(const std::string& address,
                 int error_number,
                 const std::string& reason) -> boost::leaf::error_id;
--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -1,8 +1,10 @@
 #include "runtime/event_loop.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <new>
+#include <system_error>
 #include <utility>
 
 #include "runtime/clock.h"
@@ -24,10 +26,13 @@
   // Without the flag, timers have a resolution of a few milliseconds.
   auto* config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  errno = 0;
   auto* base = event_base_new_with_config(config);
+  const int error = errno != 0 ? errno : ENOMEM;
   event_config_free(config);
   if (base == nullptr) {
-    throw std::bad_alloc();
+    throw std::system_error(error, std::generic_category(),
+                            "cannot create an event loop");
   }
   // Other events have the last priority by default.
   event_base_priority_init(base, kPriorities);
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -55,8 +55,8 @@
     std::function<void(const std::exception& exception)> on_exception;
   };
 
-  // Creates a loop of its own. Throws std::bad_alloc if the system refuses its
-  // descriptors.
+  // Creates a loop of its own. Throws std::system_error if the system refuses
+  // its descriptors.
   EventLoop();
   // Creates a part of `host`, which must outlive it.
   EventLoop(EventLoop& host, PartHandlers handlers);
--- a/src/runtime/restart_policy.cc
+++ b/src/runtime/restart_policy.cc
@@ -1,5 +1,7 @@
 #include "runtime/restart_policy.h"
 
+#include <algorithm>
+
 namespace flamingoyoke {
 namespace {
 
@@ -8,14 +10,25 @@
 // Short against the seconds that callers keep the address of a VM.
 constexpr Duration kAddressRetryPeriod = std::chrono::milliseconds(200);
 
+// Delays after a refused resource, doubled up to the longest. Many processes
+// may wait for the same resource, and each attempt takes processor time.
+constexpr Duration kFirstRefusalDelay = std::chrono::milliseconds(200);
+constexpr unsigned kMaxRefusalDoublings = 3;
+
+auto DelayAfterRefusal(unsigned refusals) -> Duration {
+  return kFirstRefusalDelay * (1U << std::min(refusals, kMaxRefusalDoublings));
+}
+
 }  // namespace
 
-auto RestartPolicy::OnFailure(const Error& error, TimePoint now)
+auto RestartPolicy::OnFailure(const Error& error, bool has_run, TimePoint now)
     -> RestartDecision {
-  if (error.kind == ErrorKind::kAddressInUse && !has_failed_otherwise_) {
+  if (!has_run && error.kind == ErrorKind::kAddressInUse) {
     return RestartAfter{kAddressRetryPeriod};
   }
-  has_failed_otherwise_ = true;
+  if (!has_run && error.kind == ErrorKind::kResourceRefused) {
+    return RestartAfter{DelayAfterRefusal(refusals_++)};
+  }
   while (!failures_.empty() && now - failures_.front() > limit_.window) {
     failures_.pop_front();
   }
--- a/src/runtime/restart_policy.h
+++ b/src/runtime/restart_policy.h
@@ -26,22 +26,24 @@
 // Decides whether and when a failed child is restarted. Failures are counted in
 // a sliding window, and each delays the restart longer than the one before it:
 // immediate restarts would use up the limit within milliseconds, before a brief
-// shortage of threads or descriptors is over. While an address that the child
-// needs has been in use from the start, it is retried without limit, because
-// the address becomes free without any change to this process. Not thread-safe.
+// shortage of threads or descriptors is over. While a child that has never run
+// lacks an address or a resource of the system, it is retried without limit,
+// because that passes without any change to this process. Not thread-safe.
 class RestartPolicy {
  public:
   explicit RestartPolicy(RestartLimit limit) : limit_(limit) {}
 
-  // Records a failure of the child at `now`. `now` must not decrease.
-  auto OnFailure(const Error& error, TimePoint now) -> RestartDecision;
+  // Records a failure of the child at `now`. `has_run` tells whether a start of
+  // the child has ever succeeded: what it lost while it ran counts as a
+  // failure, since other VMs still send callers there. `now` must not decrease.
+  auto OnFailure(const Error& error, bool has_run, TimePoint now)
+      -> RestartDecision;
 
  private:
   RestartLimit limit_;
   std::deque<TimePoint> failures_;
-  // Whether the child may have run. An address that it lost while it ran counts
-  // as a failure, since other VMs still send callers there.
-  bool has_failed_otherwise_ = false;
+  // Refusals in a row of a resource at the start.
+  unsigned refusals_ = 0;
 };
 
 }  // namespace flamingoyoke
--- a/src/runtime/supervisor.h
+++ b/src/runtime/supervisor.h
@@ -130,6 +130,8 @@
     }
     const auto name =
         std::visit([](auto& host) { return host->name(); }, entry.host);
+    const auto has_run =
+        std::visit([](auto& host) { return host->has_run(); }, entry.host);
     const auto error = exited.error.value_or(
         Error{ErrorKind::kChildFailed, "exited without a stop request"});
     return std::visit(
@@ -146,7 +148,7 @@
                   name + " exceeded its restart limit: " + error.detail);
             },
         },
-        entry.restarts.OnFailure(error, Now()));
+        entry.restarts.OnFailure(error, has_run, Now()));
   }
 
   // Stops the first running child, or all of them in hard mode, and exits when
--- a/src/runtime/task.h
+++ b/src/runtime/task.h
@@ -32,10 +32,14 @@
 // thread only.
 class TaskContext {
  public:
-  explicit TaskContext(EventLoop& loop) : loop_(loop) {}
+  // `is_restart` tells whether an earlier run of the task had started.
+  explicit TaskContext(EventLoop& loop, bool is_restart = false)
+      : loop_(loop), is_restart_(is_restart) {}
 
   [[nodiscard]] auto loop() -> EventLoop& { return loop_; }
 
+  [[nodiscard]] auto is_restart() const -> bool { return is_restart_; }
+
   // Ends the task without an error after the current callback.
   auto Exit() -> void { loop_.Quit(); }
 
@@ -53,6 +57,7 @@
 
  private:
   EventLoop& loop_;
+  const bool is_restart_;
   std::optional<Error> error_;
 };
 
--- a/src/runtime/task_host.h
+++ b/src/runtime/task_host.h
@@ -16,6 +16,7 @@
 #include "core/result.h"
 #include "runtime/event_loop.h"
 #include "runtime/mailbox.h"
+#include "runtime/system_limits.h"
 #include "runtime/task.h"
 #include "runtime/task_run.h"
 
@@ -90,8 +91,9 @@
     try {
       thread_ = std::thread([this, on_exit] { on_exit(RunOnThread()); });
     } catch (const std::system_error& refusal) {
-      on_exit(Error{ErrorKind::kInternal,
-                    "cannot start a thread: " + std::string(refusal.what())});
+      on_exit(Error{ErrorKind::kResourceRefused,
+                    "cannot start a thread: " + std::string(refusal.what()) +
+                        " (" + Describe(ReadSystemLimits()) + ")"});
     }
   }
 
@@ -110,6 +112,13 @@
     }
   }
 
+  // Whether a start of the task has ever succeeded. Precondition: no task is
+  // running, as for Start.
+  [[nodiscard]] auto has_run() const -> bool { return has_run_; }
+  // Treats the task as one that has run, in an earlier host. Precondition: no
+  // task is running.
+  auto AssumeRun() -> void { has_run_ = true; }
+
   [[nodiscard]] auto name() const -> const std::string& { return name_; }
 
  private:
@@ -121,9 +130,12 @@
       run_.reset();
       on_exit(std::move(error));
     });
-    run_.emplace(loop, mailbox_, stop_mode_, [this] { end_.Trigger(); });
+    run_.emplace(
+        loop, mailbox_, stop_mode_, [this] { end_.Trigger(); }, has_run_);
     auto error = run_->Start(factory_);
-    if (error) {
+    if (!error) {
+      has_run_ = true;
+    } else {
       run_.reset();
       // The task may have ended itself before its start failed.
       end_ = {};
@@ -140,7 +152,7 @@
       run_.reset();
       end_ = {};
     } catch (const std::exception& exception) {
-      error = Error{ErrorKind::kInternal, exception.what()};
+      error = ToError(exception);
     }
     return error;
   }
@@ -158,7 +170,7 @@
       loop.Run();
       return error;
     } catch (const std::exception& exception) {
-      return Error{ErrorKind::kInternal, exception.what()};
+      return ToError(exception);
     }
   }
 
@@ -168,6 +180,8 @@
   const TaskPlacement placement_;
   std::atomic<StopMode> stop_mode_ = StopMode::kNone;
   std::thread thread_;
+  // Used on the task's thread while a task runs, otherwise by the owner.
+  bool has_run_ = false;
   // Used on the task's thread only. Ends the run, which must not be destroyed
   // within one of the task's own callbacks.
   EventLoop::Handle end_;
--- a/src/runtime/task_run.h
+++ b/src/runtime/task_run.h
@@ -25,20 +25,22 @@
   using Factory = std::function<std::unique_ptr<T>()>;
 
   // `on_end` is called within a callback of the task when the task has ended,
-  // and must not destroy the run. The other arguments must outlive the run.
+  // and must not destroy the run. `is_restart` tells whether an earlier run had
+  // started. The other arguments must outlive the run.
   TaskRun(EventLoop& loop,
           Mailbox<typename T::Message>& mailbox,
           const std::atomic<StopMode>& stop_mode,
-          EventLoop::Callback on_end)
+          EventLoop::Callback on_end,
+          bool is_restart)
       : mailbox_(mailbox),
         stop_mode_(stop_mode),
         loop_(loop,
               {.on_quit = std::move(on_end),
                .on_exception =
                    [this](const std::exception& exception) {
-                     context_.Abort({ErrorKind::kInternal, exception.what()});
+                     context_.Abort(ToError(exception));
                    }}),
-        context_(loop_) {}
+        context_(loop_, is_restart) {}
 
   TaskRun(const TaskRun&) = delete;
   auto operator=(const TaskRun&) -> TaskRun& = delete;
--- a/tests/unit/runtime/task_host_test.cc
+++ b/tests/unit/runtime/task_host_test.cc
@@ -1,6 +1,8 @@
 #include "runtime/task_host.h"
 
 #include <criterion/criterion.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
@@ -216,4 +218,35 @@
             std::vector<std::string>({"probe stopped", "probe destroyed"}));
 }
 
+// Guards against a process that ends since it is refused a thread for a while.
+Test(task_host, tells_a_refused_thread_from_other_errors) {
+  constexpr uid_t kUnusedUser = 54321;
+  // The limit does not hold for root.
+  if (geteuid() == 0) {
+    cr_assert_eq(setuid(kUnusedUser), 0);
+  }
+  std::vector<std::string> events;
+  Script script;
+  script.events = &events;
+  script.name = "task";
+  Mailbox<NumberMessage> mailbox(8);
+  TaskHost<ScriptedTask> host(
+      "task", mailbox, [&] { return std::make_unique<ScriptedTask>(script); });
+  rlimit before{};
+  getrlimit(RLIMIT_NPROC, &before);
+  const rlimit limit{1, before.rlim_max};
+  setrlimit(RLIMIT_NPROC, &limit);
+  std::optional<Error> error;
+  host.Start([&](std::optional<Error> failure) { error = std::move(failure); });
+  setrlimit(RLIMIT_NPROC, &before);
+  cr_assert(error && error->kind == ErrorKind::kResourceRefused);
+  cr_assert(error->detail.find("tasks of the user 1,") != std::string::npos);
+  cr_assert_not(host.has_run());
+  host.Start([&](std::optional<Error> failure) { error = std::move(failure); });
+  host.RequestStop(StopMode::kGraceful);
+  host.Join();
+  cr_assert_not(error.has_value());
+  cr_assert(host.has_run());
+}
+
 }  // namespace flamingoyoke
