Don't wait for an address that was lost before the supervisor restarted

A task that loses its address and fails until its supervisor fails, too, is started by a new supervisor, which took it for one that had never run and waited for the address without limit. The VM stayed ready meanwhile, since readiness has been reached once: peers and callers were sent to a socket of another process.

A supervisor that is restarted now treats its children as ones that have run. The lost address counts as a failure again, and the process ends after the restarts of all supervisors, as design.md says.

supervisor/a_restarted_one_does_not_wait_for_a_lost_address failed without the change: 'WaitFor([&] { return fixture.exited.load(); }) is false' after 20 s.

--- a/src/runtime/supervisor.h
+++ b/src/runtime/supervisor.h
@@ -76,6 +76,10 @@
     // mailbox; they would be attributed to the new children.
     mailbox_.TakeAll();
     for (std::size_t i = 0; i < children_.size(); ++i) {
+      if (context.is_restart()) {
+        // The previous supervisor's children have run.
+        std::visit([](auto& host) { host->AssumeRun(); }, children_[i].host);
+      }
       children_[i].restart_timer =
           context.loop().MakeTimer([this, i] { StartChild(i); });
       StartChild(i);
--- a/tests/unit/runtime/supervisor_test.cc
+++ b/tests/unit/runtime/supervisor_test.cc
@@ -13,7 +13,13 @@
 struct Ping {};
 using ProbeMessage = std::variant<FailNow, Ping>;
 
-// A task that fails on request, or when started before `shortage_end`, and
+// Starts before `end` fail.
+struct Shortage {
+  TimePoint end;
+  ErrorKind kind = ErrorKind::kInternal;
+};
+
+// A task that fails on request, or when started during a shortage, and
 // counts its starts and messages.
 class ProbeTask {
  public:
@@ -21,14 +27,14 @@
 
   ProbeTask(std::atomic<int>& starts,
             std::atomic<int>& pings,
-            TimePoint shortage_end)
-      : starts_(starts), pings_(pings), shortage_end_(shortage_end) {}
+            Shortage shortage)
+      : starts_(starts), pings_(pings), shortage_(shortage) {}
 
   auto Start(TaskContext& context) -> Result<void> {
     context_ = &context;
     ++starts_;
-    if (Now() < shortage_end_) {
-      return Fail(ErrorKind::kInternal, "shortage made by the test");
+    if (Now() < shortage_.end) {
+      return Fail(shortage_.kind, "shortage made by the test");
     }
     return {};
   }
@@ -46,7 +52,7 @@
  private:
   std::atomic<int>& starts_;
   std::atomic<int>& pings_;
-  const TimePoint shortage_end_;
+  const Shortage shortage_;
   TaskContext* context_ = nullptr;
 };
 
@@ -69,7 +75,7 @@
   std::atomic<int> pings = 0;
   std::atomic<bool> exited = false;
   std::optional<Error> exit_error;
-  TimePoint shortage_end;
+  Shortage shortage;
   Mailbox<ProbeMessage> child_mailbox{8};
   Mailbox<SupervisorMessage> mailbox{8};
   TaskHost<ProbeSupervisor> host{"probe-supervisor", mailbox,
@@ -79,7 +85,7 @@
     std::vector<ProbeSupervisor::Child> children;
     children.emplace_back(
         std::make_unique<TaskHost<ProbeTask>>("probe", child_mailbox, [this] {
-          return std::make_unique<ProbeTask>(starts, pings, shortage_end);
+          return std::make_unique<ProbeTask>(starts, pings, shortage);
         }));
     return std::make_unique<ProbeSupervisor>(
         mailbox, std::move(children),
@@ -141,7 +147,7 @@
 // or descriptors is over.
 Test(supervisor, restarts_outlast_a_brief_shortage) {
   Fixture fixture;
-  fixture.shortage_end = Now() + std::chrono::milliseconds(200);
+  fixture.shortage.end = Now() + std::chrono::milliseconds(200);
   fixture.child_mailbox.Post(Ping{});
   fixture.Start();
   cr_assert(WaitFor([&] { return fixture.pings == 1 || fixture.exited; }));
@@ -150,10 +156,29 @@
   cr_assert(WaitFor([&] { return fixture.exited.load(); }));
 }
 
+// Guards against a VM that stays ready while an address that it lost is waited
+// for, since the supervisor of the task was restarted.
+Test(supervisor, a_restarted_one_does_not_wait_for_a_lost_address) {
+  Fixture fixture;
+  fixture.Start();
+  for (int failure = 0; failure < 4; ++failure) {
+    cr_assert(WaitFor([&] { return fixture.starts == failure + 1; }));
+    fixture.child_mailbox.Post(FailNow{});
+  }
+  cr_assert(WaitFor([&] { return fixture.exited.load(); }));
+  fixture.host.Join();
+  fixture.exited = false;
+  fixture.shortage = {Now() + std::chrono::seconds(60),
+                      ErrorKind::kAddressInUse};
+  fixture.Start();
+  cr_assert(WaitFor([&] { return fixture.exited.load(); }));
+  cr_assert(fixture.exit_error.has_value());
+}
+
 // Guards against a stop that waits for the restart of a failed child.
 Test(supervisor, stops_while_a_restart_is_pending) {
   Fixture fixture;
-  fixture.shortage_end = Now() + std::chrono::seconds(60);
+  fixture.shortage.end = Now() + std::chrono::seconds(60);
   fixture.Start();
   cr_assert(WaitFor([&] { return fixture.starts == 3; }));
   fixture.host.RequestStop(StopMode::kGraceful);
