Check that the system grants libzmq its threads before it starts them

Its two threads start with the first socket, in the constructor of the mesh task.

The mesh task now creates context and sockets in Start, after CheckResources has taken as many threads and descriptors and released them, and the kernel has removed the threads. A refusal fails the start with kResourceRefused, which the supervisor waits out. Processes that check at the same time could still take what another one was granted: a check therefore leaves a share of the user's limit unused, by lowering its own soft limit while it runs. What remains: more processes than this headroom covers start within the same milliseconds, or the limit is that of a control group, for which there is no headroom.

mesh_task/a_refused_descriptor_fails_the_start fails without the check: in the sanitized build 'member access within address ... which does not point to an object of type error_t'.

--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -12,6 +12,7 @@
 #include "node/control/mesh/socket_options.h"
 #include "node/listen_error.h"
 #include "node/log.h"
+#include "runtime/resource_check.h"
 #include "wire/peer_codec.h"
 
 namespace flamingoyoke {
@@ -22,6 +23,13 @@
 // is not starved.
 constexpr int kMaxReceiveBatch = 256;
 
+// libzmq 4.3.4 aborts the process if its context is refused a thread or a
+// descriptor. It starts two threads. The headroom is less than at the start of
+// the process, so that a process that has started in part goes first.
+constexpr ResourceNeed kContextNeed{.threads = 2,
+                                    .descriptors = 16,
+                                    .headroom_divisor = 32};
+
 // Whether a message is delivered to the fleet task instead of the traffic task.
 template <typename T>
 inline constexpr bool kIsForFleet =
@@ -39,16 +47,14 @@
 }  // namespace
 
 MeshTask::MeshTask(MeshConfig config, MeshOutlets outlets)
-    : config_(std::move(config)),
-      outlets_(outlets),
-      zmq_context_(/*io_threads=*/1),
-      receiver_(zmq_context_, zmq::socket_type::router) {}
+    : config_(std::move(config)), outlets_(outlets) {}
 
 auto MeshTask::Start(TaskContext& context) -> Result<void> {
   context_ = &context;
   // Disables protobuf's own log, which writes a line to standard error for each
   // malformed message and would let a hostile peer flood it.
   google::protobuf::SetLogHandler(nullptr);
+  BOOST_LEAF_CHECK(CheckResources(kContextNeed));
   try {
     Listen(context.loop());
   } catch (const zmq::error_t& error) {
@@ -62,9 +68,11 @@
 }
 
 auto MeshTask::Listen(EventLoop& loop) -> void {
+  zmq_context_.emplace(/*io_threads=*/1);
+  receiver_ = zmq::socket_t(*zmq_context_, zmq::socket_type::router);
   SetReceiverOptions(receiver_);
   if (config_.HasKeys()) {
-    authenticator_.emplace(zmq_context_, loop, config_);
+    authenticator_.emplace(*zmq_context_, loop, config_);
     SetKeys(receiver_, config_, /*is_server=*/true);
   }
   receiver_.bind("tcp://" + config_.address);
@@ -132,7 +140,7 @@
   Log(Part::kMesh, LogLevel::kDebug,
       "connecting to " + vm.value() + " at " + endpoint);
   try {
-    peers_[vm] = std::make_unique<PeerSocket>(zmq_context_, config_, endpoint);
+    peers_[vm] = std::make_unique<PeerSocket>(*zmq_context_, config_, endpoint);
   } catch (const zmq::error_t& error) {
     peers_.erase(vm);
     Log(Part::kMesh, LogLevel::kWarning,
--- a/src/node/control/mesh/mesh_task.h
+++ b/src/node/control/mesh/mesh_task.h
@@ -35,7 +35,8 @@
   MeshTask(MeshConfig config, MeshOutlets outlets);
 
   // Binds the configured address. Fails with kAddressInUse or
-  // kSocketFailed if it cannot be bound.
+  // kSocketFailed if it cannot be bound, and with kResourceRefused if the
+  // system refuses threads or descriptors.
   auto Start(TaskContext& context) -> Result<void>;
   auto Handle(Message message) -> Result<void>;
   auto Stop(StopMode mode) -> void;
@@ -52,6 +53,7 @@
     std::uint64_t reconnects = 0;
   };
 
+  // Throws zmq::error_t.
   auto Listen(EventLoop& loop) -> void;
   auto Send(const SendToPeer& order) -> void;
   auto UpdatePeers(const PeerEndpointsChanged& change) -> void;
@@ -68,7 +70,8 @@
   MeshConfig config_;
   MeshOutlets outlets_;
   TaskContext* context_ = nullptr;
-  zmq::context_t zmq_context_;
+  // Empty until the task starts, since libzmq starts threads.
+  std::optional<zmq::context_t> zmq_context_;
   std::optional<KeyAuthenticator> authenticator_;
   zmq::socket_t receiver_;
   std::map<VmId, std::unique_ptr<PeerSocket>> peers_;
--- a/tests/unit/node/control/mesh/mesh_task_test.cc
+++ b/tests/unit/node/control/mesh/mesh_task_test.cc
@@ -1,6 +1,8 @@
 #include "node/control/mesh/mesh_task.h"
 
 #include <criterion/criterion.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
 #include <chrono>
 #include <string>
@@ -155,4 +157,29 @@
   cr_assert(mesh.Receives());
 }
 
+// Guards against an abort inside ZeroMQ, which is refused a descriptor.
+Test(mesh_task, a_refused_descriptor_fails_the_start) {
+  EventLoop loop;
+  Mailboxes mailboxes;
+  TaskContext context(loop);
+  std::optional<Error> error;
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int lowest = dup(STDIN_FILENO);
+  close(lowest);
+  for (rlim_t allowed = 0; allowed < 8; ++allowed) {
+    const rlimit limit{static_cast<rlim_t>(lowest) + allowed, before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &limit);
+    error = CaptureError([&] {
+      MeshTask task({.self = VmId("vm-a"),
+                     .incarnation = Incarnation(1),
+                     .address = "127.0.0.1:0"},
+                    {mailboxes.fleet, mailboxes.traffic, mailboxes.telemetry});
+      return task.Start(context);
+    });
+    setrlimit(RLIMIT_NOFILE, &before);
+    cr_assert(error && error->kind == ErrorKind::kResourceRefused);
+  }
+}
+
 }  // namespace flamingoyoke
