Wait at the start for threads and descriptors instead of ending the process

A process that was refused its log thread, or a descriptor of its event loop or mailboxes, ended with code 1 before any supervisor ran. If it got a part of its threads, it kept them while it waited for the others: 60 such VMs at a limit of 150 tasks would keep one another from starting.

Before anything is started, the daemon now checks that the system grants all that a process takes at its start (4 threads, 48 descriptors), and tries again with back-off up to 1.6 s, as it does for the log thread, the event loop and the mailboxes. A process that waits has one thread. One line, repeated every 5 s at most, names what is refused and the limits: "node: waiting to start: the system grants no 4 threads: Resource temporarily unavailable (tasks of the user 512, ...)". SIGTERM and SIGINT end the wait at once with code 0; before and after it they keep the default action until SignalWatch exists. Until its thread runs, the log is written by the main thread, if standard output takes it.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -15,9 +15,11 @@
 #include "core/time.h"
 #include "daemon/process_limits.h"
 #include "daemon/signal_watch.h"
+#include "daemon/startup_wait.h"
 #include "node/log.h"
 #include "node/node.h"
 #include "runtime/event_loop.h"
+#include "runtime/resource_check.h"
 #include "runtime/system_limits.h"
 #include "settings/settings.h"
 
@@ -37,6 +39,10 @@
 // upstreams, peers, the platform and operators.
 constexpr std::uint64_t kCallerDescriptorDivisor = 2;
 
+// Taken at the start: the threads of the log, of the task that serves callers
+// and of libzmq (two), and the descriptors of all tasks.
+constexpr ResourceNeed kProcessNeed{.threads = 4, .descriptors = 48};
+
 auto ReadFile(const std::string& path) -> std::optional<std::string> {
   std::ifstream file(path, std::ios::binary);
   if (!file) {
@@ -90,14 +96,35 @@
   connections = static_cast<std::uint32_t>(bound);
 }
 
+// Waits until the system grants all that the process needs at its start, before
+// anything takes a part of it, and starts the log's thread. Otherwise,
+// processes that each got a part would keep one another from starting. Raises
+// the limit of descriptors, and returns it in `descriptors`.
+auto WaitForResources(std::uint64_t& descriptors) -> StartupResult {
+  return RetryWhileRefused([&]() -> Result<void> {
+    descriptors = RaiseDescriptorLimit();
+    BOOST_LEAF_CHECK(CheckResources(kProcessNeed));
+    StartLogWriter();
+    return {};
+  });
+}
+
 auto RunNode(const Settings& settings,
              const std::string& settings_path,
              const DaemonOptions& options) -> int {
-  EventLoop loop;
+  std::optional<EventLoop> loop;
+  std::optional<Node> node;
+  const auto prepared = RetryWhileRefused([&]() -> Result<void> {
+    loop.emplace();
+    node.emplace(settings, options.dialect);
+    return {};
+  });
+  if (prepared == StartupResult::kStopped) {
+    return kExitOk;
+  }
   std::optional<Error> failure;
-  Node node(settings, options.dialect);
   const SignalWatch signals(
-      loop,
+      *loop,
       [&](int count) {
         if (count > 1) {
           Log(Part::kNode, LogLevel::kInfo,
@@ -106,18 +133,18 @@
           return;
         }
         Log(Part::kNode, LogLevel::kInfo, "stopping gracefully");
-        node.Stop(StopMode::kGraceful);
+        node->Stop(StopMode::kGraceful);
       },
       [&] { RevalidateSettings(settings_path); });
   Log(Part::kNode, LogLevel::kInfo,
       "starting vm " + settings.vm.id.value() + " in failure domain " +
           settings.vm.failure_domain.value());
   Log(Part::kNode, LogLevel::kInfo, "limits: " + Describe(ReadSystemLimits()));
-  node.Start(loop, [&](std::optional<Error> error) {
+  node->Start(*loop, [&](std::optional<Error> error) {
     failure = std::move(error);
-    loop.Quit();
+    loop->Quit();
   });
-  loop.Run();
+  loop->Run();
   if (failure) {
     Log(Part::kNode, LogLevel::kError,
         "exited with an error: " + failure->detail);
@@ -156,7 +183,11 @@
     return kExitSettings;
   }
   ConfigureLog(settings->log.level, settings->log.format);
-  BoundCallerConnections(RaiseDescriptorLimit(), *settings);
+  std::uint64_t descriptors = 0;
+  if (WaitForResources(descriptors) == StartupResult::kStopped) {
+    return kExitOk;
+  }
+  BoundCallerConnections(descriptors, *settings);
   const auto code = RunNode(*settings, settings_path, options);
   if (!StopLog(kLogFlushTimeout)) {
     // The log thread is blocked on its reader and cannot be joined.
--- a/src/node/log.cc
+++ b/src/node/log.cc
@@ -83,14 +83,12 @@
 }  // namespace
 
 auto ConfigureLog(LogLevel min_level, LogFormat format) -> void {
-  spdlog::init_thread_pool(kLogQueueCapacity, 1);
-  auto logger =
-      spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("flamingoyoke");
-  logger->set_level(ToSpdlog(min_level));
-  logger->flush_on(spdlog::level::debug);
-  logger->set_pattern(
+  // These hold for the loggers that StartLogWriter creates, too.
+  spdlog::set_level(ToSpdlog(min_level));
+  spdlog::flush_on(spdlog::level::debug);
+  spdlog::set_pattern(
       format == LogFormat::kJson ? "%v" : "%Y-%m-%dT%H:%M:%S.%e%z %l %v");
-  spdlog::set_default_logger(logger);
+  spdlog::set_default_logger(spdlog::stdout_logger_st("startup"));
   log_format = format;
   // By default, libevent writes to standard error, which blocks the task if
   // nobody reads it.
@@ -100,6 +98,12 @@
   });
 }
 
+auto StartLogWriter() -> void {
+  spdlog::init_thread_pool(kLogQueueCapacity, 1);
+  spdlog::set_default_logger(
+      spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("flamingoyoke"));
+}
+
 auto StopLog(Duration timeout) -> bool {
   event_set_log_callback([](int, const char*) {});
   std::promise<void> written;
--- a/src/node/log.h
+++ b/src/node/log.h
@@ -43,12 +43,17 @@
 };
 static_assert(IsDense<Part>());
 
-// Sets the minimum level and the format of the log. A background thread writes
-// the lines to standard output, so that a blocked pipe never delays a task.
-// Warnings of libevent go to the log as well.
-// Call once, before any task starts.
+// Sets the minimum level and the format of the log. Warnings of libevent go to
+// the log as well. Call once, before any task starts.
 auto ConfigureLog(LogLevel min_level, LogFormat format) -> void;
 
+// Starts the background thread that writes the lines to standard output from
+// now on, so that a blocked pipe never delays a task; until then, Log writes
+// them itself. Throws std::system_error if the system refuses the thread; it
+// may then be called again. Precondition: ConfigureLog was called, and no task
+// has started.
+auto StartLogWriter() -> void;
+
 // Flushes the queued lines and returns whether all were written within
 // `timeout`. If not, the background thread is still blocked on standard output,
 // and the process must exit without running destructors. Call once, after all
--- a/tests/integration/support/published_fleet.cc
+++ b/tests/integration/support/published_fleet.cc
@@ -6,6 +6,7 @@
 #include <filesystem>
 #include <fstream>
 #include <thread>
+#include <utility>
 
 #include "integration/support/wait_until.h"
 
@@ -57,7 +58,8 @@
 PublishedStoreFleet::PublishedStoreFleet(std::size_t targets,
                                          int service_ms,
                                          std::size_t gateways)
-    : folder_(MakeFolder()),
+    : gateway_command_({ProgramPath("flamingoyoked-platform")}),
+      folder_(MakeFolder()),
       store_(ProgramPath("tests/standins/standin_store"), {}),
       store_port_(store_.ReadNumber("port", kStartTimeout)) {
   for (std::size_t i = 0; i < targets; ++i) {
@@ -136,6 +138,11 @@
   http_.Put(store_port_, "/control/item?key=op/config", config.dump());
 }
 
+auto PublishedStoreFleet::SetGatewayCommand(std::vector<std::string> command)
+    -> void {
+  gateway_command_ = std::move(command);
+}
+
 auto PublishedStoreFleet::StartGateway(std::size_t index) -> void {
   StartGateway(
       index, "info",
@@ -177,9 +184,11 @@
         {"least_entries", 2}}}};
   const auto path = folder_ + "/gateway-" + std::to_string(index) + ".json";
   std::ofstream(path) << settings.dump();
-  gateways_[index] = std::make_unique<ChildProcess>(
-      ProgramPath("flamingoyoked-platform"),
-      std::vector<std::string>{"--settings", path}, output);
+  std::vector<std::string> arguments(gateway_command_.begin() + 1,
+                                     gateway_command_.end());
+  arguments.insert(arguments.end(), {"--settings", path});
+  gateways_[index] = std::make_unique<ChildProcess>(gateway_command_.front(),
+                                                    arguments, output);
 }
 
 auto PublishedStoreFleet::IsReady(std::size_t index) -> bool {
--- a/tests/integration/support/published_fleet.h
+++ b/tests/integration/support/published_fleet.h
@@ -80,6 +80,9 @@
   auto PublishRoutes(const std::string& version,
                      const std::vector<std::string>& prefixes) -> void;
 
+  // Starts gateways with `command` from now on, which ends with the program.
+  // Its first word is a path.
+  auto SetGatewayCommand(std::vector<std::string> command) -> void;
   // Starts a gateway that writes its log of level "info" to a file.
   auto StartGateway(std::size_t index) -> void;
   // Ends a gateway and starts it again with a log of level `log_level`, which
@@ -128,6 +131,7 @@
                     const std::string& log_level,
                     const ChildOutput& output) -> void;
 
+  std::vector<std::string> gateway_command_;
   std::string folder_;
   BlockingHttp http_;
   PlatformPorts ports_;
--- a/tests/unit/node/log_test.cc
+++ b/tests/unit/node/log_test.cc
@@ -34,6 +34,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   const int reader = PipeOutput(STDOUT_FILENO);
   ConfigureLog(LogLevel::kInfo, LogFormat::kText);
+  StartLogWriter();
   const auto start = steady_clock::now();
   const std::string filler(1000, 'x');
   for (int i = 0; i < 2000; ++i) {
@@ -49,6 +50,7 @@
 Test(log, stop_flushes_queued_lines) {
   const int reader = PipeOutput(STDOUT_FILENO);
   ConfigureLog(LogLevel::kInfo, LogFormat::kText);
+  StartLogWriter();
   Log(Part::kNode, LogLevel::kInfo, "the last line");
   cr_assert(StopLog(milliseconds(2000)));
   std::array<char, 256> text = {};
@@ -64,6 +66,7 @@
   const int reader = PipeOutput(STDOUT_FILENO);
   const int errors = PipeOutput(STDERR_FILENO);
   ConfigureLog(LogLevel::kInfo, LogFormat::kText);
+  StartLogWriter();
   EventLoop loop;
   auto timer = loop.MakeTimer([&] {
     // libevent warns of a loop that is run by its own callback.
@@ -85,4 +88,18 @@
   close(reader);
 }
 
+// Guards against losing the lines of a process that waits for its log thread.
+Test(log, writes_lines_before_its_thread_starts) {
+  const int reader = PipeOutput(STDOUT_FILENO);
+  ConfigureLog(LogLevel::kInfo, LogFormat::kJson);
+  Log(Part::kNode, LogLevel::kDebug, "too detailed");
+  Log(Part::kNode, LogLevel::kWarning, "an early line");
+  std::array<char, 256> text = {};
+  cr_assert_gt(read(reader, text.data(), text.size() - 1), 0);
+  cr_assert_eq(text.front(), '{');
+  cr_assert(std::string(text.data()).find("node: an early line") !=
+            std::string::npos);
+  close(reader);
+}
+
 }  // namespace flamingoyoke
