Leave more of a low limit on tasks unused while processes start

60 VMs that start at once at a limit of 150 tasks, beside a build: three aborted in libzmq, and one kept three threads while it waited for the rest. The headroom of a check was a sixteenth of the limit, 9 tasks, though as many processes may be between check and start under a low limit as under a high one.

The headroom is now 16 tasks at least for the start of a process and 8 for libzmq, and a quarter of the limit at most.

--- a/src/runtime/resource_check.cc
+++ b/src/runtime/resource_check.cc
@@ -4,6 +4,7 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 #include <future>
@@ -20,6 +21,10 @@
 // How long to wait for the kernel to release ended threads.
 constexpr int kMaxReleaseWaits = 100;
 constexpr auto kReleaseWait = std::chrono::milliseconds(1);
+// As many processes may start at the same time under a low limit as under this
+// one, but the headroom takes no more than a quarter of the limit.
+constexpr rlim_t kLeastSharedLimit = 256;
+constexpr rlim_t kMaxHeadroomDivisor = 4;
 
 // Lowers the limit on tasks for this process, for the life of the object. A
 // check that is refused then leaves the rest to processes that have passed
@@ -31,7 +36,9 @@
         before_.rlim_cur == RLIM_INFINITY) {
       return;
     }
-    const auto headroom = before_.rlim_cur / headroom_divisor;
+    const auto headroom = std::min(
+        std::max(before_.rlim_cur, kLeastSharedLimit) / headroom_divisor,
+        before_.rlim_cur / kMaxHeadroomDivisor);
     lowered_ = {before_.rlim_cur - headroom, before_.rlim_max};
     Replace(before_, lowered_);
     is_lowered_ = true;
--- a/src/runtime/resource_check.h
+++ b/src/runtime/resource_check.h
@@ -11,7 +11,8 @@
 struct ResourceNeed {
   std::size_t threads = 0;
   std::size_t descriptors = 0;
-  // Share of the user's limit on tasks that must stay unused, as its divisor.
+  // Share of the user's limit on tasks, or of 256 under a lower one, that must
+  // stay unused, as its divisor.
   // Several processes may check at the same time, and each then takes what it
   // was granted.
   std::size_t headroom_divisor = 16;
