--- a/src/runtime/supervisor.h
+++ b/src/runtime/supervisor.h
@@ -76,6 +76,10 @@
     // mailbox; they would be attributed to the new children.
     mailbox_.TakeAll();
     for (std::size_t i = 0; i < children_.size(); ++i) {
+      if (context.is_restart()) {
+        // The previous supervisor's children have run.
+        std::visit([](auto& host) { host->AssumeRun(); }, children_[i].host);
+      }
       children_[i].restart_timer =
           context.loop().MakeTimer([this, i] { StartChild(i); });
       StartChild(i);
@@ -130,6 +134,8 @@
     }
     const auto name =
         std::visit([](auto& host) { return host->name(); }, entry.host);
+    const auto has_run =
+        std::visit([](auto& host) { return host->has_run(); }, entry.host);
     const auto error = exited.error.value_or(
         Error{ErrorKind::kChildFailed, "exited without a stop request"});
     return std::visit(
@@ -146,7 +152,7 @@
                   name + " exceeded its restart limit: " + error.detail);
             },
         },
-        entry.restarts.OnFailure(error, Now()));
+        entry.restarts.OnFailure(error, has_run, Now()));
   }
 
   // Stops the first running child, or all of them in hard mode, and exits when
