--- a/src/runtime/mailbox.h
+++ b/src/runtime/mailbox.h
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOYOKE_RUNTIME_MAILBOX_H_
 #define FLAMINGOYOKE_RUNTIME_MAILBOX_H_
 
+#include <algorithm>
 #include <array>
 #include <cstddef>
 #include <cstdint>
@@ -123,13 +124,15 @@
 
   // Precondition: `mutex_` is held.
   auto ReplaceQueued(Message& message) -> bool {
-    for (auto& queued : messages_) {
-      if (queued.index() == message.index()) {
-        queued = std::move(message);
-        return true;
-      }
+    // From the back: PutBack may have left an older message of the type.
+    const auto queued = std::find_if(
+        messages_.rbegin(), messages_.rend(),
+        [&](const Message& each) { return each.index() == message.index(); });
+    if (queued == messages_.rend()) {
+      return false;
     }
-    return false;
+    *queued = std::move(message);
+    return true;
   }
 
   const std::size_t capacity_;
--- a/tests/unit/runtime/mailbox_test.cc
+++ b/tests/unit/runtime/mailbox_test.cc
@@ -51,6 +51,19 @@
   cr_assert_eq(std::get<Snapshot>(taken.front()).value, 2);
 }
 
+// Guards against an old snapshot that is handled last, after a batch was put
+// back.
+Test(mailbox, the_latest_snapshot_comes_last_after_a_put_back) {
+  Mailbox<Message> mailbox(8);
+  mailbox.Post(Snapshot{1});
+  auto taken = mailbox.TakeAll();
+  mailbox.Post(Snapshot{2});
+  mailbox.PutBack(std::move(taken));
+  mailbox.Post(Snapshot{3});
+  const auto left = mailbox.TakeAll();
+  cr_assert_eq(std::get<Snapshot>(left.back()).value, 3);
+}
+
 // Guards against losing a message that the mailbox refused: the sender must
 // still hold it.
 Test(mailbox, refuses_with_back_pressure_and_leaves_the_message) {
