Deliver a stop while messages keep arriving

A task that puts back the rest of a batch of 64 returned before it looked at the stop mode, so a task with 64 or more new messages in each turn never heard of a stop, and a graceful stop would have begun too late for its grace.

While a stop is pending, the batch has no limit: the stop follows the messages that were posted before it. task_host::stops_while_messages_keep_arriving failed before ("Assertion Failed": the task had not exited after 45 ms).

--- a/src/runtime/task_run.h
+++ b/src/runtime/task_run.h
@@ -78,7 +78,8 @@
   auto OnWake() -> void {
     auto messages = mailbox_.TakeAll();
     for (std::size_t handled = 0; !messages.empty(); ++handled) {
-      if (handled == kMaxBatch) {
+      // A stop waits for all messages before it, but for no later ones.
+      if (handled >= kMaxBatch && stop_mode_.load() <= signaled_mode_) {
         mailbox_.PutBack(std::move(messages));
         mailbox_.Wake();
         return;
--- a/tests/unit/runtime/task_host_test.cc
+++ b/tests/unit/runtime/task_host_test.cc
@@ -31,6 +31,7 @@
   // Timers are destroyed with the task.
   std::function<void(TaskContext&, Timers&)> on_start = [](TaskContext&,
                                                            Timers&) {};
+  std::function<void(int)> on_number = [](int) {};
   std::vector<std::string>* events = nullptr;
   std::string name;
 };
@@ -52,6 +53,7 @@
   auto Handle(Message message) -> Result<void> {
     const auto value = std::get<Number>(message).value;
     script_.events->push_back(script_.name + " " + std::to_string(value));
+    script_.on_number(value);
     return {};
   }
   auto Stop(StopMode) -> void {
@@ -193,6 +195,23 @@
   cr_assert_eq(events[501], "first destroyed");
 }
 
+// Guards against a stop that is never heard, since new messages keep arriving.
+Test(task_host, stops_while_messages_keep_arriving) {
+  Fixture fixture;
+  fixture.first_script.on_number = [&](int value) {
+    fixture.first_mailbox.Post(Number{value + 1});
+  };
+  for (int i = 0; i < 200; ++i) {
+    fixture.first_mailbox.Post(Number{0});
+  }
+  fixture.Start();
+  auto stop = fixture.loop.MakeTimer(
+      [&] { fixture.first.RequestStop(StopMode::kGraceful); });
+  stop.Schedule(milliseconds(5));
+  fixture.RunFor(milliseconds(50));
+  cr_assert(fixture.has_first_exited);
+}
+
 // Guards against a task that outlives its supervisor on a shared loop.
 Test(task_host, ends_the_task_when_it_is_destroyed) {
   std::vector<std::string> events;
