--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -20,8 +20,9 @@
 
 constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
 // Messages received before control returns to the event loop, so that sending
-// is not starved.
-constexpr int kMaxReceiveBatch = 256;
+// is not starved. The fleet task on the same loop handles as many in its turn;
+// more would overflow its mailbox.
+constexpr int kMaxReceiveBatch = 64;
 
 // libzmq 4.3.4 aborts the process if its context is refused a thread or a
 // descriptor. It starts two threads. The headroom is less than at the start of
