Throw when the descriptors of an event loop are refused

libevent doesn't return null if it is refused a descriptor of a base, but prints "[err] evsig_init_: socketpair: Too many open files" and ends the process with code 1 (probe of the review with 0 to 3 free descriptors). So a gateway that restarts while descriptors are short ended its VM instead of being restarted.

EventLoop takes and releases as many descriptors first and throws std::system_error. event_loop::refused_descriptors_throw failed before, by that exit. The sanitizers need two descriptors for the exception, so the test has two or more.

--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -1,6 +1,10 @@
 #include "runtime/event_loop.h"
 
+#include <sys/eventfd.h>
+#include <unistd.h>
+
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <chrono>
 #include <new>
@@ -22,17 +26,38 @@
 constexpr int kUrgent = 0;
 constexpr int kPriorities = 2;
 
+// Descriptors of a libevent base: polling, its timer, and two for signals.
+constexpr int kBaseDescriptors = 4;
+
+// libevent ends the process if it is refused a descriptor of a base. Throws
+// std::system_error instead.
+auto CheckDescriptors() -> void {
+  std::array<int, kBaseDescriptors> descriptors{};
+  int error = 0;
+  for (auto& descriptor : descriptors) {
+    descriptor = eventfd(0, EFD_CLOEXEC);
+    error = descriptor < 0 ? errno : error;
+  }
+  for (const int descriptor : descriptors) {
+    if (descriptor >= 0) {
+      close(descriptor);
+    }
+  }
+  if (error != 0) {
+    throw std::system_error(error, std::generic_category(),
+                            "cannot create an event loop");
+  }
+}
+
 auto MakeBase() -> event_base* {
+  CheckDescriptors();
   // Without the flag, timers have a resolution of a few milliseconds.
   auto* config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
-  errno = 0;
   auto* base = event_base_new_with_config(config);
-  const int error = errno != 0 ? errno : ENOMEM;
   event_config_free(config);
   if (base == nullptr) {
-    throw std::system_error(error, std::generic_category(),
-                            "cannot create an event loop");
+    throw std::bad_alloc();
   }
   // Other events have the last priority by default.
   event_base_priority_init(base, kPriorities);
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -56,7 +56,7 @@
   };
 
   // Creates a loop of its own. Throws std::system_error if the system refuses
-  // its descriptors.
+  // its descriptors, and std::bad_alloc if it refuses memory.
   EventLoop();
   // Creates a part of `host`, which must outlive it.
   EventLoop(EventLoop& host, PartHandlers handlers);
--- a/tests/unit/runtime/event_loop_test.cc
+++ b/tests/unit/runtime/event_loop_test.cc
@@ -1,8 +1,12 @@
 #include "runtime/event_loop.h"
 
 #include <criterion/criterion.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <chrono>
+#include <system_error>
 #include <vector>
 
 #include "runtime/clock.h"
@@ -83,5 +87,29 @@
   cr_assert_not(has_run);
 }
 
+// Guards against libevent, which ends the process when it is refused a
+// descriptor.
+Test(event_loop, refused_descriptors_throw) {
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  // The sanitizer needs two descriptors where the exception is made.
+  for (rlim_t free = 2; free < 6; ++free) {
+    const int next = dup(STDIN_FILENO);
+    close(next);
+    const rlimit limit{static_cast<rlim_t>(next) + free, before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &limit);
+    int error = 0;
+    try {
+      const EventLoop loop;
+      setrlimit(RLIMIT_NOFILE, &before);
+    } catch (const std::system_error& refusal) {
+      setrlimit(RLIMIT_NOFILE, &before);
+      error = refusal.code().value();
+    }
+    cr_assert_eq(error, free < 4 ? EMFILE : 0, "with %lu free descriptors",
+                 static_cast<unsigned long>(free));
+  }
+}
+
 }  // namespace
 }  // namespace flamingoyoke
