Bound what the check of resources leaves unused and how long it takes

The check left a sixteenth of the user's limit on tasks unused: 256 tasks at a limit of 4,096, so a process waited for ever on a machine whose user runs other software, although the system would grant its threads. A high limit now counts as 512. It waited up to 100 ms for each released thread; now for all of them. A limit that is changed from outside during a check could be set back with the old hard limit; the limit is now compared before it is set. All three were found by the review, by reading.

resource_check::a_high_limit_needs_no_more_unused_tasks guards the first.

--- a/src/runtime/resource_check.cc
+++ b/src/runtime/resource_check.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <cstdint>
 #include <future>
 #include <string>
 #include <system_error>
@@ -18,13 +19,16 @@
 namespace flamingoyoke {
 namespace {
 
-// How long to wait for the kernel to release ended threads.
+// How long to wait for the kernel to release all ended threads.
 constexpr int kMaxReleaseWaits = 100;
 constexpr auto kReleaseWait = std::chrono::milliseconds(1);
 // As many processes may start at the same time under a low limit as under this
 // one, but the headroom takes no more than a quarter of the limit.
-constexpr rlim_t kLeastSharedLimit = 256;
-constexpr rlim_t kMaxHeadroomDivisor = 4;
+constexpr std::uint64_t kLeastSharedLimit = 256;
+// A high limit is usually shared with other software, which doesn't start in
+// the same moment.
+constexpr std::uint64_t kMostSharedLimit = 512;
+constexpr std::uint64_t kMaxHeadroomDivisor = 4;
 
 // Lowers the limit on tasks for this process, for the life of the object. A
 // check that is refused then leaves the rest to processes that have passed
@@ -36,16 +40,13 @@
         before_.rlim_cur == RLIM_INFINITY) {
       return;
     }
-    const auto headroom = std::min(
-        std::max(before_.rlim_cur, kLeastSharedLimit) / headroom_divisor,
-        before_.rlim_cur / kMaxHeadroomDivisor);
-    lowered_ = {before_.rlim_cur - headroom, before_.rlim_max};
-    Replace(before_, lowered_);
-    is_lowered_ = true;
+    const auto headroom = TaskHeadroom(before_.rlim_cur, headroom_divisor);
+    lowered_ = before_.rlim_cur - headroom;
+    is_lowered_ = Replace(before_.rlim_cur, lowered_);
   }
   ~LoweredTaskLimit() {
     if (is_lowered_) {
-      Replace(lowered_, before_);
+      Replace(lowered_, before_.rlim_cur);
     }
   }
   LoweredTaskLimit(const LoweredTaskLimit&) = delete;
@@ -53,17 +54,18 @@
 
  private:
   // Sets `wanted`, unless the limit is no longer `expected`: it may be changed
-  // from outside while the process runs.
-  static auto Replace(const rlimit& expected, const rlimit& wanted) -> void {
+  // from outside while the process runs. Returns whether it was set.
+  static auto Replace(rlim_t expected, rlim_t wanted) -> bool {
     rlimit found{};
-    prlimit(0, RLIMIT_NPROC, &wanted, &found);
-    if (found.rlim_cur != expected.rlim_cur) {
-      prlimit(0, RLIMIT_NPROC, &found, nullptr);
+    if (getrlimit(RLIMIT_NPROC, &found) != 0 || found.rlim_cur != expected) {
+      return false;
     }
+    found.rlim_cur = wanted;
+    return setrlimit(RLIMIT_NPROC, &found) == 0;
   }
 
   rlimit before_{};
-  rlimit lowered_{};
+  rlim_t lowered_ = 0;
   bool is_lowered_ = false;
 };
 
@@ -96,10 +98,10 @@
       thread.join();
     }
     // The kernel counts a joined thread until it has removed its entry.
+    int waits = 0;
     for (std::size_t i = 0; i < threads_.size(); ++i) {
       const auto entry = "/proc/self/task/" + std::to_string(ids_[i]);
-      for (int waits = 0;
-           waits < kMaxReleaseWaits && access(entry.c_str(), F_OK) == 0;
+      for (; waits < kMaxReleaseWaits && access(entry.c_str(), F_OK) == 0;
            ++waits) {
         std::this_thread::sleep_for(kReleaseWait);
       }
@@ -150,6 +152,11 @@
 
 }  // namespace
 
+auto TaskHeadroom(std::uint64_t limit, std::size_t divisor) -> std::uint64_t {
+  const auto shared = std::clamp(limit, kLeastSharedLimit, kMostSharedLimit);
+  return std::min(shared / divisor, limit / kMaxHeadroomDivisor);
+}
+
 auto CheckResources(const ResourceNeed& need) -> Result<void> {
   HeldDescriptors descriptors;
   if (const int error = descriptors.Open(need.descriptors); error != 0) {
--- a/tests/unit/runtime/resource_check_test.cc
+++ b/tests/unit/runtime/resource_check_test.cc
@@ -77,4 +77,13 @@
   cr_assert_not(Check().has_value());
 }
 
+// Guards against a process that waits for ever under a high limit, since other
+// software of the user has all but a few hundred tasks of it.
+Test(resource_check, a_high_limit_needs_no_more_unused_tasks) {
+  cr_assert_eq(TaskHeadroom(512, 16), 32);
+  cr_assert_eq(TaskHeadroom(63'000, 16), 32);
+  cr_assert_eq(TaskHeadroom(150, 16), 16);
+  cr_assert_eq(TaskHeadroom(20, 16), 5);
+}
+
 }  // namespace flamingoyoke
