Treat what libevent is refused as a failure of the task

A null from evhttp_new or evhttp_request_new was used, a descriptor whose watch epoll refused left a task that never wakes, and std::bad_alloc at the start of a task on a shared loop or in the callback of a listener went past the task to its supervisor, or ended the process. Each is a failure of the task now. Found by the review, by reading; no test: nothing here makes libevent's allocations fail.

--- a/src/daemon/signal_watch.cc
+++ b/src/daemon/signal_watch.cc
@@ -1,6 +1,7 @@
 #include "daemon/signal_watch.h"
 
 #include <csignal>
+#include <new>
 #include <utility>
 
 namespace flamingoyoke {
@@ -44,7 +45,9 @@
                         event_callback_fn callback) -> EventPointer {
   EventPointer watched(
       evsignal_new(loop.base(), signal_number, callback, this));
-  event_add(watched.get(), nullptr);
+  if (!watched || event_add(watched.get(), nullptr) != 0) {
+    throw std::bad_alloc();
+  }
   return watched;
 }
 
--- a/src/daemon/startup_wait.cc
+++ b/src/daemon/startup_wait.cc
@@ -66,11 +66,8 @@
 
 auto RetryWhileRefused(const std::function<Result<void>()>& step)
     -> StartupResult {
-  auto error = CaptureError(step);
-  if (!error) {
-    return StartupResult::kDone;
-  }
   StopSignals stop_signals;
+  auto error = CaptureError(step);
   auto delay = kFirstDelay;
   while (error) {
     if (error->kind != ErrorKind::kResourceRefused) {
--- a/src/node/accept_pause.cc
+++ b/src/node/accept_pause.cc
@@ -22,7 +22,9 @@
 }  // namespace
 
 AcceptPause::AcceptPause(EventLoop& loop, Part part)
-    : part_(part), resume_timer_(loop.MakeTimer([this] { Resume(); })) {}
+    : loop_(loop),
+      part_(part),
+      resume_timer_(loop.MakeTimer([this] { Resume(); })) {}
 
 AcceptPause::~AcceptPause() {
   for (auto* listener : listeners_) {
@@ -37,7 +39,8 @@
     const int error_number = EVUTIL_SOCKET_ERROR();
     const auto found = PausesByListener().find(failed);
     if (found != PausesByListener().end()) {
-      found->second->Pause(failed, error_number);
+      auto* pause = found->second;
+      pause->loop_.Invoke([&] { pause->Pause(failed, error_number); });
     }
   });
 }
--- a/src/node/accept_pause.h
+++ b/src/node/accept_pause.h
@@ -35,6 +35,7 @@
   auto Pause(evconnlistener* listener, int error_number) -> void;
   auto Resume() -> void;
 
+  EventLoop& loop_;
   const Part part_;
   std::vector<evconnlistener*> listeners_;
   EventLoop::Handle resume_timer_;
--- a/src/node/control/platform/key_watch.cc
+++ b/src/node/control/platform/key_watch.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cstring>
+#include <new>
 #include <optional>
 #include <utility>
 
@@ -116,6 +117,9 @@
         watch->loop_.Invoke([watch, done] { watch->OnRequestDone(done); });
       },
       this);
+  if (request == nullptr) {
+    throw std::bad_alloc();
+  }
   auto* headers = evhttp_request_get_output_headers(request);
   evhttp_add_header(headers, "Host", config_.host.c_str());
   evhttp_add_header(headers, "Connection", "close");
--- a/src/node/control/store/store_reader.cc
+++ b/src/node/control/store/store_reader.cc
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
+#include <new>
 #include <utility>
 
 namespace flamingoyoke {
@@ -90,6 +91,9 @@
         reader->loop_.Invoke([reader, done] { reader->OnRequestDone(done); });
       },
       this);
+  if (request == nullptr) {
+    throw std::bad_alloc();
+  }
   evhttp_request_set_error_cb(
       request, [](evhttp_request_error error, void* reader) {
         if (error == EVREQ_HTTP_EOF || error == EVREQ_HTTP_BUFFER_ERROR) {
--- a/src/node/observe/admin/admin_task.cc
+++ b/src/node/observe/admin/admin_task.cc
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 
 #include <array>
+#include <new>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -75,6 +76,9 @@
 auto AdminTask::Start(TaskContext& context) -> Result<void> {
   context_ = &context;
   server_.reset(evhttp_new(context.loop().base()));
+  if (!server_) {
+    throw std::bad_alloc();
+  }
   evhttp_set_allowed_methods(server_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_HEAD);
   evhttp_set_timeout(server_.get(), kIdleTimeoutSeconds);
   evhttp_set_max_headers_size(server_.get(), kMaxHeaderBytes);
--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -171,7 +171,9 @@
 auto EventLoop::WatchReadable(int descriptor, Callback callback) -> Handle {
   auto handle =
       MakeHandle(descriptor, EV_READ | EV_PERSIST, std::move(callback));
-  event_add(handle.state_->ev.get(), nullptr);
+  if (event_add(handle.state_->ev.get(), nullptr) != 0) {
+    throw std::bad_alloc();
+  }
   return handle;
 }
 
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -81,7 +81,8 @@
   // Returns a handle that runs `callback` when triggered, before other events.
   auto MakeUrgent(Callback callback) -> Handle;
   // Calls `callback` whenever `descriptor` is readable. The caller keeps the
-  // descriptor open for the life of the handle.
+  // descriptor open for the life of the handle. Throws std::bad_alloc if the
+  // system refuses to watch it.
   auto WatchReadable(int descriptor, Callback callback) -> Handle;
 
   // Returns a lower bound of the time since the loop last polled for events,
--- a/src/runtime/task_host.h
+++ b/src/runtime/task_host.h
@@ -6,6 +6,7 @@
 #include <exception>
 #include <functional>
 #include <memory>
+#include <new>
 #include <optional>
 #include <string>
 #include <system_error>
@@ -80,7 +81,14 @@
       Start(on_exit);
       return;
     }
-    if (auto error = StartOn(loop, on_exit)) {
+    std::optional<Error> error;
+    try {
+      error = StartOn(loop, on_exit);
+    } catch (const std::exception& exception) {
+      run_.reset();
+      error = ToError(exception);
+    }
+    if (error) {
       on_exit(std::move(error));
     }
   }
@@ -94,6 +102,8 @@
       on_exit(Error{ErrorKind::kResourceRefused,
                     "cannot start a thread: " + std::string(refusal.what()) +
                         " (" + Describe(ReadSystemLimits()) + ")"});
+    } catch (const std::bad_alloc& refusal) {
+      on_exit(ToError(refusal));
     }
   }
 
