Request idle targets that may have recovered in calm times

Cause: 70% of all targets were kept in use, but the floor counts the sound ones alone.

Idle targets now get a request from their owner at an unhealthy probability of at most 0.8 if the request can be retried, else of 0.65, within 2% of the gateway's requests.

leaves_no_recovered_target_idle_while_none_fail fails on the code before.

--- a/bench/gateway_bench.cc
+++ b/bench/gateway_bench.cc
@@ -21,14 +21,11 @@
 // Small services with so many failing targets that the floor is often owed.
 struct FloorProfile {
   std::string_view name;
-  // The other figures are listed in KNOWN-RED.txt while they are above zero.
-  bool is_bounded;
   GatewaySimulationOptions options;
 };
 constexpr std::uint64_t kFloorRuns = 10;
 constexpr auto kFloorProfiles = std::to_array<FloorProfile>({
     {"8 targets, 40% failing",
-     false,
      {.gateways = 4,
       .targets = 8,
       .load = 2.7,
@@ -38,13 +35,20 @@
       .repeatable_share = 0.6,
       .length = std::chrono::seconds(40)}},
     {"14 targets, once only",
-     true,
      {.gateways = 4,
       .targets = 14,
       .load = 3.5,
       .failing_share = 0.4,
       .turn = std::chrono::seconds(4),
       .length = std::chrono::seconds(40)}},
+    {"16 targets, half of them with disturbed links",
+     {.gateways = 5,
+      .targets = 16,
+      .load = 4.4,
+      .failure_rate = 0.75,
+      .turn = std::chrono::seconds(12),
+      .disturbed_share = 0.5,
+      .length = std::chrono::seconds(60)}},
 });
 
 }  // namespace
@@ -103,22 +107,24 @@
   }
   // A single gateway knows all outcomes at once.
   run(1, kGateways.front() * kTargetsPerGateway, "1 gateway");
-  for (const auto& [profile, is_bounded, options] : kFloorProfiles) {
+  for (const auto& [profile, options] : kFloorProfiles) {
     double missed = 0;
+    double exposed = 0;
     double failed = 0;
     for (std::uint64_t i = 0; i < kFloorRuns; ++i) {
       auto each = options;
       each.seed = seed * kFloorRuns + i;
       const auto result = RunGatewaySimulation(each);
       missed += result.missed_floor_share / kFloorRuns;
+      exposed += result.exposed_floor_share / kFloorRuns;
       failed += result.failed_share / kFloorRuns;
     }
     add(std::string(profile), "failed requests", "%", 100 * failed);
+    add(std::string(profile), "windows below the floor share, served or not",
+        "%", 100 * exposed);
     add(std::string(profile), "windows that miss the floor", "%", 100 * missed);
-    if (is_bounded) {
-      measurements.back().bound_kind = BoundKind::kAtMost;
-      measurements.back().bound = 0;
-    }
+    measurements.back().bound_kind = BoundKind::kAtMost;
+    measurements.back().bound = 0;
   }
   return measurements;
 }
--- a/bench/gateway_simulation.cc
+++ b/bench/gateway_simulation.cc
@@ -87,6 +87,7 @@
 
 struct Target {
   bool failing = false;
+  bool disturbed = false;
   std::uint32_t running = 0;
   std::deque<Work> waiting;
   std::size_t attempts = 0;
@@ -120,13 +121,16 @@
   std::size_t sound = 0;
   std::size_t used = 0;
 
+  [[nodiscard]] auto IsBelowFloor() const -> bool {
+    return used > 0 &&
+           static_cast<double>(used) < kFloorShare * static_cast<double>(sound);
+  }
   [[nodiscard]] auto IsMissed() const -> bool {
     const auto unserved_share =
         static_cast<double>(unserved) /
         static_cast<double>(std::max<std::size_t>(requests, 1));
     return unserved_share > kMinUnserved && unserved_share < kMaxUnserved &&
-           used > 0 &&
-           static_cast<double>(used) < kFloorShare * static_cast<double>(sound);
+           IsBelowFloor();
   }
 };
 
@@ -165,6 +169,8 @@
       if (target.failing) {
         target.failing_spells.emplace_back(kStart, TimePoint::max());
       }
+      target.disturbed = options.disturbed_share > 0 &&
+                         random_.Unit() < options.disturbed_share;
     }
     AddGateways(registered);
     events_.Push(kStart, Arrival{});
@@ -388,7 +394,7 @@
       window.unserved += it->second ? 0 : 1;
     }
     for (const auto& target : targets_) {
-      if (target.IsSound(start, end)) {
+      if (!target.disturbed && target.IsSound(start, end)) {
         ++window.sound;
         window.used += target.IsUsed(start, end) ? 1 : 0;
       }
@@ -396,16 +402,18 @@
     return window;
   }
 
-  // Requests of the last seconds may not have ended yet.
-  [[nodiscard]] auto MissedFloorShare() const -> double {
+  // Returns the share of the windows for which `matches` returns true. Requests
+  // of the last seconds may not have ended yet.
+  template <typename Matches>
+  [[nodiscard]] auto ShareOfWindows(Matches matches) const -> double {
     std::size_t checked = 0;
-    std::size_t missed = 0;
+    std::size_t matching = 0;
     for (auto end = kStart + options_.turn;
          end <= kStart + options_.length - kDeadline; end += kFloorStep) {
       ++checked;
-      missed += WindowAt(end).IsMissed() ? 1 : 0;
+      matching += matches(WindowAt(end)) ? 1 : 0;
     }
-    return static_cast<double>(missed) /
+    return static_cast<double>(matching) /
            static_cast<double>(std::max<std::size_t>(checked, 1));
   }
 
@@ -427,7 +435,10 @@
         .avoid_ms = avoid_.value(),
         .reuse_ms = reuse_.value(),
         .lost_to_trials_share = static_cast<double>(lost_) / requests,
-        .missed_floor_share = MissedFloorShare(),
+        .missed_floor_share = ShareOfWindows(
+            [](const FloorWindow& window) { return window.IsMissed(); }),
+        .exposed_floor_share = ShareOfWindows(
+            [](const FloorWindow& window) { return window.IsBelowFloor(); }),
         .reports_per_gateway_s = static_cast<double>(reports_) /
                                  static_cast<double>(options_.gateways) /
                                  ToSeconds(options_.length),
--- a/bench/gateway_simulation.h
+++ b/bench/gateway_simulation.h
@@ -23,6 +23,9 @@
   Duration turn = std::chrono::seconds(9);
   // Share of the requests that may run more than once.
   double repeatable_share = 0;
+  // Share of the targets that the floor does not count, because their links are
+  // disturbed. The gateways cannot tell them from the others.
+  double disturbed_share = 0;
   // The busiest gateway gets this many times the requests of the idlest.
   double imbalance = 2;
   // Time for a report to be sent, to travel and to be read.
@@ -51,6 +54,10 @@
   // half of the requests were not served. A target is sound from two seconds
   // after it stopped failing.
   double missed_floor_share = 0;
+  // Share of the windows in which fewer than the floor share of the sound
+  // targets got requests, whatever share was served. These miss the floor if
+  // enough of their requests are lost later, as in a power failure of all VMs.
+  double exposed_floor_share = 0;
   double reports_per_gateway_s = 0;
 };
 
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -85,6 +85,19 @@
 // them their answer.
 constexpr Duration kFloorIdleTimeOnce = std::chrono::milliseconds(1700);
 constexpr double kFloorOnceFailureShare = 0.05;
+// The floor counts the sound targets alone. Some are not sound because of their
+// links, which doesn't show here, so 70% of all targets may be fewer of these.
+// Every idle target therefore gets a request if it is at most this likely to be
+// unhealthy: about 3 s after the last of several failures if the request can be
+// retried, and after 6 s otherwise. At 0.5 for all requests, 4% of the
+// simulated windows of a once-only service were below the floor, and 0.3% at
+// 0.65. At 0.8 none were, but 1.2% more requests failed.
+constexpr double kRecoveredThreshold = 0.8;
+constexpr double kRecoveredThresholdOnce = 0.65;
+// Share of a gateway's requests that may be such trials without a retry on
+// targets that look unhealthy. With 1.6 requests a second and target, trials
+// without a limit failed 1.3% more of the requests.
+constexpr double kOnceTrialShare = 0.02;
 // All targets of the service are visited once in this period.
 constexpr Duration kFloorCheckPeriod = std::chrono::milliseconds(100);
 
@@ -321,30 +334,54 @@
     }
     ++sound;
     if (IsUnsetOrOlder(state.last_used, kFloorIdleTime, now)) {
-      idle.emplace_back(state.health.UnhealthyProbability(now), id);
+      // The service may need the capacity of a target without any request.
+      idle.emplace_back(
+          state.last_used ? state.health.UnhealthyProbability(now) : 0.0, id);
     }
   }
+  const auto used = sound - idle.size();
   const auto required = static_cast<std::size_t>(
       std::ceil(floor_share_ * static_cast<double>(sound)));
-  const auto used = sound - idle.size();
   const auto missing = required - std::min(required, used);
   std::sort(idle.begin(), idle.end());
-  for (std::size_t i = 0; i < std::min(missing, idle.size()); ++i) {
-    floor_trials_.push_back(std::move(idle[i].second));
+  for (std::size_t i = 0; i < idle.size(); ++i) {
+    auto& [unhealthy, id] = idle[i];
+    if (i < missing || unhealthy <= kRecoveredThreshold) {
+      floor_trials_.push_back({std::move(id), i < missing});
+    }
+  }
+}
+
+auto TargetPool::MayHaveRecovered(double unhealthy,
+                                  const TargetRequirements& requirements) const
+    -> bool {
+  if (requirements.may_retry) {
+    return unhealthy <= kRecoveredThreshold;
   }
+  return unhealthy <= kAvoidThreshold ||
+         (unhealthy <= kRecoveredThresholdOnce && once_trials_ >= 1);
 }
 
 auto TargetPool::FindFloorTrial(const TargetRequirements& requirements,
+                                double failure_share,
                                 TimePoint now) -> TargetState* {
   UpdateFloorTrials(now);
-  const auto idle_time =
-      requirements.may_retry ? kFloorIdleTime : kFloorIdleTimeOnce;
-  for (const auto& id : floor_trials_) {
-    const auto found = targets_.find(id);
+  const bool accepts_any =
+      requirements.may_retry || failure_share > kFloorOnceFailureShare;
+  for (const auto& trial : floor_trials_) {
+    const auto found = targets_.find(trial.target);
     if (found == targets_.end() || !found->second.owned) {
       continue;
     }
     auto& state = found->second;
+    const bool has_recovered =
+        MayHaveRecovered(state.health.UnhealthyProbability(now), requirements);
+    if (!has_recovered && !(trial.is_required && accepts_any)) {
+      continue;
+    }
+    const auto idle_time = has_recovered || requirements.may_retry
+                               ? kFloorIdleTime
+                               : kFloorIdleTimeOnce;
     if (IsUnsetOrOlder(state.last_used, idle_time, now) &&
         HasRoom(state, requirements, now)) {
       return &state;
@@ -407,11 +444,11 @@
   const auto failure_share = FailureShare(requests_, now);
   const bool many_fail = failure_share > kFloorFailureShare;
   is_trial_ = false;
-  const bool accepts_trial =
-      requirements.may_retry || failure_share > kFloorOnceFailureShare;
-  if (const auto* idle =
-          accepts_trial ? FindFloorTrial(requirements, now) : nullptr) {
+  if (const auto* idle = FindFloorTrial(requirements, failure_share, now)) {
     is_trial_ = idle->health.UnhealthyProbability(now) > kAvoidThreshold;
+    if (is_trial_ && !requirements.may_retry) {
+      once_trials_ = std::max(once_trials_ - 1, 0.0);
+    }
     return idle->spec.id;
   }
   if (many_fail) {
@@ -601,6 +638,7 @@
 
 auto TargetPool::OnRequestEnded(bool served, TimePoint now) -> void {
   requests_.Add({1, served ? std::uint64_t{0} : 1}, now);
+  once_trials_ = std::min(once_trials_ + kOnceTrialShare, 1.0);
   ++(served ? unreported_requests_.served : unreported_requests_.unserved);
   has_unreported_ = true;
 }
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -167,6 +167,12 @@
     double placement_cost = 0;
   };
 
+  struct FloorTrial {
+    TargetId target;
+    // Whether fewer targets than the floor share are in use without it.
+    bool is_required = false;
+  };
+
   // Returns whether the target is neither leaving nor replaced.
   [[nodiscard]] static auto IsUsable(const TargetState& state) -> bool;
   // Returns whether it is usable and does not rest.
@@ -199,12 +205,19 @@
   auto FindIdleTarget(const TargetRequirements& requirements,
                       double failure_share,
                       TimePoint now) -> TargetState*;
+  // Returns whether an idle target that is unhealthy with this probability may
+  // get the request although no other fails.
+  [[nodiscard]] auto MayHaveRecovered(
+      double unhealthy,
+      const TargetRequirements& requirements) const -> bool;
   // Returns the target that must get this request for the floor of the service,
   // or null.
-  auto FindFloorTrial(const TargetRequirements& requirements, TimePoint now)
-      -> TargetState*;
-  // Finds the idle targets that must get a request so that the floor share of
-  // the service's targets is in use, whether or not requests fail.
+  auto FindFloorTrial(const TargetRequirements& requirements,
+                      double failure_share,
+                      TimePoint now) -> TargetState*;
+  // Finds the idle targets that get a request whether or not others fail: those
+  // that may have recovered, and as many as must be used for the floor share of
+  // the service's targets.
   auto UpdateFloorTrials(TimePoint now) -> void;
   auto FindUntested(const std::vector<Candidate>& candidates,
                     const TargetRequirements& requirements,
@@ -237,9 +250,9 @@
   // The targets that this gateway owns and those of others, in targets_.
   std::vector<TargetState*> owned_;
   std::vector<TargetState*> others_;
-  // Idle targets without which the service is below its floor, the likeliest to
-  // be healthy first, and when they were found.
-  std::vector<TargetId> floor_trials_;
+  // Idle targets that get a request for the floor, the likeliest to be healthy
+  // first, and when they were found.
+  std::vector<FloorTrial> floor_trials_;
   std::optional<TimePoint> floor_checked_;
   // Attempts and requests of all gateways.
   RateWindow outcomes_;
@@ -250,6 +263,9 @@
   // missing in the registry, where the same start may appear again.
   std::map<TargetId, std::int64_t> announced_leaving_;
   bool is_trial_ = false;
+  // Number of once-only requests that may now go to targets that look unhealthy
+  // while few requests fail; at most 1.
+  double once_trials_ = 1;
   bool has_unreported_ = false;
 };
 
--- a/tests/unit/decision/gateway/target_pool_test.cc
+++ b/tests/unit/decision/gateway/target_pool_test.cc
@@ -287,6 +287,57 @@
   }
 }
 
+// Guards against the miss of vdm-eendhok trouble-2, where all VMs lost power.
+Test(target_pool, leaves_no_recovered_target_idle_while_none_fail) {
+  constexpr std::size_t kTargets = 16;
+  constexpr std::size_t kFailedBefore = 5;
+  auto pool = MakePool(MakeTargets(kTargets));
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    for (int n = 0; n < 3; ++n) {
+      RunAttempt(pool, MakeTargetId(i),
+                 i < kFailedBefore ? Evidence::kFailed : Evidence::kSucceeded,
+                 kStart);
+    }
+  }
+  std::map<TargetId, TimePoint> used;
+  for (int ms = 15; ms < 10000; ms += 15) {
+    const auto now = kStart + milliseconds(ms);
+    const auto chosen = pool.Choose({}, now);
+    cr_assert(chosen.has_value());
+    RunAttempt(pool, *chosen, Evidence::kSucceeded, now);
+    pool.OnRequestEnded(true, now);
+    used[*chosen] = now;
+  }
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    cr_assert_lt(kStart + seconds(8), used[MakeTargetId(i)], "target %zu", i);
+  }
+}
+
+// Guards against a service with few requests that spends them on trials.
+Test(target_pool, limits_the_trials_of_once_only_requests) {
+  constexpr std::size_t kFailedBefore = 4;
+  auto pool = MakePool(MakeTargets(8));
+  for (std::size_t i = 0; i < 8; ++i) {
+    for (int n = 0; n < 3; ++n) {
+      RunAttempt(pool, MakeTargetId(i),
+                 i < kFailedBefore ? Evidence::kFailed : Evidence::kSucceeded,
+                 kStart);
+    }
+  }
+  std::set<TargetId> tried;
+  for (int ms = 6500; ms < 7500; ms += 50) {
+    const auto now = kStart + milliseconds(ms);
+    const auto chosen = pool.Choose({}, now);
+    cr_assert(chosen.has_value());
+    if (*chosen < MakeTargetId(kFailedBefore)) {
+      tried.insert(*chosen);
+    }
+    RunAttempt(pool, *chosen, Evidence::kSucceeded, now);
+    pool.OnRequestEnded(true, now);
+  }
+  cr_assert_eq(tried.size(), 1U);
+}
+
 // Guards against spending requests that cannot be repeated on targets that are
 // likely to fail while nearly all requests are served.
 Test(target_pool, tries_no_once_only_requests_while_none_fail) {
