Split the fault soak into callers, faults and the run

No change of behaviour: the classes of soak_test.cc move to tests/integration/soak, one responsibility each.

--- /dev/null
+++ b/tests/integration/soak/fault.h
@@ -0,0 +1,53 @@
+#ifndef FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_FAULT_H_
+#define FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_FAULT_H_
+
+#include <cstddef>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/time.h"
+#include "standins/target/target_task.h"
+
+namespace flamingoyoke::integration {
+
+// Faults from outside of the processes.
+struct StopGateway {
+  std::size_t gateway = 0;
+  // Further signals, 50 ms apart.
+  std::vector<int> then;
+};
+struct ReloadGateway {
+  std::size_t gateway = 0;
+};
+struct KillGateway {
+  std::size_t gateway = 0;
+};
+struct PauseGateway {
+  std::size_t gateway = 0;
+  Duration length = Duration::zero();
+};
+struct HarmTarget {
+  std::size_t target = 0;
+  standin::TargetMode mode = standin::TargetMode::kNormal;
+  Duration length = Duration::zero();
+};
+struct StoreOutage {
+  Duration length = Duration::zero();
+};
+struct EndWatches {
+  std::string end;
+};
+struct CompactHistory {};
+using Fault = std::variant<StopGateway,
+                           ReloadGateway,
+                           KillGateway,
+                           PauseGateway,
+                           HarmTarget,
+                           StoreOutage,
+                           EndWatches,
+                           CompactHistory>;
+
+}  // namespace flamingoyoke::integration
+
+#endif  // FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_FAULT_H_
--- a/tests/unit/node/traffic/request_framing_test.cc
+++ b/tests/unit/node/traffic/request_framing_test.cc
@@ -1,10 +1,10 @@
 #include <criterion/criterion.h>
 
 #include <cstdint>
-#include <cstdlib>
 #include <string>
 
 #include "fuzz/request_framing.h"
+#include "support/environment.h"
 
 namespace flamingoyoke {
 namespace {
@@ -16,12 +16,6 @@
 constexpr std::uint64_t kStreams = 20'000;
 constexpr std::uint64_t kSeed = 1;
 
-auto FromEnvironment(const char* name, std::uint64_t fallback)
-    -> std::uint64_t {
-  const char* value = std::getenv(name);
-  return value == nullptr ? fallback : std::strtoull(value, nullptr, 10);
-}
-
 }  // namespace
 
 // Guards against requests that are hidden in others: evhttp must never find
