--- a/src/runtime/task_host.h
+++ b/src/runtime/task_host.h
@@ -148,7 +148,7 @@
   auto RunOn(EventLoop& loop) -> std::optional<Error> {
     try {
       std::optional<Error> error;
-      const auto start_error = StartOn(loop, [&](std::optional<Error> failure) {
+      auto start_error = StartOn(loop, [&](std::optional<Error> failure) {
         error = std::move(failure);
         loop.Quit();
       });
