Play the size of a deployment in the fault soak

Callers have a connection each, can pipeline and use stale answers of the directory. New faults: rolls of SIGTERM, resets of all connections of a VM, targets that drain while routes are added, bursts, VMs that join, limits of the system.

Targets log the times of each run, so LOST is judged by runs and not by a coarse window: calls over 2 s, and those beside any faulty target, were not checked before. A process that runs on after its grace, and one that is ready 4 s after SIGTERM, are reported. A SIGTERM before the handlers is excused by the handlers that /proc shows when it is sent, not by the age when the end is collected.

--- /dev/null
+++ b/tests/integration/soak/call_checks.h
@@ -0,0 +1,60 @@
+#ifndef FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_CALL_CHECKS_H_
+#define FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_CALL_CHECKS_H_
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "integration/soak/ended_call.h"
+#include "integration/soak/soak_settings.h"
+
+namespace flamingoyoke::integration {
+
+// What a target reports of one run of a request.
+struct TargetRun {
+  TimePoint start;
+  // Unset while the target is at work.
+  std::optional<TimePoint> end;
+  // Whether the target completed its answer.
+  bool is_sound = false;
+};
+
+// What the soak did to one gateway.
+struct GatewayHistory {
+  // Kills, pauses, resets of its connections.
+  std::vector<Interval> harmed;
+  // SIGTERMs.
+  std::vector<TimePoint> stops;
+};
+
+// Judges calls by what callers and targets saw. Not thread-safe.
+class CallChecks {
+ public:
+  // `settings` and `gateways` must outlive the checks.
+  CallChecks(const SoakSettings& settings,
+             const std::vector<GatewayHistory>& gateways,
+             std::map<std::string, std::vector<TargetRun>> runs);
+
+  // Returns the names of the promises that `call` broke.
+  [[nodiscard]] auto Check(const EndedCall& call) const
+      -> std::vector<std::string>;
+
+  [[nodiscard]] auto RunsOf(const EndedCall& call) const
+      -> const std::vector<TargetRun>&;
+
+ private:
+  // Whether an accepted request was lost without an excuse.
+  [[nodiscard]] auto IsLost(const EndedCall& call) const -> bool;
+  // Whether the target worked on into the last sixth of the grace, on a request
+  // that was sent soon after the SIGTERM.
+  [[nodiscard]] auto IsPastGrace(const EndedCall& call) const -> bool;
+
+  const SoakSettings& settings_;
+  const std::vector<GatewayHistory>& gateways_;
+  const std::map<std::string, std::vector<TargetRun>> runs_;
+};
+
+}  // namespace flamingoyoke::integration
+
+#endif  // FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_CALL_CHECKS_H_
--- a/tests/integration/soak/fault.h
+++ b/tests/integration/soak/fault.h
@@ -17,6 +17,11 @@
   // Further signals, 50 ms apart.
   std::vector<int> then;
 };
+// SIGTERM to several gateways in turn.
+struct RollGateways {
+  std::vector<std::size_t> gateways;
+  Duration gap = Duration::zero();
+};
 struct ReloadGateway {
   std::size_t gateway = 0;
 };
@@ -27,11 +32,20 @@
   std::size_t gateway = 0;
   Duration length = Duration::zero();
 };
+// Resets all connections of a gateway.
+struct ResetGateway {
+  std::size_t gateway = 0;
+};
 struct HarmTarget {
   std::size_t target = 0;
   standin::TargetMode mode = standin::TargetMode::kNormal;
   Duration length = Duration::zero();
 };
+// A target drains and returns as a new start, while many routes are added.
+struct ReplaceTarget {
+  std::size_t target = 0;
+  Duration length = Duration::zero();
+};
 struct StoreOutage {
   Duration length = Duration::zero();
 };
@@ -39,14 +53,22 @@
   std::string end;
 };
 struct CompactHistory {};
+// Callers send more requests.
+struct Burst {
+  Duration length = Duration::zero();
+};
 using Fault = std::variant<StopGateway,
+                           RollGateways,
                            ReloadGateway,
                            KillGateway,
                            PauseGateway,
+                           ResetGateway,
                            HarmTarget,
+                           ReplaceTarget,
                            StoreOutage,
                            EndWatches,
-                           CompactHistory>;
+                           CompactHistory,
+                           Burst>;
 
 }  // namespace flamingoyoke::integration
 
--- /dev/null
+++ b/tests/integration/soak/soak.cc
@@ -0,0 +1,261 @@
+#include "integration/soak/soak.h"
+
+#include <chrono>
+#include <cstdio>
+#include <filesystem>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "integration/support/wait_until.h"
+
+namespace flamingoyoke::integration {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kNotFound = 404;
+constexpr int kServiceMs = 20;
+// Bounds of the users' pages: a change is in force, and a target that left gets
+// no more requests, this long after the store acknowledged it, at gateways that
+// have been undisturbed for kInTouchTime.
+constexpr auto kApplyTime = seconds(2);
+constexpr auto kInTouchTime = milliseconds(3500);
+constexpr std::uint64_t kShortestFaultGapMs = 20;
+constexpr std::size_t kMostCalls = 1 << 20;
+constexpr std::size_t kMostCallerMessages = 1 << 12;
+
+auto ToTimePoint(const nlohmann::json& microseconds) -> TimePoint {
+  return TimePoint(Duration(microseconds.get<std::int64_t>()));
+}
+
+}  // namespace
+
+Soak::Soak(std::uint64_t seed, const SoakSettings& settings)
+    : seed_(seed),
+      settings_(settings),
+      limit_(settings.limits.at(seed % settings.limits.size())),
+      random_(seed),
+      fleet_(FleetSize{.targets = settings.targets,
+                       .service_ms = kServiceMs,
+                       .slots = settings.slots,
+                       .gateways = settings.gateways + settings.added_gateways,
+                       .hard_limit = settings.grace,
+                       .address_ttl = settings.address_ttl}),
+      ended_(kMostCalls),
+      caller_mailbox_(kMostCallerMessages),
+      gateways_(fleet_,
+                settings,
+                limit_,
+                [this](const std::string& what) { Report(what); }),
+      store_(fleet_, settings),
+      faults_(settings, random_, fleet_, gateways_, store_, caller_mailbox_),
+      callers_("callers", caller_mailbox_, [this] { return MakeCallers(); }) {
+  gateways_.StartMore(settings.gateways);
+}
+
+auto Soak::Run() -> std::vector<std::string> {
+  WaitForReady();
+  std::optional<Error> failure;
+  callers_.Start([&](const std::optional<Error>& error) { failure = error; });
+  for (std::size_t i = 0; i < settings_.storms; ++i) {
+    PlayStorm();
+    PlayCalm(i);
+  }
+  callers_.RequestStop(StopMode::kGraceful);
+  callers_.Join();
+  if (failure) {
+    Report("the callers failed: " + failure->detail);
+  }
+  CheckCalls();
+  gateways_.StopAll();
+  if (!broken_.empty()) {
+    KeepLogs();
+  }
+  return std::move(broken_);
+}
+
+auto Soak::MakeCallers() -> std::unique_ptr<CallerTask> {
+  std::vector<GatewayEndpoints> endpoints;
+  for (std::size_t i = 0; i < fleet_.gateways(); ++i) {
+    endpoints.push_back({fleet_.FrontOf(i), fleet_.DirectoryOf(i)});
+  }
+  return std::make_unique<CallerTask>(settings_, std::move(endpoints), seed_,
+                                      ended_);
+}
+
+auto Soak::Report(const std::string& what) -> void {
+  broken_.push_back("seed " + std::to_string(seed_) + " at " +
+                    std::to_string(ToMilliseconds(Now() - start_)) +
+                    " ms: " + what);
+  std::puts(broken_.back().c_str());
+}
+
+auto Soak::Tick() -> void {
+  faults_.Tick();
+  gateways_.Tick();
+}
+
+auto Soak::WaitUntilTime(TimePoint end) -> void {
+  while (Now() < end) {
+    Tick();
+    std::this_thread::sleep_for(milliseconds(5));
+  }
+}
+
+auto Soak::WaitForReady() -> void {
+  for (std::size_t i = 0; i < gateways_.started(); ++i) {
+    const auto end = Now() + kFleetTimeout;
+    while (!fleet_.IsReady(i)) {
+      if (Now() > end) {
+        Report("FAULT: gateway " + std::to_string(i) + " does not start");
+        break;
+      }
+      WaitUntilTime(Now() + milliseconds(20));
+    }
+  }
+}
+
+auto Soak::PlayStorm() -> void {
+  const auto end = Now() + settings_.storm;
+  faults_.Play(faults_.PickRoll());
+  while (Now() < end) {
+    faults_.PlayRandom();
+    WaitUntilTime(Now() +
+                  faults_.RandomTime(kShortestFaultGapMs,
+                                     static_cast<std::uint64_t>(
+                                         settings_.longest_fault_gap.count())));
+  }
+  while (!faults_.IsIdle() || !gateways_.AreAllStable()) {
+    WaitUntilTime(Now() + milliseconds(20));
+  }
+  if (gateways_.started() < fleet_.gateways()) {
+    gateways_.StartMore(settings_.added_gateways);
+  }
+  WaitForReady();
+}
+
+auto Soak::PlayCalm(std::size_t storm) -> void {
+  WaitUntilTime(Now() + kInTouchTime);
+  const auto target = random_.Below(fleet_.targets());
+  const bool is_removed = random_.Below(2) == 0;
+  const bool has_compacted = random_.Below(3) == 0;
+  const auto path = "/new-" + std::to_string(storm) + "/";
+  const auto end = faults_.PickWatchEnd();
+  if (has_compacted) {
+    fleet_.SendToStore("PUT", "/control/lists?cut=1");
+  }
+  fleet_.EndAllWatches(end);
+  if (is_removed) {
+    fleet_.Unregister(target, has_compacted ? "&compact=1" : "");
+  } else {
+    store_.Register(target, "draining");
+  }
+  store_.AddRoute(path);
+  const auto acknowledged = Now();
+  if (has_compacted) {
+    fleet_.EndAllWatches("cut");
+    fleet_.SendToStore("PUT", "/control/lists?cut=0");
+  }
+  WaitUntilTime(acknowledged + kApplyTime);
+  const auto before = RunsOf(target);
+  CheckRoute(path, end);
+  WaitUntilTime(Now() + seconds(1));
+  if (const auto late = RunsOf(target) - before; late > 0) {
+    Report("DRAIN: " + std::to_string(late) + " requests to target " +
+           std::to_string(target) +
+           (is_removed ? ", which was removed" : ", which drains") +
+           ", after the watches ended as " + end);
+  }
+  store_.Register(target, "ready");
+}
+
+auto Soak::CheckRoute(const std::string& path, const std::string& end) -> void {
+  for (std::size_t i = 0; i < gateways_.started(); ++i) {
+    auto server = fleet_.FrontOf(i);
+    server.text = kSoakHost;
+    auto id = path;
+    id += std::to_string(i);
+    const auto answer = fleet_.http().Send(
+        {.server = server,
+         .target = path + "1",
+         .headers = {{"X-Request-Id", id}, {"X-Request-Deadline-Ms", "3000"}}});
+    if (answer.status == kNotFound) {
+      Report("CONFIG: gateway " + std::to_string(i) + " has no route " + path +
+             " after the watches ended as " + end);
+    }
+  }
+}
+
+auto Soak::RunsOf(std::size_t target) -> int {
+  return fleet_.target(target).Counters(fleet_.http())["runs"];
+}
+
+auto Soak::CollectRuns() -> std::map<std::string, std::vector<TargetRun>> {
+  std::map<std::string, std::vector<TargetRun>> runs;
+  for (std::size_t i = 0; i < fleet_.targets(); ++i) {
+    const auto counters = fleet_.target(i).Counters(fleet_.http());
+    for (const auto& run : counters.at("log")) {
+      auto& added = runs[run.at("id")].emplace_back();
+      added.start = ToTimePoint(run.at("start_us"));
+      if (run.contains("end_us")) {
+        added.end = ToTimePoint(run.at("end_us"));
+      }
+      added.is_sound = run.at("is_sound");
+    }
+  }
+  return runs;
+}
+
+auto Soak::CheckCalls() -> void {
+  const CallChecks checks(settings_, gateways_.histories(), CollectRuns());
+  const auto since_start = [this](TimePoint time) {
+    return std::to_string(ToMilliseconds(time - start_));
+  };
+  int served = 0;
+  int closed = 0;
+  int calls = 0;
+  for (const auto& message : ended_.TakeAll()) {
+    const auto& call = std::get<EndedCall>(message);
+    ++calls;
+    served += call.status == 200 ? 1 : 0;
+    closed += call.end == CallEnd::kClosed ? 1 : 0;
+    for (const auto& promise : checks.Check(call)) {
+      auto text =
+          promise + ": call " + call.id + " of " +
+          settings_.routes[call.route].prefix + " to gateway " +
+          std::to_string(call.gateway) + ", " + since_start(call.time.start) +
+          " to " + since_start(call.time.end) + " ms, status " +
+          std::to_string(call.status) + ", end " +
+          std::string(ToName(call.end)) + (call.is_kept ? ", kept" : ", new") +
+          (call.is_behind ? ", behind" : "");
+      for (const auto& run : checks.RunsOf(call)) {
+        text += ", ran from " + since_start(run.start) + " to " +
+                (run.end ? since_start(*run.end) : "?") +
+                (run.is_sound ? "" : " without an answer");
+      }
+      for (const auto& stop : gateways_.histories()[call.gateway].stops) {
+        text += ", SIGTERM " + since_start(stop);
+      }
+      Report(text);
+    }
+  }
+  printf(
+      "soak: seed %lu, limit %s: %d of %d calls served, %d without an "
+      "answer\n",
+      static_cast<unsigned long>(seed_), std::string(ToName(limit_)).c_str(),
+      served, calls, closed);
+  if (calls == 0 || served * 4 < calls) {
+    Report("RECOVER: only " + std::to_string(served) + " of " +
+           std::to_string(calls) + " calls were served");
+  }
+}
+
+auto Soak::KeepLogs() -> void {
+  const auto kept = fleet_.folder() + "-seed-" + std::to_string(seed_);
+  std::filesystem::copy(fleet_.folder(), kept);
+  broken_.push_back("logs: " + kept);
+}
+
+}  // namespace flamingoyoke::integration
--- /dev/null
+++ b/tests/integration/soak/soak.h
@@ -0,0 +1,71 @@
+#ifndef FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_SOAK_H_
+#define FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_SOAK_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+#include "integration/soak/caller_task.h"
+#include "integration/soak/fault_player.h"
+#include "integration/soak/gateway_watch.h"
+#include "integration/soak/soak_settings.h"
+#include "integration/soak/soak_store.h"
+#include "integration/support/published_fleet.h"
+#include "runtime/clock.h"
+#include "runtime/mailbox.h"
+#include "runtime/task_host.h"
+
+namespace flamingoyoke::integration {
+
+// One run of a fleet of real processes under random faults. Storms of
+// overlapping faults alternate with calm times, in which the bounds on changes
+// and on targets that leave are checked while connections to the store fail.
+// Not thread-safe.
+class Soak {
+ public:
+  // Starts the gateways. `settings` must outlive the soak.
+  Soak(std::uint64_t seed, const SoakSettings& settings);
+
+  // Returns the promises that were broken.
+  auto Run() -> std::vector<std::string>;
+
+ private:
+  auto MakeCallers() -> std::unique_ptr<CallerTask>;
+  auto Report(const std::string& what) -> void;
+  auto Tick() -> void;
+  auto WaitUntilTime(TimePoint end) -> void;
+  auto WaitForReady() -> void;
+  auto PlayStorm() -> void;
+  auto PlayCalm(std::size_t storm) -> void;
+  // Checks that all gateways serve a route that was added, after the watches
+  // ended as `end`.
+  auto CheckRoute(const std::string& path, const std::string& end) -> void;
+  auto RunsOf(std::size_t target) -> int;
+  // Returns what all targets ran, by request id.
+  auto CollectRuns() -> std::map<std::string, std::vector<TargetRun>>;
+  auto CheckCalls() -> void;
+  // Keeps the logs of the gateways for a trace.
+  auto KeepLogs() -> void;
+
+  const std::uint64_t seed_;
+  const SoakSettings& settings_;
+  const SystemLimit limit_;
+  const TimePoint start_ = Now();
+  Random random_;
+  PublishedStoreFleet fleet_;
+  Mailbox<CallMessage> ended_;
+  Mailbox<CallerMessage> caller_mailbox_;
+  std::vector<std::string> broken_;
+  GatewayWatch gateways_;
+  SoakStore store_;
+  FaultPlayer faults_;
+  TaskHost<CallerTask> callers_;
+};
+
+}  // namespace flamingoyoke::integration
+
+#endif  // FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_SOAK_H_
--- /dev/null
+++ b/tests/integration/soak/soak_store.cc
@@ -0,0 +1,72 @@
+#include "integration/soak/soak_store.h"
+
+#include <nlohmann/json.hpp>
+
+#include "integration/soak/caller_task.h"
+
+namespace flamingoyoke::integration {
+namespace {
+
+constexpr int kFirstStart = 1000;
+
+auto RouteJson(const std::string& prefix, const RouteSettings& route)
+    -> nlohmann::json {
+  return {{"host", kSoakHost},        {"prefix", prefix},
+          {"kind", route.kind},       {"timeout_ms", route.timeout.count()},
+          {"slo_ms", 1500},           {"priority", 1},
+          {"service", route.service}, {"max_attempts", 2}};
+}
+
+}  // namespace
+
+SoakStore::SoakStore(PublishedStoreFleet& fleet, const SoakSettings& settings)
+    : fleet_(fleet), settings_(settings) {
+  Publish();
+}
+
+auto SoakStore::AddRoute(const std::string& prefix) -> void {
+  added_routes_.push_back(prefix);
+  Publish();
+}
+
+auto SoakStore::AddIdleRoutes(std::size_t count) -> void {
+  idle_routes_ += count;
+  Publish();
+}
+
+auto SoakStore::Register(std::size_t target, const std::string& state) -> void {
+  auto& starts = starts_[target];
+  if (state == "ready") {
+    ++starts;
+  }
+  ++sequence_;
+  fleet_.RegisterText(fleet_.target(target).id(),
+                      fleet_.target(target).RegistrationJson(
+                          state, kFirstStart + starts, sequence_));
+}
+
+auto SoakStore::Publish() -> void {
+  nlohmann::json routes;
+  for (const auto& route : settings_.routes) {
+    routes[route.prefix] = RouteJson(route.prefix, route);
+  }
+  for (const auto& prefix : added_routes_) {
+    routes[prefix] = RouteJson(prefix, settings_.routes.front());
+  }
+  for (std::size_t i = 0; i < idle_routes_; ++i) {
+    const auto prefix = "/idle-" + std::to_string(i) + "/";
+    routes[prefix] = RouteJson(prefix, settings_.routes.front());
+  }
+  nlohmann::json services;
+  for (const auto& [name, targets] : settings_.targets) {
+    services[name] = {{"health_path", "/health"}, {"max_conns", 360}};
+  }
+  version_ += 3;
+  fleet_.PublishConfig(
+      {{"version", "r" + std::to_string(version_)},
+       {"routes", routes},
+       {"services", services},
+       {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 1048576}}}});
+}
+
+}  // namespace flamingoyoke::integration
--- /dev/null
+++ b/tests/integration/soak/soak_store.h
@@ -0,0 +1,44 @@
+#ifndef FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_SOAK_STORE_H_
+#define FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_SOAK_STORE_H_
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "integration/soak/soak_settings.h"
+#include "integration/support/published_fleet.h"
+
+namespace flamingoyoke::integration {
+
+// What the operator and the targets of a soak write to the store. Not
+// thread-safe.
+class SoakStore {
+ public:
+  // `fleet` and `settings` must outlive the object.
+  SoakStore(PublishedStoreFleet& fleet, const SoakSettings& settings);
+
+  // Publishes the next version of the configuration with a further route.
+  auto AddRoute(const std::string& prefix) -> void;
+  // Publishes a version with `count` further routes that nobody calls.
+  auto AddIdleRoutes(std::size_t count) -> void;
+
+  // Writes the state of a target. A target that is `ready` starts anew.
+  auto Register(std::size_t target, const std::string& state) -> void;
+
+ private:
+  auto Publish() -> void;
+
+  PublishedStoreFleet& fleet_;
+  const SoakSettings& settings_;
+  int version_ = 10;
+  std::vector<std::string> added_routes_;
+  std::size_t idle_routes_ = 0;
+  // How often each target started anew.
+  std::map<std::size_t, int> starts_;
+  int sequence_ = 1;
+};
+
+}  // namespace flamingoyoke::integration
+
+#endif  // FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_SOAK_STORE_H_
--- a/tests/integration/soak_test.cc
+++ b/tests/integration/soak_test.cc
@@ -1,9 +1,10 @@
 #include <criterion/criterion.h>
 
 #include <cstdint>
+#include <cstdlib>
 #include <string>
 
-#include "integration/soak/soak_run.h"
+#include "integration/soak/soak.h"
 #include "support/environment.h"
 
 namespace flamingoyoke {
@@ -11,10 +12,12 @@
 namespace {
 
 // FLAMINGOYOKE_SOAK_SEEDS, _SEED and _GATEWAYS set the number of seeds, the
-// first seed and the size of the fleet of longer runs.
+// first seed and the size of the fleet of longer runs; _SETTINGS names another
+// settings file.
 constexpr std::uint64_t kSeeds = 2;
 constexpr std::uint64_t kFirstSeed = 1;
-constexpr std::uint64_t kGateways = 4;
+constexpr const char* kSettings =
+    FLAMINGOYOKE_SOURCE_DIR "/tests/integration/soak/small.json";
 
 }  // namespace
 
@@ -25,10 +28,13 @@
 Test(soak, keeps_its_promises_under_random_faults) {
   const auto first = FromEnvironment("FLAMINGOYOKE_SOAK_SEED", kFirstSeed);
   const auto seeds = FromEnvironment("FLAMINGOYOKE_SOAK_SEEDS", kSeeds);
-  const auto size = FromEnvironment("FLAMINGOYOKE_SOAK_GATEWAYS", kGateways);
+  const char* path = std::getenv("FLAMINGOYOKE_SOAK_SETTINGS");
+  auto settings = ReadSoakSettings(path == nullptr ? kSettings : path);
+  settings.gateways =
+      FromEnvironment("FLAMINGOYOKE_SOAK_GATEWAYS", settings.gateways);
   std::string all;
   for (auto seed = first; seed < first + seeds; ++seed) {
-    for (const auto& broken : Soak(seed, size).Run()) {
+    for (const auto& broken : Soak(seed, settings).Run()) {
       all += broken + "\n";
     }
   }
--- a/tests/integration/support/published_fleet.cc
+++ b/tests/integration/support/published_fleet.cc
@@ -2,10 +2,12 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <thread>
+#include <utility>
 
 #include "integration/support/wait_until.h"
 
@@ -13,6 +15,10 @@
 namespace {
 
 constexpr int kOk = 200;
+// What a target without a limit registers.
+constexpr std::size_t kSlots = 4;
+constexpr std::size_t kMostSeeds = 8;
+constexpr std::size_t kFailureDomains = 26;
 
 auto EndpointAt(const std::string& host, int port) -> NamedEndpoint {
   return *ParseEndpoint(host + ":" + std::to_string(port));
@@ -22,15 +28,26 @@
   auto path =
       (std::filesystem::temp_directory_path() / "flamingoyoke-XXXXXX").string();
   cr_assert(mkdtemp(path.data()) != nullptr);
+  // Gateways may run as another user.
+  std::filesystem::permissions(
+      path,
+      std::filesystem::perms::others_read | std::filesystem::perms::others_exec,
+      std::filesystem::perm_options::add);
   return path;
 }
 
 }  // namespace
 
-RegisteredStandin::RegisteredStandin(const std::string& id, int service_ms)
+RegisteredStandin::RegisteredStandin(const std::string& id,
+                                     std::string service,
+                                     int service_ms,
+                                     std::size_t slots)
     : id_(id),
+      service_(std::move(service)),
+      slots_(slots),
       process_(ProgramPath("tests/standins/standin_target"),
-               {"--id", id, "--service-ms", std::to_string(service_ms)}),
+               {"--id", id, "--service-ms", std::to_string(service_ms),
+                "--slots", std::to_string(slots)}),
       port_(process_.ReadNumber("port", kStartTimeout)) {}
 
 auto RegisteredStandin::SetMode(BlockingHttp& http, const std::string& mode)
@@ -49,23 +66,38 @@
       {"address", "127.0.0.1:" + std::to_string(port_)},
       {"born", start},
       {"info",
-       {{"service", "orders"}, {"version", "v1"}, {"zone", "a"}, {"slots", 4}}},
+       {{"service", service_},
+        {"version", "v1"},
+        {"zone", "a"},
+        {"slots", slots_ > 0 ? slots_ : kSlots}}},
       {"status", {{"state", state}, {"seq", sequence}, {"warmup_left_ms", 0}}}}
       .dump();
 }
 
-PublishedStoreFleet::PublishedStoreFleet(std::size_t targets,
-                                         int service_ms,
-                                         std::size_t gateways)
-    : folder_(MakeFolder()),
+PublishedStoreFleet::PublishedStoreFleet(FleetSize size)
+    : size_(std::move(size)),
+      folder_(MakeFolder()),
       store_(ProgramPath("tests/standins/standin_store"), {}),
       store_port_(store_.ReadNumber("port", kStartTimeout)) {
-  for (std::size_t i = 0; i < targets; ++i) {
-    targets_.push_back(std::make_unique<RegisteredStandin>(
-        "i-" + std::to_string(i), service_ms));
-    Register(i, "ready");
+  for (const auto& [service, count] : size_.targets) {
+    for (std::size_t i = 0; i < count; ++i) {
+      const auto index = targets_.size();
+      targets_.push_back(std::make_unique<RegisteredStandin>(
+          "i-" + std::to_string(index), service, size_.service_ms,
+          size_.slots));
+      Register(index, "ready");
+    }
   }
-  gateways_.resize(gateways);
+  gateways_.resize(size_.gateways);
+  launchers_.resize(size_.gateways);
+}
+
+PublishedStoreFleet::PublishedStoreFleet(std::size_t targets,
+                                         int service_ms,
+                                         std::size_t gateways)
+    : PublishedStoreFleet(FleetSize{.targets = {{"orders", targets}},
+                                    .service_ms = service_ms,
+                                    .gateways = gateways}) {
   PublishRoutes("r4", {"/book/"});
   for (std::size_t i = 0; i < gateways; ++i) {
     StartGateway(i);
@@ -127,15 +159,36 @@
     }
     add("/look/", "safe");
   }
-  const nlohmann::json config = {
-      {"version", version},
-      {"routes", routes},
-      {"services",
-       {{"orders", {{"health_path", "/health"}, {"max_conns", 60}}}}},
-      {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 1048576}}}};
+  PublishConfig(
+      {{"version", version},
+       {"routes", routes},
+       {"services",
+        {{"orders", {{"health_path", "/health"}, {"max_conns", 60}}}}},
+       {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 1048576}}}});
+}
+
+auto PublishedStoreFleet::PublishConfig(const nlohmann::json& config) -> void {
   http_.Put(store_port_, "/control/item?key=op/config", config.dump());
 }
 
+auto PublishedStoreFleet::SetLauncher(std::size_t index,
+                                      std::vector<std::string> launcher)
+    -> void {
+  launchers_[index] = std::move(launcher);
+}
+
+auto PublishedStoreFleet::ResetConnectionsOf(std::size_t gateway) -> void {
+  std::string filter;
+  for (const auto& address : AddressesOf(gateway)) {
+    filter += (filter.empty() ? "( src " : " or src ") + address.text +
+              " or dst " + address.text;
+  }
+  ChildProcess reset("/usr/bin/env",
+                     {"ss", "-K", "state", "connected", filter + " )"},
+                     CapturedOutput::kStdoutAndStderr);
+  reset.ReadAll(kStartTimeout);
+}
+
 auto PublishedStoreFleet::StartGateway(std::size_t index) -> void {
   StartGateway(
       index, "info",
@@ -155,19 +208,22 @@
   const auto host = AddressOf(index);
   const auto at = [&](int port) { return host + ":" + std::to_string(port); };
   auto seeds = nlohmann::json::array();
-  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+  for (std::size_t i = 0; i < std::min(gateways_.size(), kMostSeeds); ++i) {
     seeds.push_back(AddressOf(i) + ":" + std::to_string(ports_.control));
   }
   const nlohmann::json settings = {
       {"vm",
        {{"id", host},
-        {"failure_domain", std::string(1, static_cast<char>('a' + index))},
+        {"failure_domain",
+         std::string(1, static_cast<char>('a' + index % kFailureDomains))},
         {"region", "r"}}},
-      {"caller", {{"address", at(ports_.front)}, {"address_ttl_ms", 500}}},
+      {"caller",
+       {{"address", at(ports_.front)},
+        {"address_ttl_ms", size_.address_ttl.count()}}},
       {"mesh", {{"address", at(ports_.control)}}},
       {"admin", {{"address", at(ports_.admin)}}},
       {"platform", {{"address", "127.0.0.1:" + std::to_string(store_port_)}}},
-      {"shutdown", {{"hard_limit_ms", 8000}}},
+      {"shutdown", {{"hard_limit_ms", size_.hard_limit.count()}}},
       {"log", {{"level", log_level}}},
       {"gateway",
        {{"source", "published"},
@@ -177,9 +233,11 @@
         {"least_entries", 2}}}};
   const auto path = folder_ + "/gateway-" + std::to_string(index) + ".json";
   std::ofstream(path) << settings.dump();
-  gateways_[index] = std::make_unique<ChildProcess>(
-      ProgramPath("flamingoyoked-platform"),
-      std::vector<std::string>{"--settings", path}, output);
+  auto arguments = launchers_[index];
+  arguments.insert(arguments.end(),
+                   {ProgramPath("flamingoyoked-platform"), "--settings", path});
+  gateways_[index] =
+      std::make_unique<ChildProcess>("/usr/bin/env", arguments, output);
 }
 
 auto PublishedStoreFleet::IsReady(std::size_t index) -> bool {
--- a/tests/integration/support/published_fleet.h
+++ b/tests/integration/support/published_fleet.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -27,7 +28,11 @@
 // A registered target.
 class RegisteredStandin {
  public:
-  RegisteredStandin(const std::string& id, int service_ms);
+  // Runs up to `slots` requests at a time; 0 sets no limit.
+  RegisteredStandin(const std::string& id,
+                    std::string service,
+                    int service_ms,
+                    std::size_t slots);
 
   // Switches to a mode of the stand-in, for example "error".
   auto SetMode(BlockingHttp& http, const std::string& mode) -> void;
@@ -41,16 +46,33 @@
 
  private:
   std::string id_;
+  std::string service_;
+  std::size_t slots_;
   ChildProcess process_;
   int port_;
 };
 
+// Size of a fleet and what its settings need.
+struct FleetSize {
+  // Number of targets of each service.
+  std::map<std::string, std::size_t> targets;
+  int service_ms = 20;
+  // Requests that a target runs at a time; 0 sets no limit.
+  std::size_t slots = 0;
+  std::size_t gateways = 3;
+  std::chrono::milliseconds hard_limit = std::chrono::seconds(8);
+  std::chrono::milliseconds address_ttl = std::chrono::milliseconds(500);
+};
+
 // A published store, its registered targets and the gateways that read from it,
 // started as on the users' platform. Not thread-safe.
 class PublishedStoreFleet {
  public:
   static constexpr std::size_t kDefaultGateways = 3;
 
+  // Starts the targets and no gateway, and publishes no configuration.
+  explicit PublishedStoreFleet(FleetSize size);
+  // Starts targets of the service "orders" and all gateways.
   explicit PublishedStoreFleet(std::size_t targets,
                                int service_ms = 20,
                                std::size_t gateways = kDefaultGateways);
@@ -80,6 +102,18 @@
   auto PublishRoutes(const std::string& version,
                      const std::vector<std::string>& prefixes) -> void;
 
+  // Publishes a whole configuration.
+  auto PublishConfig(const nlohmann::json& config) -> void;
+
+  // Sets the program and arguments through which a gateway is started from now
+  // on, for example {"prlimit", "--nofile=256"}. They are looked up in PATH and
+  // must replace themselves by the gateway.
+  auto SetLauncher(std::size_t index, std::vector<std::string> launcher)
+      -> void;
+  // Resets the connections of other processes to a gateway, and its own to
+  // their addresses, if the system allows it.
+  auto ResetConnectionsOf(std::size_t gateway) -> void;
+
   // Starts a gateway that writes its log of level "info" to a file.
   auto StartGateway(std::size_t index) -> void;
   // Ends a gateway and starts it again with a log of level `log_level`, which
@@ -128,6 +162,7 @@
                     const std::string& log_level,
                     const ChildOutput& output) -> void;
 
+  const FleetSize size_;
   std::string folder_;
   BlockingHttp http_;
   PlatformPorts ports_;
@@ -135,6 +170,8 @@
   int store_port_;
   std::vector<std::unique_ptr<RegisteredStandin>> targets_;
   std::vector<std::unique_ptr<ChildProcess>> gateways_;
+  // How each gateway is started.
+  std::vector<std::vector<std::string>> launchers_;
 };
 
 }  // namespace flamingoyoke::integration
--- a/tests/standins/target/main.cc
+++ b/tests/standins/target/main.cc
@@ -13,6 +13,8 @@
   app.add_option("--port", options.port, "port; 0 chooses one and prints it");
   app.add_option("--id", options.id, "id of the target")->required();
   app.add_option("--service-ms", options.service_ms, "service time");
+  app.add_option("--slots", options.slots,
+                 "requests that run at a time; 0 sets no limit");
   CLI11_PARSE(app, argc, argv);
   return RunTask<TargetTask>(
       "target", [&] { return std::make_unique<TargetTask>(options); });
--- a/tests/standins/target/target_task.cc
+++ b/tests/standins/target/target_task.cc
@@ -1,17 +1,39 @@
 #include "standins/target/target_task.h"
 
+#include <algorithm>
+#include <cstdlib>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "runtime/clock.h"
+
 namespace flamingoyoke::standin {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kMisdirected = 421;
 constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
+constexpr int kDeadlineReached = 504;
+constexpr std::size_t kLongestQueue = 16;
+constexpr int kLongestTimeMs = 3'600'000;
+
+auto HeaderNumber(const HttpExchange& exchange,
+                  const char* name,
+                  std::int64_t fallback) -> std::int64_t {
+  const auto text = exchange.Header(name);
+  return text ? std::atoll(text->c_str()) : fallback;
+}
+
+// Returns what is left of the caller's time.
+auto TimeLeft(const HttpExchange& exchange) -> milliseconds {
+  return milliseconds(
+      HeaderNumber(exchange, "X-Request-Deadline-Ms", kLongestTimeMs));
+}
 
 }  // namespace
 
@@ -51,17 +73,36 @@
     return;
   }
   if (mode_ == TargetMode::kShed) {
-    exchange.Reply(
-        {kUnavailable, {{"X-Request-Id", id}, {"X-Not-Executed", "1"}}, ""});
+    Shed(std::move(exchange));
     return;
   }
-  Run(std::move(exchange));
+  if (HasFreeSlot()) {
+    Run(std::move(exchange));
+  } else if (waiting_.size() < kLongestQueue) {
+    const auto deadline = Now() + TimeLeft(exchange);
+    waiting_.push_back({std::move(exchange), deadline});
+  } else {
+    Shed(std::move(exchange));
+  }
 }
 
 auto TargetTask::OnControl(HttpExchange exchange) -> void {
   if (exchange.Path() == "/control/counters") {
-    const nlohmann::json counters = {
-        {"runs", runs_}, {"misdirected", misdirected_}, {"by_id", runs_by_id_}};
+    auto log = nlohmann::json::array();
+    for (const auto& record : log_) {
+      nlohmann::json entry = {
+          {"id", record.id},
+          {"start_us", record.start.time_since_epoch().count()},
+          {"is_sound", record.is_sound}};
+      if (record.end) {
+        entry["end_us"] = record.end->time_since_epoch().count();
+      }
+      log.push_back(entry);
+    }
+    const nlohmann::json counters = {{"runs", runs_},
+                                     {"misdirected", misdirected_},
+                                     {"by_id", runs_by_id_},
+                                     {"log", log}};
     exchange.Reply({kOk, {}, counters.dump()});
     return;
   }
@@ -71,37 +112,90 @@
     return;
   }
   mode_ = *mode;
+  if (mode_ != TargetMode::kHang) {
+    ResetHanging();
+  }
   exchange.Reply({kOk, {}, ""});
 }
 
+auto TargetTask::RunWaiting() -> void {
+  while (!waiting_.empty() && HasFreeSlot()) {
+    auto waiting = std::move(waiting_.front());
+    waiting_.pop_front();
+    if (waiting.deadline < Now()) {
+      Shed(std::move(waiting.exchange));
+    } else {
+      Run(std::move(waiting.exchange));
+    }
+  }
+}
+
+auto TargetTask::HasFreeSlot() const -> bool {
+  return options_.slots == 0 || running_.size() < options_.slots;
+}
+
 auto TargetTask::Run(HttpExchange exchange) -> void {
+  const auto id = exchange.Header("X-Request-Id").value_or("");
+  const auto work =
+      milliseconds(HeaderNumber(exchange, "X-Work-Ms", options_.service_ms));
+  const auto left = TimeLeft(exchange);
   ++runs_;
-  ++runs_by_id_[exchange.Header("X-Request-Id").value_or("")];
-  const auto number = next_running_++;
-  running_.emplace(number, std::move(exchange));
-  timers_->After(std::chrono::milliseconds(options_.service_ms),
-                 [this, number] { Finish(number); });
+  ++runs_by_id_[id];
+  log_.push_back({id, Now(), std::nullopt, false});
+  const auto number = log_.size() - 1;
+  running_.emplace(number, Running{std::move(exchange), work > left});
+  timers_->After(std::min(work, left), [this, number] { Finish(number); });
 }
 
-auto TargetTask::Finish(std::uint64_t number) -> void {
+auto TargetTask::Finish(std::size_t number) -> void {
   const auto found = running_.find(number);
-  if (found == running_.end() || mode_ == TargetMode::kHang) {
-    // In hang mode the request stays open until the process exits.
+  if (found == running_.end()) {
+    return;
+  }
+  if (mode_ == TargetMode::kHang) {
+    found->second.is_hanging = true;
     return;
   }
-  auto exchange = std::move(found->second);
+  auto running = std::move(found->second);
   running_.erase(found);
+  auto& record = log_[number];
+  record.end = Now();
   if (mode_ == TargetMode::kReset) {
-    exchange.Abort();
-    return;
+    running.exchange.Abort();
+  } else {
+    record.is_sound = mode_ != TargetMode::kForeign;
+    const auto id =
+        mode_ == TargetMode::kForeign ? "another-request" : record.id;
+    const int success = running.is_late ? kDeadlineReached : kOk;
+    running.exchange.Reply(
+        {mode_ == TargetMode::kError ? kInternalError : success,
+         {{"X-Request-Id", id},
+          {"X-Gateway-Signature", options_.id + "." + id},
+          {"X-Instance-Load", std::to_string(running_.size()) + "," +
+                                  std::to_string(waiting_.size()) + "," +
+                                  std::to_string(options_.slots)}},
+         "body of " + id});
   }
-  const auto id = mode_ == TargetMode::kForeign
-                      ? "another-request"
-                      : exchange.Header("X-Request-Id").value_or("");
+  RunWaiting();
+}
+
+auto TargetTask::ResetHanging() -> void {
+  for (auto entry = running_.begin(); entry != running_.end();) {
+    if (!entry->second.is_hanging) {
+      ++entry;
+      continue;
+    }
+    log_[entry->first].end = Now();
+    entry->second.exchange.Reset();
+    entry = running_.erase(entry);
+  }
+  RunWaiting();
+}
+
+auto TargetTask::Shed(HttpExchange exchange) -> void {
+  const auto id = exchange.Header("X-Request-Id").value_or("");
   exchange.Reply(
-      {mode_ == TargetMode::kError ? kInternalError : kOk,
-       {{"X-Request-Id", id}, {"X-Gateway-Signature", options_.id + "." + id}},
-       "body of " + id});
+      {kUnavailable, {{"X-Request-Id", id}, {"X-Not-Executed", "1"}}, ""});
 }
 
 }  // namespace flamingoyoke::standin
--- a/tests/standins/target/target_task.h
+++ b/tests/standins/target/target_task.h
@@ -3,12 +3,15 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/name_table.h"
 #include "core/result.h"
+#include "core/time.h"
 #include "runtime/task.h"
 #include "standins/common/http_exchange.h"
 #include "standins/common/http_server.h"
@@ -51,13 +54,17 @@
 struct TargetOptions {
   std::uint16_t port = 0;
   std::string id;
+  // Service time of requests without X-Work-Ms.
   std::int64_t service_ms = 20;
+  // Requests that run at a time, while a few more wait; 0 sets no limit.
+  std::size_t slots = 0;
 };
 
 // A target of the users' platform. It does not register itself: the test
 // publishes its entry in the store. Control:
 //   PUT /control/mode?name=<mode>  switches the mode
-//   GET /control/counters          JSON with the runs of each request id
+//   GET /control/counters          JSON with the runs of each request id, and
+//                                  "log" with the times of each run
 class TargetTask {
  public:
   using Message = StandinMessage;
@@ -69,10 +76,36 @@
   auto Stop(StopMode mode) -> void;
 
  private:
+  // A run of a request, which stays in the log.
+  struct RunRecord {
+    std::string id;
+    TimePoint start;
+    std::optional<TimePoint> end;
+    // Whether the answer was complete and its own.
+    bool is_sound = false;
+  };
+  // A run without an answer yet.
+  struct Running {
+    HttpExchange exchange;
+    // Whether its work lasts beyond its deadline.
+    bool is_late = false;
+    bool is_hanging = false;
+  };
+  struct Waiting {
+    HttpExchange exchange;
+    TimePoint deadline;
+  };
+
   auto OnRequest(HttpExchange exchange) -> void;
   auto OnControl(HttpExchange exchange) -> void;
   auto Run(HttpExchange exchange) -> void;
-  auto Finish(std::uint64_t number) -> void;
+  auto Finish(std::size_t number) -> void;
+  static auto Shed(HttpExchange exchange) -> void;
+  // Runs requests that wait, as far as slots are free.
+  auto RunWaiting() -> void;
+  [[nodiscard]] auto HasFreeSlot() const -> bool;
+  // Resets the connections of requests that were not answered.
+  auto ResetHanging() -> void;
 
   const TargetOptions options_;
   TaskContext* context_ = nullptr;
@@ -80,8 +113,10 @@
   std::uint64_t runs_ = 0;
   std::uint64_t misdirected_ = 0;
   std::map<std::string, int> runs_by_id_;
-  std::uint64_t next_running_ = 0;
-  std::map<std::uint64_t, HttpExchange> running_;
+  std::vector<RunRecord> log_;
+  // By index in the log.
+  std::map<std::size_t, Running> running_;
+  std::deque<Waiting> waiting_;
   std::optional<HttpServer> server_;
   std::optional<TimerQueue> timers_;
 };
