--- /dev/null
+++ b/tests/integration/soak/fault.h
@@ -0,0 +1,75 @@
+#ifndef FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_FAULT_H_
+#define FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_FAULT_H_
+
+#include <cstddef>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "core/time.h"
+#include "standins/target/target_task.h"
+
+namespace flamingoyoke::integration {
+
+// Faults from outside of the processes.
+struct StopGateway {
+  std::size_t gateway = 0;
+  // Further signals, 50 ms apart.
+  std::vector<int> then;
+};
+// SIGTERM to several gateways in turn.
+struct RollGateways {
+  std::vector<std::size_t> gateways;
+  Duration gap = Duration::zero();
+};
+struct ReloadGateway {
+  std::size_t gateway = 0;
+};
+struct KillGateway {
+  std::size_t gateway = 0;
+};
+struct PauseGateway {
+  std::size_t gateway = 0;
+  Duration length = Duration::zero();
+};
+// Resets the connections of all callers to a gateway.
+struct ResetGateway {
+  std::size_t gateway = 0;
+};
+struct HarmTarget {
+  std::size_t target = 0;
+  standin::TargetMode mode = standin::TargetMode::kNormal;
+  Duration length = Duration::zero();
+};
+// A target drains and returns as a new start, while many routes are added.
+struct ReplaceTarget {
+  std::size_t target = 0;
+  Duration length = Duration::zero();
+};
+struct StoreOutage {
+  Duration length = Duration::zero();
+};
+struct EndWatches {
+  std::string end;
+};
+struct CompactHistory {};
+// Callers send more requests.
+struct Burst {
+  Duration length = Duration::zero();
+};
+using Fault = std::variant<StopGateway,
+                           RollGateways,
+                           ReloadGateway,
+                           KillGateway,
+                           PauseGateway,
+                           ResetGateway,
+                           HarmTarget,
+                           ReplaceTarget,
+                           StoreOutage,
+                           EndWatches,
+                           CompactHistory,
+                           Burst>;
+
+}  // namespace flamingoyoke::integration
+
+#endif  // FLAMINGOYOKE_TESTS_INTEGRATION_SOAK_FAULT_H_
--- a/tests/integration/support/published_fleet.cc
+++ b/tests/integration/support/published_fleet.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -14,6 +15,10 @@
 namespace {
 
 constexpr int kOk = 200;
+// What a target without a limit registers.
+constexpr std::size_t kSlots = 4;
+constexpr std::size_t kMostSeeds = 8;
+constexpr std::size_t kFailureDomains = 26;
 
 auto EndpointAt(const std::string& host, int port) -> NamedEndpoint {
   return *ParseEndpoint(host + ":" + std::to_string(port));
@@ -23,15 +28,26 @@
   auto path =
       (std::filesystem::temp_directory_path() / "flamingoyoke-XXXXXX").string();
   cr_assert(mkdtemp(path.data()) != nullptr);
+  // Gateways may run as another user.
+  std::filesystem::permissions(
+      path,
+      std::filesystem::perms::others_read | std::filesystem::perms::others_exec,
+      std::filesystem::perm_options::add);
   return path;
 }
 
 }  // namespace
 
-RegisteredStandin::RegisteredStandin(const std::string& id, int service_ms)
+RegisteredStandin::RegisteredStandin(const std::string& id,
+                                     std::string service,
+                                     int service_ms,
+                                     std::size_t slots)
     : id_(id),
+      service_(std::move(service)),
+      slots_(slots),
       process_(ProgramPath("tests/standins/standin_target"),
-               {"--id", id, "--service-ms", std::to_string(service_ms)}),
+               {"--id", id, "--service-ms", std::to_string(service_ms),
+                "--slots", std::to_string(slots)}),
       port_(process_.ReadNumber("port", kStartTimeout)) {}
 
 auto RegisteredStandin::SetMode(BlockingHttp& http, const std::string& mode)
@@ -50,24 +66,38 @@
       {"address", "127.0.0.1:" + std::to_string(port_)},
       {"born", start},
       {"info",
-       {{"service", "orders"}, {"version", "v1"}, {"zone", "a"}, {"slots", 4}}},
+       {{"service", service_},
+        {"version", "v1"},
+        {"zone", "a"},
+        {"slots", slots_ > 0 ? slots_ : kSlots}}},
       {"status", {{"state", state}, {"seq", sequence}, {"warmup_left_ms", 0}}}}
       .dump();
 }
 
-PublishedStoreFleet::PublishedStoreFleet(std::size_t targets,
-                                         int service_ms,
-                                         std::size_t gateways)
-    : gateway_command_({ProgramPath("flamingoyoked-platform")}),
+PublishedStoreFleet::PublishedStoreFleet(FleetSize size)
+    : size_(std::move(size)),
       folder_(MakeFolder()),
       store_(ProgramPath("tests/standins/standin_store"), {}),
       store_port_(store_.ReadNumber("port", kStartTimeout)) {
-  for (std::size_t i = 0; i < targets; ++i) {
-    targets_.push_back(std::make_unique<RegisteredStandin>(
-        "i-" + std::to_string(i), service_ms));
-    Register(i, "ready");
+  for (const auto& [service, count] : size_.targets) {
+    for (std::size_t i = 0; i < count; ++i) {
+      const auto index = targets_.size();
+      targets_.push_back(std::make_unique<RegisteredStandin>(
+          "i-" + std::to_string(index), service, size_.service_ms,
+          size_.slots));
+      Register(index, "ready");
+    }
   }
-  gateways_.resize(gateways);
+  gateways_.resize(size_.gateways);
+  launchers_.resize(size_.gateways);
+}
+
+PublishedStoreFleet::PublishedStoreFleet(std::size_t targets,
+                                         int service_ms,
+                                         std::size_t gateways)
+    : PublishedStoreFleet(FleetSize{.targets = {{"orders", targets}},
+                                    .service_ms = service_ms,
+                                    .gateways = gateways}) {
   PublishRoutes("r4", {"/book/"});
   for (std::size_t i = 0; i < gateways; ++i) {
     StartGateway(i);
@@ -129,12 +159,15 @@
     }
     add("/look/", "safe");
   }
-  const nlohmann::json config = {
-      {"version", version},
-      {"routes", routes},
-      {"services",
-       {{"orders", {{"health_path", "/health"}, {"max_conns", 60}}}}},
-      {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 1048576}}}};
+  PublishConfig(
+      {{"version", version},
+       {"routes", routes},
+       {"services",
+        {{"orders", {{"health_path", "/health"}, {"max_conns", 60}}}}},
+       {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 1048576}}}});
+}
+
+auto PublishedStoreFleet::PublishConfig(const nlohmann::json& config) -> void {
   http_.Put(store_port_, "/control/item?key=op/config", config.dump());
 }
 
@@ -143,6 +176,12 @@
   gateway_command_ = std::move(command);
 }
 
+auto PublishedStoreFleet::SetLauncher(std::size_t index,
+                                      std::vector<std::string> launcher)
+    -> void {
+  launchers_[index] = std::move(launcher);
+}
+
 auto PublishedStoreFleet::StartGateway(std::size_t index) -> void {
   StartGateway(
       index, "info",
@@ -162,19 +201,22 @@
   const auto host = AddressOf(index);
   const auto at = [&](int port) { return host + ":" + std::to_string(port); };
   auto seeds = nlohmann::json::array();
-  for (std::size_t i = 0; i < gateways_.size(); ++i) {
+  for (std::size_t i = 0; i < std::min(gateways_.size(), kMostSeeds); ++i) {
     seeds.push_back(AddressOf(i) + ":" + std::to_string(ports_.control));
   }
   const nlohmann::json settings = {
       {"vm",
        {{"id", host},
-        {"failure_domain", std::string(1, static_cast<char>('a' + index))},
+        {"failure_domain",
+         std::string(1, static_cast<char>('a' + index % kFailureDomains))},
         {"region", "r"}}},
-      {"caller", {{"address", at(ports_.front)}, {"address_ttl_ms", 500}}},
+      {"caller",
+       {{"address", at(ports_.front)},
+        {"address_ttl_ms", size_.address_ttl.count()}}},
       {"mesh", {{"address", at(ports_.control)}}},
       {"admin", {{"address", at(ports_.admin)}}},
       {"platform", {{"address", "127.0.0.1:" + std::to_string(store_port_)}}},
-      {"shutdown", {{"hard_limit_ms", 8000}}},
+      {"shutdown", {{"hard_limit_ms", size_.hard_limit.count()}}},
       {"log", {{"level", log_level}}},
       {"gateway",
        {{"source", "published"},
@@ -184,11 +226,17 @@
         {"least_entries", 2}}}};
   const auto path = folder_ + "/gateway-" + std::to_string(index) + ".json";
   std::ofstream(path) << settings.dump();
-  std::vector<std::string> arguments(gateway_command_.begin() + 1,
-                                     gateway_command_.end());
-  arguments.insert(arguments.end(), {"--settings", path});
-  gateways_[index] = std::make_unique<ChildProcess>(gateway_command_.front(),
-                                                    arguments, output);
+  auto command = launchers_[index];
+  command.insert(command.end(), gateway_command_.begin(),
+                 gateway_command_.end());
+  command.insert(command.end(), {"--settings", path});
+  // Looks the launcher up in PATH.
+  const std::string program =
+      launchers_[index].empty() ? command.front() : "/usr/bin/env";
+  if (launchers_[index].empty()) {
+    command.erase(command.begin());
+  }
+  gateways_[index] = std::make_unique<ChildProcess>(program, command, output);
 }
 
 auto PublishedStoreFleet::IsReady(std::size_t index) -> bool {
