--- a/tests/integration/soak/soak.cc
+++ b/tests/integration/soak/soak.cc
@@ -182,8 +182,10 @@
          .target = path + "1",
          .headers = {{"X-Request-Id", id}, {"X-Request-Deadline-Ms", "3000"}}});
     if (answer.status == kNotFound) {
-      Report("CONFIG: gateway " + std::to_string(i) + " has no route " + path +
-             " after the watches ended as " + end);
+      auto failure = "CONFIG: gateway " + std::to_string(i);
+      failure += " has no route " + path;
+      failure += " after the watches ended as " + end;
+      Report(failure);
     }
   }
 }
