Hold a paused gateway to the bound of an early SIGTERM

The new soak excused exit code -15 at any age for a process that had ever been paused; before, only in the first second. No trace shows that case to be allowed, so the earlier bound is back.

--- a/tests/integration/soak/gateway_watch.cc
+++ b/tests/integration/soak/gateway_watch.cc
@@ -216,9 +216,9 @@
 
 auto GatewayWatch::CheckEnd(std::size_t index, int code) -> void {
   const auto& process = processes_[index];
-  const bool is_early =
-      process.stopped && code == -SIGTERM && !process.had_handlers &&
-      (*process.stopped - process.started < kStartTime || process.was_paused);
+  const bool is_early = process.stopped && code == -SIGTERM &&
+                        !process.had_handlers &&
+                        *process.stopped - process.started < kStartTime;
   if (!process.is_killed && (!process.stopped || (code != 0 && !is_early))) {
     report_("FAULT: gateway " + std::to_string(index) + " ended with code " +
             std::to_string(code) +
