--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -89,14 +89,13 @@
 // links, which doesn't show here, so 70% of all targets may be fewer of these.
 // Every idle target therefore gets a request if it is at most this likely to be
 // unhealthy: about 3 s after the last of several failures if the request can be
-// retried, and after 6 s otherwise. At 0.5 for all requests, 4% of the
-// simulated windows of a once-only service were below the floor, and 0.3% at
-// 0.65. At 0.8 none were, but 1.2% more requests failed.
+// retried, and after 6 s otherwise, since then a failure costs the caller the
+// answer.
 constexpr double kRecoveredThreshold = 0.8;
 constexpr double kRecoveredThresholdOnce = 0.65;
 // Share of a gateway's requests that may be such trials without a retry on
-// targets that look unhealthy. With 1.6 requests a second and target, trials
-// without a limit failed 1.3% more of the requests.
+// targets that look unhealthy. Without a limit, a service with few requests
+// loses a large part of them to trials.
 constexpr double kOnceTrialShare = 0.02;
 // All targets of the service are visited once in this period.
 constexpr Duration kFloorCheckPeriod = std::chrono::milliseconds(100);
