Order registries by the era of the store, then by revision

Cause: a revision of the store is used as an order over time, which holds within an era only. After a return, revisions are given out again, so proposals, versions between VMs and the start of a watch were compared with numbers of before.

Change: registries, digests, pulls and confirmations carry the era of the store. An answer of a later era starts a new list; one of an earlier era is refused. What was acknowledged before a return is kept: a removed or leaving target, a target that the copy lacks for the settling time, and the configuration in force, whose versions the operators number. A confirmation of an earlier era confirms nothing. An absent era is 0, so VMs of the version before run beside this one. A VM that becomes a reader again forgets its last list, which could restore a removed target.

--- a/src/core/ids.h
+++ b/src/core/ids.h
@@ -57,6 +57,10 @@
 using Incarnation = NumberId<struct IncarnationTag>;
 // Version of the operators' table; 0 if no table is known.
 using Revision = NumberId<struct RevisionTag>;
+// Counts the returns of the published store from an older copy of its data. Its
+// revisions are given out again after a return, so they are ordered within one
+// era only; 0 for a store that names no era.
+using StoreEra = NumberId<struct StoreEraTag>;
 // A request accepted by this process; unique within the process.
 using RequestId = NumberId<struct RequestTag>;
 // A slot loan; unique within the lender's incarnation.
--- a/src/decision/fleet/source_freshness.cc
+++ b/src/decision/fleet/source_freshness.cc
@@ -22,14 +22,19 @@
   is_substitute_ = false;
 }
 
-auto SourceFreshness::OnFollowing(bool is_elected, TimePoint now) -> void {
-  Confirm({self_, incarnation_, ++sequence_, Duration::zero(), is_elected},
+auto SourceFreshness::OnFollowing(bool is_elected, StoreEra era, TimePoint now)
+    -> void {
+  if (era < era_) {
+    return;
+  }
+  Confirm({self_, incarnation_, ++sequence_, Duration::zero(), is_elected, era},
           now);
 }
 
 auto SourceFreshness::OnConfirmation(const SourceConfirmation& confirmation,
                                      TimePoint now) -> void {
-  if (confirmation.reader == self_ || confirmation.age > max_age_) {
+  if (confirmation.reader == self_ || confirmation.age > max_age_ ||
+      confirmation.era < era_) {
     return;
   }
   if (seen_.size() >= kMaxReaders && !seen_.contains(confirmation.reader)) {
@@ -50,7 +55,8 @@
 
 auto SourceFreshness::Confirm(const SourceConfirmation& confirmation,
                               TimePoint at) -> void {
-  if (newest_ && at <= confirmed_at_) {
+  OnEra(confirmation.era);
+  if (newest_ && newest_->era == confirmation.era && at <= confirmed_at_) {
     return;
   }
   if (at - confirmed_at_ >= max_age_ / 2) {
--- a/src/decision/fleet/source_freshness.h
+++ b/src/decision/fleet/source_freshness.h
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOYOKE_DECISION_FLEET_SOURCE_FRESHNESS_H_
 #define FLAMINGOYOKE_DECISION_FLEET_SOURCE_FRESHNESS_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -19,7 +20,8 @@
 // readers of the published store confirm with every heartbeat that they follow
 // it, and all VMs pass the newest confirmation on. A VM that got none for
 // `max_age` reads the store itself, whatever share of the fleet was lost and
-// however late the membership notices it. Not thread-safe.
+// however late the membership notices it. A confirmation of an earlier era of
+// the store confirms nothing. Not thread-safe.
 class SourceFreshness {
  public:
   // No VM is out of date until this long after its start or the end of a pause:
@@ -39,9 +41,11 @@
 
   // The process started, or resumed after a pause.
   auto OnStarted(TimePoint now) -> void;
-  // This VM follows the store. `is_elected` tells whether it is one of the
-  // elected readers.
-  auto OnFollowing(bool is_elected, TimePoint now) -> void;
+  // This VM follows the store of `era`. `is_elected` tells whether it is one of
+  // the elected readers.
+  auto OnFollowing(bool is_elected, StoreEra era, TimePoint now) -> void;
+  // The store has returned in `era`, unless a later one is known.
+  auto OnEra(StoreEra era) -> void { era_ = std::max(era_, era); }
   // A peer passed on a confirmation.
   auto OnConfirmation(const SourceConfirmation& confirmation, TimePoint now)
       -> void;
@@ -74,6 +78,8 @@
   Random random_;
   std::size_t fleet_size_ = 1;
   std::uint64_t sequence_ = 0;
+  // Latest known era of the store.
+  StoreEra era_;
   // Newest confirmation, and when its reader followed the store.
   std::optional<SourceConfirmation> newest_;
   TimePoint confirmed_at_;
--- a/src/decision/fleet/table_dissemination.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -17,7 +17,14 @@
 constexpr Duration kRoleCheckPeriod = std::chrono::milliseconds(100);
 
 auto IsBefore(const TableDigest& a, const TableDigest& b) -> bool {
-  return std::tie(a.revision, a.hash) < std::tie(b.revision, b.hash);
+  return std::tie(a.era, a.revision, a.hash) <
+         std::tie(b.era, b.revision, b.hash);
+}
+
+// Returns whether the version that `pull` names is newer than `digest`.
+auto IsOlder(const TableDigest& digest, const TablePull& pull) -> bool {
+  return std::tie(digest.era, digest.revision) <
+         std::tie(pull.have_era, pull.have);
 }
 
 }  // namespace
@@ -90,8 +97,9 @@
 auto TableDissemination::Handle(const TableTextRead& event, TimePoint /*now*/)
     -> void {
   has_read_ = true;
-  SubmitForCheck(
-      {{event.shard, event.revision, HashOf(event.text)}, event.text, {}});
+  SubmitForCheck({{event.shard, event.revision, HashOf(event.text), event.era},
+                  event.text,
+                  {}});
 }
 
 auto TableDissemination::Handle(const SourceRead& event, TimePoint /*now*/)
@@ -180,8 +188,7 @@
     return;
   }
   const auto found = in_force_.find(pull.shard);
-  if (found != in_force_.end() &&
-      !(found->second.digest.revision < pull.have)) {
+  if (found != in_force_.end() && !IsOlder(found->second.digest, pull)) {
     actions_.emplace_back(SendToPeer{
         sender, TableData{found->second.digest, found->second.text}});
   }
@@ -272,8 +279,9 @@
     auto& pull = it->second;
     if (const auto peer = pull.NextSource(now)) {
       const auto shard = it->first;
+      const auto have = InForce(shard).value_or(TableDigest());
       actions_.emplace_back(
-          SendToPeer{*peer, TablePull{shard, RevisionInForce(shard)}});
+          SendToPeer{*peer, TablePull{shard, have.revision, have.era}});
     }
     it = pull.IsExhausted(now) ? pulls_.erase(it) : std::next(it);
   }
@@ -289,12 +297,6 @@
          rejected_.end();
 }
 
-auto TableDissemination::RevisionInForce(std::uint32_t shard) const
-    -> Revision {
-  const auto found = in_force_.find(shard);
-  return found == in_force_.end() ? Revision() : found->second.digest.revision;
-}
-
 auto TableDissemination::KnownRevision() const -> Revision {
   // A missing shard must be read whatever its revision is.
   if (!IsComplete() && rejected_.empty()) {
--- a/src/decision/fleet/table_dissemination.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -65,8 +65,8 @@
 static_assert(IsDense<FirstRead>());
 
 // Keeps the newest accepted version of each shard of the table and disseminates
-// it among peers. Versions are ordered by revision, then hash, and never go
-// back. Not thread-safe.
+// it among peers. Versions are ordered by era, revision, then hash, and never
+// go back. Not thread-safe.
 class TableDissemination {
  public:
   // Precondition: `shard_count` is positive.
@@ -130,7 +130,6 @@
   auto ContinuePulls(TimePoint now) -> void;
   [[nodiscard]] auto IsNewer(const TableDigest& digest) const -> bool;
   [[nodiscard]] auto IsRejected(const TableDigest& digest) const -> bool;
-  [[nodiscard]] auto RevisionInForce(std::uint32_t shard) const -> Revision;
   [[nodiscard]] auto KnownRevision() const -> Revision;
   // When this node reads the source for the first time. Precondition: started.
   [[nodiscard]] auto FirstReadDue() const -> TimePoint;
--- a/src/decision/fleet/table_dissemination_event.h
+++ b/src/decision/fleet/table_dissemination_event.h
@@ -35,6 +35,9 @@
   std::uint32_t shard = 0;
   Revision revision;
   std::string text;
+  // Era of the source's revision from which `revision` derives; see
+  // TableDigest.
+  StoreEra era = {};
 };
 
 // All that the source held when the read was requested has been delivered by
--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -24,6 +24,10 @@
   std::uint32_t shard = 0;
   Revision revision;
   std::uint64_t hash = 0;
+  // Era of the store's revision from which `revision` derives. 0 if the
+  // operators number the versions, as their numbers outlast the store's
+  // revisions.
+  StoreEra era = {};
 
   auto operator==(const TableDigest&) const -> bool = default;
 };
@@ -37,6 +41,8 @@
   Duration age = Duration::zero();
   // Whether it is an elected reader, not a substitute for lost ones.
   bool is_elected = false;
+  // Era of the store that the reader followed.
+  StoreEra era = {};
 
   auto operator==(const SourceConfirmation&) const -> bool = default;
 };
@@ -80,8 +86,9 @@
 
 struct TablePull {
   std::uint32_t shard = 0;
-  // Revision that the sender has.
+  // Revision and era of the version that the sender has.
   Revision have;
+  StoreEra have_era = {};
 };
 
 struct TableData {
--- a/src/decision/platform/registry_tracker.cc
+++ b/src/decision/platform/registry_tracker.cc
@@ -22,11 +22,20 @@
 }
 
 auto RegistryTracker::OnListed(const std::vector<RegisteredTarget>& targets,
+                               StoreEra era,
                                TimePoint now) -> void {
-  const auto previous = std::exchange(listed_, {});
+  const bool is_first = !std::exchange(has_listed_, true);
+  const auto known = is_first ? (current_ ? current_->era : era) : era_;
+  if (known < era) {
+    // The copy lacks the entries that were written after it was taken.
+    OnFailed();
+  }
+  era_ = era;
+  const auto previous =
+      is_first ? TargetsInForce() : std::exchange(listed_, {});
   for (const auto& target : targets) {
-    if (!order_.IsOutdated(target, now)) {
-      Record(target, now);
+    if (!order_.IsOutdatedInList(target, era, now)) {
+      Record(target, era, now);
       listed_.emplace(target.id, target);
     } else if (auto newest = NewestState(target, previous)) {
       listed_.emplace(target.id, std::move(*newest));
@@ -36,41 +45,39 @@
     missing_.erase(id);
   }
   for (const auto& [id, target] : previous) {
-    if (listed_.count(id) == 0 && !IsSettled(now)) {
+    if (listed_.count(id) == 0 && (is_first || !IsSettled(now))) {
       missing_.emplace(id, target);
     }
   }
-  if (!std::exchange(has_listed_, true) && current_) {
+  OnAnswered(now);
+}
+
+auto RegistryTracker::TargetsInForce() const
+    -> std::map<TargetId, RegisteredTarget> {
+  std::map<TargetId, RegisteredTarget> targets;
+  if (current_) {
     for (const auto& target : current_->targets) {
-      if (listed_.count(target.id) == 0) {
-        missing_.emplace(target.id, target);
-      }
+      targets.emplace(target.id, target);
     }
   }
-  OnAnswered(now);
+  return targets;
 }
 
 auto RegistryTracker::NewestState(
     const RegisteredTarget& outdated,
-    const std::map<TargetId, RegisteredTarget>& previous) const
+    const std::map<TargetId, RegisteredTarget>& previous)
     -> std::optional<RegisteredTarget> {
-  if (const auto found = previous.find(outdated.id); found != previous.end()) {
-    return found->second;
-  }
-  if (has_listed_ || !current_) {
-    return std::nullopt;
-  }
-  const auto found = std::find_if(
-      current_->targets.begin(), current_->targets.end(),
-      [&](const RegisteredTarget& each) { return each.id == outdated.id; });
-  return found == current_->targets.end() ? std::nullopt
-                                          : std::optional(*found);
+  const auto found = previous.find(outdated.id);
+  return found == previous.end() ? std::nullopt : std::optional(found->second);
 }
 
-auto RegistryTracker::Record(const RegisteredTarget& target, TimePoint now)
-    -> void {
-  order_.Record(target, now);
-  if (order_.size() > kMaxOrderedPerListed * (listed_.size() + 1)) {
+auto RegistryTracker::Record(const RegisteredTarget& target,
+                             StoreEra era,
+                             TimePoint now) -> void {
+  order_.Record(target, era, now);
+  const auto known =
+      std::max(listed_.size(), current_ ? current_->targets.size() : 0);
+  if (order_.size() > kMaxOrderedPerListed * (known + 1)) {
     order_.Prune(now);
   }
 }
@@ -78,7 +85,7 @@
 auto RegistryTracker::OnChanged(const RegisteredTarget& target, TimePoint now)
     -> void {
   if (!order_.IsOutdated(target, now)) {
-    Record(target, now);
+    Record(target, era_, now);
     missing_.erase(target.id);
     listed_[target.id] = target;
   }
@@ -93,6 +100,7 @@
       missing_.emplace(target, found->second);
     }
     listed_.erase(found);
+    order_.RecordRemoval(target, era_, now);
   }
   OnAnswered(now);
 }
@@ -109,6 +117,9 @@
 auto RegistryTracker::OnStarted(bool store_was_available, TimePoint now)
     -> void {
   available_since_.reset();
+  has_listed_ = false;
+  listed_.clear();
+  missing_.clear();
   if (store_was_available) {
     available_since_ = now - kSettleTime;
   }
@@ -121,12 +132,31 @@
 auto RegistryTracker::OnCurrentRegistry(
     std::shared_ptr<const Registry> registry,
     TimePoint now) -> void {
-  current_ = std::move(registry);
+  const auto before = std::exchange(current_, std::move(registry));
   if (!current_) {
     return;
   }
   for (const auto& target : current_->targets) {
-    Record(target, now);
+    // The registry may be older than a removal that this VM has read.
+    if (!order_.IsRemoved(target.id)) {
+      Record(target, current_->era, now);
+    }
+  }
+  if (before) {
+    RecordRemovals(*before, now);
+  }
+}
+
+auto RegistryTracker::RecordRemovals(const Registry& before, TimePoint now)
+    -> void {
+  auto next = current_->targets.begin();
+  for (const auto& target : before.targets) {
+    while (next != current_->targets.end() && next->id < target.id) {
+      ++next;
+    }
+    if (next == current_->targets.end() || next->id != target.id) {
+      order_.RecordRemoval(target.id, current_->era, now);
+    }
   }
 }
 
@@ -162,13 +192,14 @@
   for (auto& [id, target] : all) {
     registry.targets.push_back(std::move(target));
   }
+  registry.era = era_;
   registry.revision = Revision(store_revision * kStepsPerRevision);
-  if (!current_) {
+  if (!current_ || current_->era < era_) {
     return registry;
   }
   const auto used = current_->revision.value();
-  if (SameRegistrations(current_->targets, registry.targets) ||
-      store_revision < used / kStepsPerRevision) {
+  if (era_ < current_->era || store_revision < used / kStepsPerRevision ||
+      SameRegistrations(current_->targets, registry.targets)) {
     return std::nullopt;
   }
   registry.revision = std::max(registry.revision, Revision(used + 1));
--- a/src/decision/platform/registry_tracker.h
+++ b/src/decision/platform/registry_tracker.h
@@ -29,7 +29,12 @@
 // with missing targets.
 //
 // A report of a target that was held up on its way to the store may arrive
-// after newer ones, by a list or a watch. It changes nothing. Not thread-safe.
+// after newer ones, by a list or a watch. It changes nothing.
+//
+// The store may return from an older copy in a later era. What was acknowledged
+// before is kept: a target that left or was leaving stays so until it reports
+// something newer or its entry is written again, and a target that the copy
+// doesn't have stays until it could register again. Not thread-safe.
 class RegistryTracker {
  public:
   // Targets register again within about two seconds after the store recovers.
@@ -37,33 +42,43 @@
   // A peer sends a heartbeat every second and a table within milliseconds.
   static constexpr Duration kPeerSyncTime = std::chrono::milliseconds(1200);
 
-  // The store returned the complete list of entries.
-  auto OnListed(const std::vector<RegisteredTarget>& targets, TimePoint now)
-      -> void;
+  // The store returned the complete list of entries in `era`, which is no
+  // earlier than that of any list before.
+  auto OnListed(const std::vector<RegisteredTarget>& targets,
+                StoreEra era,
+                TimePoint now) -> void;
   // The store reported a changed or removed entry.
   auto OnChanged(const RegisteredTarget& target, TimePoint now) -> void;
   auto OnRemoved(const TargetId& target, TimePoint now) -> void;
-  // Returns whether a newer report of the target is known, so that this one
-  // will be ignored.
+  // Returns whether a newer state of the target is known, so that this report
+  // of a watch, or entry of a list in `era`, will be ignored.
   [[nodiscard]] auto IsOutdated(const RegisteredTarget& target,
                                 TimePoint now) const -> bool {
     return order_.IsOutdated(target, now);
   }
+  [[nodiscard]] auto IsOutdatedInList(const RegisteredTarget& target,
+                                      StoreEra era,
+                                      TimePoint now) const -> bool {
+    return order_.IsOutdatedInList(target, era, now);
+  }
   // The store answered. Must be called after every answer.
   auto OnAnswered(TimePoint now) -> void;
-  // A read failed.
+  // A read failed, or the store returned in a later era: entries of live
+  // targets may be missing.
   auto OnFailed() -> void;
-  // This VM becomes a reader. `store_was_available` tells whether other readers
-  // have read the store without a failure until now, in which case no entry of
-  // a live target has expired.
+  // This VM becomes a reader; what it listed in an earlier term is outdated.
+  // `store_was_available` tells whether other readers have read the store
+  // without a failure until now, in which case no entry of a live target has
+  // expired.
   auto OnStarted(bool store_was_available, TimePoint now) -> void;
   // Sets the registry in force in the fleet; null before the first one.
   auto OnCurrentRegistry(std::shared_ptr<const Registry> registry,
                          TimePoint now) -> void;
 
   // Returns the registry to propose to the fleet if it differs from the current
-  // one. Returns nothing if `store_revision`, the revision of the store's last
-  // answer, is older than the one the current registry was built from.
+  // one or belongs to a later era. Returns nothing if the era of the last list
+  // or, within an era, `store_revision`, the revision of the store's last
+  // answer, is earlier than the one the current registry was built from.
   [[nodiscard]] auto ProposeRegistry(std::uint64_t store_revision,
                                      TimePoint now) -> std::optional<Registry>;
 
@@ -75,13 +90,18 @@
  private:
   // Returns whether missing entries count as removed.
   [[nodiscard]] auto IsSettled(TimePoint now) const -> bool;
+  [[nodiscard]] auto TargetsInForce() const
+      -> std::map<TargetId, RegisteredTarget>;
   // Returns the state of a target whose listed report is outdated; nothing if
   // the target was removed.
-  [[nodiscard]] auto NewestState(
+  [[nodiscard]] static auto NewestState(
       const RegisteredTarget& outdated,
-      const std::map<TargetId, RegisteredTarget>& previous) const
+      const std::map<TargetId, RegisteredTarget>& previous)
       -> std::optional<RegisteredTarget>;
-  auto Record(const RegisteredTarget& target, TimePoint now) -> void;
+  auto Record(const RegisteredTarget& target, StoreEra era, TimePoint now)
+      -> void;
+  // Records the targets of `before` that the current registry lacks as removed.
+  auto RecordRemovals(const Registry& before, TimePoint now) -> void;
   // Drops missing targets that another reader has already found removed.
   auto DropMissingNotInCurrent() -> void;
 
@@ -91,6 +111,8 @@
   TargetReportOrder order_;
   std::optional<TimePoint> available_since_;
   bool has_listed_ = false;
+  // Era of the last list.
+  StoreEra era_;
   std::shared_ptr<const Registry> current_;
 };
 
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -6,6 +6,7 @@
 
 #include "core/overloaded.h"
 #include "decision/fleet/entry_set.h"
+#include "decision/fleet/published_shard.h"
 #include "decision/fleet/reader_election.h"
 #include "node/log.h"
 #include "runtime/clock.h"
@@ -140,8 +141,8 @@
 }
 
 auto FleetTask::HandleMessage(TableRead message) -> void {
-  ProcessEvent(
-      TableTextRead{message.shard, message.revision, std::move(message.text)});
+  ProcessEvent(TableTextRead{message.shard, message.revision,
+                             std::move(message.text), message.era});
 }
 
 auto FleetTask::HandleMessage(const SourceRead& message) -> void {
@@ -163,7 +164,7 @@
   // A reader that lost the store is still elected only if all VMs lost it. More
   // reads by others would not help then.
   if (is_reader_ && (has_read_as_reader_ || (is_elected_ && lost_source_))) {
-    freshness_.OnFollowing(is_elected_, now);
+    freshness_.OnFollowing(is_elected_, ActiveEra(), now);
   }
   ShareConfirmation(freshness_.TakeAnnouncementDue());
   ScheduleFreshnessCheck();
@@ -290,10 +291,12 @@
   tables.erase(std::remove_if(tables.begin(), tables.end(), same_shard),
                tables.end());
   tables.push_back({action.digest, action.text});
+  freshness_.OnEra(ActiveEra());
   Log(Part::kFleet, LogLevel::kInfo,
       "activated shard " + std::to_string(action.digest.shard) +
           " of revision " + std::to_string(action.digest.revision.value()) +
-          ": " + std::to_string(action.text.size()) + " bytes from " +
+          " of era " + std::to_string(action.digest.era.value()) + ": " +
+          std::to_string(action.text.size()) + " bytes from " +
           (action.origin.peer.empty() ? "its source"
                                       : action.origin.peer.value()) +
           ", announced " +
@@ -451,9 +454,11 @@
   view.routing = store.routing();
   view.registry = store.registry();
   FillEntries(view);
-  if (view.registry != posted_registry_) {
+  const auto routing = view.routing ? view.routing->revision : Revision();
+  if (view.registry != posted_registry_ || routing != posted_routing_) {
     posted_registry_ = view.registry;
-    outlets_.platform.Post(RegistryInForce{view.registry});
+    posted_routing_ = routing;
+    outlets_.platform.Post(PublishedInForce{view.registry, routing});
   }
 }
 
@@ -543,6 +548,12 @@
       tables_);
 }
 
+auto FleetTask::ActiveEra() const -> StoreEra {
+  return table_dissemination_.InForce(kRegistryShard)
+      .value_or(TableDigest())
+      .era;
+}
+
 auto FleetTask::UpdateHomePeers(const FleetView& view) -> void {
   const auto peers = HomePeersOf(view);
   if (peers == home_peers_) {
@@ -570,6 +581,9 @@
           Gauge("flamingoyoke_fleet_table_revision",
                 "Revision of the table in force, 0 if there is none.",
                 ActiveRevision().value()),
+          Gauge("flamingoyoke_fleet_store_era",
+                "Era of the published store that the registry in force is of.",
+                ActiveEra().value()),
           {.name = "flamingoyoke_fleet_refused_tables_total",
            .help = "Versions of the table that failed their check.",
            .value = static_cast<double>(rejected_tables_)},
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -103,6 +103,8 @@
   [[nodiscard]] auto IsSubstitute(std::size_t fleet_size) -> bool;
   [[nodiscard]] auto WasSourceHealthy() const -> bool;
   [[nodiscard]] auto ActiveRevision() const -> Revision;
+  // Returns the era of the published store that the registry in force is of.
+  [[nodiscard]] auto ActiveEra() const -> StoreEra;
   auto ReportMetrics() -> void;
 
   FleetConfig config_;
@@ -140,8 +142,10 @@
   std::vector<VmId> two_way_peers_;
   std::set<VmId> silent_peers_;
   std::set<VmId> home_peers_;
-  // Registry last sent to the task that reads the source.
+  // Registry and version of the configuration last sent to the task that reads
+  // the source.
   std::shared_ptr<const Registry> posted_registry_;
+  Revision posted_routing_;
   std::uint64_t rejected_tables_ = 0;
   std::uint64_t pauses_ = 0;
   // Times that this VM began to read the store as a substitute.
--- a/src/node/control/fleet/published_store.cc
+++ b/src/node/control/fleet/published_store.cc
@@ -16,6 +16,9 @@
                         [&] { return DecodeRouting(text, digest.revision); })
           : CaptureInto(checked_registry_,
                         [&] { return DecodeRegistry(text, digest.revision); });
+  if (checked_registry_) {
+    checked_registry_->era = digest.era;
+  }
   return error ? std::optional(error->detail) : std::nullopt;
 }
 
--- a/src/node/control/platform/platform_task.cc
+++ b/src/node/control/platform/platform_task.cc
@@ -38,7 +38,7 @@
 
 auto PlatformTask::Handle(Message message) -> Result<void> {
   if (!std::holds_alternative<ReaderRoleChanged>(message)) {
-    // RegistryInForce is ignored: a table in the configuration service lists
+    // PublishedInForce is ignored: a table in the configuration service lists
     // its targets itself.
     return {};
   }
--- a/src/node/control/store/store_reader.cc
+++ b/src/node/control/store/store_reader.cc
@@ -25,8 +25,13 @@
 
 }  // namespace
 
-StoreReader::StoreReader(EventLoop& loop, const StoreConfig& config)
-    : loop_(loop), config_(config), timeout_timer_(loop.MakeTimer([this] {
+StoreReader::StoreReader(EventLoop& loop,
+                         const StoreConfig& config,
+                         std::string era_header)
+    : loop_(loop),
+      config_(config),
+      era_header_(std::move(era_header)),
+      timeout_timer_(loop.MakeTimer([this] {
         connection_.reset();
         Complete({.outcome = failure_});
       })) {}
@@ -123,7 +128,13 @@
                                                 : failure_);
     return;
   }
-  Complete({ReadOutcome::kAnswered, status, CopyBody(request)});
+  const auto* era =
+      era_header_.empty()
+          ? nullptr
+          : evhttp_find_header(evhttp_request_get_input_headers(request),
+                               era_header_.c_str());
+  Complete({ReadOutcome::kAnswered, status, CopyBody(request),
+            era == nullptr ? "" : era});
 }
 
 auto StoreReader::Complete(const Response& response) -> void {
--- a/src/node/control/store/store_reader.h
+++ b/src/node/control/store/store_reader.h
@@ -24,11 +24,16 @@
     // Unset unless the outcome is kAnswered.
     int status = 0;
     std::string body;
+    // Value of the era header; empty if there is none.
+    std::string era;
   };
   using OnResponse = std::function<void(const Response&)>;
 
-  // `config` must outlive the reader.
-  StoreReader(EventLoop& loop, const StoreConfig& config);
+  // `config` must outlive the reader. `era_header` names the header whose value
+  // is returned as the era; none if empty.
+  StoreReader(EventLoop& loop,
+              const StoreConfig& config,
+              std::string era_header = {});
   StoreReader(const StoreReader&) = delete;
   auto operator=(const StoreReader&) -> StoreReader& = delete;
   ~StoreReader();
@@ -61,6 +66,7 @@
 
   EventLoop& loop_;
   const StoreConfig& config_;
+  const std::string era_header_;
   OnResponse on_response_;
   // The outcome that timeout_timer_ reports.
   ReadOutcome failure_ = ReadOutcome::kTimedOut;
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -1,6 +1,7 @@
 #include "node/control/store/store_task.h"
 
 #include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -29,6 +30,21 @@
              : "without an answer: " + std::string(ToName(response.outcome));
 }
 
+// Returns nothing if the header names no whole number. Answers without it are
+// of era 0.
+auto ParseEra(const std::string& header) -> std::optional<StoreEra> {
+  if (header.empty()) {
+    return StoreEra();
+  }
+  std::uint64_t number = 0;
+  const auto* end = header.data() + header.size();
+  const auto [rest, error] = std::from_chars(header.data(), end, number);
+  if (error != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return StoreEra(number);
+}
+
 auto CheckReadable(const StoreItem& item) -> Result<void> {
   if (!item.unreadable.empty()) {
     return Fail(ErrorKind::kTableRefused,
@@ -50,7 +66,8 @@
 
 auto StoreTask::Start(TaskContext& context) -> Result<void> {
   context_ = &context;
-  reader_ = std::make_unique<StoreReader>(context.loop(), config_);
+  reader_ = std::make_unique<StoreReader>(context.loop(), config_,
+                                          dialect_.era_header);
   read_timer_ = context.loop().MakeTimer([this] { StartRead(); });
   post_timer_ = context.loop().MakeTimer([this] {
     outbox_.PostPending();
@@ -81,9 +98,7 @@
   if (starts && !is_reading_) {
     // The known state is outdated. A new list also detects removals that
     // happened while this VM was not watching.
-    watch_after_ = 0;
-    list_cursor_.clear();
-    list_targets_.clear();
+    DiscardList();
     reader_->CloseConnection();
     recovery_.OnStarted();
     tracker_.OnStarted(changed.source_was_healthy, Now());
@@ -92,8 +107,51 @@
   }
 }
 
-auto StoreTask::HandleMessage(const RegistryInForce& changed) -> void {
+auto StoreTask::HandleMessage(const PublishedInForce& changed) -> void {
   tracker_.OnCurrentRegistry(changed.registry, Now());
+  if (changed.registry) {
+    known_era_ = std::max(known_era_, changed.registry->era);
+  }
+  if (routing_revision_ < changed.routing) {
+    routing_revision_ = changed.routing;
+    routing_era_ = known_era_;
+  }
+}
+
+auto StoreTask::DiscardList() -> void {
+  watch_after_ = 0;
+  list_cursor_.clear();
+  list_targets_.clear();
+  list_era_.reset();
+}
+
+auto StoreTask::AcceptEra(const StoreReader::Response& response) -> bool {
+  const auto era = ParseEra(response.era);
+  if (!era) {
+    DiscardList();
+    OnReadFailed("the era \"" + response.era + "\" is not a whole number");
+    return false;
+  }
+  if (*era < known_era_) {
+    DiscardList();
+    OnReadFailed("an answer is of era " + std::to_string(era->value()) +
+                 ", before the known era " +
+                 std::to_string(known_era_.value()));
+    return false;
+  }
+  known_era_ = *era;
+  if (!list_era_ || *list_era_ == *era) {
+    return true;
+  }
+  Log(Part::kStore, LogLevel::kWarning,
+      "the store has returned from an older copy: it is in era " +
+          std::to_string(era->value()) + " after era " +
+          std::to_string(list_era_->value()) + ", revision " +
+          std::to_string(std::max(watch_after_, list_revision_)) +
+          "; listing all keys again");
+  DiscardList();
+  read_timer_.Schedule(kRetryDelay);
+  return false;
 }
 
 auto StoreTask::StartRead() -> void {
@@ -132,6 +190,9 @@
 
 auto StoreTask::OnListResponse(const StoreReader::Response& response) -> void {
   is_reading_ = false;
+  if (response.status == kStatusOk && !AcceptEra(response)) {
+    return;
+  }
   std::optional<StorePage> page;
   if (response.status == kStatusOk) {
     const auto error =
@@ -155,6 +216,7 @@
     // Later pages may show later revisions. Watching from the revision of the
     // first page delivers those changes again instead of missing any.
     list_revision_ = page->as_of;
+    list_era_ = known_era_;
   }
   for (const auto& item : page->items) {
     ApplyItem(item, &list_targets_);
@@ -168,7 +230,11 @@
   list_cursor_.clear();
   watch_after_ = list_revision_;
   last_revision_ = page->as_of;
-  tracker_.OnListed(std::exchange(list_targets_, {}), Now());
+  Log(Part::kStore, LogLevel::kInfo,
+      "listed " + std::to_string(list_targets_.size()) +
+          " targets at revision " + std::to_string(list_revision_) +
+          " of era " + std::to_string(known_era_.value()));
+  tracker_.OnListed(std::exchange(list_targets_, {}), known_era_, Now());
   OnReadSucceeded();
 }
 
@@ -178,11 +244,14 @@
     OnUnanswered("watch", response.outcome);
     return;
   }
+  if (response.status == kStatusOk && !AcceptEra(response)) {
+    return;
+  }
   if (response.status == dialect_.compacted_status) {
     Log(Part::kStore, LogLevel::kWarning,
         "the store has compacted the changes after revision " +
             std::to_string(watch_after_) + "; listing all keys again");
-    watch_after_ = 0;
+    DiscardList();
     StartRead();
     return;
   }
@@ -271,7 +340,26 @@
         "rejected the published configuration: " + error->detail);
     return;
   }
-  PostVersion({kRoutingShard, routing->revision, EncodeRouting(*routing)});
+  if (!IsOutdated(*routing)) {
+    PostVersion({kRoutingShard, routing->revision, EncodeRouting(*routing)});
+  }
+}
+
+auto StoreTask::IsOutdated(const Routing& routing) -> bool {
+  if (routing.revision < routing_revision_) {
+    Log(Part::kStore, LogLevel::kWarning,
+        "kept configuration " + std::to_string(routing_revision_.value()) +
+            ", known since era " + std::to_string(routing_era_.value()) +
+            ": the store has the older version " +
+            std::to_string(routing.revision.value()) + " in era " +
+            std::to_string(known_era_.value()));
+    return true;
+  }
+  if (routing_revision_ < routing.revision) {
+    routing_revision_ = routing.revision;
+    routing_era_ = known_era_;
+  }
+  return false;
 }
 
 auto StoreTask::ApplyTarget(const TargetId& id,
@@ -296,12 +384,18 @@
     }
     return;
   }
-  if (tracker_.IsOutdated(*target, Now())) {
+  const bool is_outdated =
+      targets == nullptr
+          ? tracker_.IsOutdated(*target, Now())
+          : tracker_.IsOutdatedInList(*target, known_era_, Now());
+  if (is_outdated) {
     ++outdated_reports_;
     Log(Part::kStore, LogLevel::kWarning,
         "ignored report " + std::to_string(target->sequence) + " of target " +
             id.value() + ", which started at " +
-            std::to_string(target->started_ms) + " ms: a newer one is known; " +
+            std::to_string(target->started_ms) + " ms, in era " +
+            std::to_string(known_era_.value()) +
+            ": a newer state of it is known; " +
             std::to_string(outdated_reports_) + " ignored so far");
   }
   if (targets != nullptr) {
@@ -318,7 +412,8 @@
   }
   auto text = EncodeRegistry(*registry);
   registry_bytes_ = text.size();
-  PostVersion({kRegistryShard, registry->revision, std::move(text)});
+  PostVersion(
+      {kRegistryShard, registry->revision, std::move(text), registry->era});
 }
 
 auto StoreTask::PostVersion(TableRead read) -> void {
--- a/src/node/control/store/store_task.h
+++ b/src/node/control/store/store_task.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,11 +41,17 @@
 
  private:
   auto HandleMessage(const ReaderRoleChanged& changed) -> void;
-  auto HandleMessage(const RegistryInForce& changed) -> void;
+  auto HandleMessage(const PublishedInForce& changed) -> void;
 
   auto StartRead() -> void;
   auto RequestList() -> void;
   auto RequestWatch() -> void;
+  // Takes in the era that an answer names. Returns whether the answer may be
+  // used. Otherwise starts a new list, if the store has returned in a later era
+  // than that of the list, or treats the read as failed.
+  auto AcceptEra(const StoreReader::Response& response) -> bool;
+  // Forgets what was listed, so that the next read lists all keys.
+  auto DiscardList() -> void;
   auto OnListResponse(const StoreReader::Response& response) -> void;
   auto OnWatchResponse(const StoreReader::Response& response) -> void;
   // Returns how long to wait for an answer that the store may hold back for
@@ -59,6 +66,9 @@
   auto ApplyItem(const StoreItem& item, std::vector<RegisteredTarget>* targets)
       -> void;
   auto ApplyRouting(const StoreItem& item) -> void;
+  // Returns whether the store has an older configuration than is in force, and
+  // logs it. `routing` is what a read returned.
+  auto IsOutdated(const Routing& routing) -> bool;
   auto ApplyTarget(const TargetId& id,
                    const StoreItem& item,
                    std::vector<RegisteredTarget>* targets) -> void;
@@ -85,6 +95,14 @@
   TimePoint requested_at_;
   // Revision to watch from; 0 until a list is complete.
   std::uint64_t watch_after_ = 0;
+  // Era of the list, complete or in progress; unset before the first one.
+  std::optional<StoreEra> list_era_;
+  // Latest era of this VM's answers and of the registry in force.
+  StoreEra known_era_;
+  // Newest version of the configuration that is in force or was read, and the
+  // latest era known when this VM learned of it.
+  Revision routing_revision_;
+  StoreEra routing_era_;
   // State of a list request in progress: the last key read, the revision of the
   // first page, and the targets read so far.
   std::string list_cursor_;
--- a/src/node/control/store/table_outbox.cc
+++ b/src/node/control/store/table_outbox.cc
@@ -1,6 +1,7 @@
 #include "node/control/store/table_outbox.h"
 
 #include <string>
+#include <tuple>
 #include <utility>
 
 #include "node/log.h"
@@ -10,12 +11,15 @@
 auto TableOutbox::Post(TableRead read) -> void {
   const auto shard = read.shard;
   const auto found = pending_.find(shard);
-  if (found != pending_.end() && read.revision < found->second.revision) {
+  if (found != pending_.end() &&
+      std::tie(read.era, read.revision) <
+          std::tie(found->second.era, found->second.revision)) {
     return;
   }
   Log(Part::kStore, LogLevel::kInfo,
       "read shard " + std::to_string(shard) + " of revision " +
-          std::to_string(read.revision.value()));
+          std::to_string(read.revision.value()) + " of era " +
+          std::to_string(read.era.value()));
   pending_.insert_or_assign(shard, std::move(read));
   PostPending();
 }
--- a/src/node/dialect.h
+++ b/src/node/dialect.h
@@ -91,6 +91,10 @@
   std::function<std::string(std::uint64_t after, Duration wait)> watch_target;
   // Status of the store when it has compacted the changes after the revision.
   int compacted_status = 410;
+  // Header in which each answer names the era of the store, a whole number that
+  // rises each time the store returns from an older copy. Answers without it
+  // are of era 0.
+  std::string era_header = {};
   // A value that cannot be decoded must not hide the other entries of the page.
   std::function<Result<StorePage>(std::string_view body)> read_page;
   std::function<StoreKey(std::string_view key)> read_key;
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -72,6 +72,8 @@
   std::uint32_t shard = 0;
   Revision revision;
   std::string text;
+  // See TableDigest.
+  StoreEra era = {};
 };
 // The reader continues after the version that it has read, so a dropped version
 // would not be read again.
@@ -91,13 +93,14 @@
 inline constexpr MailboxPolicy kMailboxPolicy<ReaderRoleChanged> =
     MailboxPolicy::kCoalesce;
 
-// The registry that the fleet currently uses, sent to the task that reads newer
-// versions.
-struct RegistryInForce {
+// The registry that the fleet currently uses and the version of its published
+// configuration, sent to the task that reads newer versions.
+struct PublishedInForce {
   std::shared_ptr<const Registry> registry;
+  Revision routing;
 };
 template <>
-inline constexpr MailboxPolicy kMailboxPolicy<RegistryInForce> =
+inline constexpr MailboxPolicy kMailboxPolicy<PublishedInForce> =
     MailboxPolicy::kCoalesce;
 
 // A read of the published store succeeded, and all versions that it returned
@@ -238,7 +241,7 @@
                                   LeavingStarted>;
 using MeshMessage =
     std::variant<PeerMessageToSend, PeerEndpointsChanged, PeerLinkSilent>;
-using PlatformMessage = std::variant<ReaderRoleChanged, RegistryInForce>;
+using PlatformMessage = std::variant<ReaderRoleChanged, PublishedInForce>;
 using AdminMessage = std::
     variant<FleetViewChanged, TrafficReported, TableRefused, MetricsRendered>;
 using TelemetryMessage = std::variant<MetricsReported, SpanFinished>;
--- a/src/table/registry.h
+++ b/src/table/registry.h
@@ -41,10 +41,11 @@
   return a == b;
 }
 
-// The registered targets, sorted by id.
+// The registered targets, sorted by id. Ordered by era, then revision.
 struct Registry {
   Revision revision;
   std::vector<RegisteredTarget> targets;
+  StoreEra era = {};
 
   auto operator==(const Registry&) const -> bool = default;
 };
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -33,7 +33,8 @@
 }
 
 auto ReadDigest(const wire::TableDigest& encoded) -> TableDigest {
-  return {encoded.shard(), Revision(encoded.revision()), encoded.hash()};
+  return {encoded.shard(), Revision(encoded.revision()), encoded.hash(),
+          StoreEra(encoded.era())};
 }
 
 auto ReadResources(const wire::VmResources& encoded) -> VmResources {
@@ -98,8 +99,8 @@
     const auto& source = encoded.source();
     message.source = SourceConfirmation{
         VmId(source.reader()), Incarnation(source.incarnation()),
-        source.sequence(), std::chrono::milliseconds(source.age_ms()),
-        source.is_elected()};
+        source.sequence(),     std::chrono::milliseconds(source.age_ms()),
+        source.is_elected(),   StoreEra(source.era())};
   }
   return message;
 }
@@ -127,7 +128,8 @@
 }
 
 auto Read(const wire::TablePull& encoded) -> Result<PeerMessage> {
-  return TablePull{encoded.shard(), Revision(encoded.have())};
+  return TablePull{encoded.shard(), Revision(encoded.have()),
+                   StoreEra(encoded.have_era())};
 }
 
 auto Read(const wire::TableData& encoded) -> Result<PeerMessage> {
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -11,6 +11,7 @@
   encoded->set_shard(digest.shard);
   encoded->set_revision(digest.revision.value());
   encoded->set_hash(digest.hash);
+  encoded->set_era(digest.era.value());
 }
 
 auto WriteResources(const VmResources& resources, wire::VmResources* encoded)
@@ -83,6 +84,7 @@
     source->set_sequence(message.source->sequence);
     source->set_age_ms(ToWireMilliseconds(message.source->age));
     source->set_is_elected(message.source->is_elected);
+    source->set_era(message.source->era.value());
   }
 }
 
@@ -113,6 +115,7 @@
   auto* encoded = envelope_.mutable_table_pull();
   encoded->set_shard(message.shard);
   encoded->set_have(message.have.value());
+  encoded->set_have_era(message.have_era.value());
 }
 
 auto BodyWriter::operator()(const TableData& message) const -> void {
--- a/tests/unit/decision/fleet/fake_fleet.h
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -531,7 +531,7 @@
       return;
     }
     if (node.is_reader && node.has_read_as_reader) {
-      node.freshness->OnFollowing(node.is_elected, now_);
+      node.freshness->OnFollowing(node.is_elected, StoreEra(), now_);
     }
     Dispatch(index, SourceConfirmed{node.freshness->Newest(now_),
                                     node.freshness->TakeAnnouncementDue()});
--- a/tests/unit/decision/fleet/source_freshness_test.cc
+++ b/tests/unit/decision/fleet/source_freshness_test.cc
@@ -58,7 +58,7 @@
   auto freshness = MakeFreshness("vm-b");
   auto now = kStart + milliseconds(5000);
   cr_assert(freshness.ShouldRead(now));
-  freshness.OnFollowing(false, now);
+  freshness.OnFollowing(false, StoreEra(), now);
   now += milliseconds(50);
   freshness.OnConfirmation(Confirmed("vm-c", 1, Duration::zero(), false), now);
   cr_assert(freshness.ShouldRead(now), "stopped for a lower-ranked substitute");
@@ -113,4 +113,30 @@
   cr_assert_leq(readers, kVms / 5);
 }
 
+// Guards against a VM that relies on a reader which has not seen that the store
+// returned from an older copy.
+Test(source_freshness, a_confirmation_of_an_earlier_era_confirms_nothing) {
+  auto freshness = MakeFreshness("vm-a");
+  const auto last = kStart + milliseconds(5000);
+  auto later_era = Confirmed("vm-z", 7, milliseconds(0));
+  later_era.era = StoreEra(2);
+  freshness.OnConfirmation(later_era, last);
+  const auto later = last + milliseconds(900);
+  auto earlier_era = Confirmed("vm-y", 9, milliseconds(0));
+  earlier_era.era = StoreEra(1);
+  freshness.OnConfirmation(earlier_era, later);
+  cr_assert(freshness.Newest(later)->reader == VmId("vm-z"));
+  cr_assert(freshness.ShouldRead(last + milliseconds(1100)));
+}
+
+// Guards against a reader that confirms the era before the one in force.
+Test(source_freshness, a_reader_does_not_confirm_an_earlier_era) {
+  auto freshness = MakeFreshness("vm-a");
+  const auto last = kStart + milliseconds(5000);
+  freshness.OnFollowing(true, StoreEra(1), last);
+  freshness.OnEra(StoreEra(2));
+  freshness.OnFollowing(true, StoreEra(1), last + milliseconds(900));
+  cr_assert(freshness.Age(last + milliseconds(900)) == milliseconds(900));
+}
+
 }  // namespace flamingoyoke
--- a/tests/unit/decision/fleet/table_dissemination_test.cc
+++ b/tests/unit/decision/fleet/table_dissemination_test.cc
@@ -244,4 +244,54 @@
 }
 
 }  // namespace
+// Guards against VMs that keep a registry of before a return of the store: its
+// revisions are given out again.
+Test(table_dissemination, a_later_era_replaces_a_higher_revision) {
+  TableDissemination dissemination(1, Random(1));
+  Accept(dissemination, 60, "old");
+  TableDigest digest{0, Revision(19), HashOf("new"), StoreEra(2)};
+  const auto announced =
+      dissemination.OnEvent(From("a", TableAnnounce{digest}), kStart);
+  const auto* pull = Find<SendToPeer>(announced);
+  cr_assert(pull != nullptr);
+  cr_assert(std::get<TablePull>(pull->message).have_era == StoreEra());
+  dissemination.OnEvent(From("a", TableData{digest, "new"}), kStart);
+  dissemination.OnEvent(TableChecked{digest, true, ""}, kStart);
+  cr_assert(*dissemination.InForce(0) == digest);
+}
+
+// Guards against a VM that was cut off over a return and brings back the
+// registry of before.
+Test(table_dissemination, an_earlier_era_changes_nothing) {
+  TableDissemination dissemination(1, Random(1));
+  const TableDigest digest{0, Revision(19), HashOf("new"), StoreEra(2)};
+  dissemination.OnEvent(TableTextRead{0, Revision(19), "new", StoreEra(2)},
+                        kStart);
+  dissemination.OnEvent(TableChecked{digest, true, ""}, kStart);
+  const auto announced = dissemination.OnEvent(
+      From("a", TableAnnounce{DigestFor(60, "old")}), kStart);
+  cr_assert(AskedPeer(announced).empty());
+  const auto sent = dissemination.OnEvent(
+      From("a", TableData{DigestFor(60, "old"), "old"}), kStart);
+  cr_assert(Find<CheckTable>(sent) == nullptr);
+}
+
+// Guards against a VM that is never sent the registry of a later era, as the
+// revision that it has is higher.
+Test(table_dissemination, answers_a_pull_from_an_earlier_era) {
+  TableDissemination dissemination(1, Random(1));
+  const TableDigest digest{0, Revision(19), HashOf("new"), StoreEra(2)};
+  dissemination.OnEvent(TableTextRead{0, Revision(19), "new", StoreEra(2)},
+                        kStart);
+  dissemination.OnEvent(TableChecked{digest, true, ""}, kStart);
+  const auto earlier = dissemination.OnEvent(
+      From("a", TablePull{0, Revision(60), StoreEra(1)}), kStart);
+  const auto* answer = Find<SendToPeer>(earlier);
+  cr_assert(answer != nullptr);
+  cr_assert(std::get<TableData>(answer->message).digest == digest);
+  const auto later = dissemination.OnEvent(
+      From("a", TablePull{0, Revision(1), StoreEra(3)}), kStart);
+  cr_assert(Find<SendToPeer>(later) == nullptr);
+}
+
 }  // namespace flamingoyoke
--- a/tests/unit/decision/platform/registry_tracker_test.cc
+++ b/tests/unit/decision/platform/registry_tracker_test.cc
@@ -39,7 +39,7 @@
 auto SettledTracker(const std::vector<RegisteredTarget>& targets)
     -> RegistryTracker {
   RegistryTracker tracker;
-  tracker.OnListed(targets, kStart - milliseconds(5000));
+  tracker.OnListed(targets, StoreEra(), kStart - milliseconds(5000));
   tracker.OnCurrentRegistry(MakeRegistry(10, targets),
                             kStart - milliseconds(5000));
   tracker.OnAnswered(kStart);
@@ -51,7 +51,7 @@
 // Guards against a fleet without targets after all VMs restarted.
 Test(registry_tracker, proposes_immediately_without_a_current_registry) {
   RegistryTracker tracker;
-  tracker.OnListed({Target("a")}, kStart);
+  tracker.OnListed({Target("a")}, StoreEra(), kStart);
   const auto registry = tracker.ProposeRegistry(5, kStart);
   cr_assert(registry.has_value());
   cr_assert_eq(registry->revision,
@@ -82,7 +82,7 @@
   auto tracker = SettledTracker({Target("a"), Target("b")});
   tracker.OnFailed();
   const auto back = kStart + milliseconds(4000);
-  tracker.OnListed({Target("a")}, back);
+  tracker.OnListed({Target("a")}, StoreEra(), back);
   const auto soon = back + milliseconds(2000);
   tracker.OnAnswered(soon);
   cr_assert_not(tracker.ProposeRegistry(12, soon).has_value());
@@ -100,7 +100,7 @@
   auto tracker = SettledTracker({Target("a"), Target("b")});
   tracker.OnFailed();
   const auto back = kStart + milliseconds(9000);
-  tracker.OnListed({Target("b"), Target("c")}, back);
+  tracker.OnListed({Target("b"), Target("c")}, StoreEra(), back);
   cr_assert_not(tracker.ProposeRegistry(20, back).has_value(),
                 "proposed before the peers reported");
   tracker.OnCurrentRegistry(MakeRegistry(19, {Target("b")}), back);
@@ -121,7 +121,7 @@
   tracker.OnCurrentRegistry(MakeRegistry(38, {Target("a"), Target("b")}),
                             kStart);
   tracker.OnStarted(true, kStart);
-  tracker.OnListed({Target("a"), Target("b")}, kStart);
+  tracker.OnListed({Target("a"), Target("b")}, StoreEra(), kStart);
   tracker.OnRemoved(TargetId("a"), kStart + milliseconds(300));
   cr_assert(
       tracker.ProposeRegistry(39, kStart + milliseconds(300)).has_value());
@@ -134,7 +134,7 @@
   tracker.OnCurrentRegistry(MakeRegistry(38, {Target("a"), Target("b")}),
                             kStart);
   tracker.OnStarted(false, kStart);
-  tracker.OnListed({Target("b")}, kStart);
+  tracker.OnListed({Target("b")}, StoreEra(), kStart);
   const auto settled = kStart + milliseconds(2400);
   tracker.OnAnswered(settled);
   const auto registry = tracker.ProposeRegistry(38, settled);
@@ -161,7 +161,7 @@
   cr_assert(tracker.IsOutdated(Numbered("a", 5), kStart));
   tracker.OnChanged(Numbered("a", 5), kStart);
   cr_assert_not(tracker.ProposeRegistry(12, kStart).has_value());
-  tracker.OnListed({Numbered("a", 5), Target("b")}, kStart);
+  tracker.OnListed({Numbered("a", 5), Target("b")}, StoreEra(), kStart);
   cr_assert_not(tracker.ProposeRegistry(13, kStart).has_value());
 }
 
@@ -173,7 +173,7 @@
   RegistryTracker tracker;
   tracker.OnCurrentRegistry(MakeRegistry(10, {leaving, Target("b")}), kStart);
   tracker.OnStarted(true, kStart);
-  tracker.OnListed({Numbered("a", 5), Target("b")}, kStart);
+  tracker.OnListed({Numbered("a", 5), Target("b")}, StoreEra(), kStart);
   cr_assert_not(tracker.ProposeRegistry(13, kStart).has_value());
 }
 
@@ -185,7 +185,7 @@
   const auto registry = tracker.ProposeRegistry(12, kStart);
   cr_assert(registry.has_value());
   cr_assert_eq(registry->targets.size(), 1U);
-  tracker.OnListed({Numbered("a", 5), Target("b")}, kStart);
+  tracker.OnListed({Numbered("a", 5), Target("b")}, StoreEra(), kStart);
   cr_assert_eq(tracker.ProposeRegistry(13, kStart)->targets.size(), 1U);
 }
 
@@ -211,7 +211,7 @@
   tracker.OnFailed();
   auto leaving = Target("a");
   leaving.leaving = true;
-  tracker.OnListed({leaving, Target("b")}, kStart);
+  tracker.OnListed({leaving, Target("b")}, StoreEra(), kStart);
   cr_assert(tracker.ProposeRegistry(12, kStart).has_value());
 }
 
--- a/tests/unit/wire/peer_codec_test.cc
+++ b/tests/unit/wire/peer_codec_test.cc
@@ -32,8 +32,8 @@
   return envelope->message;
 }
 
-const SourceConfirmation kSource{VmId("r"), Incarnation(8), 9,
-                                 milliseconds(250), true};
+const SourceConfirmation kSource{
+    VmId("r"), Incarnation(8), 9, milliseconds(250), true, StoreEra(2)};
 
 auto AllMessages() -> std::vector<PeerMessage> {
   const ServiceId service("orders");
@@ -42,8 +42,8 @@
       Heartbeat{5, 4, true, true, {{1, Revision(2), 3}}, 6, true, kSource},
       IndirectProbe{VmId("b"), Incarnation(3), true, false},
       MemberUpdate{{Member{.id = VmId("c"), .version = 3}}, true, {1, 2}},
-      TableAnnounce{{1, Revision(2), 3}},
-      TablePull{1, Revision(2)},
+      TableAnnounce{{1, Revision(2), 3, StoreEra(4)}},
+      TablePull{1, Revision(2), StoreEra(4)},
       TableData{{1, Revision(2), 3}, "service,route\n"},
       LoadReport{service, 1, 2, 3, 4, Duration(5), Duration(6), 7},
       SlotRequest{service, 2, 3, WorkClass::kLong, {LoanId(4)}},
@@ -87,6 +87,10 @@
   cr_assert_eq(heartbeat.heard_sequence, 4);
   cr_assert(heartbeat.tables.front() == (TableDigest{1, Revision(2), 3}));
   cr_assert(heartbeat.source == kSource);
+  const auto announce = std::get<TableAnnounce>(RoundTrip(AllMessages()[3]));
+  cr_assert(announce.digest == (TableDigest{1, Revision(2), 3, StoreEra(4)}));
+  const auto pull = std::get<TablePull>(RoundTrip(AllMessages()[4]));
+  cr_assert(pull.have_era == StoreEra(4));
   const auto report = std::get<OutcomeReport>(RoundTrip(AllMessages()[11]));
   cr_assert(report.outcomes.front().avoid == milliseconds(70));
 }
