Keep a removal when an older registry is put in force

Cause: a registry in force that still has a target and arrives after this VM read the removal cleared the record of it, so that a copy of the store could restore the target. A restarted target is recorded again, which the first form of the check left out. One look-up for each target instead of three.

--- a/src/decision/platform/registry_tracker.cc
+++ b/src/decision/platform/registry_tracker.cc
@@ -75,6 +75,10 @@
                              StoreEra era,
                              TimePoint now) -> void {
   order_.Record(target, era, now);
+  PruneOrder(now);
+}
+
+auto RegistryTracker::PruneOrder(TimePoint now) -> void {
   const auto known =
       std::max(listed_.size(), current_ ? current_->targets.size() : 0);
   if (order_.size() > kMaxOrderedPerListed * (known + 1)) {
@@ -137,11 +141,9 @@
     return;
   }
   for (const auto& target : current_->targets) {
-    // The registry may be older than a removal that this VM has read.
-    if (!order_.IsRemoved(target.id)) {
-      Record(target, current_->era, now);
-    }
+    order_.RecordInForce(target, current_->era, now);
   }
+  PruneOrder(now);
   if (before) {
     RecordRemovals(*before, now);
   }
--- a/src/decision/platform/registry_tracker.h
+++ b/src/decision/platform/registry_tracker.h
@@ -100,6 +100,8 @@
       -> std::optional<RegisteredTarget>;
   auto Record(const RegisteredTarget& target, StoreEra era, TimePoint now)
       -> void;
+  // Bounds the number of targets that have left and whose order is kept.
+  auto PruneOrder(TimePoint now) -> void;
   // Records the targets of `before` that the current registry lacks as removed.
   auto RecordRemovals(const Registry& before, TimePoint now) -> void;
   // Drops missing targets that another reader has already found removed.
--- a/src/decision/platform/target_report_order.cc
+++ b/src/decision/platform/target_report_order.cc
@@ -6,48 +6,72 @@
 
 namespace flamingoyoke {
 
+auto TargetReportOrder::IsOlder(const RegisteredTarget& report,
+                                const Newest& newest,
+                                TimePoint now) -> bool {
+  return now - newest.recorded < kTrustTime &&
+         std::tie(report.started_ms, report.sequence) <
+             std::tie(newest.started_ms, newest.sequence);
+}
+
+auto TargetReportOrder::IsSameReport(const RegisteredTarget& report,
+                                     const Newest& newest) -> bool {
+  return std::tie(report.started_ms, report.sequence) ==
+         std::tie(newest.started_ms, newest.sequence);
+}
+
 auto TargetReportOrder::IsOutdated(const RegisteredTarget& report,
                                    TimePoint now) const -> bool {
   const auto found = newest_.find(report.id);
-  if (found == newest_.end() || now - found->second.recorded >= kTrustTime) {
-    return false;
-  }
-  const auto& newest = found->second;
-  return std::tie(report.started_ms, report.sequence) <
-         std::tie(newest.started_ms, newest.sequence);
+  return found != newest_.end() && IsOlder(report, found->second, now);
 }
 
 auto TargetReportOrder::IsOutdatedInList(const RegisteredTarget& listed,
                                          StoreEra era,
                                          TimePoint now) const -> bool {
-  if (IsOutdated(listed, now)) {
-    return true;
-  }
   const auto found = newest_.find(listed.id);
-  if (found == newest_.end() || now - found->second.recorded >= kTrustTime) {
+  if (found == newest_.end()) {
     return false;
   }
   const auto& newest = found->second;
+  if (IsOlder(listed, newest, now)) {
+    return true;
+  }
   const bool has_left =
       newest.is_removed || (newest.is_leaving && !listed.leaving);
-  return has_left && newest.era < era &&
-         listed.started_ms == newest.started_ms &&
-         listed.sequence == newest.sequence;
+  return has_left && newest.era < era && IsSameReport(listed, newest) &&
+         now - newest.recorded < kTrustTime;
 }
 
 auto TargetReportOrder::Record(const RegisteredTarget& report,
                                StoreEra era,
                                TimePoint now) -> void {
-  if (IsOutdated(report, now)) {
+  const auto [entry, is_new] = newest_.try_emplace(report.id);
+  if (is_new) {
+    entry->second.recorded = now;
+  } else if (IsOlder(report, entry->second, now)) {
     return;
   }
-  auto& newest = newest_[report.id];
-  const bool is_known = newest.started_ms == report.started_ms &&
-                        newest.sequence == report.sequence &&
-                        newest.recorded != TimePoint();
+  Update(report, era, now, entry->second);
+}
+
+auto TargetReportOrder::RecordInForce(const RegisteredTarget& report,
+                                      StoreEra era,
+                                      TimePoint now) -> void {
+  const auto found = newest_.find(report.id);
+  if (found == newest_.end() || !found->second.is_removed ||
+      !IsSameReport(report, found->second)) {
+    Record(report, era, now);
+  }
+}
+
+auto TargetReportOrder::Update(const RegisteredTarget& report,
+                               StoreEra era,
+                               TimePoint now,
+                               Newest& newest) -> void {
   newest = {report.started_ms,
             report.sequence,
-            is_known ? newest.recorded : now,
+            IsSameReport(report, newest) ? newest.recorded : now,
             std::max(newest.era, era),
             report.leaving,
             false};
@@ -65,11 +89,6 @@
   found->second.is_removed = true;
 }
 
-auto TargetReportOrder::IsRemoved(const TargetId& target) const -> bool {
-  const auto found = newest_.find(target);
-  return found != newest_.end() && found->second.is_removed;
-}
-
 auto TargetReportOrder::Prune(TimePoint now) -> void {
   for (auto it = newest_.begin(); it != newest_.end();) {
     it = now - it->second.recorded >= kTrustTime ? newest_.erase(it)
--- a/src/decision/platform/target_report_order.h
+++ b/src/decision/platform/target_report_order.h
@@ -38,15 +38,17 @@
   auto Record(const RegisteredTarget& report, StoreEra era, TimePoint now)
       -> void;
 
+  // Does the same for a target in force, which says nothing new about a target
+  // whose removal was recorded: the registry in force may be older.
+  auto RecordInForce(const RegisteredTarget& report,
+                     StoreEra era,
+                     TimePoint now) -> void;
+
   // Records that the entry of a target was removed in `era`. Does nothing if no
   // report of the target is known.
   auto RecordRemoval(const TargetId& target, StoreEra era, TimePoint now)
       -> void;
 
-  // Returns whether the entry of a target was removed and nothing was recorded
-  // for it since.
-  [[nodiscard]] auto IsRemoved(const TargetId& target) const -> bool;
-
   // Forgets the targets without a newer report for kTrustTime, whose reports
   // are all accepted anyway.
   auto Prune(TimePoint now) -> void;
@@ -65,6 +67,16 @@
     bool is_removed = false;
   };
 
+  [[nodiscard]] static auto IsOlder(const RegisteredTarget& report,
+                                    const Newest& newest,
+                                    TimePoint now) -> bool;
+  [[nodiscard]] static auto IsSameReport(const RegisteredTarget& report,
+                                         const Newest& newest) -> bool;
+  static auto Update(const RegisteredTarget& report,
+                     StoreEra era,
+                     TimePoint now,
+                     Newest& newest) -> void;
+
   std::map<TargetId, Newest> newest_;
 };
 
