Tell a restarted store task its role and what is in force

What callers would see: an elected reader whose store task had been restarted read nothing until its role or the registry changed, and still confirmed the store to the fleet. Found by the review, by reading.

Cause: the fleet task posts the role and the registry on a change only, and a restarted task has lost the messages that its predecessor took.

Change: the store task reports its start; the fleet task then posts both again and counts the store as not read in this role.

fleet_task/tells_a_restarted_store_task_its_role needs the new message, so it can't be built on the code before.

--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -145,9 +145,15 @@
                              std::move(message.text), message.era});
 }
 
+auto FleetTask::HandleMessage(const StoreTaskStarted& /*message*/) -> void {
+  has_read_as_reader_ = false;
+  PostInForce();
+  PostRole();
+}
+
 auto FleetTask::HandleMessage(const SourceRead& message) -> void {
   ProcessEvent(TableDisseminationEvent(message));
-  has_read_as_reader_ = is_reader_;
+  has_read_as_reader_ = role_.is_reader;
   UpdateFreshness();
 }
 
@@ -163,7 +169,8 @@
   const auto now = Now();
   // A reader that lost the store is still elected only if all VMs lost it. More
   // reads by others would not help then.
-  if (is_reader_ && (has_read_as_reader_ || (is_elected_ && lost_source_))) {
+  if (role_.is_reader &&
+      (has_read_as_reader_ || (is_elected_ && lost_source_))) {
     freshness_.OnFollowing(is_elected_, ActiveEra(), now);
   }
   ShareConfirmation(freshness_.TakeAnnouncementDue());
@@ -316,11 +323,20 @@
 }
 
 auto FleetTask::Execute(const ReaderRoleSet& action) -> void {
-  if (std::exchange(is_reader_, action.is_reader) != action.is_reader) {
+  if (role_.is_reader != action.is_reader) {
     has_read_as_reader_ = false;
   }
+  role_ = action;
+  PostRole();
+}
+
+auto FleetTask::PostRole() -> void {
   outlets_.platform.Post(
-      ReaderRoleChanged{action.is_reader, action.known, WasSourceHealthy()});
+      ReaderRoleChanged{role_.is_reader, role_.known, WasSourceHealthy()});
+}
+
+auto FleetTask::PostInForce() -> void {
+  outlets_.platform.Post(PublishedInForce{posted_registry_, posted_routing_});
 }
 
 auto FleetTask::Execute(const WakeTableDisseminationAt& action) -> void {
@@ -458,7 +474,7 @@
   if (view.registry != posted_registry_ || routing != posted_routing_) {
     posted_registry_ = view.registry;
     posted_routing_ = routing;
-    outlets_.platform.Post(PublishedInForce{view.registry, routing});
+    PostInForce();
   }
 }
 
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -45,6 +45,7 @@
   auto HandleMessage(PeerMessageReceived message) -> void;
   auto HandleMessage(const VmListRead& message) -> void;
   auto HandleMessage(TableRead message) -> void;
+  auto HandleMessage(const StoreTaskStarted& message) -> void;
   auto HandleMessage(const SourceRead& message) -> void;
   auto HandleMessage(const SourceStateChanged& message) -> void;
   auto HandleMessage(const LoadMeasured& message) -> void;
@@ -71,6 +72,8 @@
   auto Execute(const PauseDetected& action) -> void;
   auto Execute(const WakePauseDetectorAt& action) -> void;
 
+  auto PostRole() -> void;
+  auto PostInForce() -> void;
   auto SetLostSource(bool lost) -> void;
   // Confirms that this VM follows the store if it does, and passes the newest
   // confirmation to the membership.
@@ -134,7 +137,7 @@
   SourceFreshness freshness_;
   // The role last sent to the task that reads the source, and whether that task
   // has read the source in this role.
-  bool is_reader_ = false;
+  ReaderRoleSet role_;
   bool has_read_as_reader_ = false;
   bool is_elected_ = false;
   bool is_substitute_ = false;
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -78,6 +78,7 @@
       post_timer_.Schedule(kPostRetryInterval);
     }
   });
+  fleet_.Post(StoreTaskStarted{});
   return {};
 }
 
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -103,6 +103,13 @@
 inline constexpr MailboxPolicy kMailboxPolicy<PublishedInForce> =
     MailboxPolicy::kCoalesce;
 
+// The task that reads the published store started, possibly again, and knows
+// neither its role nor what is in force.
+struct StoreTaskStarted {};
+template <>
+inline constexpr MailboxPolicy kMailboxPolicy<StoreTaskStarted> =
+    MailboxPolicy::kCoalesce;
+
 // A read of the published store succeeded, and all versions that it returned
 // have been posted.
 template <>
@@ -233,6 +240,7 @@
 using FleetMessage = std::variant<PeerMessageReceived,
                                   VmListRead,
                                   TableRead,
+                                  StoreTaskStarted,
                                   SourceRead,
                                   SourceStateChanged,
                                   LoadMeasured,
--- a/tests/unit/node/control/fleet/fleet_task_test.cc
+++ b/tests/unit/node/control/fleet/fleet_task_test.cc
@@ -202,4 +202,25 @@
 }
 
 }  // namespace
+// Guards against a reader that reads nothing after a restart of its store task.
+Test(fleet_task, tells_a_restarted_store_task_its_role) {
+  Node node;
+  node.StartServers();
+  node.Post(VmListRead{{MakeMember("vm-1")}, 1});
+  node.Post(TableRead{0, Revision(3), kTable});
+  cr_assert(node.AwaitView(IsReadyView) != nullptr);
+  node.mailboxes().platform.TakeAll();
+  node.Post(StoreTaskStarted{});
+  bool has_role = false;
+  const auto end = Now() + kTimeout;
+  while (!has_role && Now() < end) {
+    pollfd wait = {node.mailboxes().platform.descriptor(), POLLIN, 0};
+    poll(&wait, 1, 100);
+    for (const auto& message : node.mailboxes().platform.TakeAll()) {
+      has_role = has_role || std::holds_alternative<ReaderRoleChanged>(message);
+    }
+  }
+  cr_assert(has_role);
+}
+
 }  // namespace flamingoyoke
