Let the stand-in store return from a copy

The users' store may return from a copy some seconds old and names its era in each answer. The stand-in could lose nothing and named no era, so no test could show what the fleet does then.

The store now takes a copy on request and returns to it: items, history and revision go back, the era rises by one, waiting watches are closed, and a watch after a revision that it doesn't have gets 410. Calls may be cut for some time before the store is back. Answers can name another era, an odd value or none.

Test: standins::store_returns_from_its_copy (passes).

--- a/tests/integration/standins_test.cc
+++ b/tests/integration/standins_test.cc
@@ -237,4 +237,37 @@
 }
 
 }  // namespace
+// Guards against a store that keeps what it should lose in a return, which
+// would hide faults of the fleet in all other tests.
+Test(standins, store_returns_from_its_copy) {
+  BlockingHttp http;
+  ChildProcess store(ProgramPath("tests/standins/standin_store"), {});
+  const auto port = store.ReadNumber("port", kStartTimeout);
+  const auto list = [&] { return http.Get(port, "/flamingoyoke/kv-range"); };
+  const auto watch = [&](const std::string& after) {
+    return http.Get(port, "/flamingoyoke/kv-watch?wait_ms=1&after=" + after);
+  };
+  cr_assert_eq(http.Put(port, "/control/return").status, 400);
+  http.Put(port, "/control/item?key=a", "1");
+  http.Put(port, "/control/copy");
+  http.Put(port, "/control/item?key=a", "2");
+  http.Put(port, "/control/item?key=b", "3");
+  cr_assert_eq(list().Header("Store-Era"), "1");
+  http.Put(port, "/control/return?away_ms=300");
+  cr_assert_eq(list().status, 0);
+  cr_assert(WaitUntil([&] { return list().status == 200; }, kWaitTimeout));
+  cr_assert_eq(list().Header("Store-Era"), "2");
+  const auto body = nlohmann::json::parse(list().body);
+  cr_assert_eq(body["as_of"], 2);
+  cr_assert_eq(body["items"].size(), 1);
+  cr_assert_eq(body["items"][0]["value"], "MQ==");
+  cr_assert_eq(watch("4").status, 410);
+  cr_assert_eq(watch("4").Header("Store-Era"), "2");
+  cr_assert_eq(watch("2").status, 200);
+  http.Put(port, "/control/era?value=7x");
+  cr_assert_eq(list().Header("Store-Era"), "7x");
+  http.Put(port, "/control/era?value=");
+  cr_assert_eq(list().Header("Store-Era"), "");
+}
+
 }  // namespace flamingoyoke::integration
--- a/tests/standins/store/store_task.cc
+++ b/tests/standins/store/store_task.cc
@@ -5,6 +5,8 @@
 #include <iostream>
 #include <utility>
 
+#include "runtime/clock.h"
+
 namespace flamingoyoke::standin {
 namespace {
 
@@ -32,6 +34,37 @@
   return {kOk, {{"Content-Type", "application/json"}}, json.dump()};
 }
 
+auto Milliseconds(const HttpExchange& exchange, const char* name) -> Duration {
+  return std::chrono::milliseconds(
+      static_cast<std::int64_t>(exchange.Number(name, 0)));
+}
+
+// The era that an answer names; unset if it names none.
+class EraText {
+ public:
+  explicit EraText(std::uint64_t era) : era_(era) {}
+
+  auto operator()(const OwnEra& /*named*/) const -> std::optional<std::string> {
+    return std::to_string(era_);
+  }
+  auto operator()(const NoEra& /*named*/) const -> std::optional<std::string> {
+    return std::nullopt;
+  }
+  auto operator()(const FixedEra& named) const -> std::optional<std::string> {
+    return named.value;
+  }
+
+ private:
+  std::uint64_t era_;
+};
+
+auto ToNamedEra(const std::optional<std::string>& value) -> NamedEra {
+  if (!value) {
+    return OwnEra{};
+  }
+  return value->empty() ? NamedEra(NoEra{}) : FixedEra{*value};
+}
+
 }  // namespace
 
 StoreTask::StoreTask(std::uint16_t port) : port_(port) {}
@@ -62,14 +95,16 @@
     return;
   }
   ++reads_;
-  if (is_down_) {
-    exchange.Reply({kUnavailable, {}, ""});
+  if (Now() < away_until_) {
+    exchange.Abort();
+  } else if (is_down_) {
+    Answer(exchange, {kUnavailable, {}, ""});
   } else if (path == "/flamingoyoke/kv-range") {
     OnList(std::move(exchange));
   } else if (path == "/flamingoyoke/kv-watch") {
     OnWatch(std::move(exchange));
   } else {
-    exchange.Reply({kBadRequest, {}, "unknown call\n"});
+    Answer(exchange, {kBadRequest, {}, "unknown call\n"});
   }
 }
 
@@ -77,7 +112,8 @@
   const auto path = exchange.Path();
   const auto key = exchange.Query("key").value_or("");
   if (path == "/control/counters") {
-    exchange.Reply(JsonReply({{"reads", reads_}, {"revision", revision_}}));
+    exchange.Reply(JsonReply(
+        {{"reads", reads_}, {"revision", data_.revision}, {"era", era_}}));
     return;
   }
   if (path == "/control/item" && !key.empty()) {
@@ -88,6 +124,12 @@
     }
   } else if (path == "/control/compact") {
     Compact();
+  } else if (path == "/control/copy") {
+    copy_ = data_;
+  } else if (path == "/control/return" && copy_) {
+    ReturnToCopy(Milliseconds(exchange, "away_ms"));
+  } else if (path == "/control/era") {
+    named_era_ = ToNamedEra(exchange.Query("value"));
   } else if (path == "/control/lists") {
     cuts_lists_ = exchange.Number("cut", 0) > 0;
   } else if (const auto end =
@@ -104,9 +146,29 @@
   AnswerWatches();
 }
 
+auto StoreTask::Answer(HttpExchange& exchange, HttpReply reply) const -> void {
+  if (auto era = std::visit(EraText(era_), named_era_)) {
+    reply.headers.push_back({"Store-Era", *std::move(era)});
+  }
+  exchange.Reply(reply);
+}
+
+auto StoreTask::AnswerJson(HttpExchange& exchange, nlohmann::json json) const
+    -> void {
+  json["as_of"] = data_.revision;
+  Answer(exchange, JsonReply(json));
+}
+
 auto StoreTask::Compact() -> void {
-  compacted_revision_ = revision_;
-  history_.clear();
+  data_.compacted_revision = data_.revision;
+  data_.history.clear();
+}
+
+auto StoreTask::ReturnToCopy(Duration away) -> void {
+  EndWatches(WatchEnd::kCut);
+  data_ = *copy_;
+  ++era_;
+  away_until_ = Now() + away;
 }
 
 auto StoreTask::EndWatches(WatchEnd end) -> void {
@@ -134,7 +196,8 @@
   const auto after = exchange.Query("after").value_or("");
   auto items = nlohmann::json::array();
   bool has_more = false;
-  for (auto item = items_.upper_bound(after); item != items_.end(); ++item) {
+  for (auto item = data_.items.upper_bound(after); item != data_.items.end();
+       ++item) {
     if (!StartsWith(item->first, prefix)) {
       continue;
     }
@@ -147,26 +210,23 @@
                      {"rev", item->second.revision},
                      {"lease", 0}});
   }
-  exchange.Reply(JsonReply(
-      {{"items", items}, {"has_more", has_more}, {"as_of", revision_}}));
+  AnswerJson(exchange, {{"items", items}, {"has_more", has_more}});
 }
 
 auto StoreTask::OnWatch(HttpExchange exchange) -> void {
   const auto after = static_cast<std::uint64_t>(exchange.Number("after", 0));
-  if (after < compacted_revision_) {
-    exchange.Reply({kGone, {}, ""});
+  if (IsGone(after)) {
+    Answer(exchange, {kGone, {}, ""});
     return;
   }
-  const auto wait = std::chrono::milliseconds(
-      static_cast<std::int64_t>(exchange.Number("wait_ms", 0)));
+  const auto wait = Milliseconds(exchange, "wait_ms");
   const auto id = next_watch_++;
   const auto prefix = exchange.Query("prefix").value_or("");
   watches_.emplace(id, Watch{prefix, after, std::move(exchange)});
   timers_->After(wait, [this, id] {
     auto node = watches_.extract(id);
     if (!node.empty()) {
-      node.mapped().exchange.Reply(JsonReply(
-          {{"events", nlohmann::json::array()}, {"as_of", revision_}}));
+      AnswerJson(node.mapped().exchange, {{"events", nlohmann::json::array()}});
     }
   });
   AnswerWatches();
@@ -174,20 +234,19 @@
 
 auto StoreTask::Commit(const std::string& key, std::optional<std::string> value)
     -> void {
-  ++revision_;
-  const Change change{key, std::move(value), revision_};
-  history_.push_back(change);
+  const Change change{key, std::move(value), ++data_.revision};
+  data_.history.push_back(change);
   if (change.value) {
-    items_[key] = change;
+    data_.items[key] = change;
   } else {
-    items_.erase(key);
+    data_.items.erase(key);
   }
 }
 
 auto StoreTask::EventsAfter(const std::string& prefix,
                             std::uint64_t after) const -> nlohmann::json {
   auto events = nlohmann::json::array();
-  for (const auto& change : history_) {
+  for (const auto& change : data_.history) {
     if (change.revision <= after || !StartsWith(change.key, prefix)) {
       continue;
     }
@@ -203,17 +262,20 @@
   return events;
 }
 
+auto StoreTask::IsGone(std::uint64_t after) const -> bool {
+  return after < data_.compacted_revision || after > data_.revision;
+}
+
 auto StoreTask::AnswerWatches() -> void {
   for (auto entry = watches_.begin(); entry != watches_.end();) {
     auto& watch = entry->second;
     const auto events = EventsAfter(watch.prefix, watch.after);
     if (is_down_) {
-      watch.exchange.Reply({kUnavailable, {}, ""});
-    } else if (watch.after < compacted_revision_) {
-      watch.exchange.Reply({kGone, {}, ""});
+      Answer(watch.exchange, {kUnavailable, {}, ""});
+    } else if (IsGone(watch.after)) {
+      Answer(watch.exchange, {kGone, {}, ""});
     } else if (!events.empty()) {
-      watch.exchange.Reply(
-          JsonReply({{"events", events}, {"as_of", revision_}}));
+      AnswerJson(watch.exchange, {{"events", events}});
     } else {
       ++entry;
       continue;
--- a/tests/standins/store/store_task.h
+++ b/tests/standins/store/store_task.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "core/name_table.h"
@@ -40,6 +41,14 @@
 
 namespace flamingoyoke::standin {
 
+// What answers name as the era of the store.
+struct OwnEra {};
+struct NoEra {};
+struct FixedEra {
+  std::string value;
+};
+using NamedEra = std::variant<OwnEra, NoEra, FixedEra>;
+
 // The store of the users' platform, with the list and watch calls of its
 // protocol. Control:
 //   PUT    /control/item?key=K     publishes the body under the key
@@ -51,6 +60,13 @@
 //                                  connections, `reset` resets them, `silent`
 //                                  sends nothing more on them
 //   PUT    /control/lists?cut=1|0  closes the connection of each list call
+//   PUT    /control/copy           takes a copy of the data
+//   PUT    /control/return         returns to the copy in the next era and
+//                                  closes the connections of waiting watches;
+//                                  with `away_ms=N` also those of all calls in
+//                                  that time, in which control calls go on
+//   PUT    /control/era?value=V    names V as the era in answers; names none if
+//                                  V is empty, and its own without `value`
 //   GET    /control/counters       JSON with the calls so far
 class StoreTask {
  public:
@@ -69,6 +85,13 @@
     std::optional<std::string> value;
     std::uint64_t revision = 0;
   };
+  struct Data {
+    std::map<std::string, Change> items;
+    std::vector<Change> history;
+    std::uint64_t revision = 1;
+    // The history no longer holds changes up to this revision.
+    std::uint64_t compacted_revision = 0;
+  };
   struct Watch {
     std::string prefix;
     std::uint64_t after = 0;
@@ -77,23 +100,30 @@
 
   auto OnRequest(HttpExchange exchange) -> void;
   auto OnControl(HttpExchange exchange) -> void;
+  auto Answer(HttpExchange& exchange, HttpReply reply) const -> void;
+  // Answers with `json`, which is sent with the revision.
+  auto AnswerJson(HttpExchange& exchange, nlohmann::json json) const -> void;
   auto OnList(HttpExchange exchange) -> void;
   auto OnWatch(HttpExchange exchange) -> void;
   auto Compact() -> void;
   auto EndWatches(WatchEnd end) -> void;
+  // Precondition: a copy was taken.
+  auto ReturnToCopy(Duration away) -> void;
   auto Commit(const std::string& key, std::optional<std::string> value) -> void;
   auto AnswerWatches() -> void;
+  // Returns whether the changes after revision `after` are not available.
+  [[nodiscard]] auto IsGone(std::uint64_t after) const -> bool;
   // Returns the changes under `prefix` with a revision above `after`.
   [[nodiscard]] auto EventsAfter(const std::string& prefix,
                                  std::uint64_t after) const -> nlohmann::json;
 
   std::uint16_t port_;
   TaskContext* context_ = nullptr;
-  std::map<std::string, Change> items_;
-  std::vector<Change> history_;
-  std::uint64_t revision_ = 1;
-  // The history no longer holds changes up to this revision.
-  std::uint64_t compacted_revision_ = 0;
+  Data data_;
+  std::optional<Data> copy_;
+  std::uint64_t era_ = 1;
+  NamedEra named_era_;
+  TimePoint away_until_;
   bool is_down_ = false;
   bool cuts_lists_ = false;
   std::uint64_t reads_ = 0;
