--- a/tests/integration/support/published_fleet.cc
+++ b/tests/integration/support/published_fleet.cc
@@ -24,6 +24,22 @@
   return *ParseEndpoint(host + ":" + std::to_string(port));
 }
 
+auto KeyOf(const std::string& target) -> std::string {
+  return "servers/" + target;
+}
+
+// Returns the entry of a target with the next sequence number, and any other
+// value as it is.
+auto WithNextSequence(const std::string& value) -> std::string {
+  auto json = nlohmann::json::parse(value, nullptr, false);
+  const nlohmann::json::json_pointer sequence("/status/seq");
+  if (!json.is_object() || !json.contains(sequence)) {
+    return value;
+  }
+  json[sequence] = json[sequence].get<int>() + 1;
+  return json.dump();
+}
+
 auto MakeFolder() -> std::string {
   auto path =
       (std::filesystem::temp_directory_path() / "flamingoyoke-XXXXXX").string();
@@ -116,23 +132,59 @@
 
 auto PublishedStoreFleet::RegisterText(const std::string& id,
                                        const std::string& text) -> void {
-  http_.Put(store_port_, "/control/item?key=servers/" + id, text);
+  Write(KeyOf(id), text);
 }
 
 auto PublishedStoreFleet::Unregister(std::size_t index,
                                      const std::string& options)
     -> std::chrono::steady_clock::time_point {
-  SendToStore("DELETE",
-              "/control/item?key=servers/" + targets_[index]->id() + options);
+  Remove(KeyOf(targets_[index]->id()), options);
   return std::chrono::steady_clock::now();
 }
 
+auto PublishedStoreFleet::Heartbeat(std::size_t index) -> void {
+  const auto key = KeyOf(targets_[index]->id());
+  Write(key, WithNextSequence(*written_.at(key)));
+}
+
 auto PublishedStoreFleet::SendToStore(const std::string& method,
                                       const std::string& target) -> void {
   http_.Send(
       {.server = Loopback(store_port_), .method = method, .target = target});
 }
 
+auto PublishedStoreFleet::ReturnStore(std::chrono::milliseconds away) -> void {
+  SendToStore("PUT", "/control/return?away_ms=" + std::to_string(away.count()));
+}
+
+auto PublishedStoreFleet::WriteAgain() -> void {
+  const auto written = written_;
+  for (const auto& [key, value] : written) {
+    if (value) {
+      Write(key, WithNextSequence(*value));
+    } else {
+      Remove(key, "");
+    }
+  }
+}
+
+auto PublishedStoreFleet::StoreRevision() -> std::uint64_t {
+  const auto counters = http_.Get(store_port_, "/control/counters");
+  return nlohmann::json::parse(counters.body).at("revision");
+}
+
+auto PublishedStoreFleet::Write(const std::string& key,
+                                const std::string& value) -> void {
+  written_[key] = value;
+  http_.Put(store_port_, "/control/item?key=" + key, value);
+}
+
+auto PublishedStoreFleet::Remove(const std::string& key,
+                                 const std::string& options) -> void {
+  written_[key].reset();
+  SendToStore("DELETE", "/control/item?key=" + key + options);
+}
+
 auto PublishedStoreFleet::EndAllWatches(const std::string& end) -> void {
   for (int i = 0; i < 15; ++i) {
     SendToStore("PUT", "/control/watches?end=" + end);
@@ -168,7 +220,7 @@
 }
 
 auto PublishedStoreFleet::PublishConfig(const nlohmann::json& config) -> void {
-  http_.Put(store_port_, "/control/item?key=op/config", config.dump());
+  Write("op/config", config.dump());
 }
 
 auto PublishedStoreFleet::SetGatewayCommand(std::vector<std::string> command)
--- a/tests/integration/support/published_fleet.h
+++ b/tests/integration/support/published_fleet.h
@@ -3,9 +3,11 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -90,9 +92,25 @@
   auto Unregister(std::size_t index, const std::string& options = "")
       -> std::chrono::steady_clock::time_point;
 
+  // Writes the entry of a target again with the next sequence number.
+  // Precondition: the target is registered.
+  auto Heartbeat(std::size_t index) -> void;
+
   auto SendToStore(const std::string& method, const std::string& target)
       -> void;
 
+  // Lets the store return from the copy that it took last; it closes all
+  // connections until it was away for `away`.
+  auto ReturnStore(std::chrono::milliseconds away) -> void;
+
+  // Writes and removes again what the operator and the targets wrote and
+  // removed, as they do when the store has lost it. Entries of targets get the
+  // next sequence number.
+  auto WriteAgain() -> void;
+
+  // Returns the revision of the store.
+  auto StoreRevision() -> std::uint64_t;
+
   // Ends every watch that waits at some moment of a short time as `end`, so
   // that no reader is left between two watches.
   auto EndAllWatches(const std::string& end) -> void;
@@ -162,6 +180,8 @@
   auto StartGateway(std::size_t index,
                     const std::string& log_level,
                     const ChildOutput& output) -> void;
+  auto Write(const std::string& key, const std::string& value) -> void;
+  auto Remove(const std::string& key, const std::string& options) -> void;
 
   const FleetSize size_;
   std::vector<std::string> gateway_command_ = {
@@ -171,6 +191,8 @@
   PlatformPorts ports_;
   ChildProcess store_;
   int store_port_;
+  // What was written last under each key; unset if it was removed.
+  std::map<std::string, std::optional<std::string>> written_;
   std::vector<std::unique_ptr<RegisteredStandin>> targets_;
   std::vector<std::unique_ptr<ChildProcess>> gateways_;
   // How each gateway is started.
