Check the added target of a return test without the other ones

The check that each gateway sends a request to the added target was wrong: with few requests a gateway uses the targets that it owns and doesn't need the loan of another one.

The replacement is at least as strict. Beside the fleet as a whole, each gateway must serve its requests by the added target alone, after the other targets were removed as well, which also checks two more removals.

--- a/tests/integration/store_return_test.cc
+++ b/tests/integration/store_return_test.cc
@@ -98,14 +98,25 @@
     std::this_thread::sleep_until(
         std::max(changed_ + kBound, back_ + kStableWindow));
     const auto removed = RunsOf(fleet_, 0);
+    const auto added = RunsOf(fleet_, kAdded);
     for (std::size_t i = 0; i < kGatewayCount; ++i) {
-      const auto added = RunsOf(fleet_, kAdded);
       Call(i, 30);
-      cr_expect_gt(RunsOf(fleet_, kAdded), added,
-                   "gateway %zu: no request to the added target", i);
       cr_expect_eq(fleet_.Call(i, "/new/1", NextId()).status, kOk,
                    "gateway %zu has no new route", i);
     }
+    cr_expect_gt(RunsOf(fleet_, kAdded), added,
+                 "no request to the added target");
+    // A gateway prefers the targets that it owns; without others, all must use
+    // the added one.
+    fleet_.Unregister(1);
+    fleet_.Unregister(kLate);
+    std::this_thread::sleep_for(kBound);
+    for (std::size_t i = 0; i < kGatewayCount; ++i) {
+      const auto before = RunsOf(fleet_, kAdded);
+      const auto failed = Call(i, 5);
+      cr_expect_eq(failed, 0, "gateway %zu: %d requests failed", i, failed);
+      cr_expect_eq(RunsOf(fleet_, kAdded), before + 5, "gateway %zu", i);
+    }
     cr_expect_eq(RunsOf(fleet_, 0), removed,
                  "%d requests to the removed target",
                  RunsOf(fleet_, 0) - removed);
