Let the store return from a copy in the fault soak

A new fault, StoreReturn: a copy is taken some seconds before, heartbeats and the start of a target are lost, the store is away for 0.1 to 1 s, once or twice in series, and everything is written again 0.2 s later. It is picked beside the other faults, beside the roll of stops that opens a storm, and in some calm times just before the change; there the bounds hold once the store has been back for 3 s.

--- a/tests/integration/soak/fault.h
+++ b/tests/integration/soak/fault.h
@@ -49,6 +49,17 @@
 struct StoreOutage {
   Duration length = Duration::zero();
 };
+// The store returns from a copy, `returns` times in series, and loses the start
+// of a target after `lost_heartbeats`.
+struct StoreReturn {
+  std::size_t target = 0;
+  std::size_t lost_heartbeats = 0;
+  // Age of the copy at the first return.
+  Duration age = Duration::zero();
+  // How long the store is away before each return.
+  Duration away = Duration::zero();
+  std::size_t returns = 1;
+};
 struct EndWatches {
   std::string end;
 };
@@ -66,6 +77,7 @@
                            HarmTarget,
                            ReplaceTarget,
                            StoreOutage,
+                           StoreReturn,
                            EndWatches,
                            CompactHistory,
                            Burst>;
--- a/tests/integration/soak/fault_player.cc
+++ b/tests/integration/soak/fault_player.cc
@@ -16,7 +16,14 @@
 constexpr auto kSignalGap = milliseconds(50);
 constexpr double kBurstFactor = 1.7;
 // Faults are picked in proportion to their weights.
-constexpr std::uint64_t kFaultWeights = 14;
+constexpr std::uint64_t kFaultWeights = 15;
+// The operator and the targets notice after this time that the store returned
+// from a copy.
+constexpr auto kWriteAgainDelay = milliseconds(200);
+// The fleet uses the last registry before a return for this time.
+constexpr auto kLastChange = milliseconds(500);
+// Between the returns of a series.
+constexpr auto kReturnGap = milliseconds(500);
 
 }  // namespace
 
@@ -58,6 +65,14 @@
   return kEnds.at(random_.Below(kEnds.size()));
 }
 
+auto FaultPlayer::PickStoreReturn() -> StoreReturn {
+  return {.target = random_.Below(fleet_.targets()),
+          .lost_heartbeats = random_.Below(200),
+          .age = RandomTime(1000, 4000),
+          .away = RandomTime(100, 1000),
+          .returns = 1 + random_.Below(2)};
+}
+
 auto FaultPlayer::PickRoll() -> RollGateways {
   RollGateways roll{.gateways = {}, .gap = RandomTime(100, 2000)};
   const auto count = static_cast<std::size_t>(
@@ -100,6 +115,8 @@
       return PickRoll();
     case 12:
       return Burst{RandomTime(500, 3000)};
+    case 13:
+      return PickStoreReturn();
     default:
       return CompactHistory{};
   }
@@ -178,6 +195,23 @@
         [this] { fleet_.SendToStore("PUT", "/control/mode?down=0"); });
 }
 
+auto FaultPlayer::Apply(const StoreReturn& fault) -> void {
+  fleet_.SendToStore("PUT", "/control/copy");
+  After(fault.age - kLastChange, [this, fault] {
+    store_.SendHeartbeats(fault.lost_heartbeats);
+    store_.Register(fault.target, "ready");
+  });
+  Duration delay = fault.age;
+  for (std::size_t i = 0; i < fault.returns; ++i) {
+    After(delay, [this, fault] {
+      fleet_.ReturnStore(std::chrono::duration_cast<milliseconds>(fault.away));
+    });
+    delay += fault.away;
+    After(delay + kWriteAgainDelay, [this] { store_.WriteAgain(); });
+    delay += kReturnGap;
+  }
+}
+
 auto FaultPlayer::Apply(const EndWatches& fault) -> void {
   fleet_.EndAllWatches(fault.end);
 }
--- a/tests/integration/soak/fault_player.h
+++ b/tests/integration/soak/fault_player.h
@@ -40,6 +40,8 @@
   auto RandomTime(std::uint64_t min_ms, std::uint64_t max_ms) -> Duration;
   // Picks the name of a way to end watches.
   auto PickWatchEnd() -> std::string;
+  // Returns one or two returns of the store from a copy of a random age.
+  auto PickStoreReturn() -> StoreReturn;
   // Returns a roll of stops through some of the gateways.
   auto PickRoll() -> RollGateways;
 
@@ -57,6 +59,7 @@
   auto Apply(const HarmTarget& fault) -> void;
   auto Apply(const ReplaceTarget& fault) -> void;
   auto Apply(const StoreOutage& fault) -> void;
+  auto Apply(const StoreReturn& fault) -> void;
   auto Apply(const EndWatches& fault) -> void;
   auto Apply(const CompactHistory& fault) -> void;
   auto Apply(const Burst& fault) -> void;
--- a/tests/integration/soak/soak.cc
+++ b/tests/integration/soak/soak.cc
@@ -1,5 +1,6 @@
 #include "integration/soak/soak.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <filesystem>
@@ -22,6 +23,8 @@
 // have been undisturbed for kInTouchTime.
 constexpr auto kApplyTime = seconds(2);
 constexpr auto kInTouchTime = milliseconds(3500);
+// They hold once the store has been back from a copy for this long.
+constexpr auto kStableWindow = seconds(3);
 constexpr std::uint64_t kShortestFaultGapMs = 20;
 constexpr std::size_t kMostCalls = 1 << 20;
 constexpr std::size_t kMostCallerMessages = 1 << 12;
@@ -120,6 +123,9 @@
 auto Soak::PlayStorm() -> void {
   const auto end = Now() + settings_.storm;
   faults_.Play(faults_.PickRoll());
+  if (random_.Below(2) == 0) {
+    faults_.Play(faults_.PickStoreReturn());
+  }
   while (Now() < end) {
     faults_.PlayRandom();
     WaitUntilTime(Now() +
@@ -137,7 +143,18 @@
 }
 
 auto Soak::PlayCalm(std::size_t storm) -> void {
-  WaitUntilTime(Now() + kInTouchTime);
+  auto stable = TimePoint();
+  auto change = Now() + kInTouchTime;
+  // The store may be back just before the change.
+  if (random_.Below(3) == 0) {
+    auto fault = faults_.PickStoreReturn();
+    fault.age = kInTouchTime;
+    fault.returns = 1;
+    faults_.Play(fault);
+    change += fault.away;
+    stable = change + kStableWindow;
+  }
+  WaitUntilTime(change);
   const auto target = random_.Below(fleet_.targets());
   const bool is_removed = random_.Below(2) == 0;
   const bool has_compacted = random_.Below(3) == 0;
@@ -158,7 +175,7 @@
     fleet_.EndAllWatches("cut");
     fleet_.SendToStore("PUT", "/control/lists?cut=0");
   }
-  WaitUntilTime(acknowledged + kApplyTime);
+  WaitUntilTime(std::max(acknowledged + kApplyTime, stable));
   const auto before = RunsOf(target);
   CheckRoute(path, end);
   WaitUntilTime(Now() + seconds(1));
@@ -245,9 +262,9 @@
   }
   printf(
       "soak: seed %lu, limit %s: %d of %d calls served, %d without an "
-      "answer\n",
+      "answer, store in era %d\n",
       static_cast<unsigned long>(seed_), std::string(ToName(limit_)).c_str(),
-      served, calls, closed);
+      served, calls, closed, fleet_.StoreCounters().at("era").get<int>());
   if (calls == 0 || served * 4 < calls) {
     Report("RECOVER: only " + std::to_string(served) + " of " +
            std::to_string(calls) + " calls were served");
--- a/tests/integration/soak/soak_store.cc
+++ b/tests/integration/soak/soak_store.cc
@@ -45,6 +45,20 @@
                           state, kFirstStart + starts, sequence_));
 }
 
+auto SoakStore::SendHeartbeats(std::size_t count) -> void {
+  for (std::size_t i = 0; i < count; ++i) {
+    fleet_.Heartbeat(i % fleet_.targets());
+  }
+  // No heartbeat has a later number.
+  sequence_ += static_cast<int>(count);
+}
+
+auto SoakStore::WriteAgain() -> void {
+  fleet_.WriteAgain();
+  // No entry that was written again has a later number.
+  ++sequence_;
+}
+
 auto SoakStore::Publish() -> void {
   nlohmann::json routes;
   for (const auto& route : settings_.routes) {
--- a/tests/integration/soak/soak_store.h
+++ b/tests/integration/soak/soak_store.h
@@ -25,6 +25,11 @@
 
   // Writes the state of a target. A target that is `ready` starts anew.
   auto Register(std::size_t target, const std::string& state) -> void;
+  // Writes entries again, of all targets in turn. Precondition: all are
+  // registered.
+  auto SendHeartbeats(std::size_t count) -> void;
+  // Writes again what the store has lost in a return.
+  auto WriteAgain() -> void;
 
  private:
   auto Publish() -> void;
--- a/tests/integration/store_return_test.cc
+++ b/tests/integration/store_return_test.cc
@@ -184,10 +184,13 @@
 Test(store_return_fleet, revision_given_out_again_hides_a_removal) {
   ReturnRig rig;
   rig.Advance(40);
-  const auto old = rig.fleet().StoreRevision();
+  const auto revision = [&] {
+    return rig.fleet().StoreCounters().at("revision").get<int>();
+  };
+  const auto old = revision();
   rig.StartReturn(seconds(1));
   rig.Change();
-  while (rig.fleet().StoreRevision() <= old) {
+  while (revision() <= old) {
     rig.fleet().Heartbeat(1);
   }
   rig.ExpectChanged();
--- a/tests/integration/support/published_fleet.cc
+++ b/tests/integration/support/published_fleet.cc
@@ -168,9 +168,9 @@
   }
 }
 
-auto PublishedStoreFleet::StoreRevision() -> std::uint64_t {
-  const auto counters = http_.Get(store_port_, "/control/counters");
-  return nlohmann::json::parse(counters.body).at("revision");
+auto PublishedStoreFleet::StoreCounters() -> nlohmann::json {
+  return nlohmann::json::parse(
+      http_.Get(store_port_, "/control/counters").body);
 }
 
 auto PublishedStoreFleet::Write(const std::string& key,
--- a/tests/integration/support/published_fleet.h
+++ b/tests/integration/support/published_fleet.h
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -108,8 +107,7 @@
   // next sequence number.
   auto WriteAgain() -> void;
 
-  // Returns the revision of the store.
-  auto StoreRevision() -> std::uint64_t;
+  auto StoreCounters() -> nlohmann::json;
 
   // Ends every watch that waits at some moment of a short time as `end`, so
   // that no reader is left between two watches.
