Keep the sockets of a test out of the processes it starts

ChildProcess started programs with posix_spawn and closed nothing, so each process started while callers were connected held their sockets. A caller that closed was not seen to close until those processes ended, and gateways of the soak ran out of descriptors. Sockets are now closed in the child, by posix_spawn_file_actions_addclosefrom_np.

--- a/tests/integration/support/child_process.cc
+++ b/tests/integration/support/child_process.cc
@@ -56,6 +56,9 @@
   if (has_stderr) {
     posix_spawn_file_actions_adddup2(&actions, output, STDERR_FILENO);
   }
+  // An inherited socket would keep a connection open after its caller closes
+  // it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   pid_t pid = -1;
   const auto error = posix_spawn(&pid, program.c_str(), &actions, nullptr,
                                  argv.data(), environ);
