Start the processes of a test with default signals

Ignored signals and the signal mask pass through exec. A gateway inherited an ignored SIGPIPE from a test that sets it (startup_test), and an ignored SIGHUP where the tests run under nohup, so a signal before its own handlers could not end it as on a machine of its own. ChildProcess resets both in the child.

Before the change the new test fails: a child of a test that ignores SIGPIPE does not end on it within 5 s.

Looked at and left as they are: no program reads standard input or the environment, sets a locale or depends on the working folder; no signal goes to a process group; the Python tools start processes with close_fds and restore_signals, which are the defaults.

--- a/tests/integration/child_process_test.cc
+++ b/tests/integration/child_process_test.cc
@@ -7,6 +7,7 @@
 
 #include <array>
 #include <chrono>
+#include <csignal>
 #include <filesystem>
 #include <string>
 
@@ -18,6 +19,7 @@
 TestSuite(child_process, .fini = &ChildProcess::KillAll, .timeout = 120);
 
 constexpr int kCloseTimeoutMs = 2000;
+constexpr auto kSignalTimeout = std::chrono::seconds(5);
 
 // Whether process `pid` holds the file that descriptor `own` refers to.
 auto Holds(pid_t pid, int own) -> bool {
@@ -48,4 +50,19 @@
   close(ends[1]);
 }
 
+// Guards against signals that a process ignores or blocks only because the test
+// program does, which hides an early signal or a write to a closed pipe.
+Test(child_process, starts_with_default_signals) {
+  std::signal(SIGPIPE, SIG_IGN);
+  sigset_t blocked;
+  sigemptyset(&blocked);
+  sigaddset(&blocked, SIGTERM);
+  pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
+  for (const auto signal : {SIGPIPE, SIGTERM}) {
+    ChildProcess child("/bin/sleep", {"60"});
+    child.Signal(signal);
+    cr_expect_eq(child.WaitForExit(kSignalTimeout), -signal);
+  }
+}
+
 }  // namespace flamingoyoke::integration
--- a/tests/integration/support/child_process.cc
+++ b/tests/integration/support/child_process.cc
@@ -59,9 +59,20 @@
   // An inherited socket would keep a connection open after its caller closes
   // it.
   posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
+  // Ignored and blocked signals are inherited too.
+  posix_spawnattr_t attributes;
+  posix_spawnattr_init(&attributes);
+  posix_spawnattr_setflags(&attributes,
+                           POSIX_SPAWN_SETSIGDEF | POSIX_SPAWN_SETSIGMASK);
+  sigset_t signals;
+  sigfillset(&signals);
+  posix_spawnattr_setsigdefault(&attributes, &signals);
+  sigemptyset(&signals);
+  posix_spawnattr_setsigmask(&attributes, &signals);
   pid_t pid = -1;
-  const auto error = posix_spawn(&pid, program.c_str(), &actions, nullptr,
+  const auto error = posix_spawn(&pid, program.c_str(), &actions, &attributes,
                                  argv.data(), environ);
+  posix_spawnattr_destroy(&attributes);
   posix_spawn_file_actions_destroy(&actions);
   cr_assert_eq(error, 0, "cannot start %s", program.c_str());
   return pid;
