Judge draining in the soak by when requests reach a target

A stand-in target whose slots are taken holds up to 16 requests, so a request that reached it in time could count as late, and one that it rejected or still held did not count at all.

The target now logs the arrival of each request that it does not answer with 421, also of those that wait there or are rejected, and the soak compares these times with the acknowledgement plus 2 s. A break names the requests and their times.

The new test of the stand-in shows a request that begins to run at least 100 ms after it arrived.

--- a/tests/integration/soak/soak.cc
+++ b/tests/integration/soak/soak.cc
@@ -159,14 +159,14 @@
     fleet_.SendToStore("PUT", "/control/lists?cut=0");
   }
   WaitUntilTime(acknowledged + kApplyTime);
-  const auto before = RunsOf(target);
   CheckRoute(path, end);
   WaitUntilTime(Now() + seconds(1));
-  if (const auto late = RunsOf(target) - before; late > 0) {
-    Report("DRAIN: " + std::to_string(late) + " requests to target " +
-           std::to_string(target) +
+  if (const auto late = DescribeArrivals(target, acknowledged + kApplyTime);
+      !late.empty()) {
+    Report("DRAIN: requests reach target " + std::to_string(target) +
            (is_removed ? ", which was removed" : ", which drains") +
-           ", after the watches ended as " + end);
+           ", after the watches ended as " + end + ", acknowledged at " +
+           SinceStart(acknowledged) + ":" + late);
   }
   store_.Register(target, "ready");
 }
@@ -190,8 +190,20 @@
   }
 }
 
-auto Soak::RunsOf(std::size_t target) -> int {
-  return fleet_.target(target).Counters(fleet_.http())["runs"];
+auto Soak::DescribeArrivals(std::size_t target, TimePoint time) -> std::string {
+  const auto counters = fleet_.target(target).Counters(fleet_.http());
+  std::string text;
+  for (const auto& arrival : counters.at("arrivals")) {
+    if (const auto at = ToTimePoint(arrival.at("at_us")); at > time) {
+      text +=
+          " " + arrival.at("id").get<std::string>() + " at " + SinceStart(at);
+    }
+  }
+  return text;
+}
+
+auto Soak::SinceStart(TimePoint time) const -> std::string {
+  return std::to_string(ToMilliseconds(time - start_));
 }
 
 auto Soak::CollectRuns() -> std::map<std::string, std::vector<TargetRun>> {
@@ -212,9 +224,6 @@
 
 auto Soak::CheckCalls() -> void {
   const CallChecks checks(settings_, gateways_.histories(), CollectRuns());
-  const auto since_start = [this](TimePoint time) {
-    return std::to_string(ToMilliseconds(time - start_));
-  };
   int served = 0;
   int closed = 0;
   int calls = 0;
@@ -227,18 +236,18 @@
       auto text =
           promise + ": call " + call.id + " of " +
           settings_.routes[call.route].prefix + " to gateway " +
-          std::to_string(call.gateway) + ", " + since_start(call.time.start) +
-          " to " + since_start(call.time.end) + " ms, status " +
+          std::to_string(call.gateway) + ", " + SinceStart(call.time.start) +
+          " to " + SinceStart(call.time.end) + " ms, status " +
           std::to_string(call.status) + ", end " +
           std::string(ToName(call.end)) + (call.is_kept ? ", kept" : ", new") +
           (call.is_behind ? ", behind" : "");
       for (const auto& run : checks.RunsOf(call)) {
-        text += ", ran from " + since_start(run.start) + " to " +
-                (run.end ? since_start(*run.end) : "?") +
+        text += ", ran from " + SinceStart(run.start) + " to " +
+                (run.end ? SinceStart(*run.end) : "?") +
                 (run.is_sound ? "" : " without an answer");
       }
       for (const auto& stop : gateways_.histories()[call.gateway].stops) {
-        text += ", SIGTERM " + since_start(stop);
+        text += ", SIGTERM " + SinceStart(stop);
       }
       Report(text);
     }
--- a/tests/integration/soak/soak.h
+++ b/tests/integration/soak/soak.h
@@ -36,6 +36,8 @@
  private:
   auto MakeCallers() -> std::unique_ptr<CallerTask>;
   auto Report(const std::string& what) -> void;
+  // Returns the milliseconds from the start until `time`.
+  [[nodiscard]] auto SinceStart(TimePoint time) const -> std::string;
   auto Tick() -> void;
   auto WaitUntilTime(TimePoint end) -> void;
   auto WaitForReady() -> void;
@@ -44,7 +46,9 @@
   // Checks that all gateways serve a route that was added, after the watches
   // ended as `end`.
   auto CheckRoute(const std::string& path, const std::string& end) -> void;
-  auto RunsOf(std::size_t target) -> int;
+  // Describes the requests that reached a target after `time`, also those that
+  // wait there; empty if there are none.
+  auto DescribeArrivals(std::size_t target, TimePoint time) -> std::string;
   // Returns what all targets ran, by request id.
   auto CollectRuns() -> std::map<std::string, std::vector<TargetRun>>;
   auto CheckCalls() -> void;
--- a/tests/integration/standins_test.cc
+++ b/tests/integration/standins_test.cc
@@ -228,6 +228,27 @@
                2 * first["requests"].get<int>());
 }
 
+// Guards against requests that count as late at a target since they wait there.
+Test(standins, target_tells_arrivals_from_runs) {
+  BlockingHttp http;
+  ChildProcess target(ProgramPath("tests/standins/standin_target"),
+                      {"--id", "i-0", "--service-ms", "300", "--slots", "1"});
+  const auto port = target.ReadNumber("port", kStartTimeout);
+  for (const auto* id : {"a", "b"}) {
+    http.StartCall(
+        {.server = Loopback(port), .headers = {{"X-Request-Id", id}}});
+  }
+  http.WaitForAll();
+  const auto counters =
+      nlohmann::json::parse(http.Get(port, "/control/counters").body);
+  const auto& waited = counters.at("log").at(1);
+  const auto& arrival = counters.at("arrivals").at(1);
+  cr_assert_eq(arrival.at("id"), waited.at("id"));
+  cr_assert_geq(waited.at("start_us").get<std::int64_t>() -
+                    arrival.at("at_us").get<std::int64_t>(),
+                100'000);
+}
+
 // Guards against a stand-in that ignores SIGTERM and keeps running after its
 // test.
 Test(standins, ends_on_sigterm) {
--- a/tests/standins/target/target_task.cc
+++ b/tests/standins/target/target_task.cc
@@ -72,6 +72,7 @@
                     ""});
     return;
   }
+  arrivals_.push_back({id, Now()});
   if (mode_ == TargetMode::kShed) {
     Shed(std::move(exchange));
     return;
@@ -99,9 +100,15 @@
       }
       log.push_back(entry);
     }
+    auto arrivals = nlohmann::json::array();
+    for (const auto& arrival : arrivals_) {
+      arrivals.push_back({{"id", arrival.id},
+                          {"at_us", arrival.at.time_since_epoch().count()}});
+    }
     const nlohmann::json counters = {{"runs", runs_},
                                      {"misdirected", misdirected_},
                                      {"by_id", runs_by_id_},
+                                     {"arrivals", arrivals},
                                      {"log", log}};
     exchange.Reply({kOk, {}, counters.dump()});
     return;
--- a/tests/standins/target/target_task.h
+++ b/tests/standins/target/target_task.h
@@ -64,7 +64,9 @@
 // publishes its entry in the store. Control:
 //   PUT /control/mode?name=<mode>  switches the mode
 //   GET /control/counters          JSON with the runs of each request id, and
-//                                  "log" with the times of each run
+//                                  "log" with the times of each run, and
+//                                  "arrivals" with those of all requests that
+//                                  the target did not answer with 421
 class TargetTask {
  public:
   using Message = StandinMessage;
@@ -76,6 +78,10 @@
   auto Stop(StopMode mode) -> void;
 
  private:
+  struct Arrival {
+    std::string id;
+    TimePoint at;
+  };
   // A run of a request, which stays in the log.
   struct RunRecord {
     std::string id;
@@ -113,6 +119,7 @@
   std::uint64_t runs_ = 0;
   std::uint64_t misdirected_ = 0;
   std::map<std::string, int> runs_by_id_;
+  std::vector<Arrival> arrivals_;
   std::vector<RunRecord> log_;
   // By index in the log.
   std::map<std::size_t, Running> running_;
