Check in the soak that requests end with their callers

The soak had no check of GONE, and its callers left only at their deadline plus 300 ms, so it played no caller that leaves while its request waits or runs. One call in 20 now gives up within twice the median work of its route, and a run breaks GONE when more than three requests reach a target over half a second after their callers closed the connection. A gateway that the soak disrupted within the 3 s before counts as out of touch. Not checked: the other half of GONE, targets that still work half a second after the close.

--- a/tests/integration/soak/call_checks.cc
+++ b/tests/integration/soak/call_checks.cc
@@ -17,6 +17,10 @@
 constexpr auto kDeadlineSlack = milliseconds(150);
 // Requests sent later than this after a SIGTERM are not excused by its grace.
 constexpr auto kLastSent = seconds(3);
+// A request must not reach a target this long after its caller left.
+constexpr auto kGoneTime = milliseconds(500);
+// A gateway is in touch when it was undisturbed for this long.
+constexpr auto kStableTime = seconds(3);
 
 auto SaysNotRun(int status) -> bool {
   return status == 429 || status == 503 || status == 408 || status == 421;
@@ -26,8 +30,8 @@
 
 CallChecks::CallChecks(const SoakSettings& settings,
                        const std::vector<GatewayHistory>& gateways,
-                       std::map<std::string, std::vector<TargetRun>> runs)
-    : settings_(settings), gateways_(gateways), runs_(std::move(runs)) {}
+                       TargetLogs logs)
+    : settings_(settings), gateways_(gateways), logs_(std::move(logs)) {}
 
 auto CallChecks::Check(const EndedCall& call) const
     -> std::vector<std::string> {
@@ -50,11 +54,25 @@
   return broken;
 }
 
+auto CallChecks::ArrivesAfterClose(const EndedCall& call) const -> bool {
+  const auto found = logs_.arrivals.find(call.id);
+  const bool has_left = call.end == CallEnd::kGivenUp ||
+                        call.end == CallEnd::kReset ||
+                        call.end == CallEnd::kNotRead;
+  if (!has_left || found == logs_.arrivals.end()) {
+    return false;
+  }
+  const auto last =
+      *std::max_element(found->second.begin(), found->second.end());
+  return last > call.time.end + kGoneTime &&
+         !IsHarmed(call.gateway, {call.time.end - kStableTime, last});
+}
+
 auto CallChecks::RunsOf(const EndedCall& call) const
     -> const std::vector<TargetRun>& {
   static const std::vector<TargetRun> none;
-  const auto found = runs_.find(call.id);
-  return found == runs_.end() ? none : found->second;
+  const auto found = logs_.runs.find(call.id);
+  return found == logs_.runs.end() ? none : found->second;
 }
 
 auto CallChecks::IsLost(const EndedCall& call) const -> bool {
@@ -79,11 +97,14 @@
       length + kDeadlineSlack >= std::min(route.timeout, route.deadline)) {
     return false;
   }
-  const auto& harmed = gateways_[call.gateway].harmed;
-  const bool is_harmed = std::any_of(
-      harmed.begin(), harmed.end(),
-      [&](const Interval& each) { return each.Overlaps(call.time); });
-  return !is_harmed && !IsPastGrace(call);
+  return !IsHarmed(call.gateway, call.time) && !IsPastGrace(call);
+}
+
+auto CallChecks::IsHarmed(std::size_t gateway, const Interval& time) const
+    -> bool {
+  const auto& harmed = gateways_[gateway].harmed;
+  return std::any_of(harmed.begin(), harmed.end(),
+                     [&](const Interval& each) { return each.Overlaps(time); });
 }
 
 auto CallChecks::IsPastGrace(const EndedCall& call) const -> bool {
--- a/tests/integration/soak/call_checks.h
+++ b/tests/integration/soak/call_checks.h
@@ -20,6 +20,13 @@
   bool is_sound = false;
 };
 
+// What all targets report, by request id.
+struct TargetLogs {
+  std::map<std::string, std::vector<TargetRun>> runs;
+  // When requests reached a target, also those that did not run.
+  std::map<std::string, std::vector<TimePoint>> arrivals;
+};
+
 // What the soak did to one gateway.
 struct GatewayHistory {
   // Kills, pauses, resets of its connections.
@@ -34,25 +41,32 @@
   // `settings` and `gateways` must outlive the checks.
   CallChecks(const SoakSettings& settings,
              const std::vector<GatewayHistory>& gateways,
-             std::map<std::string, std::vector<TargetRun>> runs);
+             TargetLogs logs);
 
   // Returns the names of the promises that `call` broke.
   [[nodiscard]] auto Check(const EndedCall& call) const
       -> std::vector<std::string>;
 
+  // Returns whether the call reached a target long after its caller closed the
+  // connection to an undisturbed gateway.
+  [[nodiscard]] auto ArrivesAfterClose(const EndedCall& call) const -> bool;
+
   [[nodiscard]] auto RunsOf(const EndedCall& call) const
       -> const std::vector<TargetRun>&;
 
  private:
   // Whether an accepted request was lost without an excuse.
   [[nodiscard]] auto IsLost(const EndedCall& call) const -> bool;
+  // Whether the soak disrupted a gateway during `time`.
+  [[nodiscard]] auto IsHarmed(std::size_t gateway, const Interval& time) const
+      -> bool;
   // Whether the target worked on into the last sixth of the grace, on a request
   // that was sent soon after the SIGTERM.
   [[nodiscard]] auto IsPastGrace(const EndedCall& call) const -> bool;
 
   const SoakSettings& settings_;
   const std::vector<GatewayHistory>& gateways_;
-  const std::map<std::string, std::vector<TargetRun>> runs_;
+  const TargetLogs logs_;
 };
 
 }  // namespace flamingoyoke::integration
--- a/tests/integration/soak/caller_task.cc
+++ b/tests/integration/soak/caller_task.cc
@@ -22,6 +22,9 @@
 constexpr double kLongWorkFactor = 7;
 // An answer that crosses the caller's deadline is still read.
 constexpr auto kGiveUpSlack = milliseconds(300);
+// Share of callers that leave within the time that most work takes.
+constexpr double kImpatientShare = 0.05;
+constexpr double kImpatientWorkFactor = 2;
 constexpr auto kDirectoryTimeout = std::chrono::seconds(1);
 
 }  // namespace
@@ -145,7 +148,7 @@
   }
   caller.connection->Send(bytes);
   const auto last = caller.waiting.back().id;
-  timers_->After(route.deadline + kGiveUpSlack, [this, index, last] {
+  timers_->After(PickPatience(route), [this, index, last] {
     const auto& waiting = callers_[index].waiting;
     if (!waiting.empty() && waiting.back().id == last) {
       EndConnection(index, CallEnd::kGivenUp);
@@ -201,6 +204,15 @@
                             milliseconds(static_cast<std::int64_t>(work_ms)));
 }
 
+auto CallerTask::PickPatience(const RouteSettings& route) -> Duration {
+  if (random_.Unit() >= kImpatientShare) {
+    return route.deadline + kGiveUpSlack;
+  }
+  return Duration(static_cast<std::int64_t>(
+      random_.Unit() * kImpatientWorkFactor *
+      static_cast<double>(Duration(route.median_work).count())));
+}
+
 auto CallerTask::OnAnswer(std::size_t index, const standin::HttpAnswer& answer)
     -> void {
   auto& caller = callers_[index];
--- a/tests/integration/soak/caller_task.h
+++ b/tests/integration/soak/caller_task.h
@@ -89,6 +89,8 @@
   auto Connect(std::size_t caller) -> bool;
   auto MakeRequest(const EndedCall& call) -> std::string;
   auto PickWork(const RouteSettings& route) -> Duration;
+  // Returns how long a caller waits for its answers.
+  auto PickPatience(const RouteSettings& route) -> Duration;
 
   auto OnAnswer(std::size_t caller, const standin::HttpAnswer& answer) -> void;
   // Ends the connection and all calls that wait on it.
--- a/tests/integration/soak/soak.cc
+++ b/tests/integration/soak/soak.cc
@@ -22,6 +22,9 @@
 // have been undisturbed for kInTouchTime.
 constexpr auto kApplyTime = seconds(2);
 constexpr auto kInTouchTime = milliseconds(3500);
+// More requests than this of a run must not reach a target after their callers
+// left.
+constexpr int kMostLateCalls = 3;
 constexpr std::uint64_t kShortestFaultGapMs = 20;
 constexpr std::size_t kMostCalls = 1 << 20;
 constexpr std::size_t kMostCallerMessages = 1 << 12;
@@ -206,12 +209,16 @@
   return std::to_string(ToMilliseconds(time - start_));
 }
 
-auto Soak::CollectRuns() -> std::map<std::string, std::vector<TargetRun>> {
-  std::map<std::string, std::vector<TargetRun>> runs;
+auto Soak::CollectTargetLogs() -> TargetLogs {
+  TargetLogs logs;
   for (std::size_t i = 0; i < fleet_.targets(); ++i) {
     const auto counters = fleet_.target(i).Counters(fleet_.http());
+    for (const auto& arrival : counters.at("arrivals")) {
+      logs.arrivals[arrival.at("id")].push_back(
+          ToTimePoint(arrival.at("at_us")));
+    }
     for (const auto& run : counters.at("log")) {
-      auto& added = runs[run.at("id")].emplace_back();
+      auto& added = logs.runs[run.at("id")].emplace_back();
       added.start = ToTimePoint(run.at("start_us"));
       if (run.contains("end_us")) {
         added.end = ToTimePoint(run.at("end_us"));
@@ -219,19 +226,29 @@
       added.is_sound = run.at("is_sound");
     }
   }
-  return runs;
+  return logs;
 }
 
 auto Soak::CheckCalls() -> void {
-  const CallChecks checks(settings_, gateways_.histories(), CollectRuns());
+  const CallChecks checks(settings_, gateways_.histories(),
+                          CollectTargetLogs());
   int served = 0;
   int closed = 0;
+  int given_up = 0;
   int calls = 0;
+  std::string late;
+  int late_calls = 0;
   for (const auto& message : ended_.TakeAll()) {
     const auto& call = std::get<EndedCall>(message);
     ++calls;
     served += call.status == 200 ? 1 : 0;
     closed += call.end == CallEnd::kClosed ? 1 : 0;
+    given_up += call.end == CallEnd::kGivenUp ? 1 : 0;
+    if (checks.ArrivesAfterClose(call)) {
+      ++late_calls;
+      late += " " + call.id + " to gateway " + std::to_string(call.gateway) +
+              ", closed at " + SinceStart(call.time.end);
+    }
     for (const auto& promise : checks.Check(call)) {
       auto text =
           promise + ": call " + call.id + " of " +
@@ -254,9 +271,13 @@
   }
   printf(
       "soak: seed %lu, limit %s: %d of %d calls served, %d without an "
-      "answer\n",
+      "answer, %d given up, %d reached a target after their callers left\n",
       static_cast<unsigned long>(seed_), std::string(ToName(limit_)).c_str(),
-      served, calls, closed);
+      served, calls, closed, given_up, late_calls);
+  if (late_calls > kMostLateCalls) {
+    Report("GONE: " + std::to_string(late_calls) +
+           " requests reach a target after their callers left:" + late);
+  }
   if (calls == 0 || served * 4 < calls) {
     Report("RECOVER: only " + std::to_string(served) + " of " +
            std::to_string(calls) + " calls were served");
--- a/tests/integration/soak/soak.h
+++ b/tests/integration/soak/soak.h
@@ -49,8 +49,8 @@
   // Describes the requests that reached a target after `time`, also those that
   // wait there; empty if there are none.
   auto DescribeArrivals(std::size_t target, TimePoint time) -> std::string;
-  // Returns what all targets ran, by request id.
-  auto CollectRuns() -> std::map<std::string, std::vector<TargetRun>>;
+  // Returns what reached the targets.
+  auto CollectTargetLogs() -> TargetLogs;
   auto CheckCalls() -> void;
   // Keeps the logs of the gateways for a trace.
   auto KeepLogs() -> void;
