Let gateways of another user read the folder of their fleet

With the limit "tasks" the soak starts gateways as a user of their own by setpriv, which keeps the group of the test. The folder of the fleet was open to others but not to its group, so under root each gateway ended with code 3, "cannot read gateway-0.json", and was started again without end. The folder now has mode 0755.

The new test fails before the change.

--- a/tests/integration/child_process_test.cc
+++ b/tests/integration/child_process_test.cc
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <string>
 
+#include "integration/support/published_fleet.h"
 #include "integration/support/standins.h"
 
 namespace flamingoyoke::integration {
@@ -65,4 +66,16 @@
   }
 }
 
+// Guards against gateways of another user, but of the group of the test, that
+// cannot read their settings.
+Test(child_process, another_user_reads_the_folder_of_a_fleet) {
+  if (geteuid() != 0) {
+    cr_skip_test("needs root");
+  }
+  PublishedStoreFleet fleet(FleetSize{.gateways = 1});
+  ChildProcess list("/usr/bin/env", {"setpriv", "--reuid=64321",
+                                     "--clear-groups", "ls", fleet.folder()});
+  cr_expect_eq(list.WaitForExit(kSignalTimeout), 0);
+}
+
 }  // namespace flamingoyoke::integration
--- a/tests/integration/support/published_fleet.cc
+++ b/tests/integration/support/published_fleet.cc
@@ -19,6 +19,7 @@
 constexpr std::size_t kSlots = 4;
 constexpr std::size_t kMostSeeds = 8;
 constexpr std::size_t kFailureDomains = 26;
+constexpr auto kOpenToOthers = std::filesystem::perms{0755};
 
 auto EndpointAt(const std::string& host, int port) -> NamedEndpoint {
   return *ParseEndpoint(host + ":" + std::to_string(port));
@@ -28,11 +29,8 @@
   auto path =
       (std::filesystem::temp_directory_path() / "flamingoyoke-XXXXXX").string();
   cr_assert(mkdtemp(path.data()) != nullptr);
-  // Gateways may run as another user.
-  std::filesystem::permissions(
-      path,
-      std::filesystem::perms::others_read | std::filesystem::perms::others_exec,
-      std::filesystem::perm_options::add);
+  // Gateways may run as another user, who keeps the group of the test.
+  std::filesystem::permissions(path, kOpenToOthers);
   return path;
 }
 
