--- a/tests/integration/soak/soak.cc
+++ b/tests/integration/soak/soak.cc
@@ -25,6 +25,9 @@
 constexpr auto kInTouchTime = milliseconds(3500);
 // They hold once the store has been back from a copy for this long.
 constexpr auto kStableWindow = seconds(3);
+// More requests than this of a run must not reach a target after their callers
+// left.
+constexpr int kMostLateCalls = 3;
 constexpr std::uint64_t kShortestFaultGapMs = 20;
 constexpr std::size_t kMostCalls = 1 << 20;
 constexpr std::size_t kMostCallerMessages = 1 << 12;
@@ -175,15 +178,15 @@
     fleet_.EndAllWatches("cut");
     fleet_.SendToStore("PUT", "/control/lists?cut=0");
   }
-  WaitUntilTime(std::max(acknowledged + kApplyTime, stable));
-  const auto before = RunsOf(target);
+  const auto due = std::max(acknowledged + kApplyTime, stable);
+  WaitUntilTime(due);
   CheckRoute(path, end);
   WaitUntilTime(Now() + seconds(1));
-  if (const auto late = RunsOf(target) - before; late > 0) {
-    Report("DRAIN: " + std::to_string(late) + " requests to target " +
-           std::to_string(target) +
+  if (const auto late = DescribeArrivals(target, due); !late.empty()) {
+    Report("DRAIN: requests reach target " + std::to_string(target) +
            (is_removed ? ", which was removed" : ", which drains") +
-           ", after the watches ended as " + end);
+           ", after the watches ended as " + end + ", acknowledged at " +
+           SinceStart(acknowledged) + ":" + late);
   }
   store_.Register(target, "ready");
 }
@@ -207,16 +210,32 @@
   }
 }
 
-auto Soak::RunsOf(std::size_t target) -> int {
-  return fleet_.target(target).Counters(fleet_.http())["runs"];
+auto Soak::DescribeArrivals(std::size_t target, TimePoint time) -> std::string {
+  const auto counters = fleet_.target(target).Counters(fleet_.http());
+  std::string text;
+  for (const auto& arrival : counters.at("arrivals")) {
+    if (const auto at = ToTimePoint(arrival.at("at_us")); at > time) {
+      text +=
+          " " + arrival.at("id").get<std::string>() + " at " + SinceStart(at);
+    }
+  }
+  return text;
+}
+
+auto Soak::SinceStart(TimePoint time) const -> std::string {
+  return std::to_string(ToMilliseconds(time - start_));
 }
 
-auto Soak::CollectRuns() -> std::map<std::string, std::vector<TargetRun>> {
-  std::map<std::string, std::vector<TargetRun>> runs;
+auto Soak::CollectTargetLogs() -> TargetLogs {
+  TargetLogs logs;
   for (std::size_t i = 0; i < fleet_.targets(); ++i) {
     const auto counters = fleet_.target(i).Counters(fleet_.http());
+    for (const auto& arrival : counters.at("arrivals")) {
+      logs.arrivals[arrival.at("id")].push_back(
+          ToTimePoint(arrival.at("at_us")));
+    }
     for (const auto& run : counters.at("log")) {
-      auto& added = runs[run.at("id")].emplace_back();
+      auto& added = logs.runs[run.at("id")].emplace_back();
       added.start = ToTimePoint(run.at("start_us"));
       if (run.contains("end_us")) {
         added.end = ToTimePoint(run.at("end_us"));
@@ -224,47 +243,60 @@
       added.is_sound = run.at("is_sound");
     }
   }
-  return runs;
+  return logs;
 }
 
 auto Soak::CheckCalls() -> void {
-  const CallChecks checks(settings_, gateways_.histories(), CollectRuns());
-  const auto since_start = [this](TimePoint time) {
-    return std::to_string(ToMilliseconds(time - start_));
-  };
+  const CallChecks checks(settings_, gateways_.histories(),
+                          CollectTargetLogs());
   int served = 0;
   int closed = 0;
+  int given_up = 0;
   int calls = 0;
+  std::string late;
+  int late_calls = 0;
   for (const auto& message : ended_.TakeAll()) {
     const auto& call = std::get<EndedCall>(message);
     ++calls;
     served += call.status == 200 ? 1 : 0;
     closed += call.end == CallEnd::kClosed ? 1 : 0;
+    given_up += call.end == CallEnd::kGivenUp ? 1 : 0;
+    if (checks.ArrivesAfterClose(call)) {
+      ++late_calls;
+      late += " " + call.id + " to gateway " + std::to_string(call.gateway) +
+              ", closed at " + SinceStart(call.time.end);
+    }
     for (const auto& promise : checks.Check(call)) {
       auto text =
           promise + ": call " + call.id + " of " +
           settings_.routes[call.route].prefix + " to gateway " +
-          std::to_string(call.gateway) + ", " + since_start(call.time.start) +
-          " to " + since_start(call.time.end) + " ms, status " +
+          std::to_string(call.gateway) + ", " + SinceStart(call.time.start) +
+          " to " + SinceStart(call.time.end) + " ms, status " +
           std::to_string(call.status) + ", end " +
           std::string(ToName(call.end)) + (call.is_kept ? ", kept" : ", new") +
           (call.is_behind ? ", behind" : "");
       for (const auto& run : checks.RunsOf(call)) {
-        text += ", ran from " + since_start(run.start) + " to " +
-                (run.end ? since_start(*run.end) : "?") +
+        text += ", ran from " + SinceStart(run.start) + " to " +
+                (run.end ? SinceStart(*run.end) : "?") +
                 (run.is_sound ? "" : " without an answer");
       }
       for (const auto& stop : gateways_.histories()[call.gateway].stops) {
-        text += ", SIGTERM " + since_start(stop);
+        text += ", SIGTERM " + SinceStart(stop);
       }
       Report(text);
     }
   }
   printf(
       "soak: seed %lu, limit %s: %d of %d calls served, %d without an "
-      "answer, store in era %d\n",
+      "answer, %d given up, %d reached a target after their callers left, "
+      "store in era %d\n",
       static_cast<unsigned long>(seed_), std::string(ToName(limit_)).c_str(),
-      served, calls, closed, fleet_.StoreCounters().at("era").get<int>());
+      served, calls, closed, given_up, late_calls,
+      fleet_.StoreCounters().at("era").get<int>());
+  if (late_calls > kMostLateCalls) {
+    Report("GONE: " + std::to_string(late_calls) +
+           " requests reach a target after their callers left:" + late);
+  }
   if (calls == 0 || served * 4 < calls) {
     Report("RECOVER: only " + std::to_string(served) + " of " +
            std::to_string(calls) + " calls were served");
