Keep a reserve of descriptors from callers and targets

Seen: a gateway whose callers' requests and connections to targets took all descriptors gave no answer to operators, no link to a VM that was added, and libzmq's I/O thread called accept() in vain all the time.

Cause: only callers had a bound, half of the limit. Connections to targets took the rest.

Change: DescriptorBudget divides the limit by use. Callers and targets have half each of what a reserve for the process, peers, the store and operators leaves. The task that serves callers reads the limit at each tick, so the parts follow one that is changed at run time. At the part of targets, a connection is opened only in exchange for an idle one; otherwise the attempt ends with the new result no-connection, which blames no target, is not run, and is refused with 503 if no other target takes it. One log line says that a part is used up and one that it is free again; the parts and the connections are on /metrics.

With 4,100 or 8,192 descriptors and max_connections 1,500, callers keep 1,500 and targets get 2,424 or 6,516. At 1,024 callers get 424 instead of 512.

--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -1,9 +1,7 @@
 #include "daemon/daemon.h"
 
 #include <CLI/CLI.hpp>
-#include <algorithm>
 #include <csignal>
-#include <cstdint>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
@@ -35,10 +33,6 @@
 // a slow reader; a reader that hangs must not block the exit.
 constexpr Duration kLogFlushTimeout = std::chrono::milliseconds(300);
 
-// Share of the descriptors that callers may use. The rest remains for
-// upstreams, peers, the platform and operators.
-constexpr std::uint64_t kCallerDescriptorDivisor = 2;
-
 // Taken at the start: the threads of the log, of the task that serves callers
 // and of libzmq (two), and the descriptors of all tasks.
 constexpr ResourceNeed kProcessNeed{.threads = 4, .descriptors = 48};
@@ -79,30 +73,13 @@
       "the settings file is valid; changes take effect at the next start");
 }
 
-// Keeps callers from using up the descriptors of the process. Does nothing if
-// the limit `descriptors` is 0, which stands for an unknown one.
-auto BoundCallerConnections(std::uint64_t descriptors, Settings& settings)
-    -> void {
-  auto& connections = settings.caller.max_connections;
-  const auto bound =
-      std::max<std::uint64_t>(1, descriptors / kCallerDescriptorDivisor);
-  if (descriptors == 0 || connections <= bound) {
-    return;
-  }
-  Log(Part::kNode, LogLevel::kWarning,
-      "keeps at most " + std::to_string(bound) +
-          " connections of callers instead of " + std::to_string(connections) +
-          ": the limit of open descriptors is " + std::to_string(descriptors));
-  connections = static_cast<std::uint32_t>(bound);
-}
-
 // Waits until the system grants all that the process needs at its start, before
 // anything takes a part of it, and starts the log's thread. Otherwise,
 // processes that each got a part would keep one another from starting. Raises
-// the limit of descriptors, and returns it in `descriptors`.
-auto WaitForResources(std::uint64_t& descriptors) -> StartupResult {
-  return RetryWhileRefused([&]() -> Result<void> {
-    descriptors = RaiseDescriptorLimit();
+// the limit of descriptors.
+auto WaitForResources() -> StartupResult {
+  return RetryWhileRefused([]() -> Result<void> {
+    RaiseDescriptorLimit();
     BOOST_LEAF_CHECK(CheckResources(kProcessNeed));
     StartLogWriter();
     return {};
@@ -183,11 +160,9 @@
     return kExitSettings;
   }
   ConfigureLog(settings->log.level, settings->log.format);
-  std::uint64_t descriptors = 0;
-  if (WaitForResources(descriptors) == StartupResult::kStopped) {
+  if (WaitForResources() == StartupResult::kStopped) {
     return kExitOk;
   }
-  BoundCallerConnections(descriptors, *settings);
   const auto code = RunNode(*settings, settings_path, options);
   if (!StopLog(kLogFlushTimeout)) {
     // The log thread is blocked on its reader and cannot be joined.
--- a/src/daemon/process_limits.cc
+++ b/src/daemon/process_limits.cc
@@ -29,14 +29,12 @@
   pthread_attr_destroy(&attributes);
 }
 
-auto RaiseDescriptorLimit() -> std::uint64_t {
+auto RaiseDescriptorLimit() -> void {
   rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
-    return 0;
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
   }
-  const auto soft = limit.rlim_cur;
-  limit.rlim_cur = limit.rlim_max;
-  return setrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : soft;
 }
 
 }  // namespace flamingoyoke
--- a/src/daemon/process_limits.h
+++ b/src/daemon/process_limits.h
@@ -1,8 +1,6 @@
 #ifndef FLAMINGOYOKE_DAEMON_PROCESS_LIMITS_H_
 #define FLAMINGOYOKE_DAEMON_PROCESS_LIMITS_H_
 
-#include <cstdint>
-
 namespace flamingoyoke {
 
 // Makes the process fit into limits on its address space that are close to the
@@ -10,9 +8,9 @@
 // Call it before any other thread starts.
 auto LimitAddressSpace() -> void;
 
-// Raises the soft limit of open descriptors to the hard limit. Returns the
-// limit in force, or 0 if it is not known.
-auto RaiseDescriptorLimit() -> std::uint64_t;
+// Raises the soft limit of open descriptors to the hard limit, if the system
+// permits it.
+auto RaiseDescriptorLimit() -> void;
 
 }  // namespace flamingoyoke
 
--- a/src/decision/dispatch/attempt.h
+++ b/src/decision/dispatch/attempt.h
@@ -28,6 +28,7 @@
   kServerError,    // Complete response, status 500 or above: executed.
   kShed,           // The upstream reported that it did not execute it.
   kConnectFailed,  // No byte of the request was sent.
+  kNoConnection,   // This node may open no more connections.
   kTimeout,        // Sent, but no complete response in time.
   kReset,          // Sent, then the connection broke.
   kPartialAnswer,  // The response started but did not complete.
@@ -41,6 +42,7 @@
       {AttemptResult::kServerError, "server-error"},
       {AttemptResult::kShed, "shed"},
       {AttemptResult::kConnectFailed, "connect-failed"},
+      {AttemptResult::kNoConnection, "no-connection"},
       {AttemptResult::kTimeout, "timeout"},
       {AttemptResult::kReset, "reset"},
       {AttemptResult::kPartialAnswer, "partial-answer"},
--- a/src/decision/dispatch/load_reporter.cc
+++ b/src/decision/dispatch/load_reporter.cc
@@ -17,6 +17,7 @@
       ++failed_;
       break;
     case AttemptResult::kShed:
+    case AttemptResult::kNoConnection:
     case AttemptResult::kCancelled:
       break;
   }
--- a/src/decision/dispatch/loan_borrower.cc
+++ b/src/decision/dispatch/loan_borrower.cc
@@ -27,6 +27,7 @@
       ++outcomes.failed;
       break;
     case AttemptResult::kShed:
+    case AttemptResult::kNoConnection:
     case AttemptResult::kCancelled:
       break;
   }
--- a/src/decision/dispatch/service_dispatcher.cc
+++ b/src/decision/dispatch/service_dispatcher.cc
@@ -28,6 +28,7 @@
     case AttemptResult::kShed:
       return ErrorKind::kUpstreamShed;
     case AttemptResult::kConnectFailed:
+    case AttemptResult::kNoConnection:
       return ErrorKind::kConnectFailed;
     case AttemptResult::kTimeout:
       return ErrorKind::kUpstreamTimeout;
@@ -47,7 +48,8 @@
 // request.
 auto ProvesNotRun(AttemptResult result) -> bool {
   return result == AttemptResult::kShed ||
-         result == AttemptResult::kConnectFailed;
+         result == AttemptResult::kConnectFailed ||
+         result == AttemptResult::kNoConnection;
 }
 
 auto IsAnswer(AttemptResult result) -> bool {
--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -67,6 +67,7 @@
     case AttemptResult::kReset:
     case AttemptResult::kPartialAnswer:
       return Evidence::kBroken;
+    case AttemptResult::kNoConnection:
     case AttemptResult::kCancelled:
       return std::nullopt;
   }
@@ -81,6 +82,8 @@
       return ErrorKind::kUpstreamShed;
     case AttemptResult::kConnectFailed:
       return ErrorKind::kNoTarget;
+    case AttemptResult::kNoConnection:
+      return ErrorKind::kOverloaded;
     case AttemptResult::kTimeout:
       return ErrorKind::kUpstreamTimeout;
     case AttemptResult::kPartialAnswer:
@@ -94,10 +97,15 @@
   return ErrorKind::kInternal;
 }
 
+// Returns whether nothing was sent to the target.
+auto IsUnsent(AttemptResult result) -> bool {
+  return result == AttemptResult::kConnectFailed ||
+         result == AttemptResult::kNoConnection;
+}
+
 // Returns whether `result` proves that the target did not run the request.
 auto IsNotRun(AttemptResult result) -> bool {
-  return result == AttemptResult::kShed ||
-         result == AttemptResult::kConnectFailed;
+  return result == AttemptResult::kShed || IsUnsent(result);
 }
 
 }  // namespace
@@ -239,7 +247,7 @@
     Deliver(active, event.attempt, false);
     return;
   }
-  if (event.result == AttemptResult::kConnectFailed) {
+  if (IsUnsent(event.result)) {
     --active.sent;
     ++active.connect_failures;
   }
@@ -290,7 +298,7 @@
                       SlotsFor(active.info.priority))) {
     return false;
   }
-  if (result == AttemptResult::kConnectFailed) {
+  if (IsUnsent(result)) {
     if (active.connect_failures > kMaxConnectFailures) {
       return false;
     }
--- a/src/node/traffic/caller_server.cc
+++ b/src/node/traffic/caller_server.cc
@@ -42,6 +42,7 @@
              .closes_after_reply = [this] { return closing_; },
              .on_closed = [this](CallerConnection* c) { OnClosed(c); },
              .on_reply_sent = [this](CallerConnection*) { ReportProgress(); }},
+      part_(Part::kTraffic, DescriptorUse::kCallers, limits.connections),
       cleanup_timer_(loop.MakeTimer([this] { closed_.clear(); })),
       accept_pause_(loop, Part::kTraffic),
       http_(evhttp_new(loop.base())) {
@@ -95,7 +96,8 @@
   if (!close_idle || std::exchange(closes_idle_, true)) {
     return;
   }
-  for (const auto& [bev, connection] : connections_) {
+  for (const auto& [bev, open] : connections_) {
+    const auto& connection = open.connection;
     if (connection->awaiting_first_request()) {
       connection->LimitFirstRequestWait();
     } else if (!connection->busy() && !connection->receiving()) {
@@ -107,17 +109,18 @@
 auto CallerServer::idle() const -> bool {
   return std::none_of(
       connections_.begin(), connections_.end(), [](const auto& entry) {
-        return entry.second->busy() || entry.second->receiving() ||
-               entry.second->lingering() ||
-               entry.second->awaiting_first_request();
+        const auto& connection = *entry.second.connection;
+        return connection.busy() || connection.receiving() ||
+               connection.lingering() || connection.awaiting_first_request();
       });
 }
 
 auto CallerServer::all_answered() const -> bool {
-  return std::none_of(
-      connections_.begin(), connections_.end(), [](const auto& entry) {
-        return entry.second->busy() || entry.second->lingering();
-      });
+  return std::none_of(connections_.begin(), connections_.end(),
+                      [](const auto& entry) {
+                        const auto& connection = *entry.second.connection;
+                        return connection.busy() || connection.lingering();
+                      });
 }
 
 auto CallerServer::MakeConnection() -> bufferevent* {
@@ -128,8 +131,10 @@
   auto connection = std::make_unique<CallerConnection>(
       loop_, bev, limits_.connection, budget_, owner_);
   auto* created = connection.get();
-  connections_.emplace(bev, std::move(connection));
-  if (connections_.size() > limits_.connections) {
+  const bool has_room = part_.MakeRoom();
+  connections_.emplace(
+      bev, OpenConnection{std::move(connection), ConnectionPart::Share(part_)});
+  if (!has_room) {
     created->ScheduleClose();
     accept_pause_.PauseForIteration();
   } else if (closes_idle_) {
@@ -146,7 +151,7 @@
     evhttp_send_error(request, HTTP_INTERNAL, nullptr);
     return;
   }
-  handler_.on_request(found->second->OnRequest(request));
+  handler_.on_request(found->second.connection->OnRequest(request));
 }
 
 auto CallerServer::OnClosed(CallerConnection* connection) -> void {
@@ -154,7 +159,7 @@
   if (found == connections_.end()) {
     return;
   }
-  closed_.push_back(std::move(found->second));
+  closed_.push_back(std::move(found->second.connection));
   connections_.erase(found);
   cleanup_timer_.Schedule(Duration::zero());
   ReportProgress();
--- a/src/node/traffic/caller_server.h
+++ b/src/node/traffic/caller_server.h
@@ -16,6 +16,7 @@
 #include "node/traffic/body_budget.h"
 #include "node/traffic/caller_connection.h"
 #include "node/traffic/caller_exchange.h"
+#include "node/traffic/connection_part.h"
 #include "runtime/event_loop.h"
 
 namespace flamingoyoke {
@@ -66,11 +67,17 @@
   [[nodiscard]] auto connections() const -> std::size_t {
     return connections_.size();
   }
+  // Limits the connections; its limit may be changed.
+  [[nodiscard]] auto part() -> ConnectionPart& { return part_; }
   [[nodiscard]] auto body_bytes() const -> std::uint64_t {
     return budget_.used();
   }
 
  private:
+  struct OpenConnection {
+    std::unique_ptr<CallerConnection> connection;
+    ConnectionPart::Share share;
+  };
   struct EvhttpDeleter {
     auto operator()(evhttp* http) const -> void { evhttp_free(http); }
   };
@@ -85,11 +92,11 @@
   const Handler handler_;
   BodyBudget budget_;
   CallerConnection::Owner owner_;
+  ConnectionPart part_;
   bool closing_ = false;
   bool closes_idle_ = false;
   std::uint16_t port_ = 0;
-  std::unordered_map<bufferevent*, std::unique_ptr<CallerConnection>>
-      connections_;
+  std::unordered_map<bufferevent*, OpenConnection> connections_;
   // Closed connections whose callbacks may still be running.
   std::vector<std::unique_ptr<CallerConnection>> closed_;
   EventLoop::Handle cleanup_timer_;
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -53,6 +53,10 @@
       random_(config_.traffic.seed),
       load_(config_.capacity, config_.request_processor_time),
       answer_memory_(config_.traffic.answer_memory_bytes),
+      descriptor_watch_(Part::kGateway, config_.traffic.caller_connections),
+      target_connections_(Part::kGateway,
+                          DescriptorUse::kTargets,
+                          kUnlimitedConnections),
       request_log_(config_.max_request_lines_per_second) {}
 
 GatewayTask::~GatewayTask() {
@@ -78,6 +82,7 @@
             OnRequest(std::move(exchange));
           },
           [this] { stop_->ExitIfDone(); }});
+  descriptor_watch_.Update(server_->part(), target_connections_);
   for (const auto& address : config_.status_addresses) {
     BOOST_LEAF_CHECK(server_->Listen(address.host, address.endpoint.port));
   }
@@ -254,7 +259,7 @@
   };
   hooks.on_received = [this](std::size_t bytes) { received_bytes_ += bytes; };
   runner = std::make_unique<PoolRunner>(
-      context_->loop(), config_, answer_memory_, service,
+      context_->loop(), config_, answer_memory_, target_connections_, service,
       Random(random_.Next()), std::move(hooks));
   return *runner;
 }
@@ -432,6 +437,7 @@
 auto GatewayTask::OnTick() -> void {
   CheckPause();
   MeasureLoad();
+  descriptor_watch_.Update(server_->part(), target_connections_);
   if (Now() - last_report_ >= kReportPeriod) {
     SendReports();
   }
@@ -498,6 +504,8 @@
          .is_counter = false,
          .value = static_cast<double>(view_->entries.size())});
   }
+  descriptor_watch_.AppendTo(server_->part(), target_connections_,
+                             metrics.samples);
   for (const auto& [id, runner] : services_) {
     AddServiceSamples(id, runner->dispatcher(), last_report_, metrics.samples);
   }
--- a/src/node/traffic/gateway/gateway_task.h
+++ b/src/node/traffic/gateway/gateway_task.h
@@ -18,6 +18,8 @@
 #include "decision/gateway/service_splitter.h"
 #include "node/messages.h"
 #include "node/traffic/caller_server.h"
+#include "node/traffic/connection_part.h"
+#include "node/traffic/descriptor_watch.h"
 #include "node/traffic/gateway/gateway_config.h"
 #include "node/traffic/gateway/pool_runner.h"
 #include "node/traffic/gateway/request_log.h"
@@ -103,6 +105,9 @@
   std::uint64_t received_bytes_ = 0;
   LoadMeter load_;
   AnswerMemory answer_memory_;
+  DescriptorWatch descriptor_watch_;
+  // Connections to the targets of all services.
+  ConnectionPart target_connections_;
   // Requests rejected because the processor is overloaded.
   std::uint64_t overloaded_ = 0;
   TaskContext* context_ = nullptr;
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -34,6 +34,7 @@
 PoolRunner::PoolRunner(EventLoop& loop,
                        const GatewayConfig& config,
                        AnswerMemory& memory,
+                       ConnectionPart& connections,
                        const ServiceId& service,
                        Random random,
                        Hooks hooks)
@@ -44,7 +45,10 @@
       random_(random),
       service_(service),
       dispatcher_(service, Random(random_.Next()), config.limits),
-      pool_(loop, RegisteredUpstreamInterface(config.dialect), memory),
+      pool_(loop,
+            RegisteredUpstreamInterface(config.dialect),
+            memory,
+            connections),
       timer_(loop.MakeTimer([this] { Post(PoolTimer{}); })) {}
 
 auto PoolRunner::Configure(const std::vector<RegisteredTarget>& targets,
@@ -162,7 +166,9 @@
   auto lease = pool_.Acquire(action.target, false);
   if (!lease.connection) {
     request->second.history += " " + action.target.value() + "=no-connection";
-    Post(PoolAttemptEnded{action.attempt, AttemptResult::kConnectFailed});
+    Post(PoolAttemptEnded{action.attempt, lease.is_part_used_up
+                                              ? AttemptResult::kNoConnection
+                                              : AttemptResult::kConnectFailed});
     return;
   }
   auto& attempt =
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -65,10 +65,11 @@
     std::function<void(std::size_t)> on_received;
   };
 
-  // `config`, `loop` and `memory` must outlive the runner.
+  // `config`, `loop`, `memory` and `connections` must outlive the runner.
   PoolRunner(EventLoop& loop,
              const GatewayConfig& config,
              AnswerMemory& memory,
+             ConnectionPart& connections,
              const ServiceId& service,
              Random random,
              Hooks hooks);
--- a/src/node/traffic/service_runner.cc
+++ b/src/node/traffic/service_runner.cc
@@ -37,6 +37,7 @@
 ServiceRunner::ServiceRunner(EventLoop& loop,
                              const TrafficConfig& config,
                              AnswerMemory& memory,
+                             ConnectionPart& connections,
                              Random random,
                              Hooks hooks)
     : loop_(loop),
@@ -45,7 +46,7 @@
       random_(random),
       dispatcher_(Random(random_.Next())),
       detector_(Random(random_.Next())),
-      pool_(loop, NativeUpstreamInterface(), memory),
+      pool_(loop, NativeUpstreamInterface(), memory, connections),
       dispatcher_timer_(loop.MakeTimer([this] { Post(DispatchTimer{}); })),
       detector_timer_(loop.MakeTimer([this] { Post(DetectionTimer{}); })) {}
 
@@ -213,7 +214,9 @@
   }
   auto lease = pool_.Acquire(action.target, false);
   if (!lease.connection) {
-    Post(AttemptFinished{action.attempt, AttemptResult::kConnectFailed});
+    Post(AttemptFinished{action.attempt, lease.is_part_used_up
+                                             ? AttemptResult::kNoConnection
+                                             : AttemptResult::kConnectFailed});
     return;
   }
   const auto now = Now();
--- a/src/node/traffic/service_runner.h
+++ b/src/node/traffic/service_runner.h
@@ -69,10 +69,11 @@
     std::function<void(PeerMessageToSend)> send;
   };
 
-  // `config`, `loop` and `memory` must outlive the runner.
+  // `config`, `loop`, `memory` and `connections` must outlive the runner.
   ServiceRunner(EventLoop& loop,
                 const TrafficConfig& config,
                 AnswerMemory& memory,
+                ConnectionPart& connections,
                 Random random,
                 Hooks hooks);
   ServiceRunner(const ServiceRunner&) = delete;
--- a/src/node/traffic/traffic_task.cc
+++ b/src/node/traffic/traffic_task.cc
@@ -49,6 +49,10 @@
 TrafficTask::TrafficTask(TrafficConfig config, TrafficOutbox outbox)
     : config_(std::move(config)),
       answer_memory_(config_.answer_memory_bytes),
+      descriptor_watch_(Part::kTraffic, config_.caller_connections),
+      target_connections_(Part::kTraffic,
+                          DescriptorUse::kTargets,
+                          kUnlimitedConnections),
       outbox_(outbox),
       random_(config_.seed),
       ledger_(config_.vm, config_.incarnation, config_.key_limits),
@@ -80,6 +84,7 @@
             OnRequest(std::move(exchange));
           },
           [this] { stop_->ExitIfDone(); }});
+  descriptor_watch_.Update(server_->part(), target_connections_);
   BOOST_LEAF_CHECK(server_->Listen(config_.listen_host, config_.listen_port));
   tick_ = loop.MakeTimer([this] { OnTick(); });
   stop_.emplace(
@@ -209,9 +214,9 @@
   hooks.send = [this](PeerMessageToSend message) {
     outbox_.mesh.Post(std::move(message));
   };
-  return std::make_unique<ServiceRunner>(context_->loop(), config_,
-                                         answer_memory_, Random(random_.Next()),
-                                         std::move(hooks));
+  return std::make_unique<ServiceRunner>(
+      context_->loop(), config_, answer_memory_, target_connections_,
+      Random(random_.Next()), std::move(hooks));
 }
 
 auto TrafficTask::PlacementFor(const ServiceRow& row) const
@@ -370,13 +375,13 @@
     sample.value = value;
     metrics.samples.push_back(std::move(sample));
   };
-  add_gauge("flamingoyoke_caller_connections", "Open caller connections.",
-            static_cast<double>(server_->connections()));
   add_gauge("flamingoyoke_request_body_bytes",
             "Bodies that are received or stored.",
             static_cast<double>(server_->body_bytes()));
   add_gauge("flamingoyoke_key_ledger_entries", "Idempotency keys in memory.",
             static_cast<double>(ledger_.size()));
+  descriptor_watch_.AppendTo(server_->part(), target_connections_,
+                             metrics.samples);
   // Metrics are posted first, so that whoever receives the report can rely on
   // them being posted.
   outbox_.telemetry.Post(std::move(metrics));
--- a/src/node/traffic/traffic_task.h
+++ b/src/node/traffic/traffic_task.h
@@ -16,6 +16,8 @@
 #include "decision/idempotency/key_ledger.h"
 #include "node/messages.h"
 #include "node/traffic/caller_server.h"
+#include "node/traffic/connection_part.h"
+#include "node/traffic/descriptor_watch.h"
 #include "node/traffic/late_tick_detector.h"
 #include "node/traffic/request_admission.h"
 #include "node/traffic/route_table.h"
@@ -82,6 +84,9 @@
 
   const TrafficConfig config_;
   AnswerMemory answer_memory_;
+  DescriptorWatch descriptor_watch_;
+  // Connections to the targets of all services.
+  ConnectionPart target_connections_;
   const TrafficOutbox outbox_;
   Random random_;
   TaskContext* context_ = nullptr;
--- a/src/node/traffic/upstream_connection.h
+++ b/src/node/traffic/upstream_connection.h
@@ -9,10 +9,12 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "core/time.h"
 #include "decision/dispatch/attempt.h"
 #include "node/traffic/answer_memory.h"
+#include "node/traffic/connection_part.h"
 #include "node/traffic/http_message.h"
 #include "runtime/event_loop.h"
 
@@ -123,6 +125,11 @@
     on_idle_close_ = std::move(on_idle_close);
   }
 
+  // Counts the connection for as long as it exists.
+  auto set_share(ConnectionPart::Share share) -> void {
+    share_ = std::move(share);
+  }
+
  private:
   struct ConnectionDeleter {
     auto operator()(evhttp_connection* connection) const -> void {
@@ -153,6 +160,7 @@
   [[nodiscard]] auto FailureResult(AttemptResult after_write) const
       -> AttemptResult;
 
+  ConnectionPart::Share share_;
   const UpstreamInterface& interface_;
   bufferevent* bev_;
   std::unique_ptr<evhttp_connection, ConnectionDeleter> connection_;
--- a/src/node/traffic/upstream_pool.cc
+++ b/src/node/traffic/upstream_pool.cc
@@ -7,11 +7,14 @@
 
 UpstreamPool::UpstreamPool(EventLoop& loop,
                            UpstreamInterface interface,
-                           AnswerMemory& memory)
+                           AnswerMemory& memory,
+                           ConnectionPart& part)
     : loop_(loop),
       interface_(std::move(interface)),
       memory_(memory),
-      cleanup_timer_(loop.MakeTimer([this] { discarded_.clear(); })) {}
+      part_(part),
+      cleanup_timer_(loop.MakeTimer([this] { discarded_.clear(); })),
+      registration_(part, [this] { return CloseIdle(); }) {}
 
 auto UpstreamPool::Configure(const ServiceRow& row) -> void {
   max_connections_ = std::max<std::size_t>(
@@ -40,7 +43,7 @@
     return {};
   }
   auto& entry = found->second;
-  Lease lease{target, entry.generation, nullptr};
+  Lease lease{target, entry.generation, nullptr, false};
   while (!force_new && !entry.idle.empty() && !lease.connection) {
     // The most recently used connection is the least likely to be closed by the
     // upstream.
@@ -62,8 +65,13 @@
     entry.idle.erase(entry.idle.begin());
   }
   if (!lease.connection) {
+    if (!part_.MakeRoom()) {
+      lease.is_part_used_up = true;
+      return lease;
+    }
     lease.connection = std::make_unique<UpstreamConnection>(
         loop_, entry.spec.host, entry.spec.port, interface_, memory_);
+    lease.connection->set_share(ConnectionPart::Share(part_));
   }
   ++entry.leased;
   return lease;
@@ -122,6 +130,20 @@
   idle.erase(found);
 }
 
+auto UpstreamPool::CloseIdle() -> bool {
+  const auto found = std::max_element(
+      targets_.begin(), targets_.end(), [](const auto& a, const auto& b) {
+        return a.second.idle.size() < b.second.idle.size();
+      });
+  if (found == targets_.end() || found->second.idle.empty()) {
+    return false;
+  }
+  auto& idle = found->second.idle;
+  Discard(std::move(idle.front()));
+  idle.erase(idle.begin());
+  return true;
+}
+
 auto UpstreamPool::Discard(std::unique_ptr<UpstreamConnection> connection)
     -> void {
   connection->Abandon();
--- a/src/node/traffic/upstream_pool.h
+++ b/src/node/traffic/upstream_pool.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/ids.h"
+#include "node/traffic/connection_part.h"
 #include "node/traffic/upstream_connection.h"
 #include "runtime/event_loop.h"
 #include "table/service_row.h"
@@ -25,12 +26,16 @@
     // Connections of an older generation are not reused.
     std::uint64_t generation = 0;
     std::unique_ptr<UpstreamConnection> connection;
+    // Whether the connection is null because this process may open no more.
+    bool is_part_used_up = false;
   };
 
-  // `loop` and `memory` must outlive the pool.
+  // `loop`, `memory` and `part`, which limits the connections of all pools,
+  // must outlive the pool.
   UpstreamPool(EventLoop& loop,
                UpstreamInterface interface,
-               AnswerMemory& memory);
+               AnswerMemory& memory,
+               ConnectionPart& part);
 
   // Applies the targets and the connection limit of `row`. Idle connections to
   // removed targets are closed.
@@ -38,7 +43,7 @@
 
   // Returns an idle connection, or a new one if there is none or `force_new` is
   // set. The connection is null if the target is unknown or has reached its
-  // connection limit.
+  // connection limit, or if the part of all pools is used up.
   auto Acquire(const TargetId& target, bool force_new) -> Lease;
 
   // Returns a connection to the pool, or closes it if it is not usable. May be
@@ -63,16 +68,21 @@
 
   auto OnIdleClose(const TargetId& target, const UpstreamConnection* closed)
       -> void;
+  // Closes the idle connection that was not used for longest, of the target
+  // with most of them. Returns false if there is none.
+  auto CloseIdle() -> bool;
   // Destroys a connection in a later event, as its callbacks may be running.
   auto Discard(std::unique_ptr<UpstreamConnection> connection) -> void;
 
   EventLoop& loop_;
   const UpstreamInterface interface_;
   AnswerMemory& memory_;
+  ConnectionPart& part_;
   std::unordered_map<TargetId, TargetConnections> targets_;
   std::size_t max_connections_ = 1;
   std::vector<std::unique_ptr<UpstreamConnection>> discarded_;
   EventLoop::Handle cleanup_timer_;
+  const ConnectionPart::Registration registration_;
 };
 
 }  // namespace flamingoyoke
--- a/tests/integration/process_limits_test.cc
+++ b/tests/integration/process_limits_test.cc
@@ -7,9 +7,12 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstddef>
 #include <cstdint>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
+#include <nlohmann/json.hpp>
 #include <sstream>
 #include <string>
 #include <thread>
@@ -64,8 +67,140 @@
       (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK)));
 }
 
+// Returns the value of a metric without labels, or -1 if it cannot be read.
+auto ReadMetric(PublishedStoreFleet& fleet,
+                std::size_t gateway,
+                const std::string& name) -> double {
+  const auto text = fleet.http()
+                        .Send({.server = fleet.AddressesOf(gateway).back(),
+                               .target = "/metrics",
+                               .timeout = std::chrono::seconds(1)})
+                        .body;
+  const auto found = text.find("\n" + name + " ");
+  return found == std::string::npos
+             ? -1
+             : std::stod(text.substr(found + name.size() + 2));
+}
+
+// Number of log lines of a gateway that contain `words`.
+auto CountLogLines(const PublishedStoreFleet& fleet,
+                   std::size_t gateway,
+                   const std::string& words) -> int {
+  std::ifstream file(fleet.folder() + "/gateway-" + std::to_string(gateway) +
+                     ".log");
+  int count = 0;
+  for (std::string line; std::getline(file, line);) {
+    count += line.find(words) == std::string::npos ? 0 : 1;
+  }
+  return count;
+}
+
+// Sends a request on `caller` without waiting for its answer.
+auto SendOrder(int caller, const std::string& host, int number) -> void {
+  const auto request = "POST /book/1 HTTP/1.1\r\nHost: " + host +
+                       "\r\nX-Request-Id: order-" + std::to_string(number) +
+                       "\r\nX-Request-Deadline-Ms: 15000\r\n"
+                       "Content-Length: 5\r\n\r\norder";
+  send(caller, request.data(), request.size(), MSG_NOSIGNAL);
+}
+
+// Returns the status of the next answer on `caller`, or 0 if the connection
+// ends before it.
+auto ReadStatus(int caller) -> int {
+  constexpr std::size_t kStatusStart = 9;
+  constexpr std::size_t kStatusSize = 3;
+  const timeval limit{.tv_sec = 20, .tv_usec = 0};
+  setsockopt(caller, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  std::string text(kStatusStart + kStatusSize, 0);
+  return recv(caller, text.data(), text.size(), MSG_WAITALL) ==
+                 static_cast<ssize_t>(text.size())
+             ? std::stoi(text.substr(kStatusStart))
+             : 0;
+}
+
+// Starts a fleet in which gateway 0 may open `descriptors` descriptors and
+// `gateway_count` - 1 gateways run, with targets that are slow.
+auto StartLimitedFleet(PublishedStoreFleet& fleet, int descriptors) -> void {
+  const auto limit = std::to_string(descriptors);
+  fleet.SetLauncher(0, {"prlimit", "--nofile=" + limit + ":" + limit});
+  const auto host = PublishedStoreFleet::AddressOf(0);
+  fleet.PublishConfig(
+      {{"version", "r1"},
+       {"routes",
+        {{"book",
+          {{"host", host},
+           {"prefix", "/book/"},
+           {"kind", "unsafe"},
+           {"timeout_ms", 15'000},
+           {"slo_ms", 10'000},
+           {"priority", 1},
+           {"service", "orders"},
+           {"max_attempts", 2}}}}},
+       {"services",
+        {{"orders", {{"health_path", "/health"}, {"max_conns", 600}}}}},
+       {"limits",
+        {{"max_header_bytes", 16'384}, {"max_body_bytes", 1'048'576}}}});
+  for (std::size_t i = 0; i + 1 < fleet.gateways(); ++i) {
+    fleet.StartGateway(i);
+  }
+  for (std::size_t i = 0; i + 1 < fleet.gateways(); ++i) {
+    cr_assert(WaitUntil([&] { return fleet.IsReady(i); }, kFleetTimeout));
+  }
+}
+
 }  // namespace
 
+// Guards against a gateway whose callers and target connections leave no
+// descriptor for peers, the store and operators, and whose thread spins.
+Test(process_limits, busy_callers_leave_descriptors_for_peers_and_store) {
+  constexpr int kDescriptors = 128;
+  constexpr std::size_t kGateways = 4;
+  constexpr int kCallers = 96;
+  PublishedStoreFleet fleet({.targets = {{"orders", 4}},
+                             .service_ms = 10'000,
+                             .slots = 60,
+                             .gateways = kGateways});
+  StartLimitedFleet(fleet, kDescriptors);
+  std::vector<int> callers;
+  callers.reserve(kCallers);
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(ConnectIdle(fleet.FrontOf(0)));
+    SendOrder(callers.back(), PublishedStoreFleet::AddressOf(0), i);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  const auto activated = CountLogLines(fleet, 0, "activated shard");
+  fleet.StartGateway(kGateways - 1);
+  const auto before = ProcessorTime(fleet.gateway(0).pid());
+  const auto started = std::chrono::steady_clock::now();
+  fleet.PublishRoutes("r2", {"/book/", "/new/"});
+  const auto is_read = WaitUntil(
+      [&] { return CountLogLines(fleet, 0, "activated shard") > activated; },
+      std::chrono::seconds(2));
+  std::this_thread::sleep_until(started + std::chrono::seconds(3));
+  const auto used = ProcessorTime(fleet.gateway(0).pid()) - before;
+  const auto has_peers = WaitUntil(
+      [&] {
+        return ReadMetric(fleet, 3, "flamingoyoke_fleet_peers") == 3 &&
+               ReadMetric(fleet, 3, "flamingoyoke_fleet_cut_off_peers") == 0;
+      },
+      std::chrono::seconds(6));
+  const auto is_live = fleet.http()
+                           .Send({.server = fleet.AddressesOf(0).back(),
+                                  .target = "/livez",
+                                  .timeout = std::chrono::seconds(1)})
+                           .status == kOk;
+  int answered = 0;
+  for (const int caller : callers) {
+    answered += ReadStatus(caller) == kOk ? 1 : 0;
+    close(caller);
+  }
+  cr_expect_lt(used.count(), 0.6, "used %.2f s in 3 s", used.count());
+  cr_expect(is_read, "the new configuration is not in force");
+  cr_expect(has_peers, "the added gateway has no two-way link to all others");
+  cr_expect(is_live, "no answer to an operator");
+  cr_expect_gt(answered, 0);
+}
+
 // Guards against a gateway that uses a whole core, fills its log and accepts no
 // connection, of callers or peers, while idle callers hold all descriptors.
 Test(process_limits, idle_callers_leave_descriptors_for_others) {
--- a/tests/unit/decision/gateway/pool_dispatcher_test.cc
+++ b/tests/unit/decision/gateway/pool_dispatcher_test.cc
@@ -72,6 +72,24 @@
 
 }  // namespace
 
+// Guards against blaming a target because this process may open no more
+// connections, and against an answer that says the request may have run.
+Test(pool_dispatcher, a_missing_connection_is_refused_as_not_run) {
+  auto [dispatcher, attempt] = StartSingleAttempt(false, 1);
+  const auto refused = ActionsOf<RefuseRequest>(dispatcher.OnEvent(
+      PoolAttemptEnded{attempt.attempt, AttemptResult::kNoConnection}, kStart));
+  cr_assert_eq(refused.size(), 1U);
+  cr_expect_eq(refused.front().error, ErrorKind::kOverloaded);
+  for (std::uint64_t id = 2; id < 12; ++id) {
+    const auto starts = ActionsOf<StartAttempt>(
+        dispatcher.OnEvent(MakeArrival(id, false, kStart), kStart));
+    cr_assert_eq(starts.size(), 1U, "request %lu found no target", id);
+    dispatcher.OnEvent(
+        PoolAttemptEnded{starts.front().attempt, AttemptResult::kNoConnection},
+        kStart);
+  }
+}
+
 // Guards against avoiding healthy targets because a route's timeout is too
 // short: in jutagatt quiet-1, 33 of 33 requests of one route ended with 504 at
 // their deadline, each on another target.
