Pause the listener for peers while no descriptors are free

Seen: while a process had no free descriptor, libzmq's I/O thread used a whole core in a unit test, and a VM that was added got no link to it.

Cause: libzmq calls accept() again at once after EMFILE, since the connection stays in the backlog and keeps the listening socket readable.

Change: the mesh task opens the listening socket itself (ZMQ_USE_FD) and looks each 250 ms whether 4 descriptors are free; the look takes no descriptor. If not, a socket filter keeps new connections away, and those that libzmq could not accept are accepted with a spare descriptor and closed.

--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -18,6 +18,8 @@
 namespace flamingoyoke {
 namespace {
 
+// How long libzmq may call accept() in vain while descriptors are used up.
+constexpr Duration kListenerCheckPeriod = std::chrono::milliseconds(250);
 constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
 // Messages received before control returns to the event loop, so that sending
 // is not starved. The fleet task on the same loop handles as many in its turn;
@@ -57,10 +59,12 @@
   google::protobuf::SetLogHandler(nullptr);
   BOOST_LEAF_CHECK(CheckResources(kContextNeed));
   try {
-    Listen(context.loop());
+    BOOST_LEAF_CHECK(Listen(context.loop()));
   } catch (const zmq::error_t& error) {
     return FailListen(config_.address, error.num(), error.what());
   }
+  listener_timer_ = context.loop().MakePeriodicTimer(
+      kListenerCheckPeriod, [this] { listener_.Check(); });
   metrics_timer_ = context.loop().MakePeriodicTimer(
       kMetricsPeriod, [this] { ReportMetrics(); });
   outlets_.fleet.Post(PeerServerStarted{});
@@ -68,7 +72,8 @@
   return {};
 }
 
-auto MeshTask::Listen(EventLoop& loop) -> void {
+auto MeshTask::Listen(EventLoop& loop) -> Result<void> {
+  BOOST_LEAF_CHECK(listener_.Listen(config_.address));
   zmq_context_.emplace(/*io_threads=*/1);
   receiver_ = zmq::socket_t(*zmq_context_, zmq::socket_type::router);
   SetReceiverOptions(receiver_);
@@ -76,11 +81,14 @@
     authenticator_.emplace(*zmq_context_, loop, config_);
     SetKeys(receiver_, config_, /*is_server=*/true);
   }
+  BOOST_LEAF_AUTO(descriptor, listener_.Duplicate());
+  receiver_.set(zmq::sockopt::use_fd, descriptor);
   receiver_.bind("tcp://" + config_.address);
   receive_watch_ = loop.WatchReadable(receiver_.get(zmq::sockopt::fd),
                                       [this] { ReceiveAll(); });
   receive_timer_ = loop.MakeTimer([this] { ReceiveAll(); });
   ReceiveAll();
+  return {};
 }
 
 auto MeshTask::Handle(Message message) -> Result<void> {
@@ -241,6 +249,10 @@
                   counts_.reconnects),
           Counter("flamingoyoke_mesh_refused_peers_total",
                   "Connections refused for a wrong key.", refused),
+          {.name = "flamingoyoke_mesh_listener_paused",
+           .help = "1 while connections of peers wait for descriptors.",
+           .is_counter = false,
+           .value = listener_.is_paused() ? 1.0 : 0.0},
       }});
 }
 
--- a/src/node/control/mesh/mesh_task.h
+++ b/src/node/control/mesh/mesh_task.h
@@ -12,6 +12,7 @@
 #include "core/result.h"
 #include "node/control/mesh/key_authenticator.h"
 #include "node/control/mesh/mesh_config.h"
+#include "node/control/mesh/peer_listener.h"
 #include "node/control/mesh/peer_socket.h"
 #include "node/messages.h"
 #include "runtime/task.h"
@@ -54,7 +55,7 @@
   };
 
   // Throws zmq::error_t.
-  auto Listen(EventLoop& loop) -> void;
+  auto Listen(EventLoop& loop) -> Result<void>;
   auto Send(const SendToPeer& order) -> void;
   auto UpdatePeers(const PeerEndpointsChanged& change) -> void;
   auto Connect(const VmId& vm, const std::string& endpoint) -> void;
@@ -73,12 +74,14 @@
   // Empty until the task starts, since libzmq starts threads.
   std::optional<zmq::context_t> zmq_context_;
   std::optional<KeyAuthenticator> authenticator_;
+  PeerListener listener_;
   zmq::socket_t receiver_;
   std::map<VmId, std::unique_ptr<PeerSocket>> peers_;
   MessageCounts counts_;
   EventLoop::Handle receive_watch_;
   EventLoop::Handle receive_timer_;
   EventLoop::Handle metrics_timer_;
+  EventLoop::Handle listener_timer_;
 };
 
 }  // namespace flamingoyoke
--- a/tests/integration/process_limits_test.cc
+++ b/tests/integration/process_limits_test.cc
@@ -82,6 +82,13 @@
              : std::stod(text.substr(found + name.size() + 2));
 }
 
+// Whether a gateway has a two-way link to each of the others.
+auto HasAllPeers(PublishedStoreFleet& fleet, std::size_t gateway) -> bool {
+  return ReadMetric(fleet, gateway, "flamingoyoke_fleet_peers") ==
+             static_cast<double>(fleet.gateways() - 1) &&
+         ReadMetric(fleet, gateway, "flamingoyoke_fleet_cut_off_peers") == 0;
+}
+
 // Number of log lines of a gateway that contain `words`.
 auto CountLogLines(const PublishedStoreFleet& fleet,
                    std::size_t gateway,
@@ -178,12 +185,9 @@
       std::chrono::seconds(2));
   std::this_thread::sleep_until(started + std::chrono::seconds(3));
   const auto used = ProcessorTime(fleet.gateway(0).pid()) - before;
-  const auto has_peers = WaitUntil(
-      [&] {
-        return ReadMetric(fleet, 3, "flamingoyoke_fleet_peers") == 3 &&
-               ReadMetric(fleet, 3, "flamingoyoke_fleet_cut_off_peers") == 0;
-      },
-      std::chrono::seconds(6));
+  const auto has_peers =
+      WaitUntil([&] { return HasAllPeers(fleet, kGateways - 1); },
+                std::chrono::seconds(6));
   const auto is_live = fleet.http()
                            .Send({.server = fleet.AddressesOf(0).back(),
                                   .target = "/livez",
@@ -201,6 +205,32 @@
   cr_expect_gt(answered, 0);
 }
 
+// Guards against a thread that spins while a lowered limit leaves no descriptor
+// for peers, and against peers that stay cut off once the limit is raised.
+Test(process_limits, lowered_limit_pauses_the_listener_for_peers) {
+  constexpr int kDescriptors = 256;
+  constexpr rlim_t kFewerThanInUse = 40;
+  constexpr std::size_t kGateways = 4;
+  PublishedStoreFleet fleet(
+      {.targets = {{"orders", 2}}, .gateways = kGateways});
+  StartLimitedFleet(fleet, kDescriptors);
+  const auto pid = fleet.gateway(0).pid();
+  rlimit limit = {kFewerThanInUse, kDescriptors};
+  cr_assert_eq(prlimit(pid, RLIMIT_NOFILE, &limit, nullptr), 0);
+  fleet.StartGateway(kGateways - 1);
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  const auto before = ProcessorTime(pid);
+  std::this_thread::sleep_for(std::chrono::seconds(3));
+  const auto used = ProcessorTime(pid) - before;
+  cr_expect_lt(used.count(), 0.6, "used %.2f s in 3 s", used.count());
+  cr_expect_eq(CountLogLines(fleet, 0, "accepts no connections of peers"), 1);
+  limit.rlim_cur = kDescriptors;
+  cr_assert_eq(prlimit(pid, RLIMIT_NOFILE, &limit, nullptr), 0);
+  cr_expect(WaitUntil([&] { return HasAllPeers(fleet, kGateways - 1); },
+                      kFleetTimeout));
+  cr_expect_eq(fleet.Call(0, "/book/1", "order-1").status, kOk);
+}
+
 // Guards against a gateway that uses a whole core, fills its log and accepts no
 // connection, of callers or peers, while idle callers hold all descriptors.
 Test(process_limits, idle_callers_leave_descriptors_for_others) {
--- a/tests/unit/node/control/mesh/mesh_task_test.cc
+++ b/tests/unit/node/control/mesh/mesh_task_test.cc
@@ -1,13 +1,17 @@
 #include "node/control/mesh/mesh_task.h"
 
 #include <criterion/criterion.h>
+#include <netinet/in.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <chrono>
+#include <ctime>
 #include <string>
 #include <thread>
 
+#include "node/log.h"
 #include "unit/node/control/mesh/mesh_stranger.h"
 #include "wire/peer_codec.h"
 
@@ -64,6 +68,11 @@
     cr_assert(peer.ShakeHands());
     const PeerEnvelope envelope{VmId("vm-b"), Incarnation(1), Heartbeat{}};
     peer.Write(MeshStranger::Message(EncodeEnvelope(envelope)));
+    return ReceivesAny();
+  }
+
+  // Whether the task receives a message soon, or has received one.
+  auto ReceivesAny() -> bool {
     Run(kDeliveryWait);
     return !mailboxes_.fleet.TakeAll().empty();
   }
@@ -182,4 +191,41 @@
   }
 }
 
+// Guards against libzmq's thread that calls accept() again and again while no
+// descriptor is left, and against cutting the peers that are connected.
+Test(mesh_task, pauses_the_listener_while_descriptors_are_used_up) {
+  StarvedMesh mesh;
+  MeshStranger connected(mesh.port());
+  cr_assert(connected.ShakeHands());
+  const int waiting = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  // The sanitizer opens a pipe when it checks the type of the logger first.
+  Log(Part::kMesh, LogLevel::kWarning, "using all descriptors");
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int lowest = dup(STDIN_FILENO);
+  close(lowest);
+  const rlimit used_up{static_cast<rlim_t>(lowest), before.rlim_max};
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &used_up), 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(mesh.port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  cr_assert_eq(
+      connect(waiting, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+      0);
+  mesh.Run(std::chrono::milliseconds(600));
+  const auto started = std::clock();
+  mesh.Run(std::chrono::seconds(1));
+  const auto used =
+      static_cast<double>(std::clock() - started) / CLOCKS_PER_SEC;
+  setrlimit(RLIMIT_NOFILE, &before);
+  cr_expect_lt(used, 0.2, "used %.2f s in 1 s", used);
+  close(waiting);
+  mesh.Run(std::chrono::milliseconds(600));
+  cr_expect(mesh.Receives());
+  const PeerEnvelope envelope{VmId("vm-b"), Incarnation(1), Heartbeat{}};
+  connected.Write(MeshStranger::Message(EncodeEnvelope(envelope)));
+  cr_expect(mesh.ReceivesAny(), "the connection of a peer was cut");
+}
+
 }  // namespace flamingoyoke
