Connect again to a peer after a refused descriptor

Seen: a VM that learned of a peer while it had no free descriptor never opened its connection to that peer, also once descriptors were free.

Cause: the mesh task forgot a peer whose socket was refused, and then ignored the request of the fleet task to reopen the link.

Change: the mesh task keeps the wanted endpoints and reopens by them.

mesh_task/connects_again_after_a_refused_descriptor fails on the code before and passes after; node_test 140 of 140.

--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -138,7 +138,8 @@
         "disconnecting from " + peer.first.value());
     return true;
   });
-  for (const auto& [vm, endpoint] : change.endpoints) {
+  endpoints_ = change.endpoints;
+  for (const auto& [vm, endpoint] : endpoints_) {
     if (!peers_.contains(vm)) {
       Connect(vm, endpoint);
     }
@@ -159,13 +160,12 @@
 }
 
 auto MeshTask::Reconnect(const VmId& vm) -> void {
-  const auto peer = peers_.find(vm);
-  if (peer == peers_.end()) {
+  const auto peer = endpoints_.find(vm);
+  if (peer == endpoints_.end()) {
     return;
   }
   ++counts_.reconnects;
-  const auto endpoint = peer->second->endpoint();
-  Connect(vm, endpoint);
+  Connect(vm, peer->second);
 }
 
 auto MeshTask::ReceiveAll() -> void {
--- a/src/node/control/mesh/mesh_task.h
+++ b/src/node/control/mesh/mesh_task.h
@@ -76,6 +76,9 @@
   std::optional<KeyAuthenticator> authenticator_;
   PeerListener listener_;
   zmq::socket_t receiver_;
+  // The peers to be connected to. One that the system refused a socket for has
+  // none in `peers_` until its link is reopened.
+  std::map<VmId, std::string> endpoints_;
   std::map<VmId, std::unique_ptr<PeerSocket>> peers_;
   MessageCounts counts_;
   EventLoop::Handle receive_watch_;
--- a/tests/unit/node/control/mesh/mesh_task_test.cc
+++ b/tests/unit/node/control/mesh/mesh_task_test.cc
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -54,6 +55,12 @@
     cr_assert_not(error);
   }
 
+  // Tells the task that the link to that peer is silent.
+  auto ReopenLink() -> void {
+    cr_assert_not(CaptureError(
+        [&] { return task_.Handle(PeerLinkSilent{VmId("vm-b")}); }));
+  }
+
   // Lets the task run for `duration`.
   auto Run(Duration duration) -> void {
     auto timer = loop_.MakeTimer([this] { loop_.Quit(); });
@@ -87,6 +94,17 @@
   TaskContext context_;
 };
 
+// Sets a limit at which no descriptor is free, and returns the one before.
+auto UseAllDescriptors() -> rlimit {
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int lowest = dup(STDIN_FILENO);
+  close(lowest);
+  const rlimit used_up{static_cast<rlim_t>(lowest), before.rlim_max};
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &used_up), 0);
+  return before;
+}
+
 }  // namespace
 
 // Guards against an abort inside ZeroMQ: a peer whose messages fill the queue
@@ -200,12 +218,7 @@
   const int waiting = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   // The sanitizer opens a pipe when it checks the type of the logger first.
   Log(Part::kMesh, LogLevel::kWarning, "using all descriptors");
-  rlimit before{};
-  getrlimit(RLIMIT_NOFILE, &before);
-  const int lowest = dup(STDIN_FILENO);
-  close(lowest);
-  const rlimit used_up{static_cast<rlim_t>(lowest), before.rlim_max};
-  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &used_up), 0);
+  const auto before = UseAllDescriptors();
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(mesh.port());
@@ -228,4 +241,20 @@
   cr_expect(mesh.ReceivesAny(), "the connection of a peer was cut");
 }
 
+// Guards against a peer that is never connected to, since the system refused a
+// descriptor at the first attempt.
+Test(mesh_task, connects_again_after_a_refused_descriptor) {
+  StarvedMesh mesh;
+  const TestListener listener;
+  Log(Part::kMesh, LogLevel::kWarning, "using all descriptors");
+  const auto before = UseAllDescriptors();
+  mesh.ConnectTo(listener.port());
+  mesh.Run(kDeliveryWait);
+  setrlimit(RLIMIT_NOFILE, &before);
+  mesh.ReopenLink();
+  mesh.Run(kDeliveryWait);
+  pollfd connection = {listener.descriptor(), POLLIN, 0};
+  cr_assert_eq(poll(&connection, 1, 0), 1);
+}
+
 }  // namespace flamingoyoke
--- a/tests/unit/node/traffic/test_socket.h
+++ b/tests/unit/node/traffic/test_socket.h
@@ -231,6 +231,7 @@
   ~TestListener() { close(descriptor_); }
 
   [[nodiscard]] auto port() const -> std::uint16_t { return port_; }
+  [[nodiscard]] auto descriptor() const -> int { return descriptor_; }
 
   // Returns the next connection, or an invalid socket after Shutdown().
   auto Accept() -> TestSocket {
