--- a/tests/unit/node/control/mesh/mesh_task_test.cc
+++ b/tests/unit/node/control/mesh/mesh_task_test.cc
@@ -1,13 +1,18 @@
 #include "node/control/mesh/mesh_task.h"
 
 #include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <poll.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <chrono>
+#include <ctime>
 #include <string>
 #include <thread>
 
+#include "node/log.h"
 #include "unit/node/control/mesh/mesh_stranger.h"
 #include "wire/peer_codec.h"
 
@@ -50,6 +55,12 @@
     cr_assert_not(error);
   }
 
+  // Tells the task that the link to that peer is silent.
+  auto ReopenLink() -> void {
+    cr_assert_not(CaptureError(
+        [&] { return task_.Handle(PeerLinkSilent{VmId("vm-b")}); }));
+  }
+
   // Lets the task run for `duration`.
   auto Run(Duration duration) -> void {
     auto timer = loop_.MakeTimer([this] { loop_.Quit(); });
@@ -64,6 +75,11 @@
     cr_assert(peer.ShakeHands());
     const PeerEnvelope envelope{VmId("vm-b"), Incarnation(1), Heartbeat{}};
     peer.Write(MeshStranger::Message(EncodeEnvelope(envelope)));
+    return ReceivesAny();
+  }
+
+  // Whether the task receives a message soon, or has received one.
+  auto ReceivesAny() -> bool {
     Run(kDeliveryWait);
     return !mailboxes_.fleet.TakeAll().empty();
   }
@@ -78,6 +94,17 @@
   TaskContext context_;
 };
 
+// Sets a limit at which no descriptor is free, and returns the one before.
+auto UseAllDescriptors() -> rlimit {
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int lowest = dup(STDIN_FILENO);
+  close(lowest);
+  const rlimit used_up{static_cast<rlim_t>(lowest), before.rlim_max};
+  cr_assert_eq(setrlimit(RLIMIT_NOFILE, &used_up), 0);
+  return before;
+}
+
 }  // namespace
 
 // Guards against an abort inside ZeroMQ: a peer whose messages fill the queue
@@ -182,4 +209,52 @@
   }
 }
 
+// Guards against libzmq's thread that calls accept() again and again while no
+// descriptor is left, and against cutting the peers that are connected.
+Test(mesh_task, pauses_the_listener_while_descriptors_are_used_up) {
+  StarvedMesh mesh;
+  MeshStranger connected(mesh.port());
+  cr_assert(connected.ShakeHands());
+  const int waiting = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  // The sanitizer opens a pipe when it checks the type of the logger first.
+  Log(Part::kMesh, LogLevel::kWarning, "using all descriptors");
+  const auto before = UseAllDescriptors();
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(mesh.port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  cr_assert_eq(
+      connect(waiting, reinterpret_cast<sockaddr*>(&address), sizeof(address)),
+      0);
+  mesh.Run(std::chrono::milliseconds(600));
+  const auto started = std::clock();
+  mesh.Run(std::chrono::seconds(1));
+  const auto used =
+      static_cast<double>(std::clock() - started) / CLOCKS_PER_SEC;
+  setrlimit(RLIMIT_NOFILE, &before);
+  cr_expect_lt(used, 0.2, "used %.2f s in 1 s", used);
+  close(waiting);
+  mesh.Run(std::chrono::milliseconds(600));
+  cr_expect(mesh.Receives());
+  const PeerEnvelope envelope{VmId("vm-b"), Incarnation(1), Heartbeat{}};
+  connected.Write(MeshStranger::Message(EncodeEnvelope(envelope)));
+  cr_expect(mesh.ReceivesAny(), "the connection of a peer was cut");
+}
+
+// Guards against a peer that is never connected to, since the system refused a
+// descriptor at the first attempt.
+Test(mesh_task, connects_again_after_a_refused_descriptor) {
+  StarvedMesh mesh;
+  const TestListener listener;
+  Log(Part::kMesh, LogLevel::kWarning, "using all descriptors");
+  const auto before = UseAllDescriptors();
+  mesh.ConnectTo(listener.port());
+  mesh.Run(kDeliveryWait);
+  setrlimit(RLIMIT_NOFILE, &before);
+  mesh.ReopenLink();
+  mesh.Run(kDeliveryWait);
+  pollfd connection = {listener.descriptor(), POLLIN, 0};
+  cr_assert_eq(poll(&connection, 1, 0), 1);
+}
+
 }  // namespace flamingoyoke
