Read the limit of descriptors once the servers for callers listen

Seen: a gateway that waited for an address logged its parts each 200 ms.

Cause: the task read the limit at each start, before it listened.

--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -82,12 +82,12 @@
             OnRequest(std::move(exchange));
           },
           [this] { stop_->ExitIfDone(); }});
-  descriptor_watch_.Update(server_->part(), target_connections_);
   for (const auto& address : config_.status_addresses) {
     BOOST_LEAF_CHECK(server_->Listen(address.host, address.endpoint.port));
   }
   // Must be last, because port() returns the port of the last socket.
   BOOST_LEAF_CHECK(server_->Listen(traffic.listen_host, traffic.listen_port));
+  descriptor_watch_.Update(server_->part(), target_connections_);
   tick_ = loop.MakeTimer([this] { OnTick(); });
   stop_.emplace(
       loop, *server_,
--- a/src/node/traffic/traffic_task.cc
+++ b/src/node/traffic/traffic_task.cc
@@ -84,8 +84,8 @@
             OnRequest(std::move(exchange));
           },
           [this] { stop_->ExitIfDone(); }});
-  descriptor_watch_.Update(server_->part(), target_connections_);
   BOOST_LEAF_CHECK(server_->Listen(config_.listen_host, config_.listen_port));
+  descriptor_watch_.Update(server_->part(), target_connections_);
   tick_ = loop.MakeTimer([this] { OnTick(); });
   stop_.emplace(
       loop, *server_,
