--- a/tests/integration/process_limits_test.cc
+++ b/tests/integration/process_limits_test.cc
@@ -10,14 +10,12 @@
 #include <cstddef>
 #include <cstdint>
 #include <filesystem>
-#include <fstream>
-#include <iterator>
 #include <nlohmann/json.hpp>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "integration/support/gateway_figures.h"
 #include "integration/support/published_fleet.h"
 #include "integration/support/wait_until.h"
 
@@ -48,60 +46,6 @@
   return caller;
 }
 
-// Processor time that `pid` has used.
-auto ProcessorTime(pid_t pid) -> std::chrono::duration<double> {
-  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
-  std::string text;
-  std::getline(file, text);
-  // The fields after the name, which may contain spaces.
-  std::istringstream fields(text.substr(text.rfind(')') + 1));
-  constexpr int kFieldsBeforeTimes = 11;
-  std::string skipped;
-  for (int i = 0; i < kFieldsBeforeTimes; ++i) {
-    fields >> skipped;
-  }
-  double user = 0;
-  double system = 0;
-  fields >> user >> system;
-  return std::chrono::duration<double>(
-      (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK)));
-}
-
-// Returns the value of a metric without labels, or -1 if it cannot be read.
-auto ReadMetric(PublishedStoreFleet& fleet,
-                std::size_t gateway,
-                const std::string& name) -> double {
-  const auto text = fleet.http()
-                        .Send({.server = fleet.AddressesOf(gateway).back(),
-                               .target = "/metrics",
-                               .timeout = std::chrono::seconds(1)})
-                        .body;
-  const auto found = text.find("\n" + name + " ");
-  return found == std::string::npos
-             ? -1
-             : std::stod(text.substr(found + name.size() + 2));
-}
-
-// Whether a gateway has a two-way link to each of the others.
-auto HasAllPeers(PublishedStoreFleet& fleet, std::size_t gateway) -> bool {
-  return ReadMetric(fleet, gateway, "flamingoyoke_fleet_peers") ==
-             static_cast<double>(fleet.gateways() - 1) &&
-         ReadMetric(fleet, gateway, "flamingoyoke_fleet_cut_off_peers") == 0;
-}
-
-// Number of log lines of a gateway that contain `words`.
-auto CountLogLines(const PublishedStoreFleet& fleet,
-                   std::size_t gateway,
-                   const std::string& words) -> int {
-  std::ifstream file(fleet.folder() + "/gateway-" + std::to_string(gateway) +
-                     ".log");
-  int count = 0;
-  for (std::string line; std::getline(file, line);) {
-    count += line.find(words) == std::string::npos ? 0 : 1;
-  }
-  return count;
-}
-
 // Sends a request on `caller` without waiting for its answer.
 auto SendOrder(int caller, const std::string& host, int number) -> void {
   const auto request = "POST /book/1 HTTP/1.1\r\nHost: " + host +
@@ -205,32 +149,6 @@
   cr_expect_gt(answered, 0);
 }
 
-// Guards against a thread that spins while a lowered limit leaves no descriptor
-// for peers, and against peers that stay cut off once the limit is raised.
-Test(process_limits, lowered_limit_pauses_the_listener_for_peers) {
-  constexpr int kDescriptors = 256;
-  constexpr rlim_t kFewerThanInUse = 40;
-  constexpr std::size_t kGateways = 4;
-  PublishedStoreFleet fleet(
-      {.targets = {{"orders", 2}}, .gateways = kGateways});
-  StartLimitedFleet(fleet, kDescriptors);
-  const auto pid = fleet.gateway(0).pid();
-  rlimit limit = {kFewerThanInUse, kDescriptors};
-  cr_assert_eq(prlimit(pid, RLIMIT_NOFILE, &limit, nullptr), 0);
-  fleet.StartGateway(kGateways - 1);
-  std::this_thread::sleep_for(std::chrono::seconds(1));
-  const auto before = ProcessorTime(pid);
-  std::this_thread::sleep_for(std::chrono::seconds(3));
-  const auto used = ProcessorTime(pid) - before;
-  cr_expect_lt(used.count(), 0.6, "used %.2f s in 3 s", used.count());
-  cr_expect_eq(CountLogLines(fleet, 0, "accepts no connections of peers"), 1);
-  limit.rlim_cur = kDescriptors;
-  cr_assert_eq(prlimit(pid, RLIMIT_NOFILE, &limit, nullptr), 0);
-  cr_expect(WaitUntil([&] { return HasAllPeers(fleet, kGateways - 1); },
-                      kFleetTimeout));
-  cr_expect_eq(fleet.Call(0, "/book/1", "order-1").status, kOk);
-}
-
 // Guards against a gateway that uses a whole core, fills its log and accepts no
 // connection, of callers or peers, while idle callers hold all descriptors.
 Test(process_limits, idle_callers_leave_descriptors_for_others) {
--- /dev/null
+++ b/tests/integration/support/gateway_figures.cc
@@ -0,0 +1,60 @@
+#include "integration/support/gateway_figures.h"
+
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+
+namespace flamingoyoke::integration {
+
+auto ProcessorTime(pid_t pid) -> std::chrono::duration<double> {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+  std::string text;
+  std::getline(file, text);
+  // The fields after the name, which may contain spaces.
+  std::istringstream fields(text.substr(text.rfind(')') + 1));
+  constexpr int kFieldsBeforeTimes = 11;
+  std::string skipped;
+  for (int i = 0; i < kFieldsBeforeTimes; ++i) {
+    fields >> skipped;
+  }
+  double user = 0;
+  double system = 0;
+  fields >> user >> system;
+  return std::chrono::duration<double>(
+      (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK)));
+}
+
+auto ReadMetric(PublishedStoreFleet& fleet,
+                std::size_t gateway,
+                const std::string& name) -> double {
+  const auto text = fleet.http()
+                        .Send({.server = fleet.AddressesOf(gateway).back(),
+                               .target = "/metrics",
+                               .timeout = std::chrono::seconds(1)})
+                        .body;
+  const auto found = text.find("\n" + name + " ");
+  return found == std::string::npos
+             ? -1
+             : std::stod(text.substr(found + name.size() + 2));
+}
+
+auto HasAllPeers(PublishedStoreFleet& fleet, std::size_t gateway) -> bool {
+  return ReadMetric(fleet, gateway, "flamingoyoke_fleet_peers") ==
+             static_cast<double>(fleet.gateways() - 1) &&
+         ReadMetric(fleet, gateway, "flamingoyoke_fleet_cut_off_peers") == 0;
+}
+
+auto CountLogLines(const PublishedStoreFleet& fleet,
+                   std::size_t gateway,
+                   const std::string& words) -> int {
+  std::ifstream file(fleet.folder() + "/gateway-" + std::to_string(gateway) +
+                     ".log");
+  int count = 0;
+  for (std::string line; std::getline(file, line);) {
+    count += line.find(words) == std::string::npos ? 0 : 1;
+  }
+  return count;
+}
+
+}  // namespace flamingoyoke::integration
--- /dev/null
+++ b/tests/integration/support/gateway_figures.h
@@ -0,0 +1,32 @@
+#ifndef FLAMINGOYOKE_TESTS_INTEGRATION_SUPPORT_GATEWAY_FIGURES_H_
+#define FLAMINGOYOKE_TESTS_INTEGRATION_SUPPORT_GATEWAY_FIGURES_H_
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+
+#include "integration/support/published_fleet.h"
+
+namespace flamingoyoke::integration {
+
+// Processor time that `pid` has used.
+auto ProcessorTime(pid_t pid) -> std::chrono::duration<double>;
+
+// Returns the value of a metric without labels, or -1 if it cannot be read.
+auto ReadMetric(PublishedStoreFleet& fleet,
+                std::size_t gateway,
+                const std::string& name) -> double;
+
+// Whether a gateway has a two-way link to each of the others.
+auto HasAllPeers(PublishedStoreFleet& fleet, std::size_t gateway) -> bool;
+
+// Number of log lines of a gateway that contain `words`.
+auto CountLogLines(const PublishedStoreFleet& fleet,
+                   std::size_t gateway,
+                   const std::string& words) -> int;
+
+}  // namespace flamingoyoke::integration
+
+#endif  // FLAMINGOYOKE_TESTS_INTEGRATION_SUPPORT_GATEWAY_FIGURES_H_
--- a/tests/unit/node/control/mesh/mesh_task_test.cc
+++ b/tests/unit/node/control/mesh/mesh_task_test.cc
@@ -11,6 +11,7 @@
 #include <ctime>
 #include <string>
 #include <thread>
+#include <zmq.hpp>
 
 #include "node/log.h"
 #include "unit/node/control/mesh/mesh_stranger.h"
@@ -96,6 +97,8 @@
 
 // Sets a limit at which no descriptor is free, and returns the one before.
 auto UseAllDescriptors() -> rlimit {
+  // The sanitizer opens a pipe when it checks the type of an object first.
+  Log(Part::kMesh, LogLevel::kWarning, zmq::error_t().what());
   rlimit before{};
   getrlimit(RLIMIT_NOFILE, &before);
   const int lowest = dup(STDIN_FILENO);
@@ -216,8 +219,6 @@
   MeshStranger connected(mesh.port());
   cr_assert(connected.ShakeHands());
   const int waiting = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  // The sanitizer opens a pipe when it checks the type of the logger first.
-  Log(Part::kMesh, LogLevel::kWarning, "using all descriptors");
   const auto before = UseAllDescriptors();
   sockaddr_in address{};
   address.sin_family = AF_INET;
@@ -246,7 +247,6 @@
 Test(mesh_task, connects_again_after_a_refused_descriptor) {
   StarvedMesh mesh;
   const TestListener listener;
-  Log(Part::kMesh, LogLevel::kWarning, "using all descriptors");
   const auto before = UseAllDescriptors();
   mesh.ConnectTo(listener.port());
   mesh.Run(kDeliveryWait);
