Let the stand-in proxy lose bytes of a link

A packet lost on TCP is a delay of the bytes behind it until they are sent again.

Change: the fault "loss" of the proxy delays a share of the reads of each direction, and what follows them, by 0.2 to 1 s. A fleet of a test can register one of so many targets behind such a link, with 2 in 100 reads delayed.

--- a/tests/integration/support/published_fleet.cc
+++ b/tests/integration/support/published_fleet.cc
@@ -19,6 +19,7 @@
 constexpr std::size_t kSlots = 4;
 constexpr std::size_t kMostSeeds = 8;
 constexpr std::size_t kFailureDomains = 26;
+constexpr const char* kLinkLoss = "kind=loss&share=0.02";
 
 auto EndpointAt(const std::string& host, int port) -> NamedEndpoint {
   return *ParseEndpoint(host + ":" + std::to_string(port));
@@ -38,17 +39,23 @@
 
 }  // namespace
 
-RegisteredStandin::RegisteredStandin(const std::string& id,
+RegisteredStandin::RegisteredStandin(BlockingHttp& http,
+                                     const std::string& id,
                                      std::string service,
                                      int service_ms,
-                                     std::size_t slots)
+                                     std::size_t slots,
+                                     bool has_link_loss)
     : id_(id),
       service_(std::move(service)),
       slots_(slots),
       process_(ProgramPath("tests/standins/standin_target"),
                {"--id", id, "--service-ms", std::to_string(service_ms),
                 "--slots", std::to_string(slots)}),
-      port_(process_.ReadNumber("port", kStartTimeout)) {}
+      port_(process_.ReadNumber("port", kStartTimeout)) {
+  if (has_link_loss) {
+    link_.emplace(port_).Inject(http, kLinkLoss);
+  }
+}
 
 auto RegisteredStandin::SetMode(BlockingHttp& http, const std::string& mode)
     -> void {
@@ -63,7 +70,7 @@
                                          int start,
                                          int sequence) const -> std::string {
   return nlohmann::json{
-      {"address", "127.0.0.1:" + std::to_string(port_)},
+      {"address", "127.0.0.1:" + std::to_string(link_ ? link_->port() : port_)},
       {"born", start},
       {"info",
        {{"service", service_},
@@ -83,8 +90,10 @@
     for (std::size_t i = 0; i < count; ++i) {
       const auto index = targets_.size();
       targets_.push_back(std::make_unique<RegisteredStandin>(
-          "i-" + std::to_string(index), service, size_.service_ms,
-          size_.slots));
+          http_, "i-" + std::to_string(index), service, size_.service_ms,
+          size_.slots,
+          size_.targets_per_link_loss > 0 &&
+              index % size_.targets_per_link_loss == 0));
       Register(index, "ready");
     }
   }
--- a/tests/integration/support/published_fleet.h
+++ b/tests/integration/support/published_fleet.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,11 +29,14 @@
 // A registered target.
 class RegisteredStandin {
  public:
-  // Runs up to `slots` requests at a time; 0 sets no limit.
-  RegisteredStandin(const std::string& id,
+  // Runs up to `slots` requests at a time; 0 sets no limit. With
+  // `has_link_loss` it is registered at a proxy that loses some bytes.
+  RegisteredStandin(BlockingHttp& http,
+                    const std::string& id,
                     std::string service,
                     int service_ms,
-                    std::size_t slots);
+                    std::size_t slots,
+                    bool has_link_loss = false);
 
   // Switches to a mode of the stand-in, for example "error".
   auto SetMode(BlockingHttp& http, const std::string& mode) -> void;
@@ -43,6 +47,7 @@
                                       int start = 1000,
                                       int sequence = 1) const -> std::string;
   [[nodiscard]] auto id() const -> const std::string& { return id_; }
+  [[nodiscard]] auto port() const -> int { return port_; }
 
  private:
   std::string id_;
@@ -50,6 +55,7 @@
   std::size_t slots_;
   ChildProcess process_;
   int port_;
+  std::optional<Proxy> link_;
 };
 
 // Size of a fleet and what its settings need.
@@ -59,6 +65,8 @@
   int service_ms = 20;
   // Requests that a target runs at a time; 0 sets no limit.
   std::size_t slots = 0;
+  // One of so many targets has a link that loses bytes; 0 for none.
+  std::size_t targets_per_link_loss = 0;
   std::size_t gateways = 3;
   std::chrono::milliseconds hard_limit = std::chrono::seconds(8);
   std::chrono::milliseconds address_ttl = std::chrono::milliseconds(500);
--- a/tests/standins/proxy/fault.h
+++ b/tests/standins/proxy/fault.h
@@ -20,6 +20,7 @@
   kPause,    // Holds the bytes of the connections open now.
   kSilent,   // As pause, but until the connections close.
   kDelay,    // Delays the bytes of all connections.
+  kLoss,     // Delays some bytes, and those behind them, until a resend.
   kPartial,  // Passes some more bytes of each connection, then closes it.
   kReset,    // Resets the connections open now.
   kRefuse,   // Resets the connections open now and all new ones.
@@ -35,7 +36,12 @@
 struct LimitBytes {
   std::size_t remaining;
 };
-using Fault = std::variant<ForwardBytes, HoldBytes, DelayBytes, LimitBytes>;
+// Delays this share of the reads like TCP after a lost packet.
+struct LoseBytes {
+  double share;
+};
+using Fault =
+    std::variant<ForwardBytes, HoldBytes, DelayBytes, LimitBytes, LoseBytes>;
 
 }  // namespace flamingoyoke::standin
 
@@ -58,6 +64,7 @@
       {standin::FaultKind::kPause, "pause"},
       {standin::FaultKind::kSilent, "silent"},
       {standin::FaultKind::kDelay, "delay"},
+      {standin::FaultKind::kLoss, "loss"},
       {standin::FaultKind::kPartial, "partial"},
       {standin::FaultKind::kReset, "reset"},
       {standin::FaultKind::kRefuse, "refuse"},
--- a/tests/standins/proxy/proxy_task.cc
+++ b/tests/standins/proxy/proxy_task.cc
@@ -72,7 +72,7 @@
 auto ProxyTask::Accept(evutil_socket_t socket) -> void {
   evutil_make_socket_nonblocking(socket);
   const auto id = accepted_++;
-  auto relay = Relay::Make(context_->loop(), *timers_, socket, [this, id] {
+  auto relay = Relay::Make(context_->loop(), *timers_, socket, id, [this, id] {
     // Deferred, since the relay is still executing when it calls this.
     timers_->After(Duration::zero(), [this, id] {
       const auto node = relays_.extract(id);
@@ -120,6 +120,7 @@
   }
   delay_ = std::chrono::milliseconds(
       static_cast<std::int64_t>(exchange.Number("delay_ms", 0)));
+  lost_share_ = exchange.Number("share", 0);
   partial_bytes_ = static_cast<std::size_t>(exchange.Number("bytes", 1));
   Apply(*kind, direction ? std::vector{*direction}
                          : std::vector(kDirections.begin(), kDirections.end()));
@@ -146,6 +147,9 @@
       case FaultKind::kDelay:
         SetDefaultFault(direction, DelayBytes{delay_});
         break;
+      case FaultKind::kLoss:
+        SetDefaultFault(direction, LoseBytes{lost_share_});
+        break;
       case FaultKind::kPartial:
         SetDefaultFault(direction, LimitBytes{partial_bytes_});
         break;
--- a/tests/standins/proxy/proxy_task.h
+++ b/tests/standins/proxy/proxy_task.h
@@ -30,7 +30,7 @@
 // A TCP proxy that injects faults. Control, on a separate port:
 //   PUT /control/fault?kind=<kind>&direction=<direction>   see fault.h; without
 //       a direction it applies to both; `delay_ms` for delay, `bytes` for
-//       partial
+//       partial, `share` for loss
 //   PUT /control/server?address=<ip:port>   changes the server of new
 //       connections
 //   GET /control/counters                   JSON
@@ -74,6 +74,7 @@
   bool is_refusing_ = false;
   Duration delay_ = Duration::zero();
   std::size_t partial_bytes_ = 0;
+  double lost_share_ = 0;
   std::uint64_t accepted_ = 0;
   std::array<std::uint64_t, kEnumSize<Direction>> closed_bytes_{};
   std::optional<HttpServer> control_;
--- a/tests/standins/proxy/relay.cc
+++ b/tests/standins/proxy/relay.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "core/overloaded.h"
@@ -17,6 +18,9 @@
 
 // Buffered output above which reading from the source is paused.
 constexpr std::size_t kMaxBufferedBytes = 262'144;
+// The time until TCP has sent lost bytes again, with up to two resends.
+constexpr auto kShortestResend = std::chrono::milliseconds(200);
+constexpr auto kResendSpread = std::chrono::milliseconds(800);
 
 auto TakeInput(bufferevent* buffer) -> std::string {
   auto* input = bufferevent_get_input(buffer);
@@ -54,8 +58,9 @@
 auto Relay::Make(EventLoop& loop,
                  TimerQueue& timers,
                  evutil_socket_t client,
+                 std::uint64_t seed,
                  OnClosed on_closed) -> std::shared_ptr<Relay> {
-  std::shared_ptr<Relay> relay(new Relay(timers, std::move(on_closed)));
+  std::shared_ptr<Relay> relay(new Relay(timers, seed, std::move(on_closed)));
   relay->client_.reset(
       bufferevent_socket_new(loop.base(), client, BEV_OPT_CLOSE_ON_FREE));
   relay->server_.reset(
@@ -63,8 +68,8 @@
   return relay;
 }
 
-Relay::Relay(TimerQueue& timers, OnClosed on_closed)
-    : timers_(timers), on_closed_(std::move(on_closed)) {}
+Relay::Relay(TimerQueue& timers, std::uint64_t seed, OnClosed on_closed)
+    : timers_(timers), random_(seed), on_closed_(std::move(on_closed)) {}
 
 auto Relay::Connect(const NamedEndpoint& server) -> void {
   RegisterCallbacks(client_);
@@ -177,6 +182,15 @@
                  [&](const DelayBytes& fault) {
                    ForwardAfter(direction, std::move(bytes), fault.delay);
                  },
+                 [&](const LoseBytes& fault) {
+                   const bool is_lost = random_.Unit() < fault.share;
+                   ForwardAfter(
+                       direction, std::move(bytes),
+                       is_lost ? kShortestResend +
+                                     std::chrono::milliseconds(
+                                         random_.Below(kResendSpread.count()))
+                               : Duration::zero());
+                 },
                  [&](LimitBytes& fault) {
                    bytes.resize(std::min(bytes.size(), fault.remaining));
                    fault.remaining -= bytes.size();
--- a/tests/standins/proxy/relay.h
+++ b/tests/standins/proxy/relay.h
@@ -11,6 +11,7 @@
 
 #include "core/endpoint.h"
 #include "core/name_table.h"
+#include "core/random.h"
 #include "standins/common/timer_queue.h"
 #include "standins/proxy/fault.h"
 
@@ -22,13 +23,15 @@
  public:
   using OnClosed = std::function<void()>;
 
-  // Takes ownership of `client`, a connected socket. `on_closed` is called
+  // Takes ownership of `client`, a connected socket. `seed` chooses the bytes
+  // that are lost. `on_closed` is called
   // once, after both sockets are closed, and may destroy the relay. Ownership
   // is shared, because delayed bytes hold a weak pointer to their relay, which
   // may be closed before they are due.
   static auto Make(EventLoop& loop,
                    TimerQueue& timers,
                    evutil_socket_t client,
+                   std::uint64_t seed,
                    OnClosed on_closed) -> std::shared_ptr<Relay>;
 
   // Connects to `server` and starts forwarding. Called once.
@@ -62,7 +65,7 @@
     std::uint64_t forwarded_bytes = 0;
   };
 
-  Relay(TimerQueue& timers, OnClosed on_closed);
+  Relay(TimerQueue& timers, std::uint64_t seed, OnClosed on_closed);
 
   static auto OnRead(bufferevent* buffer, void* self) -> void;
   static auto OnWritten(bufferevent* buffer, void* self) -> void;
@@ -87,6 +90,7 @@
   auto Close() -> void;
 
   TimerQueue& timers_;
+  Random random_;
   OnClosed on_closed_;
   Buffer client_;
   Buffer server_;
