Let the stand-in target break off, answer early and end connections

Change: seven modes of the stand-in target; a run whose target broke off is not sound in its log. The soak's callers read answers in chunks and ones that end with the connection. HttpExchange::Reset closed the connection in order before it reset it, since evhttp shuts its sockets down, so the mode "hang" never ended with a reset; it now disconnects the socket first.

Result: standins/target_modes_differ_on_the_wire passes; it failed in mode no-length-reset before the change of Reset. All 12 tests of standins_test pass. published_store/runs_once_only_work_at_most_once plays the new modes, not run yet.

--- a/tests/integration/published_store_test.cc
+++ b/tests/integration/published_store_test.cc
@@ -53,9 +53,11 @@
 Test(published_store, runs_once_only_work_at_most_once) {
   PublishedStoreFleet fleet(3);
   fleet.WaitForAll();
-  constexpr std::size_t kModeCount = 5;
-  const char* const modes[kModeCount] = {"error", "reset", "shed", "foreign",
-                                         "normal"};
+  constexpr std::size_t kModeCount = 11;
+  const char* const modes[kModeCount] = {
+      "error",     "reset",       "shed",      "foreign",
+      "cut",       "cut-reset",   "no-length", "no-length-reset",
+      "drop-idle", "last-answer", "normal"};
   int number = 0;
   for (const auto* mode : modes) {
     fleet.target(0).SetMode(fleet.http(), mode);
--- a/tests/integration/soak/caller_connection.cc
+++ b/tests/integration/soak/caller_connection.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <cstdlib>
 #include <sstream>
 #include <utility>
 
@@ -36,6 +37,42 @@
   return answer;
 }
 
+// The body of an answer and where it ends in the input.
+struct Body {
+  std::string bytes;
+  std::size_t end = 0;
+};
+
+auto ReadBytes(const std::string& input, std::size_t start, std::size_t size)
+    -> std::optional<Body> {
+  if (input.size() < start + size) {
+    return std::nullopt;
+  }
+  return Body{input.substr(start, size), start + size};
+}
+
+// Returns a body in chunks without trailers; nullopt if it is not complete.
+auto ReadChunks(const std::string& input, std::size_t start)
+    -> std::optional<Body> {
+  Body body{"", start};
+  while (true) {
+    const auto line = input.find("\r\n", body.end);
+    if (line == std::string::npos) {
+      return std::nullopt;
+    }
+    const auto size = std::strtoul(&input[body.end], nullptr, 16);
+    const auto chunk = ReadBytes(input, line + 2, size);
+    if (!chunk || input.size() < chunk->end + 2) {
+      return std::nullopt;
+    }
+    body.bytes += chunk->bytes;
+    body.end = chunk->end + 2;
+    if (size == 0) {
+      return body;
+    }
+  }
+}
+
 }  // namespace
 
 CallerConnection::CallerConnection(EventLoop& loop,
@@ -69,9 +106,7 @@
   while (const auto size = bufferevent_read(stream, bytes.data(), kReadSize)) {
     connection.input_.append(bytes.data(), size);
   }
-  while (const auto answer = connection.TakeAnswer()) {
-    connection.events_.on_answer(*answer);
-  }
+  connection.PassAnswersOn();
 }
 
 auto CallerConnection::OnWritten(bufferevent* /*stream*/, void* self) -> void {
@@ -80,8 +115,19 @@
 
 auto CallerConnection::OnEvent(bufferevent* /*stream*/, short what, void* self)
     -> void {
+  auto& connection = *static_cast<CallerConnection*>(self);
+  if ((what & BEV_EVENT_EOF) != 0) {
+    connection.is_input_complete_ = true;
+    connection.PassAnswersOn();
+  }
   if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
-    static_cast<CallerConnection*>(self)->End();
+    connection.End();
+  }
+}
+
+auto CallerConnection::PassAnswersOn() -> void {
+  while (const auto answer = TakeAnswer()) {
+    events_.on_answer(*answer);
   }
 }
 
@@ -97,18 +143,23 @@
     return std::nullopt;
   }
   auto answer = ParseHead(input_.substr(0, end));
-  const auto length = answer.Header("Content-Length");
-  if (answer.status == 0 || length.empty()) {
+  if (answer.status == 0) {
     End();
     return std::nullopt;
   }
-  const auto body = end + 4;
-  const auto size = std::stoul(length);
-  if (input_.size() < body + size) {
+  const auto length = answer.Header("Content-Length");
+  const auto body = answer.Header("Transfer-Encoding") == "chunked"
+                        ? ReadChunks(input_, end + 4)
+                    : length.empty()
+                        ? ReadBytes(input_, end + 4, input_.size() - end - 4)
+                        : ReadBytes(input_, end + 4, std::stoul(length));
+  const bool ends_with_connection =
+      length.empty() && answer.Header("Transfer-Encoding").empty();
+  if (!body || (ends_with_connection && !is_input_complete_)) {
     return std::nullopt;
   }
-  answer.body = input_.substr(body, size);
-  input_.erase(0, body + size);
+  answer.body = body->bytes;
+  input_.erase(0, body->end);
   return answer;
 }
 
--- a/tests/integration/soak/caller_connection.h
+++ b/tests/integration/soak/caller_connection.h
@@ -15,7 +15,8 @@
 namespace flamingoyoke::integration {
 
 // A caller's connection, which can carry several requests at a time. It reads
-// answers that have a length. Used on the thread of its loop only.
+// answers that have a length, have chunks or end with the connection. Used on
+// the thread of its loop only.
 class CallerConnection {
  public:
   // Must not destroy the connection.
@@ -23,7 +24,8 @@
     std::function<void(const standin::HttpAnswer&)> on_answer;
     // All bytes were handed to the system.
     std::function<void()> on_sent;
-    // The connection ended or brought bytes that are no answer.
+    // The connection ended or brought bytes that are no answer. An answer that
+    // ends with an orderly close is complete and was passed on.
     std::function<void()> on_end;
   };
 
@@ -49,9 +51,11 @@
   // Removes the next answer from the input; nullopt if it is not complete or
   // the bytes are no answer, which ends the connection.
   auto TakeAnswer() -> std::optional<standin::HttpAnswer>;
+  auto PassAnswersOn() -> void;
 
   Events events_;
   bool has_ended_ = false;
+  bool is_input_complete_ = false;
   std::string input_;
   std::unique_ptr<bufferevent, StreamDeleter> stream_;
 };
--- a/tests/integration/standins_test.cc
+++ b/tests/integration/standins_test.cc
@@ -4,8 +4,10 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "integration/soak/caller_connection.h"
 #include "integration/support/blocking_http.h"
 #include "integration/support/child_process.h"
+#include "integration/support/published_fleet.h"
 #include "integration/support/standins.h"
 #include "integration/support/wait_until.h"
 #include "standins/common/answer_body.h"
@@ -236,5 +238,71 @@
   cr_assert_eq(upstream.process().WaitForExit(kWaitTimeout), 0);
 }
 
+// Guards against a lossy link that drops or reorders bytes instead of delaying
+// them.
+Test(standins, proxy_delays_lost_bytes) {
+  BlockingHttp http;
+  Upstream upstream;
+  Proxy proxy(upstream.port());
+  proxy.Inject(http, "kind=loss&share=1");
+  const auto start = std::chrono::steady_clock::now();
+  const auto answer = http.Send(MakeWorkCall(proxy.port(), "a", 1));
+  // One delay of 200 ms at least in each direction.
+  cr_assert(std::chrono::steady_clock::now() - start >=
+            std::chrono::milliseconds(400));
+  cr_assert_eq(answer.body, MakeAnswerBody("a", "", 100));
+}
+
+// Guards against a target mode that looks like another one on the wire, which
+// would leave its case unplayed.
+Test(standins, target_modes_differ_on_the_wire) {
+  struct Expected {
+    const char* mode;
+    int answers_to_half;
+    int answers;
+    bool has_ended;
+  };
+  for (const auto& expected :
+       {Expected{"normal", 0, 2, false}, Expected{"early", 1, 2, false},
+        Expected{"cut", 0, 0, true}, Expected{"cut-reset", 0, 0, true},
+        Expected{"last-answer", 0, 1, true}, Expected{"no-length", 0, 1, true},
+        Expected{"no-length-reset", 0, 0, true},
+        Expected{"drop-idle", 0, 1, true}}) {
+    BlockingHttp http;
+    RegisteredStandin target(http, "i-0", "orders", 1, 0);
+    target.SetMode(http, expected.mode);
+    int answers = 0;
+    bool has_ended = false;
+    EventLoop loop;
+    auto timer = loop.MakeTimer([&] { loop.Quit(); });
+    const auto run = [&] {
+      timer.Schedule(kShortTimeout);
+      loop.Run();
+    };
+    CallerConnection caller(loop, Loopback(target.port()),
+                            {.on_answer =
+                                 [&](const standin::HttpAnswer& answer) {
+                                   ++answers;
+                                   cr_assert_eq(answer.body, "body of a");
+                                 },
+                             .on_sent = [] {},
+                             .on_end = [&] { has_ended = true; }});
+    const std::string half(50'000, 'x');
+    const std::string head =
+        " / HTTP/1.1\r\nHost: a\r\nX-Request-Id: a\r\nContent-Length: ";
+    caller.Send("POST" + head + "100000\r\n\r\n" + half);
+    run();
+    cr_assert_eq(answers, expected.answers_to_half, "%s", expected.mode);
+    caller.Send(half);
+    run();
+    if (!has_ended) {
+      caller.Send("GET" + head + "0\r\n\r\n");
+      run();
+    }
+    cr_assert_eq(answers, expected.answers, "%s", expected.mode);
+    cr_assert_eq(has_ended, expected.has_ended, "%s", expected.mode);
+  }
+}
+
 }  // namespace
 }  // namespace flamingoyoke::integration
--- a/tests/standins/common/http_exchange.cc
+++ b/tests/standins/common/http_exchange.cc
@@ -129,11 +129,32 @@
 }
 
 auto HttpExchange::Reset() -> void {
-  const linger at_once{.l_onoff = 1, .l_linger = 0};
+  // evhttp shuts the socket down before it closes it, so that a reset by
+  // SO_LINGER would follow an orderly end.
+  const sockaddr none{.sa_family = AF_UNSPEC, .sa_data = {}};
   auto* connection = evhttp_request_get_connection(request_.get());
-  setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
-             SOL_SOCKET, SO_LINGER, &at_once, sizeof(at_once));
+  connect(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
+          &none, sizeof(none));
   Abort();
 }
 
+auto HttpExchange::SendBytes(const std::string& bytes) -> void {
+  auto* connection = evhttp_request_get_connection(request_.get());
+  send(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
+       bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+auto HttpExchange::Complete() -> void {
+  auto* output = bufferevent_get_output(evhttp_connection_get_bufferevent(
+      evhttp_request_get_connection(request_.get())));
+  Reply({});
+  evbuffer_drain(output, evbuffer_get_length(output));
+}
+
+auto HttpExchange::SetIdleTimeout(Duration timeout) -> void {
+  const timeval time{.tv_sec = 0, .tv_usec = timeout.count()};
+  evhttp_connection_set_timeout_tv(
+      evhttp_request_get_connection(request_.get()), &time);
+}
+
 }  // namespace flamingoyoke::standin
--- a/tests/standins/common/http_exchange.h
+++ b/tests/standins/common/http_exchange.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "core/time.h"
+
 namespace flamingoyoke::standin {
 
 // One header line.
@@ -57,6 +59,18 @@
   // sent.
   auto Reset() -> void;
 
+  // Sends `bytes` at once, without completing the exchange. Precondition: no
+  // answer was sent.
+  auto SendBytes(const std::string& bytes) -> void;
+
+  // Completes the exchange without sending an answer, for a request that was
+  // answered by HttpServer::SetEarlyAnswer. Precondition: no answer was sent.
+  auto Complete() -> void;
+
+  // Closes the connection once it has been idle for `timeout`. Precondition: no
+  // answer was sent.
+  auto SetIdleTimeout(Duration timeout) -> void;
+
  private:
   struct UnansweredDeleter {
     auto operator()(evhttp_request* request) const -> void;
--- a/tests/standins/common/http_server.cc
+++ b/tests/standins/common/http_server.cc
@@ -3,7 +3,9 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <cstdlib>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace flamingoyoke::standin {
@@ -44,4 +46,43 @@
   static_cast<HttpServer*>(self)->handler_(HttpExchange(request));
 }
 
+auto HttpServer::SetEarlyAnswer(EarlyAnswer answer) -> void {
+  early_answer_ = std::move(answer);
+  evhttp_set_bevcb(http_.get(), &MakeStream, this);
+}
+
+auto HttpServer::MakeStream(event_base* base, void* self) -> bufferevent* {
+  auto* buffer = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+  auto& server = *static_cast<HttpServer*>(self);
+  auto& stream = server.streams_.emplace_back(Stream{server, buffer});
+  evbuffer_add_cb(bufferevent_get_input(buffer), &OnInput, &stream);
+  return buffer;
+}
+
+auto HttpServer::OnInput(evbuffer* input,
+                         const evbuffer_cb_info* info,
+                         void* self) -> void {
+  // evhttp leaves a body in the buffer until it is complete, so that only the
+  // first bytes of a request follow an empty buffer.
+  if (info->n_added == 0 || info->orig_size > 0) {
+    return;
+  }
+  std::string bytes(evbuffer_get_length(input), '\0');
+  evbuffer_copyout(input, bytes.data(), bytes.size());
+  constexpr std::string_view kLength = "\r\nContent-Length: ";
+  const auto end = bytes.find("\r\n\r\n");
+  const auto length = bytes.find(kLength);
+  if (end == std::string::npos || length > end ||
+      bytes.size() - end - 4 >=
+          std::strtoul(&bytes[length + kLength.size()], nullptr, 10)) {
+    return;
+  }
+  const auto& stream = *static_cast<Stream*>(self);
+  const auto answer = stream.server.early_answer_(bytes.substr(0, end + 2));
+  if (answer) {
+    send(bufferevent_getfd(stream.buffer), answer->data(), answer->size(),
+         MSG_NOSIGNAL);
+  }
+}
+
 }  // namespace flamingoyoke::standin
--- a/tests/standins/common/http_server.h
+++ b/tests/standins/common/http_server.h
@@ -1,11 +1,16 @@
 #ifndef FLAMINGOYOKE_TESTS_STANDINS_COMMON_HTTP_SERVER_H_
 #define FLAMINGOYOKE_TESTS_STANDINS_COMMON_HTTP_SERVER_H_
 
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/http.h>
 
 #include <cstdint>
 #include <functional>
+#include <list>
 #include <memory>
+#include <optional>
+#include <string>
 
 #include "core/result.h"
 #include "runtime/event_loop.h"
@@ -17,6 +22,10 @@
 class HttpServer {
  public:
   using Handler = std::function<void(HttpExchange)>;
+  // Returns the bytes that answer the request with `head` while its body is
+  // incomplete; nullopt to wait for the body.
+  using EarlyAnswer =
+      std::function<std::optional<std::string>(const std::string& head)>;
 
   // `loop` must outlive the server.
   HttpServer(EventLoop& loop, Handler handler);
@@ -25,14 +34,29 @@
   // Fails with kSocketFailed.
   auto Bind(std::uint16_t port) -> Result<std::uint16_t>;
 
+  // Answers requests whose body is incomplete when their head arrives. Their
+  // exchange, which follows with the end of the body, must be completed.
+  // Precondition: no connection was accepted.
+  auto SetEarlyAnswer(EarlyAnswer answer) -> void;
+
  private:
+  struct Stream {
+    HttpServer& server;
+    bufferevent* buffer;
+  };
   struct HttpDeleter {
     auto operator()(evhttp* http) const -> void { evhttp_free(http); }
   };
 
   static auto OnRequest(evhttp_request* request, void* self) -> void;
+  static auto MakeStream(event_base* base, void* self) -> bufferevent*;
+  static auto OnInput(evbuffer* input, const evbuffer_cb_info* info, void* self)
+      -> void;
 
   Handler handler_;
+  EarlyAnswer early_answer_;
+  // Arguments of callbacks, which outlive their connections.
+  std::list<Stream> streams_;
   std::unique_ptr<evhttp, HttpDeleter> http_;
 };
 
--- a/tests/standins/target/target_task.cc
+++ b/tests/standins/target/target_task.cc
@@ -21,6 +21,9 @@
 constexpr int kDeadlineReached = 504;
 constexpr std::size_t kLongestQueue = 16;
 constexpr int kLongestTimeMs = 3'600'000;
+constexpr auto kIdleTimeout = milliseconds(30);
+// From the first part of an answer until the end of its connection.
+constexpr auto kBreakOffDelay = milliseconds(30);
 
 auto HeaderNumber(const HttpExchange& exchange,
                   const char* name,
@@ -35,6 +38,39 @@
       HeaderNumber(exchange, "X-Request-Deadline-Ms", kLongestTimeMs));
 }
 
+// Returns the value of a header in `head`.
+auto HeaderIn(const std::string& head, const std::string& name) -> std::string {
+  const auto line = "\r\n" + name + ": ";
+  const auto start = head.find(line);
+  if (start == std::string::npos) {
+    return "";
+  }
+  const auto value = start + line.size();
+  return head.substr(value, head.find("\r\n", value) - value);
+}
+
+auto HasLength(TargetMode mode) -> bool {
+  return mode != TargetMode::kNoLength && mode != TargetMode::kNoLengthReset;
+}
+
+// Whether an answer of `mode` is complete and that of its request.
+auto IsSound(TargetMode mode) -> bool {
+  return mode != TargetMode::kReset && mode != TargetMode::kForeign &&
+         mode != TargetMode::kCut && mode != TargetMode::kCutReset &&
+         mode != TargetMode::kNoLengthReset;
+}
+
+auto ToBytes(const HttpReply& reply, bool has_length) -> std::string {
+  auto bytes = "HTTP/1.1 " + std::to_string(reply.status) + " Status\r\n";
+  for (const auto& header : reply.headers) {
+    bytes += header.name + ": " + header.value + "\r\n";
+  }
+  if (has_length) {
+    bytes += "Content-Length: " + std::to_string(reply.body.size()) + "\r\n";
+  }
+  return bytes + "\r\n" + reply.body;
+}
+
 }  // namespace
 
 TargetTask::TargetTask(TargetOptions options) : options_(std::move(options)) {}
@@ -45,6 +81,8 @@
   server_.emplace(context.loop(), [this](HttpExchange exchange) {
     OnRequest(std::move(exchange));
   });
+  server_->SetEarlyAnswer(
+      [this](const std::string& head) { return AnswerEarly(head); });
   BOOST_LEAF_AUTO(port, server_->Bind(options_.port));
   std::cout << "port " << port << std::endl;
   return {};
@@ -64,6 +102,10 @@
     return;
   }
   const auto id = exchange.Header("X-Request-Id").value_or("");
+  if (answered_early_.erase(id) > 0) {
+    exchange.Complete();
+    return;
+  }
   const auto expected = exchange.Header("X-Expect-Instance");
   if (expected && *expected != options_.id) {
     ++misdirected_;
@@ -102,6 +144,7 @@
     const nlohmann::json counters = {{"runs", runs_},
                                      {"misdirected", misdirected_},
                                      {"by_id", runs_by_id_},
+                                     {"early", early_answers_},
                                      {"log", log}};
     exchange.Reply({kOk, {}, counters.dump()});
     return;
@@ -160,25 +203,79 @@
   running_.erase(found);
   auto& record = log_[number];
   record.end = Now();
-  if (mode_ == TargetMode::kReset) {
-    running.exchange.Abort();
-  } else {
-    record.is_sound = mode_ != TargetMode::kForeign;
-    const auto id =
-        mode_ == TargetMode::kForeign ? "another-request" : record.id;
-    const int success = running.is_late ? kDeadlineReached : kOk;
-    running.exchange.Reply(
-        {mode_ == TargetMode::kError ? kInternalError : success,
-         {{"X-Request-Id", id},
-          {"X-Gateway-Signature", options_.id + "." + id},
-          {"X-Instance-Load", std::to_string(running_.size()) + "," +
-                                  std::to_string(waiting_.size()) + "," +
-                                  std::to_string(options_.slots)}},
-         "body of " + id});
+  record.is_sound = IsSound(mode_);
+  switch (mode_) {
+    case TargetMode::kReset:
+      running.exchange.Abort();
+      break;
+    case TargetMode::kCut:
+    case TargetMode::kCutReset:
+    case TargetMode::kNoLengthReset:
+      BreakOff(number, std::move(running.exchange));
+      break;
+    case TargetMode::kNoLength:
+      running.exchange.SendBytes(
+          ToBytes(MakeReply(record.id, running.is_late), HasLength(mode_)));
+      running.exchange.Abort();
+      break;
+    case TargetMode::kDropIdle:
+      running.exchange.SetIdleTimeout(kIdleTimeout);
+      [[fallthrough]];
+    default:
+      running.exchange.Reply(MakeReply(record.id, running.is_late));
   }
   RunWaiting();
 }
 
+auto TargetTask::BreakOff(std::size_t number, HttpExchange exchange) -> void {
+  const auto answer =
+      ToBytes(MakeReply(log_[number].id, false), HasLength(mode_));
+  exchange.SendBytes(answer.substr(0, answer.size() - 3));
+  broken_off_.emplace(number, std::move(exchange));
+  timers_->After(kBreakOffDelay, [this, number, mode = mode_] {
+    auto ending = std::move(broken_off_.extract(number).mapped());
+    if (mode == TargetMode::kCut) {
+      ending.Abort();
+    } else {
+      ending.Reset();
+    }
+  });
+}
+
+auto TargetTask::AnswerEarly(const std::string& head)
+    -> std::optional<std::string> {
+  const auto id = HeaderIn(head, "X-Request-Id");
+  const auto expected = HeaderIn(head, "X-Expect-Instance");
+  if (mode_ != TargetMode::kEarly || id.empty() ||
+      (!expected.empty() && expected != options_.id)) {
+    return std::nullopt;
+  }
+  ++runs_;
+  ++early_answers_;
+  ++runs_by_id_[id];
+  log_.push_back({id, Now(), Now(), true});
+  answered_early_.insert(id);
+  return ToBytes(MakeReply(id, false), true);
+}
+
+auto TargetTask::MakeReply(const std::string& id, bool is_late) const
+    -> HttpReply {
+  const int success = is_late ? kDeadlineReached : kOk;
+  const auto named = mode_ == TargetMode::kForeign ? "another-request" : id;
+  HttpReply reply{
+      mode_ == TargetMode::kError ? kInternalError : success,
+      {{"X-Request-Id", named},
+       {"X-Gateway-Signature", options_.id + "." + named},
+       {"X-Instance-Load", std::to_string(running_.size()) + "," +
+                               std::to_string(waiting_.size()) + "," +
+                               std::to_string(options_.slots)}},
+      "body of " + named};
+  if (mode_ == TargetMode::kLastAnswer) {
+    reply.headers.push_back({"Connection", "close"});
+  }
+  return reply;
+}
+
 auto TargetTask::ResetHanging() -> void {
   for (auto entry = running_.begin(); entry != running_.end();) {
     if (!entry->second.is_hanging) {
--- a/tests/standins/target/target_task.h
+++ b/tests/standins/target/target_task.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,11 +24,18 @@
 // How a registered target handles requests.
 enum class TargetMode {
   kNormal,
-  kError,    // Runs the request and answers 500.
-  kReset,    // Runs the request and closes the connection.
-  kShed,     // Rejects the request as not executed.
-  kHang,     // Runs the request and does not answer.
-  kForeign,  // Answers with the id of another request.
+  kError,          // Runs the request and answers 500.
+  kReset,          // Runs the request and closes the connection.
+  kShed,           // Rejects the request as not executed.
+  kHang,           // Runs the request and does not answer.
+  kForeign,        // Answers with the id of another request.
+  kEarly,          // Answers before it has read the whole of a long body.
+  kCut,            // Closes the connection midway in the body of its answer.
+  kCutReset,       // Resets the connection midway in the body of its answer.
+  kLastAnswer,     // Announces the end of the connection in its answers.
+  kNoLength,       // Ends answers with the connection.
+  kNoLengthReset,  // Resets the connection of an answer without a length.
+  kDropIdle,       // Closes idle connections soon and without notice.
 };
 
 }  // namespace flamingoyoke::standin
@@ -43,6 +51,13 @@
       {standin::TargetMode::kShed, "shed"},
       {standin::TargetMode::kHang, "hang"},
       {standin::TargetMode::kForeign, "foreign"},
+      {standin::TargetMode::kEarly, "early"},
+      {standin::TargetMode::kCut, "cut"},
+      {standin::TargetMode::kCutReset, "cut-reset"},
+      {standin::TargetMode::kLastAnswer, "last-answer"},
+      {standin::TargetMode::kNoLength, "no-length"},
+      {standin::TargetMode::kNoLengthReset, "no-length-reset"},
+      {standin::TargetMode::kDropIdle, "drop-idle"},
   });
 };
 static_assert(IsDense<standin::TargetMode>());
@@ -63,8 +78,9 @@
 // A target of the users' platform. It does not register itself: the test
 // publishes its entry in the store. Control:
 //   PUT /control/mode?name=<mode>  switches the mode
-//   GET /control/counters          JSON with the runs of each request id, and
-//                                  "log" with the times of each run
+//   GET /control/counters          JSON with the runs of each request id,
+//                                  "log" with the times of each run, and
+//                                  "early" with the number of early answers
 class TargetTask {
  public:
   using Message = StandinMessage;
@@ -81,7 +97,8 @@
     std::string id;
     TimePoint start;
     std::optional<TimePoint> end;
-    // Whether the answer was complete and its own.
+    // Whether the answer was complete and its own; false if the target broke
+    // off.
     bool is_sound = false;
   };
   // A run without an answer yet.
@@ -100,6 +117,13 @@
   auto OnControl(HttpExchange exchange) -> void;
   auto Run(HttpExchange exchange) -> void;
   auto Finish(std::size_t number) -> void;
+  // Sends the first part of an answer, and ends the connection soon after it.
+  auto BreakOff(std::size_t number, HttpExchange exchange) -> void;
+  // Returns the answer to a request whose body is incomplete, if the mode has
+  // one.
+  auto AnswerEarly(const std::string& head) -> std::optional<std::string>;
+  [[nodiscard]] auto MakeReply(const std::string& id, bool is_late) const
+      -> HttpReply;
   static auto Shed(HttpExchange exchange) -> void;
   // Runs requests that wait, as far as slots are free.
   auto RunWaiting() -> void;
@@ -117,6 +141,11 @@
   // By index in the log.
   std::map<std::size_t, Running> running_;
   std::deque<Waiting> waiting_;
+  // Exchanges whose connection ends soon, by index in the log.
+  std::map<std::size_t, HttpExchange> broken_off_;
+  // Ids of requests that were answered while their body was incomplete.
+  std::set<std::string> answered_early_;
+  std::uint64_t early_answers_ = 0;
   std::optional<HttpServer> server_;
   std::optional<TimerQueue> timers_;
 };
