Play old addresses, callers that leave and lossy links in the fault soak

Change: every third target has a link with loss. One of 50 requests of a caller stalls midway for 0.2 to 1 s; a connection that ends meanwhile is "not-sent", which LOST doesn't count. One of six callers uses an answer of the directory until all its addresses have failed. One of 50 calls is given up within twice the median work. Two of three faults come with a random mode of a target.

--- a/tests/integration/soak/call_checks.cc
+++ b/tests/integration/soak/call_checks.cc
@@ -22,6 +22,10 @@
   return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
+auto IsBrokenOff(const TargetRun& run) -> bool {
+  return run.end && !run.is_sound;
+}
+
 }  // namespace
 
 CallChecks::CallChecks(const SoakSettings& settings,
@@ -57,6 +61,14 @@
   return found == runs_.end() ? none : found->second;
 }
 
+auto CallChecks::CountBrokenOff() const -> std::size_t {
+  std::size_t count = 0;
+  for (const auto& [id, runs] : runs_) {
+    count += std::count_if(runs.begin(), runs.end(), IsBrokenOff);
+  }
+  return count;
+}
+
 auto CallChecks::IsLost(const EndedCall& call) const -> bool {
   const auto& route = settings_.routes[call.route];
   const auto& runs = RunsOf(call);
@@ -72,9 +84,8 @@
   if (runs.empty() && (call.is_behind || length < kLossSlack)) {
     return false;
   }
-  const bool has_broken_off = std::any_of(
-      runs.begin(), runs.end(),
-      [&](const TargetRun& run) { return run.end && !run.is_sound; });
+  const bool has_broken_off =
+      std::any_of(runs.begin(), runs.end(), IsBrokenOff);
   if (has_broken_off ||
       length + kDeadlineSlack >= std::min(route.timeout, route.deadline)) {
     return false;
--- a/tests/integration/soak/call_checks.h
+++ b/tests/integration/soak/call_checks.h
@@ -40,6 +40,9 @@
   [[nodiscard]] auto Check(const EndedCall& call) const
       -> std::vector<std::string>;
 
+  // Returns the number of runs whose target broke off its answer.
+  [[nodiscard]] auto CountBrokenOff() const -> std::size_t;
+
   [[nodiscard]] auto RunsOf(const EndedCall& call) const
       -> const std::vector<TargetRun>&;
 
--- a/tests/integration/soak/caller_task.cc
+++ b/tests/integration/soak/caller_task.cc
@@ -14,8 +14,17 @@
 
 constexpr std::size_t kFreshBook = 0;
 constexpr std::size_t kStaleBook = 1;
+constexpr std::size_t kOldBook = 2;
 constexpr int kStaleFactor = 3;
 constexpr std::uint64_t kCallersPerStaleOne = 3;
+constexpr std::uint64_t kCallersPerOldOne = 6;
+// The share of calls whose caller leaves within twice the median work.
+constexpr double kGiveUpShare = 0.02;
+// The share of requests with a part that the link loses at first, and the time
+// until TCP has sent it again.
+constexpr double kLinkLossShare = 0.02;
+constexpr std::uint64_t kShortestResendMs = 200;
+constexpr std::uint64_t kResendSpreadMs = 800;
 // The spread of work times, and how many of them are long by what factor.
 constexpr double kWorkSpread = 0.3;
 constexpr double kLongWorkShare = 0.03;
@@ -46,7 +55,9 @@
     }
     auto& caller = callers_.emplace_back();
     caller.route = route;
-    caller.book = i % kCallersPerStaleOne == 0 ? kStaleBook : kFreshBook;
+    caller.book = i % kCallersPerOldOne == 1     ? kOldBook
+                  : i % kCallersPerStaleOne == 0 ? kStaleBook
+                                                 : kFreshBook;
   }
 }
 
@@ -56,6 +67,7 @@
   directory_.emplace(context.loop());
   Refresh(kFreshBook);
   Refresh(kStaleBook);
+  Refresh(kOldBook);
   for (std::size_t i = 0; i < callers_.size(); ++i) {
     SendLater(i);
   }
@@ -86,6 +98,9 @@
       [this, book](const standin::HttpAnswer& answer) {
         if (answer.status == 200) {
           OnAddresses(book, answer.body);
+          if (book == kOldBook && !books_.at(book).empty()) {
+            return;
+          }
         }
         const auto ttl =
             settings_.address_ttl * (book == kStaleBook ? kStaleFactor : 1);
@@ -110,6 +125,13 @@
   }
 }
 
+auto CallerTask::ForgetOldAddress(std::size_t gateway) -> void {
+  auto& book = books_.at(kOldBook);
+  if (std::erase(book, gateway) > 0 && book.empty()) {
+    Refresh(kOldBook);
+  }
+}
+
 auto CallerTask::SendLater(std::size_t caller) -> void {
   const auto requests =
       static_cast<double>(settings_.routes[callers_[caller].route].pipelined);
@@ -143,11 +165,41 @@
     caller.waiting.push_back(std::move(call));
     ++in_flight_;
   }
-  caller.connection->Send(bytes);
+  if (route.pipelined == 1 && random_.Unit() < kLinkLossShare) {
+    SendInParts(index, bytes);
+  } else {
+    caller.connection->Send(std::exchange(caller.unsent, {}) + bytes);
+  }
   const auto last = caller.waiting.back().id;
-  timers_->After(route.deadline + kGiveUpSlack, [this, index, last] {
+  GiveUpAfter(route.deadline + kGiveUpSlack, index, last);
+  if (random_.Unit() < kGiveUpShare) {
+    GiveUpAfter(std::chrono::duration_cast<Duration>(route.median_work * 2 *
+                                                     random_.Unit()),
+                index, last);
+  }
+}
+
+auto CallerTask::SendInParts(std::size_t index, const std::string& bytes)
+    -> void {
+  auto& caller = callers_[index];
+  const auto first = random_.Below(bytes.size());
+  caller.connection->Send(std::exchange(caller.unsent, bytes.substr(first)) +
+                          bytes.substr(0, first));
+  timers_->After(
+      milliseconds(kShortestResendMs + random_.Below(kResendSpreadMs)),
+      [this, index, connection = caller.connection.get()] {
+        auto& later = callers_[index];
+        if (later.connection.get() == connection && !later.unsent.empty()) {
+          connection->Send(std::exchange(later.unsent, {}));
+        }
+      });
+}
+
+auto CallerTask::GiveUpAfter(Duration time, std::size_t index, std::string id)
+    -> void {
+  timers_->After(time, [this, index, id = std::move(id)] {
     const auto& waiting = callers_[index].waiting;
-    if (!waiting.empty() && waiting.back().id == last) {
+    if (!waiting.empty() && waiting.back().id == id) {
       EndConnection(index, CallEnd::kGivenUp);
     }
   });
@@ -161,6 +213,7 @@
   }
   caller.gateway = book[random_.Below(book.size())];
   caller.is_kept = false;
+  caller.has_sent = false;
   caller.connection = std::make_unique<CallerConnection>(
       context_->loop(), gateways_[caller.gateway].front,
       CallerConnection::Events{
@@ -168,6 +221,7 @@
                         index](const auto& answer) { OnAnswer(index, answer); },
           .on_sent =
               [this, index] {
+                callers_[index].has_sent = true;
                 for (auto& call : callers_[index].waiting) {
                   call.time.start = Now();
                 }
@@ -241,6 +295,13 @@
   }
   // An idle caller, which still has its timer, is not to send twice.
   const bool was_sending = !caller.waiting.empty() || end == CallEnd::kNotRead;
+  if (caller.book == kOldBook && !caller.has_sent && was_sending) {
+    ForgetOldAddress(caller.gateway);
+  }
+  if (end == CallEnd::kClosed && !caller.unsent.empty()) {
+    end = CallEnd::kNotSent;
+  }
+  caller.unsent.clear();
   if (end == CallEnd::kReset) {
     caller.connection->ResetOnClose();
   }
--- a/tests/integration/soak/caller_task.h
+++ b/tests/integration/soak/caller_task.h
@@ -53,7 +53,9 @@
 namespace integration {
 
 // Callers with a connection each, which they keep until the gateway closes it,
-// also while its address is missing from the directory. Posts each ended call.
+// also while its address is missing from the directory. Some use old answers of
+// the directory, so that they connect to gateways that are stopping, and some
+// close their connection while a request runs. Posts each ended call.
 class CallerTask {
  public:
   using Message = CallerMessage;
@@ -76,17 +78,27 @@
     std::size_t book = 0;
     std::size_t gateway = 0;
     bool is_kept = false;
+    bool has_sent = false;
     std::unique_ptr<CallerConnection> connection;
     std::deque<EndedCall> waiting;
+    // The part of a request that is sent after a delay of the link.
+    std::string unsent;
   };
 
   // Requests the addresses of `book` now and again after their time.
   auto Refresh(std::size_t book) -> void;
+  // Removes an address that failed from the book of old ones.
+  auto ForgetOldAddress(std::size_t gateway) -> void;
   auto OnAddresses(std::size_t book, const std::string& body) -> void;
 
+  // Ends the connection after `time` if request `id` is still unanswered.
+  auto GiveUpAfter(Duration time, std::size_t caller, std::string id) -> void;
+
   auto SendLater(std::size_t caller) -> void;
   auto Send(std::size_t caller) -> void;
   auto Connect(std::size_t caller) -> bool;
+  // Sends one part of `bytes` now and the other one after a delay.
+  auto SendInParts(std::size_t caller, const std::string& bytes) -> void;
   auto MakeRequest(const EndedCall& call) -> std::string;
   auto PickWork(const RouteSettings& route) -> Duration;
 
@@ -105,8 +117,9 @@
   TaskContext* context_ = nullptr;
   std::optional<standin::TimerQueue> timers_;
   std::optional<standin::HttpClient> directory_;
-  // Indexes of gateways: a book that is refreshed in time, and a stale one.
-  std::array<std::vector<std::size_t>, 2> books_;
+  // Indexes of gateways: a book that is refreshed in time, a stale one, and one
+  // that is refreshed when all its addresses have failed.
+  std::array<std::vector<std::size_t>, 3> books_;
   std::vector<Caller> callers_;
   // Connections that ended. Freed by a timer, as they must not be freed inside
   // their own callbacks.
--- a/tests/integration/soak/ended_call.h
+++ b/tests/integration/soak/ended_call.h
@@ -26,6 +26,7 @@
 enum class CallEnd {
   kAnswered,
   kClosed,      // The connection ended without a complete answer.
+  kNotSent,     // The connection ended before the whole request was sent.
   kNotRead,     // An answer before it announced the end of the connection.
   kGivenUp,     // The caller waited until its deadline.
   kReset,       // The caller reset its connection.
@@ -42,6 +43,7 @@
       std::to_array<NameEntry<integration::CallEnd>>({
           {integration::CallEnd::kAnswered, "answered"},
           {integration::CallEnd::kClosed, "closed"},
+          {integration::CallEnd::kNotSent, "not-sent"},
           {integration::CallEnd::kNotRead, "not-read"},
           {integration::CallEnd::kGivenUp, "given-up"},
           {integration::CallEnd::kReset, "reset"},
--- a/tests/integration/soak/fault_player.cc
+++ b/tests/integration/soak/fault_player.cc
@@ -69,6 +69,13 @@
   return roll;
 }
 
+auto FaultPlayer::PickHarm() -> HarmTarget {
+  return {random_.Below(fleet_.targets()),
+          static_cast<standin::TargetMode>(
+              1 + random_.Below(kEnumSize<standin::TargetMode> - 1)),
+          RandomTime(100, 2000)};
+}
+
 auto FaultPlayer::PickFault() -> Fault {
   const auto gateway = random_.Below(gateways_.started());
   switch (random_.Below(kFaultWeights)) {
@@ -83,10 +90,7 @@
       return PauseGateway{gateway, RandomTime(50, 2500)};
     case 5:
     case 6:
-      return HarmTarget{random_.Below(fleet_.targets()),
-                        static_cast<standin::TargetMode>(
-                            random_.Below(kEnumSize<standin::TargetMode>)),
-                        RandomTime(100, 2000)};
+      return PickHarm();
     case 7:
       return StoreOutage{RandomTime(100, 3000)};
     case 8:
--- a/tests/integration/soak/fault_player.h
+++ b/tests/integration/soak/fault_player.h
@@ -42,6 +42,8 @@
   auto PickWatchEnd() -> std::string;
   // Returns a roll of stops through some of the gateways.
   auto PickRoll() -> RollGateways;
+  // Returns a mode other than the normal one for some target.
+  auto PickHarm() -> HarmTarget;
 
  private:
   auto PickFault() -> Fault;
--- a/tests/integration/soak/soak.cc
+++ b/tests/integration/soak/soak.cc
@@ -17,6 +17,7 @@
 
 constexpr int kNotFound = 404;
 constexpr int kServiceMs = 20;
+constexpr std::size_t kTargetsPerLinkLoss = 3;
 // Bounds of the users' pages: a change is in force, and a target that left gets
 // no more requests, this long after the store acknowledged it, at gateways that
 // have been undisturbed for kInTouchTime.
@@ -40,6 +41,7 @@
       fleet_(FleetSize{.targets = settings.targets,
                        .service_ms = kServiceMs,
                        .slots = settings.slots,
+                       .targets_per_link_loss = kTargetsPerLinkLoss,
                        .gateways = settings.gateways + settings.added_gateways,
                        .hard_limit = settings.grace,
                        .address_ttl = settings.address_ttl}),
@@ -122,6 +124,9 @@
   faults_.Play(faults_.PickRoll());
   while (Now() < end) {
     faults_.PlayRandom();
+    if (random_.Below(3) > 0) {
+      faults_.Play(faults_.PickHarm());
+    }
     WaitUntilTime(Now() +
                   faults_.RandomTime(kShortestFaultGapMs,
                                      static_cast<std::uint64_t>(
@@ -217,12 +222,14 @@
   };
   int served = 0;
   int closed = 0;
+  int given_up = 0;
   int calls = 0;
   for (const auto& message : ended_.TakeAll()) {
     const auto& call = std::get<EndedCall>(message);
     ++calls;
     served += call.status == 200 ? 1 : 0;
     closed += call.end == CallEnd::kClosed ? 1 : 0;
+    given_up += call.end == CallEnd::kGivenUp ? 1 : 0;
     for (const auto& promise : checks.Check(call)) {
       auto text =
           promise + ": call " + call.id + " of " +
@@ -243,11 +250,20 @@
       Report(text);
     }
   }
+  std::size_t stops = 0;
+  for (const auto& history : gateways_.histories()) {
+    stops += history.stops.size();
+  }
+  int early = 0;
+  for (std::size_t i = 0; i < fleet_.targets(); ++i) {
+    early += fleet_.target(i).Counters(fleet_.http())["early"].get<int>();
+  }
   printf(
       "soak: seed %lu, limit %s: %d of %d calls served, %d without an "
-      "answer\n",
+      "answer, %d given up; %zu stops, %zu answers broken off, %d early\n",
       static_cast<unsigned long>(seed_), std::string(ToName(limit_)).c_str(),
-      served, calls, closed);
+      served, calls, closed, given_up, stops, checks.CountBrokenOff(), early);
+  std::fflush(stdout);
   if (calls == 0 || served * 4 < calls) {
     Report("RECOVER: only " + std::to_string(served) + " of " +
            std::to_string(calls) + " calls were served");
