--- a/tests/integration/standins_test.cc
+++ b/tests/integration/standins_test.cc
@@ -290,7 +290,8 @@
     const std::string half(50'000, 'x');
     const std::string head =
         " / HTTP/1.1\r\nHost: a\r\nX-Request-Id: a\r\nContent-Length: ";
-    caller.Send("POST" + head + "100000\r\n\r\n" + half);
+    caller.Send("POST" + head + "100000\r\n\r\n");
+    caller.Send(half);
     run();
     cr_assert_eq(answers, expected.answers_to_half, "%s", expected.mode);
     caller.Send(half);
--- a/tests/standins/common/http_exchange.cc
+++ b/tests/standins/common/http_exchange.cc
@@ -133,8 +133,9 @@
   // SO_LINGER would follow an orderly end.
   const sockaddr none{.sa_family = AF_UNSPEC, .sa_data = {}};
   auto* connection = evhttp_request_get_connection(request_.get());
-  connect(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
-          &none, sizeof(none));
+  static_cast<void>(
+      connect(bufferevent_getfd(evhttp_connection_get_bufferevent(connection)),
+              &none, sizeof(none)));
   Abort();
 }
 
