Send nothing when an early answered exchange completes

When the rest of its body came, HttpExchange::Complete drained its own reply from an output buffer whose start libevent freezes after the first write, so that the drain failed and a second answer without an id went out. The gateway rightly takes it as no answer to the next request.

Change: the buffer is unfrozen for the drain. The log of the target has the status of each answer.

Result: standins/target_modes_differ_on_the_wire uses a connection that has carried an answer, and fails without the change.

--- a/tests/integration/standins_test.cc
+++ b/tests/integration/standins_test.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 
 #include "integration/soak/caller_connection.h"
 #include "integration/support/blocking_http.h"
@@ -270,7 +271,6 @@
         Expected{"drop-idle", 0, 1, true}}) {
     BlockingHttp http;
     RegisteredStandin target(http, "i-0", "orders", 1, 0);
-    target.SetMode(http, expected.mode);
     int answers = 0;
     bool has_ended = false;
     EventLoop loop;
@@ -290,6 +290,10 @@
     const std::string half(50'000, 'x');
     const std::string head =
         " / HTTP/1.1\r\nHost: a\r\nX-Request-Id: a\r\nContent-Length: ";
+    caller.Send("GET" + head + "0\r\n\r\n");
+    run();
+    cr_assert_eq(std::exchange(answers, 0), 1);
+    target.SetMode(http, expected.mode);
     caller.Send("POST" + head + "100000\r\n\r\n");
     caller.Send(half);
     run();
--- a/tests/standins/common/http_exchange.cc
+++ b/tests/standins/common/http_exchange.cc
@@ -149,7 +149,10 @@
   auto* output = bufferevent_get_output(evhttp_connection_get_bufferevent(
       evhttp_request_get_connection(request_.get())));
   Reply({});
+  // libevent freezes the start of its output after the first write.
+  evbuffer_unfreeze(output, 1);
   evbuffer_drain(output, evbuffer_get_length(output));
+  evbuffer_freeze(output, 1);
 }
 
 auto HttpExchange::SetIdleTimeout(Duration timeout) -> void {
--- a/tests/standins/target/target_task.cc
+++ b/tests/standins/target/target_task.cc
@@ -135,7 +135,8 @@
       nlohmann::json entry = {
           {"id", record.id},
           {"start_us", record.start.time_since_epoch().count()},
-          {"is_sound", record.is_sound}};
+          {"is_sound", record.is_sound},
+          {"status", record.status}};
       if (record.end) {
         entry["end_us"] = record.end->time_since_epoch().count();
       }
@@ -184,7 +185,7 @@
   const auto left = TimeLeft(exchange);
   ++runs_;
   ++runs_by_id_[id];
-  log_.push_back({id, Now(), std::nullopt, false});
+  log_.push_back({id, Now(), std::nullopt, false, 0});
   const auto number = log_.size() - 1;
   running_.emplace(number, Running{std::move(exchange), work > left});
   timers_->After(std::min(work, left), [this, number] { Finish(number); });
@@ -204,6 +205,8 @@
   auto& record = log_[number];
   record.end = Now();
   record.is_sound = IsSound(mode_);
+  const auto reply = MakeReply(record.id, running.is_late);
+  record.status = reply.status;
   switch (mode_) {
     case TargetMode::kReset:
       running.exchange.Abort();
@@ -214,15 +217,14 @@
       BreakOff(number, std::move(running.exchange));
       break;
     case TargetMode::kNoLength:
-      running.exchange.SendBytes(
-          ToBytes(MakeReply(record.id, running.is_late), HasLength(mode_)));
+      running.exchange.SendBytes(ToBytes(reply, HasLength(mode_)));
       running.exchange.Abort();
       break;
     case TargetMode::kDropIdle:
       running.exchange.SetIdleTimeout(kIdleTimeout);
       [[fallthrough]];
     default:
-      running.exchange.Reply(MakeReply(record.id, running.is_late));
+      running.exchange.Reply(reply);
   }
   RunWaiting();
 }
@@ -253,7 +255,7 @@
   ++runs_;
   ++early_answers_;
   ++runs_by_id_[id];
-  log_.push_back({id, Now(), Now(), true});
+  log_.push_back({id, Now(), Now(), true, kOk});
   answered_early_.insert(id);
   return ToBytes(MakeReply(id, false), true);
 }
--- a/tests/standins/target/target_task.h
+++ b/tests/standins/target/target_task.h
@@ -100,6 +100,8 @@
     // Whether the answer was complete and its own; false if the target broke
     // off.
     bool is_sound = false;
+    // 0 until the target answers.
+    int status = 0;
   };
   // A run without an answer yet.
   struct Running {
