Count no loss for a request whose target had answered with a failure

No target was at work, and there was no SIGTERM before the answer.

Change: an answer in place of a target's is a loss unless all targets that ran the request had answered it with a failure. Runs at work, complete successes and connections that end are judged as before.

--- a/tests/integration/soak/call_checks.cc
+++ b/tests/integration/soak/call_checks.cc
@@ -22,6 +22,11 @@
   return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
+// Whether the target is no longer at work, and its answer was a failure.
+auto HasFailed(const TargetRun& run) -> bool {
+  return run.is_sound && run.status >= 500;
+}
+
 auto IsBrokenOff(const TargetRun& run) -> bool {
   return run.end && !run.is_sound;
 }
@@ -77,7 +82,7 @@
       call.end == CallEnd::kClosed || call.end == CallEnd::kNotRead;
   const bool is_replaced = call.end == CallEnd::kAnswered &&
                            call.status >= 300 && !call.is_signed &&
-                           !runs.empty();
+                           !std::all_of(runs.begin(), runs.end(), HasFailed);
   if (!is_closed && !is_replaced) {
     return false;
   }
--- a/tests/integration/soak/call_checks.h
+++ b/tests/integration/soak/call_checks.h
@@ -18,6 +18,8 @@
   std::optional<TimePoint> end;
   // Whether the target completed its answer.
   bool is_sound = false;
+  // 0 until the target answers.
+  int status = 0;
 };
 
 // What the soak did to one gateway.
--- a/tests/integration/soak/soak.cc
+++ b/tests/integration/soak/soak.cc
@@ -210,6 +210,7 @@
         added.end = ToTimePoint(run.at("end_us"));
       }
       added.is_sound = run.at("is_sound");
+      added.status = run.at("status");
     }
   }
   return runs;
