--- a/tests/integration/soak/call_checks.cc
+++ b/tests/integration/soak/call_checks.cc
@@ -26,6 +26,15 @@
   return status == 429 || status == 503 || status == 408 || status == 421;
 }
 
+// Whether the target is no longer at work, and its answer was a failure.
+auto HasFailed(const TargetRun& run) -> bool {
+  return run.is_sound && run.status >= 500;
+}
+
+auto IsBrokenOff(const TargetRun& run) -> bool {
+  return run.end && !run.is_sound;
+}
+
 }  // namespace
 
 CallChecks::CallChecks(const SoakSettings& settings,
@@ -75,6 +84,14 @@
   return found == logs_.runs.end() ? none : found->second;
 }
 
+auto CallChecks::CountBrokenOff() const -> std::size_t {
+  std::size_t count = 0;
+  for (const auto& [id, runs] : logs_.runs) {
+    count += std::count_if(runs.begin(), runs.end(), IsBrokenOff);
+  }
+  return count;
+}
+
 auto CallChecks::IsLost(const EndedCall& call) const -> bool {
   const auto& route = settings_.routes[call.route];
   const auto& runs = RunsOf(call);
@@ -83,16 +100,15 @@
       call.end == CallEnd::kClosed || call.end == CallEnd::kNotRead;
   const bool is_replaced = call.end == CallEnd::kAnswered &&
                            call.status >= 300 && !call.is_signed &&
-                           !runs.empty();
+                           !std::all_of(runs.begin(), runs.end(), HasFailed);
   if (!is_closed && !is_replaced) {
     return false;
   }
   if (runs.empty() && (call.is_behind || length < kLossSlack)) {
     return false;
   }
-  const bool has_broken_off = std::any_of(
-      runs.begin(), runs.end(),
-      [&](const TargetRun& run) { return run.end && !run.is_sound; });
+  const bool has_broken_off =
+      std::any_of(runs.begin(), runs.end(), IsBrokenOff);
   if (has_broken_off ||
       length + kDeadlineSlack >= std::min(route.timeout, route.deadline)) {
     return false;
--- a/tests/integration/soak/call_checks.h
+++ b/tests/integration/soak/call_checks.h
@@ -18,6 +18,8 @@
   std::optional<TimePoint> end;
   // Whether the target completed its answer.
   bool is_sound = false;
+  // 0 until the target answers.
+  int status = 0;
 };
 
 // What all targets report, by request id.
@@ -50,6 +52,8 @@
   // Returns whether the call reached a target long after its caller closed the
   // connection to an undisturbed gateway.
   [[nodiscard]] auto ArrivesAfterClose(const EndedCall& call) const -> bool;
+  // Returns the number of runs whose target broke off its answer.
+  [[nodiscard]] auto CountBrokenOff() const -> std::size_t;
 
   [[nodiscard]] auto RunsOf(const EndedCall& call) const
       -> const std::vector<TargetRun>&;
--- a/tests/integration/soak/soak.cc
+++ b/tests/integration/soak/soak.cc
@@ -18,6 +18,7 @@
 
 constexpr int kNotFound = 404;
 constexpr int kServiceMs = 20;
+constexpr std::size_t kTargetsPerLinkLoss = 3;
 // Bounds of the users' pages: a change is in force, and a target that left gets
 // no more requests, this long after the store acknowledged it, at gateways that
 // have been undisturbed for kInTouchTime.
@@ -46,6 +47,7 @@
       fleet_(FleetSize{.targets = settings.targets,
                        .service_ms = kServiceMs,
                        .slots = settings.slots,
+                       .targets_per_link_loss = kTargetsPerLinkLoss,
                        .gateways = settings.gateways + settings.added_gateways,
                        .hard_limit = settings.grace,
                        .address_ttl = settings.address_ttl}),
@@ -131,6 +133,9 @@
   }
   while (Now() < end) {
     faults_.PlayRandom();
+    if (random_.Below(3) > 0) {
+      faults_.Play(faults_.PickHarm());
+    }
     WaitUntilTime(Now() +
                   faults_.RandomTime(kShortestFaultGapMs,
                                      static_cast<std::uint64_t>(
@@ -241,6 +246,7 @@
         added.end = ToTimePoint(run.at("end_us"));
       }
       added.is_sound = run.at("is_sound");
+      added.status = run.at("status");
     }
   }
   return logs;
@@ -286,13 +292,23 @@
       Report(text);
     }
   }
+  std::size_t stops = 0;
+  for (const auto& history : gateways_.histories()) {
+    stops += history.stops.size();
+  }
+  int early = 0;
+  for (std::size_t i = 0; i < fleet_.targets(); ++i) {
+    early += fleet_.target(i).Counters(fleet_.http())["early"].get<int>();
+  }
   printf(
       "soak: seed %lu, limit %s: %d of %d calls served, %d without an "
-      "answer, %d given up, %d reached a target after their callers left, "
-      "store in era %d\n",
+      "answer, %d given up, %d reached a target after their callers left; "
+      "%zu stops, %zu answers broken off, %d early, store in era %d\n",
       static_cast<unsigned long>(seed_), std::string(ToName(limit_)).c_str(),
-      served, calls, closed, given_up, late_calls,
+      served, calls, closed, given_up, late_calls, stops,
+      checks.CountBrokenOff(), early,
       fleet_.StoreCounters().at("era").get<int>());
+  std::fflush(stdout);
   if (late_calls > kMostLateCalls) {
     Report("GONE: " + std::to_string(late_calls) +
            " requests reach a target after their callers left:" + late);
