Drop a missing target when the settling time ends, not at the next answer

Cause: a registry is proposed when the store answers, and a waiting watch is answered after 0.6 s, which was added to the settling time.

Change: a watch waits no longer than the settling time of a missing target. The log names a return also if a 410 told of it.

--- a/src/decision/platform/registry_tracker.cc
+++ b/src/decision/platform/registry_tracker.cc
@@ -22,6 +22,14 @@
   return available_since_ && now - *available_since_ >= kSettleTime;
 }
 
+auto RegistryTracker::TimeUntilSettled(TimePoint now) const
+    -> std::optional<Duration> {
+  if (missing_.empty() || !available_since_) {
+    return std::nullopt;
+  }
+  return std::max(*available_since_ + kSettleTime - now, Duration::zero());
+}
+
 auto RegistryTracker::OnListed(const std::vector<RegisteredTarget>& targets,
                                StoreEra era,
                                TimePoint now) -> void {
--- a/src/decision/platform/registry_tracker.h
+++ b/src/decision/platform/registry_tracker.h
@@ -86,6 +86,11 @@
   [[nodiscard]] auto ProposeRegistry(std::uint64_t store_revision,
                                      TimePoint now) -> std::optional<Registry>;
 
+  // Returns the time until missing entries count as removed if the store stays
+  // available; nothing if none is missing. A registry can be proposed then.
+  [[nodiscard]] auto TimeUntilSettled(TimePoint now) const
+      -> std::optional<Duration>;
+
   // Maximum number of registries built from one store revision, as entries can
   // expire without a change in the store. A registry's revision is the store
   // revision times this number plus a sequence number.
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -20,9 +20,9 @@
 constexpr Duration kPostRetryInterval = std::chrono::milliseconds(20);
 // Delay before an unanswered read is repeated on a new connection.
 constexpr Duration kRetryDelay = std::chrono::milliseconds(20);
-// A repeated watch waits this long only, so that it is answered before its
-// connection fails, too.
-constexpr Duration kRetriedWatchTimeout = std::chrono::milliseconds(1);
+// Shortest wait of a watch. A repeated one waits no longer, so that it is
+// answered before its connection fails, too.
+constexpr Duration kShortestWatch = std::chrono::milliseconds(1);
 
 auto DescribeFailure(const StoreReader::Response& response) -> std::string {
   return response.outcome == ReadOutcome::kAnswered
@@ -146,11 +146,10 @@
     return true;
   }
   Log(Part::kStore, LogLevel::kWarning,
-      "the store has returned from an older copy: it is in era " +
-          std::to_string(era->value()) + " after era " +
-          std::to_string(list_era_->value()) + ", revision " +
-          std::to_string(std::max(watch_after_, list_revision_)) +
-          "; listing all keys again");
+      "an answer is of era " + std::to_string(era->value()) +
+          " after revision " +
+          std::to_string(std::max(watch_after_, list_revision_)) + " of era " +
+          std::to_string(list_era_->value()) + "; listing all keys again");
   DiscardList();
   read_timer_.Schedule(schedule_.DelayAfterAnswer());
   return false;
@@ -191,8 +190,13 @@
 }
 
 auto StoreTask::RequestWatch() -> void {
+  // The next registry is proposed when the watch is answered.
+  const auto settled =
+      tracker_.TimeUntilSettled(Now()).value_or(config_.watch_timeout);
   const auto wait =
-      recovery_.is_retrying() ? kRetriedWatchTimeout : config_.watch_timeout;
+      recovery_.is_retrying()
+          ? kShortestWatch
+          : std::clamp(settled, kShortestWatch, config_.watch_timeout);
   Request(dialect_.watch_target(watch_after_, wait), ReadTimeout(wait),
           &StoreTask::OnWatchResponse);
 }
@@ -246,6 +250,13 @@
 }
 
 auto StoreTask::TakeInList() -> void {
+  // A store that names no era is in era 0.
+  if (StoreEra() < known_era_ && known_era_ < *list_era_) {
+    Log(Part::kStore, LogLevel::kWarning,
+        "the store has returned from an older copy: it is in era " +
+            std::to_string(list_era_->value()) + " after era " +
+            std::to_string(known_era_.value()));
+  }
   known_era_ = *list_era_;
   const auto now = Now();
   std::size_t older = 0;
--- a/tests/unit/decision/platform/store_return_test.cc
+++ b/tests/unit/decision/platform/store_return_test.cc
@@ -270,4 +270,19 @@
   cr_assert_eq(Proposed(tracker, 12, synchronized), "b(leaving)c");
 }
 
+// Guards against a removed target that gets requests until the watch that waits
+// over the settling time is answered: its registry was in force 3.02 s after a
+// return.
+Test(store_return, tells_when_a_missing_target_can_be_dropped) {
+  auto tracker = MakeReader({Target("a"), Target("b")});
+  cr_assert_not(tracker.TimeUntilSettled(kBack).has_value());
+  tracker.OnListed({Target("b")}, kAfter, kBack);
+  const auto later = kBack + milliseconds(2000);
+  cr_assert(*tracker.TimeUntilSettled(later) ==
+            RegistryTracker::kSettleTime - milliseconds(2000));
+  const auto settled = kBack + RegistryTracker::kSettleTime;
+  tracker.OnAnswered(settled);
+  cr_assert_not(tracker.TimeUntilSettled(settled).has_value());
+}
+
 }  // namespace flamingoyoke
