--- a/src/node/control/mesh/mesh_task.h
+++ b/src/node/control/mesh/mesh_task.h
@@ -54,7 +54,7 @@
     std::uint64_t reconnects = 0;
   };
 
-  // Throws zmq::error_t.
+  // Fails if the address cannot be listened on. Throws zmq::error_t.
   auto Listen(EventLoop& loop) -> Result<void>;
   auto Send(const SendToPeer& order) -> void;
   auto UpdatePeers(const PeerEndpointsChanged& change) -> void;
--- a/src/node/control/mesh/peer_listener.h
+++ b/src/node/control/mesh/peer_listener.h
@@ -23,8 +23,9 @@
   // Fails with kResourceRefused. Precondition: Listen() has succeeded.
   auto Duplicate() -> Result<int>;
 
-  // Pauses or resumes the listener by the number of free descriptors. Call it
-  // every kCheckPeriod. Precondition: Listen() has succeeded.
+  // Pauses or resumes the listener by the number of free descriptors; to be
+  // called periodically. A system that refuses the filter leaves the listener
+  // as it is. Precondition: Listen() has succeeded.
   auto Check() -> void;
 
   // Whether new connections are kept away.
