Accept numbers with fractions where the platform computes them; add types for teams

Change: cores, memory and the retry slack are rounded down; the hard limit of a stop may be given in seconds. The published configuration has types for teams and public routes, not read yet.

--- a/src/node/dialect.h
+++ b/src/node/dialect.h
@@ -36,6 +36,10 @@
   std::string not_run;
   // "1" in the answers of a target that leaves.
   std::string leaving = {};
+  // Key of the caller's team. Never sent to a target.
+  std::string team_key = {};
+  // Name of the caller's team, set for the target whatever the caller sent.
+  std::string team = {};
 };
 
 // The protocol between a gateway and its callers and health checks.
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -30,6 +30,7 @@
 // would exceed its limit of 2,000 calls per second.
 constexpr IntegerFieldRange kWatchRange{1'000, 300'000, "milliseconds"};
 constexpr IntegerFieldRange kHardLimitRange{0, 3'600'000, "milliseconds"};
+constexpr NumberFieldRange kHardLimitSecondsRange{0, 3'600, "seconds"};
 constexpr IntegerFieldRange kEntriesRange{1, 1'000, "VMs"};
 constexpr IntegerFieldRange kViewAgeRange{200, 60'000, "milliseconds"};
 constexpr IntegerFieldRange kRequestTimeRange{1, 1'000'000, "microseconds"};
@@ -45,10 +46,10 @@
   vm.region = RegionId(group.Name("region"));
   vm.processor_share =
       group.Number("processor_share", kProcessorShareRange, vm.processor_share);
-  vm.cores =
-      static_cast<std::uint32_t>(group.Integer("cores", kCoresRange, vm.cores));
+  vm.cores = static_cast<std::uint32_t>(
+      group.WholePart("cores", kCoresRange, vm.cores));
   vm.link_mbps = group.Number("link_mbps", kLinkRange, vm.link_mbps);
-  vm.memory_mb = group.Integer("memory_mb", kMemoryRange, vm.memory_mb);
+  vm.memory_mb = group.WholePart("memory_mb", kMemoryRange, vm.memory_mb);
   group.AddUnknownFieldFaults();
   return vm;
 }
@@ -112,6 +113,8 @@
   ShutdownSettings shutdown;
   shutdown.hard_limit =
       group.Milliseconds("hard_limit_ms", kHardLimitRange, shutdown.hard_limit);
+  shutdown.hard_limit = group.Seconds("hard_limit_s", kHardLimitSecondsRange,
+                                      shutdown.hard_limit);
   group.AddUnknownFieldFaults();
   return shutdown;
 }
@@ -154,7 +157,7 @@
     gateway.floor_share = group.Share("floor_share", gateway.floor_share);
     gateway.retry_share = group.Share("retry_share", gateway.retry_share);
     gateway.retry_slack = static_cast<std::uint32_t>(
-        group.Integer("retry_slack", kRetrySlackRange, gateway.retry_slack));
+        group.WholePart("retry_slack", kRetrySlackRange, gateway.retry_slack));
     if (settings.vm.id.value() != settings.mesh.address.host) {
       group.AddFault(
           "source", nullptr,
--- a/src/settings/settings_group.cc
+++ b/src/settings/settings_group.cc
@@ -111,6 +111,15 @@
   return number;
 }
 
+auto SettingsGroup::WholePart(const char* field,
+                              IntegerFieldRange range,
+                              std::uint64_t fallback) -> std::uint64_t {
+  const NumberFieldRange numbers{static_cast<double>(range.min),
+                                 static_cast<double>(range.max), range.unit};
+  return static_cast<std::uint64_t>(
+      Number(field, numbers, static_cast<double>(fallback)));
+}
+
 auto SettingsGroup::Milliseconds(const char* field,
                                  IntegerFieldRange range,
                                  Duration fallback) -> Duration {
@@ -119,6 +128,13 @@
   return std::chrono::milliseconds(count);
 }
 
+auto SettingsGroup::Seconds(const char* field,
+                            NumberFieldRange range,
+                            Duration fallback) -> Duration {
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Number(field, range, ToSeconds(fallback))));
+}
+
 auto SettingsGroup::Share(const char* field, double fallback) -> double {
   const auto* value = Find(field);
   if (value == nullptr) {
--- a/src/settings/settings_group.h
+++ b/src/settings/settings_group.h
@@ -51,9 +51,17 @@
                std::uint64_t fallback) -> std::uint64_t;
   auto Number(const char* field, NumberFieldRange range, double fallback)
       -> double;
+  // Rounds a number with a fraction down, for values that another program
+  // computed.
+  auto WholePart(const char* field,
+                 IntegerFieldRange range,
+                 std::uint64_t fallback) -> std::uint64_t;
   auto Milliseconds(const char* field,
                     IntegerFieldRange range,
                     Duration fallback) -> Duration;
+  // Reads a number of seconds, which may have a fraction.
+  auto Seconds(const char* field, NumberFieldRange range, Duration fallback)
+      -> Duration;
   auto Share(const char* field, double fallback) -> double;
   auto Names(const char* field, std::vector<std::string> fallback)
       -> std::vector<std::string>;
--- a/src/table/routing.h
+++ b/src/table/routing.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,8 @@
   std::uint32_t max_attempts = 1;
   // Never empty.
   std::vector<ServiceShare> shares;
+  // Whether requests need no team's key even if the configuration has teams.
+  bool is_public = false;
 
   auto operator==(const Route&) const -> bool = default;
 };
@@ -68,6 +71,28 @@
   auto operator==(const RoutedService&) const -> bool = default;
 };
 
+// Maximum rate of the requests of a team over all gateways.
+struct TeamQuota {
+  // Zero means that the team is not limited.
+  std::uint64_t requests_per_second = 0;
+  // Requests above the rate that may run at once.
+  std::uint64_t burst = 0;
+
+  auto operator==(const TeamQuota&) const -> bool = default;
+};
+
+// A team whose callers name one of its keys in each request.
+struct Team {
+  TeamId id;
+  // Secrets; they must not appear in logs, metrics, traces or reports.
+  std::vector<std::string> keys;
+  TeamQuota quota;
+  // Replaces the priority of the route if it is set.
+  std::optional<std::uint32_t> priority;
+
+  auto operator==(const Team&) const -> bool = default;
+};
+
 // Size and time limits of a request.
 struct RequestLimits {
   std::uint64_t max_header_bytes = 16 << 10;
@@ -84,6 +109,9 @@
   std::vector<Route> routes;
   std::vector<RoutedService> services;
   RequestLimits limits;
+  // Sorted by id. Unset if the configuration has no table of teams: requests
+  // need no key then.
+  std::optional<std::vector<Team>> teams = {};
 
   auto operator==(const Routing&) const -> bool = default;
 };
