Check a configuration before it is published

Change: flamingoyoke check-configuration FILE [--against FILE] [--json] for tables; flamingoyoke-platform also reads what the platform publishes. The test in cli_test has not run yet.

--- a/src/cli/check_commands.cc
+++ b/src/cli/check_commands.cc
@@ -1,13 +1,12 @@
 #include "cli/check_commands.h"
 
 #include <cstddef>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <optional>
 #include <string>
 #include <variant>
 
+#include "cli/input_file.h"
 #include "core/overloaded.h"
 #include "settings/settings.h"
 #include "table/table_reader.h"
@@ -15,22 +14,6 @@
 namespace flamingoyoke {
 namespace {
 
-// Reads at most `limit` + 1 bytes of a file, so that the check can detect a
-// file that is too large. Prints an error and returns nullopt on failure.
-auto ReadFile(const std::string& path, std::size_t limit)
-    -> std::optional<std::string> {
-  std::ifstream file(path, std::ios::binary);
-  std::string text(limit + 1, '\0');
-  file.read(text.data(), static_cast<std::streamsize>(text.size()));
-  if (!file && !file.eof()) {
-    std::cerr << "flamingoyoke: cannot read " << path
-              << "; check its name and permissions\n";
-    return std::nullopt;
-  }
-  text.resize(static_cast<std::size_t>(file.gcount()));
-  return text;
-}
-
 auto Print(const std::string& file, const TableFault& fault) -> void {
   std::cerr << file << ": ";
   if (fault.row > 0) {
@@ -56,7 +39,7 @@
 }  // namespace
 
 auto Run(const CheckTableCommand& command) -> ExitCode {
-  const auto text = ReadFile(command.file, kMaxTableBytes);
+  const auto text = ReadInputFile(command.file, kMaxTableBytes);
   if (!text) {
     return ExitCode::kUsage;
   }
@@ -80,7 +63,7 @@
 }
 
 auto Run(const CheckSettingsCommand& command) -> ExitCode {
-  const auto text = ReadFile(command.file, kMaxSettingsBytes);
+  const auto text = ReadInputFile(command.file, kMaxSettingsBytes);
   if (!text) {
     return ExitCode::kUsage;
   }
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -31,6 +31,13 @@
   std::string file;
 };
 
+struct CheckConfigurationCommand {
+  std::string file;
+  // File with the version in force; empty compares nothing.
+  std::string against;
+  bool json = false;
+};
+
 struct ReportCommand {
   NamedEndpoint address;
   ReportFormat format = ReportFormat::kText;
@@ -47,6 +54,7 @@
 // A parsed command with its arguments.
 using Command = std::variant<CheckTableCommand,
                              CheckSettingsCommand,
+                             CheckConfigurationCommand,
                              ReportCommand,
                              AddressesCommand>;
 
--- a/src/cli/command_line.cc
+++ b/src/cli/command_line.cc
@@ -15,6 +15,7 @@
 // Option values as parsed, before conversion to a command.
 struct Arguments {
   std::string file;
+  std::string against;
   std::string address;
   std::string service;
   std::string failure_domain;
@@ -56,6 +57,18 @@
   return command;
 }
 
+auto AddCheckConfiguration(CLI::App& app, Arguments& arguments) -> CLI::App* {
+  auto* command = AddFileCommand(
+      app, "check-configuration",
+      "Check a configuration before it is published: errors, entries that no "
+      "request matches, and limits that contradict each other",
+      arguments);
+  command->add_option("--against", arguments.against,
+                      "file with the version in force; prints what differs");
+  command->add_flag("--json", arguments.json, "print JSON");
+  return command;
+}
+
 auto AddReport(CLI::App& app, Arguments& arguments) -> CLI::App* {
   auto* command = AddCommand(app, "report", "Show the report of one VM");
   command
@@ -111,6 +124,7 @@
   const auto* check_settings =
       AddFileCommand(app, "check-settings",
                      "Check a settings file and list every fault", arguments);
+  const auto* check_configuration = AddCheckConfiguration(app, arguments);
   const auto* report = AddReport(app, arguments);
   AddAddresses(app, arguments);
   try {
@@ -121,6 +135,10 @@
     if (check_settings->parsed()) {
       return Command(CheckSettingsCommand{arguments.file});
     }
+    if (check_configuration->parsed()) {
+      return Command(CheckConfigurationCommand{
+          arguments.file, arguments.against, arguments.json});
+    }
     const auto address = ToEndpoint(arguments.address);
     if (report->parsed()) {
       return Command(
--- a/src/table/route_index.cc
+++ b/src/table/route_index.cc
@@ -4,9 +4,7 @@
 #include <utility>
 
 namespace flamingoyoke {
-namespace {
 
-// Returns `host` in lower case and without its port.
 auto NormalizeHost(std::string_view host) -> std::string {
   std::string name(host.substr(0, host.find(':')));
   std::transform(name.begin(), name.end(), name.begin(), [](char each) {
@@ -16,8 +14,6 @@
   return name;
 }
 
-}  // namespace
-
 RouteIndex::RouteIndex(std::shared_ptr<const Routing> routing)
     : routing_(std::move(routing)) {
   if (!routing_) {
--- a/src/table/route_index.h
+++ b/src/table/route_index.h
@@ -11,6 +11,10 @@
 
 namespace flamingoyoke {
 
+// Returns `host` in lower case and without its port, as routes are matched.
+// Thread-safe.
+auto NormalizeHost(std::string_view host) -> std::string;
+
 // Looks up the route of a request by host and path. Immutable after
 // construction, and therefore thread-safe.
 class RouteIndex {
--- a/tests/integration/cli_test.cc
+++ b/tests/integration/cli_test.cc
@@ -60,6 +60,26 @@
   cr_assert(Contains(run.text, "refused, 3 faults"));
 }
 
+// Guards against a configuration whose findings do not fail the command, and
+// against a published one that the platform's program cannot read.
+Test(cli, checks_a_configuration_and_what_differs) {
+  const auto table = ExamplePath("association.csv");
+  const auto same =
+      RunCli({"check-configuration", table, "--against", table, "--json"});
+  cr_assert(Contains(same.text, "\"differences\": []"), "%s",
+            same.text.c_str());
+  const auto file = ProgramPath("configuration_of_cli_test.json");
+  std::ofstream(file) << R"({"version":"r7","services":{"s":{}},"routes":{
+    "r":{"host":"h","prefix":"/x/","kind":"safe","service":"missing"}}})";
+  cr_assert_eq(RunCli({"check-configuration", file}).exit_code, 1);
+  ChildProcess process(ProgramPath("flamingoyoke-platform"),
+                       {"check-configuration", file},
+                       CapturedOutput::kStdoutAndStderr);
+  const auto text = process.ReadAll(kWaitTimeout);
+  cr_assert_eq(process.WaitForExit(kWaitTimeout), 1);
+  cr_assert(Contains(text, "error: route r, shares"), "%s", text.c_str());
+}
+
 // Guards against settings errors that are reported without the field path.
 Test(cli, prints_the_path_of_settings_faults) {
   const auto file = ProgramPath("faulty_settings_of_cli_test.json");
