Read teams with keys and refuse requests without one

A published configuration may hold teams; their keys were passed on to targets and unknown keys ran. The gateway now finds the team of a request by its key, answers 401 without one, and names the team for the target.

--- a/src/core/answer_table.cc
+++ b/src/core/answer_table.cc
@@ -24,6 +24,7 @@
     {kNoRoute, {404, kNotRun, kNever}},
     {kUnknownService, {404, kNotRun, kNever}},
     {kInvalidHeader, {400, kNotRun, kNever}},
+    {kUnauthorized, {401, kNotRun, kNever}},
     {kBodyBudgetExhausted, {503, kNotRun, kNow}},
     {kOverloaded, {503, kNotRun, kLater}},
     {kQueueFull, {503, kNotRun, kLater}},
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -19,6 +19,7 @@
   kNoRoute,
   kUnknownService,
   kInvalidHeader,
+  kUnauthorized,
   // Admission.
   kBodyBudgetExhausted,
   kOverloaded,
@@ -71,6 +72,7 @@
       {ErrorKind::kNoRoute, "no-route"},
       {ErrorKind::kUnknownService, "unknown-service"},
       {ErrorKind::kInvalidHeader, "invalid-header"},
+      {ErrorKind::kUnauthorized, "unauthorized"},
       {ErrorKind::kBodyBudgetExhausted, "body-budget-exhausted"},
       {ErrorKind::kOverloaded, "overloaded"},
       {ErrorKind::kQueueFull, "queue-full"},
--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -202,6 +202,18 @@
   Remove(event.request);
 }
 
+auto PoolDispatcher::On(const PoolRequestRevoked& event) -> void {
+  const auto found = requests_.find(event.request);
+  if (found == requests_.end()) {
+    return;
+  }
+  auto& active = found->second;
+  active.revoked = true;
+  if (active.running.empty()) {
+    Refuse(active, ErrorKind::kUnauthorized);
+  }
+}
+
 auto PoolDispatcher::On(const PoolAttemptCommitted& event) -> void {
   const auto running = attempts_.find(event.attempt);
   if (running == attempts_.end()) {
@@ -263,7 +275,9 @@
     Deliver(active, event.attempt, true);
     return;
   }
-  Refuse(active, ErrorFor(event.result));
+  Refuse(active, active.revoked && IsNotRun(event.result)
+                     ? ErrorKind::kUnauthorized
+                     : ErrorFor(event.result));
 }
 
 auto PoolDispatcher::AssessTarget(const ActiveRequest& active,
@@ -293,7 +307,7 @@
   const bool may_run_again = active.info.repeatable || IsNotRun(result);
   // A request goes to each target at most once. Without an untried target it
   // would stay in the queue until its deadline.
-  if (!may_run_again || !OpensInTime(active) ||
+  if (active.revoked || !may_run_again || !OpensInTime(active) ||
       !CanStartInTime(active, CountAhead(active),
                       SlotsFor(active.info.priority))) {
     return false;
@@ -377,7 +391,7 @@
         pool_.OnOverdue(running.target, now_);
       }
     }
-    if (active.info.repeatable && !active.committed &&
+    if (active.info.repeatable && !active.committed && !active.revoked &&
         active.running.size() == 1 &&
         age > std::max(kMinHedgeDelay, Scale(kHedgeFactor, expected_time))) {
       hedged.push_back(running.request);
@@ -433,7 +447,10 @@
   const bool claims_not_run = AnswerFor(error).outcome == Outcome::kNotRun;
   const auto reported_error =
       active.may_have_run && claims_not_run ? ErrorKind::kUpstreamReset : error;
-  pool_.OnRequestEnded(active.is_trial, now_);
+  if (error != ErrorKind::kUnauthorized) {
+    // A key that was taken away says nothing about the targets.
+    pool_.OnRequestEnded(active.is_trial, now_);
+  }
   if (AnswerFor(reported_error).outcome == Outcome::kUnknown) {
     ++counters_.unknown;
   } else {
--- a/src/decision/gateway/pool_dispatcher.h
+++ b/src/decision/gateway/pool_dispatcher.h
@@ -89,6 +89,8 @@
     bool may_have_run = false;
     // Whether the last attempt only kept the floor.
     bool is_trial = false;
+    // Whether the configuration no longer allows the request.
+    bool revoked = false;
   };
   struct RunningAttempt {
     RequestId request;
@@ -102,6 +104,7 @@
   auto On(const PoolConfigured& event) -> void;
   auto On(const PoolRequestArrived& event) -> void;
   auto On(const PoolRequestCancelled& event) -> void;
+  auto On(const PoolRequestRevoked& event) -> void;
   auto On(const PoolAttemptCommitted& event) -> void;
   auto On(const PoolTargetSignalled& event) -> void;
   auto On(const PoolAttemptEnded& event) -> void;
--- a/src/decision/gateway/pool_event.h
+++ b/src/decision/gateway/pool_event.h
@@ -44,6 +44,8 @@
   // Route name, used to tell a route timeout that is too short from a slow
   // target.
   std::string route = {};
+  // Empty if the request needs no team's key and has none.
+  TeamId team = {};
   WorkClass work_class = WorkClass::kShort;
   bool repeatable = false;
   // Priority among the requests of the service; 0 is the most urgent.
@@ -62,6 +64,13 @@
   RequestId request;
 };
 
+// The configuration in force no longer allows the request: its key was taken
+// away, or its route needs one now. Ends a request that waits; one that runs is
+// finished, but gets no further attempt.
+struct PoolRequestRevoked {
+  RequestId request;
+};
+
 // The gateway started to relay the answer of this attempt, so no other attempt
 // may answer the request.
 struct PoolAttemptCommitted {
@@ -103,6 +112,7 @@
 using PoolEvent = std::variant<PoolConfigured,
                                PoolRequestArrived,
                                PoolRequestCancelled,
+                               PoolRequestRevoked,
                                PoolAttemptCommitted,
                                PoolTargetSignalled,
                                PoolAttemptEnded,
--- a/src/node/traffic/error_response.cc
+++ b/src/node/traffic/error_response.cc
@@ -18,6 +18,7 @@
 constexpr auto kReasonPhrases = std::to_array<StatusReason>({
     {307, "Temporary Redirect"},
     {400, "Bad Request"},
+    {401, "Unauthorized"},
     {404, "Not Found"},
     {408, "Request Timeout"},
     {409, "Conflict"},
@@ -39,6 +40,7 @@
   return "Error";
 }
 
+constexpr int kUnauthorizedStatus = 401;
 constexpr auto* kRetryAfterHeader = "Retry-After";
 
 // Returns the duration in seconds with three decimals.
@@ -90,6 +92,10 @@
   head.headers.emplace_back("Content-Type", "application/json");
   head.headers.emplace_back(kOutcomeHeader, ToName(answer.outcome));
   head.headers.emplace_back(kErrorHeader, ToName(kind));
+  if (answer.http_status == kUnauthorizedStatus) {
+    // HTTP requires a challenge with this status; some clients fail without.
+    head.headers.emplace_back("WWW-Authenticate", "ApiKey");
+  }
   if (const auto* seconds = RetryAfterSeconds(answer.advice)) {
     head.headers.emplace_back(kRetryAfterHeader, seconds);
   }
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -118,6 +118,8 @@
   const bool routing_changed = !before || before->routing != view_->routing;
   if (routing_changed) {
     routes_ = RouteIndex(view_->routing);
+    teams_ = TeamIndex(view_->routing);
+    RecheckTeams();
   }
   if (!before || before->ready != view_->ready) {
     Log(Part::kGateway, LogLevel::kInfo,
@@ -242,6 +244,36 @@
   }
 }
 
+auto GatewayTask::RecheckTeams() -> void {
+  for (auto& [id, runner] : services_) {
+    runner->Recheck(
+        [this](GatewayRequest& request) { return IsStillAllowed(request); });
+  }
+}
+
+auto GatewayTask::IsStillAllowed(GatewayRequest& request) const -> bool {
+  if (!teams_.requires_keys()) {
+    return true;
+  }
+  const auto& names = config_.dialect.headers;
+  const auto& head = request.exchange->head();
+  const auto caller = FindCallerTeam(names, head.headers, teams_);
+  const auto* route = routes_.Find(
+      FindHeader(head.headers, "Host").value_or(""), PathOf(head.target));
+  // A route that was removed leaves accepted requests to it as they were.
+  const bool needs_key =
+      route == nullptr ? !request.team.empty() : !route->is_public;
+  if (needs_key && (caller.problem ||
+                    (!request.team.empty() && request.team != caller.id()))) {
+    request.history += " key=" + std::string(ToName(KeyProblem::kRevoked));
+    return false;
+  }
+  // A request to a public route goes on without the team that it has lost.
+  ReplaceTeamHeaders(names, caller.id(), request.forwarded.headers);
+  request.team = caller.id();
+  return true;
+}
+
 auto GatewayTask::RunnerOf(const ServiceId& service) -> PoolRunner& {
   auto& runner = services_[service];
   if (runner) {
@@ -250,9 +282,7 @@
   PoolRunner::Hooks hooks;
   hooks.check_pause = [this] { CheckPause(); };
   hooks.on_request_ended = [this, service](const PoolRunner::Record& record) {
-    request_log_.OnRequest(
-        service, record, view_->routing ? view_->routing->revision : Revision(),
-        view_->registry ? view_->registry->revision : Revision());
+    OnRequestEnded(service, record);
   };
   hooks.send = [this](PeerMessageToSend message) {
     outbox_.mesh.Post(std::move(message));
@@ -359,12 +389,19 @@
   request.forwarded = MakeGatewayHead(names, exchange->head(),
                                       evbuffer_get_length(exchange->body()));
   request.route = route.name;
+  const auto team = FindCallerTeam(names, exchange->head().headers, teams_);
+  if (teams_.requires_keys()) {
+    request.team = team.id();
+    ReplaceTeamHeaders(names, request.team, request.forwarded.headers);
+  }
   request.repeatability = route.repeatability;
   request.arrived = now;
   request.deadline =
       now + std::min(caller.time_left.value_or(route.timeout), route.timeout);
   request.objective = route.objective;
-  request.priority = route.priority;
+  request.priority = team.team == nullptr
+                         ? route.priority
+                         : team.team->priority.value_or(route.priority);
   request.max_attempts = std::max<std::uint32_t>(1, route.max_attempts);
   const auto traceparent =
       FindHeader(exchange->head().headers, kTraceHeader).value_or("");
@@ -374,6 +411,11 @@
              : StartTrace(random_,
                           random_.Unit() < config_.traffic.trace_sample_rate);
   request.exchange = std::move(exchange);
+  if (const auto problem = CheckCallerTeam(team, route, teams_)) {
+    request.history = " key=" + std::string(ToName(*problem));
+    Reject(request, route, ErrorKind::kUnauthorized, Duration::zero());
+    return;
+  }
   if (!stop_->Admits(request.deadline)) {
     Reject(request, route, ErrorKind::kLeaving, Duration::zero());
     return;
@@ -413,9 +455,16 @@
                     {.delay = retry_after,
                      .fractional = config_.dialect.fractional_retry_after}),
       MakeErrorBody(kind));
-  request_log_.OnRequest(route.shares.front().service,
-                         {request, AnswerFor(kind).http_status, kind, Now()},
-                         view_->routing->revision, view_->registry->revision);
+  OnRequestEnded(route.shares.front().service,
+                 {request, AnswerFor(kind).http_status, kind, Now()});
+}
+
+auto GatewayTask::OnRequestEnded(const ServiceId& service,
+                                 const PoolRunner::Record& record) -> void {
+  unauthorized_ += record.error == ErrorKind::kUnauthorized ? 1 : 0;
+  request_log_.OnRequest(
+      service, record, view_->routing ? view_->routing->revision : Revision(),
+      view_->registry ? view_->registry->revision : Revision());
 }
 
 auto GatewayTask::IsReady() const -> bool {
@@ -478,6 +527,15 @@
       {.name = "flamingoyoke_gateway_overloaded_total",
        .help = "Requests refused since this vm was short of processor.",
        .value = static_cast<double>(overloaded_)});
+  metrics.samples.push_back(
+      {.name = "flamingoyoke_gateway_unauthorized_total",
+       .help = "Requests refused since they need the key of a team.",
+       .value = static_cast<double>(unauthorized_)});
+  metrics.samples.push_back(
+      {.name = "flamingoyoke_gateway_teams",
+       .help = "Teams of the configuration in force.",
+       .is_counter = false,
+       .value = static_cast<double>(teams_.team_count())});
   metrics.samples.push_back(
       {.name = "flamingoyoke_gateway_link_kbps",
        .help = "Kilobits per second received from callers and upstreams.",
--- a/src/node/traffic/gateway/gateway_task.h
+++ b/src/node/traffic/gateway/gateway_task.h
@@ -20,6 +20,7 @@
 #include "node/traffic/caller_server.h"
 #include "node/traffic/connection_part.h"
 #include "node/traffic/descriptor_watch.h"
+#include "node/traffic/gateway/caller_team.h"
 #include "node/traffic/gateway/gateway_config.h"
 #include "node/traffic/gateway/pool_runner.h"
 #include "node/traffic/gateway/request_log.h"
@@ -28,6 +29,7 @@
 #include "runtime/event_loop.h"
 #include "runtime/task.h"
 #include "table/route_index.h"
+#include "table/team_index.h"
 
 namespace flamingoyoke {
 
@@ -58,6 +60,10 @@
   auto OnMessage(FleetViewChanged& changed) -> void;
   auto OnMessage(PeerMessageReceived& received) -> void;
   auto ConfigureServices() -> void;
+  // Applies a new version to the requests that were accepted by an older one.
+  auto RecheckTeams() -> void;
+  // Returns whether the version in force allows an accepted request to run.
+  [[nodiscard]] auto IsStillAllowed(GatewayRequest& request) const -> bool;
   // Logs the differences between two registries; `before` may be null.
   auto LogRegistryChanges(const Registry* before, const Registry& after) const
       -> void;
@@ -88,6 +94,9 @@
               const Route& route,
               ErrorKind kind,
               Duration retry_after) -> void;
+  // Logs and counts a request that was answered or given up.
+  auto OnRequestEnded(const ServiceId& service,
+                      const PoolRunner::Record& record) -> void;
   [[nodiscard]] auto IsReady() const -> bool;
   auto CheckPause() -> void;
   auto OnTick() -> void;
@@ -110,11 +119,14 @@
   ConnectionPart target_connections_;
   // Requests rejected because the processor is overloaded.
   std::uint64_t overloaded_ = 0;
+  // Requests refused because they need the key of a team.
+  std::uint64_t unauthorized_ = 0;
   TaskContext* context_ = nullptr;
   std::shared_ptr<const FleetView> view_;
   // Until then the routes may be outdated, so no request is answered by them.
   bool has_been_ready_ = false;
   RouteIndex routes_;
+  TeamIndex teams_;
   ServiceSplitter splitter_;
   RequestLog request_log_;
   std::unique_ptr<CallerServer> server_;
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -78,6 +78,7 @@
   const PoolRequestArrived arrived{
       .request = id,
       .route = request.route,
+      .team = request.team,
       .work_class =
           body_bytes >= kLongBodyBytes ? WorkClass::kLong : WorkClass::kShort,
       .repeatable = request.repeatability == Repeatability::kRepeatable,
@@ -91,6 +92,19 @@
   Post(arrived);
 }
 
+auto PoolRunner::Recheck(const std::function<bool(GatewayRequest&)>& is_allowed)
+    -> void {
+  std::vector<RequestId> revoked;
+  for (auto& [id, request] : requests_) {
+    if (!is_allowed(request)) {
+      revoked.push_back(id);
+    }
+  }
+  for (const auto id : revoked) {
+    Post(PoolRequestRevoked{id});
+  }
+}
+
 auto PoolRunner::OnPeerReport(const VmId& peer, const OutcomeReport& report)
     -> void {
   Post(PoolPeerReport{peer, report.outcomes, report.requests, report.sequence});
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -33,6 +33,8 @@
   // Head sent to the target, without the headers of each attempt.
   RequestHead forwarded;
   std::string route;
+  // Empty if the request names no team.
+  TeamId team;
   Repeatability repeatability = Repeatability::kOnce;
   TimePoint arrived;
   TimePoint deadline;
@@ -89,6 +91,10 @@
   // Runs a request and answers it. Its ID must be new.
   auto Submit(GatewayRequest request) -> void;
 
+  // Refuses the waiting requests for which `is_allowed` returns false; running
+  // ones are finished, but not retried. `is_allowed` may change a request.
+  auto Recheck(const std::function<bool(GatewayRequest&)>& is_allowed) -> void;
+
   auto OnPeerReport(const VmId& peer, const OutcomeReport& report) -> void;
   // The process resumed after a pause.
   auto OnResumed() -> void;
--- a/src/node/traffic/gateway/request_log.cc
+++ b/src/node/traffic/gateway/request_log.cc
@@ -38,6 +38,7 @@
   const auto& request = record.request;
   std::string line = "request id=" + request.caller_id;
   line += " route=" + request.route;
+  line += " team=" + (request.team.empty() ? "-" : request.team.value());
   line += " service=" + service.value();
   line += " status=" + std::to_string(record.status);
   line += " error=" + std::string(record.error ? ToName(*record.error) : "-");
--- a/src/wire/published_codec.cc
+++ b/src/wire/published_codec.cc
@@ -39,6 +39,7 @@
   encoded.set_objective_us(ToMicroseconds(route.objective));
   encoded.set_priority(route.priority);
   encoded.set_max_attempts(route.max_attempts);
+  encoded.set_is_public(route.is_public);
   for (const auto& share : route.shares) {
     auto* part = encoded.add_shares();
     part->set_service(share.service.value());
@@ -62,12 +63,36 @@
   route.objective = ToDuration(encoded.objective_us());
   route.priority = encoded.priority();
   route.max_attempts = encoded.max_attempts();
+  route.is_public = encoded.is_public();
   for (const auto& part : encoded.shares()) {
     route.shares.push_back({ServiceId(part.service()), part.weight()});
   }
   return route;
 }
 
+auto EncodeTeam(const Team& team, wire::Team& encoded) -> void {
+  encoded.set_id(team.id.value());
+  for (const auto& key : team.keys) {
+    encoded.add_keys(key);
+  }
+  encoded.set_requests_per_second(team.quota.requests_per_second);
+  encoded.set_burst(team.quota.burst);
+  if (team.priority) {
+    encoded.set_priority(*team.priority);
+  }
+}
+
+auto DecodeTeam(const wire::Team& encoded) -> Team {
+  Team team;
+  team.id = TeamId(encoded.id());
+  team.keys.assign(encoded.keys().begin(), encoded.keys().end());
+  team.quota = {encoded.requests_per_second(), encoded.burst()};
+  if (encoded.has_priority()) {
+    team.priority = encoded.priority();
+  }
+  return team;
+}
+
 }  // namespace
 
 auto EncodeRouting(const Routing& routing) -> std::string {
@@ -85,6 +110,12 @@
   encoded.set_max_body_bytes(routing.limits.max_body_bytes);
   encoded.set_header_timeout_us(ToMicroseconds(routing.limits.header_timeout));
   encoded.set_idle_timeout_us(ToMicroseconds(routing.limits.idle_timeout));
+  if (routing.teams) {
+    auto& table = *encoded.mutable_teams();
+    for (const auto& team : *routing.teams) {
+      EncodeTeam(team, *table.add_teams());
+    }
+  }
   return encoded.SerializeAsString();
 }
 
@@ -105,6 +136,12 @@
   routing.limits = {encoded.max_header_bytes(), encoded.max_body_bytes(),
                     ToDuration(encoded.header_timeout_us()),
                     ToDuration(encoded.idle_timeout_us())};
+  if (encoded.has_teams()) {
+    auto& teams = routing.teams.emplace();
+    for (const auto& each : encoded.teams().teams()) {
+      teams.push_back(DecodeTeam(each));
+    }
+  }
   return routing;
 }
 
--- a/tests/unit/decision/gateway/pool_dispatcher_test.cc
+++ b/tests/unit/decision/gateway/pool_dispatcher_test.cc
@@ -90,6 +90,30 @@
   }
 }
 
+// Guards against running a request whose key was taken away while it waited,
+// and against cutting off or repeating one that runs.
+Test(pool_dispatcher, a_revoked_request_starts_no_further_attempt) {
+  auto [dispatcher, attempt] = StartSingleAttempt(true, 1);
+  dispatcher.OnEvent(MakeArrival(2, true, kStart), kStart);
+  dispatcher.OnEvent(MakeArrival(3, true, kStart), kStart);
+  cr_assert_eq(dispatcher.queued(), 1U);
+  const auto refused = ActionsOf<RefuseRequest>(
+      dispatcher.OnEvent(PoolRequestRevoked{RequestId(3)}, kStart));
+  cr_assert_eq(refused.size(), 1U);
+  cr_expect_eq(refused.front().error, ErrorKind::kUnauthorized);
+  cr_expect_eq(dispatcher.queued(), 0U);
+  // The first request runs on; its failed attempt is not repeated.
+  dispatcher.OnEvent(PoolConfigured{MakeTargets(4), {}, {}}, kStart);
+  cr_expect(
+      dispatcher.OnEvent(PoolRequestRevoked{RequestId(1)}, kStart).empty());
+  const auto ended = dispatcher.OnEvent(
+      PoolAttemptEnded{attempt.attempt, AttemptResult::kReset}, kStart);
+  cr_expect(ActionsOf<StartAttempt>(ended).empty());
+  const auto unknown = ActionsOf<RefuseRequest>(ended);
+  cr_assert_eq(unknown.size(), 1U);
+  cr_expect_eq(unknown.front().error, ErrorKind::kUpstreamReset);
+}
+
 // Guards against avoiding healthy targets because a route's timeout is too
 // short: in jutagatt quiet-1, 33 of 33 requests of one route ended with 504 at
 // their deadline, each on another target.
--- a/tests/unit/node/traffic/gateway/gateway_fixture.h
+++ b/tests/unit/node/traffic/gateway/gateway_fixture.h
@@ -53,7 +53,9 @@
                             .signature = "Signed",
                             .expected_target = "Expect-Target",
                             .not_run = "Not-Run",
-                            .leaving = "Leaving"};
+                            .leaving = "Leaving",
+                            .team_key = "Key",
+                            .team = "Team"};
   config.dialect.readiness_path = "/-/ready";
   config.dialect.addresses_path = "/-/addresses";
   config.dialect.write_addresses = [](const std::vector<std::string>& addresses,
@@ -62,8 +64,8 @@
   return config;
 }
 
-// A gateway with one repeatable and one non-repeatable route to the given
-// upstreams.
+// A gateway with one repeatable, one non-repeatable and one public route to the
+// given upstreams. Only the public one needs no key if there are teams.
 class GatewayFixture {
  public:
   explicit GatewayFixture(const std::vector<std::uint16_t>& upstreams,
@@ -99,7 +101,8 @@
   }
 
   auto Publish(const std::vector<std::uint16_t>& upstreams,
-               bool is_ready = true) -> void {
+               bool is_ready = true,
+               const std::optional<std::vector<Team>>& teams = {}) -> void {
     auto view = std::make_shared<FleetView>();
     view->self = VmId("vm-a");
     view->ready = is_ready;
@@ -124,6 +127,12 @@
       route.shares = {{ServiceId("s"), 1}};
       routing.routes.push_back(route);
     }
+    auto open = routing.routes.back();
+    open.name = "public";
+    open.prefix = "/public/";
+    open.is_public = true;
+    routing.routes.push_back(open);
+    routing.teams = teams;
     Registry registry;
     for (const auto upstream : upstreams) {
       RegisteredTarget target;
--- a/tests/unit/platform/store_values_test.cc
+++ b/tests/unit/platform/store_values_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 #include <variant>
+#include <vector>
 
 #include "platform/dialect.h"
 
@@ -30,6 +31,16 @@
         "info":{"service":"s1","version":"v1","zone":"z","slots":2},
         "status":{"state":"ready","seq":4,"warmup_left_ms":120}})";
 
+// Returns a configuration with the given table of teams.
+auto WithTeams(const std::string& teams) -> std::string {
+  return R"({"version":"r8","routes":{
+    "r-1":{"host":"a.example","prefix":"/x/","kind":"safe","service":"s1"},
+    "r-2":{"host":"a.example","prefix":"/y/","kind":"safe","service":"s1",
+           "auth_exempt":true}},
+    "services":{},"tenants":)" +
+         teams + "}";
+}
+
 auto FindRoute(const Routing& routing, const std::string& name) -> Route {
   for (const auto& route : routing.routes) {
     if (route.name == name) {
@@ -77,6 +88,82 @@
   }
 }
 
+// Guards against teams without their limits or keys, and against public routes
+// that need keys.
+Test(store_values, reads_teams) {
+  std::optional<Routing> routing;
+  cr_assert_not(CaptureInto(routing, [] {
+    return ReadRouting(WithTeams(
+        R"({"b":{"api_keys":["k-1","k 2"],"priority":0,"rate_per_s":2.5,
+                 "burst":7},
+            "a":{"api_keys":[]}})"));
+  }));
+  cr_assert(routing->teams.has_value());
+  const auto& teams = *routing->teams;
+  cr_assert_eq(teams.size(), 2U);
+  cr_assert_eq(teams[0].id.value(), "a");
+  cr_assert(teams[0].quota == TeamQuota{});
+  cr_assert_not(teams[0].priority.has_value());
+  const std::vector<std::string> keys = {"k-1", "k 2"};
+  cr_assert(teams[1].keys == keys);
+  cr_assert(teams[1].priority == 0U);
+  // Rounded up, so that nothing below the limit is refused.
+  cr_assert_eq(teams[1].quota.requests_per_second, 3U);
+  cr_assert_eq(teams[1].quota.burst, 7U);
+  cr_assert_not(FindRoute(*routing, "r-1").is_public);
+  cr_assert(FindRoute(*routing, "r-2").is_public);
+}
+
+// An absent table asks for no keys, while an empty one admits nobody.
+Test(store_values, an_empty_table_of_teams_is_a_table) {
+  std::optional<Routing> routing;
+  cr_assert_not(
+      CaptureInto(routing, [] { return ReadRouting(WithTeams("{}")); }));
+  cr_assert(routing->teams.has_value());
+  cr_assert_not(CaptureInto(routing, [] { return ReadRouting(kConfig); }));
+  cr_assert_not(routing->teams.has_value());
+}
+
+// Guards against keys that admit a caller to the wrong team or to none, and
+// against keys in the reason, which is logged.
+Test(store_values, rejects_invalid_teams_without_their_keys) {
+  struct Case {
+    const char* teams;
+    // Texts that the reason must contain.
+    std::vector<std::string> names;
+  };
+  for (const auto& each : std::vector<Case>{
+           {R"({"one":{"api_keys":["secret"]},"two":{"api_keys":["secret"]}})",
+            {"one", "two"}},
+           {R"({"one":{"api_keys":["secret", ""]}})", {"one"}},
+           {R"({"one":{"api_keys":["secret\r\nX: y"]}})", {"one"}},
+           {R"({"one":{"api_keys":[" secret"]}})", {"one"}},
+           {R"({"one":{"api_keys":"secret"}})", {"one"}},
+           {R"({"one":{"api_keys":[{"secret":1}]}})", {"one"}},
+           {R"({"one":{"api_keys":["secret"],"rate_per_s":-1}})", {"one"}},
+           {R"({"one":{"api_keys":["secret"],"burst":"secret"}})", {"one"}},
+           {R"({"one":{"api_keys":["secret"],"priority":1.5}})", {"one"}},
+           {R"({"one":{}})", {"one"}},
+           {R"({"":{"api_keys":["secret"]}})", {}},
+           {R"({"a\nb":{"api_keys":["secret"]}})", {}},
+           {R"(["secret"])", {}},
+           {R"("secret")", {}},
+           {"null", {}},
+           {R"({"one":{"api_keys":["secret" "secret"]}})", {}},
+           {R"({"one":{"api_keys":["secret)", {}}}) {
+    std::optional<Routing> routing;
+    const auto error = CaptureInto(
+        routing, [&] { return ReadRouting(WithTeams(each.teams)); });
+    cr_assert(error, "%s", each.teams);
+    const auto reason = error->detail;
+    cr_assert_eq(reason.find("secret"), std::string::npos, "%s",
+                 reason.c_str());
+    for (const auto& name : each.names) {
+      cr_assert_neq(reason.find(name), std::string::npos, "%s", reason.c_str());
+    }
+  }
+}
+
 Test(store_values, reads_an_entry) {
   std::optional<RegisteredTarget> target;
   cr_assert_not(
--- a/tests/unit/wire/published_codec_test.cc
+++ b/tests/unit/wire/published_codec_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <optional>
+#include <vector>
 
 namespace flamingoyoke {
 namespace {
@@ -47,6 +48,29 @@
   cr_assert(*targets == registry);
 }
 
+// Guards against a fleet that stops to ask for keys because a version went
+// through a peer, or asks for keys although there is no table of teams.
+Test(published_codec, returns_the_table_of_teams) {
+  Team team;
+  team.id = TeamId("t");
+  team.keys = {"a", "b"};
+  team.quota = {20, 40};
+  team.priority = 0;
+  for (const auto& teams :
+       {std::optional<std::vector<Team>>(), std::optional(std::vector<Team>()),
+        std::optional(
+            std::vector<Team>{team, Team{TeamId("u"), {}, {}, {}}})}) {
+    auto routing = SampleRouting();
+    routing.routes.front().is_public = true;
+    routing.teams = teams;
+    std::optional<Routing> decoded;
+    cr_assert_not(CaptureInto(decoded, [&] {
+      return DecodeRouting(EncodeRouting(routing), Revision(7));
+    }));
+    cr_assert(*decoded == routing);
+  }
+}
+
 // Guards against nodes that announce equal content under different digests.
 Test(published_codec, equal_values_give_equal_bytes) {
   auto later = SampleRouting();
