--- a/tools/check_layering.py
+++ b/tools/check_layering.py
@@ -29,6 +29,7 @@
 PLATFORM_NAMES = re.compile(
     r"X-Gateway-Signature|X-Expect-Instance|X-Not-Executed|X-Instance-|"
     r"X-Request-(Id|Deadline)|kv-(watch|range|key)|warmup_left_ms|"
+    r"X-Key|X-Tenant-Id|api_keys|auth_exempt|rate_per_s|"
     r"traffic_split|slo_ms|FLAMINGOYOKE_BOOT|/flamingoyoke/(ready|resolve)"
 )
 # Each task folder may include its own headers and those of src/node itself.
