--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -2,6 +2,7 @@
 #define FLAMINGOYOKE_DECISION_PEER_PEER_MESSAGE_H_
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -239,6 +240,60 @@
   bool reachable = false;
 };
 
+// Maximum number of teams in one message about quotas. With names of 20 bytes
+// a message stays below 3 KB.
+inline constexpr std::size_t kMaxQuotaTeamsPerMessage = 64;
+
+// What a gateway needs of the limit of one team. Rates are in requests per
+// second.
+struct QuotaDemand {
+  TeamId team;
+  // Rate that the gateway could use; zero returns its lease.
+  double demand = 0;
+  // Rate leased from another keeper that the gateway gives up once this one
+  // answers.
+  double held = 0;
+  // Requests that wait for tokens at the moment.
+  std::uint32_t waiting = 0;
+
+  auto operator==(const QuotaDemand&) const -> bool = default;
+};
+
+// Asks a keeper of quotas for leases, or returns them.
+struct QuotaRequest {
+  std::uint64_t sequence = 0;
+  std::vector<QuotaDemand> teams;
+};
+
+// Part of the limit of one team that a gateway may use.
+struct QuotaLease {
+  TeamId team;
+  double rate = 0;
+  // Requests that may run in addition to the rate.
+  std::uint32_t tokens = 0;
+  // Unused requests that the gateway may save up.
+  std::uint32_t capacity = 0;
+  // Sum of the rates that all gateways ask for, as a share of the limit.
+  double load = 0;
+
+  auto operator==(const QuotaLease&) const -> bool = default;
+};
+
+// Answers one QuotaRequest.
+struct QuotaGrant {
+  // Sequence of the request that this answers.
+  std::uint64_t sequence = 0;
+  // Starts when the gateway sent its request.
+  Duration duration = Duration::zero();
+  std::vector<QuotaLease> teams;
+};
+
+// Asks a gateway to request its leases of these teams again at once, since
+// another gateway needs a part.
+struct QuotaRecall {
+  std::vector<TeamId> teams;
+};
+
 using PeerMessage = std::variant<Heartbeat,
                                  IndirectProbe,
                                  MemberUpdate,
@@ -255,7 +310,10 @@
                                  EjectionPermitRequest,
                                  EjectionPermit,
                                  VerifyRequest,
-                                 VerifyAnswer>;
+                                 VerifyAnswer,
+                                 QuotaRequest,
+                                 QuotaGrant,
+                                 QuotaRecall>;
 
 // A message and the process that sent it.
 struct PeerEnvelope {
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -182,6 +182,50 @@
                        encoded.sequence()};
 }
 
+auto FromMilli(std::uint64_t value) -> double {
+  return static_cast<double>(value) / 1000;
+}
+
+auto CheckQuotaTeams(int count) -> Result<void> {
+  if (static_cast<std::size_t>(count) > kMaxQuotaTeamsPerMessage) {
+    return Fail(ErrorKind::kMalformedMessage,
+                "quota message with " + std::to_string(count) + " teams");
+  }
+  return {};
+}
+
+auto Read(const wire::QuotaRequest& encoded) -> Result<PeerMessage> {
+  BOOST_LEAF_CHECK(CheckQuotaTeams(encoded.teams_size()));
+  QuotaRequest request{encoded.sequence(), {}};
+  for (const auto& team : encoded.teams()) {
+    request.teams.push_back({TeamId(team.team()),
+                             FromMilli(team.demand_milli()),
+                             FromMilli(team.held_milli()), team.waiting()});
+  }
+  return request;
+}
+
+auto Read(const wire::QuotaGrant& encoded) -> Result<PeerMessage> {
+  BOOST_LEAF_CHECK(CheckQuotaTeams(encoded.teams_size()));
+  BOOST_LEAF_AUTO(duration, ReadDuration(encoded.duration_us()));
+  QuotaGrant grant{encoded.sequence(), duration, {}};
+  for (const auto& team : encoded.teams()) {
+    grant.teams.push_back({TeamId(team.team()), FromMilli(team.rate_milli()),
+                           team.tokens(), team.capacity(),
+                           FromMilli(team.load_milli())});
+  }
+  return grant;
+}
+
+auto Read(const wire::QuotaRecall& encoded) -> Result<PeerMessage> {
+  BOOST_LEAF_CHECK(CheckQuotaTeams(encoded.teams_size()));
+  QuotaRecall recall;
+  for (const auto& team : encoded.teams()) {
+    recall.teams.emplace_back(team);
+  }
+  return recall;
+}
+
 auto Read(const wire::EjectionNotice& encoded) -> Result<PeerMessage> {
   BOOST_LEAF_AUTO(state, ReadEnum<TargetState>(encoded.state()));
   BOOST_LEAF_AUTO(duration, ReadDuration(encoded.duration_us()));
@@ -255,6 +299,12 @@
       return Read(envelope.verify_request());
     case Case::kVerifyAnswer:
       return Read(envelope.verify_answer());
+    case Case::kQuotaRequest:
+      return Read(envelope.quota_request());
+    case Case::kQuotaGrant:
+      return Read(envelope.quota_grant());
+    case Case::kQuotaRecall:
+      return Read(envelope.quota_recall());
     case Case::BODY_NOT_SET:
       break;
   }
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -1,6 +1,7 @@
 #include "wire/body_writer.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace flamingoyoke {
@@ -41,6 +42,13 @@
       ToMilliseconds(duration), 0, std::numeric_limits<std::uint32_t>::max()));
 }
 
+// Rates are sent in thousandths, so that small ones take few bytes.
+auto ToMilli(double value) -> std::uint64_t {
+  constexpr double kMaxMilli = 1e15;
+  return static_cast<std::uint64_t>(
+      std::clamp(std::floor(value * 1000), 0.0, kMaxMilli));
+}
+
 auto WriteOutcomes(const TargetOutcomes& outcomes,
                    wire::TargetOutcomes* encoded) -> void {
   encoded->set_target(outcomes.target.value());
@@ -217,4 +225,37 @@
   encoded->set_reachable(message.reachable);
 }
 
+auto BodyWriter::operator()(const QuotaRequest& message) const -> void {
+  auto* encoded = envelope_.mutable_quota_request();
+  encoded->set_sequence(message.sequence);
+  for (const auto& demand : message.teams) {
+    auto* team = encoded->add_teams();
+    team->set_team(demand.team.value());
+    team->set_demand_milli(ToMilli(demand.demand));
+    team->set_held_milli(ToMilli(demand.held));
+    team->set_waiting(demand.waiting);
+  }
+}
+
+auto BodyWriter::operator()(const QuotaGrant& message) const -> void {
+  auto* encoded = envelope_.mutable_quota_grant();
+  encoded->set_sequence(message.sequence);
+  encoded->set_duration_us(ToMicroseconds(message.duration));
+  for (const auto& lease : message.teams) {
+    auto* team = encoded->add_teams();
+    team->set_team(lease.team.value());
+    team->set_rate_milli(ToMilli(lease.rate));
+    team->set_tokens(lease.tokens);
+    team->set_capacity(lease.capacity);
+    team->set_load_milli(ToMilli(lease.load));
+  }
+}
+
+auto BodyWriter::operator()(const QuotaRecall& message) const -> void {
+  auto* encoded = envelope_.mutable_quota_recall();
+  for (const auto& team : message.teams) {
+    encoded->add_teams(team.value());
+  }
+}
+
 }  // namespace flamingoyoke
--- a/src/wire/body_writer.h
+++ b/src/wire/body_writer.h
@@ -29,6 +29,9 @@
   auto operator()(const EjectionPermit& message) const -> void;
   auto operator()(const VerifyRequest& message) const -> void;
   auto operator()(const VerifyAnswer& message) const -> void;
+  auto operator()(const QuotaRequest& message) const -> void;
+  auto operator()(const QuotaGrant& message) const -> void;
+  auto operator()(const QuotaRecall& message) const -> void;
 
  private:
   wire::Envelope& envelope_;
--- a/tests/unit/decision/fleet/wire_size.h
+++ b/tests/unit/decision/fleet/wire_size.h
@@ -11,7 +11,7 @@
 
 namespace flamingoyoke {
 
-// Computes the encoded sizes of the messages of the fleet task without the
+// Computes the encoded sizes of the messages of the fleet task and about quotas without the
 // encoder in src/wire, which decisions must not link. tests/unit/wire checks
 // that both agree.
 class WireSize {
@@ -32,11 +32,20 @@
                        [](const TableData& each) {
                          return Nested(Digest(each.digest)) + Text(each.text);
                        },
+                       [](const QuotaRequest& each) { return Body(each); },
+                       [](const QuotaGrant& each) { return Body(each); },
+                       [](const QuotaRecall& each) { return Body(each); },
                        [](const auto&) { return std::size_t{0}; },
                    },
                    envelope.message);
+    // Fields with numbers above 15 have a longer tag.
+    const bool has_long_tag =
+        std::holds_alternative<QuotaRequest>(envelope.message) ||
+        std::holds_alternative<QuotaGrant>(envelope.message) ||
+        std::holds_alternative<QuotaRecall>(envelope.message);
     return Text(envelope.sender.value()) +
-           Number(envelope.incarnation.value()) + Nested(body);
+           Number(envelope.incarnation.value()) + Nested(body) +
+           (has_long_tag ? 1 : 0);
   }
 
  private:
@@ -88,6 +97,34 @@
     }
     return bytes;
   }
+  static auto Body(const QuotaRequest& message) -> std::size_t {
+    auto bytes = Number(message.sequence);
+    for (const auto& team : message.teams) {
+      bytes += Nested(Text(team.team.value()) + Milli(team.demand) +
+                      Milli(team.held) + Number(team.waiting));
+    }
+    return bytes;
+  }
+  static auto Body(const QuotaGrant& message) -> std::size_t {
+    auto bytes = Number(message.sequence) +
+                 Number(static_cast<std::uint64_t>(message.duration.count()));
+    for (const auto& team : message.teams) {
+      bytes += Nested(Text(team.team.value()) + Milli(team.rate) +
+                      Number(team.tokens) + Number(team.capacity) +
+                      Milli(team.load));
+    }
+    return bytes;
+  }
+  static auto Body(const QuotaRecall& message) -> std::size_t {
+    std::size_t bytes = 0;
+    for (const auto& team : message.teams) {
+      bytes += Text(team.value());
+    }
+    return bytes;
+  }
+  static auto Milli(double value) -> std::size_t {
+    return Number(static_cast<std::uint64_t>(value * 1000));
+  }
   static auto Of(const Member& member) -> std::size_t {
     return Text(member.id.value()) + Number(member.incarnation.value()) +
            Text(member.failure_domain.value()) + Text(member.region.value()) +
--- a/tests/unit/wire/peer_codec_test.cc
+++ b/tests/unit/wire/peer_codec_test.cc
@@ -56,7 +56,10 @@
       EjectionPermitRequest{service, target},
       EjectionPermit{service, target, true},
       VerifyRequest{service, target},
-      VerifyAnswer{service, target, true}};
+      VerifyAnswer{service, target, true},
+      QuotaRequest{5, {{TeamId("a"), 1.5, 0.25, 3}}},
+      QuotaGrant{5, milliseconds(20), {{TeamId("a"), 1.5, 2, 3, 0.5}}},
+      QuotaRecall{{TeamId("a"), TeamId("b")}}};
 }
 
 // Guards against a message type that can be encoded but not decoded.
@@ -93,6 +96,25 @@
   cr_assert(pull.have_era == StoreEra(4));
   const auto report = std::get<OutcomeReport>(RoundTrip(AllMessages()[11]));
   cr_assert(report.outcomes.front().avoid == milliseconds(70));
+  const auto ask = std::get<QuotaRequest>(RoundTrip(AllMessages()[17]));
+  cr_assert(ask.sequence == 5U &&
+            ask.teams.front() == (QuotaDemand{TeamId("a"), 1.5, 0.25, 3}));
+  const auto grant = std::get<QuotaGrant>(RoundTrip(AllMessages()[18]));
+  cr_assert(grant.sequence == 5U && grant.duration == milliseconds(20));
+  cr_assert(grant.teams.front() == (QuotaLease{TeamId("a"), 1.5, 2, 3, 0.5}));
+  cr_assert_eq(std::get<QuotaRecall>(RoundTrip(AllMessages()[19])).teams.size(),
+               2U);
+}
+
+// Guards against a message about quotas whose teams take unbounded memory.
+Test(peer_codec, refuses_more_teams_than_a_message_may_hold) {
+  QuotaRecall recall;
+  for (std::size_t i = 0; i <= kMaxQuotaTeamsPerMessage; ++i) {
+    recall.teams.emplace_back(std::to_string(i));
+  }
+  cr_assert_not(
+      Decode(EncodeEnvelope(PeerEnvelope{VmId("a"), Incarnation(1), recall}))
+          .has_value());
 }
 
 // Guards against an enum value of a newer version that is used as an index
--- a/tests/unit/wire/wire_size_test.cc
+++ b/tests/unit/wire/wire_size_test.cc
@@ -34,7 +34,10 @@
       MemberUpdate{{MakeMember(), MakeMember()}, true, {1, 2, 3}},
       TableAnnounce{{2, Revision(300), 3}},
       TablePull{1, Revision(200)},
-      TableData{{1, Revision(2), 3}, std::string(3000, 'x')}};
+      TableData{{1, Revision(2), 3}, std::string(3000, 'x')},
+      QuotaRequest{300, {{TeamId("team-1"), 12.5, 0, 3}}},
+      QuotaGrant{300, std::chrono::seconds(20), {{TeamId("t"), 9, 1, 3, 0.5}}},
+      QuotaRecall{{TeamId("a"), TeamId("b")}}};
   for (const auto& message : messages) {
     const PeerEnvelope envelope{VmId("vm-1"), Incarnation(1'700'000'000'000),
                                 message};
