--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -163,6 +163,8 @@
 auto Membership::Handle(const HomePeersChanged& event, TimePoint /*now*/)
     -> void {
   home_peers_ = std::set<VmId>(event.peers.begin(), event.peers.end());
+  first_peers_ = event.first;
+  links_.set_max_peers(event.is_hub ? kMaxHubPeers : kMaxPeers);
   selection_is_stale_ = true;
 }
 
@@ -646,8 +648,8 @@
 auto Membership::ReselectPeers(TimePoint now) -> void {
   selected_presence_changes_ = list_.presence_change_count();
   selection_is_stale_ = false;
-  links_.Choose(SelectPeers(self_, list_.records(), home_peers_), home_peers_,
-                now);
+  links_.Choose(SelectPeers(self_, list_.records(), home_peers_, first_peers_),
+                home_peers_, now);
 }
 
 auto Membership::CollectActions(TimePoint now)
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -48,7 +48,8 @@
   [[nodiscard]] auto TwoWayPeers(TimePoint now) const -> std::vector<VmId>;
   [[nodiscard]] auto self() const -> const Member& { return self_; }
   [[nodiscard]] auto list() const -> const MemberList& { return list_; }
-  // Number of peers, temporary ones included; at most kMaxPeers.
+  // Number of peers, temporary ones included; at most kMaxPeers, or
+  // kMaxHubPeers on a hub.
   [[nodiscard]] auto peer_count() const -> std::size_t {
     return links_.links().size();
   }
@@ -117,6 +118,7 @@
   UpdateDissemination update_dissemination_;
   PendingIndirectProbes pending_probes_;
   std::set<VmId> home_peers_;
+  std::vector<VmId> first_peers_;
   std::vector<TableDigest> tables_;
   // For heartbeats: the newest confirmation, and when it had its age.
   std::optional<SourceConfirmation> source_;
--- a/src/decision/fleet/membership_event.h
+++ b/src/decision/fleet/membership_event.h
@@ -47,6 +47,10 @@
 // The other members of the home sets that this VM belongs to.
 struct HomePeersChanged {
   std::vector<VmId> peers;
+  // Home peers that this VM needs a link to before all others.
+  std::vector<VmId> first = {};
+  // Whether VMs that are no home peers of this one need a link to it.
+  bool is_hub = false;
 };
 
 // This VM is shutting down.
--- a/src/decision/fleet/membership_timing.h
+++ b/src/decision/fleet/membership_timing.h
@@ -15,6 +15,9 @@
 // Maximum number of peers that a node keeps connections to. Each end of a
 // connection takes about 29 kB.
 inline constexpr std::size_t kMaxPeers = 24;
+// The same for a VM that keeps quotas, which all entries need a link to. A
+// fleet of today has up to 40 entries; 64 links take 3.7 MB at both ends.
+inline constexpr std::size_t kMaxHubPeers = 64;
 // Maximum number of peers that the node chooses itself. The rest is for
 // temporary peers: VMs that chose this node, are probed on behalf of another,
 // or have to be found again.
--- a/src/decision/fleet/peer_links.cc
+++ b/src/decision/fleet/peer_links.cc
@@ -18,7 +18,7 @@
   for (const auto& vm : chosen) {
     auto found = links_.find(vm);
     if (found == links_.end()) {
-      if (links_.size() >= kMaxPeers && !EvictTemporaryPeer()) {
+      if (links_.size() >= max_peers_ && !EvictTemporaryPeer()) {
         continue;
       }
       found = links_.emplace(vm, PeerLink(now)).first;
@@ -32,7 +32,7 @@
   if (auto* link = Find(vm)) {
     return link;
   }
-  if (links_.size() >= kMaxPeers && !EvictTemporaryPeer()) {
+  if (links_.size() >= max_peers_ && !EvictTemporaryPeer()) {
     return nullptr;
   }
   ++changes_;
--- a/src/decision/fleet/peer_links.h
+++ b/src/decision/fleet/peer_links.h
@@ -13,8 +13,8 @@
 
 namespace flamingoyoke {
 
-// The links to chosen and temporary peers, at most kMaxPeers in total. Not
-// thread-safe.
+// The links to chosen and temporary peers, at most kMaxPeers in total
+// unless set_max_peers allows more. Not thread-safe.
 class PeerLinks {
  public:
   // Replaces the chosen peers; those no longer chosen stay as temporary peers
@@ -51,6 +51,9 @@
                           Random& random,
                           TimePoint now) const -> std::vector<VmId>;
 
+  // Sets the maximum number of links. Links beyond it stay until they are idle.
+  auto set_max_peers(std::size_t max_peers) -> void { max_peers_ = max_peers; }
+
   // Number of changes of the set of peers.
   [[nodiscard]] auto change_count() const -> std::uint64_t { return changes_; }
 
@@ -58,6 +61,7 @@
   auto EvictTemporaryPeer() -> bool;
 
   std::map<VmId, PeerLink> links_;
+  std::size_t max_peers_ = kMaxPeers;
   std::uint64_t changes_ = 0;
 };
 
--- a/src/decision/fleet/peer_selection.cc
+++ b/src/decision/fleet/peer_selection.cc
@@ -103,11 +103,12 @@
   }
 }
 
-// Returns the home peers with the lowest score of the pair of ids. The score is
-// symmetric, so both sides rank the pair alike.
+// Returns `first` and then the home peers with the lowest score of the pair of
+// ids. The score is symmetric, so both sides rank the pair alike.
 auto BestHomePeers(const Member& self,
                    const MemberList::Records& records,
-                   const std::set<VmId>& home_peers) -> std::vector<VmId> {
+                   const std::set<VmId>& home_peers,
+                   const std::vector<VmId>& first) -> std::vector<VmId> {
   std::vector<std::pair<std::uint64_t, VmId>> scored;
   const auto own_hash = HashOf(self.id.value());
   for (const auto& vm : home_peers) {
@@ -118,10 +119,20 @@
   }
   std::sort(scored.begin(), scored.end());
   std::vector<VmId> best;
-  for (const auto& [score, vm] : scored) {
-    if (best.size() < kMaxHomePeers) {
+  const auto add = [&](const VmId& vm) {
+    if (best.size() < kMaxHomePeers &&
+        std::find(best.begin(), best.end(), vm) == best.end()) {
       best.push_back(vm);
     }
+  };
+  for (const auto& vm : first) {
+    const auto found = records.find(vm);
+    if (vm != self.id && found != records.end() && IsPresent(found->second)) {
+      add(vm);
+    }
+  }
+  for (const auto& [score, vm] : scored) {
+    add(vm);
   }
   return best;
 }
@@ -130,7 +141,8 @@
 
 auto SelectPeers(const Member& self,
                  const MemberList::Records& records,
-                 const std::set<VmId>& home_peers) -> std::vector<VmId> {
+                 const std::set<VmId>& home_peers,
+                 const std::vector<VmId>& first) -> std::vector<VmId> {
   Group own_region;
   std::map<FailureDomainId, Group> domains;
   std::map<RegionId, Group> other_regions;
@@ -148,7 +160,7 @@
   const auto hash = HashOf(self.id.value());
   PeerSelection selection;
   AddRingNeighbours("one", hash, own_region, selection);
-  for (const auto& vm : BestHomePeers(self, records, home_peers)) {
+  for (const auto& vm : BestHomePeers(self, records, home_peers, first)) {
     selection.Add(vm);
   }
   AddRingNeighbours("two", hash, own_region, selection);
--- a/src/decision/fleet/peer_selection.h
+++ b/src/decision/fleet/peer_selection.h
@@ -15,7 +15,8 @@
 // choose each other.
 // - The neighbours on two rings of the region's VMs, ordered by two hashes,
 //   which together form a graph of small diameter.
-// - At most kMaxHomePeers of `home_peers`.
+// - At most kMaxHomePeers of `home_peers`, beginning with `first`. The choice
+//   of these is not symmetric: others have temporary links to a hub.
 // - For each other failure domain of the region, and for each other region, the
 //   neighbours on a ring of the VMs of both groups, if they belong to the other
 //   one. This gives one link to each on average.
@@ -23,7 +24,8 @@
 // Thread-safe.
 auto SelectPeers(const Member& self,
                  const MemberList::Records& records,
-                 const std::set<VmId>& home_peers) -> std::vector<VmId>;
+                 const std::set<VmId>& home_peers,
+                 const std::vector<VmId>& first = {}) -> std::vector<VmId>;
 
 }  // namespace flamingoyoke
 
--- a/src/decision/quota/gateway_quotas.cc
+++ b/src/decision/quota/gateway_quotas.cc
@@ -109,8 +109,8 @@
     return;
   }
   const bool is_limited = state->short_answers >= kScarceAnswers;
-  const bool may_ask = KeeperOf(*state) != nullptr && !state->pending &&
-                       now_ >= state->next_ask;
+  const bool may_ask =
+      KeeperOf(*state) != nullptr && !state->pending && now_ >= state->next_ask;
   const auto limited_queue =
       std::max(1.0, state->rate * ToSeconds(kMaxLimitedWait));
   const bool has_place =
@@ -297,8 +297,7 @@
   }
 }
 
-auto GatewayQuotas::RefuseExcess(const TeamId& team, TeamState& state)
-    -> void {
+auto GatewayQuotas::RefuseExcess(const TeamId& team, TeamState& state) -> void {
   const auto most = static_cast<std::size_t>(
       std::max(0.0, state.rate * ToSeconds(kMaxLimitedWait)));
   while (state.waiting.size() > most) {
@@ -318,9 +317,9 @@
     return;
   }
   state.last_logged = now_;
-  actions_.emplace_back(
-      TeamLimited{team, RefusalReason(state), std::exchange(state.refused, 0),
-                  state.limit, state.rate, state.load});
+  actions_.emplace_back(TeamLimited{team, RefusalReason(state),
+                                    std::exchange(state.refused, 0),
+                                    state.limit, state.rate, state.load});
 }
 
 auto GatewayQuotas::RefusalReason(const TeamState& state) const
@@ -334,10 +333,10 @@
 auto GatewayQuotas::RetryAfter(const TeamState& state) -> Duration {
   // One second of demand above the limit takes this long to run at the limit.
   const auto excess = std::max(state.load - 1, 1 / state.limit.rate);
-  const auto base = std::clamp(
-      std::chrono::duration_cast<Duration>(
-          std::chrono::duration<double>(std::min(excess, 10.0))),
-      kMinQuotaRetry, kMaxQuotaRetry / 2);
+  const auto base =
+      std::clamp(std::chrono::duration_cast<Duration>(
+                     std::chrono::duration<double>(std::min(excess, 10.0))),
+                 kMinQuotaRetry, kMaxQuotaRetry / 2);
   return base + std::chrono::duration_cast<Duration>(base * random_.Unit());
 }
 
@@ -400,8 +399,8 @@
 }
 
 auto GatewayQuotas::WantedRate(const TeamState& state) const -> double {
-  return std::max(
-      0.0, state.demand.Rate(now_) * kDemandMargin - UnaskedRate(state));
+  return std::max(0.0,
+                  state.demand.Rate(now_) * kDemandMargin - UnaskedRate(state));
 }
 
 auto GatewayQuotas::KeeperOf(const TeamState& state) const -> const VmId* {
--- a/src/decision/quota/quota_keeper.cc
+++ b/src/decision/quota/quota_keeper.cc
@@ -91,8 +91,8 @@
     if (gateways_.size() >= kMaxGateways) {
       return false;
     }
-    gateways_.emplace(event.gateway, GatewayOrder{event.incarnation,
-                                                  event.request.sequence});
+    gateways_.emplace(event.gateway,
+                      GatewayOrder{event.incarnation, event.request.sequence});
     return true;
   }
   auto& order = known->second;
@@ -139,13 +139,13 @@
     available = std::min(available, adopted + std::max(0.0, fresh));
   }
   const auto total = others.demand + demand.demand;
-  const auto fair = total > leasable ? leasable * demand.demand / total
-                                     : demand.demand;
+  const auto fair =
+      total > leasable ? leasable * demand.demand / total : demand.demand;
   auto rate = std::min(available, fair);
   // Leaves a half of what may be saved to the bucket.
   const auto room = AllSavedOf(limit) / 2 - others.capacity;
-  const auto capacity = std::floor(std::min(
-      kMinLeaseSaved + rate * ToSeconds(kLeaseSavedTime), room));
+  const auto capacity = std::floor(
+      std::min(kMinLeaseSaved + rate * ToSeconds(kLeaseSavedTime), room));
   if (rate < kMinLeaseRate || capacity < 1) {
     rate = 0;
   }
@@ -161,9 +161,9 @@
   granted = std::min(granted, std::floor(state->bucket));
   state->bucket -= granted;
   if (demand.demand > 0) {
-    state->leases[gateway] = {
-        rate,          std::min(adopted, rate), saved,
-        demand.demand, now_,                    now_ + kQuotaLeaseTime};
+    state->leases[gateway] = {rate,  std::min(adopted, rate),
+                              saved, demand.demand,
+                              now_,  now_ + kQuotaLeaseTime};
   } else {
     state->leases.erase(gateway);
   }
@@ -173,8 +173,7 @@
   answer.tokens = static_cast<std::uint32_t>(granted);
   answer.load = total / limit.rate;
   ++granted_;
-  const bool is_short =
-      demand.demand >= kMinLeaseRate && rate < demand.demand;
+  const bool is_short = demand.demand >= kMinLeaseRate && rate < demand.demand;
   if (is_short || granted < demand.waiting) {
     ++short_;
     Recall(*state, demand.team, gateway, recalls);
--- a/src/decision/quota/quota_scope_tracker.cc
+++ b/src/decision/quota/quota_scope_tracker.cc
@@ -18,14 +18,14 @@
   for (auto vm = known_.begin(); vm != known_.end();) {
     const auto found = members.find(*vm);
     const auto* member = found == members.end() ? nullptr : found->second;
-    const bool is_lost = member == nullptr ||
-                         (member->liveness == Liveness::kDead &&
-                          !member->leaving);
+    const bool is_lost =
+        member == nullptr ||
+        (member->liveness == Liveness::kDead && !member->leaving);
     if (!is_lost && member->liveness != Liveness::kUnproven) {
       lost_since_.erase(*vm);
     }
-    const auto since = is_lost ? lost_since_.try_emplace(*vm, now).first->second
-                               : now;
+    const auto since =
+        is_lost ? lost_since_.try_emplace(*vm, now).first->second : now;
     if (now - since >= kLostEntryMemory) {
       lost_since_.erase(*vm);
       vm = known_.erase(vm);
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -8,6 +8,7 @@
 #include "decision/fleet/entry_set.h"
 #include "decision/fleet/published_shard.h"
 #include "decision/fleet/reader_election.h"
+#include "decision/quota/quota_scope.h"
 #include "node/log.h"
 #include "runtime/clock.h"
 
@@ -572,11 +573,19 @@
 
 auto FleetTask::UpdateHomePeers(const FleetView& view) -> void {
   const auto peers = HomePeersOf(view);
-  if (peers == home_peers_) {
+  std::vector<VmId> keepers;
+  if (view.routing && view.routing->teams && view.IsEntry(view.self)) {
+    keepers = QuotaKeepers(view.entries);
+  }
+  if (peers == home_peers_ && keepers == quota_keepers_) {
     return;
   }
   home_peers_ = peers;
-  ProcessEvent(HomePeersChanged{{peers.begin(), peers.end()}});
+  quota_keepers_ = keepers;
+  const bool is_keeper =
+      std::find(keepers.begin(), keepers.end(), view.self) != keepers.end();
+  ProcessEvent(HomePeersChanged{
+      {peers.begin(), peers.end()}, std::move(keepers), is_keeper});
 }
 
 auto FleetTask::ReportMetrics() -> void {
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -145,6 +145,8 @@
   std::vector<VmId> two_way_peers_;
   std::set<VmId> silent_peers_;
   std::set<VmId> home_peers_;
+  // The keepers of quotas if this VM is an entry and there are teams.
+  std::vector<VmId> quota_keepers_;
   // Registry and version of the configuration last sent to the task that reads
   // the source.
   std::shared_ptr<const Registry> posted_registry_;
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -62,6 +62,7 @@
 GatewayTask::~GatewayTask() {
   // Requests hold shares of the server's body budget and its connections.
   services_.clear();
+  quotas_.reset();
 }
 
 auto GatewayTask::Start(TaskContext& context) -> Result<void> {
@@ -88,6 +89,7 @@
   // Must be last, because port() returns the port of the last socket.
   BOOST_LEAF_CHECK(server_->Listen(traffic.listen_host, traffic.listen_port));
   descriptor_watch_.Update(server_->part(), target_connections_);
+  quotas_ = MakeQuotaRunner();
   tick_ = loop.MakeTimer([this] { OnTick(); });
   stop_.emplace(
       loop, *server_,
@@ -121,6 +123,7 @@
     teams_ = TeamIndex(view_->routing);
     RecheckTeams();
   }
+  quotas_->OnView(*view_);
   if (!before || before->ready != view_->ready) {
     Log(Part::kGateway, LogLevel::kInfo,
         view_->ready ? "accepts callers" : "accepts no callers");
@@ -158,6 +161,7 @@
 auto GatewayTask::OnMessage(PeerMessageReceived& received) -> void {
   const auto* report = std::get_if<OutcomeReport>(&received.envelope.message);
   if (report == nullptr) {
+    quotas_->OnPeerMessage(received.envelope);
     return;
   }
   const auto found = services_.find(report->service);
@@ -245,9 +249,12 @@
 }
 
 auto GatewayTask::RecheckTeams() -> void {
+  const auto is_allowed = [this](GatewayRequest& request) {
+    return IsStillAllowed(request);
+  };
+  quotas_->Recheck(is_allowed);
   for (auto& [id, runner] : services_) {
-    runner->Recheck(
-        [this](GatewayRequest& request) { return IsStillAllowed(request); });
+    runner->Recheck(is_allowed);
   }
 }
 
@@ -431,13 +438,48 @@
     Reject(request, route, ErrorKind::kOverloaded, Duration::zero());
     return;
   }
+  const auto& service = splitter_.Choose(route);
+  if (!route.is_public && quotas_->IsLimited(request.team)) {
+    // Before it may wait for a target, so that requests over a quota never run
+    // before those inside theirs.
+    quotas_->Submit({std::move(request), service});
+    return;
+  }
+  Run(std::move(request), service);
+}
+
+auto GatewayTask::Run(GatewayRequest request, const ServiceId& service)
+    -> void {
   const bool was_idle = active() == 0;
-  RunnerOf(splitter_.Choose(route)).Submit(std::move(request));
+  RunnerOf(service).Submit(std::move(request));
   if (was_idle) {
     ScheduleTick();
   }
 }
 
+auto GatewayTask::MakeQuotaRunner() -> std::unique_ptr<QuotaRunner> {
+  QuotaRunner::Hooks hooks;
+  hooks.send = [this](PeerMessageToSend message) {
+    outbox_.mesh.Post(std::move(message));
+  };
+  hooks.admit = [this](QuotaRunner::Held held) {
+    Run(std::move(held.request), held.service);
+  };
+  hooks.refuse = [this](QuotaRunner::Held held, ErrorKind kind,
+                        Duration retry_after) {
+    held.request.history += " team=" + held.request.team.value();
+    Reject(held.request, held.service, kind, retry_after);
+    stop_->ExitIfDone();
+  };
+  hooks.drop = [this](QuotaRunner::Held held) {
+    held.request.history += " caller-gone";
+    OnRequestEnded(held.service, {held.request, 0, std::nullopt, Now()});
+    stop_->ExitIfDone();
+  };
+  return std::make_unique<QuotaRunner>(context_->loop(), Random(random_.Next()),
+                                       std::move(hooks));
+}
+
 auto GatewayTask::RejectOverloaded(GatewayRequest& request,
                                    const Route& route,
                                    Duration waited) -> void {
@@ -450,13 +492,19 @@
                          const Route& route,
                          ErrorKind kind,
                          Duration retry_after) -> void {
+  Reject(request, route.shares.front().service, kind, retry_after);
+}
+
+auto GatewayTask::Reject(GatewayRequest& request,
+                         const ServiceId& service,
+                         ErrorKind kind,
+                         Duration retry_after) -> void {
   request.exchange->Reply(
       MakeErrorHead(kind,
                     {.delay = retry_after,
                      .fractional = config_.dialect.fractional_retry_after}),
       MakeErrorBody(kind));
-  OnRequestEnded(route.shares.front().service,
-                 {request, AnswerFor(kind).http_status, kind, Now()});
+  OnRequestEnded(service, {request, AnswerFor(kind).http_status, kind, Now()});
 }
 
 auto GatewayTask::OnRequestEnded(const ServiceId& service,
@@ -564,6 +612,7 @@
   }
   descriptor_watch_.AppendTo(server_->part(), target_connections_,
                              metrics.samples);
+  quotas_->AppendTo(metrics.samples);
   for (const auto& [id, runner] : services_) {
     AddServiceSamples(id, runner->dispatcher(), last_report_, metrics.samples);
   }
@@ -571,7 +620,7 @@
 }
 
 auto GatewayTask::active() const -> std::size_t {
-  std::size_t count = 0;
+  std::size_t count = quotas_->active();
   for (const auto& [id, runner] : services_) {
     count += runner->active();
   }
@@ -583,6 +632,7 @@
 }
 
 auto GatewayTask::FailAll() -> void {
+  quotas_->FailAll();
   for (auto& [id, runner] : services_) {
     runner->FailAll();
   }
--- a/src/node/traffic/gateway/gateway_task.h
+++ b/src/node/traffic/gateway/gateway_task.h
@@ -23,6 +23,7 @@
 #include "node/traffic/gateway/caller_team.h"
 #include "node/traffic/gateway/gateway_config.h"
 #include "node/traffic/gateway/pool_runner.h"
+#include "node/traffic/gateway/quota_runner.h"
 #include "node/traffic/gateway/request_log.h"
 #include "node/traffic/late_tick_detector.h"
 #include "node/traffic/stop_procedure.h"
@@ -85,6 +86,9 @@
   auto AnswerAddressRequest(CallerExchange& exchange) -> void;
   auto Submit(std::unique_ptr<CallerExchange> exchange, const Route& route)
       -> void;
+  auto MakeQuotaRunner() -> std::unique_ptr<QuotaRunner>;
+  // Runs a request that is inside the quota of its team.
+  auto Run(GatewayRequest request, const ServiceId& service) -> void;
   // Answers a request that waited too long for the processor as not run.
   auto RejectOverloaded(GatewayRequest& request,
                         const Route& route,
@@ -94,6 +98,10 @@
               const Route& route,
               ErrorKind kind,
               Duration retry_after) -> void;
+  auto Reject(GatewayRequest& request,
+              const ServiceId& service,
+              ErrorKind kind,
+              Duration retry_after) -> void;
   // Logs and counts a request that was answered or given up.
   auto OnRequestEnded(const ServiceId& service,
                       const PoolRunner::Record& record) -> void;
@@ -131,6 +139,8 @@
   RequestLog request_log_;
   std::unique_ptr<CallerServer> server_;
   std::unordered_map<ServiceId, std::unique_ptr<PoolRunner>> services_;
+  // Set by Start().
+  std::unique_ptr<QuotaRunner> quotas_;
   LateTickDetector pause_watch_;
   std::uint64_t last_request_ = 0;
   // The value that the services were last configured with. Cached because
--- a/tests/unit/decision/fleet/fake_fleet.h
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -24,6 +24,7 @@
 #include "decision/fleet/readiness_gate.h"
 #include "decision/fleet/source_freshness.h"
 #include "decision/fleet/table_dissemination.h"
+#include "decision/quota/quota_timing.h"
 #include "unit/decision/fleet/wire_size.h"
 
 namespace flamingoyoke {
@@ -48,6 +49,9 @@
   // Whether the source is a published store, which always returns its newest
   // table and which only readers read.
   bool is_published = false;
+  // The first VMs are entries of teams with quotas, of which the first
+  // kQuotaKeepers keep them.
+  std::size_t quota_entries = 0;
   // Maximum age of the view of a published store; zero leaves the readers that
   // the fleet elects alone to read it. If set, readers are elected as for a
   // published store.
@@ -609,10 +613,21 @@
         peers.insert(candidates.begin(), candidates.end());
       }
     }
+    std::vector<VmId> keepers;
+    for (std::size_t i = 0;
+         index < options_.quota_entries && i < options_.quota_entries; ++i) {
+      peers.insert(nodes_[i].self.id);
+      if (i < kQuotaKeepers) {
+        keepers.push_back(nodes_[i].self.id);
+      }
+    }
     peers.erase(node.self.id);
     if (peers != node.home_peers) {
       node.home_peers = peers;
-      Dispatch(index, HomePeersChanged{{peers.begin(), peers.end()}});
+      Dispatch(index, HomePeersChanged{{peers.begin(), peers.end()},
+                                       keepers,
+                                       index < std::min(options_.quota_entries,
+                                                        kQuotaKeepers)});
     }
     UpdateTableDissemination(index);
     Announce(index);
--- a/tests/unit/decision/fleet/wire_size.h
+++ b/tests/unit/decision/fleet/wire_size.h
@@ -11,9 +11,9 @@
 
 namespace flamingoyoke {
 
-// Computes the encoded sizes of the messages of the fleet task and about quotas without the
-// encoder in src/wire, which decisions must not link. tests/unit/wire checks
-// that both agree.
+// Computes the encoded sizes of the messages of the fleet task and about quotas
+// without the encoder in src/wire, which decisions must not link.
+// tests/unit/wire checks that both agree.
 class WireSize {
  public:
   // Returns the encoded size of `envelope`.
--- a/tests/unit/decision/quota/fake_quota_fleet.h
+++ b/tests/unit/decision/quota/fake_quota_fleet.h
@@ -116,9 +116,9 @@
       vms.push_back({nodes_[index].id});
     }
     for (const auto index : who) {
-      nodes_[index].scope = {nodes_[index].id, std::max<std::size_t>(
-                                                   entries.size(), 1),
-                             share, QuotaKeepers(vms)};
+      nodes_[index].scope = {nodes_[index].id,
+                             std::max<std::size_t>(entries.size(), 1), share,
+                             QuotaKeepers(vms)};
       if (nodes_[index].alive) {
         Perform(index, QuotaScopeChanged{nodes_[index].scope});
         PerformAsKeeper(index, QuotaScopeChanged{nodes_[index].scope});
@@ -218,7 +218,8 @@
                        std::uint64_t generation) -> void {
     const auto gap = -std::log(1 - random_.Unit()) / rate;
     At(std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap)),
-       [this, team, rate, gateways = std::move(gateways), generation]() mutable {
+       [this, team, rate, gateways = std::move(gateways),
+        generation]() mutable {
          if (loads_[team] != generation) {
            return;
          }
@@ -301,8 +302,8 @@
     });
   }
   auto Do(std::size_t index, const SendToPeer& order) -> void {
-    const auto to = static_cast<std::size_t>(
-        std::stoul(order.peer.value().substr(3)));
+    const auto to =
+        static_cast<std::size_t>(std::stoul(order.peer.value().substr(3)));
     auto& node = nodes_[index];
     auto delay = Duration::zero();
     if (to != index) {
--- a/tests/unit/decision/quota/quota_test.cc
+++ b/tests/unit/decision/quota/quota_test.cc
@@ -1,10 +1,13 @@
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include "decision/quota/quota_timing.h"
 #include "unit/decision/quota/fake_quota_fleet.h"
 
 namespace flamingoyoke {
