--- a/src/decision/quota/demand_estimate.cc
+++ b/src/decision/quota/demand_estimate.cc
@@ -12,8 +12,8 @@
 constexpr double kSlowSeconds = ToSeconds(kSlowDemandTime);
 // The short average says something only with a few requests in it.
 constexpr double kMinFastRate = 10;
-// Gap, in mean gaps, after which the requests have stopped.
-constexpr double kStoppedGaps = 5;
+// Requests of one moment, as of one page, are no sign of a short gap.
+constexpr double kMinStoppedGap = 0.05;
 
 }  // namespace
 
@@ -24,7 +24,7 @@
   last_ = now;
 }
 
-auto DemandEstimate::Rate(TimePoint now) const -> double {
+auto DemandEstimate::Rate(TimePoint now, double stopped_gaps) const -> double {
   const auto gap = ToSeconds(now - last_);
   const auto fast = fast_ * std::exp(-gap / kFastSeconds);
   // The average starts at zero, so it is low at first.
@@ -33,7 +33,7 @@
   const auto slow = slow_ * std::exp(-gap / kSlowSeconds) / filled;
   const auto samples = slow_ * kSlowSeconds * std::exp(-gap / kSlowSeconds);
   if (samples < kMinDemandSamples ||
-      gap > std::max(1.0, kStoppedGaps / slow_)) {
+      gap > std::max(kMinStoppedGap, stopped_gaps / slow_)) {
     return 0;
   }
   // Three standard deviations of the short average.
--- a/src/decision/quota/demand_estimate.h
+++ b/src/decision/quota/demand_estimate.h
@@ -16,10 +16,24 @@
   auto Add(TimePoint now) -> void;
 
   // Returns the rate in requests per second.
-  [[nodiscard]] auto Rate(TimePoint now) const -> double;
+  [[nodiscard]] auto Rate(TimePoint now) const -> double {
+    return Rate(now, kStoppedGaps);
+  }
+  // The same for a keeper that has another use for the lease. Takes a shorter
+  // gap as the end of the requests: it is wrong in one of twenty gaps, after
+  // which the next request asks again.
+  [[nodiscard]] auto RateIfNeeded(TimePoint now) const -> double {
+    return Rate(now, kStoppedGapsIfNeeded);
+  }
   [[nodiscard]] auto last() const -> TimePoint { return last_; }
 
  private:
+  // Gap, in mean gaps, after which the requests have stopped.
+  static constexpr double kStoppedGaps = 6;
+  static constexpr double kStoppedGapsIfNeeded = 3;
+
+  [[nodiscard]] auto Rate(TimePoint now, double stopped_gaps) const -> double;
+
   TimePoint since_;
   TimePoint last_;
   // At `last_`.
--- a/src/decision/quota/gateway_quotas.cc
+++ b/src/decision/quota/gateway_quotas.cc
@@ -16,9 +16,12 @@
 constexpr double kReturnShare = 0.5;
 // Leases that are due soon are renewed with those that are due.
 constexpr Duration kRenewTogether = std::chrono::seconds(3);
-// Consecutive short answers after which the team counts as limited. The first
-// one comes before its recalls have been answered.
-constexpr std::uint32_t kScarceAnswers = 2;
+// Consecutive short answers after which the team counts as limited. A lease
+// whose demand is fresh is recalled 150 ms later, so these take longer.
+constexpr std::uint32_t kScarceAnswers = 5;
+// Longest time until the keeper is asked again after a short answer to a team
+// that is below its limit.
+constexpr std::uint32_t kMaxRecallTimes = 3;
 // Time at the leased rate that requests wait for while the team is limited.
 constexpr Duration kMaxLimitedWait = std::chrono::milliseconds(50);
 constexpr Duration kLogPeriod = std::chrono::seconds(10);
@@ -108,7 +111,7 @@
     actions_.emplace_back(AdmitRequest{event.request});
     return;
   }
-  const bool is_limited = state->short_answers >= kScarceAnswers;
+  const bool is_limited = IsLimited(*state);
   const bool may_ask =
       KeeperOf(*state) != nullptr && !state->pending && now_ >= state->next_ask;
   const auto limited_queue =
@@ -172,8 +175,10 @@
       continue;
     }
     ++state.short_answers;
-    if (state.short_answers < kScarceAnswers) {
-      state.next_ask = now_ + kRecallTime;
+    if (!IsLimited(state)) {
+      // Recalls will be answered soon, and the bucket refills.
+      state.next_ask =
+          now_ + kRecallTime * std::min(state.short_answers, kMaxRecallTimes);
       continue;
     }
     const auto spread = 1 + random_.Unit() / 2;
@@ -204,8 +209,9 @@
     if (found == teams_.end()) {
       continue;
     }
-    const auto& state = found->second;
-    if (state.lessor == event.keeper && state.rate > 0 && !state.pending) {
+    auto& state = found->second;
+    if (state.lessor == event.keeper && !state.pending) {
+      state.is_recalled = true;
       AskSoon(team);
     }
   }
@@ -330,6 +336,10 @@
   return state.rate > 0 ? QuotaRefusal::kOverLease : QuotaRefusal::kKeeperEmpty;
 }
 
+auto GatewayQuotas::IsLimited(const TeamState& state) -> bool {
+  return state.short_answers >= kScarceAnswers && state.load > 1;
+}
+
 auto GatewayQuotas::RetryAfter(const TeamState& state) -> Duration {
   // One second of demand above the limit takes this long to run at the limit.
   const auto excess = std::max(state.load - 1, 1 / state.limit.rate);
@@ -364,6 +374,7 @@
     }
     auto& state = found->second;
     auto demand = MakeDemand(team, state, *keeper);
+    state.is_recalled = false;
     state.pending = Pending{*keeper, requests.back().sequence, now_};
     requests.back().teams.push_back(std::move(demand));
     busy_.insert(team);
@@ -399,8 +410,9 @@
 }
 
 auto GatewayQuotas::WantedRate(const TeamState& state) const -> double {
-  return std::max(0.0,
-                  state.demand.Rate(now_) * kDemandMargin - UnaskedRate(state));
+  const auto rate = state.is_recalled ? state.demand.RateIfNeeded(now_)
+                                      : state.demand.Rate(now_);
+  return std::max(0.0, rate * kDemandMargin - UnaskedRate(state));
 }
 
 auto GatewayQuotas::KeeperOf(const TeamState& state) const -> const VmId* {
--- a/src/decision/quota/gateway_quotas.h
+++ b/src/decision/quota/gateway_quotas.h
@@ -88,6 +88,8 @@
     double load = 0;
     std::deque<Waiting> waiting;
     std::optional<Pending> pending;
+    // Whether another gateway needs a part of the lease.
+    bool is_recalled = false;
     TimePoint next_ask;
     // Consecutive answers with less than this gateway needs.
     std::uint32_t short_answers = 0;
@@ -126,6 +128,9 @@
       -> void;
   auto Refuse(const TeamId& team, TeamState& state, RequestId request) -> void;
   auto RefusalReason(const TeamState& state) const -> QuotaRefusal;
+  // Returns whether all gateways want more than the limit, so that requests
+  // without room are refused at once.
+  [[nodiscard]] static auto IsLimited(const TeamState& state) -> bool;
   [[nodiscard]] auto RetryAfter(const TeamState& state) -> Duration;
 
   // Asks the keeper in the next message.
--- a/src/decision/quota/quota_keeper.cc
+++ b/src/decision/quota/quota_keeper.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // A gateway that asked within this time stated its present demand.
-constexpr Duration kFreshDemandAge = std::chrono::milliseconds(300);
+constexpr Duration kFreshDemandAge = std::chrono::milliseconds(150);
 constexpr Duration kDropPeriod = std::chrono::seconds(1);
 // Bounds memory; gateways beyond get no lease.
 constexpr std::size_t kMaxGateways = 10000;
@@ -58,7 +58,7 @@
     // Whether this VM is still the team's keeper does not matter: gateways keep
     // its leases until another one answers.
     const auto rate = limits_.Find(team).rate * scope_.share;
-    Refill(state, LimitOf(team));
+    Refill(team, state, LimitOf(team));
     if (rate < state.rate) {
       const auto factor = rate / state.rate;
       for (auto& [gateway, lease] : state.leases) {
@@ -104,7 +104,7 @@
   if (event.incarnation > order.incarnation) {
     // The process that held the leases has ended.
     for (auto& [team, state] : teams_) {
-      Refill(state, LimitOf(team));
+      Refill(team, state, LimitOf(team));
       state.leases.erase(event.gateway);
     }
   }
@@ -121,7 +121,7 @@
   if (state == nullptr) {
     return answer;
   }
-  Refill(*state, limit);
+  Refill(demand.team, *state, limit);
   state->last_used = now_;
   const auto others = SumOthers(*state, gateway);
   const auto previous = state->leases.find(gateway);
@@ -153,10 +153,11 @@
   // Fills what may be saved, too, so that the next requests cause no message.
   auto granted = demand.waiting > 0 ? demand.waiting + saved : 0;
   if (total > limit.rate) {
-    // Leaves a part for the other gateways that ask.
-    granted = std::min(
-        granted,
-        std::max(1.0, std::floor(state->bucket * demand.demand / total)));
+    // Leaves a part for the other gateways that ask. One that has just got its
+    // first requests knows no rate yet.
+    const auto weight = demand.demand + demand.waiting;
+    const auto part = state->bucket * weight / (total + demand.waiting);
+    granted = std::min(granted, std::max(1.0, std::floor(part)));
   }
   granted = std::min(granted, std::floor(state->bucket));
   state->bucket -= granted;
@@ -203,12 +204,20 @@
   return &teams_.emplace(team, std::move(state)).first->second;
 }
 
-auto QuotaKeeper::Refill(TeamState& state, const QuotaLimit& limit) -> void {
+auto QuotaKeeper::Refill(const TeamId& team,
+                         TeamState& state,
+                         const QuotaLimit& limit) -> void {
   double leased = 0;
+  double fresh = 0;
   for (const auto& [gateway, lease] : state.leases) {
     leased += lease.rate;
+    fresh += lease.rate - lease.adopted;
   }
-  const auto rate = std::max(0.0, limit.rate - leased);
+  auto rate = limit.rate - leased;
+  if (!IsSettled(team)) {
+    rate = std::min(rate, kSettleShare * limit.rate - fresh);
+  }
+  rate = std::max(rate, 0.0);
   state.bucket += rate * ToSeconds(now_ - state.refilled);
   state.refilled = now_;
   // After the refill, because an expired lease counted until now.
@@ -227,8 +236,7 @@
   state.last_recall = now_;
   for (const auto& [holder, lease] : state.leases) {
     auto& teams = recalls[holder];
-    if (holder != gateway && lease.rate > 0 &&
-        now_ - lease.asked >= kFreshDemandAge &&
+    if (holder != gateway && now_ - lease.asked >= kFreshDemandAge &&
         teams.size() < kMaxQuotaTeamsPerMessage) {
       teams.push_back(team);
     }
@@ -243,7 +251,7 @@
   for (auto each = teams_.begin(); each != teams_.end();) {
     auto& [team, state] = *each;
     const auto limit = LimitOf(team);
-    Refill(state, limit);
+    Refill(team, state, limit);
     const bool is_idle = state.leases.empty() &&
                          now_ - state.last_used >= kQuotaIdleTime &&
                          state.bucket >= std::floor(SavedOf(limit));
--- a/src/decision/quota/quota_keeper.h
+++ b/src/decision/quota/quota_keeper.h
@@ -82,7 +82,8 @@
   auto Grant(const VmId& gateway, const QuotaDemand& demand, Recalls& recalls)
       -> QuotaLease;
   auto FindOrAdd(const TeamId& team, const QuotaLimit& limit) -> TeamState*;
-  auto Refill(TeamState& state, const QuotaLimit& limit) -> void;
+  auto Refill(const TeamId& team, TeamState& state, const QuotaLimit& limit)
+      -> void;
   // Reduces all leases after the limit or this side's share of it fell. The
   // gateways do the same.
   auto CutLeases() -> void;
--- a/src/decision/quota/quota_timing.h
+++ b/src/decision/quota/quota_timing.h
@@ -38,7 +38,7 @@
 // it leases at most this share of a limit besides them: gateways whose view is
 // older still use leases that it does not know.
 inline constexpr Duration kQuotaSettleTime = std::chrono::seconds(3);
-inline constexpr double kSettleShare = 0.25;
+inline constexpr double kSettleShare = 0.15;
 
 // Share of a limit that is leased; the rest refills the bucket, for gateways
 // with few requests and for random peaks, which leases cannot follow.
--- a/tests/unit/decision/quota/fake_quota_fleet.h
+++ b/tests/unit/decision/quota/fake_quota_fleet.h
@@ -139,6 +139,33 @@
     }
   }
 
+  // A request of `team` arrives at a gateway.
+  auto Arrive(std::size_t index, const TeamId& team) -> void {
+    auto& result = results_[team];
+    ++result.offered;
+    const auto limit = limits_.Find(team);
+    result.bucket = std::min(
+        std::max(limit.burst, 1.0),
+        result.bucket + limit.rate * ToSeconds(now_ - result.refilled));
+    result.refilled = now_;
+    if (result.bucket >= 1) {
+      result.bucket -= 1;
+      ++result.conforming;
+    }
+    if (options_.decide) {
+      if (options_.decide(index, team, now_)) {
+        result.ran.push_back(now_);
+      } else {
+        ++result.refused;
+      }
+      return;
+    }
+    const auto id = ++last_request_;
+    nodes_[index].waiting[id] = {team, now_};
+    Perform(index, QuotaRequestArrived{RequestId(id), team,
+                                       now_ + std::chrono::seconds(10)});
+  }
+
   auto Kill(std::size_t index) -> void {
     nodes_[index].alive = false;
     ++nodes_[index].wake;
@@ -236,32 +263,6 @@
        });
   }
 
-  auto Arrive(std::size_t index, const TeamId& team) -> void {
-    auto& result = results_[team];
-    ++result.offered;
-    const auto limit = limits_.Find(team);
-    result.bucket = std::min(
-        std::max(limit.burst, 1.0),
-        result.bucket + limit.rate * ToSeconds(now_ - result.refilled));
-    result.refilled = now_;
-    if (result.bucket >= 1) {
-      result.bucket -= 1;
-      ++result.conforming;
-    }
-    if (options_.decide) {
-      if (options_.decide(index, team, now_)) {
-        result.ran.push_back(now_);
-      } else {
-        ++result.refused;
-      }
-      return;
-    }
-    const auto id = ++last_request_;
-    nodes_[index].waiting[id] = {team, now_};
-    Perform(index, QuotaRequestArrived{RequestId(id), team,
-                                       now_ + std::chrono::seconds(10)});
-  }
-
   auto At(Duration delay, std::function<void()> event) -> void {
     events_.emplace(now_ + delay, std::move(event));
   }
