Balance requests by an estimate of the targets' load

Cause: what a gateway knew of a target's load was its own requests and what up to 12 others reported, many gateways chose by it in the same moment, and requests were spread by count although targets differ in slots and speed. Change: LoadEstimate ages what a target stated in its last answer towards the average of the service, at the target's own speed; TargetPool uses it for room and cost, draws a few targets of the own failure domain first, and compares an own target at which a request would wait. Node tests not run yet.

--- a/bench/gateway_simulation.cc
+++ b/bench/gateway_simulation.cc
@@ -3,7 +3,10 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <memory>
+#include <numbers>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -11,6 +14,7 @@
 #include <vector>
 
 #include "bench/event_queue.h"
+#include "bench/policy_gateway.h"
 #include "core/overloaded.h"
 #include "core/random.h"
 #include "decision/gateway/pool_dispatcher.h"
@@ -42,6 +46,16 @@
 // Limits of the share of unserved requests within which the floor is owed.
 constexpr double kMinUnserved = 0.1;
 constexpr double kMaxUnserved = 0.5;
+// Targets that differ: the range of their run times, their slots, and how many
+// of them are how much slower when full.
+constexpr double kSpeedRange = 4;
+constexpr std::uint32_t kMinSlots = 2;
+constexpr std::uint32_t kMaxSlots = 6;
+constexpr double kSlowWhenFullShare = 1.0 / 3;
+constexpr double kSlowWhenFull = 1.5;
+constexpr Duration kSwingPeriod = std::chrono::seconds(5);
+// A shorter wait is a delay of messages.
+constexpr Duration kMinWait = std::chrono::milliseconds(1);
 
 auto DomainOf(std::size_t index) -> FailureDomainId {
   return FailureDomainId("d" + std::to_string(index % kDomains));
@@ -51,6 +65,7 @@
   std::size_t gateway = 0;
   AttemptId attempt;
   std::size_t target = 0;
+  RequestId request;
 };
 struct Arrival {};
 struct AttemptArrives {
@@ -63,6 +78,7 @@
 struct AttemptReturns {
   Work work;
   AttemptResult result = AttemptResult::kAnswered;
+  std::optional<StatedLoad> load = {};
 };
 struct ReportArrives {
   std::size_t from = 0;
@@ -86,9 +102,16 @@
                            Turn>;
 
 struct Target {
+  std::uint32_t slots = kSlots;
+  // Mean run time over that of a usual target, and the factor when full.
+  double run_time = 1;
+  double slow_when_full = 1;
   bool failing = false;
   bool disturbed = false;
   std::uint32_t running = 0;
+  // Attempts that were sent and have not arrived yet.
+  std::uint32_t coming = 0;
+  bool is_free = true;
   std::deque<Work> waiting;
   std::size_t attempts = 0;
   // Of the present turn.
@@ -114,6 +137,8 @@
   }
 };
 
+using Gateway = std::variant<PoolDispatcher, PolicyGateway>;
+
 // What one two-second window contains.
 struct FloorWindow {
   std::size_t requests = 0;
@@ -147,23 +172,50 @@
   }
 };
 
+// Course of a request.
+struct RequestState {
+  TimePoint arrived;
+  bool served = false;
+  bool started = false;
+  // Waiting until the last attempt began to run.
+  Duration waited = Duration::zero();
+  std::optional<Duration> response;
+  // Whether it waited while a target had a free slot.
+  bool waited_beside_idle = false;
+};
+
+// The value that 99% of `values` don't exceed, in milliseconds.
+auto PercentileMs(std::vector<Duration> values) -> double {
+  if (values.empty()) {
+    return 0;
+  }
+  const auto nth =
+      values.begin() +
+      static_cast<std::ptrdiff_t>(0.99 * static_cast<double>(values.size()));
+  std::nth_element(values.begin(), nth, values.end());
+  return 1000 * ToSeconds(*nth);
+}
+
 class GatewaySimulation {
  public:
   explicit GatewaySimulation(const GatewaySimulationOptions& options)
       : options_(options), random_(options.seed) {
     std::vector<RegisteredTarget> registered;
+    targets_.resize(options.targets);
+    if (options.unequal_targets) {
+      MakeTargetsUnequal();
+    }
     for (std::size_t i = 0; i < options.targets; ++i) {
       RegisteredTarget target;
       target.id = TargetId("t" + std::to_string(100'000 + i));
       target.host = "10.0.0.1";
       target.port = static_cast<std::uint16_t>(1 + i);
       target.failure_domain = DomainOf(i);
-      target.slots = kSlots;
+      target.slots = targets_[i].slots;
       index_.emplace(target.id, i);
       registered.push_back(target);
       events_.Push(kStart + RandomTime(options.turn), Turn{i});
     }
-    targets_.resize(options.targets);
     for (auto& target : targets_) {
       target.failing = random_.Unit() < options.failing_share;
       if (target.failing) {
@@ -172,6 +224,7 @@
       target.disturbed = options.disturbed_share > 0 &&
                          random_.Unit() < options.disturbed_share;
     }
+    free_targets_ = static_cast<std::ptrdiff_t>(targets_.size());
     AddGateways(registered);
     events_.Push(kStart, Arrival{});
   }
@@ -187,7 +240,61 @@
   }
 
  private:
+  // Draws the figures from a generator of its own, so that the other runs keep
+  // their course.
+  auto MakeTargetsUnequal() -> void {
+    Random random(options_.seed + 1);
+    for (auto& target : targets_) {
+      target.slots = kMinSlots + static_cast<std::uint32_t>(
+                                     random.Below(kMaxSlots - kMinSlots + 1));
+      target.run_time = std::pow(kSpeedRange, random.Unit() - 0.5);
+      target.slow_when_full =
+          random.Unit() < kSlowWhenFullShare ? kSlowWhenFull : 1;
+    }
+  }
+
+  // Returns how many requests per second the target can run.
+  [[nodiscard]] static auto CapacityOf(const Target& target) -> double {
+    return target.slots /
+           (target.run_time * ToSeconds(kMinWork + kMaxWork) / 2);
+  }
+
+  [[nodiscard]] auto TotalCapacity() const -> double {
+    double total = 0;
+    for (const auto& target : targets_) {
+      total += CapacityOf(target);
+    }
+    return total;
+  }
+
+  // Requests per second now.
+  [[nodiscard]] auto DemandNow() const -> double {
+    const auto mean =
+        options_.utilization > 0
+            ? options_.utilization * total_capacity_
+            : options_.load * static_cast<double>(options_.targets);
+    if (options_.swing == 0) {
+      return mean;
+    }
+    return mean * (1 + options_.swing * std::sin(2 * std::numbers::pi *
+                                                 ToSeconds(now_ - kStart) /
+                                                 ToSeconds(kSwingPeriod)));
+  }
+
+  auto MakeGateway(const PoolLimits& limits) -> Gateway {
+    const Random random(random_.Next());
+    if (options_.policy == LoadPolicy::kProduct) {
+      return PoolDispatcher(ServiceId("s"), random, limits);
+    }
+    return PolicyGateway(MakeLoadPolicy(options_.policy, ledger_), random);
+  }
+
   auto AddGateways(const std::vector<RegisteredTarget>& registered) -> void {
+    total_capacity_ = TotalCapacity();
+    ledger_ = std::make_shared<SlotLedger>();
+    for (const auto& target : targets_) {
+      ledger_->push_back(target.slots);
+    }
     std::vector<VmId> vms;
     for (std::size_t i = 0; i < options_.gateways; ++i) {
       vms.emplace_back("g" + std::to_string(i));
@@ -203,7 +310,15 @@
     for (std::size_t i = 0; i < options_.gateways; ++i) {
       auto peers = vms;
       peers.erase(peers.begin() + static_cast<std::ptrdiff_t>(i));
-      gateways_.emplace_back(ServiceId("s"), Random(random_.Next()), limits);
+      if (options_.peers > 0 && options_.peers < peers.size()) {
+        // The next ones in a ring.
+        std::rotate(
+            peers.begin(),
+            peers.begin() + static_cast<std::ptrdiff_t>(i % peers.size()),
+            peers.end());
+        peers.resize(options_.peers);
+      }
+      gateways_.push_back(MakeGateway(limits));
       share += 1 + (options_.imbalance - 1) * random_.Unit();
       shares_.push_back(share);
       Handle(i, PoolConfigured{
@@ -214,6 +329,7 @@
                     .self = vms[i],
                     .owners = owners,
                 });
+      owned_.push_back(OwnedTargets(vms[i], registered, owners));
     }
   }
 
@@ -227,39 +343,72 @@
   }
 
   auto Handle(std::size_t gateway, const PoolEvent& event) -> void {
-    for (const auto& action : gateways_[gateway].OnEvent(event, now_)) {
-      std::visit(Overloaded{
-                     [&](const StartAttempt& start) {
-                       events_.Push(now_ + kLink,
-                                    AttemptArrives{{gateway, start.attempt,
-                                                    index_.at(start.target)}});
-                     },
-                     [&](const CancelAttempt&) {},
-                     [&](const DeliverAnswer& deliver) {
-                       RecordEnd(deliver.request, !is_error_answer_);
-                     },
-                     [&](const RefuseRequest& refuse) {
-                       RecordEnd(refuse.request, false);
-                     },
-                     [&](const SendToPeer& send) {
-                       in_transit_.emplace(
-                           ++reports_, std::get<OutcomeReport>(send.message));
-                       events_.Push(
-                           now_ + options_.report_delay,
-                           ReportArrives{gateway, gateway_index_.at(send.peer),
-                                         reports_});
-                     },
-                     [&](const WakePoolAt& wake) {
-                       events_.Push(wake.at, Wake{gateway, wake.at});
-                     },
-                 },
-                 action);
+    const auto actions =
+        std::visit([&](auto& each) { return each.OnEvent(event, now_); },
+                   gateways_[gateway]);
+    for (const auto& action : actions) {
+      std::visit(
+          Overloaded{
+              [&](const StartAttempt& start) { StartAt(gateway, start); },
+              [&](const CancelAttempt&) {},
+              [&](const DeliverAnswer& deliver) {
+                RecordEnd(deliver.request, !is_error_answer_);
+              },
+              [&](const RefuseRequest& refuse) {
+                RecordEnd(refuse.request, false);
+              },
+              [&](const SendToPeer& send) {
+                in_transit_.emplace(++reports_,
+                                    std::get<OutcomeReport>(send.message));
+                events_.Push(
+                    now_ + options_.report_delay,
+                    ReportArrives{gateway, gateway_index_.at(send.peer),
+                                  reports_});
+              },
+              [&](const WakePoolAt& wake) {
+                events_.Push(wake.at, Wake{gateway, wake.at});
+              },
+          },
+          action);
     }
   }
 
+  auto StartAt(std::size_t gateway, const StartAttempt& start) -> void {
+    const auto target = index_.at(start.target);
+    auto delay = kLink;
+    if (options_.policy == LoadPolicy::kLentSlots &&
+        !owned_[gateway].contains(start.target)) {
+      // Two owners were asked for a slot.
+      delay += 2 * options_.report_delay;
+      reports_ += 4;
+    }
+    state_of(start.request).started = true;
+    ++targets_[target].coming;
+    UpdateFree(target);
+    crossed_ += Counts() && DomainOf(target) != DomainOf(gateway) ? 1 : 0;
+    events_.Push(now_ + delay, AttemptArrives{{gateway, start.attempt, target,
+                                               start.request}});
+  }
+
+  // Counts the targets with a slot for which no request is running or coming.
+  auto UpdateFree(std::size_t index) -> void {
+    auto& target = targets_[index];
+    const bool is_free = target.running + target.coming < target.slots;
+    if (is_free != target.is_free) {
+      target.is_free = is_free;
+      free_targets_ += is_free ? 1 : -1;
+    }
+  }
+
+  auto state_of(RequestId request) -> RequestState& {
+    return requests_made_[request.value() - 1];
+  }
+
   auto RecordEnd(RequestId request, bool is_served) -> void {
     failed_ += Counts() && !is_served ? 1 : 0;
-    served_[request.value() - 1].second = is_served;
+    auto& state = state_of(request);
+    state.served = is_served;
+    state.response = now_ - state.arrived;
   }
 
   auto On(const Arrival& /*event*/) -> void {
@@ -269,21 +418,25 @@
         shares_.begin());
     requests_ += Counts() ? 1 : 0;
     const bool repeatable = random_.Unit() < options_.repeatable_share;
-    served_.emplace_back(now_, false);
+    requests_made_.emplace_back().arrived = now_;
+    const RequestId request(++last_request_);
     Handle(std::min(gateway, gateways_.size() - 1),
-           PoolRequestArrived{.request = RequestId(++last_request_),
+           PoolRequestArrived{.request = request,
                               .repeatable = repeatable,
                               .max_attempts = 2,
                               .deadline = now_ + kDeadline,
                               .objective = kObjective});
-    const auto rate = options_.load * static_cast<double>(options_.targets);
+    if (!state_of(request).started && free_targets_ > 0) {
+      state_of(request).waited_beside_idle = true;
+    }
     events_.Push(now_ + Duration(static_cast<std::int64_t>(
-                            -std::log(1 - random_.Unit()) / rate * 1e6)),
+                            -std::log(1 - random_.Unit()) / DemandNow() * 1e6)),
                  Arrival{});
   }
 
   auto On(const AttemptArrives& event) -> void {
     auto& target = targets_[event.work.target];
+    --target.coming;
     target.attempts += Counts() ? 1 : 0;
     target.used_at.push_back(now_);
     if (target.first_failure && !target.avoided) {
@@ -297,29 +450,56 @@
       reuse_.Add(now_ - *target.recovered);
       target.recovered.reset();
     }
-    if (target.running < kSlots) {
+    if (target.running < target.slots) {
       Begin(target, event.work);
       return;
     }
+    UpdateFree(event.work.target);
+    if (free_targets_ > 0) {
+      state_of(event.work.request).waited_beside_idle = true;
+    }
     if (target.waiting.size() < kTargetQueue) {
       target.waiting.push_back(event.work);
       return;
     }
-    events_.Push(now_ + kLink,
-                 AttemptReturns{event.work, AttemptResult::kShed});
+    shed_ += Counts() ? 1 : 0;
+    events_.Push(now_ + kLink, AttemptReturns{event.work, AttemptResult::kShed,
+                                              LoadOf(target, 0)});
+  }
+
+  // Returns what the target states, with `answered` requests being answered.
+  [[nodiscard]] auto LoadOf(const Target& target, std::uint32_t answered) const
+      -> std::optional<StatedLoad> {
+    if (!options_.unequal_targets || !options_.states_load) {
+      return std::nullopt;
+    }
+    return StatedLoad{target.running + answered,
+                      static_cast<std::uint32_t>(target.waiting.size()),
+                      target.slots};
   }
 
   auto Begin(Target& target, const Work& work) -> void {
     ++target.running;
+    auto& state = state_of(work.request);
+    const auto waited = now_ - state.arrived - kLink;
+    state.waited = waited < kMinWait ? Duration::zero() : waited;
     const bool fails = target.failing && random_.Unit() < options_.failure_rate;
-    const auto time =
+    auto time =
         fails ? kFailureTime : kMinWork + RandomTime(kMaxWork - kMinWork);
+    if (options_.unequal_targets && !fails) {
+      const auto factor =
+          target.run_time *
+          (target.running == target.slots ? target.slow_when_full : 1);
+      time = Duration(static_cast<std::int64_t>(
+          factor * static_cast<double>(time.count())));
+    }
     events_.Push(now_ + time, WorkEnds{work, fails});
   }
 
   auto On(const WorkEnds& event) -> void {
     auto& target = targets_[event.work.target];
     --target.running;
+    UpdateFree(event.work.target);
     if (event.failed) {
       if (target.first_failure && now_ - *target.first_failure > kKnown) {
         lost_ += Counts() ? 1 : 0;
@@ -328,21 +508,26 @@
         target.first_failure = now_;
       }
     }
-    events_.Push(
-        now_ + kLink,
-        AttemptReturns{event.work, event.failed ? AttemptResult::kServerError
-                                                : AttemptResult::kAnswered});
+    events_.Push(now_ + kLink,
+                 AttemptReturns{event.work,
+                                event.failed ? AttemptResult::kServerError
+                                             : AttemptResult::kAnswered,
+                                LoadOf(target, 1)});
     if (!target.waiting.empty()) {
       const auto next = target.waiting.front();
       target.waiting.pop_front();
       Begin(target, next);
+      UpdateFree(event.work.target);
     }
   }
 
   auto On(const AttemptReturns& event) -> void {
     is_error_answer_ = event.result == AttemptResult::kServerError;
-    Handle(event.work.gateway,
-           PoolAttemptEnded{event.work.attempt, event.result});
+    PoolAttemptEnded ended{event.work.attempt, event.result};
+    if (event.load) {
+      ended.load = LoadNews{*event.load, now_};
+    }
+    Handle(event.work.gateway, ended);
   }
 
   auto On(const ReportArrives& event) -> void {
@@ -385,13 +570,14 @@
     const auto start = end - kFloorWindow;
     FloorWindow window;
     const auto arrived_before = [](const auto& request, TimePoint time) {
-      return request.first < time;
+      return request.arrived < time;
     };
-    for (auto it = std::lower_bound(served_.begin(), served_.end(), start,
-                                    arrived_before);
-         it != served_.end() && it->first < end; ++it) {
+    for (auto it =
+             std::lower_bound(requests_made_.begin(), requests_made_.end(),
+                              start, arrived_before);
+         it != requests_made_.end() && it->arrived < end; ++it) {
       ++window.requests;
-      window.unserved += it->second ? 0 : 1;
+      window.unserved += it->served ? 0 : 1;
     }
     for (const auto& target : targets_) {
       if (!target.disturbed && target.IsSound(start, end)) {
@@ -428,6 +614,25 @@
         static_cast<double>(std::max<std::size_t>(requests_, 1));
     const auto mean =
         static_cast<double>(attempts) / static_cast<double>(targets_.size());
+    double most_of_capacity = 0;
+    for (const auto& target : targets_) {
+      most_of_capacity =
+          std::max(most_of_capacity,
+                   static_cast<double>(target.attempts) / CapacityOf(target));
+    }
+    std::vector<Duration> waits;
+    std::vector<Duration> responses;
+    std::size_t beside_idle = 0;
+    for (const auto& request : requests_made_) {
+      if (request.arrived - kStart < options_.turn) {
+        continue;
+      }
+      beside_idle += request.waited_beside_idle ? 1 : 0;
+      if (request.served) {
+        waits.push_back(request.waited);
+        responses.push_back(request.response.value_or(Duration::zero()));
+      }
+    }
     return {
         .requests = requests_,
         .failed_share = static_cast<double>(failed_) / requests,
@@ -442,6 +647,13 @@
         .reports_per_gateway_s = static_cast<double>(reports_) /
                                  static_cast<double>(options_.gateways) /
                                  ToSeconds(options_.length),
+        .weighted_busiest_over_mean =
+            most_of_capacity * total_capacity_ / static_cast<double>(attempts),
+        .waiting_p99_ms = PercentileMs(std::move(waits)),
+        .response_p99_ms = PercentileMs(std::move(responses)),
+        .waited_beside_idle_share = static_cast<double>(beside_idle) / requests,
+        .shed_share = static_cast<double>(shed_) / requests,
+        .crossed_share = static_cast<double>(crossed_) / requests,
     };
   }
 
@@ -451,18 +663,25 @@
   EventQueue<Event> events_;
   std::vector<Target> targets_;
   std::unordered_map<TargetId, std::size_t> index_;
-  std::vector<PoolDispatcher> gateways_;
+  std::ptrdiff_t free_targets_ = 0;
+  double total_capacity_ = 0;
+  std::shared_ptr<SlotLedger> ledger_;
+  std::vector<Gateway> gateways_;
+  // Targets that each gateway owns.
+  std::vector<std::set<TargetId>> owned_;
   std::unordered_map<VmId, std::size_t> gateway_index_;
   // Cumulative shares of the requests.
   std::vector<double> shares_;
   std::uint64_t last_request_ = 0;
-  // Arrival of each request, by id, and whether it was served.
-  std::vector<std::pair<TimePoint, bool>> served_;
+  // By request id.
+  std::vector<RequestState> requests_made_;
   // Whether the attempt that just ended brought an error answer.
   bool is_error_answer_ = false;
   std::size_t requests_ = 0;
   std::size_t failed_ = 0;
   std::size_t lost_ = 0;
+  std::size_t shed_ = 0;
+  std::size_t crossed_ = 0;
   std::uint64_t reports_ = 0;
   std::unordered_map<std::uint64_t, OutcomeReport> in_transit_;
   Mean avoid_;
--- a/bench/gateway_simulation.h
+++ b/bench/gateway_simulation.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "bench/load_policies.h"
 #include "core/time.h"
 
 namespace flamingoyoke {
@@ -28,6 +29,20 @@
   double disturbed_share = 0;
   // The busiest gateway gets this many times the requests of the idlest.
   double imbalance = 2;
+  LoadPolicy policy = LoadPolicy::kProduct;
+  // Whether the targets differ: their mean run times by a factor of four, their
+  // slots from 2 to 6, and a third of them run half as fast again when full.
+  // They then state their load in each answer.
+  bool unequal_targets = false;
+  // Demand as a share of what all targets can do, instead of `load`; 0 to use
+  // `load`.
+  double utilization = 0;
+  // The demand rises and falls by this share of its mean every five seconds.
+  double swing = 0;
+  // Number of other gateways that each one reports to; 0 for all.
+  std::size_t peers = 0;
+  // Whether targets that differ state their load.
+  bool states_load = true;
   // Time for a report to be sent, to travel and to be read.
   Duration report_delay = std::chrono::milliseconds(3);
   Duration length = std::chrono::seconds(20);
@@ -59,6 +74,20 @@
   // enough of their requests are lost later, as in a power failure of all VMs.
   double exposed_floor_share = 0;
   double reports_per_gateway_s = 0;
+  // The busiest target over the mean, of requests by what each target can do in
+  // the time.
+  double weighted_busiest_over_mean = 0;
+  // Time that served requests waited at the gateway and at targets, and until
+  // their answer.
+  double waiting_p99_ms = 0;
+  double response_p99_ms = 0;
+  // Share of the requests that waited at a gateway or target, or were shed,
+  // while another target had a free slot.
+  double waited_beside_idle_share = 0;
+  // Attempts that targets shed, and attempts that left the failure domain, for
+  // each request.
+  double shed_share = 0;
+  double crossed_share = 0;
 };
 
 // Runs PoolDispatcher, the code that the gateways use, in virtual time.
--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -235,6 +235,11 @@
     run_shares_.Add(active.info.priority, now_);
   }
   const auto evidence = AssessTarget(active, event.result);
+  pool_.OnAnswered(ended.target,
+                   event.result == AttemptResult::kAnswered
+                       ? std::optional(now_ - ended.started)
+                       : std::nullopt,
+                   event.load, event.result == AttemptResult::kShed);
   pool_.OnEnded(ended.target, event.asked_for_rest ? std::nullopt : evidence,
                 now_);
   if (event.other_instance) {
--- a/src/decision/gateway/pool_event.h
+++ b/src/decision/gateway/pool_event.h
@@ -13,6 +13,7 @@
 #include "core/time.h"
 #include "decision/dispatch/attempt.h"
 #include "decision/dispatch/dispatch_event.h"
+#include "decision/gateway/load_estimate.h"
 #include "decision/gateway/target_ownership.h"
 #include "decision/peer/peer_message.h"
 #include "table/registry.h"
@@ -84,6 +85,8 @@
   bool other_instance = false;
   // Whether the target asked for a rest, which says nothing about its health.
   bool asked_for_rest = false;
+  // What the answer said about the target's load; unset if it said nothing.
+  std::optional<LoadNews> load = {};
 };
 
 // Outcomes reported by another gateway.
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -34,14 +34,34 @@
 constexpr double kExplorationShare = 0.1;
 // Costs are in units of one lost request.
 constexpr double kLoadCost = 0.05;
+// Of the average run time of the service that a request waits at a target.
+constexpr double kWaitCost = 0.2;
 constexpr double kWarmingCost = 0.08;
 // Traffic between failure domains is billed per byte. A megabyte costs about as
 // much as four lost requests.
 constexpr double kCrossDomainCostPerByte = 4e-6;
 // Assumed answer size, which is unknown in advance.
 constexpr double kTypicalAnswerBytes = 2000;
-// Number of targets of other gateways that a request chooses from.
-constexpr std::size_t kOtherCandidates = 4;
+// Number of targets of other gateways that a request chooses from in the own
+// failure domain, and elsewhere. With more of them, gateways with the same old
+// news choose the same target.
+constexpr std::size_t kNearCandidates = 4;
+constexpr std::size_t kFarCandidates = 4;
+// Draws for each of them before all targets are looked at.
+constexpr std::size_t kDrawsPerCandidate = 3;
+// Range of a target's learned speed over that of the service. Run times differ
+// by request, so larger differences may be chance.
+constexpr double kMaxRelativeSpeed = 2;
+constexpr double kRunTimeWeight = 0.05;
+constexpr double kOthersWeight = 0.05;
+// Targets of other failure domains are considered if a request would wait
+// longer at the near ones. In average run times of the service.
+constexpr double kMaxNearWait = 0.3;
+// Targets of other gateways are considered if a request would wait as long at
+// an own target, and chosen if they are cheaper by the margin, as evidence
+// about them is late.
+constexpr double kMinComparedWait = 0.03;
+constexpr double kLessLoadedMargin = 0.005;
 // Evidence about targets of other gateways is late, so only those that were
 // healthy get requests at once. A request that has waited for a tenth of its
 // objective accepts one without evidence.
@@ -185,9 +205,12 @@
     });
   }
   owned_.clear();
-  others_.clear();
+  near_others_.clear();
+  far_others_.clear();
   for (auto& [id, state] : targets_) {
-    (state.owned ? owned_ : others_).push_back(&state);
+    auto& others =
+        state.spec.failure_domain == own_domain_ ? near_others_ : far_others_;
+    (state.owned ? owned_ : others).push_back(&state);
   }
 }
 
@@ -218,15 +241,50 @@
   return false;
 }
 
-auto TargetPool::UsedSlots(const TargetState& state, TimePoint now)
-    -> std::uint32_t {
-  auto used = state.in_flight;
+auto TargetPool::ExpectedLoad(const TargetState& state,
+                              double max_average,
+                              TimePoint now) const -> double {
+  // Reports come from a part of the gateways only. Those from before the
+  // target's last statement are part of it.
+  const auto stated_at = state.load.stated_at();
+  double reported = 0;
   for (const auto& [vm, usage] : state.peers) {
-    if (now - usage.reported_at < kPeerUsageTtl) {
-      used += usage.in_flight;
+    if (now - usage.reported_at < kPeerUsageTtl &&
+        (!stated_at || usage.reported_at > *stated_at)) {
+      reported += usage.in_flight;
     }
   }
-  return used;
+  return state.in_flight +
+         std::max(reported,
+                  state.load.Others(now, UsualOthers(state), max_average));
+}
+
+auto TargetPool::UsualOthers(const TargetState& state) const -> double {
+  return others_per_slot_ * state.spec.slots;
+}
+
+auto TargetPool::ExpectedLoad(const TargetState& state, TimePoint now) const
+    -> double {
+  return ExpectedLoad(state, state.spec.slots, now);
+}
+
+auto TargetPool::CapacityOf(const TargetState& state) const -> double {
+  const auto slots = std::max<std::uint32_t>(1, state.spec.slots);
+  const auto own = state.load.run_time();
+  if (own <= Duration::zero() || run_time_ <= Duration::zero()) {
+    return slots;
+  }
+  return slots * std::clamp(ToSeconds(run_time_) / ToSeconds(own),
+                            1 / kMaxRelativeSpeed, kMaxRelativeSpeed);
+}
+
+auto TargetPool::ExpectedWait(const TargetState& state, TimePoint now) const
+    -> double {
+  const double slots = std::max<std::uint32_t>(1, state.spec.slots);
+  const auto excess = ExpectedExcess(
+      ExpectedLoad(state, now),
+      state.load.OthersVariance(now, UsualOthers(state)), slots - 1);
+  return excess / CapacityOf(state);
 }
 
 auto TargetPool::MaxUnhealthyProbability(TimePoint now) const -> double {
@@ -259,8 +317,11 @@
 auto TargetPool::EstimatePlacementCost(const TargetState& state,
                                        const TargetRequirements& requirements,
                                        TimePoint now) const -> double {
-  auto cost = kLoadCost * UsedSlots(state, now) /
-              std::max<std::uint32_t>(1, state.spec.slots);
+  // Fractions of a request would make one of several idle targets the best for
+  // all requests.
+  auto cost =
+      kLoadCost * std::round(ExpectedLoad(state, now)) / CapacityOf(state) +
+      kWaitCost * ExpectedWait(state, now);
   if (state.spec.warming) {
     cost += kWarmingCost;
   }
@@ -408,7 +469,7 @@
   for (const auto& candidate : candidates) {
     auto& state = *candidate.state;
     const auto age = state.health.EvidenceAge(now);
-    if (age < kStaleEvidenceAge || UsedSlots(state, now) > 0 ||
+    if (age < kStaleEvidenceAge || std::round(ExpectedLoad(state, now)) > 0 ||
         candidate.unhealthy > kAvoidThreshold) {
       continue;
     }
@@ -421,10 +482,13 @@
 
 auto TargetPool::HasRoom(const TargetState& state,
                          const TargetRequirements& requirements,
-                         TimePoint now) -> bool {
+                         TimePoint now) const -> bool {
   return IsUsable(state) && AllowsRequest(state, requirements, now) &&
          now >= state.blocked_until && !IsTried(requirements, state.spec.id) &&
-         UsedSlots(state, now) < state.spec.slots;
+         state.in_flight < state.spec.slots &&
+         // Without news a full target has room again after its run time.
+         std::round(ExpectedLoad(state, state.spec.slots - 1.0, now)) <
+             state.spec.slots;
 }
 
 auto TargetPool::Choose(const TargetRequirements& requirements, TimePoint now)
@@ -465,7 +529,9 @@
   auto* chosen =
       ChooseOwned(requirements, limit, many_fail, failure_share, now);
   if (chosen == nullptr) {
-    chosen = ChooseOther(requirements, limit, now);
+    chosen = ChooseOther(requirements, limit, now).state;
+  } else if (auto* other = FindLessLoaded(*chosen, requirements, now)) {
+    chosen = other;
   }
   return chosen == nullptr ? std::nullopt : std::optional(chosen->spec.id);
 }
@@ -508,6 +574,11 @@
     if (!spread && a.placement_cost != b.placement_cost) {
       return a.placement_cost < b.placement_cost;
     }
+    const auto a_sent = a.state->load.RecentlySent(now) / CapacityOf(*a.state);
+    const auto b_sent = b.state->load.RecentlySent(now) / CapacityOf(*b.state);
+    if (!spread && a_sent != b_sent) {
+      return a_sent < b_sent;
+    }
     return a.state->last_used < b.state->last_used;
   };
   return std::min_element(candidates.begin(), candidates.end(), is_better)
@@ -516,30 +587,66 @@
 
 auto TargetPool::ChooseOther(const TargetRequirements& requirements,
                              double limit,
-                             TimePoint now) -> TargetState* {
-  if (others_.empty()) {
-    return nullptr;
-  }
-  // The reported slots in use are outdated, so that the least used target of
-  // all would draw the requests of all gateways.
-  const auto first = random_.Below(others_.size());
+                             TimePoint now) -> Candidate {
   limit = std::min(
       limit, kMaxOtherUnhealthy + kOtherPatience * requirements.wait_share);
   Candidate best;
+  DrawCheapest(near_others_, requirements, limit, now, best);
+  if (best.state != nullptr && ExpectedWait(*best.state, now) <= kMaxNearWait) {
+    return best;
+  }
+  DrawCheapest(far_others_, requirements, limit, now, best);
+  return best;
+}
+
+auto TargetPool::DrawCheapest(const std::vector<TargetState*>& targets,
+                              const TargetRequirements& requirements,
+                              double limit,
+                              TimePoint now,
+                              Candidate& best) -> void {
+  if (targets.empty()) {
+    return;
+  }
+  const auto most =
+      &targets == &near_others_ ? kNearCandidates : kFarCandidates;
   std::size_t found = 0;
-  for (std::size_t i = 0; i < others_.size() && found < kOtherCandidates; ++i) {
-    auto* const state = others_[(first + i) % others_.size()];
+  const auto consider = [&](TargetState* state) {
     const auto unhealthy = state->health.UnhealthyProbability(now);
     if (unhealthy > limit || !HasRoom(*state, requirements, now)) {
-      continue;
+      return;
     }
     ++found;
     const auto cost = EstimateCost(*state, requirements, now);
     if (best.state == nullptr || cost < best.cost) {
-      best = {state, unhealthy, cost, 0};
+      best = {state, unhealthy, cost,
+              EstimatePlacementCost(*state, requirements, now)};
     }
+  };
+  for (std::size_t i = 0; i < kDrawsPerCandidate * most && found < most; ++i) {
+    consider(targets[random_.Below(targets.size())]);
+  }
+  if (found > 0) {
+    return;
+  }
+  const auto first = random_.Below(targets.size());
+  for (std::size_t i = 0; i < targets.size() && found == 0; ++i) {
+    consider(targets[(first + i) % targets.size()]);
+  }
+}
+
+auto TargetPool::FindLessLoaded(const TargetState& owned,
+                                const TargetRequirements& requirements,
+                                TimePoint now) -> TargetState* {
+  if (ExpectedWait(owned, now) < kMinComparedWait ||
+      owned.health.UnhealthyProbability(now) >= kHealthyThreshold) {
+    return nullptr;
   }
-  return best.state;
+  const auto other = ChooseOther(requirements, kMaxOtherUnhealthy, now);
+  return other.state != nullptr &&
+                 other.cost + kLessLoadedMargin <
+                     EstimatePlacementCost(owned, requirements, now)
+             ? other.state
+             : nullptr;
 }
 
 auto TargetPool::OnStarted(const TargetId& target, TimePoint now) -> void {
@@ -549,6 +656,7 @@
   }
   auto& state = found->second;
   ++state.in_flight;
+  state.load.OnSent(now);
   RecordUse(state, now);
   MarkUnreported(state);
 }
@@ -568,6 +676,45 @@
   }
 }
 
+auto TargetPool::OnAnswered(const TargetId& target,
+                            std::optional<Duration> run_time,
+                            const std::optional<LoadNews>& news,
+                            bool was_shed) -> void {
+  const auto found = targets_.find(target);
+  if (found == targets_.end()) {
+    return;
+  }
+  auto& state = found->second;
+  if (news) {
+    const auto others = state.load.OnStated(*news, state.in_flight, was_shed,
+                                            UsualOthers(state), load_counters_);
+    const auto slots = std::max<std::uint32_t>(1, state.spec.slots);
+    others_per_slot_ += kOthersWeight * (others / slots - others_per_slot_);
+  }
+  if (run_time) {
+    state.load.OnAnswered(*run_time);
+    run_time_ =
+        run_time_ == Duration::zero()
+            ? *run_time
+            : run_time_ +
+                  Duration(static_cast<std::int64_t>(
+                      kRunTimeWeight *
+                      static_cast<double>((*run_time - run_time_).count())));
+  }
+}
+
+auto TargetPool::MeanNewsAge(TimePoint now) const -> Duration {
+  auto sum = Duration::zero();
+  std::int64_t count = 0;
+  for (const auto& [id, state] : targets_) {
+    if (const auto stated_at = state.load.stated_at()) {
+      sum += now - *stated_at;
+      ++count;
+    }
+  }
+  return count == 0 ? sum : sum / count;
+}
+
 auto TargetPool::OnOverdue(const TargetId& target, TimePoint now) -> void {
   const auto found = targets_.find(target);
   if (found != targets_.end()) {
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -11,6 +11,7 @@
 #include "core/random.h"
 #include "core/time.h"
 #include "decision/detection/rate_window.h"
+#include "decision/gateway/load_estimate.h"
 #include "decision/gateway/target_availability.h"
 #include "decision/gateway/target_health_estimator.h"
 #include "decision/gateway/target_ownership.h"
@@ -72,6 +73,13 @@
   auto OnEnded(const TargetId& target,
                std::optional<Evidence> evidence,
                TimePoint now) -> void;
+  // An attempt on `target` got an answer, and OnEnded follows. `run_time` is
+  // unset if the target did not do the work; `news` if the answer said nothing
+  // about the target's load.
+  auto OnAnswered(const TargetId& target,
+                  std::optional<Duration> run_time,
+                  const std::optional<LoadNews>& news,
+                  bool was_shed) -> void;
   // A running attempt takes much longer than expected.
   auto OnOverdue(const TargetId& target, TimePoint now) -> void;
   // The target shed a request; it gets none for a short time.
@@ -130,6 +138,12 @@
   // Returns the number of slots of the targets that accept requests
   // immediately.
   [[nodiscard]] auto UsableSlots(TimePoint now) const -> std::uint32_t;
+  [[nodiscard]] auto load_counters() const -> const LoadCounters& {
+    return load_counters_;
+  }
+  // Returns the mean age of the targets' last statements of their load, and
+  // zero if there is none.
+  [[nodiscard]] auto MeanNewsAge(TimePoint now) const -> Duration;
   // Returns the probability that `target` is unhealthy; 1 for an unknown
   // target.
   [[nodiscard]] auto UnhealthyProbability(const TargetId& target,
@@ -144,6 +158,7 @@
     RegisteredTarget spec;
     bool owned = true;
     TargetHealthEstimator health;
+    LoadEstimate load;
     std::uint32_t in_flight = 0;
     std::map<VmId, PeerUsage> peers;
     TimePoint registered;
@@ -183,8 +198,23 @@
       const TargetState& state,
       const TargetRequirements& requirements,
       TimePoint now) -> bool;
-  [[nodiscard]] static auto UsedSlots(const TargetState& state, TimePoint now)
-      -> std::uint32_t;
+  // Returns the expected number of requests of all gateways at the target. The
+  // part of the others moves to at most `max_average` without news.
+  [[nodiscard]] auto ExpectedLoad(const TargetState& state,
+                                  double max_average,
+                                  TimePoint now) const -> double;
+  [[nodiscard]] auto ExpectedLoad(const TargetState& state, TimePoint now) const
+      -> double;
+  // Returns how many requests of other gateways a target with as many slots
+  // usually has.
+  [[nodiscard]] auto UsualOthers(const TargetState& state) const -> double;
+  // Returns how long one more request is expected to wait at the target, in
+  // average run times of the service.
+  [[nodiscard]] auto ExpectedWait(const TargetState& state, TimePoint now) const
+      -> double;
+  // Returns what the target can do at a time: its slots, times its speed over
+  // that of the service.
+  [[nodiscard]] auto CapacityOf(const TargetState& state) const -> double;
   // Returns the highest unhealthy probability at which a target gets requests
   // immediately.
   [[nodiscard]] auto MaxUnhealthyProbability(TimePoint now) const -> double;
@@ -223,9 +253,9 @@
                     const TargetRequirements& requirements,
                     TimePoint now) -> TargetState*;
   // Returns whether `state` has a free slot for the request now.
-  [[nodiscard]] static auto HasRoom(const TargetState& state,
-                                    const TargetRequirements& requirements,
-                                    TimePoint now) -> bool;
+  [[nodiscard]] auto HasRoom(const TargetState& state,
+                             const TargetRequirements& requirements,
+                             TimePoint now) const -> bool;
   auto ChooseAny(const TargetRequirements& requirements, TimePoint now)
       -> std::optional<TargetId>;
   auto ChooseOwned(const TargetRequirements& requirements,
@@ -233,10 +263,21 @@
                    bool many_fail,
                    double failure_share,
                    TimePoint now) -> TargetState*;
-  // Returns the cheapest of a few targets of other gateways, or null.
+  // Returns the cheapest of a few targets of other gateways, or a null state.
   auto ChooseOther(const TargetRequirements& requirements,
                    double limit,
-                   TimePoint now) -> TargetState*;
+                   TimePoint now) -> Candidate;
+  // Returns a target of another gateway that is probably healthy and much less
+  // loaded than `owned`, or null.
+  auto FindLessLoaded(const TargetState& owned,
+                      const TargetRequirements& requirements,
+                      TimePoint now) -> TargetState*;
+  // Replaces `best` if one of a few targets drawn from `targets` is cheaper.
+  auto DrawCheapest(const std::vector<TargetState*>& targets,
+                    const TargetRequirements& requirements,
+                    double limit,
+                    TimePoint now,
+                    Candidate& best) -> void;
   auto RecordEvidence(TargetState& state, Evidence evidence, TimePoint now)
       -> void;
   auto RecordUse(TargetState& state, TimePoint now) -> void;
@@ -247,9 +288,17 @@
   FailureDomainId own_domain_;
   std::map<TargetId, TargetState> targets_;
   ReportOrder report_order_;
-  // The targets that this gateway owns and those of others, in targets_.
+  // The targets that this gateway owns and those of others in its failure
+  // domain and elsewhere, in targets_.
   std::vector<TargetState*> owned_;
-  std::vector<TargetState*> others_;
+  std::vector<TargetState*> near_others_;
+  std::vector<TargetState*> far_others_;
+  // Average run time of the answered requests; zero if there is none.
+  Duration run_time_ = Duration::zero();
+  // Average number of other gateways' requests for each slot of a target that
+  // stated its load.
+  double others_per_slot_ = 0;
+  LoadCounters load_counters_;
   // Idle targets that get a request for the floor, the likeliest to be healthy
   // first, and when they were found.
   std::vector<FloorTrial> floor_trials_;
--- a/src/node/dialect.h
+++ b/src/node/dialect.h
@@ -12,6 +12,7 @@
 #include "core/ids.h"
 #include "core/result.h"
 #include "core/time.h"
+#include "decision/gateway/load_estimate.h"
 #include "table/registry.h"
 #include "table/routing.h"
 
@@ -40,6 +41,8 @@
   std::string team_key = {};
   // Name of the caller's team, set for the target whatever the caller sent.
   std::string team = {};
+  // The target's load in its answers; see GatewayDialect::read_load.
+  std::string load = {};
 };
 
 // The protocol between a gateway and its callers and health checks.
@@ -57,6 +60,9 @@
   int misdirected_status = 421;
   // Whether Retry-After may contain fractional seconds.
   bool fractional_retry_after = false;
+  // Decodes the value of the load header; nothing if it is malformed. Unset if
+  // targets don't state their load.
+  std::function<std::optional<StatedLoad>(std::string_view)> read_load = {};
 };
 
 // One entry of the published store.
--- a/src/node/traffic/gateway/gateway_headers.cc
+++ b/src/node/traffic/gateway/gateway_headers.cc
@@ -31,6 +31,11 @@
   if (answer.status == kServiceUnavailable) {
     signals.rest = FindRetryAfter(answer.headers, WallClockMs());
   }
+  if (dialect.read_load && !names.load.empty() && !signals.other_target) {
+    if (const auto load = FindHeader(answer.headers, names.load)) {
+      signals.stated_load = dialect.read_load(TrimSpace(*load));
+    }
+  }
   const bool is_success =
       answer.status >= kOk && answer.status < kMultipleChoices;
   // Targets repeat the request ID in all answers. An answer with another ID or
--- a/src/node/traffic/gateway/gateway_metrics.cc
+++ b/src/node/traffic/gateway/gateway_metrics.cc
@@ -64,6 +64,23 @@
       "Targets that this vm tries before those of other entry vms.",
       dispatcher.pool().owned_count());
   samples.back().is_counter = false;
+  const auto& load = dispatcher.pool().load_counters();
+  add("flamingoyoke_gateway_load_news_total",
+      "Answers in which a target stated its load.", load.news);
+  add("flamingoyoke_gateway_load_news_age_seconds_total",
+      "Sum of the times between two statements of a target.", 0);
+  samples.back().value = ToSeconds(load.age);
+  add("flamingoyoke_gateway_load_error_requests_total",
+      "Sum of the differences between estimated and stated load, in requests.",
+      0);
+  samples.back().value = load.error;
+  add("flamingoyoke_gateway_beyond_slots_total",
+      "Attempts at targets without a free slot, by their answers.",
+      load.beyond_slots);
+  add("flamingoyoke_gateway_load_age_seconds",
+      "Mean age of what the targets stated last.", 0);
+  samples.back().value = ToSeconds(dispatcher.pool().MeanNewsAge(now));
+  samples.back().is_counter = false;
 }
 
 }  // namespace flamingoyoke
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -178,6 +178,7 @@
                            std::move(lease),
                            Now(),
                            {},
+                           {},
                            MakeEvbuffer(),
                            std::make_unique<AnswerMemory::Share>(&memory_)})
           .first->second;
@@ -221,7 +222,11 @@
 auto PoolRunner::OnSignals(AttemptId id, const UpstreamSignals& signals)
     -> void {
   const auto found = attempts_.find(id);
-  if (found == attempts_.end() || (!signals.draining && !signals.rest)) {
+  if (found == attempts_.end()) {
+    return;
+  }
+  found->second.answered = Now();
+  if (!signals.draining && !signals.rest) {
     return;
   }
   const auto target = found->second.lease.target;
@@ -304,13 +309,17 @@
         "target " + target.value() + " of service " + service_.value() +
             " sent more than an answer may take; closed its connection");
   }
+  std::optional<LoadNews> load;
+  if (signals.stated_load && !signals.foreign) {
+    load = LoadNews{*signals.stated_load, attempt.answered.value_or(Now())};
+  }
   pool_.Release(std::move(attempt.lease));
   if (signals.foreign) {
     // Other data on connections to this target may be outdated too.
     pool_.Retire(target);
   }
   Post(PoolAttemptEnded{id, result, signals.other_target,
-                        signals.rest.has_value()});
+                        signals.rest.has_value(), load});
 }
 
 auto PoolRunner::Execute(const CancelAttempt& action) -> void {
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -112,6 +112,8 @@
     UpstreamPool::Lease lease;
     TimePoint started;
     ResponseHead head;
+    // When the head of the answer arrived.
+    std::optional<TimePoint> answered;
     EvbufferPtr body;
     // Bytes of the answer that wait here and at the caller's connection.
     std::unique_ptr<AnswerMemory::Share> memory;
--- a/src/node/traffic/upstream_connection.h
+++ b/src/node/traffic/upstream_connection.h
@@ -13,6 +13,7 @@
 
 #include "core/time.h"
 #include "decision/dispatch/attempt.h"
+#include "decision/gateway/load_estimate.h"
 #include "node/traffic/answer_memory.h"
 #include "node/traffic/connection_part.h"
 #include "node/traffic/http_message.h"
@@ -35,6 +36,8 @@
   std::optional<Duration> rest;
   // Reported load from 0 to 1; not set if none was reported.
   std::optional<double> load;
+  // Requests at the target by its own count; not set if it does not say.
+  std::optional<StatedLoad> stated_load = {};
 };
 
 // Parses the signal headers of the native upstream interface. Values out of
--- a/tests/unit/node/traffic/gateway/gateway_fixture.h
+++ b/tests/unit/node/traffic/gateway/gateway_fixture.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -53,7 +54,12 @@
                             .signature = "Signed",
                             .expected_target = "Expect-Target",
                             .not_run = "Not-Run",
-                            .leaving = "Leaving"};
+                            .leaving = "Leaving",
+                            .load = "Load"};
+  config.dialect.read_load =
+      [](std::string_view text) -> std::optional<StatedLoad> {
+    return text == "full" ? StatedLoad{4, 4, 4} : StatedLoad{1, 0, 4};
+  };
   config.dialect.readiness_path = "/-/ready";
   config.dialect.addresses_path = "/-/addresses";
   config.dialect.write_addresses = [](const std::vector<std::string>& addresses,
--- a/tests/unit/node/traffic/gateway/target_signal_test.cc
+++ b/tests/unit/node/traffic/gateway/target_signal_test.cc
@@ -112,4 +112,19 @@
   cr_assert_eq(resting.executions() + other.executions(), 10U);
 }
 
+// Load: a target that other gateways keep full, beside one with free slots.
+// Guards against sending both the same number of requests.
+Test(target_signal, a_target_that_states_a_full_load_gets_fewer_requests) {
+  UpstreamFake full(
+      Always(Answer(std::string(kSuccess) + "\r\nLoad: full", "done")));
+  UpstreamFake idle(
+      Always(Answer(std::string(kSuccess) + "\r\nLoad: idle", "done")));
+  GatewayFixture gateway({full.port(), idle.port()});
+  for (int i = 0; i < 30; ++i) {
+    const auto answer = gateway.Exchange(Request("POST", "/once/1", "order"));
+    cr_assert_eq(answer.status(), 200);
+  }
+  cr_assert_leq(full.executions(), 5U);
+}
+
 }  // namespace flamingoyoke
