--- a/tests/unit/node/traffic/gateway/gateway_fixture.h
+++ b/tests/unit/node/traffic/gateway/gateway_fixture.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -55,7 +56,12 @@
                             .not_run = "Not-Run",
                             .leaving = "Leaving",
                             .team_key = "Key",
-                            .team = "Team"};
+                            .team = "Team",
+                            .load = "Load"};
+  config.dialect.read_load =
+      [](std::string_view text) -> std::optional<StatedLoad> {
+    return text == "full" ? StatedLoad{4, 4, 4} : StatedLoad{1, 0, 4};
+  };
   config.dialect.readiness_path = "/-/ready";
   config.dialect.addresses_path = "/-/addresses";
   config.dialect.write_addresses = [](const std::vector<std::string>& addresses,
