Take turns between teams and routes in the gateway's queue

One queue by priority and deadline let a team with many requests delay all others, and less urgent routes starve at twice the capacity. Estimates follow; Retry-After is the time of the turn, spread over as much again.

--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -34,7 +34,7 @@
 // count as attempts because nothing was sent.
 constexpr std::uint32_t kMaxConnectFailures = 3;
 // StartQueued stops after this many queued requests found no target.
-constexpr int kMaxQueueMisses = 8;
+constexpr std::size_t kMaxQueueMisses = 8;
 // A target may end its work this long before the deadline, for the network
 // delay and for rounding the remaining time to whole milliseconds.
 constexpr Duration kDeadlineTolerance = std::chrono::milliseconds(20);
@@ -115,7 +115,10 @@
                                const PoolLimits& limits)
     : service_(std::move(service)),
       limits_(limits),
-      pool_(random, limits.floor_share) {
+      pool_(random, limits.floor_share),
+      // Not the sequence of the pool, so that refusals don't change its
+      // choices.
+      random_(random.Next()) {
   retry_budget_.Configure(limits.retry_share, limits.min_retries);
 }
 
@@ -147,8 +150,7 @@
     return;
   }
   while (!queue_.empty()) {
-    Refuse(requests_.at(std::get<RequestId>(*queue_.begin())),
-           ErrorKind::kNoTarget);
+    Refuse(requests_.at(queue_.front()), ErrorKind::kNoTarget);
   }
 }
 
@@ -174,6 +176,7 @@
   auto& active = requests_[event.request];
   active.info = event;
   active.arrived = now_;
+  queue_.OnArrived(FlowOf(active), now_);
   if (!pool_.HasUsable()) {
     Refuse(active, ErrorKind::kNoTarget);
     return;
@@ -195,7 +198,7 @@
     Refuse(active, ErrorKind::kDeadlineUnreachable);
     return;
   }
-  queue_.insert(QueueKeyOf(active));
+  Enqueue(active);
 }
 
 auto PoolDispatcher::On(const PoolRequestCancelled& event) -> void {
@@ -308,7 +311,7 @@
   // A request goes to each target at most once. Without an untried target it
   // would stay in the queue until its deadline.
   if (active.revoked || !may_run_again || !OpensInTime(active) ||
-      !CanStartInTime(active, CountAhead(active),
+      !CanStartInTime(active, PlaceOf(active),
                       SlotsFor(active.info.priority))) {
     return false;
   }
@@ -321,7 +324,7 @@
     return false;
   }
   ++counters_.retried;
-  queue_.insert(QueueKeyOf(active));
+  Enqueue(active);
   return true;
 }
 
@@ -339,17 +342,19 @@
 }
 
 auto PoolDispatcher::StartQueued() -> void {
-  int misses = 0;
-  for (auto it = queue_.begin();
-       it != queue_.end() && misses < kMaxQueueMisses;) {
-    auto& active = requests_.at(std::get<RequestId>(*it));
+  std::vector<RequestId> missed;
+  while (missed.size() < kMaxQueueMisses) {
+    const auto next = queue_.Next(missed);
+    if (!next) {
+      return;
+    }
+    auto& active = requests_.at(*next);
     const auto target = pool_.Choose(RequirementsOf(active), now_);
     if (!target) {
-      ++misses;
-      ++it;
+      missed.push_back(*next);
       continue;
     }
-    it = queue_.erase(it);
+    queue_.Erase(*next);
     Start(active, *target);
   }
 }
@@ -359,20 +364,20 @@
     return;
   }
   std::vector<RequestId> unreachable;
-  std::size_t ahead = 0;
   std::optional<std::uint32_t> last_priority;
   double slots = 0;
-  for (const auto& [priority, deadline, id] : queue_) {
-    if (last_priority != priority) {
-      last_priority = priority;
-      slots = SlotsFor(priority);
+  queue_.Visit([&](RequestId id, const FairQueue::Place& place) {
+    const auto& active = requests_.at(id);
+    if (last_priority != active.info.priority) {
+      last_priority = active.info.priority;
+      slots = SlotsFor(active.info.priority);
     }
-    if (CanStartInTime(requests_.at(id), ahead, slots)) {
-      ++ahead;
-    } else {
+    const bool is_reachable = CanStartInTime(active, place, slots);
+    if (!is_reachable) {
       unreachable.push_back(id);
     }
-  }
+    return is_reachable;
+  });
   for (const auto id : unreachable) {
     Refuse(requests_.at(id), ErrorKind::kDeadlineUnreachable);
   }
@@ -403,9 +408,9 @@
 }
 
 auto PoolDispatcher::Hedge(ActiveRequest& active) -> void {
-  const auto key = QueueKeyOf(active);
-  if (active.sent >= active.info.max_attempts || queue_.count(key) > 0 ||
-      IsTooLate(active) || !retry_budget_.HasBudget(now_)) {
+  if (active.sent >= active.info.max_attempts ||
+      queue_.Contains(active.info.request) || IsTooLate(active) ||
+      !retry_budget_.HasBudget(now_)) {
     return;
   }
   const auto target = pool_.Choose(RequirementsOf(active), now_);
@@ -419,9 +424,11 @@
 auto PoolDispatcher::Start(ActiveRequest& active, const TargetId& target)
     -> void {
   const AttemptId attempt(++last_attempt_);
-  if (active.sent == 0 && active.connect_failures == 0) {
+  const bool is_first = active.sent == 0 && active.connect_failures == 0;
+  if (is_first) {
     retry_budget_.OnFirstAttempt(now_);
   }
+  queue_.OnStarted(FlowOf(active), is_first, now_);
   ++active.sent;
   active.tried.push_back(target);
   active.running.push_back(attempt);
@@ -456,9 +463,14 @@
   } else {
     ++counters_.refused;
   }
+  ++counters_.refused_by[static_cast<std::size_t>(reported_error)];
+  // Spread, so that callers refused together don't return together.
+  const auto retry_after =
+      Scale(1 + random_.Unit(),
+            std::max(kMinRetryAfter,
+                     EstimateTurnWait(active, PlaceOf(active).ahead)));
   actions_.emplace_back(
-      RefuseRequest{active.info.request, reported_error,
-                    std::max(kMinRetryAfter, EstimateWait(active))});
+      RefuseRequest{active.info.request, reported_error, retry_after});
   Remove(active.info.request);
 }
 
@@ -467,7 +479,7 @@
   if (found == requests_.end()) {
     return;
   }
-  queue_.erase(QueueKeyOf(found->second));
+  queue_.Erase(request);
   for (const auto attempt : found->second.running) {
     const auto running = attempts_.find(attempt);
     pool_.OnEnded(running->second.target, std::nullopt, now_);
@@ -537,7 +549,13 @@
 
 auto PoolDispatcher::EstimateWait(const ActiveRequest& active) const
     -> Duration {
-  const auto ahead = CountAhead(active);
+  const auto place = PlaceOf(active);
+  const auto wait = EstimateTurnWait(active, place.ahead);
+  return place.guaranteed ? std::min(wait, *place.guaranteed) : wait;
+}
+
+auto PoolDispatcher::EstimateTurnWait(const ActiveRequest& active,
+                                      std::size_t ahead) const -> Duration {
   // More urgent requests that are yet to come delay a long wait only.
   const auto slots = SlotsFor(ahead == 0 ? 0 : active.info.priority);
   if (slots <= 0) {
@@ -552,14 +570,15 @@
   const auto before = run_shares_.ShareBefore(priority, now_);
   // The slots are shared with the other gateways.
   return static_cast<double>(pool_.UsableSlots(now_)) *
-         (1 - std::min(before, kMaxShareBefore)) /
+         (1 - std::min(before, kMaxShareBefore)) *
+         (1 - queue_.GuaranteedAfter(priority)) /
          static_cast<double>(gateways_);
 }
 
-auto PoolDispatcher::CountAhead(const ActiveRequest& active) const
-    -> std::size_t {
-  return static_cast<std::size_t>(
-      std::distance(queue_.begin(), queue_.lower_bound(QueueKeyOf(active))));
+auto PoolDispatcher::PlaceOf(const ActiveRequest& active) const
+    -> FairQueue::Place {
+  return queue_.PlaceOf(active.info.request, FlowOf(active),
+                        active.info.deadline);
 }
 
 auto PoolDispatcher::EstimateTurn(const ActiveRequest& active,
@@ -570,11 +589,12 @@
 }
 
 auto PoolDispatcher::CanStartInTime(const ActiveRequest& active,
-                                    std::size_t ahead,
+                                    const FairQueue::Place& place,
                                     double slots) const -> bool {
   // Without a usable slot the wait is unknown.
-  const auto wait =
-      slots <= 0 ? Duration::zero() : EstimateTurn(active, ahead, slots);
+  const auto turn =
+      slots <= 0 ? Duration::zero() : EstimateTurn(active, place.ahead, slots);
+  const auto wait = std::min(turn, place.guaranteed.value_or(turn));
   return wait + Scale(kMinTimeFactor, ExpectedServiceTime(active)) <=
          active.info.deadline - now_;
 }
@@ -584,8 +604,12 @@
          Scale(kMinTimeFactor, ExpectedServiceTime(active));
 }
 
-auto PoolDispatcher::QueueKeyOf(const ActiveRequest& active) -> QueueKey {
-  return {active.info.priority, active.info.deadline, active.info.request};
+auto PoolDispatcher::FlowOf(const ActiveRequest& active) -> FairQueue::FlowId {
+  return {active.info.priority, active.info.team, active.info.route};
+}
+
+auto PoolDispatcher::Enqueue(const ActiveRequest& active) -> void {
+  queue_.Insert(active.info.request, FlowOf(active), active.info.deadline);
 }
 
 }  // namespace flamingoyoke
--- a/src/decision/gateway/pool_dispatcher.h
+++ b/src/decision/gateway/pool_dispatcher.h
@@ -1,18 +1,20 @@
 #ifndef FLAMINGOYOKE_DECISION_GATEWAY_POOL_DISPATCHER_H_
 #define FLAMINGOYOKE_DECISION_GATEWAY_POOL_DISPATCHER_H_
 
+#include <array>
 #include <cstdint>
 #include <optional>
-#include <set>
-#include <tuple>
 #include <unordered_map>
 #include <vector>
 
+#include "core/error_kind.h"
 #include "core/ids.h"
+#include "core/name_table.h"
 #include "core/random.h"
 #include "core/time.h"
 #include "decision/dispatch/retry_budget.h"
 #include "decision/dispatch/service_times.h"
+#include "decision/gateway/fair_queue.h"
 #include "decision/gateway/pool_event.h"
 #include "decision/gateway/route_timeout_tracker.h"
 #include "decision/gateway/run_shares.h"
@@ -48,6 +50,8 @@
   // Answers in which a target said that it leaves, or asked for a rest.
   std::uint64_t leaving_answers = 0;
   std::uint64_t rest_answers = 0;
+  // Refused requests, also those whose outcome is not known, by error.
+  std::array<std::uint64_t, kEnumSize<ErrorKind>> refused_by = {};
 };
 
 // Schedules the requests of one service on one gateway: decides when and on
@@ -70,6 +74,7 @@
   // Returns whether the service has a target that accepts requests.
   [[nodiscard]] auto HasTargets() const -> bool { return pool_.HasUsable(); }
   [[nodiscard]] auto queued() const -> std::size_t { return queue_.size(); }
+  [[nodiscard]] auto queue() const -> const FairQueue& { return queue_; }
   [[nodiscard]] auto counters() const -> const PoolCounters& {
     return counters_;
   }
@@ -98,8 +103,6 @@
     TimePoint started;
     bool overdue = false;
   };
-  // Priority, deadline, request ID.
-  using QueueKey = std::tuple<std::uint32_t, TimePoint, RequestId>;
 
   auto On(const PoolConfigured& event) -> void;
   auto On(const PoolRequestArrived& event) -> void;
@@ -143,27 +146,33 @@
       -> TargetRequirements;
   [[nodiscard]] auto ExpectedServiceTime(const ActiveRequest& active) const
       -> Duration;
-  // Returns the estimated time until a slot is free for one more request.
+  // Returns the estimated time until a slot is free for one more request, by
+  // its turn or by the guarantee of its kind.
   [[nodiscard]] auto EstimateWait(const ActiveRequest& active) const
       -> Duration;
   // Returns this gateway's part of the usable slots that is left for requests
   // of `priority` and less urgent ones, by the recent attempts.
   [[nodiscard]] auto SlotsFor(std::uint32_t priority) const -> double;
-  // Returns the number of queued requests that start before `active`.
-  [[nodiscard]] auto CountAhead(const ActiveRequest& active) const
-      -> std::size_t;
+  // Returns the estimated time until the turn of `active`, in which the
+  // requests that were refused before it should return.
+  [[nodiscard]] auto EstimateTurnWait(const ActiveRequest& active,
+                                      std::size_t ahead) const -> Duration;
+  [[nodiscard]] auto PlaceOf(const ActiveRequest& active) const
+      -> FairQueue::Place;
   // Returns the estimated time until `started` requests have got one of
   // `slots`, of which there must be some.
   [[nodiscard]] auto EstimateTurn(const ActiveRequest& active,
                                   std::size_t started,
                                   double slots) const -> Duration;
-  // Returns whether the request can start early enough before its deadline if
-  // `ahead` requests start before it and the next slot is free at once.
+  // Returns whether the request can start early enough before its deadline in
+  // this place if the next slot is free at once.
   [[nodiscard]] auto CanStartInTime(const ActiveRequest& active,
-                                    std::size_t ahead,
+                                    const FairQueue::Place& place,
                                     double slots) const -> bool;
   [[nodiscard]] auto IsTooLate(const ActiveRequest& active) const -> bool;
-  [[nodiscard]] static auto QueueKeyOf(const ActiveRequest& active) -> QueueKey;
+  [[nodiscard]] static auto FlowOf(const ActiveRequest& active)
+      -> FairQueue::FlowId;
+  auto Enqueue(const ActiveRequest& active) -> void;
 
   const ServiceId service_;
   const PoolLimits limits_;
@@ -177,7 +186,8 @@
   std::size_t gateways_ = 1;
   std::unordered_map<RequestId, ActiveRequest> requests_;
   std::unordered_map<AttemptId, RunningAttempt> attempts_;
-  std::set<QueueKey> queue_;
+  FairQueue queue_;
+  Random random_;
   PoolCounters counters_;
   std::uint64_t last_attempt_ = 0;
   std::optional<TimePoint> last_report_;
--- a/src/node/traffic/gateway/gateway_metrics.cc
+++ b/src/node/traffic/gateway/gateway_metrics.cc
@@ -1,5 +1,6 @@
 #include "node/traffic/gateway/gateway_metrics.h"
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -66,4 +67,36 @@
   samples.back().is_counter = false;
 }
 
+auto QueueMetrics::Add(const PoolDispatcher& dispatcher) -> void {
+  for (const auto& [priority, count] : dispatcher.queue().CountByPriority()) {
+    waiting_.at(std::min<std::size_t>(priority, kPriorities - 1)) += count;
+  }
+  const auto& refused_by = dispatcher.counters().refused_by;
+  for (std::size_t i = 0; i < refused_by.size(); ++i) {
+    refused_by_.at(i) += refused_by.at(i);
+  }
+}
+
+auto QueueMetrics::AppendTo(std::vector<MetricSample>& samples) const -> void {
+  for (std::size_t i = 0; i < kPriorities; ++i) {
+    samples.push_back(
+        {.name = "flamingoyoke_gateway_waiting",
+         .help = "Requests that wait for a slot; the last priority holds all "
+                 "less urgent ones.",
+         .label_name = "priority",
+         .label_value = std::to_string(i),
+         .is_counter = false,
+         .value = static_cast<double>(waiting_.at(i))});
+  }
+  for (const auto& [kind, name] : EnumNames<ErrorKind>::kTable) {
+    if (const auto count = refused_by_.at(static_cast<std::size_t>(kind))) {
+      samples.push_back({.name = "flamingoyoke_gateway_refused_by_total",
+                         .help = "Requests that services refused, by reason.",
+                         .label_name = "reason",
+                         .label_value = std::string(name),
+                         .value = static_cast<double>(count)});
+    }
+  }
+}
+
 }  // namespace flamingoyoke
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -564,9 +564,12 @@
   }
   descriptor_watch_.AppendTo(server_->part(), target_connections_,
                              metrics.samples);
+  QueueMetrics queues;
   for (const auto& [id, runner] : services_) {
     AddServiceSamples(id, runner->dispatcher(), last_report_, metrics.samples);
+    queues.Add(runner->dispatcher());
   }
+  queues.AppendTo(metrics.samples);
   outbox_.telemetry.Post(std::move(metrics));
 }
 
