Count peer messages by kind and by failure domain of the peer

The mesh task counted all bytes in one number, so that nobody could say which messages grow with the fleet. It now counts messages and bytes sent and received by kind (PeerMessageKind) and by link class (LinkClass) and logs what came in five seconds.

--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -666,7 +666,11 @@
   if (endpoints != reported_endpoints_) {
     // Must precede messages to new peers, which need a connection.
     reported_endpoints_ = endpoints;
-    actions.emplace_back(PeersSelected{std::move(endpoints)});
+    std::map<VmId, LinkClass> links;
+    for (const auto& [vm, endpoint] : endpoints) {
+      links.emplace(vm, LinkClassOf(self_, list_.Find(vm)->member));
+    }
+    actions.emplace_back(PeersSelected{std::move(endpoints), std::move(links)});
   }
   std::move(actions_.begin(), actions_.end(), std::back_inserter(actions));
   actions_.clear();
--- a/src/decision/fleet/membership_event.h
+++ b/src/decision/fleet/membership_event.h
@@ -9,6 +9,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "decision/fleet/link_class.h"
 #include "decision/fleet/member.h"
 #include "decision/peer/peer_message.h"
 
@@ -72,6 +73,7 @@
 // The peers to keep connections to, with their mesh addresses.
 struct PeersSelected {
   std::map<VmId, std::string> endpoints;
+  std::map<VmId, LinkClass> links = {};
 };
 
 // No heartbeat gets through to `peer` or back: replace the connection to it, in
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -256,7 +256,7 @@
 }
 
 auto FleetTask::Execute(const PeersSelected& action) -> void {
-  outlets_.mesh.Post(PeerEndpointsChanged{action.endpoints});
+  outlets_.mesh.Post(PeerEndpointsChanged{action.endpoints, action.links});
 }
 
 auto FleetTask::Execute(const ReopenLink& action) -> void {
--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -4,9 +4,11 @@
 #include <zmq.h>
 
 #include <cerrno>
+#include <iterator>
 #include <string>
 #include <type_traits>
 #include <utility>
+#include <vector>
 
 #include "core/overloaded.h"
 #include "node/control/mesh/socket_options.h"
@@ -125,6 +127,8 @@
   }
   ++counts_.sent_messages;
   counts_.sent_bytes += bytes.size();
+  traffic_.Add(TrafficDirection::kSent, KindOf(order.message),
+               LinkTo(order.peer), bytes.size());
 }
 
 auto MeshTask::UpdatePeers(const PeerEndpointsChanged& change) -> void {
@@ -139,6 +143,7 @@
     return true;
   });
   endpoints_ = change.endpoints;
+  links_ = change.links;
   for (const auto& [vm, endpoint] : endpoints_) {
     if (!peers_.contains(vm)) {
       Connect(vm, endpoint);
@@ -210,9 +215,16 @@
     Log(Part::kMesh, LogLevel::kWarning, "dropped a malformed peer message");
     return;
   }
+  traffic_.Add(TrafficDirection::kReceived, KindOf(envelope->message),
+               LinkTo(envelope->sender), bytes.size());
   Deliver(std::move(*envelope));
 }
 
+auto MeshTask::LinkTo(const VmId& vm) const -> LinkClass {
+  const auto found = links_.find(vm);
+  return found == links_.end() ? LinkClass::kUnknown : found->second;
+}
+
 auto MeshTask::Deliver(PeerEnvelope envelope) -> void {
   const auto is_for_fleet = std::visit(
       []<typename T>(const T&) { return kIsForFleet<T>; }, envelope.message);
@@ -226,34 +238,38 @@
 auto MeshTask::ReportMetrics() -> void {
   const auto refused =
       authenticator_ ? authenticator_->refused_count() : std::uint64_t{0};
+  if (const auto summary = traffic_.TakeSummary(); !summary.empty()) {
+    Log(Part::kMesh, LogLevel::kInfo, "in 5 s: " + summary);
+  }
+  std::vector<MetricSample> samples = {
+      Counter("flamingoyoke_mesh_received_messages_total",
+              "Messages received from peers.", counts_.received_messages),
+      Counter("flamingoyoke_mesh_received_bytes_total",
+              "Bytes of messages received from peers.", counts_.received_bytes),
+      Counter("flamingoyoke_mesh_sent_messages_total",
+              "Messages sent to peers.", counts_.sent_messages),
+      Counter("flamingoyoke_mesh_sent_bytes_total",
+              "Bytes of messages sent to peers.", counts_.sent_bytes),
+      Counter("flamingoyoke_mesh_unsent_messages_total",
+              "Messages dropped because a peer was not connected.",
+              counts_.unsent_messages),
+      Counter("flamingoyoke_mesh_malformed_messages_total",
+              "Messages that could not be decoded.",
+              counts_.malformed_messages),
+      Counter("flamingoyoke_mesh_reconnects_total",
+              "Connections to peers reopened because they were silent.",
+              counts_.reconnects),
+      Counter("flamingoyoke_mesh_refused_peers_total",
+              "Connections refused for a wrong key.", refused),
+      {.name = "flamingoyoke_mesh_listener_paused",
+       .help = "1 while connections of peers wait for descriptors.",
+       .is_counter = false,
+       .value = listener_.is_paused() ? 1.0 : 0.0},
+  };
+  auto by_kind = traffic_.Samples();
+  std::move(by_kind.begin(), by_kind.end(), std::back_inserter(samples));
   outlets_.telemetry.Post(MetricsReported{
-      .task = std::string(ToName(Part::kMesh)),
-      .samples = {
-          Counter("flamingoyoke_mesh_received_messages_total",
-                  "Messages received from peers.", counts_.received_messages),
-          Counter("flamingoyoke_mesh_received_bytes_total",
-                  "Bytes of messages received from peers.",
-                  counts_.received_bytes),
-          Counter("flamingoyoke_mesh_sent_messages_total",
-                  "Messages sent to peers.", counts_.sent_messages),
-          Counter("flamingoyoke_mesh_sent_bytes_total",
-                  "Bytes of messages sent to peers.", counts_.sent_bytes),
-          Counter("flamingoyoke_mesh_unsent_messages_total",
-                  "Messages dropped because a peer was not connected.",
-                  counts_.unsent_messages),
-          Counter("flamingoyoke_mesh_malformed_messages_total",
-                  "Messages that could not be decoded.",
-                  counts_.malformed_messages),
-          Counter("flamingoyoke_mesh_reconnects_total",
-                  "Connections to peers reopened because they were silent.",
-                  counts_.reconnects),
-          Counter("flamingoyoke_mesh_refused_peers_total",
-                  "Connections refused for a wrong key.", refused),
-          {.name = "flamingoyoke_mesh_listener_paused",
-           .help = "1 while connections of peers wait for descriptors.",
-           .is_counter = false,
-           .value = listener_.is_paused() ? 1.0 : 0.0},
-      }});
+      .task = std::string(ToName(Part::kMesh)), .samples = std::move(samples)});
 }
 
 }  // namespace flamingoyoke
--- a/src/node/control/mesh/mesh_task.h
+++ b/src/node/control/mesh/mesh_task.h
@@ -14,6 +14,7 @@
 #include "node/control/mesh/mesh_config.h"
 #include "node/control/mesh/peer_listener.h"
 #include "node/control/mesh/peer_socket.h"
+#include "node/control/mesh/traffic_counts.h"
 #include "node/messages.h"
 #include "runtime/task.h"
 
@@ -66,6 +67,7 @@
   auto ReceiveBatch() -> void;
   auto Receive(std::string_view bytes) -> void;
   auto Deliver(PeerEnvelope envelope) -> void;
+  [[nodiscard]] auto LinkTo(const VmId& vm) const -> LinkClass;
   auto ReportMetrics() -> void;
 
   MeshConfig config_;
@@ -79,8 +81,10 @@
   // The peers to be connected to. One that the system refused a socket for has
   // none in `peers_` until its link is reopened.
   std::map<VmId, std::string> endpoints_;
+  std::map<VmId, LinkClass> links_;
   std::map<VmId, std::unique_ptr<PeerSocket>> peers_;
   MessageCounts counts_;
+  TrafficCounts traffic_;
   EventLoop::Handle receive_watch_;
   EventLoop::Handle receive_timer_;
   EventLoop::Handle metrics_timer_;
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -11,6 +11,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "decision/fleet/fleet_view.h"
+#include "decision/fleet/link_class.h"
 #include "decision/fleet/member.h"
 #include "decision/fleet/table_dissemination_event.h"
 #include "decision/peer/peer_message.h"
@@ -46,6 +47,8 @@
 struct PeerEndpointsChanged {
   // Mesh address of each peer.
   std::map<VmId, std::string> endpoints;
+  // Where each peer is, for the byte counters.
+  std::map<VmId, LinkClass> links = {};
 };
 template <>
 inline constexpr MailboxPolicy kMailboxPolicy<PeerEndpointsChanged> =
@@ -203,6 +206,9 @@
   // metric has none.
   std::string label_name;
   std::string label_value;
+  // A second label with a bounded set of values. Empty if there is none.
+  std::string second_label_name;
+  std::string second_label_value;
   bool is_counter = true;
   double value = 0;
   // Upper bounds and cumulative counts of a histogram; empty for others.
--- a/src/node/observe/telemetry/metric_store.cc
+++ b/src/node/observe/telemetry/metric_store.cc
@@ -37,6 +37,10 @@
   if (!sample.label_name.empty()) {
     labels = sample.label_name + "=\"" + EscapeLabel(sample.label_value) + "\"";
   }
+  if (!sample.second_label_name.empty()) {
+    labels += (labels.empty() ? "" : ",") + sample.second_label_name + "=\"" +
+              EscapeLabel(sample.second_label_value) + "\"";
+  }
   if (!bound.empty()) {
     labels += (labels.empty() ? "le=\"" : ",le=\"") + std::string(bound) + "\"";
   }
