Pass member changes between failure domains by few VMs; prove tables current by peers

All VMs listed the whole store after all were killed, so that 300 of them waited for its rate of calls. A VM now accepts the tables of a peer that are known to be the newest since its start (TableCurrency, Heartbeat.tables_age), only the reader candidates read at once in a fleet of more than 48, and a refused page no longer starts a list anew. Changes of members cross failure domains by about 8 VMs of each domain (UpdateReceivers), the rings stay within a domain, and a view of members alone waits 8 times as long as it took.

Outcomes that change nothing for other gateways are reported each 250 ms.

decision_test fleet_start/* passes (32, 100, 300 VMs ready within 5 s in virtual time, 620 calls/s); membership/* passes.

--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -8,6 +8,7 @@
 #include "core/overloaded.h"
 #include "decision/fleet/membership_timing.h"
 #include "decision/fleet/peer_selection.h"
+#include "decision/fleet/rendezvous.h"
 
 namespace flamingoyoke {
 namespace {
@@ -151,6 +152,7 @@
 
 auto Membership::Handle(const SourceConfirmed& event, TimePoint now) -> void {
   source_ = event.newest;
+  tables_age_ = event.tables_age;
   source_set_ = now;
   if (!event.announce) {
     return;
@@ -364,10 +366,17 @@
       accepted.liveness = Liveness::kSuspect;
     }
   }
+  const auto* known = list_.Find(report.id);
+  const bool was_doubted =
+      known != nullptr && (known->refutation_deadline ||
+                           ((known->member.liveness == Liveness::kDead ||
+                             known->member.liveness == Liveness::kSuspect) &&
+                            known->member.incarnation == report.incarnation));
+  const bool is_urgent = was_doubted || report.liveness != Liveness::kAlive;
   VmId replaced;
   const auto result = list_.Merge(accepted, now, replaced);
   if (result == MergeResult::kUpdated) {
-    update_dissemination_.AddChange(report.id, sender, now);
+    update_dissemination_.AddChange(report.id, sender, now, is_urgent);
   }
   if (result == MergeResult::kUnchanged) {
     update_dissemination_.MarkKnownBy(report.id, sender);
@@ -403,7 +412,7 @@
       report.version == self_.version && report.liveness == Liveness::kAlive;
   if (!is_same) {
     self_.version = report.version;
-    AnnounceSelf(now);
+    AnnounceSelf(now, /*is_urgent=*/true);
   }
 }
 
@@ -496,7 +505,7 @@
   }
   if (silence >= limits.dead) {
     list_.SetLiveness(vm, Liveness::kDead, now);
-    update_dissemination_.AddChange(vm, {}, now);
+    update_dissemination_.AddChange(vm, {}, now, /*is_urgent=*/true);
     return;
   }
   list_.SetLiveness(vm, Liveness::kSuspect, now);
@@ -599,6 +608,9 @@
   if (heartbeat.source) {
     heartbeat.source->age += now - source_set_;
   }
+  if (tables_age_) {
+    heartbeat.tables_age = *tables_age_ + (now - source_set_);
+  }
   Send(peer, std::move(heartbeat));
 }
 
@@ -620,10 +632,18 @@
 
 auto Membership::DisseminateUpdates() -> void {
   const auto changes = update_dissemination_.TakeChanges();
+  const auto links = UpdateLinks();
+  std::map<VmId, std::set<VmId>> receivers;
+  for (const auto& [vm, change] : changes) {
+    if (!change.is_urgent) {
+      receivers[vm] = UpdateReceivers(OriginOf(vm, change.is_first), links);
+    }
+  }
   for (const auto& [peer, link] : links_.links()) {
     std::vector<Member> reports;
-    for (const auto& [vm, known_by] : changes) {
-      if (vm == peer || known_by.count(peer) > 0) {
+    for (const auto& [vm, change] : changes) {
+      if (vm == peer || change.known_by.count(peer) > 0 ||
+          (!change.is_urgent && !receivers[vm].contains(peer))) {
         continue;
       }
       if (vm == self_.id) {
@@ -638,9 +658,33 @@
   }
 }
 
-auto Membership::AnnounceSelf(TimePoint now) -> void {
+auto Membership::UpdateLinks() const -> std::vector<UpdateLink> {
+  std::vector<UpdateLink> links;
+  for (const auto& [vm, link] : links_.links()) {
+    UpdateLink each{vm};
+    if (const auto* record = list_.Find(vm)) {
+      const auto& peer = record->member;
+      each.link = LinkClassOf(self_, peer);
+      each.group = each.link == LinkClass::kOtherRegion
+                       ? HashOf("region " + peer.region.value())
+                       : HashOf("domain " + peer.failure_domain.value());
+    }
+    links.push_back(std::move(each));
+  }
+  return links;
+}
+
+auto Membership::OriginOf(const VmId& vm, bool is_first) const -> UpdateOrigin {
+  const auto* record = vm == self_.id ? nullptr : list_.Find(vm);
+  const auto& member = record == nullptr ? self_ : record->member;
+  return {RendezvousScore(HashOf(vm.value()),
+                          member.version + member.incarnation.value()),
+          HashOf(self_.id.value()), domain_size_, is_first};
+}
+
+auto Membership::AnnounceSelf(TimePoint now, bool is_urgent) -> void {
   ++self_.version;
-  update_dissemination_.AddChange(self_.id, {}, now);
+  update_dissemination_.AddChange(self_.id, {}, now, is_urgent);
 }
 
 auto Membership::ReselectPeers(TimePoint now) -> void {
@@ -648,6 +692,12 @@
   selection_is_stale_ = false;
   links_.Choose(SelectPeers(self_, list_.records(), home_peers_), home_peers_,
                 now);
+  domain_size_ = 1;
+  for (const auto& [vm, record] : list_.records()) {
+    const bool is_near =
+        LinkClassOf(self_, record.member) == LinkClass::kSameDomain;
+    domain_size_ += is_near && IsPresent(record) ? 1 : 0;
+  }
 }
 
 auto Membership::CollectActions(TimePoint now)
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -18,6 +18,7 @@
 #include "decision/fleet/peer_links.h"
 #include "decision/fleet/pending_indirect_probes.h"
 #include "decision/fleet/update_dissemination.h"
+#include "decision/fleet/update_receivers.h"
 #include "decision/peer/peer_message.h"
 
 namespace flamingoyoke {
@@ -104,7 +105,10 @@
                    const std::vector<Member>& members,
                    MemberUpdate last) -> void;
   auto DisseminateUpdates() -> void;
-  auto AnnounceSelf(TimePoint now) -> void;
+  [[nodiscard]] auto UpdateLinks() const -> std::vector<UpdateLink>;
+  [[nodiscard]] auto OriginOf(const VmId& vm, bool is_first) const
+      -> UpdateOrigin;
+  auto AnnounceSelf(TimePoint now, bool is_urgent = false) -> void;
 
   auto AcceptsDeathReportsFrom(const VmId& sender, TimePoint now) -> bool;
   auto ReselectPeers(TimePoint now) -> void;
@@ -120,6 +124,8 @@
   std::vector<TableDigest> tables_;
   // For heartbeats: the newest confirmation, and when it had its age.
   std::optional<SourceConfirmation> source_;
+  std::optional<Duration> tables_age_;
+  // When both were set.
   TimePoint source_set_;
 
   std::uint64_t ticks_ = 0;
@@ -140,6 +146,8 @@
   // State that the last actions reported.
   std::uint64_t reported_changes_ = 0;
   std::uint64_t selected_presence_changes_ = 0;
+  // Number of present VMs in the failure domain of this VM, itself included.
+  std::size_t domain_size_ = 1;
   bool selection_is_stale_ = false;
   std::map<VmId, std::string> reported_endpoints_;
   std::vector<VmId> reported_cut_off_;
--- a/src/decision/fleet/membership_event.h
+++ b/src/decision/fleet/membership_event.h
@@ -43,6 +43,8 @@
 struct SourceConfirmed {
   std::optional<SourceConfirmation> newest;
   bool announce = false;
+  // How long ago the tables in force were known to be the newest ones.
+  std::optional<Duration> tables_age = {};
 };
 
 // The other members of the home sets that this VM belongs to.
--- a/src/decision/fleet/peer_selection.cc
+++ b/src/decision/fleet/peer_selection.cc
@@ -68,10 +68,10 @@
 
 auto AddRingNeighbours(const std::string& name,
                        std::uint64_t self,
-                       const Group& region,
+                       const Group& domain,
                        PeerSelection& selection) -> void {
   Neighbours ring(HashOf("ring " + name), self);
-  for (const auto* record : region) {
+  for (const auto* record : domain) {
     ring.Consider(*record);
   }
   selection.Add(ring.after());
@@ -147,12 +147,12 @@
   }
   const auto hash = HashOf(self.id.value());
   PeerSelection selection;
-  AddRingNeighbours("one", hash, own_region, selection);
+  const auto own_domain = domains[self.failure_domain];
+  AddRingNeighbours("one", hash, own_domain, selection);
   for (const auto& vm : BestHomePeers(self, records, home_peers)) {
     selection.Add(vm);
   }
-  AddRingNeighbours("two", hash, own_region, selection);
-  const auto own_domain = domains[self.failure_domain];
+  AddRingNeighbours("two", hash, own_domain, selection);
   for (const auto& [domain, group] : domains) {
     if (domain != self.failure_domain) {
       AddCrossGroupNeighbours(self.failure_domain.value(), own_domain,
--- a/src/decision/fleet/peer_selection.h
+++ b/src/decision/fleet/peer_selection.h
@@ -13,8 +13,9 @@
 // Returns at most kMaxChosenPeers VMs for `self` to exchange heartbeats with,
 // most important first. The choice is symmetric: two nodes with the same list
 // choose each other.
-// - The neighbours on two rings of the region's VMs, ordered by two hashes,
-//   which together form a graph of small diameter.
+// - The neighbours on two rings of the failure domain's VMs, ordered by two
+//   hashes, which together form a graph of small diameter. Bytes between
+//   failure domains are billed, so that only the links below cross them.
 // - At most kMaxHomePeers of `home_peers`.
 // - For each other failure domain of the region, and for each other region, the
 //   neighbours on a ring of the VMs of both groups, if they belong to the other
--- a/src/decision/fleet/table_dissemination.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -66,7 +66,15 @@
 }
 
 auto TableDissemination::HasReadNewest() const -> bool {
-  return IsComplete() && has_read_newest_;
+  return IsComplete() && started_ && currency_.IsKnownSince(*started_);
+}
+
+auto TableDissemination::CurrencyAge(TimePoint now) const
+    -> std::optional<Duration> {
+  if (!IsComplete() || !currency_.known_at()) {
+    return std::nullopt;
+  }
+  return now - *currency_.known_at();
 }
 
 auto TableDissemination::InForce(std::uint32_t shard) const
@@ -92,6 +100,7 @@
   peers_ = event.peers;
   is_elected_ = event.is_elected;
   fleet_size_ = event.fleet_size;
+  reads_first_ = event.reads_first;
 }
 
 auto TableDissemination::Handle(const TableTextRead& event, TimePoint /*now*/)
@@ -104,16 +113,12 @@
 
 auto TableDissemination::Handle(const SourceRead& event, TimePoint /*now*/)
     -> void {
-  // A read requested before a pause may be delivered after it.
-  if (started_ && event.requested_at >= *started_) {
-    has_read_newest_ = true;
-  }
+  currency_.OnOwnRead(event.requested_at);
 }
 
 auto TableDissemination::Handle(const TableDisseminationResumed& /*event*/,
                                 TimePoint now) -> void {
   started_ = now;
-  has_read_newest_ = false;
 }
 
 auto TableDissemination::Handle(const TableChecked& event, TimePoint now)
@@ -163,6 +168,15 @@
 auto TableDissemination::HandleMessage(const VmId& sender,
                                        const Heartbeat& heartbeat,
                                        TimePoint now) -> void {
+  if (heartbeat.tables_age && heartbeat.heard_sequence != 0) {
+    // The message may have been queued for long. It was sent after the one that
+    // it acknowledges, and sequences follow the clock in milliseconds.
+    const TimePoint acknowledged(std::chrono::milliseconds(
+        static_cast<std::int64_t>(heartbeat.heard_sequence)));
+    currency_.OnClaim(heartbeat.tables,
+                      std::min(acknowledged, now) - *heartbeat.tables_age);
+    currency_.Update(Digests());
+  }
   for (const auto& digest : heartbeat.tables) {
     if (digest.shard == kAllShards) {
       HandleDigestSum(sender, digest, now);
@@ -251,6 +265,7 @@
   }
   actions_.emplace_back(TableAccepted{digest, version.text, origin});
   in_force_[digest.shard] = std::move(version);
+  currency_.Update(Digests());
   for (const auto& peer : peers_) {
     actions_.emplace_back(SendToPeer{peer, TableAnnounce{digest}});
   }
@@ -342,7 +357,9 @@
       std::max(least_jitter, Duration(static_cast<std::int64_t>(
                                  static_cast<double>(fleet_size_) *
                                  shard_count_ / kFirstReadsPerSecond * 1e6)));
-  return *started_ +
+  const bool waits_for_peers = first_read_ == FirstRead::kBeforeReady &&
+                               !reads_first_ && fleet_size_ > kMaxPromptReaders;
+  return *started_ + (waits_for_peers ? kPeerTableWait : Duration::zero()) +
          Duration(static_cast<std::int64_t>(
              first_read_offset_ * static_cast<double>(jitter.count())));
 }
--- a/src/decision/fleet/table_dissemination.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -15,6 +15,7 @@
 #include "core/name_table.h"
 #include "core/random.h"
 #include "core/time.h"
+#include "decision/fleet/table_currency.h"
 #include "decision/fleet/table_dissemination_event.h"
 #include "decision/fleet/table_pull_state.h"
 #include "decision/peer/peer_message.h"
@@ -46,6 +47,15 @@
 // of kFirstReadJitter, because callers wait for it.
 inline constexpr Duration kPromptReadJitter = std::chrono::milliseconds(240);
 
+// A fleet of this size or less can read the source at once: with 60 pages each,
+// 48 VMs take 1.4 s at 2,000 calls/s.
+inline constexpr std::size_t kMaxPromptReaders = 48;
+// In a larger fleet, VMs that are not among the first to read wait this long
+// for tables of peers that are known to be the newest ones. Reads by all VMs
+// would exceed what the source allows and delay all of them: 300 VMs with 60
+// pages each take 30 s at 620 calls/s.
+inline constexpr Duration kPeerTableWait = std::chrono::seconds(3);
+
 // When a new node reads the source of the table itself.
 enum class FirstRead {
   // Once, spread over time: the source may be stale, so peers decide.
@@ -84,8 +94,12 @@
   // Whether a version of each shard is in force.
   [[nodiscard]] auto IsComplete() const -> bool;
   // Whether this node has read the newest state of the source itself since its
-  // start or its last pause.
+  // start or its last pause, or has it from a peer that is known to have had
+  // the newest state since then.
   [[nodiscard]] auto HasReadNewest() const -> bool;
+  // How long ago the versions in force were known to be the newest ones.
+  [[nodiscard]] auto CurrencyAge(TimePoint now) const
+      -> std::optional<Duration>;
   // Whether a newer version is known to exist and is being fetched.
   [[nodiscard]] auto IsCatchingUp() const -> bool { return !pulls_.empty(); }
   // Returns the version in force of `shard`, or nothing.
@@ -151,7 +165,8 @@
   std::size_t fleet_size_ = 1;
   bool is_elected_ = false;
   bool has_read_ = false;
-  bool has_read_newest_ = false;
+  TableCurrency currency_;
+  bool reads_first_ = true;
   // Position of the first read within its jitter, 0 to 1.
   double first_read_offset_ = 0;
   // Start of the process or end of its last pause.
--- a/src/decision/fleet/table_dissemination_event.h
+++ b/src/decision/fleet/table_dissemination_event.h
@@ -28,6 +28,9 @@
   std::vector<VmId> peers;
   bool is_elected = false;
   std::size_t fleet_size = 1;
+  // Whether this VM is among the first ones that read a source which is read
+  // before callers are accepted. The others wait for peers in a large fleet.
+  bool reads_first = true;
 };
 
 // A text was read from the configuration service.
--- a/src/decision/fleet/update_dissemination.cc
+++ b/src/decision/fleet/update_dissemination.cc
@@ -38,12 +38,13 @@
 
 auto UpdateDissemination::AddChange(const VmId& vm,
                                     const VmId& from,
-                                    TimePoint now) -> void {
-  auto& known_by = known_by_[vm];
+                                    TimePoint now,
+                                    bool is_urgent) -> void {
   // Peers that reported an earlier state of the VM do not know the new one.
-  known_by.clear();
+  auto& change = changes_[vm];
+  change = {{}, from.empty(), is_urgent || change.is_urgent};
   if (!from.empty()) {
-    known_by.insert(from);
+    change.known_by.insert(from);
   }
   if (!due_) {
     due_ = now + kUpdateBatchDelay;
@@ -52,15 +53,15 @@
 
 auto UpdateDissemination::MarkKnownBy(const VmId& vm, const VmId& from)
     -> void {
-  const auto found = known_by_.find(vm);
-  if (found != known_by_.end()) {
-    found->second.insert(from);
+  const auto found = changes_.find(vm);
+  if (found != changes_.end()) {
+    found->second.known_by.insert(from);
   }
 }
 
-auto UpdateDissemination::TakeChanges() -> std::map<VmId, std::set<VmId>> {
+auto UpdateDissemination::TakeChanges() -> std::map<VmId, Change> {
   due_.reset();
-  return std::exchange(known_by_, {});
+  return std::exchange(changes_, {});
 }
 
 }  // namespace flamingoyoke
--- a/src/decision/fleet/update_dissemination.h
+++ b/src/decision/fleet/update_dissemination.h
@@ -29,18 +29,30 @@
  public:
   // Adds a change of `vm` that `from` reported; `from` is empty if this node
   // detected it.
-  auto AddChange(const VmId& vm, const VmId& from, TimePoint now) -> void;
+  auto AddChange(const VmId& vm,
+                 const VmId& from,
+                 TimePoint now,
+                 bool is_urgent = false) -> void;
   // Records that `from` already knows of a pending change.
   auto MarkKnownBy(const VmId& vm, const VmId& from) -> void;
 
   // When the pending changes are due, if there are any.
   [[nodiscard]] auto due() const -> std::optional<TimePoint> { return due_; }
 
-  // Removes and returns the pending changes with the peers that know of each.
-  auto TakeChanges() -> std::map<VmId, std::set<VmId>>;
+  struct Change {
+    // The peers that know of it.
+    std::set<VmId> known_by;
+    // Whether this node detected it.
+    bool is_first = false;
+    // Whether it is a death or its refutation, which has a deadline.
+    bool is_urgent = false;
+  };
+
+  // Removes and returns the pending changes.
+  auto TakeChanges() -> std::map<VmId, Change>;
 
  private:
-  std::map<VmId, std::set<VmId>> known_by_;
+  std::map<VmId, Change> changes_;
   std::optional<TimePoint> due_;
 };
 
--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -15,6 +15,9 @@
 // at most 200 reports per second in each direction.
 constexpr Duration kReportPeriod = std::chrono::milliseconds(20);
 constexpr Duration kReportPeriodPerPeer = std::chrono::milliseconds(5);
+// Outcomes that change nothing for other gateways, such as successes on targets
+// that this gateway owns, are reported at this interval.
+constexpr Duration kCalmReportPeriod = std::chrono::milliseconds(250);
 // Interval while nothing runs, when only the slots in use are reported again.
 constexpr Duration kIdleCheckPeriod = std::chrono::milliseconds(250);
 // An attempt is overdue after this multiple of the expected service time.
@@ -464,12 +467,17 @@
   const auto period =
       std::max(kReportPeriod,
                kReportPeriodPerPeer * static_cast<std::int64_t>(peers_.size()));
-  if (!pool_.has_unreported() ||
+  const bool is_calm_due =
+      !last_full_report_ || now_ - *last_full_report_ >= kCalmReportPeriod;
+  if (!pool_.has_unreported() || (!pool_.has_urgent() && !is_calm_due) ||
       (last_report_ && now_ - *last_report_ < period)) {
     return;
   }
   last_report_ = now_;
-  const auto unreported = pool_.TakeUnreportedOutcomes(now_);
+  if (is_calm_due) {
+    last_full_report_ = now_;
+  }
+  const auto unreported = pool_.TakeUnreportedOutcomes(now_, !is_calm_due);
   const auto requests = pool_.TakeUnreportedRequests();
   if (unreported.empty() && requests == RequestCounts()) {
     return;
--- a/src/decision/gateway/pool_dispatcher.h
+++ b/src/decision/gateway/pool_dispatcher.h
@@ -178,6 +178,8 @@
   PoolCounters counters_;
   std::uint64_t last_attempt_ = 0;
   std::optional<TimePoint> last_report_;
+  // When everything unreported was last sent.
+  std::optional<TimePoint> last_full_report_;
   std::uint64_t last_report_sequence_ = 0;
   std::optional<TimePoint> scheduled_wake_;
   std::vector<PoolAction> actions_;
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -178,6 +178,7 @@
     }
     state.owned = gateways.empty() || owned.contains(spec.id);
   }
+  has_other_owners_ = !gateways.empty();
   targets_ = std::move(kept);
   if (announced_leaving_.size() > kMaxAnnouncedLeaving + targets_.size()) {
     std::erase_if(announced_leaving_, [this](const auto& each) {
@@ -578,12 +579,18 @@
 auto TargetPool::RecordEvidence(TargetState& state,
                                 Evidence evidence,
                                 TimePoint now) -> void {
+  const bool changes_belief =
+      evidence != Evidence::kSucceeded &&
+      state.health.UnhealthyProbability(now) < kAvoidThreshold;
   state.health.Add(evidence, now);
   if (evidence == Evidence::kSucceeded) {
     state.availability.OnSucceeded(now);
   }
   CountOutcome(evidence, state.unreported);
   MarkUnreported(state);
+  if (changes_belief) {
+    MarkUrgent(state);
+  }
   const bool is_failure = evidence == Evidence::kFailed ||
                           evidence == Evidence::kBroken ||
                           evidence == Evidence::kTimedOut;
@@ -611,6 +618,7 @@
   state.availability.OnLeaving();
   announced_leaving_[target] = state.spec.started_ms;
   MarkUnreported(state);
+  MarkUrgent(state);
 }
 
 auto TargetPool::OnRest(const TargetId& target, Duration rest, TimePoint now)
@@ -626,6 +634,7 @@
                         random_.Unit() * static_cast<double>(spread.count()))),
       now);
   MarkUnreported(found->second);
+  MarkUrgent(found->second);
 }
 
 auto TargetPool::OnReplaced(const TargetId& target) -> void {
@@ -640,6 +649,7 @@
   once_trials_ = std::min(once_trials_ + kOnceTrialShare, 1.0);
   ++(served ? unreported_requests_.served : unreported_requests_.unserved);
   has_unreported_ = true;
+  has_urgent_ = has_urgent_ || !has_other_owners_;
 }
 
 auto TargetPool::OnPeerRequests(const RequestCounts& requests, TimePoint now)
@@ -704,9 +714,19 @@
 auto TargetPool::MarkUnreported(TargetState& state) -> void {
   state.has_unreported = true;
   has_unreported_ = true;
+  // The owner of a target has to know the slots that others use. Without
+  // owners, all gateways do.
+  if (!state.owned || !has_other_owners_) {
+    MarkUrgent(state);
+  }
+}
+
+auto TargetPool::MarkUrgent(TargetState& state) -> void {
+  state.is_urgent = true;
+  has_urgent_ = true;
 }
 
-auto TargetPool::TakeUnreportedOutcomes(TimePoint now)
+auto TargetPool::TakeUnreportedOutcomes(TimePoint now, bool only_urgent)
     -> std::vector<TargetOutcomes> {
   std::vector<TargetOutcomes> unreported;
   bool more = false;
@@ -714,6 +734,10 @@
     const bool repeats = state.in_flight > 0 &&
                          now - state.last_reported >= kInFlightReportPeriod;
     more = more || state.in_flight > 0;
+    if (only_urgent && !state.is_urgent) {
+      more = more || state.has_unreported;
+      continue;
+    }
     if (!state.has_unreported && !repeats) {
       continue;
     }
@@ -723,9 +747,11 @@
     unreported.push_back(state.unreported);
     state.unreported = {};
     state.has_unreported = false;
+    state.is_urgent = false;
     state.last_reported = now;
   }
   has_unreported_ = more;
+  has_urgent_ = false;
   return unreported;
 }
 
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -110,8 +110,11 @@
   auto TakeUnreportedRequests() -> RequestCounts;
 
   // Returns the outcomes since the last call, for the report to the other
-  // gateways.
-  auto TakeUnreportedOutcomes(TimePoint now) -> std::vector<TargetOutcomes>;
+  // gateways: all of them, or those that cannot wait.
+  auto TakeUnreportedOutcomes(TimePoint now, bool only_urgent = false)
+      -> std::vector<TargetOutcomes>;
+  // Whether an outcome is unreported that changes what other gateways do.
+  [[nodiscard]] auto has_urgent() const -> bool { return has_urgent_; }
   [[nodiscard]] auto has_unreported() const -> bool { return has_unreported_; }
 
   // Number of targets that this gateway owns.
@@ -158,6 +161,8 @@
     // Outcomes that are not yet reported to the other gateways.
     TargetOutcomes unreported;
     bool has_unreported = false;
+    // Whether the other gateways need these outcomes soon.
+    bool is_urgent = false;
     TimePoint last_reported;
   };
   struct Candidate {
@@ -241,6 +246,7 @@
       -> void;
   auto RecordUse(TargetState& state, TimePoint now) -> void;
   auto MarkUnreported(TargetState& state) -> void;
+  auto MarkUrgent(TargetState& state) -> void;
 
   Random random_;
   double floor_share_;
@@ -267,6 +273,9 @@
   // while few requests fail; at most 1.
   double once_trials_ = 1;
   bool has_unreported_ = false;
+  bool has_urgent_ = false;
+  // Whether other gateways own targets.
+  bool has_other_owners_ = false;
 };
 
 }  // namespace flamingoyoke
--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -60,6 +60,9 @@
   bool is_chosen = false;
   // The newest confirmation that the sender knows.
   std::optional<SourceConfirmation> source = {};
+  // How long ago `tables` were known to be the newest versions of the source;
+  // absent if that is not known.
+  std::optional<Duration> tables_age = {};
 };
 
 // Asks a peer whether it hears `subject`; the peer sends it back with `reply`
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -14,9 +14,11 @@
 namespace flamingoyoke {
 namespace {
 
-// Batches changes into one view: copying 7,100 members takes about a
-// millisecond.
-constexpr Duration kPublishDelay = std::chrono::milliseconds(10);
+// After a view of members alone, the next one waits this many times as long as
+// it took, so that the members of a large fleet that start together don't use
+// up a small processor share. Versions of the tables wait kPublishDelay only.
+constexpr int kMemberViewPause = 8;
+constexpr Duration kMaxMemberViewDelay = std::chrono::milliseconds(200);
 // Kept low because each call to the store is billed. With three readers in
 // different failure domains, two remain if one domain is partitioned.
 constexpr std::size_t kPublishedReaders = 3;
@@ -178,8 +180,10 @@
 }
 
 auto FleetTask::ShareConfirmation(bool announce) -> void {
+  const auto now = Now();
   ProcessEvent(
-      MembershipEvent(SourceConfirmed{freshness_.Newest(Now()), announce}));
+      MembershipEvent(SourceConfirmed{freshness_.Newest(now), announce,
+                                      table_dissemination_.CurrencyAge(now)}));
 }
 
 auto FleetTask::ScheduleFreshnessCheck() -> void {
@@ -264,7 +268,10 @@
 }
 
 auto FleetTask::Execute(const MembersChanged& /*action*/) -> void {
-  PublishSoon();
+  if (!publish_timer_.IsPending()) {
+    publish_timer_.Schedule(member_view_delay_);
+    is_publish_urgent_ = false;
+  }
 }
 
 auto FleetTask::Execute(const SelfSuperseded& action) -> void {
@@ -375,6 +382,12 @@
   facts.is_source_current = config_.source == ServiceSource::kPublished;
   facts.has_read_newest =
       facts.is_source_current && table_dissemination_.HasReadNewest();
+  const bool was_current =
+      std::exchange(has_newest_, table_dissemination_.HasReadNewest());
+  if (has_newest_ && !was_current) {
+    // Peers that started at the same time wait for it.
+    ShareConfirmation(true);
+  }
   facts.two_way_peers = CountTrustedPeers(now);
   const bool ready = readiness_->IsReady(facts, now) && !is_superseded_;
   const auto digests = table_dissemination_.Digests();
@@ -428,17 +441,20 @@
            std::min(kMinTwoWayPeers, membership_.list().other_count()));
   is_elected_ = knows_fleet && IsReader(members);
   const bool reads = is_elected_ || IsSubstitute(members.size());
-  ProcessEvent(TableFleetChanged{two_way_peers_, reads, members.size()});
+  ProcessEvent(TableFleetChanged{two_way_peers_, reads, members.size(),
+                                 IsReaderCandidate(members)});
 }
 
 auto FleetTask::PublishSoon() -> void {
-  if (!publish_timer_.IsPending()) {
+  if (!publish_timer_.IsPending() || !is_publish_urgent_) {
     publish_timer_.Schedule(kPublishDelay);
+    is_publish_urgent_ = true;
   }
 }
 
 auto FleetTask::Publish() -> void {
   publish_timer_.Cancel();
+  const auto begin = Now();
   auto view = std::make_shared<FleetView>();
   view->self = config_.self.id;
   view->incarnation = config_.self.incarnation;
@@ -456,6 +472,8 @@
   const std::shared_ptr<const FleetView> published = std::move(view);
   outlets_.traffic.Post(FleetViewChanged{published});
   outlets_.admin.Post(FleetViewChanged{published});
+  member_view_delay_ = std::clamp(kMemberViewPause * (Now() - begin),
+                                  kPublishDelay, kMaxMemberViewDelay);
 }
 
 auto FleetTask::FillView(const TableStore& store, FleetView& view) -> void {
@@ -514,6 +532,16 @@
   return peers;
 }
 
+auto FleetTask::IsReaderCandidate(const std::vector<Member>& members) const
+    -> bool {
+  if (config_.source == ServiceSource::kTable) {
+    return true;
+  }
+  const auto candidates = ReaderVms(members, kReaderCandidates);
+  return std::find(candidates.begin(), candidates.end(), config_.self.id) !=
+         candidates.end();
+}
+
 auto FleetTask::IsReader(const std::vector<Member>& members) const -> bool {
   if (config_.source == ServiceSource::kTable) {
     return IsElectedReader(config_.self.id, members);
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -100,6 +100,9 @@
   // Returns the VMs that share state or a role with this VM.
   [[nodiscard]] auto HomePeersOf(const FleetView& view) const -> std::set<VmId>;
   auto UpdateHomePeers(const FleetView& view) -> void;
+  // Returns whether this VM is one of the first to read the service source.
+  [[nodiscard]] auto IsReaderCandidate(const std::vector<Member>& members) const
+      -> bool;
   // Returns whether this VM reads the service source on behalf of others.
   [[nodiscard]] auto IsReader(const std::vector<Member>& members) const -> bool;
   // Returns whether this VM reads the published store in place of lost readers.
@@ -110,6 +113,10 @@
   [[nodiscard]] auto ActiveEra() const -> StoreEra;
   auto ReportMetrics() -> void;
 
+  // Batches changes into one view: copying 7,100 members takes about a
+  // millisecond.
+  static constexpr Duration kPublishDelay = std::chrono::milliseconds(10);
+
   FleetConfig config_;
   FleetOutlets outlets_;
   FleetMemory& memory_;
@@ -140,6 +147,8 @@
   ReaderRoleSet role_;
   bool has_read_as_reader_ = false;
   bool is_elected_ = false;
+  // Whether the tables in force are known to be the newest since the start.
+  bool has_newest_ = false;
   bool is_substitute_ = false;
   std::vector<TableDigest> announced_tables_;
   std::vector<VmId> two_way_peers_;
@@ -149,6 +158,10 @@
   // the source.
   std::shared_ptr<const Registry> posted_registry_;
   Revision posted_routing_;
+  // Delay of a view that differs in its members only.
+  Duration member_view_delay_ = kPublishDelay;
+  // Whether the pending view must not wait for longer than kPublishDelay.
+  bool is_publish_urgent_ = false;
   std::uint64_t rejected_tables_ = 0;
   std::uint64_t pauses_ = 0;
   // Times that this VM began to read the store as a substitute.
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -16,6 +16,9 @@
 namespace {
 
 constexpr int kStatusOk = 200;
+// A list that was refused is continued for this long, half of the time for
+// which the store keeps the changes since its first page.
+constexpr Duration kMaxListTime = std::chrono::seconds(10);
 // The fleet task drains a full mailbox in its next iteration.
 constexpr Duration kPostRetryInterval = std::chrono::milliseconds(20);
 // Delay before an unanswered read is repeated on a new connection.
@@ -160,7 +163,10 @@
     return;
   }
   is_reading_ = true;
-  requested_at_ = Now();
+  if (watch_after_ != 0 || list_cursor_.empty()) {
+    // The pages of a list that is continued were read since the first request.
+    requested_at_ = Now();
+  }
   if (watch_after_ == 0) {
     RequestList();
     return;
@@ -218,14 +224,20 @@
       return;
     }
   }
+  if (!page && response.outcome == ReadOutcome::kAnswered) {
+    // The pages before stay: while the store refuses calls above its rate, a
+    // list from the beginning would never get through. The watch after it
+    // starts at the revision of the first page.
+    if (Now() - requested_at_ > kMaxListTime) {
+      DiscardList();
+    }
+    OnReadFailed("list request failed " + DescribeFailure(response));
+    return;
+  }
   if (!page) {
     list_cursor_.clear();
     list_targets_.clear();
-    if (response.outcome != ReadOutcome::kAnswered) {
-      OnUnanswered("list", response.outcome);
-      return;
-    }
-    OnReadFailed("list request failed " + DescribeFailure(response));
+    OnUnanswered("list", response.outcome);
     return;
   }
   if (list_cursor_.empty()) {
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -102,6 +102,9 @@
         source.sequence(),     std::chrono::milliseconds(source.age_ms()),
         source.is_elected(),   StoreEra(source.era())};
   }
+  if (encoded.has_tables_age_ms()) {
+    message.tables_age = std::chrono::milliseconds(encoded.tables_age_ms());
+  }
   return message;
 }
 
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -86,6 +86,9 @@
     source->set_is_elected(message.source->is_elected);
     source->set_era(message.source->era.value());
   }
+  if (message.tables_age) {
+    encoded->set_tables_age_ms(ToWireMilliseconds(*message.tables_age));
+  }
 }
 
 auto BodyWriter::operator()(const IndirectProbe& message) const -> void {
--- a/tests/unit/decision/fleet/fake_fleet.h
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -48,6 +48,13 @@
   // Whether the source is a published store, which always returns its newest
   // table and which only readers read.
   bool is_published = false;
+  // Calls that one read of a published store takes, and the number of calls
+  // that the store answers per second; 0 if it answers all. Calls above it are
+  // refused and repeated.
+  std::size_t store_pages = 1;
+  std::uint64_t store_calls_per_second = 0;
+  // Number of VMs that a starting VM knows; 0 if it knows all.
+  std::size_t seeds = 0;
   // Maximum age of the view of a published store; zero leaves the readers that
   // the fleet elects alone to read it. If set, readers are elected as for a
   // published store.
@@ -64,6 +71,8 @@
     std::uint64_t sent_messages = 0;
     std::uint64_t received_bytes = 0;
     std::uint64_t reads = 0;
+    // Bytes sent to VMs of other failure domains.
+    std::uint64_t cross_domain_bytes = 0;
     std::uint64_t rejected_tables = 0;
     std::uint64_t reopened_links = 0;
   };
@@ -76,6 +85,10 @@
     std::optional<SourceFreshness> freshness;
     bool has_read_as_reader = false;
     bool is_elected = false;
+    bool has_newest = false;
+    // Pages of the source that were read so far.
+    std::size_t pages = 0;
+    TimePoint read_started;
     bool is_freshness_check_pending = false;
     HomeIndex homes;
     bool is_running = false;
@@ -173,6 +186,8 @@
     node.counters = counters;
     node.started = now_;
     node.ready_at.reset();
+    node.pages = 0;
+    node.has_newest = false;
     by_address_[node.self.mesh_address] = index;
     Dispatch(index, MembershipStarted{});
     Dispatch(index, TableDisseminationStarted{});
@@ -373,6 +388,9 @@
       return;
     }
     const auto to = found->second;
+    if (node.self.failure_domain != nodes_[to].self.failure_domain) {
+      node.counters.cross_domain_bytes += framed;
+    }
     if ((links_ && !links_(index, to)) || silent_.contains({index, to}) ||
         random_.Unit() < options_.loss) {
       return;
@@ -466,10 +484,49 @@
   auto ReadList(std::size_t index) -> void {
     ++nodes_[index].counters.reads;
     nodes_[index].has_list = true;
-    Dispatch(index, VmListSeeded{list_});
+    const auto known = options_.seeds == 0
+                           ? list_.size()
+                           : std::min(options_.seeds, list_.size());
+    const auto end = list_.begin() + static_cast<std::ptrdiff_t>(known);
+    Dispatch(index, VmListSeeded{{list_.begin(), end}});
+  }
+  // Returns whether the store answers one more call within this second.
+  auto TakeStoreCall() -> bool {
+    if (options_.store_calls_per_second == 0) {
+      return true;
+    }
+    if (now_ - store_second_ >= std::chrono::seconds(1)) {
+      store_second_ = now_;
+      store_calls_ = 0;
+    }
+    return ++store_calls_ <= options_.store_calls_per_second;
   }
   auto Read(std::size_t index) -> void {
-    ++nodes_[index].counters.reads;
+    auto& node = nodes_[index];
+    ++node.counters.reads;
+    if (node.pages == 0) {
+      node.read_started = now_;
+    }
+    if (!TakeStoreCall()) {
+      Schedule(index, kReadRetryPeriod + Milliseconds(random_.Below(250)),
+               [this, index] { ReadAgain(index); });
+      return;
+    }
+    if (++node.pages < options_.store_pages) {
+      Schedule(index, Milliseconds(4), [this, index] { ReadAgain(index); });
+      return;
+    }
+    node.pages = 0;
+    FinishRead(index);
+  }
+  auto ReadAgain(std::size_t index) -> void {
+    if (nodes_[index].is_reader) {
+      Read(index);
+    } else {
+      nodes_[index].pages = 0;
+    }
+  }
+  auto FinishRead(std::size_t index) -> void {
     if (published_ == Revision() || (service_ && !service_(index))) {
       if (options_.is_published && nodes_[index].is_reader) {
         Schedule(index, kReadRetryPeriod, [this, index] { Read(index); });
@@ -480,7 +537,7 @@
     text += std::to_string(published_.value());
     Dispatch(index, TableTextRead{0, published_, std::move(text)});
     if (options_.is_published) {
-      Dispatch(index, SourceRead{now_});
+      Dispatch(index, SourceRead{nodes_[index].read_started});
       nodes_[index].has_read_as_reader = nodes_[index].is_reader;
       UpdateFreshness(index);
       Announce(index);
@@ -511,7 +568,22 @@
       node.freshness->SetFleetSize(members.size());
       reads = node.freshness->ShouldRead(now_) || reads;
     }
-    Dispatch(index, TableFleetChanged{node.two_way, reads, members.size()});
+    Dispatch(index, TableFleetChanged{node.two_way, reads, members.size(),
+                                      ReadsFirst(node, members)});
+  }
+  [[nodiscard]] auto ReadsFirst(const Node& node,
+                                const std::vector<Member>& members) const
+      -> bool {
+    constexpr std::size_t kReaderCandidates = 8;
+    const auto first = ReaderVms(members, kReaderCandidates);
+    return !options_.is_published ||
+           std::find(first.begin(), first.end(), node.self.id) != first.end();
+  }
+  [[nodiscard]] auto CurrencyAge(std::size_t index) const
+      -> std::optional<Duration> {
+    return options_.is_published
+               ? nodes_[index].table_dissemination->CurrencyAge(now_)
+               : std::nullopt;
   }
   auto IsReader(const Node& node, const std::vector<Member>& members) const
       -> bool {
@@ -534,7 +606,8 @@
       node.freshness->OnFollowing(node.is_elected, StoreEra(), now_);
     }
     Dispatch(index, SourceConfirmed{node.freshness->Newest(now_),
-                                    node.freshness->TakeAnnouncementDue()});
+                                    node.freshness->TakeAnnouncementDue(),
+                                    CurrencyAge(index)});
     CheckFreshnessAt(index, node.freshness->due());
   }
   auto CheckFreshnessAt(std::size_t index, TimePoint at) -> void {
@@ -562,6 +635,14 @@
     facts.is_source_current = options_.is_published;
     facts.has_read_newest =
         options_.is_published && node.table_dissemination->HasReadNewest();
+    if (std::exchange(node.has_newest, facts.has_read_newest) !=
+            facts.has_read_newest &&
+        facts.has_read_newest) {
+      Dispatch(index,
+               SourceConfirmed{
+                   node.freshness ? node.freshness->Newest(now_) : std::nullopt,
+                   true, CurrencyAge(index)});
+    }
     facts.two_way_peers = CountTrustedPeers(node);
     const bool ready = node.gate->IsReady(facts, now_);
     const auto digests = node.table_dissemination->Digests();
@@ -632,6 +713,8 @@
   LinkFilter links_;
   std::set<std::pair<std::size_t, std::size_t>> silent_;
   ServiceFilter service_;
+  TimePoint store_second_;
+  std::uint64_t store_calls_ = 0;
   Revision published_;
   bool valid_ = true;
 };
