--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -239,7 +239,7 @@
   const auto refused =
       authenticator_ ? authenticator_->refused_count() : std::uint64_t{0};
   if (const auto summary = traffic_.TakeSummary(); !summary.empty()) {
-    Log(Part::kMesh, LogLevel::kInfo, "in 5 s: " + summary);
+    Log(Part::kMesh, LogLevel::kDebug, "in 5 s: " + summary);
   }
   std::vector<MetricSample> samples = {
       Counter("flamingoyoke_mesh_received_messages_total",
--- a/tests/unit/wire/peer_codec_test.cc
+++ b/tests/unit/wire/peer_codec_test.cc
@@ -39,7 +39,15 @@
   const ServiceId service("orders");
   const TargetId target("127.0.0.1:9");
   return {
-      Heartbeat{5, 4, true, true, {{1, Revision(2), 3}}, 6, true, kSource},
+      Heartbeat{5,
+                4,
+                true,
+                true,
+                {{1, Revision(2), 3}},
+                6,
+                true,
+                kSource,
+                milliseconds(40)},
       IndirectProbe{VmId("b"), Incarnation(3), true, false},
       MemberUpdate{{Member{.id = VmId("c"), .version = 3}}, true, {1, 2}},
       TableAnnounce{{1, Revision(2), 3, StoreEra(4)}},
@@ -87,6 +95,7 @@
   cr_assert_eq(heartbeat.heard_sequence, 4);
   cr_assert(heartbeat.tables.front() == (TableDigest{1, Revision(2), 3}));
   cr_assert(heartbeat.source == kSource);
+  cr_assert(heartbeat.tables_age == milliseconds(40));
   const auto announce = std::get<TableAnnounce>(RoundTrip(AllMessages()[3]));
   cr_assert(announce.digest == (TableDigest{1, Revision(2), 3, StoreEra(4)}));
   const auto pull = std::get<TablePull>(RoundTrip(AllMessages()[4]));
