--- a/src/decision/fleet/membership_event.h
+++ b/src/decision/fleet/membership_event.h
@@ -9,6 +9,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "decision/fleet/link_class.h"
 #include "decision/fleet/member.h"
 #include "decision/peer/peer_message.h"
 
@@ -42,6 +43,8 @@
 struct SourceConfirmed {
   std::optional<SourceConfirmation> newest;
   bool announce = false;
+  // How long ago the tables in force were known to be the newest ones.
+  std::optional<Duration> tables_age = {};
 };
 
 // The other members of the home sets that this VM belongs to.
@@ -76,6 +79,7 @@
 // The peers to keep connections to, with their mesh addresses.
 struct PeersSelected {
   std::map<VmId, std::string> endpoints;
+  std::map<VmId, LinkClass> links = {};
 };
 
 // No heartbeat gets through to `peer` or back: replace the connection to it, in
