Report a replaced target to the other gateways

Cause: after the address of a target went to another process, each gateway sent a request to find out; each of them used up a part of the retry budget (users' trace: 421, then 503). Change: the first gateway reports the target as avoided at once. Result: a test in target_pool_test that fails without the change; not built yet.

--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -786,8 +786,10 @@
 
 auto TargetPool::OnReplaced(const TargetId& target) -> void {
   const auto found = targets_.find(target);
-  if (found != targets_.end()) {
+  if (found != targets_.end() && !found->second.replaced) {
     found->second.replaced = true;
+    MarkUnreported(found->second);
+    MarkUrgent(found->second);
   }
 }
 
@@ -890,7 +892,11 @@
     }
     state.unreported.target = id;
     state.unreported.in_flight = state.in_flight;
-    state.unreported.avoid = state.availability.AvoidTime(now);
+    // Otherwise each gateway would send a request to find out that another
+    // process has the address.
+    state.unreported.avoid = state.replaced
+                                 ? TargetAvailability::kMaxReportedTime
+                                 : state.availability.AvoidTime(now);
     unreported.push_back(state.unreported);
     state.unreported = {};
     state.has_unreported = false;
--- a/tests/unit/decision/gateway/target_pool_test.cc
+++ b/tests/unit/decision/gateway/target_pool_test.cc
@@ -48,6 +48,22 @@
 
 }  // namespace
 
+// Guards against one refused request from each gateway after the address of a
+// target went to another process: the first gateway tells the others.
+Test(target_pool, reports_a_replaced_target_to_the_other_gateways) {
+  const auto targets = MakeTargets(2);
+  auto pool = MakePool(targets);
+  pool.OnStarted(MakeTargetId(0), kStart);
+  pool.OnEnded(MakeTargetId(0), std::nullopt, kStart);
+  pool.OnReplaced(MakeTargetId(0));
+  auto other = MakePool(targets);
+  other.OnPeerReport(VmId("b"), pool.TakeUnreportedOutcomes(kStart, true),
+                     kStart, 1);
+  for (int i = 0; i < 4; ++i) {
+    cr_assert(other.Choose({}, kStart) == MakeTargetId(1));
+  }
+}
+
 // Guards against new requests for a target that announced that it is leaving.
 Test(target_pool, sends_nothing_to_a_leaving_target) {
   auto targets = MakeTargets(2);
