Notice the end of a team's requests by its average rate at the gateway

A gateway used for one second took 2 s to notice that callers had moved on, as the gap was compared with an average that starts at zero.

--- a/src/decision/quota/demand_estimate.cc
+++ b/src/decision/quota/demand_estimate.cc
@@ -29,11 +29,12 @@
   const auto fast = fast_ * std::exp(-gap / kFastSeconds);
   // The average starts at zero, so it is low at first.
   const auto filled =
-      1 - std::exp(-std::max(ToSeconds(now - since_), 0.5) / kSlowSeconds);
-  const auto slow = slow_ * std::exp(-gap / kSlowSeconds) / filled;
+      1 - std::exp(-std::max(ToSeconds(last_ - since_), 0.5) / kSlowSeconds);
+  const auto before = slow_ / filled;
+  const auto slow = before * std::exp(-gap / kSlowSeconds);
   const auto samples = slow_ * kSlowSeconds * std::exp(-gap / kSlowSeconds);
   if (samples < kMinDemandSamples ||
-      gap > std::max(kMinStoppedGap, stopped_gaps / slow_)) {
+      gap > std::max(kMinStoppedGap, stopped_gaps / before)) {
     return 0;
   }
   // Three standard deviations of the short average.
