--- a/tests/integration/support/gateway_figures.cc
+++ b/tests/integration/support/gateway_figures.cc
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 
@@ -25,6 +26,23 @@
       (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK)));
 }
 
+auto PeakMemoryKb(pid_t pid) -> long {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/status");
+  const std::string name = "VmHWM:";
+  for (std::string line; std::getline(file, line);) {
+    if (line.starts_with(name)) {
+      return std::stol(line.substr(name.size()));
+    }
+  }
+  return 0;
+}
+
+auto CountDescriptors(pid_t pid) -> std::size_t {
+  const std::filesystem::directory_iterator folder("/proc/" +
+                                                   std::to_string(pid) + "/fd");
+  return static_cast<std::size_t>(std::distance(begin(folder), end(folder)));
+}
+
 auto ReadMetric(PublishedStoreFleet& fleet,
                 std::size_t gateway,
                 const std::string& name) -> double {
--- a/tests/integration/support/gateway_figures.h
+++ b/tests/integration/support/gateway_figures.h
@@ -14,6 +14,12 @@
 // Processor time that `pid` has used.
 auto ProcessorTime(pid_t pid) -> std::chrono::duration<double>;
 
+// Most memory that `pid` has held so far, in kB; 0 if it doesn't run.
+auto PeakMemoryKb(pid_t pid) -> long;
+
+// Number of descriptors that `pid` has open.
+auto CountDescriptors(pid_t pid) -> std::size_t;
+
 // Returns the value of a metric without labels, or -1 if it cannot be read.
 auto ReadMetric(PublishedStoreFleet& fleet,
                 std::size_t gateway,
--- a/tests/integration/support/published_fleet.cc
+++ b/tests/integration/support/published_fleet.cc
@@ -263,7 +263,7 @@
   for (std::size_t i = 0; i < std::min(gateways_.size(), kMostSeeds); ++i) {
     seeds.push_back(AddressOf(i) + ":" + std::to_string(ports_.control));
   }
-  const nlohmann::json settings = {
+  nlohmann::json settings = {
       {"vm",
        {{"id", host},
         {"failure_domain",
@@ -283,6 +283,7 @@
         {"directory_address", at(ports_.directory)},
         {"seeds", seeds},
         {"least_entries", 2}}}};
+  settings.merge_patch(size_.settings);
   const auto path = folder_ + "/gateway-" + std::to_string(index) + ".json";
   std::ofstream(path) << settings.dump();
   auto command = launchers_[index];
@@ -299,10 +300,9 @@
 }
 
 auto PublishedStoreFleet::IsReady(std::size_t index) -> bool {
-  const auto answer =
-      http_.Send({.server = EndpointAt(AddressOf(index), ports_.ready),
-                  .target = "/flamingoyoke/ready",
-                  .timeout = std::chrono::seconds(1)});
+  const auto answer = http_.Send({.server = ReadinessOf(index),
+                                  .target = "/flamingoyoke/ready",
+                                  .timeout = std::chrono::seconds(1)});
   return answer.status == kOk;
 }
 
@@ -356,4 +356,13 @@
   return EndpointAt(AddressOf(gateway), ports_.directory);
 }
 
+auto PublishedStoreFleet::ReadinessOf(std::size_t gateway) const
+    -> NamedEndpoint {
+  return EndpointAt(AddressOf(gateway), ports_.ready);
+}
+
+auto PublishedStoreFleet::AdminOf(std::size_t gateway) const -> NamedEndpoint {
+  return EndpointAt(AddressOf(gateway), ports_.admin);
+}
+
 }  // namespace flamingoyoke::integration
--- a/tests/integration/support/published_fleet.h
+++ b/tests/integration/support/published_fleet.h
@@ -70,6 +70,8 @@
   std::size_t gateways = 3;
   std::chrono::milliseconds hard_limit = std::chrono::seconds(8);
   std::chrono::milliseconds address_ttl = std::chrono::milliseconds(500);
+  // Merged into the settings of each gateway.
+  nlohmann::json settings = nlohmann::json::object();
 };
 
 // A published store, its registered targets and the gateways that read from it,
@@ -162,6 +164,10 @@
   // Where callers connect to a gateway.
   [[nodiscard]] auto FrontOf(std::size_t gateway) const -> NamedEndpoint;
   [[nodiscard]] auto DirectoryOf(std::size_t gateway) const -> NamedEndpoint;
+  // Where readiness is asked.
+  [[nodiscard]] auto ReadinessOf(std::size_t gateway) const -> NamedEndpoint;
+  // Where operators connect.
+  [[nodiscard]] auto AdminOf(std::size_t gateway) const -> NamedEndpoint;
 
   // All addresses that a gateway listens on.
   [[nodiscard]] auto AddressesOf(std::size_t gateway) const
--- a/tests/standins/target/target_task.cc
+++ b/tests/standins/target/target_task.cc
@@ -210,8 +210,11 @@
   auto& record = log_[number];
   record.end = Now();
   record.is_sound = IsSound(mode_);
-  const auto reply = MakeReply(record.id, running.is_late);
+  auto reply = MakeReply(record.id, running.is_late);
   record.status = reply.status;
+  reply.body.append(static_cast<std::size_t>(
+                        HeaderNumber(running.exchange, "X-Answer-Bytes", 0)),
+                    'x');
   switch (mode_) {
     case TargetMode::kReset:
       running.exchange.Abort();
