Limit what operators' connections hold

Cause: the admin port took any number of connections, and evhttp read without limit ahead of the answers. The port for other vms was within the bounds before too.

--- a/src/node/observe/admin/admin_task.cc
+++ b/src/node/observe/admin/admin_task.cc
@@ -20,6 +20,8 @@
 constexpr int kIdleTimeoutSeconds = 10;
 constexpr ev_ssize_t kMaxHeaderBytes = 8 << 10;
 constexpr ev_ssize_t kMaxBodyBytes = 1 << 10;
+// Connections at a time, from the part of the control connections.
+constexpr std::size_t kMaxConnections = 24;
 
 constexpr const char* kHtml = "text/html; charset=utf-8";
 constexpr const char* kCsv = "text/csv; charset=utf-8";
@@ -83,6 +85,8 @@
   evhttp_set_timeout(server_.get(), kIdleTimeoutSeconds);
   evhttp_set_max_headers_size(server_.get(), kMaxHeaderBytes);
   evhttp_set_max_body_size(server_.get(), kMaxBodyBytes);
+  connections_.emplace(context.loop(), kMaxConnections);
+  connections_->Watch(server_.get());
   evhttp_set_gencb(
       server_.get(),
       [](evhttp_request* request, void* self) {
--- a/src/node/observe/admin/admin_task.h
+++ b/src/node/observe/admin/admin_task.h
@@ -11,6 +11,7 @@
 #include "node/accept_pause.h"
 #include "node/messages.h"
 #include "node/observe/admin/admin_config.h"
+#include "node/observe/admin/admin_connections.h"
 #include "node/observe/admin/report.h"
 #include "runtime/task.h"
 
@@ -44,6 +45,7 @@
   Report report_;
   std::string metrics_;
   std::optional<AcceptPause> accept_pause_;
+  std::optional<AdminConnections> connections_;
   std::unique_ptr<evhttp, ServerDeleter> server_;
 };
 
