Bound all that callers make a process hold; limit heads by bytes, not fields

Cause: the body budget counted the payload, while evhttp held several times of it for 1-byte chunks, and input was read ahead of unread answers without a limit. Requests with 100 or more fields were refused as malformed. At most 16 KiB are read ahead. At max_connections the request that stalled for longest gives its connection away. The scanner has no limit on fields; lookups of repeated headers and connection options are no longer quadratic. New settings caller.receive_timeout_ms and caller.write_timeout_ms.

--- a/src/node/node_config.cc
+++ b/src/node/node_config.cc
@@ -31,6 +31,11 @@
 constexpr std::uint64_t kBodyMemoryDivisor = 4;
 // Divides the memory of the VM to limit buffered answers.
 constexpr std::uint64_t kAnswerMemoryDivisor = 8;
+// Share of the memory of the VM for all that is held for callers, including
+// bodies and answers. With what the process itself takes, it stays below half
+// of the memory of the smallest VMs.
+constexpr std::uint64_t kCallerMemoryNumerator = 5;
+constexpr std::uint64_t kCallerMemoryDenominator = 16;
 constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
 
 auto FormatAddress(const NamedEndpoint& address) -> std::string {
@@ -69,7 +74,12 @@
                settings_.vm.memory_mb * kBytesPerMegabyte / kBodyMemoryDivisor);
   config.answer_memory_bytes =
       settings_.vm.memory_mb * kBytesPerMegabyte / kAnswerMemoryDivisor;
+  config.caller_memory_bytes = settings_.vm.memory_mb * kBytesPerMegabyte *
+                               kCallerMemoryNumerator /
+                               kCallerMemoryDenominator;
   config.caller_idle_timeout = settings_.caller.idle_timeout;
+  config.receive_timeout = settings_.caller.receive_timeout;
+  config.caller_write_timeout = settings_.caller.write_timeout;
   config.address_ttl = settings_.caller.address_ttl;
   config.shutdown_hard_limit = settings_.shutdown.hard_limit;
   config.trace_sample_rate = settings_.trace.sample_rate;
--- a/src/node/traffic/caller_connection.cc
+++ b/src/node/traffic/caller_connection.cc
@@ -20,7 +20,19 @@
 
 // Bytes of pipelined requests that are buffered while a response is pending.
 // Reading stops above this and resumes after the response.
-constexpr std::size_t kMaxPipelinedBytes = 64 << 10;
+constexpr std::size_t kMaxPipelinedBytes = 16 << 10;
+
+// Memory of a connection that holds nothing else: its bufferevent, evhttp's
+// objects and this one.
+constexpr std::uint64_t kConnectionBytes = 4096;
+// Memory that each header field and byte of a head takes while the request is
+// served: two copies and those of evhttp for the caller and for the target.
+constexpr std::uint64_t kBytesPerField = 512;
+constexpr std::uint64_t kBytesPerHeadByte = 5;
+// Input that counts as progress.
+constexpr std::uint64_t kProgressBytes = 4096;
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // Interval between the checks of a lingering close. The connection is closed
 // after two checks in a row that find all output acknowledged.
@@ -55,6 +67,12 @@
   return closes;
 }
 
+// Whether parsers may disagree where a request with the error starts or ends.
+auto IsAmbiguous(ErrorKind kind) -> bool {
+  return kind == ErrorKind::kMalformedRequest ||
+         kind == ErrorKind::kConflictingHeaders;
+}
+
 auto ToTimeval(Duration duration) -> timeval {
   const auto seconds = std::chrono::floor<std::chrono::seconds>(duration);
   return {.tv_sec = seconds.count(),
@@ -67,16 +85,20 @@
                                    bufferevent* bev,
                                    const CallerConnectionLimits& limits,
                                    BodyBudget& budget,
+                                   CallerMemory& memory,
                                    const Owner& owner)
     : loop_(loop),
       bev_(bev),
       limits_(limits),
       budget_(budget),
       owner_(owner),
-      scanner_(
+      memory_(memory),
+      share_(memory, [this] { GiveWay(); }),
+      input_(
           limits.request,
           [this](const ScannedHead& head) { return CheckHead(head); },
           [this](std::uint64_t bytes) { return ReserveChunk(bytes); }),
+      last_progress_(Now()),
       timer_(loop.MakeTimer([this] { OnTimer(); })) {
   evbuffer_add_cb(
       bufferevent_get_input(bev),
@@ -84,12 +106,23 @@
         static_cast<CallerConnection*>(self)->OnInput(input, *info);
       },
       this);
-  // evhttp sets its callbacks only after this constructor has returned. The
-  // event below runs after that and before any other event of the connection.
+  evbuffer_add_cb(
+      bufferevent_get_output(bev),
+      [](evbuffer*, const evbuffer_cb_info* info, void* self) {
+        static_cast<CallerConnection*>(self)->OnOutput(*info);
+      },
+      this);
+  // evhttp sets its callbacks only after this constructor has returned, and
+  // again after OnReplySent(). The event below runs after that and before any
+  // other event of the connection.
   attach_event_.reset(MakeEvent(
       loop,
       [](evutil_socket_t, short, void* self) {
-        static_cast<CallerConnection*>(self)->AttachEvhttp();
+        auto* connection = static_cast<CallerConnection*>(self);
+        connection->AttachEvhttp();
+        if (connection->reads_later_) {
+          connection->OnTimer();
+        }
       },
       this));
   event_active(attach_event_.get(), EV_TIMEOUT, 0);
@@ -103,6 +136,7 @@
       },
       this));
   timer_.Schedule(limits_.idle_timeout);
+  UpdateMemory(true);
 }
 
 CallerConnection::~CallerConnection() = default;
@@ -138,26 +172,45 @@
   if (bytes > allowance) {
     return ErrorKind::kRequestTooLarge;
   }
-  if (!budget_.CanReserve(bytes)) {
+  const auto request_bytes =
+      bytes + head.fields * kBytesPerField + head.bytes * kBytesPerHeadByte;
+  if (!CanHold(bytes, request_bytes)) {
     return ErrorKind::kBodyBudgetExhausted;
   }
-  reservations_.push_back(budget_.Reserve(bytes));
+  reservation_ = budget_.Reserve(bytes);
+  request_bytes_ = request_bytes;
   return checked;
 }
 
 auto CallerConnection::ReserveChunk(std::uint64_t bytes)
     -> std::optional<ErrorKind> {
-  if (!budget_.CanReserve(bytes)) {
+  if (!CanHold(bytes, bytes)) {
     return ErrorKind::kBodyBudgetExhausted;
   }
-  // The request that is being received is the last one.
-  reservations_.back().Grow(bytes);
+  reservation_.Grow(bytes);
+  request_bytes_ += bytes;
   return std::nullopt;
 }
 
+auto CallerConnection::CanHold(std::uint64_t body_bytes,
+                               std::uint64_t request_bytes) -> bool {
+  if (!budget_.CanReserve(body_bytes)) {
+    memory_.Reclaim(body_bytes);
+  }
+  if (!budget_.CanReserve(body_bytes)) {
+    memory_.CountTurnedAway(CallerLimit::kBodies);
+    return false;
+  }
+  if (!memory_.MakeRoom(request_bytes)) {
+    memory_.CountTurnedAway(CallerLimit::kMemory);
+    return false;
+  }
+  return true;
+}
+
 auto CallerConnection::OnInput(evbuffer* input, const evbuffer_cb_info& info)
     -> void {
-  if (info.n_added == 0) {
+  if (info.n_added == 0 || is_feeding_) {
     return;
   }
   if (rejecting_ || lingering_) {
@@ -165,48 +218,124 @@
     return;
   }
   AttachEvhttp();
-  const bool was_receiving = scanner_.in_request();
-  evbuffer_ptr position{};
-  evbuffer_ptr_set(input, &position, info.orig_size, EVBUFFER_PTR_SET);
-  auto remaining = info.n_added;
-  while (remaining > 0) {
-    evbuffer_iovec part{};
-    if (evbuffer_peek(input, -1, &position, &part, 1) < 1) {
-      break;
-    }
-    const auto size = std::min<std::size_t>(part.iov_len, remaining);
-    const auto violation = scanner_.Consume(
-        std::string_view(static_cast<const char*>(part.iov_base), size));
-    if (violation) {
-      OnViolation(*violation);
+  const bool was_receiving = receiving();
+  input_.Append(input);
+  bytes_since_progress_ += info.n_added;
+  last_input_ = Now();
+  ReadRequest();
+  if (busy_ && input_.unread_bytes() > kMaxPipelinedBytes) {
+    bufferevent_disable(bev_, EV_READ);
+  }
+  if (!busy_ && !rejecting_ && !was_receiving && receiving()) {
+    timer_.Schedule(limits_.receive_timeout);
+  }
+  const bool has_progressed = bytes_since_progress_ >= kProgressBytes;
+  if (has_progressed) {
+    bytes_since_progress_ = 0;
+  }
+  UpdateMemory(has_progressed);
+}
+
+auto CallerConnection::OnOutput(const evbuffer_cb_info& info) -> void {
+  if (connection_ != nullptr) {
+    UpdateMemory(info.n_deleted > 0);
+  }
+}
+
+auto CallerConnection::ReadRequest() -> void {
+  if (busy_) {
+    return;
+  }
+  is_reading_ = true;
+  const bool is_complete = input_.ReadRequest();
+  is_reading_ = false;
+  if (std::exchange(must_give_way_, false)) {
+    Reject(ErrorKind::kBodyBudgetExhausted);
+    return;
+  }
+  if (const auto violation = input_.violation()) {
+    if (reads_later_ && IsAmbiguous(*violation)) {
+      // The caller may take an answer for that to the request before it.
+      StartLingering();
       return;
     }
-    remaining -= size;
-    if (remaining > 0) {
-      evbuffer_ptr_set(input, &position, size, EVBUFFER_PTR_ADD);
-    }
+    Reject(*violation);
+    return;
   }
-  if (busy_ && evbuffer_get_length(input) > kMaxPipelinedBytes) {
-    bufferevent_disable(bev_, EV_READ);
+  if (input_.TakeContinue()) {
+    // evhttp cannot write while it waits for a head. All earlier responses were
+    // written, so the order is kept. A caller that does not get this sends its
+    // body after a while.
+    (void)send(bufferevent_getfd(bev_), kContinue.data(), kContinue.size(),
+               MSG_DONTWAIT | MSG_NOSIGNAL);
+  }
+  if (!is_complete) {
     return;
   }
-  if (!busy_ && !was_receiving && scanner_.in_request()) {
-    timer_.Schedule(limits_.receive_timeout);
+  busy_ = true;
+  auto* input = bufferevent_get_input(bev_);
+  const auto head = input_.TakeHead();
+  is_feeding_ = true;
+  // libevent keeps others from adding input except while it reads.
+  evbuffer_unfreeze(input, 0);
+  evbuffer_add(input, head.data(), head.size());
+  evbuffer_freeze(input, 0);
+  is_feeding_ = false;
+  // Also calls evhttp outside of a read. The callback is deferred, so it runs
+  // once if libevent calls it after this read too.
+  bufferevent_trigger(bev_, EV_READ,
+                      BEV_TRIG_IGNORE_WATERMARKS | BEV_TRIG_DEFER_CALLBACKS);
+}
+
+auto CallerConnection::UpdateMemory(bool has_progressed) -> void {
+  if (has_progressed) {
+    last_progress_ = Now();
   }
+  // evhttp enables reading whenever it sends, and the next read would come
+  // before it can be disabled. A read of one byte still detects a close.
+  const bool is_ahead = input_.unread_bytes() > kMaxPipelinedBytes;
+  bufferevent_set_max_single_read(bev_, is_ahead ? 1 : 0);
+  const auto output = pending_output_bytes();
+  const bool waits = busy_ && exchange_ != nullptr;
+  // AnswerMemory counts the output of a response that is not complete.
+  const auto held = kConnectionBytes + input_.held_bytes() + request_bytes_ +
+                    (waits ? 0 : output);
+  const bool may_give_way =
+      !lingering_ && !rejecting_ && (output > 0 || (!busy_ && receiving()));
+  share_.Set(held,
+             may_give_way ? kConnectionBytes + input_.held_bytes() +
+                                request_bytes_ + output
+                          : 0,
+             has_progressed);
 }
 
-auto CallerConnection::OnViolation(ErrorKind kind) -> void {
-  // A complete request before the violation still gets its response. The
-  // connection closes after that, and the invalid request gets no response.
-  if (busy_ || scanner_.completed() > delivered_requests_) {
+auto CallerConnection::GiveWay() -> void {
+  if (connection_ == nullptr || rejecting_ || lingering_) {
     return;
   }
-  Reject(kind);
+  memory_.CountTurnedAway(CallerLimit::kProgress);
+  if (is_reading_) {
+    must_give_way_ = true;
+    return;
+  }
+  if (busy_) {
+    ScheduleClose();
+    return;
+  }
+  Reject(ErrorKind::kBodyBudgetExhausted);
+}
+
+auto CallerConnection::stalled_since() const -> std::optional<TimePoint> {
+  const bool is_stalled = connection_ != nullptr && !is_closing_ &&
+                          !rejecting_ && !lingering_ && !busy_ &&
+                          (receiving() || delivered_requests_ == 0);
+  return is_stalled ? std::optional(last_progress_) : std::nullopt;
 }
 
 auto CallerConnection::Reject(ErrorKind kind) -> void {
   rejecting_ = true;
   DiscardInput();
+  DropRequest();
   bufferevent_setcb(
       bev_, nullptr,
       [](bufferevent*, void* self) {
@@ -229,11 +358,19 @@
   busy_ = false;
   linger_started_ = Now();
   DiscardInput();
+  DropRequest();
   bufferevent_enable(bev_, EV_READ);
   shutdown(bufferevent_getfd(bev_), SHUT_WR);
   timer_.Schedule(kLingerPeriod);
 }
 
+auto CallerConnection::DropRequest() -> void {
+  input_.Drop();
+  reservation_ = {};
+  request_bytes_ = 0;
+  UpdateMemory(false);
+}
+
 auto CallerConnection::DiscardInput() -> void {
   auto* input = bufferevent_get_input(bev_);
   const auto bytes = evbuffer_get_length(input);
@@ -263,19 +400,19 @@
   ++delivered_requests_;
   busy_ = true;
   timer_.Cancel();
-  BodyBudget::Reservation reservation;
-  if (!reservations_.empty()) {
-    reservation = std::move(reservations_.front());
-    reservations_.pop_front();
-  }
   evhttp_request_set_on_complete_cb(
       request,
       [](evhttp_request* sent, void* self) {
         static_cast<CallerConnection*>(self)->OnReplySent(sent);
       },
       this);
-  auto exchange =
-      std::make_unique<CallerExchange>(request, this, std::move(reservation));
+  auto share = std::make_unique<CallerMemory::Share>(memory_);
+  const auto request_bytes = std::exchange(request_bytes_, 0);
+  UpdateMemory(true);
+  share->Set(request_bytes);
+  auto exchange = std::make_unique<CallerExchange>(
+      request, this, input_.TakeBody(),
+      CallerExchange::Held{std::exchange(reservation_, {}), std::move(share)});
   exchange_ = exchange.get();
   WatchForDisconnect();
   return exchange;
@@ -291,7 +428,11 @@
         static_cast<CallerConnection*>(self)->Close();
       },
       this);
-  bufferevent_enable(bev_, EV_READ);
+  if (input_.unread_bytes() > kMaxPipelinedBytes) {
+    bufferevent_disable(bev_, EV_READ);
+  } else {
+    bufferevent_enable(bev_, EV_READ);
+  }
 }
 
 auto CallerConnection::Close() -> void {
@@ -306,6 +447,7 @@
 }
 
 auto CallerConnection::ScheduleClose() -> void {
+  is_closing_ = true;
   bufferevent_disable(bev_, EV_READ | EV_WRITE);
   event_active(close_event_.get(), EV_TIMEOUT, 0);
 }
@@ -332,6 +474,9 @@
     exchange->OnConnectionClosed();
   }
   busy_ = false;
+  input_.Drop();
+  reservation_ = {};
+  share_.Set(0);
   owner_.on_closed(this);
 }
 
@@ -345,8 +490,13 @@
   if (request_closes || response_closes) {
     StartLingering();
   } else {
-    timer_.Schedule(scanner_.in_request() ? limits_.receive_timeout
-                                          : limits_.idle_timeout);
+    reads_later_ = receiving();
+    if (reads_later_) {
+      // A timer would run after the next read, so that each response would let
+      // more input in than one request takes out.
+      event_active(attach_event_.get(), EV_TIMEOUT, 0);
+    }
+    timer_.Schedule(limits_.idle_timeout);
   }
   owner_.on_reply_sent(this);
 }
@@ -364,7 +514,23 @@
     Close();
     return;
   }
-  if (scanner_.in_request()) {
+  if (reads_later_) {
+    timer_.Schedule(limits_.receive_timeout);
+    ReadRequest();
+    reads_later_ = false;
+    if (busy_ && input_.unread_bytes() > kMaxPipelinedBytes) {
+      bufferevent_disable(bev_, EV_READ);
+    }
+    UpdateMemory(true);
+    return;
+  }
+  const auto silence = Now() - last_input_;
+  if (input_.in_body() && silence < limits_.receive_timeout) {
+    timer_.Schedule(limits_.receive_timeout - silence);
+    return;
+  }
+  if (receiving()) {
+    memory_.CountTurnedAway(CallerLimit::kTime);
     Reject(ErrorKind::kRequestTooSlow);
     return;
   }
@@ -372,7 +538,7 @@
 }
 
 auto CallerConnection::closes_after_reply() const -> bool {
-  return scanner_.violation().has_value() || owner_.closes_after_reply();
+  return owner_.closes_after_reply();
 }
 
 auto CallerConnection::pending_output_bytes() const -> std::size_t {
--- a/src/node/traffic/caller_connection.h
+++ b/src/node/traffic/caller_connection.h
@@ -6,7 +6,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -16,6 +15,8 @@
 #include "core/time.h"
 #include "node/traffic/body_budget.h"
 #include "node/traffic/caller_exchange.h"
+#include "node/traffic/caller_input.h"
+#include "node/traffic/caller_memory.h"
 #include "node/traffic/request_scanner.h"
 #include "runtime/event_loop.h"
 
@@ -24,13 +25,15 @@
 // Size limits and timeouts of one caller connection.
 struct CallerConnectionLimits {
   RequestScanner::Limits request;
+  // Time for the head of a request, and without a byte of its body.
   Duration receive_timeout = std::chrono::seconds(30);
   Duration idle_timeout = std::chrono::seconds(60);
   Duration write_timeout = std::chrono::seconds(30);
 };
 
-// Supervises one caller connection that evhttp serves: validates the raw input,
-// enforces timeouts and detects when the caller disconnects. evhttp owns the
+// Supervises one caller connection that evhttp serves: receives and validates
+// the requests, of which evhttp gets only the heads, enforces timeouts and the
+// memory budget, and detects when the caller disconnects. evhttp owns the
 // socket. Not thread-safe.
 class CallerConnection {
  public:
@@ -49,6 +52,7 @@
                    bufferevent* bev,
                    const CallerConnectionLimits& limits,
                    BodyBudget& budget,
+                   CallerMemory& memory,
                    const Owner& owner);
   CallerConnection(const CallerConnection&) = delete;
   auto operator=(const CallerConnection&) -> CallerConnection& = delete;
@@ -70,7 +74,10 @@
            delivered_requests_ == 0;
   }
   // Whether a request was received in part.
-  [[nodiscard]] auto receiving() const -> bool { return scanner_.in_request(); }
+  [[nodiscard]] auto receiving() const -> bool { return input_.receiving(); }
+  // Since when the caller has kept the connection without a complete request or
+  // progress; nothing while it waits for an answer or between requests.
+  [[nodiscard]] auto stalled_since() const -> std::optional<TimePoint>;
   [[nodiscard]] auto bev() const -> bufferevent* { return bev_; }
   [[nodiscard]] auto closes_after_reply() const -> bool;
   [[nodiscard]] auto pending_output_bytes() const -> std::size_t;
@@ -110,10 +117,21 @@
   auto CheckHead(const ScannedHead& head)
       -> std::variant<BodyAllowance, ErrorKind>;
   auto ReserveChunk(std::uint64_t bytes) -> std::optional<ErrorKind>;
+  // Whether a body and the memory of its request may grow so much.
+  auto CanHold(std::uint64_t body_bytes, std::uint64_t request_bytes) -> bool;
   auto OnInput(evbuffer* input, const evbuffer_cb_info& info) -> void;
-  auto OnViolation(ErrorKind kind) -> void;
+  auto OnOutput(const evbuffer_cb_info& info) -> void;
+  // Reads the next request unless one is pending, and passes its head to evhttp
+  // if it is complete.
+  auto ReadRequest() -> void;
+  // Counts what the connection holds.
+  auto UpdateMemory(bool has_progressed) -> void;
+  // Frees memory for other callers.
+  auto GiveWay() -> void;
   // Sends an error response without evhttp and closes.
   auto Reject(ErrorKind kind) -> void;
+  // Frees what is held for the request that is being received.
+  auto DropRequest() -> void;
   // Drops the received input and counts it towards the limit of a lingering
   // close.
   auto DiscardInput() -> void;
@@ -131,14 +149,31 @@
   const CallerConnectionLimits& limits_;
   BodyBudget& budget_;
   const Owner& owner_;
-  RequestScanner scanner_;
-  // Reservations of requests that evhttp has not delivered, oldest first.
-  std::deque<BodyBudget::Reservation> reservations_;
+  CallerMemory& memory_;
+  CallerMemory::Share share_;
+  CallerInput input_;
+  // Body of the request that is being received, and the memory that the request
+  // will take.
+  BodyBudget::Reservation reservation_;
+  std::uint64_t request_bytes_ = 0;
+  // Input since the last progress: single bytes are none.
+  std::uint64_t bytes_since_progress_ = 0;
+  TimePoint last_progress_;
+  TimePoint last_input_;
   Callbacks evhttp_callbacks_;
   evhttp_connection* connection_ = nullptr;
   CallerExchange* exchange_ = nullptr;
   std::uint64_t delivered_requests_ = 0;
+  // Whether a request was passed to evhttp and its response was not sent yet.
   bool busy_ = false;
+  // Whether the input changes since a head is passed to evhttp.
+  bool is_feeding_ = false;
+  // Whether a request is being read, so that its memory must stay.
+  bool is_reading_ = false;
+  bool must_give_way_ = false;
+  // Whether the timer reads what was received during the last request.
+  bool reads_later_ = false;
+  bool is_closing_ = false;
   bool rejecting_ = false;
   bool lingering_ = false;
   TimePoint linger_started_;
--- a/src/node/traffic/caller_exchange.cc
+++ b/src/node/traffic/caller_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <event2/bufferevent.h>
 
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -17,17 +18,29 @@
           CopyHeaders(evhttp_request_get_input_headers(request))};
 }
 
+// Frees the headers that were copied, but for the one that evhttp reads again.
+auto KeepConnectionHeader(evkeyvalq* headers) -> void {
+  const char* value = evhttp_find_header(headers, "Connection");
+  const auto kept = value == nullptr ? std::optional<std::string>()
+                                     : std::optional<std::string>(value);
+  evhttp_clear_headers(headers);
+  if (kept) {
+    evhttp_add_header(headers, "Connection", kept->c_str());
+  }
+}
+
 }  // namespace
 
 CallerExchange::CallerExchange(evhttp_request* request,
                                CallerConnection* connection,
-                               BodyBudget::Reservation reservation)
+                               EvbufferPtr body,
+                               Held held)
     : request_(request),
       connection_(connection),
-      reservation_(std::move(reservation)),
+      held_(std::move(held)),
       head_(CopyHead(request)),
-      body_(MakeEvbuffer()) {
-  evbuffer_add_buffer(body_.get(), evhttp_request_get_input_buffer(request));
+      body_(std::move(body)) {
+  KeepConnectionHeader(evhttp_request_get_input_headers(request));
 }
 
 CallerExchange::~CallerExchange() {
--- a/src/node/traffic/caller_exchange.h
+++ b/src/node/traffic/caller_exchange.h
@@ -6,12 +6,14 @@
 #include <array>
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
 #include "core/error_kind.h"
 #include "core/name_table.h"
 #include "node/traffic/body_budget.h"
+#include "node/traffic/caller_memory.h"
 #include "node/traffic/http_message.h"
 
 namespace flamingoyoke {
@@ -37,11 +39,18 @@
 // truncated response for a complete one. Not thread-safe.
 class CallerExchange {
  public:
+  // What is held for the request.
+  struct Held {
+    BodyBudget::Reservation reservation;
+    std::unique_ptr<CallerMemory::Share> memory;
+  };
+
   // Created by CallerConnection, which must outlive the exchange or call
   // OnConnectionClosed().
   CallerExchange(evhttp_request* request,
                  CallerConnection* connection,
-                 BodyBudget::Reservation reservation);
+                 EvbufferPtr body,
+                 Held held);
   ~CallerExchange();
   CallerExchange(const CallerExchange&) = delete;
   auto operator=(const CallerExchange&) -> CallerExchange& = delete;
@@ -88,7 +97,7 @@
 
   evhttp_request* request_;
   CallerConnection* connection_;
-  BodyBudget::Reservation reservation_;
+  Held held_;
   RequestHead head_;
   EvbufferPtr body_;
   ReplyState state_ = ReplyState::kWaiting;
--- a/src/node/traffic/caller_headers.cc
+++ b/src/node/traffic/caller_headers.cc
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <utility>
-#include <vector>
 
 #include "core/answer_table.h"
 #include "node/traffic/error_response.h"
@@ -21,8 +21,9 @@
 
 // Returns the connection options: header names listed in the Connection header,
 // which are hop-by-hop.
-auto ConnectionOptions(const HttpHeaders& headers) -> std::vector<std::string> {
-  std::vector<std::string> options;
+auto ConnectionOptions(const HttpHeaders& headers)
+    -> std::unordered_set<std::string> {
+  std::unordered_set<std::string> options;
   for (const auto& [name, value] : headers) {
     if (!EqualsIgnoringCase(name, "Connection")) {
       continue;
@@ -31,7 +32,7 @@
     while (!rest.empty()) {
       const auto item = rest.substr(0, rest.find(','));
       rest.remove_prefix(std::min(rest.size(), item.size() + 1));
-      options.push_back(ToLower(TrimSpace(item)));
+      options.insert(ToLower(TrimSpace(item)));
     }
   }
   return options;
@@ -43,11 +44,10 @@
   HttpHeaders kept;
   for (const auto& [name, value] : headers) {
     const auto lower = ToLower(name);
-    const bool dropped =
-        IsHopByHop(lower) ||
-        lower.substr(0, kReservedHeaderPrefix.size()) ==
-            kReservedHeaderPrefix ||
-        std::find(options.begin(), options.end(), lower) != options.end();
+    const bool dropped = IsHopByHop(lower) ||
+                         lower.substr(0, kReservedHeaderPrefix.size()) ==
+                             kReservedHeaderPrefix ||
+                         options.contains(lower);
     if (!dropped) {
       kept.emplace_back(name, value);
     }
--- a/src/node/traffic/caller_server.cc
+++ b/src/node/traffic/caller_server.cc
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "node/listen_error.h"
+#include "runtime/clock.h"
 
 namespace flamingoyoke {
 namespace {
@@ -18,6 +19,9 @@
     EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
     EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
+// A caller that sends nothing for so long gives its connection to another one.
+constexpr Duration kStallTime = std::chrono::seconds(1);
+
 auto PortOf(evutil_socket_t descriptor) -> std::uint16_t {
   sockaddr_storage address{};
   socklen_t size = sizeof(address);
@@ -38,11 +42,15 @@
       limits_(limits),
       handler_(std::move(handler)),
       budget_(limits.body_budget_bytes),
+      memory_(Part::kTraffic,
+              {.bytes = limits.memory_bytes},
+              handler_.other_memory),
       owner_{.check_head = handler_.check_head,
              .closes_after_reply = [this] { return closing_; },
              .on_closed = [this](CallerConnection* c) { OnClosed(c); },
              .on_reply_sent = [this](CallerConnection*) { ReportProgress(); }},
       part_(Part::kTraffic, DescriptorUse::kCallers, limits.connections),
+      close_stalled_(part_, [this] { return CloseStalled(); }),
       cleanup_timer_(loop.MakeTimer([this] { closed_.clear(); })),
       accept_pause_(loop, Part::kTraffic),
       http_(evhttp_new(loop.base())) {
@@ -129,12 +137,13 @@
     return nullptr;
   }
   auto connection = std::make_unique<CallerConnection>(
-      loop_, bev, limits_.connection, budget_, owner_);
+      loop_, bev, limits_.connection, budget_, memory_, owner_);
   auto* created = connection.get();
   const bool has_room = part_.MakeRoom();
   connections_.emplace(
       bev, OpenConnection{std::move(connection), ConnectionPart::Share(part_)});
   if (!has_room) {
+    memory_.CountTurnedAway(CallerLimit::kConnections);
     created->ScheduleClose();
     accept_pause_.PauseForIteration();
   } else if (closes_idle_) {
@@ -165,6 +174,24 @@
   ReportProgress();
 }
 
+auto CallerServer::CloseStalled() -> bool {
+  CallerConnection* longest = nullptr;
+  TimePoint since = Now() - kStallTime;
+  for (const auto& [bev, open] : connections_) {
+    const auto stalled = open.connection->stalled_since();
+    if (stalled && *stalled <= since) {
+      longest = open.connection.get();
+      since = *stalled;
+    }
+  }
+  if (longest == nullptr) {
+    return false;
+  }
+  memory_.CountTurnedAway(CallerLimit::kConnections);
+  longest->ScheduleClose();
+  return true;
+}
+
 auto CallerServer::ReportProgress() -> void {
   if (closing_) {
     handler_.on_progress();
--- a/src/node/traffic/caller_server.h
+++ b/src/node/traffic/caller_server.h
@@ -16,6 +16,7 @@
 #include "node/traffic/body_budget.h"
 #include "node/traffic/caller_connection.h"
 #include "node/traffic/caller_exchange.h"
+#include "node/traffic/caller_memory.h"
 #include "node/traffic/connection_part.h"
 #include "runtime/event_loop.h"
 
@@ -28,6 +29,8 @@
     CallerConnectionLimits connection;
     std::size_t connections = 10000;
     std::uint64_t body_budget_bytes = 64ULL << 20;
+    // Memory held for all callers, and for what `other_memory` returns.
+    std::uint64_t memory_bytes = 128ULL << 20;
   };
   struct Handler {
     // Called with each request head before the body is received.
@@ -37,6 +40,8 @@
     // Called after StartClosing() when a response was sent or a connection was
     // closed.
     std::function<void()> on_progress;
+    // Returns the memory of answers, which the limit includes. May be empty.
+    std::function<OtherMemoryHeld()> other_memory = {};
   };
 
   // `loop` must outlive the server. The server must outlive all exchanges.
@@ -69,6 +74,7 @@
   }
   // Limits the connections; its limit may be changed.
   [[nodiscard]] auto part() -> ConnectionPart& { return part_; }
+  [[nodiscard]] auto memory() const -> const CallerMemory& { return memory_; }
   [[nodiscard]] auto body_bytes() const -> std::uint64_t {
     return budget_.used();
   }
@@ -86,13 +92,18 @@
   auto OnRequest(evhttp_request* request) -> void;
   auto OnClosed(CallerConnection* connection) -> void;
   auto ReportProgress() -> void;
+  // Closes the connection that has stalled for longest. Returns false if none
+  // has for a second.
+  auto CloseStalled() -> bool;
 
   EventLoop& loop_;
   const Limits limits_;
   const Handler handler_;
   BodyBudget budget_;
+  CallerMemory memory_;
   CallerConnection::Owner owner_;
   ConnectionPart part_;
+  ConnectionPart::Registration close_stalled_;
   bool closing_ = false;
   bool closes_idle_ = false;
   std::uint16_t port_ = 0;
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -74,6 +74,7 @@
                        traffic.caller_write_timeout};
   limits.connections = traffic.caller_connections;
   limits.body_budget_bytes = traffic.body_budget_bytes;
+  limits.memory_bytes = traffic.caller_memory_bytes;
   server_ = std::make_unique<CallerServer>(
       loop, limits,
       CallerServer::Handler{
@@ -81,7 +82,11 @@
           [this](std::unique_ptr<CallerExchange> exchange) {
             OnRequest(std::move(exchange));
           },
-          [this] { stop_->ExitIfDone(); }});
+          [this] { stop_->ExitIfDone(); },
+          [this] {
+            return OtherMemoryHeld{answer_memory_.used(),
+                                   config_.traffic.answer_memory_bytes};
+          }});
   for (const auto& address : config_.status_addresses) {
     BOOST_LEAF_CHECK(server_->Listen(address.host, address.endpoint.port));
   }
@@ -504,6 +509,7 @@
          .is_counter = false,
          .value = static_cast<double>(view_->entries.size())});
   }
+  server_->memory().AppendTo(metrics.samples);
   descriptor_watch_.AppendTo(server_->part(), target_connections_,
                              metrics.samples);
   for (const auto& [id, runner] : services_) {
--- a/src/node/traffic/request_scanner.cc
+++ b/src/node/traffic/request_scanner.cc
@@ -73,14 +73,25 @@
 
 RequestScanner::RequestScanner(Limits limits,
                                HeadCheck check,
-                               ChunkCheck check_chunk)
+                               ChunkCheck check_chunk,
+                               Sink sink)
     : limits_(limits),
       check_(std::move(check)),
-      check_chunk_(std::move(check_chunk)) {}
+      check_chunk_(std::move(check_chunk)),
+      sink_(std::move(sink)) {}
 
 auto RequestScanner::Consume(std::string_view bytes)
     -> std::optional<ErrorKind> {
   while (!bytes.empty() && !violation_) {
+    ConsumeRequest(bytes);
+  }
+  return violation_;
+}
+
+auto RequestScanner::ConsumeRequest(std::string_view& bytes)
+    -> std::optional<ErrorKind> {
+  const auto before = completed_;
+  while (!bytes.empty() && !violation_ && completed_ == before) {
     in_request_ = true;
     ConsumePart(bytes);
   }
@@ -102,6 +113,9 @@
 auto RequestScanner::SkipBody(std::string_view& bytes) -> void {
   const auto taken =
       std::min<std::uint64_t>(remaining_body_bytes_, bytes.size());
+  if (sink_.on_body) {
+    sink_.on_body(bytes.substr(0, taken));
+  }
   bytes.remove_prefix(taken);
   remaining_body_bytes_ -= taken;
   if (remaining_body_bytes_ > 0) {
@@ -195,6 +209,9 @@
   head_.method = method;
   head_.target = target;
   part_ = ScanPart::kHeaders;
+  if (sink_.on_head_line) {
+    sink_.on_head_line(line);
+  }
 }
 
 auto RequestScanner::OnHeader(std::string_view line) -> void {
@@ -202,24 +219,23 @@
   // This also rejects folded lines: they start with a space, so the text before
   // the colon is not a token.
   if (colon == std::string_view::npos || !IsToken(line.substr(0, colon)) ||
-      !IsHeaderValue(line.substr(colon + 1)) ||
-      ++header_count_ > limits_.headers) {
+      !IsHeaderValue(line.substr(colon + 1))) {
     SetViolation(ErrorKind::kMalformedRequest);
     return;
   }
-  auto name = ToLower(line.substr(0, colon));
+  ++head_.fields;
+  if (sink_.on_head_line) {
+    sink_.on_head_line(line);
+  }
+  const auto name = ToLower(line.substr(0, colon));
   if (!IsSingletonHeader(name)) {
     return;
   }
-  const bool repeated =
-      std::find(seen_singletons_.begin(), seen_singletons_.end(), name) !=
-      seen_singletons_.end();
-  if (repeated) {
+  if (!seen_singletons_.insert(name).second) {
     SetViolation(ErrorKind::kConflictingHeaders);
     return;
   }
   OnFramingHeader(name, TrimSpace(line.substr(colon + 1)));
-  seen_singletons_.push_back(std::move(name));
 }
 
 auto RequestScanner::OnFramingHeader(std::string_view name,
@@ -244,8 +260,7 @@
     SetViolation(ErrorKind::kConflictingHeaders);
     return;
   }
-  if (std::find(seen_singletons_.begin(), seen_singletons_.end(), "host") ==
-      seen_singletons_.end()) {
+  if (!seen_singletons_.contains("host")) {
     SetViolation(ErrorKind::kMalformedRequest);
     return;
   }
@@ -254,6 +269,7 @@
     SetViolation(ErrorKind::kUnexpectedBody);
     return;
   }
+  head_.bytes = head_bytes_;
   const auto checked = check_(head_);
   if (const auto* kind = std::get_if<ErrorKind>(&checked)) {
     SetViolation(*kind);
@@ -302,7 +318,6 @@
   head_ = {};
   head_bytes_ = 0;
   seen_singletons_.clear();
-  header_count_ = 0;
   in_request_ = false;
   ++completed_;
 }
--- a/src/node/traffic/request_scanner.h
+++ b/src/node/traffic/request_scanner.h
@@ -8,8 +8,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_set>
 #include <variant>
-#include <vector>
 
 #include "core/error_kind.h"
 #include "core/name_table.h"
@@ -24,6 +24,9 @@
   // Not set without a Content-Length header.
   std::optional<std::uint64_t> content_length;
   bool chunked = false;
+  // Size of the head in bytes and number of its header fields.
+  std::size_t bytes = 0;
+  std::size_t fields = 0;
 };
 
 // Maximum size of a request body.
@@ -65,7 +68,13 @@
  public:
   struct Limits {
     std::size_t head_bytes = 32 << 10;
-    std::size_t headers = 100;
+  };
+  // Receives the parts of valid requests; both functions may be empty.
+  struct Sink {
+    // The request line and each header field, without the end of the line.
+    std::function<void(std::string_view line)> on_head_line;
+    // A part of the body, without the framing of chunks.
+    std::function<void(std::string_view bytes)> on_body;
   };
   // Accepts or refuses a request when its head is complete.
   using HeadCheck =
@@ -75,12 +84,19 @@
       std::function<std::optional<ErrorKind>(std::uint64_t bytes)>;
 
   // Without `check_chunk`, chunks are limited by the allowance only.
-  RequestScanner(Limits limits, HeadCheck check, ChunkCheck check_chunk = {});
+  RequestScanner(Limits limits,
+                 HeadCheck check,
+                 ChunkCheck check_chunk = {},
+                 Sink sink = {});
 
   // Scans the next bytes. After the first violation, input is ignored and every
   // call returns that violation.
   auto Consume(std::string_view bytes) -> std::optional<ErrorKind>;
 
+  // Scans the next bytes up to the end of a request at most, and removes them
+  // from the front of `bytes`. Returns the first violation.
+  auto ConsumeRequest(std::string_view& bytes) -> std::optional<ErrorKind>;
+
   // Number of requests that were received completely.
   [[nodiscard]] auto completed() const -> std::uint64_t { return completed_; }
   // Whether a request was received in part.
@@ -88,6 +104,15 @@
   [[nodiscard]] auto violation() const -> std::optional<ErrorKind> {
     return violation_;
   }
+  // Whether the head of a request was received, and its body only in part.
+  [[nodiscard]] auto in_body() const -> bool {
+    return in_request_ && part_ != ScanPart::kRequestLine &&
+           part_ != ScanPart::kHeaders;
+  }
+  // Bytes of the line that is not complete.
+  [[nodiscard]] auto held_bytes() const -> std::size_t {
+    return line_.capacity();
+  }
 
  private:
   // Consumes at least one byte from the front of `bytes`.
@@ -108,13 +133,13 @@
   const Limits limits_;
   const HeadCheck check_;
   const ChunkCheck check_chunk_;
+  const Sink sink_;
   ScanPart part_ = ScanPart::kRequestLine;
   std::string line_;
   std::size_t head_bytes_ = 0;
   ScannedHead head_;
   // Names, in lower case, of the received headers that must not be repeated.
-  std::vector<std::string> seen_singletons_;
-  std::size_t header_count_ = 0;
+  std::unordered_set<std::string> seen_singletons_;
   // Bytes of the body or chunk that were not received yet.
   std::uint64_t remaining_body_bytes_ = 0;
   std::uint64_t remaining_allowance_ = 0;
--- a/src/node/traffic/traffic_config.h
+++ b/src/node/traffic/traffic_config.h
@@ -32,7 +32,9 @@
   std::uint64_t body_budget_bytes = 64ULL << 20;
   // Maximum memory of the answers that are being received or are buffered.
   std::uint64_t answer_memory_bytes = 64ULL << 20;
-  // Maximum time from the first byte of a request to its last.
+  // Maximum memory held for callers, including that of answers.
+  std::uint64_t caller_memory_bytes = 160ULL << 20;
+  // Maximum time for the head of a request, and without a byte of its body.
   Duration receive_timeout = std::chrono::seconds(30);
   // Maximum time that a caller connection may be idle.
   Duration caller_idle_timeout = std::chrono::seconds(60);
--- a/src/node/traffic/traffic_task.cc
+++ b/src/node/traffic/traffic_task.cc
@@ -76,6 +76,7 @@
                        config_.caller_write_timeout};
   limits.connections = config_.caller_connections;
   limits.body_budget_bytes = config_.body_budget_bytes;
+  limits.memory_bytes = config_.caller_memory_bytes;
   server_ = std::make_unique<CallerServer>(
       loop, limits,
       CallerServer::Handler{
@@ -83,7 +84,11 @@
           [this](std::unique_ptr<CallerExchange> exchange) {
             OnRequest(std::move(exchange));
           },
-          [this] { stop_->ExitIfDone(); }});
+          [this] { stop_->ExitIfDone(); },
+          [this] {
+            return OtherMemoryHeld{answer_memory_.used(),
+                                   config_.answer_memory_bytes};
+          }});
   BOOST_LEAF_CHECK(server_->Listen(config_.listen_host, config_.listen_port));
   descriptor_watch_.Update(server_->part(), target_connections_);
   tick_ = loop.MakeTimer([this] { OnTick(); });
@@ -380,6 +385,7 @@
             static_cast<double>(server_->body_bytes()));
   add_gauge("flamingoyoke_key_ledger_entries", "Idempotency keys in memory.",
             static_cast<double>(ledger_.size()));
+  server_->memory().AppendTo(metrics.samples);
   descriptor_watch_.AppendTo(server_->part(), target_connections_,
                              metrics.samples);
   // Metrics are posted first, so that whoever receives the report can rely on
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -22,6 +22,8 @@
 constexpr IntegerFieldRange kConnectionsRange{1, 65'536, "connections"};
 constexpr IntegerFieldRange kHeaderRange{1'024, 1'048'576, "bytes"};
 constexpr IntegerFieldRange kIdleRange{100, 3'600'000, "milliseconds"};
+constexpr IntegerFieldRange kCallerTimeoutRange{3'000, 3'600'000,
+                                                "milliseconds"};
 // The minimum fits one body of the default `max_body_bytes` of a service.
 constexpr IntegerFieldRange kBodyBudgetRange{1'048'576, 16'000'000'000,
                                              "bytes"};
@@ -64,6 +66,10 @@
       group.Integer("max_header_bytes", kHeaderRange, caller.max_header_bytes);
   caller.idle_timeout =
       group.Milliseconds("idle_timeout_ms", kIdleRange, caller.idle_timeout);
+  caller.receive_timeout = group.Milliseconds(
+      "receive_timeout_ms", kCallerTimeoutRange, caller.receive_timeout);
+  caller.write_timeout = group.Milliseconds(
+      "write_timeout_ms", kCallerTimeoutRange, caller.write_timeout);
   caller.body_budget_bytes = group.Integer(
       "body_budget_bytes", kBodyBudgetRange, caller.body_budget_bytes);
   caller.address_ttl = group.Milliseconds("address_ttl_ms", kAddressTtlRange,
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -36,6 +36,10 @@
   std::uint32_t max_connections = 1024;
   std::uint64_t max_header_bytes = 16'384;
   Duration idle_timeout = std::chrono::seconds(60);
+  // Time for the head of a request, and without a byte of its body.
+  Duration receive_timeout = std::chrono::seconds(30);
+  // Time without progress while a response is sent.
+  Duration write_timeout = std::chrono::seconds(30);
   // Maximum total size of the request bodies in memory.
   std::uint64_t body_budget_bytes = 64'000'000;
   // How long callers may cache the addresses of a directory response.
