Count callers that were turned away without a new label

Cause: traffic_task/reports_and_metrics failed, since service is the only label of a metric. Change: a metric for each limit, as for descriptors.

--- a/src/node/traffic/caller_memory.cc
+++ b/src/node/traffic/caller_memory.cc
@@ -73,10 +73,9 @@
                      .value = static_cast<double>(budget_.used())});
   for (const auto& entry : EnumNames<CallerLimit>::kTable) {
     samples.push_back(
-        {.name = "flamingoyoke_callers_turned_away_total",
+        {.name = "flamingoyoke_callers_turned_away_by_" +
+                 std::string(entry.name) + "_total",
          .help = "Requests refused and connections closed by a limit.",
-         .label_name = "limit",
-         .label_value = std::string(entry.name),
          .value = static_cast<double>(
              turned_away_[static_cast<std::size_t>(entry.value)])});
   }
