Take an answer with a status that is none for a broken one

Cause: evhttp reads any number as the status, so that 0200 reached the caller as 200, and 600 and 999 as they came. Change: AnswerStatusScanner checks the raw status lines before evhttp, also those behind interim answers. A status line that isn't HTTP/1 with exactly three digits from 100 to 599 ends the attempt like a reset: the caller gets the gateway's 502 with outcome unknown.

--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -192,6 +192,8 @@
   response_started_ = false;
   received_bytes_ = 0;
   body_bytes_ = 0;
+  broken_ = false;
+  status_scanner_ = {};
   const auto now = Now();
   deadline_ = now + limits.response_timeout;
   total_deadline_ = now + limits.total_timeout;
@@ -274,6 +276,13 @@
   if (!busy_) {
     return;
   }
+  if (broken_) {
+    return;
+  }
+  if (!status_scanner_.is_done() && !HasValidStatus(added)) {
+    EndBroken();
+    return;
+  }
   received_bytes_ += added;
   const auto max_held =
       response_started_ ? kMaxHeldBodyBytes : kMaxHeldHeadBytes;
@@ -284,8 +293,32 @@
   }
 }
 
+auto UpstreamConnection::HasValidStatus(std::size_t added) -> bool {
+  auto* input = bufferevent_get_input(bev_);
+  evbuffer_ptr position{};
+  evbuffer_ptr_set(input, &position, evbuffer_get_length(input) - added,
+                   EVBUFFER_PTR_SET);
+  evbuffer_iovec part{};
+  while (evbuffer_peek(input, -1, &position, &part, 1) >= 1) {
+    if (!status_scanner_.Consume(std::string_view(
+            static_cast<const char*>(part.iov_base), part.iov_len))) {
+      return false;
+    }
+    if (evbuffer_ptr_set(input, &position, part.iov_len, EVBUFFER_PTR_ADD) !=
+        0) {
+      break;
+    }
+  }
+  return true;
+}
+
 auto UpstreamConnection::EndOversized() -> void {
   signals_.oversized = true;
+  EndBroken();
+}
+
+auto UpstreamConnection::EndBroken() -> void {
+  broken_ = true;
   must_close_ = true;
   // While its callbacks are set, evhttp enables reading again.
   StopAllIo();
@@ -371,7 +404,7 @@
     return false;
   }
   response_started_ = true;
-  if (!signals_.oversized) {
+  if (!broken_) {
     ScheduleProgressTimer();
   }
   signals_.not_run = signals_.not_run || signals_.other_target;
@@ -391,7 +424,7 @@
   auto* data = evhttp_request_get_input_buffer(request);
   body_bytes_ += evbuffer_get_length(data);
   held_.Set(evbuffer_get_length(bufferevent_get_input(bev_)));
-  if (!signals_.oversized) {
+  if (!broken_) {
     ScheduleProgressTimer();
   }
   if (!signals_.not_run && observer_.on_body) {
@@ -430,7 +463,7 @@
     return;
   }
   const auto now = Now();
-  if (signals_.oversized) {
+  if (broken_) {
     StopAllIo();
     Finish(FailureResult(AttemptResult::kReset));
     return;
--- a/src/node/traffic/upstream_connection.h
+++ b/src/node/traffic/upstream_connection.h
@@ -14,6 +14,7 @@
 #include "core/time.h"
 #include "decision/dispatch/attempt.h"
 #include "node/traffic/answer_memory.h"
+#include "node/traffic/answer_status_scanner.h"
 #include "node/traffic/connection_part.h"
 #include "node/traffic/http_message.h"
 #include "runtime/event_loop.h"
@@ -141,10 +142,15 @@
   auto StopAllIo() -> void;
   // Called when input arrives while the request is still being written.
   auto OnEarlyResponse() -> void;
-  // Checks the limits on what a target may make this process hold.
+  // Checks the status lines, and the limits on what a target may make this
+  // process hold.
   auto OnInput(std::size_t added) -> void;
+  // Whether the last `added` bytes of the input may be part of an answer.
+  auto HasValidStatus(std::size_t added) -> bool;
   // Ends the attempt in a later event, because the target sent too much.
   auto EndOversized() -> void;
+  // Ends the attempt in a later event and discards the input.
+  auto EndBroken() -> void;
   // Sets TCP_NODELAY, and the options by which the kernel detects a dead
   // connection.
   auto SetSocketOptions() -> void;
@@ -174,6 +180,7 @@
   RequestHead request_head_;
   ResponseHead response_head_;
   UpstreamSignals signals_;
+  AnswerStatusScanner status_scanner_;
   // Unparsed input of the connection.
   AnswerMemory::Share held_;
   // Bytes received for the current request, and those passed on as the body.
@@ -184,6 +191,8 @@
   bool has_written_ = false;
   bool response_started_ = false;
   bool paused_ = false;
+  // Whether the target sent what is no answer, or too much of one.
+  bool broken_ = false;
   // Whether the connection must not be reused.
   bool must_close_ = false;
 };
--- a/tests/unit/node/traffic/gateway/gateway_fixture.h
+++ b/tests/unit/node/traffic/gateway/gateway_fixture.h
@@ -111,6 +111,7 @@
     Routing routing;
     routing.revision = Revision(3);
     routing.services = {{ServiceId("s"), "/health", 100}};
+    routing.limits.max_body_bytes = 16 << 20;
     for (const auto repeatability :
          {Repeatability::kOnce, Repeatability::kRepeatable}) {
       Route route;
--- a/tests/unit/node/traffic/gateway/upstream_fault_test.cc
+++ b/tests/unit/node/traffic/gateway/upstream_fault_test.cc
@@ -1,7 +1,9 @@
 // Tests of the gateway with targets that violate the protocol, over loopback
 // sockets.
 #include <criterion/criterion.h>
+#include <sys/socket.h>
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <string>
@@ -134,6 +136,84 @@
   cr_assert_leq(held_until_the_deadline, kMemoryBytes / kHeldBytes);
 }
 
+// Guards against answers with a status that evhttp understands in another way
+// than the target, or that is none.
+Test(upstream_fault, status_line_that_is_none_is_no_answer) {
+  const std::string rest =
+      "\r\nId: req-1\r\nSigned: x\r\nContent-Length: 2\r\n\r\nok";
+  for (const std::string line :
+       {"HTTP/1.1 0200 OK", "HTTP/1.1 600 X", "HTTP/1.1 999 X",
+        "HTTP/1.1 099 X", "HTTP/1.1 20 X", "HTTP/1.1 ", "HTTP/1.1",
+        "HTTP/1.1  200 OK", "HTTP/1.1 -200 X", "HTTP/1.1 2x0 X",
+        "HTTP/1.1 000 X", "HTTP/1.1 200OK", "HTTP/0.9 200 OK",
+        "HTTP/1.1 101 Switching Protocols", "plain text of HTTP/0.9",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 0200 OK"}) {
+    UpstreamFake upstream(
+        [&](const UpstreamFake::Request&, TestSocket& socket) {
+          return socket.Write(line + rest);
+        });
+    GatewayFixture gateway({upstream.port()});
+    const auto answer = gateway.Exchange(Request("POST", "/once/1", "order"));
+    cr_expect_eq(answer.status(), 502, "%s: %d", line.c_str(), answer.status());
+    cr_expect(answer.header("Flamingoyoke-Outcome") == "unknown", "%s",
+              line.c_str());
+    cr_expect_not(answer.header("Signed").has_value(), "%s", line.c_str());
+  }
+}
+
+// Guards against a check that refuses valid answers.
+Test(upstream_fault, valid_status_lines_are_relayed) {
+  for (const std::string start :
+       {"HTTP/1.1 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.0 200 OK",
+        "HTTP/1.1 100 Continue\r\nX: y\r\n\r\nHTTP/1.1 200 OK"}) {
+    UpstreamFake upstream([&](const UpstreamFake::Request&,
+                              TestSocket& socket) {
+      return socket.Write(
+          start + "\r\nId: req-1\r\nSigned: x\r\nContent-Length: 2\r\n\r\nok");
+    });
+    GatewayFixture gateway({upstream.port()});
+    const auto answer = gateway.Exchange(Request("POST", "/once/1", "order"));
+    cr_expect_eq(answer.status(), 200, "%s: %d", start.c_str(),
+                 answer.status());
+    cr_expect(answer.whole && answer.body == "ok", "%s", start.c_str());
+  }
+}
+
+// Guards against a part of an answer that looks complete: a target answers
+// while the upload is being written, without a length, and resets the
+// connection.
+Test(upstream_fault, early_answer_that_is_reset_is_not_complete) {
+  for (const std::size_t size : {200U, 300U << 10, 8U << 20}) {
+    TestListener listener;
+    std::thread target([&] {
+      while (true) {
+        auto socket = listener.Accept();
+        if (!socket.valid()) {
+          return;
+        }
+        std::array<char, 64> start{};
+        (void)recv(socket.descriptor(), start.data(), start.size(), 0);
+        socket.Write(std::string("HTTP/1.1 ") + kSuccess +
+                     "\r\n\r\npart of the body");
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        socket.Reset();
+      }
+    });
+    {
+      auto config = MakeGatewayConfig();
+      GatewayFixture gateway({listener.port()}, config);
+      auto caller = gateway.Connect();
+      cr_assert(
+          caller.Write(Request("POST", "/once/1", std::string(size, 'u'))));
+      const auto answer = caller.ReadMessage();
+      cr_expect(!answer || answer->status() == 502 || !answer->whole,
+                "%zu bytes: a part looks complete", size);
+    }
+    listener.Shutdown();
+    target.join();
+  }
+}
+
 // Guards against attempts and callers that are blocked as long as a target
 // keeps sending.
 Test(upstream_fault, aborts_an_endless_body_at_the_deadline) {
