--- a/src/decision/peer/peer_message_kind.h
+++ b/src/decision/peer/peer_message_kind.h
@@ -28,6 +28,9 @@
   kEjectionPermit,
   kVerifyRequest,
   kVerifyAnswer,
+  kQuotaRequest,
+  kQuotaGrant,
+  kQuotaRecall,
 };
 
 template <>
@@ -50,6 +53,9 @@
       {PeerMessageKind::kEjectionPermit, "ejection-permit"},
       {PeerMessageKind::kVerifyRequest, "verify-request"},
       {PeerMessageKind::kVerifyAnswer, "verify-answer"},
+      {PeerMessageKind::kQuotaRequest, "quota-request"},
+      {PeerMessageKind::kQuotaGrant, "quota-grant"},
+      {PeerMessageKind::kQuotaRecall, "quota-recall"},
   });
 };
 static_assert(IsDense<PeerMessageKind>());
