--- a/tests/unit/platform/store_values_test.cc
+++ b/tests/unit/platform/store_values_test.cc
@@ -355,7 +355,7 @@
 // Guards against a faulty statement that is taken for a load.
 Test(store_values, reads_the_load_that_a_target_states) {
   const auto read = MakeDialect().gateway.read_load;
-  cr_assert(read("3,0,8") == StatedLoad{3, 0, 8});
+  cr_assert((read("3,0,8") == StatedLoad{3, 0, 8}));
   for (const auto* const text :
        {"", "3", "3,0", "3,0,", "3,0,8,", "3,0,8 ", " 3,0,8", "-1,0,8", "3;0;8",
         "3,,8", "3,0.5,8", "3,99999,8", "3,0,99999999999"}) {
