--- a/tests/unit/node/traffic/gateway/quota_runner_test.cc
+++ b/tests/unit/node/traffic/gateway/quota_runner_test.cc
@@ -24,7 +24,9 @@
 // answered as if they had, without a Retry-After, and against limits for
 // others. This VM is the only gateway, so it is the keeper too.
 Test(quota_runner, requests_over_the_quota_get_429) {
-  UpstreamFake upstream(Always(Answer("200 OK", "done")));
+  // An answer without these headers would count as that of another request.
+  UpstreamFake upstream(
+      Always(Answer("200 OK\r\nId: 1\r\nSigned: yes", "done")));
   GatewayFixture gateway({upstream.port()});
   gateway.Publish({upstream.port()}, true,
                   std::vector<Team>{
