--- a/src/node/traffic/caller_connection.cc
+++ b/src/node/traffic/caller_connection.cc
@@ -469,6 +469,9 @@
 
 auto CallerConnection::OnClosed() -> void {
   connection_ = nullptr;
+  // A caller may leave right after its answer was sent. The event would then
+  // attach to evhttp's connection, which is freed, before this one is.
+  event_del(attach_event_.get());
   timer_.Cancel();
   if (auto* exchange = std::exchange(exchange_, nullptr)) {
     exchange->OnConnectionClosed();
