--- a/src/decision/quota/quota_scope.cc
+++ b/src/decision/quota/quota_scope.cc
@@ -23,11 +23,13 @@
     -> std::vector<VmId> {
   const auto hash = HashOf(team.value());
   std::vector<std::pair<std::uint64_t, VmId>> scored;
+  scored.reserve(keepers.size());
   for (const auto& keeper : keepers) {
     scored.emplace_back(RendezvousScore(hash, HashOf(keeper.value())), keeper);
   }
   std::sort(scored.rbegin(), scored.rend());
   std::vector<VmId> ordered;
+  ordered.reserve(scored.size());
   for (auto& [score, keeper] : scored) {
     ordered.push_back(std::move(keeper));
   }
