--- a/bench/quota_bench.cc
+++ b/bench/quota_bench.cc
@@ -141,7 +141,8 @@
     FakeQuotaFleet fleet(options);
     fleet.RunFor(seconds(5));
     fleet.SetLimits({{"team", {kRate, kBurst}}});
-    for (std::size_t step = 0; step < kRun / seconds(1); ++step) {
+    constexpr auto kSteps = static_cast<std::size_t>(kRun / seconds(1));
+    for (std::size_t step = 0; step < kSteps; ++step) {
       if (step == 0 || moves) {
         std::vector<std::size_t> to;
         for (std::size_t i = 0; i < used; ++i) {
--- a/src/node/observe/admin/admin_connections.h
+++ b/src/node/observe/admin/admin_connections.h
@@ -29,8 +29,8 @@
 
  private:
   struct Connection {
-    AdminConnections* owner;
-    bufferevent* bev;
+    AdminConnections* owner = nullptr;
+    bufferevent* bev = nullptr;
     // Null until evhttp has set its callbacks.
     evhttp_connection* connection = nullptr;
   };
