--- a/src/node/traffic/gateway/quota_runner.cc
+++ b/src/node/traffic/gateway/quota_runner.cc
@@ -1,6 +1,7 @@
 #include "node/traffic/gateway/quota_runner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -13,7 +14,7 @@
 
 auto Describe(const TeamLimited& limited) -> std::string {
   const auto number = [](double value) {
-    return std::to_string(static_cast<std::uint64_t>(value + 0.5));
+    return std::to_string(std::llround(value));
   };
   return "team " + limited.team.value() + " is limited to " +
          number(limited.limit.rate) + " requests/s and a burst of " +
