--- a/tests/process/hostile_callers_test.cc
+++ b/tests/process/hostile_callers_test.cc
@@ -25,7 +25,8 @@
 constexpr std::size_t kMaxConnections = 400;
 // The callers' connections, the parts of the process, the peers and the
 // control connections, and 60 connections to each of the two targets.
-constexpr std::size_t kMaxDescriptors = kMaxConnections + 40 + 96 + 40 + 2UL * 60;
+constexpr std::size_t kMaxDescriptors =
+    kMaxConnections + 40 + 96 + 40 + 2UL * 60;
 constexpr std::size_t kMaxBody = 1 << 20;
 
 struct Place {
