--- a/tests/unit/decision/quota/fake_quota_fleet.h
+++ b/tests/unit/decision/quota/fake_quota_fleet.h
@@ -112,6 +112,7 @@
                const std::vector<std::size_t>& entries,
                double share) -> void {
     std::vector<EntryVm> vms;
+    vms.reserve(entries.size());
     for (const auto index : entries) {
       vms.push_back({nodes_[index].id});
     }
