Send tables as differences to the version that the puller has

A pull names the hash of the version in force. The answer is compressed with zstd, with that version as dictionary if it is among the last ones that the answering VM had in force, and without a dictionary otherwise. A table that cannot be expanded is requested as plain text; so is one by a VM of an earlier release, whose pulls name no hash.

--- a/src/decision/fleet/table_dissemination.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -86,6 +86,15 @@
   return found->second.digest;
 }
 
+auto TableDissemination::TextOf(std::uint32_t shard, std::uint64_t hash) const
+    -> const std::string* {
+  const auto found = in_force_.find(shard);
+  if (found != in_force_.end() && found->second.digest.hash == hash) {
+    return &found->second.text;
+  }
+  return history_.Find(shard, hash);
+}
+
 auto TableDissemination::Handle(const TableDisseminationStarted& event,
                                 TimePoint now) -> void {
   started_ = now;
@@ -144,6 +153,14 @@
   actions_.emplace_back(TableRejected{event.digest, event.reason});
 }
 
+auto TableDissemination::Handle(const TableUnreadable& event, TimePoint /*now*/)
+    -> void {
+  const auto pull = pulls_.find(event.digest.shard);
+  if (pull != pulls_.end() && pull->second.wanted() == event.digest) {
+    pull->second.RequestPlainText();
+  }
+}
+
 auto TableDissemination::Handle(const PeerEnvelope& envelope, TimePoint now)
     -> void {
   std::visit(
@@ -202,10 +219,16 @@
     return;
   }
   const auto found = in_force_.find(pull.shard);
-  if (found != in_force_.end() && !IsOlder(found->second.digest, pull)) {
-    actions_.emplace_back(SendToPeer{
-        sender, TableData{found->second.digest, found->second.text}});
+  if (found == in_force_.end() || IsOlder(found->second.digest, pull)) {
+    return;
+  }
+  TableData answer{found->second.digest, found->second.text};
+  if (pull.have_hash) {
+    const auto* base = TextOf(pull.shard, *pull.have_hash);
+    answer.base =
+        base != nullptr ? TableBase{*pull.have_hash, *base} : TableBase();
   }
+  actions_.emplace_back(SendToPeer{sender, std::move(answer)});
 }
 
 auto TableDissemination::HandleMessage(const VmId& sender,
@@ -264,7 +287,11 @@
     pulls_.erase(pull);
   }
   actions_.emplace_back(TableAccepted{digest, version.text, origin});
-  in_force_[digest.shard] = std::move(version);
+  auto& in_force = in_force_[digest.shard];
+  if (in_force.digest.hash != 0) {
+    history_.Add(digest.shard, in_force.digest.hash, std::move(in_force.text));
+  }
+  in_force = std::move(version);
   currency_.Update(Digests());
   for (const auto& peer : peers_) {
     actions_.emplace_back(SendToPeer{peer, TableAnnounce{digest}});
@@ -295,8 +322,11 @@
     if (const auto peer = pull.NextSource(now)) {
       const auto shard = it->first;
       const auto have = InForce(shard).value_or(TableDigest());
-      actions_.emplace_back(
-          SendToPeer{*peer, TablePull{shard, have.revision, have.era}});
+      TablePull message{shard, have.revision, have.era};
+      if (!pull.wants_plain_text()) {
+        message.have_hash = have.hash;
+      }
+      actions_.emplace_back(SendToPeer{*peer, message});
     }
     it = pull.IsExhausted(now) ? pulls_.erase(it) : std::next(it);
   }
--- a/src/decision/fleet/table_dissemination.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -17,6 +17,7 @@
 #include "core/time.h"
 #include "decision/fleet/table_currency.h"
 #include "decision/fleet/table_dissemination_event.h"
+#include "decision/fleet/table_history.h"
 #include "decision/fleet/table_pull_state.h"
 #include "decision/peer/peer_message.h"
 
@@ -105,6 +106,10 @@
   // Returns the version in force of `shard`, or nothing.
   [[nodiscard]] auto InForce(std::uint32_t shard) const
       -> std::optional<TableDigest>;
+  // Returns the text of the version of `shard` with `hash` that is or was in
+  // force, or nullptr if it is not kept. Valid until the next event.
+  [[nodiscard]] auto TextOf(std::uint32_t shard, std::uint64_t hash) const
+      -> const std::string*;
 
  private:
   struct Version {
@@ -120,6 +125,7 @@
   auto Handle(const SourceRead& event, TimePoint now) -> void;
   auto Handle(const TableDisseminationResumed& event, TimePoint now) -> void;
   auto Handle(const TableChecked& event, TimePoint now) -> void;
+  auto Handle(const TableUnreadable& event, TimePoint now) -> void;
   auto Handle(const PeerEnvelope& envelope, TimePoint now) -> void;
   auto Handle(const TableDisseminationTimer& event, TimePoint now) -> void;
 
@@ -157,6 +163,7 @@
   FirstRead first_read_;
   Random random_;
   std::map<std::uint32_t, Version> in_force_;
+  TableHistory history_;
   // Versions whose check is pending.
   std::map<std::uint32_t, Version> candidates_;
   std::map<std::uint32_t, TablePullState> pulls_;
--- a/src/decision/fleet/table_dissemination_event.h
+++ b/src/decision/fleet/table_dissemination_event.h
@@ -60,6 +60,11 @@
   std::string reason;
 };
 
+// A peer sent this version, but its message could not be expanded.
+struct TableUnreadable {
+  TableDigest digest;
+};
+
 struct TableDisseminationTimer {};
 
 using TableDisseminationEvent = std::variant<TableDisseminationStarted,
@@ -68,6 +73,7 @@
                                              SourceRead,
                                              TableDisseminationResumed,
                                              TableChecked,
+                                             TableUnreadable,
                                              PeerEnvelope,
                                              TableDisseminationTimer>;
 
--- a/src/decision/fleet/table_pull_state.h
+++ b/src/decision/fleet/table_pull_state.h
@@ -47,6 +47,17 @@
   // answer.
   auto AbandonPendingPull() -> void { deadline_.reset(); }
 
+  // Whether to request the text as it is, since a compressed one could not be
+  // read.
+  [[nodiscard]] auto wants_plain_text() const -> bool {
+    return wants_plain_text_;
+  }
+  // Discards the pending answer, which could not be expanded.
+  auto RequestPlainText() -> void {
+    wants_plain_text_ = true;
+    AbandonPendingPull();
+  }
+
   [[nodiscard]] auto IsExhausted(TimePoint now) const -> bool;
   [[nodiscard]] auto deadline() const -> std::optional<TimePoint> {
     return deadline_;
@@ -57,6 +68,7 @@
   TimePoint since_;
   std::vector<VmId> sources_;
   std::size_t pulls_sent_ = 0;
+  bool wants_plain_text_ = false;
   std::optional<TimePoint> deadline_;
 };
 
--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -93,12 +93,32 @@
   // Revision and era of the version that the sender has.
   Revision have;
   StoreEra have_era = {};
+  // Hash of that version, 0 if there is none, if the sender reads
+  // CompressedTable. VMs of an earlier release don't set it.
+  std::optional<std::uint64_t> have_hash = {};
+};
+
+// A version of a table that the receiver of a message has, to which the new
+// version is encoded as a difference. Empty if it has none.
+struct TableBase {
+  std::uint64_t hash = 0;
+  std::string text;
 };
 
 struct TableData {
   TableDigest digest;
   // The table as written by the operators.
   std::string text;
+  // Set if the receiver reads CompressedTable. Not encoded itself.
+  std::optional<TableBase> base = {};
+};
+
+// A table whose text is compressed, with the text of the version `base` as
+// dictionary unless `base` is 0.
+struct CompressedTable {
+  TableDigest digest;
+  std::uint64_t base = 0;
+  std::string bytes;
 };
 
 // Load of the sender in one service.
@@ -316,7 +336,8 @@
                                  VerifyAnswer,
                                  QuotaRequest,
                                  QuotaGrant,
-                                 QuotaRecall>;
+                                 QuotaRecall,
+                                 CompressedTable>;
 
 // A message and the process that sent it.
 struct PeerEnvelope {
--- a/src/decision/peer/peer_message_kind.h
+++ b/src/decision/peer/peer_message_kind.h
@@ -31,6 +31,7 @@
   kQuotaRequest,
   kQuotaGrant,
   kQuotaRecall,
+  kCompressedTable,
 };
 
 template <>
@@ -56,6 +57,7 @@
       {PeerMessageKind::kQuotaRequest, "quota-request"},
       {PeerMessageKind::kQuotaGrant, "quota-grant"},
       {PeerMessageKind::kQuotaRecall, "quota-recall"},
+      {PeerMessageKind::kCompressedTable, "compressed-table"},
   });
 };
 static_assert(IsDense<PeerMessageKind>());
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -135,7 +135,40 @@
     ScheduleFreshnessCheck();
   }
   ProcessEvent(MembershipEvent(message.envelope));
-  ProcessEvent(TableDisseminationEvent(std::move(message.envelope)));
+  if (auto envelope = ExpandTable(std::move(message.envelope))) {
+    ProcessEvent(TableDisseminationEvent(*std::move(envelope)));
+  }
+}
+
+auto FleetTask::ExpandTable(PeerEnvelope envelope)
+    -> std::optional<PeerEnvelope> {
+  const auto* table = std::get_if<CompressedTable>(&envelope.message);
+  if (table == nullptr) {
+    return envelope;
+  }
+  const auto digest = table->digest;
+  const auto* base =
+      table->base == 0 ? nullptr
+                       : table_dissemination_.TextOf(digest.shard, table->base);
+  std::optional<TableData> expanded;
+  const auto error = CaptureInto(expanded, [&]() -> Result<TableData> {
+    if (table->base != 0 && base == nullptr) {
+      return Fail(ErrorKind::kMalformedMessage, "the base is not kept");
+    }
+    return table_compressor_.Expand(*table,
+                                    base != nullptr ? *base : std::string());
+  });
+  if (error) {
+    ++unreadable_tables_;
+    Log(Part::kFleet, LogLevel::kWarning,
+        "cannot read shard " + std::to_string(digest.shard) + " of revision " +
+            std::to_string(digest.revision.value()) + " from " +
+            envelope.sender.value() + ": " + error->detail);
+    ProcessEvent(TableDisseminationEvent(TableUnreadable{digest}));
+    return std::nullopt;
+  }
+  envelope.message = *std::move(expanded);
+  return envelope;
 }
 
 auto FleetTask::HandleMessage(const VmListRead& message) -> void {
@@ -257,9 +290,28 @@
 }
 
 auto FleetTask::Execute(const SendToPeer& action) -> void {
+  const auto* table = std::get_if<TableData>(&action.message);
+  if (table != nullptr && table->base) {
+    CompressFor(action.peer, *table);
+    return;
+  }
   outlets_.mesh.Post(PeerMessageToSend{action});
 }
 
+auto FleetTask::CompressFor(const VmId& peer, const TableData& table) -> void {
+  std::optional<CompressedTable> compressed;
+  const auto error = CaptureInto(
+      compressed, [&] { return table_compressor_.Compress(table); });
+  if (error) {
+    Log(Part::kFleet, LogLevel::kWarning, error->detail);
+    outlets_.mesh.Post(PeerMessageToSend{
+        SendToPeer{peer, TableData{table.digest, table.text}}});
+    return;
+  }
+  outlets_.mesh.Post(
+      PeerMessageToSend{SendToPeer{peer, *std::move(compressed)}});
+}
+
 auto FleetTask::Execute(const PeersSelected& action) -> void {
   outlets_.mesh.Post(PeerEndpointsChanged{action.endpoints, action.links});
 }
@@ -640,6 +692,9 @@
           {.name = "flamingoyoke_fleet_refused_tables_total",
            .help = "Versions of the table that failed their check.",
            .value = static_cast<double>(rejected_tables_)},
+          {.name = "flamingoyoke_fleet_unreadable_tables_total",
+           .help = "Tables of peers that could not be expanded.",
+           .value = static_cast<double>(unreadable_tables_)},
           {.name = "flamingoyoke_fleet_source_age_seconds",
            .help = "Time since a reader of the store last confirmed.",
            .is_counter = false,
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -20,6 +20,7 @@
 #include "decision/pause/pause_detector.h"
 #include "node/control/fleet/fleet_config.h"
 #include "node/control/fleet/published_store.h"
+#include "node/control/fleet/table_compressor.h"
 #include "node/control/fleet/table_store.h"
 #include "node/messages.h"
 #include "runtime/event_loop.h"
@@ -59,6 +60,11 @@
   auto ProcessEvent(const PauseEvent& event) -> void;
 
   auto Execute(const SendToPeer& action) -> void;
+  // Compresses a table for a peer that reads such messages.
+  auto CompressFor(const VmId& peer, const TableData& table) -> void;
+  // Returns the envelope with a TableData in place of a CompressedTable, or
+  // nothing if that could not be expanded.
+  auto ExpandTable(PeerEnvelope envelope) -> std::optional<PeerEnvelope>;
   auto Execute(const PeersSelected& action) -> void;
   auto Execute(const ReopenLink& action) -> void;
   auto Execute(const MembersChanged& action) -> void;
@@ -127,6 +133,7 @@
   PauseDetector pause_detector_;
   std::optional<ReadinessGate> readiness_;
   std::variant<TableStore, PublishedStore> tables_;
+  TableCompressor table_compressor_;
   HomeIndex homes_;
   EntrySet entries_;
 
@@ -165,6 +172,7 @@
   // Whether the pending view must not wait for longer than kPublishDelay.
   bool is_publish_urgent_ = false;
   std::uint64_t rejected_tables_ = 0;
+  std::uint64_t unreadable_tables_ = 0;
   std::uint64_t pauses_ = 0;
   // Times that this VM began to read the store as a substitute.
   std::uint64_t substitutions_ = 0;
--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -40,7 +40,8 @@
 inline constexpr bool kIsForFleet =
     std::is_same_v<T, Heartbeat> || std::is_same_v<T, IndirectProbe> ||
     std::is_same_v<T, MemberUpdate> || std::is_same_v<T, TableAnnounce> ||
-    std::is_same_v<T, TablePull> || std::is_same_v<T, TableData>;
+    std::is_same_v<T, TablePull> || std::is_same_v<T, TableData> ||
+    std::is_same_v<T, CompressedTable>;
 
 auto Counter(std::string name, std::string help, std::uint64_t value)
     -> MetricSample {
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -131,14 +131,23 @@
 }
 
 auto Read(const wire::TablePull& encoded) -> Result<PeerMessage> {
-  return TablePull{encoded.shard(), Revision(encoded.have()),
-                   StoreEra(encoded.have_era())};
+  TablePull message{encoded.shard(), Revision(encoded.have()),
+                    StoreEra(encoded.have_era())};
+  if (encoded.has_have_hash()) {
+    message.have_hash = encoded.have_hash();
+  }
+  return message;
 }
 
 auto Read(const wire::TableData& encoded) -> Result<PeerMessage> {
   return TableData{ReadDigest(encoded.digest()), encoded.text()};
 }
 
+auto Read(const wire::CompressedTable& encoded) -> Result<PeerMessage> {
+  return CompressedTable{ReadDigest(encoded.digest()), encoded.base(),
+                         encoded.bytes()};
+}
+
 auto Read(const wire::LoadReport& encoded) -> Result<PeerMessage> {
   BOOST_LEAF_AUTO(median, ReadDuration(encoded.median_latency_us()));
   BOOST_LEAF_AUTO(p95, ReadDuration(encoded.p95_latency_us()));
@@ -308,6 +317,8 @@
       return Read(envelope.quota_grant());
     case Case::kQuotaRecall:
       return Read(envelope.quota_recall());
+    case Case::kCompressedTable:
+      return Read(envelope.compressed_table());
     case Case::BODY_NOT_SET:
       break;
   }
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -127,6 +127,9 @@
   encoded->set_shard(message.shard);
   encoded->set_have(message.have.value());
   encoded->set_have_era(message.have_era.value());
+  if (message.have_hash) {
+    encoded->set_have_hash(*message.have_hash);
+  }
 }
 
 auto BodyWriter::operator()(const TableData& message) const -> void {
@@ -135,6 +138,13 @@
   encoded->set_text(message.text);
 }
 
+auto BodyWriter::operator()(const CompressedTable& message) const -> void {
+  auto* encoded = envelope_.mutable_compressed_table();
+  WriteDigest(message.digest, encoded->mutable_digest());
+  encoded->set_base(message.base);
+  encoded->set_bytes(message.bytes);
+}
+
 auto BodyWriter::operator()(const LoadReport& message) const -> void {
   auto* encoded = envelope_.mutable_load_report();
   encoded->set_service(message.service.value());
--- a/src/wire/body_writer.h
+++ b/src/wire/body_writer.h
@@ -18,6 +18,7 @@
   auto operator()(const TableAnnounce& message) const -> void;
   auto operator()(const TablePull& message) const -> void;
   auto operator()(const TableData& message) const -> void;
+  auto operator()(const CompressedTable& message) const -> void;
   auto operator()(const LoadReport& message) const -> void;
   auto operator()(const SlotRequest& message) const -> void;
   auto operator()(const SlotLoan& message) const -> void;
--- a/tests/unit/decision/fleet/table_dissemination_test.cc
+++ b/tests/unit/decision/fleet/table_dissemination_test.cc
@@ -294,4 +294,56 @@
   cr_assert(Find<SendToPeer>(later) == nullptr);
 }
 
+// Guards against whole tables that are sent to peers which have an earlier
+// version.
+Test(table_dissemination, answers_with_the_version_that_the_puller_has) {
+  TableDissemination dissemination(1, Random(1));
+  Accept(dissemination, 1, "one");
+  Accept(dissemination, 2, "two");
+  Accept(dissemination, 3, "three");
+  const auto answer_to = [&](std::optional<std::uint64_t> have) {
+    const auto actions = dissemination.OnEvent(
+        From("a", TablePull{0, Revision(1), {}, have}), kStart);
+    return std::get<TableData>(Find<SendToPeer>(actions)->message);
+  };
+  cr_assert_eq(answer_to(HashOf("one")).base->text, std::string("one"));
+  cr_assert_eq(answer_to(HashOf("two")).base->text, std::string("two"));
+  // Neither a VM that starts nor one with an unknown version has a base.
+  cr_assert(answer_to(0).base->text.empty() && answer_to(0).base->hash == 0);
+  cr_assert(answer_to(HashOf("four")).base->hash == 0);
+  // A VM of an earlier release reads no compressed tables.
+  cr_assert(!answer_to(std::nullopt).base);
+}
+
+// Guards against a peer whose compressed table cannot be read and is requested
+// in the same way again.
+Test(table_dissemination, requests_plain_text_after_an_unreadable_table) {
+  TableDissemination dissemination(1, Random(1));
+  Accept(dissemination, 1, "one");
+  const auto digest = DigestFor(2, "two");
+  const auto first =
+      dissemination.OnEvent(From("a", TableAnnounce{digest}), kStart);
+  const auto& pull = std::get<TablePull>(Find<SendToPeer>(first)->message);
+  cr_assert(pull.have_hash == HashOf("one"));
+  const auto second = dissemination.OnEvent(TableUnreadable{digest}, kStart);
+  const auto& again = std::get<TablePull>(Find<SendToPeer>(second)->message);
+  cr_assert(!again.have_hash);
+}
+
+// Guards against past versions that take up the memory of a small VM.
+Test(table_history, bounds_versions_and_bytes) {
+  TableHistory history;
+  for (std::uint64_t hash = 1; hash <= kMaxPastVersions + 1; ++hash) {
+    history.Add(0, hash, "text");
+  }
+  cr_assert(history.Find(0, 1) == nullptr);
+  cr_assert(history.Find(0, 2) != nullptr);
+  history.Add(0, 20, std::string(kMaxPastBytes, 'x'));
+  cr_assert(history.Find(0, kMaxPastVersions + 1) == nullptr);
+  history.Add(0, 21, std::string(2 * kMaxPastBytes, 'x'));
+  cr_assert(history.Find(0, 20) == nullptr);
+  cr_assert(history.Find(0, 21) != nullptr);
+  cr_assert(history.Find(1, 21) == nullptr);
+}
+
 }  // namespace flamingoyoke
--- a/tests/unit/decision/fleet/wire_size.h
+++ b/tests/unit/decision/fleet/wire_size.h
@@ -27,11 +27,16 @@
                          return Nested(Digest(each.digest));
                        },
                        [](const TablePull& each) {
-                         return Number(each.shard) + Number(each.have.value());
+                         return Number(each.shard) + Number(each.have.value()) +
+                                (each.have_hash ? 9 : 0);
                        },
                        [](const TableData& each) {
                          return Nested(Digest(each.digest)) + Text(each.text);
                        },
+                       [](const CompressedTable& each) {
+                         return Nested(Digest(each.digest)) + Fixed(each.base) +
+                                Text(each.bytes);
+                       },
                        [](const QuotaRequest& each) { return Body(each); },
                        [](const QuotaGrant& each) { return Body(each); },
                        [](const QuotaRecall& each) { return Body(each); },
@@ -42,7 +47,8 @@
     const bool has_long_tag =
         std::holds_alternative<QuotaRequest>(envelope.message) ||
         std::holds_alternative<QuotaGrant>(envelope.message) ||
-        std::holds_alternative<QuotaRecall>(envelope.message);
+        std::holds_alternative<QuotaRecall>(envelope.message) ||
+        std::holds_alternative<CompressedTable>(envelope.message);
     return Text(envelope.sender.value()) +
            Number(envelope.incarnation.value()) + Nested(body) +
            (has_long_tag ? 1 : 0);
--- a/tests/unit/wire/peer_codec_test.cc
+++ b/tests/unit/wire/peer_codec_test.cc
@@ -51,7 +51,7 @@
       IndirectProbe{VmId("b"), Incarnation(3), true, false},
       MemberUpdate{{Member{.id = VmId("c"), .version = 3}}, true, {1, 2}},
       TableAnnounce{{1, Revision(2), 3, StoreEra(4)}},
-      TablePull{1, Revision(2), StoreEra(4)},
+      TablePull{1, Revision(2), StoreEra(4), 5},
       TableData{{1, Revision(2), 3}, "service,route\n"},
       LoadReport{service, 1, 2, 3, 4, Duration(5), Duration(6), 7},
       SlotRequest{service, 2, 3, WorkClass::kLong, {LoanId(4)}},
@@ -67,7 +67,8 @@
       VerifyAnswer{service, target, true},
       QuotaRequest{5, {{TeamId("a"), 1.5, 0.25, 3}}},
       QuotaGrant{5, milliseconds(20), {{TeamId("a"), 1.5, 2, 3, 0.5}}},
-      QuotaRecall{{TeamId("a"), TeamId("b")}}};
+      QuotaRecall{{TeamId("a"), TeamId("b")}},
+      CompressedTable{{1, Revision(2), 3}, 4, "bytes"}};
 }
 
 // Guards against a message type that can be encoded but not decoded.
@@ -102,7 +103,10 @@
   const auto announce = std::get<TableAnnounce>(RoundTrip(AllMessages()[3]));
   cr_assert(announce.digest == (TableDigest{1, Revision(2), 3, StoreEra(4)}));
   const auto pull = std::get<TablePull>(RoundTrip(AllMessages()[4]));
-  cr_assert(pull.have_era == StoreEra(4));
+  cr_assert(pull.have_era == StoreEra(4) && pull.have_hash == 5U);
+  const auto table = std::get<CompressedTable>(RoundTrip(AllMessages()[20]));
+  cr_assert(table.digest == (TableDigest{1, Revision(2), 3}));
+  cr_assert(table.base == 4U && table.bytes == "bytes");
   const auto report = std::get<OutcomeReport>(RoundTrip(AllMessages()[11]));
   cr_assert(report.outcomes.front().avoid == milliseconds(70));
   const auto ask = std::get<QuotaRequest>(RoundTrip(AllMessages()[17]));
