Let a new quota keeper lease as soon as it knows all leases

New keepers lease 0.15 R for 3 s, since they don't know which leases of earlier keepers are in use; in a start of all VMs there are none.

Gateways now tell new keepers all their leases, or that they have none, with the hash of the keepers that they see. A keeper to which all gateways of its view have told theirs waits 0.5 s only. A gateway drops a pending question to a previous keeper, so that its statement stays true.

--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -286,6 +286,9 @@
 struct QuotaRequest {
   std::uint64_t sequence = 0;
   std::vector<QuotaDemand> teams;
+  // KeepersHash of the sender's view if the receiver knows with this message
+  // all that the sender has leased of the receiver's teams; 0 otherwise.
+  std::uint64_t told_keepers = 0;
 };
 
 // Part of the limit of one team that a gateway may use.
--- a/src/decision/quota/gateway_quotas.cc
+++ b/src/decision/quota/gateway_quotas.cc
@@ -51,9 +51,23 @@
     return;
   }
   keepers_.clear();
+  untold_.clear();
+  for (const auto& keeper : scope_.keepers) {
+    untold_[keeper] = 0;
+  }
+  tell_at_ = now_ + kQuotaBatchDelay;
+  tell_until_ = now_ + kQuotaSettleTime;
   for (auto& [team, state] : teams_) {
     state.keepers = KeepersOfTeam(team, scope_.keepers);
     const auto* keeper = KeeperOf(state);
+    if (state.pending &&
+        (keeper == nullptr || state.pending->keeper != *keeper)) {
+      // The new keeper would not know what the previous one grants now.
+      state.pending.reset();
+      if (!state.waiting.empty()) {
+        AskSoon(team);
+      }
+    }
     if (state.rate > 0 && keeper != nullptr && *keeper != state.lessor) {
       // The new keeper has to know the leases of the previous one.
       AskSoon(team);
@@ -62,7 +76,11 @@
 }
 
 auto GatewayQuotas::On(const QuotaLimitsChanged& event) -> void {
+  const bool had_any = limits_.LimitsAny();
   limits_ = event.limits;
+  if (!had_any) {
+    tell_at_ = now_ + kQuotaBatchDelay;
+  }
   for (auto& [team, state] : teams_) {
     Refill(state);
     const auto limit = limits_.Find(team);
@@ -149,6 +167,11 @@
 
 auto GatewayQuotas::On(const QuotaGrantReceived& event) -> void {
   keepers_[event.keeper] = {};
+  const auto untold = untold_.find(event.keeper);
+  if (untold != untold_.end() && untold->second != 0 &&
+      untold->second <= event.grant.sequence) {
+    untold_.erase(untold);
+  }
   for (const auto& lease : event.grant.teams) {
     const auto found = teams_.find(lease.team);
     if (found == teams_.end()) {
@@ -241,7 +264,9 @@
   if (now_ >= next_check_) {
     CheckTeams();
   }
-  if (send_at_ && now_ >= *send_at_) {
+  if (!untold_.empty() && now_ >= tell_at_) {
+    TellKeepers();
+  } else if (send_at_ && now_ >= *send_at_) {
     SendRequests();
   }
 }
@@ -381,6 +406,9 @@
     ++counters_.asked;
   }
   due_.clear();
+  if (is_telling_) {
+    AddStatements(messages);
+  }
   for (auto& [keeper, requests] : messages) {
     auto& silence = keepers_[keeper].unanswered_since;
     silence = silence.value_or(now_);
@@ -390,6 +418,39 @@
   }
 }
 
+auto GatewayQuotas::TellKeepers() -> void {
+  if (now_ >= tell_until_) {
+    untold_.clear();
+  }
+  for (const auto& [team, state] : teams_) {
+    const auto* keeper = KeeperOf(state);
+    if (state.rate > 0 && keeper != nullptr && *keeper != state.lessor) {
+      due_.insert(team);
+    }
+  }
+  tell_at_ = now_ + kQuotaTellPeriod;
+  is_telling_ = limits_.LimitsAny();
+  SendRequests();
+  is_telling_ = false;
+}
+
+auto GatewayQuotas::AddStatements(
+    std::map<VmId, std::vector<QuotaRequest>>& messages) -> void {
+  for (auto& [keeper, told_by] : untold_) {
+    auto& requests = messages[keeper];
+    if (requests.size() > 1) {
+      // One of them may be lost. What is answered by the next time need not be
+      // told again.
+      continue;
+    }
+    if (requests.empty()) {
+      requests.push_back({++last_sequence_, {}});
+    }
+    told_by = requests.back().sequence;
+    requests.back().told_keepers = KeepersHash(scope_.keepers);
+  }
+}
+
 auto GatewayQuotas::MakeDemand(const TeamId& team,
                                TeamState& state,
                                const VmId& keeper) -> QuotaDemand {
@@ -500,6 +561,9 @@
   if (send_at_) {
     consider(*send_at_);
   }
+  if (!untold_.empty()) {
+    consider(std::max(tell_at_, now_));
+  }
   if (!busy_.empty()) {
     consider(now_ + kBusyCheckPeriod);
   }
--- a/src/decision/quota/gateway_quotas.h
+++ b/src/decision/quota/gateway_quotas.h
@@ -136,6 +136,11 @@
   // Asks the keeper in the next message.
   auto AskSoon(const TeamId& team) -> void;
   auto SendRequests() -> void;
+  // Sends all leases of previous keepers to the new ones that have not answered
+  // yet, and that these are all.
+  auto TellKeepers() -> void;
+  auto AddStatements(std::map<VmId, std::vector<QuotaRequest>>& messages)
+      -> void;
   // Returns what to ask `keeper` for, and reduces the lease to it.
   auto MakeDemand(const TeamId& team, TeamState& state, const VmId& keeper)
       -> QuotaDemand;
@@ -164,6 +169,12 @@
   // Teams to ask for.
   std::set<TeamId> due_;
   std::optional<TimePoint> send_at_;
+  // Keepers that have to be told the leases, with the last message that did,
+  // and when to tell them again and to stop doing so.
+  std::map<VmId, std::uint64_t> untold_;
+  TimePoint tell_at_;
+  TimePoint tell_until_;
+  bool is_telling_ = false;
   TimePoint next_check_;
   std::optional<TimePoint> scheduled_wake_;
   std::uint64_t last_sequence_ = 0;
--- a/src/decision/quota/quota_keeper.cc
+++ b/src/decision/quota/quota_keeper.cc
@@ -40,11 +40,13 @@
 
 auto QuotaKeeper::On(const QuotaScopeChanged& event) -> void {
   if (event.scope.keepers != scope_.keepers) {
-    previous_settled_ = now_ - keepers_since_ >= kQuotaSettleTime;
+    previous_settled_ = KnowsLeases();
     previous_keepers_ = scope_.keepers;
     keepers_since_ = now_;
+    keepers_hash_ = KeepersHash(event.scope.keepers);
   }
   scope_ = event.scope;
+  CheckTold();
   CutLeases();
 }
 
@@ -74,6 +76,10 @@
   if (!IsNewer(event)) {
     return;
   }
+  if (event.request.told_keepers != 0) {
+    gateways_[event.gateway].told_keepers = event.request.told_keepers;
+    CheckTold();
+  }
   Recalls recalls;
   QuotaGrant grant{event.request.sequence, kQuotaLeaseTime, {}};
   for (const auto& demand : event.request.teams) {
@@ -108,7 +114,9 @@
       state.leases.erase(event.gateway);
     }
   }
-  order = {event.incarnation, event.request.sequence};
+  const auto told_keepers =
+      event.incarnation == order.incarnation ? order.told_keepers : 0;
+  order = {event.incarnation, event.request.sequence, told_keepers};
   return true;
 }
 
@@ -280,10 +288,26 @@
 }
 
 auto QuotaKeeper::IsSettled(const TeamId& team) const -> bool {
-  return now_ - keepers_since_ >= kQuotaSettleTime ||
+  return KnowsLeases() ||
          (previous_settled_ && IsKeeperOf(team, previous_keepers_));
 }
 
+auto QuotaKeeper::KnowsLeases() const -> bool {
+  return now_ - keepers_since_ >=
+         (are_all_told_ ? kQuotaToldTime : kQuotaSettleTime);
+}
+
+auto QuotaKeeper::CheckTold() -> void {
+  are_all_told_ =
+      !scope_.known_gateways.empty() &&
+      std::all_of(scope_.known_gateways.begin(), scope_.known_gateways.end(),
+                  [this](const VmId& gateway) {
+                    const auto known = gateways_.find(gateway);
+                    return known != gateways_.end() &&
+                           known->second.told_keepers == keepers_hash_;
+                  });
+}
+
 auto QuotaKeeper::SumOthers(const TeamState& state, const VmId& gateway)
     -> Others {
   Others sums;
--- a/src/decision/quota/quota_keeper.h
+++ b/src/decision/quota/quota_keeper.h
@@ -62,6 +62,8 @@
   struct GatewayOrder {
     Incarnation incarnation;
     std::uint64_t sequence = 0;
+    // The last keepers for which the gateway has told all its leases.
+    std::uint64_t told_keepers = 0;
   };
   // Sums over the leases of other gateways.
   struct Others {
@@ -97,6 +99,10 @@
   [[nodiscard]] auto IsKeeperOf(const TeamId& team,
                                 const std::vector<VmId>& keepers) const -> bool;
   [[nodiscard]] auto IsSettled(const TeamId& team) const -> bool;
+  // Whether this VM knows the leases of all teams that it keeps.
+  [[nodiscard]] auto KnowsLeases() const -> bool;
+  // Updates whether all known gateways have told their leases.
+  auto CheckTold() -> void;
   [[nodiscard]] static auto SumOthers(const TeamState& state,
                                       const VmId& gateway) -> Others;
   // Returns the number of requests that may be saved in the bucket.
@@ -110,6 +116,9 @@
   std::vector<VmId> previous_keepers_;
   bool previous_settled_ = false;
   TimePoint keepers_since_;
+  std::uint64_t keepers_hash_ = 0;
+  // Whether all known gateways have told their leases to these keepers.
+  bool are_all_told_ = false;
   std::unordered_map<TeamId, TeamState> teams_;
   std::unordered_map<VmId, GatewayOrder> gateways_;
   TimePoint last_drop_;
--- a/src/decision/quota/quota_limits.h
+++ b/src/decision/quota/quota_limits.h
@@ -24,7 +24,16 @@
   QuotaLimits() = default;
   // `routing` may be null.
   explicit QuotaLimits(std::shared_ptr<const Routing> routing)
-      : routing_(std::move(routing)) {}
+      : routing_(std::move(routing)),
+        limits_any_(routing_ && routing_->teams &&
+                    std::any_of(routing_->teams->begin(),
+                                routing_->teams->end(),
+                                [](const Team& each) {
+                                  return each.quota.requests_per_second > 0;
+                                })) {}
+
+  // Whether any team has a quota.
+  [[nodiscard]] auto LimitsAny() const -> bool { return limits_any_; }
 
   [[nodiscard]] auto Find(const TeamId& team) const -> QuotaLimit {
     if (!routing_ || !routing_->teams || team.empty()) {
@@ -43,6 +52,7 @@
 
  private:
   std::shared_ptr<const Routing> routing_;
+  bool limits_any_ = false;
 };
 
 }  // namespace flamingoyoke
--- a/src/decision/quota/quota_scope.cc
+++ b/src/decision/quota/quota_scope.cc
@@ -19,6 +19,14 @@
   return keepers;
 }
 
+auto KeepersHash(const std::vector<VmId>& keepers) -> std::uint64_t {
+  std::uint64_t hash = 0;
+  for (const auto& keeper : keepers) {
+    hash = RendezvousScore(hash, HashOf(keeper.value()));
+  }
+  return std::max<std::uint64_t>(hash, 1);
+}
+
 auto KeepersOfTeam(const TeamId& team, const std::vector<VmId>& keepers)
     -> std::vector<VmId> {
   const auto hash = HashOf(team.value());
--- a/src/decision/quota/quota_scope.h
+++ b/src/decision/quota/quota_scope.h
@@ -2,6 +2,7 @@
 #define FLAMINGOYOKE_DECISION_QUOTA_QUOTA_SCOPE_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 #include "core/ids.h"
@@ -18,6 +19,8 @@
   double share = 1;
   // VMs that keep the quotas.
   std::vector<VmId> keepers;
+  // The gateways that this VM knows.
+  std::vector<VmId> known_gateways = {};
 
   auto operator==(const QuotaScope&) const -> bool = default;
 };
@@ -27,6 +30,9 @@
 // Thread-safe.
 auto QuotaKeepers(const std::vector<EntryVm>& entries) -> std::vector<VmId>;
 
+// Returns a value that tells sets of keepers apart; never 0. Thread-safe.
+auto KeepersHash(const std::vector<VmId>& keepers) -> std::uint64_t;
+
 // Returns `keepers` in the order in which `team` uses them; the first is its
 // keeper. Thread-safe.
 auto KeepersOfTeam(const TeamId& team, const std::vector<VmId>& keepers)
--- a/src/decision/quota/quota_scope_tracker.cc
+++ b/src/decision/quota/quota_scope_tracker.cc
@@ -41,6 +41,9 @@
   }
   QuotaScope scope{view.self, std::max<std::size_t>(view.entries.size(), 1), 1,
                    QuotaKeepers(view.entries)};
+  for (const auto& entry : view.entries) {
+    scope.known_gateways.push_back(entry.vm);
+  }
   if (!known_.empty()) {
     scope.share = 1 - static_cast<double>(lost_since_.size()) /
                           static_cast<double>(known_.size());
--- a/src/decision/quota/quota_timing.h
+++ b/src/decision/quota/quota_timing.h
@@ -39,6 +39,12 @@
 // older still use leases that it does not know.
 inline constexpr Duration kQuotaSettleTime = std::chrono::seconds(3);
 inline constexpr double kSettleShare = 0.15;
+// A new keeper to which all gateways that it knows have told their leases waits
+// only this long. Gateways that became ready at the same moment, in a start of
+// all VMs, get to know each other in this time.
+inline constexpr Duration kQuotaToldTime = std::chrono::milliseconds(500);
+// A gateway tells its leases again if a keeper has not answered for this long.
+inline constexpr Duration kQuotaTellPeriod = std::chrono::milliseconds(200);
 
 // Share of a limit that is leased; the rest refills the bucket, for gateways
 // with few requests and for random peaks, which leases cannot follow.
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -208,7 +208,7 @@
 
 auto Read(const wire::QuotaRequest& encoded) -> Result<PeerMessage> {
   BOOST_LEAF_CHECK(CheckQuotaTeams(encoded.teams_size()));
-  QuotaRequest request{encoded.sequence(), {}};
+  QuotaRequest request{encoded.sequence(), {}, encoded.told_keepers()};
   for (const auto& team : encoded.teams()) {
     request.teams.push_back({TeamId(team.team()),
                              FromMilli(team.demand_milli()),
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -248,6 +248,7 @@
     team->set_held_milli(ToMilli(demand.held));
     team->set_waiting(demand.waiting);
   }
+  encoded->set_told_keepers(message.told_keepers);
 }
 
 auto BodyWriter::operator()(const QuotaGrant& message) const -> void {
--- a/tests/unit/decision/fleet/wire_size.h
+++ b/tests/unit/decision/fleet/wire_size.h
@@ -104,7 +104,7 @@
     return bytes;
   }
   static auto Body(const QuotaRequest& message) -> std::size_t {
-    auto bytes = Number(message.sequence);
+    auto bytes = Number(message.sequence) + Fixed(message.told_keepers);
     for (const auto& team : message.teams) {
       bytes += Nested(Text(team.team.value()) + Milli(team.demand) +
                       Milli(team.held) + Number(team.waiting));
--- a/tests/unit/decision/quota/fake_quota_fleet.h
+++ b/tests/unit/decision/quota/fake_quota_fleet.h
@@ -112,14 +112,17 @@
                const std::vector<std::size_t>& entries,
                double share) -> void {
     std::vector<EntryVm> vms;
+    std::vector<VmId> ids;
     vms.reserve(entries.size());
+    ids.reserve(entries.size());
     for (const auto index : entries) {
       vms.push_back({nodes_[index].id});
+      ids.push_back(nodes_[index].id);
     }
     for (const auto index : who) {
       nodes_[index].scope = {nodes_[index].id,
                              std::max<std::size_t>(entries.size(), 1), share,
-                             QuotaKeepers(vms)};
+                             QuotaKeepers(vms), ids};
       if (nodes_[index].alive) {
         Perform(index, QuotaScopeChanged{nodes_[index].scope});
         PerformAsKeeper(index, QuotaScopeChanged{nodes_[index].scope});
--- a/tests/unit/decision/quota/quota_test.cc
+++ b/tests/unit/decision/quota/quota_test.cc
@@ -188,6 +188,41 @@
   }
 }
 
+// Failure: all gateways are killed and start at once. Each third of them knows
+// only itself at first. Guards against refusals below the limit until keepers
+// have settled, and against thirds that use the whole limit each.
+Test(quota, a_start_of_all_gateways_neither_adds_nor_refuses) {
+  for (const auto& quota : kQuotas) {
+    for (const bool is_hot : {false, true}) {
+      auto fleet = MakeFleet(quota);
+      const auto usual = static_cast<double>(quota.requests_per_second) / 1.6;
+      WarmUp(*fleet, usual);
+      fleet->SetLoad(kTeam, is_hot ? usual * 7.5 : usual, fleet->All());
+      for (const auto index : fleet->All()) {
+        fleet->Kill(index);
+      }
+      const std::vector<std::vector<std::size_t>> thirds = {
+          {0, 3, 6, 9}, {1, 4, 7}, {2, 5, 8}};
+      for (const auto& third : thirds) {
+        fleet->SetView(third, third, 1);
+      }
+      fleet->RunFor(seconds(1));
+      fleet->ResetCounts();
+      for (const auto index : fleet->All()) {
+        fleet->Start(index);
+      }
+      fleet->RunFor(milliseconds(300));
+      fleet->SetView(fleet->All(), fleet->All(), 1);
+      fleet->RunFor(seconds(10));
+      CheckWindow(*fleet, quota, "start of all");
+      if (!is_hot) {
+        cr_assert_leq(fleet->RefusedShare(kTeam), 0.05, "quota %lu: %f",
+                      quota.requests_per_second, fleet->RefusedShare(kTeam));
+      }
+    }
+  }
+}
+
 // Failure: a cut splits the gateways under a hot team, the sides replace each
 // other after 2 s, and the cut heals. Guards against two sides that use the
 // whole limit each, at the cut, while it lasts and when it heals.
--- a/tests/unit/wire/peer_codec_test.cc
+++ b/tests/unit/wire/peer_codec_test.cc
@@ -65,7 +65,7 @@
       EjectionPermit{service, target, true},
       VerifyRequest{service, target},
       VerifyAnswer{service, target, true},
-      QuotaRequest{5, {{TeamId("a"), 1.5, 0.25, 3}}},
+      QuotaRequest{5, {{TeamId("a"), 1.5, 0.25, 3}}, 6},
       QuotaGrant{5, milliseconds(20), {{TeamId("a"), 1.5, 2, 3, 0.5}}},
       QuotaRecall{{TeamId("a"), TeamId("b")}},
       CompressedTable{{1, Revision(2), 3}, 4, "bytes"}};
@@ -110,7 +110,7 @@
   const auto report = std::get<OutcomeReport>(RoundTrip(AllMessages()[11]));
   cr_assert(report.outcomes.front().avoid == milliseconds(70));
   const auto ask = std::get<QuotaRequest>(RoundTrip(AllMessages()[17]));
-  cr_assert(ask.sequence == 5U &&
+  cr_assert(ask.sequence == 5U && ask.told_keepers == 6U &&
             ask.teams.front() == (QuotaDemand{TeamId("a"), 1.5, 0.25, 3}));
   const auto grant = std::get<QuotaGrant>(RoundTrip(AllMessages()[18]));
   cr_assert(grant.sequence == 5U && grant.duration == milliseconds(20));
--- a/tests/unit/wire/wire_size_test.cc
+++ b/tests/unit/wire/wire_size_test.cc
@@ -36,7 +36,7 @@
       TablePull{1, Revision(200)},
       TablePull{1, Revision(200), {}, 77},
       TableData{{1, Revision(2), 3}, std::string(3000, 'x')},
-      QuotaRequest{300, {{TeamId("team-1"), 12.5, 0, 3}}},
+      QuotaRequest{300, {{TeamId("team-1"), 12.5, 0, 3}}, 88},
       QuotaGrant{300, std::chrono::seconds(20), {{TeamId("t"), 9, 1, 3, 0.5}}},
       QuotaRecall{{TeamId("a"), TeamId("b")}},
       CompressedTable{{1, Revision(2), 3}, 9, std::string(300, 'x')}};
