Move the reports of pending changes into UpdateDissemination

Cause: membership.cc (748 lines) also computed which peers get which change, although UpdateDissemination batches the changes.

UpdateDissemination::TakeReports now returns the reports for each peer; the type of a pending change is private. No change of behaviour.

--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -8,7 +8,6 @@
 #include "core/overloaded.h"
 #include "decision/fleet/membership_timing.h"
 #include "decision/fleet/peer_selection.h"
-#include "decision/fleet/rendezvous.h"
 
 namespace flamingoyoke {
 namespace {
@@ -633,55 +632,11 @@
 }
 
 auto Membership::DisseminateUpdates() -> void {
-  const auto changes = update_dissemination_.TakeChanges();
-  const auto links = UpdateLinks();
-  std::map<VmId, std::set<VmId>> receivers;
-  for (const auto& [vm, change] : changes) {
-    if (!change.is_urgent) {
-      receivers[vm] = UpdateReceivers(OriginOf(vm, change.is_first), links);
-    }
-  }
-  for (const auto& [peer, link] : links_.links()) {
-    std::vector<Member> reports;
-    for (const auto& [vm, change] : changes) {
-      if (vm == peer || change.known_by.count(peer) > 0 ||
-          (!change.is_urgent && !receivers[vm].contains(peer))) {
-        continue;
-      }
-      if (vm == self_.id) {
-        reports.push_back(self_);
-      } else if (const auto* record = list_.Find(vm)) {
-        reports.push_back(ReportOf(*record));
-      }
-    }
-    if (!reports.empty()) {
-      SendMembers(peer, reports, {});
-    }
-  }
-}
-
-auto Membership::UpdateLinks() const -> std::vector<UpdateLink> {
-  std::vector<UpdateLink> links;
-  for (const auto& [vm, link] : links_.links()) {
-    UpdateLink each{vm};
-    if (const auto* record = list_.Find(vm)) {
-      const auto& peer = record->member;
-      each.link = LinkClassOf(self_, peer);
-      each.group = each.link == LinkClass::kOtherRegion
-                       ? HashOf("region " + peer.region.value())
-                       : HashOf("domain " + peer.failure_domain.value());
-    }
-    links.push_back(std::move(each));
+  const auto reports =
+      update_dissemination_.TakeReports(self_, list_, links_, domain_size_);
+  for (const auto& [peer, members] : reports) {
+    SendMembers(peer, members, {});
   }
-  return links;
-}
-
-auto Membership::OriginOf(const VmId& vm, bool is_first) const -> UpdateOrigin {
-  const auto* record = vm == self_.id ? nullptr : list_.Find(vm);
-  const auto& member = record == nullptr ? self_ : record->member;
-  return {RendezvousScore(HashOf(vm.value()),
-                          member.version + member.incarnation.value()),
-          HashOf(self_.id.value()), domain_size_, is_first};
 }
 
 auto Membership::AnnounceSelf(TimePoint now, bool is_urgent) -> void {
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -18,7 +18,6 @@
 #include "decision/fleet/peer_links.h"
 #include "decision/fleet/pending_indirect_probes.h"
 #include "decision/fleet/update_dissemination.h"
-#include "decision/fleet/update_receivers.h"
 #include "decision/peer/peer_message.h"
 
 namespace flamingoyoke {
@@ -106,9 +105,6 @@
                    const std::vector<Member>& members,
                    MemberUpdate last) -> void;
   auto DisseminateUpdates() -> void;
-  [[nodiscard]] auto UpdateLinks() const -> std::vector<UpdateLink>;
-  [[nodiscard]] auto OriginOf(const VmId& vm, bool is_first) const
-      -> UpdateOrigin;
   auto AnnounceSelf(TimePoint now, bool is_urgent = false) -> void;
 
   auto AcceptsDeathReportsFrom(const VmId& sender, TimePoint now) -> bool;
--- a/src/decision/fleet/update_dissemination.h
+++ b/src/decision/fleet/update_dissemination.h
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOYOKE_DECISION_FLEET_UPDATE_DISSEMINATION_H_
 #define FLAMINGOYOKE_DECISION_FLEET_UPDATE_DISSEMINATION_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <set>
@@ -9,7 +10,9 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "decision/fleet/member.h"
+#include "decision/fleet/member_list.h"
 #include "decision/fleet/member_record.h"
+#include "decision/fleet/peer_links.h"
 #include "decision/peer/peer_message.h"
 
 namespace flamingoyoke {
@@ -24,7 +27,8 @@
     -> std::vector<MemberUpdate>;
 
 // Batches changes of members and records which peers already know of each, so
-// that they are not sent back to those peers. Not thread-safe.
+// that they are not sent back to those peers. An urgent change goes to all
+// peers, any other one to its UpdateReceivers. Not thread-safe.
 class UpdateDissemination {
  public:
   // Adds a change of `vm` that `from` reported; `from` is empty if this node
@@ -39,6 +43,17 @@
   // When the pending changes are due, if there are any.
   [[nodiscard]] auto due() const -> std::optional<TimePoint> { return due_; }
 
+  // Removes the pending changes and returns the reports about them for each
+  // peer of `links` that needs any. `list` has the present state of the changed
+  // VMs, except for `self`, and `domain_size` is the number of present VMs in
+  // the failure domain of `self`, itself included.
+  auto TakeReports(const Member& self,
+                   const MemberList& list,
+                   const PeerLinks& links,
+                   std::size_t domain_size)
+      -> std::map<VmId, std::vector<Member>>;
+
+ private:
   struct Change {
     // The peers that know of it.
     std::set<VmId> known_by;
@@ -48,10 +63,6 @@
     bool is_urgent = false;
   };
 
-  // Removes and returns the pending changes.
-  auto TakeChanges() -> std::map<VmId, Change>;
-
- private:
   std::map<VmId, Change> changes_;
   std::optional<TimePoint> due_;
 };
