Separate the judgement of reports from Membership

report_verdict.h judges a report about another VM or this one and returns an enum; Membership acts on it. No change of behaviour.

--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -8,6 +8,7 @@
 #include "core/overloaded.h"
 #include "decision/fleet/membership_timing.h"
 #include "decision/fleet/peer_selection.h"
+#include "decision/fleet/report_verdict.h"
 
 namespace flamingoyoke {
 namespace {
@@ -349,31 +350,20 @@
     HandleReportOfSelf(report, now);
     return;
   }
+  const auto verdict =
+      JudgeReport(report, links_.Find(report.id), links_.Find(sender), now);
+  if (verdict == ReportVerdict::kForward) {
+    SendMembers(report.id, {report}, {});
+    return;
+  }
+  if (verdict == ReportVerdict::kReject) {
+    return;
+  }
   auto accepted = report;
-  if (report.liveness == Liveness::kDead ||
-      report.liveness == Liveness::kSuspect) {
-    auto* link = links_.Find(report.id);
-    if (link != nullptr && link->HasRecentHeartbeat(now)) {
-      // This node hears the VM, so it forwards the report to it for refutation.
-      SendMembers(report.id, {report}, {});
-      return;
-    }
-    if (!AcceptsDeathReportsFrom(sender, now)) {
-      return;
-    }
-    auto* from = links_.Find(sender);
-    if (from == nullptr || !from->IsTwoWay(now)) {
-      // The sender may be cut off itself.
-      accepted.liveness = Liveness::kSuspect;
-    }
+  if (verdict == ReportVerdict::kAcceptAsDoubt) {
+    accepted.liveness = Liveness::kSuspect;
   }
-  const auto* known = list_.Find(report.id);
-  const bool was_doubted =
-      known != nullptr && (known->refutation_deadline ||
-                           ((known->member.liveness == Liveness::kDead ||
-                             known->member.liveness == Liveness::kSuspect) &&
-                            known->member.incarnation == report.incarnation));
-  const bool is_urgent = was_doubted || report.liveness != Liveness::kAlive;
+  const bool is_urgent = IsUrgentReport(report, list_.Find(report.id));
   VmId replaced;
   const auto result = list_.Merge(accepted, now, replaced);
   if (result == MergeResult::kUpdated) {
@@ -388,32 +378,18 @@
   }
 }
 
-// A chosen peer that cannot receive messages considers all others dead. This
-// shows in the link to it, which is then not two-way.
-auto Membership::AcceptsDeathReportsFrom(const VmId& sender, TimePoint now)
-    -> bool {
-  const auto* link = links_.Find(sender);
-  return link == nullptr || !link->is_chosen() || !link->was_two_way() ||
-         link->IsTwoWay(now);
-}
-
 auto Membership::HandleReportOfSelf(const Member& report, TimePoint now)
     -> void {
-  if (self_.incarnation < report.incarnation) {
-    actions_.emplace_back(SelfSuperseded{report.incarnation});
-    return;
-  }
-  if (report.incarnation < self_.incarnation ||
-      report.version < self_.version) {
-    return;
-  }
-  // A report of this VM's death, or an announcement from before a restart of
-  // the fleet task.
-  const bool is_same =
-      report.version == self_.version && report.liveness == Liveness::kAlive;
-  if (!is_same) {
-    self_.version = report.version;
-    AnnounceSelf(now, /*is_urgent=*/true);
+  switch (JudgeReportOfSelf(report, self_)) {
+    case SelfReportVerdict::kIgnore:
+      return;
+    case SelfReportVerdict::kRefute:
+      self_.version = report.version;
+      AnnounceSelf(now, /*is_urgent=*/true);
+      return;
+    case SelfReportVerdict::kSuperseded:
+      actions_.emplace_back(SelfSuperseded{report.incarnation});
+      return;
   }
 }
 
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -107,7 +107,6 @@
   auto DisseminateUpdates() -> void;
   auto AnnounceSelf(TimePoint now, bool is_urgent = false) -> void;
 
-  auto AcceptsDeathReportsFrom(const VmId& sender, TimePoint now) -> bool;
   auto ReselectPeers(TimePoint now) -> void;
   auto CollectActions(TimePoint now) -> std::vector<MembershipAction>;
 
