Give the synchronization of member lists a class of its own

ListSync decides when a list is synchronized and writes requests and replies; Membership sends them. No change of behaviour.

--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -189,7 +189,7 @@
   heard_since_resume_.clear();
   bootstrap_until_ = now + kBootstrapTimeout;
   next_contact_ = now;
-  next_sync_ = now;
+  list_sync_.Resume(now);
   next_tick_ = now;
 }
 
@@ -254,36 +254,25 @@
   if (is_new || heartbeat.heard_sequence == 0) {
     SendHeartbeat(sender, *link, now);
   }
-  CompareDigests(sender, *link, heartbeat.membership_digest, now);
+  HandleDigest(sender, *link, heartbeat.membership_digest, now);
 }
 
-auto Membership::CompareDigests(const VmId& sender,
-                                PeerLink& link,
-                                std::uint64_t digest,
-                                TimePoint now) -> void {
-  if (digest == list_.Digest(self_)) {
-    link.mismatch_since.reset();
-    if (list_.unconfirmed_count() > 0) {
-      list_.ConfirmAll(now);
-    }
-    return;
-  }
-  if (!link.mismatch_since) {
-    link.mismatch_since = now;
-  }
-  // A node that knows few members synchronizes at once.
-  const bool knows_few_members =
-      list_.unconfirmed_count() > 0 || list_.present_count() < kBootstrapLinks;
-  const auto mismatch_delay = knows_few_members ? Duration::zero()
-                              : self_.id < sender
-                                  ? kDigestMismatchDelay
-                                  : kDigestMismatchDelayOfHigherId;
-  if (now - *link.mismatch_since < mismatch_delay || now < next_sync_) {
-    return;
+auto Membership::HandleDigest(const VmId& sender,
+                              PeerLink& link,
+                              std::uint64_t digest,
+                              TimePoint now) -> void {
+  switch (list_sync_.OnDigest(self_, list_, sender, digest, link, now)) {
+    case DigestResult::kEqual:
+      if (list_.unconfirmed_count() > 0) {
+        list_.ConfirmAll(now);
+      }
+      return;
+    case DigestResult::kDiffers:
+      return;
+    case DigestResult::kSyncDue:
+      Send(sender, ListSync::MakeRequest(self_, list_));
+      return;
   }
-  link.mismatch_since = now;
-  next_sync_ = now + kSyncPeriod;
-  SendSyncRequest(sender);
 }
 
 auto Membership::HandleMessage(const PeerEnvelope& envelope,
@@ -339,7 +328,10 @@
     SendMembers(sender, {ReportOf(*record), self_}, {});
   }
   if (update.wants_answer || !update.bucket_digests.empty()) {
-    ReplyToSync(sender, update, now);
+    for (auto& reply :
+         list_sync_.MakeReply(self_, list_, sender, update, now)) {
+      Send(sender, std::move(reply));
+    }
   }
 }
 
@@ -393,42 +385,6 @@
   }
 }
 
-auto Membership::ReplyToSync(const VmId& sender,
-                             const MemberUpdate& update,
-                             TimePoint now) -> void {
-  if (update.wants_answer && now < next_sync_reply_) {
-    return;
-  }
-  const auto own = list_.BucketDigests(self_);
-  const bool has_digests = update.bucket_digests.size() == own.size();
-  const auto differs = [&](std::uint64_t hash) {
-    const auto bucket = MemberList::BucketOf(hash);
-    return !has_digests || update.bucket_digests[bucket] != own[bucket];
-  };
-  std::vector<Member> members = {self_};
-  for (const auto& [vm, record] : list_.records()) {
-    if (!HasBeenHeard(record) || vm == sender || !differs(record.hash)) {
-      continue;
-    }
-    members.push_back(ReportOf(record));
-    // The report may be outdated information from the other side of a
-    // partition, so the VM gets the time to refute it.
-    if (members.back().liveness == Liveness::kDead) {
-      members.back().liveness = Liveness::kSuspect;
-    }
-  }
-  if (const auto* record = list_.Find(sender)) {
-    members.push_back(ReportOf(*record));
-  }
-  MemberUpdate last;
-  if (update.wants_answer) {
-    last.bucket_digests = own;
-    next_sync_reply_ = now + kSyncReplyTimePerMember *
-                                 static_cast<std::int64_t>(members.size());
-  }
-  SendMembers(sender, members, std::move(last));
-}
-
 auto Membership::Tick(TimePoint now) -> void {
   ++ticks_;
   sequence_ = std::max(sequence_, SequenceAt(now));
@@ -505,7 +461,7 @@
     link->RecordActivity(now);
     // Sync requests are large, so only one of the contacts carries one.
     if (i == 0) {
-      SendSyncRequest(vm);
+      Send(vm, ListSync::MakeRequest(self_, list_));
     } else {
       SendMembers(vm, {self_}, {});
     }
@@ -591,14 +547,6 @@
   Send(peer, std::move(heartbeat));
 }
 
-auto Membership::SendSyncRequest(const VmId& peer) -> void {
-  MemberUpdate update;
-  update.members = {self_};
-  update.wants_answer = true;
-  update.bucket_digests = list_.BucketDigests(self_);
-  Send(peer, std::move(update));
-}
-
 auto Membership::SendMembers(const VmId& peer,
                              const std::vector<Member>& members,
                              MemberUpdate last) -> void {
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -12,6 +12,7 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "core/time.h"
+#include "decision/fleet/list_sync.h"
 #include "decision/fleet/member.h"
 #include "decision/fleet/member_list.h"
 #include "decision/fleet/membership_event.h"
@@ -80,13 +81,10 @@
   auto HandleReport(const VmId& sender, const Member& report, TimePoint now)
       -> void;
   auto HandleReportOfSelf(const Member& report, TimePoint now) -> void;
-  auto CompareDigests(const VmId& sender,
-                      PeerLink& link,
-                      std::uint64_t digest,
-                      TimePoint now) -> void;
-  auto ReplyToSync(const VmId& sender,
-                   const MemberUpdate& update,
-                   TimePoint now) -> void;
+  auto HandleDigest(const VmId& sender,
+                    PeerLink& link,
+                    std::uint64_t digest,
+                    TimePoint now) -> void;
 
   // Periodic work.
   auto Tick(TimePoint now) -> void;
@@ -100,7 +98,6 @@
   auto Send(const VmId& peer, PeerMessage message) -> void;
   auto SendHeartbeat(const VmId& peer, const PeerLink& link, TimePoint now)
       -> void;
-  auto SendSyncRequest(const VmId& peer) -> void;
   auto SendMembers(const VmId& peer,
                    const std::vector<Member>& members,
                    MemberUpdate last) -> void;
@@ -116,6 +113,7 @@
   PeerLinks links_;
   UpdateDissemination update_dissemination_;
   PendingIndirectProbes pending_probes_;
+  ListSync list_sync_;
   std::set<VmId> home_peers_;
   std::vector<VmId> first_peers_;
   std::vector<TableDigest> tables_;
@@ -136,8 +134,6 @@
   std::optional<TimePoint> next_tick_;
   TimePoint bootstrap_until_;
   TimePoint next_contact_;
-  TimePoint next_sync_;
-  TimePoint next_sync_reply_;
   TimePoint next_tombstone_sweep_;
 
   // State that the last actions reported.
