Move the writing of heartbeats and the filter after a pause out of Membership

HeartbeatWriter numbers and writes heartbeats; ResumeFilter tells which messages are newer than a pause. No change of behaviour.

--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -13,14 +13,6 @@
 namespace flamingoyoke {
 namespace {
 
-// Sequences follow the clock in milliseconds. A node sends far fewer than a
-// thousand heartbeats per second, so they increase across restarts of the fleet
-// task.
-auto SequenceAt(TimePoint now) -> std::uint64_t {
-  return static_cast<std::uint64_t>(
-      std::max<std::int64_t>(ToMilliseconds(now.time_since_epoch()), 0));
-}
-
 // A node that hears fewer than kBootstrapLinks peers for this long contacts
 // other live VMs, without waiting until it declares its peers dead: they may
 // have been lost together. Longer than the period of the slow heartbeats.
@@ -85,7 +77,7 @@
 
 auto Membership::Handle(const MembershipStarted& /*event*/, TimePoint now)
     -> void {
-  sequence_ = SequenceAt(now);
+  heartbeats_.AdvanceSequence(now);
   // The random offset keeps nodes that start together from ticking together.
   next_tick_ =
       now + Duration(random_.Below(static_cast<std::uint64_t>(kTick.count())));
@@ -107,7 +99,7 @@
     }
     return;
   }
-  if (!IsFreshAfterResume(envelope)) {
+  if (!resume_filter_.Accepts(envelope)) {
     return;
   }
   std::visit(
@@ -122,23 +114,8 @@
       envelope.message);
 }
 
-// Sockets buffer messages during a pause, so buffered messages say nothing
-// about the present. A heartbeat that acknowledges a sequence sent since the
-// pause is new.
-auto Membership::IsFreshAfterResume(const PeerEnvelope& envelope) -> bool {
-  if (resume_sequence_ == 0 || heard_since_resume_.count(envelope.sender) > 0) {
-    return true;
-  }
-  const auto* heartbeat = std::get_if<Heartbeat>(&envelope.message);
-  if (heartbeat == nullptr || heartbeat->heard_sequence <= resume_sequence_) {
-    return false;
-  }
-  heard_since_resume_.insert(envelope.sender);
-  return true;
-}
-
 auto Membership::Handle(const SelfAnnounced& event, TimePoint now) -> void {
-  tables_ = event.tables;
+  heartbeats_.set_tables(event.tables);
   auto announced = self_;
   announced.ready = event.ready;
   announced.lost_source = event.lost_source;
@@ -151,9 +128,7 @@
 }
 
 auto Membership::Handle(const SourceConfirmed& event, TimePoint now) -> void {
-  source_ = event.newest;
-  tables_age_ = event.tables_age;
-  source_set_ = now;
+  heartbeats_.SetSource(event, now);
   if (!event.announce) {
     return;
   }
@@ -184,9 +159,8 @@
   links_.Restart(now);
   // Other nodes may consider this VM dead by now.
   AnnounceSelf(now);
-  sequence_ = std::max(sequence_, SequenceAt(now));
-  resume_sequence_ = sequence_;
-  heard_since_resume_.clear();
+  heartbeats_.AdvanceSequence(now);
+  resume_filter_.Start(heartbeats_.last_sequence());
   bootstrap_until_ = now + kBootstrapTimeout;
   next_contact_ = now;
   list_sync_.Resume(now);
@@ -233,7 +207,8 @@
     // Otherwise two temporary peers would keep each other's links open forever.
     link->RecordActivity(now);
   }
-  if (!link->RecordHeartbeat(heartbeat, envelope.incarnation, sequence_, now)) {
+  if (!link->RecordHeartbeat(heartbeat, envelope.incarnation,
+                             heartbeats_.last_sequence(), now)) {
     return;
   }
   if (record->member.liveness == Liveness::kDead) {
@@ -387,9 +362,9 @@
 
 auto Membership::Tick(TimePoint now) -> void {
   ++ticks_;
-  sequence_ = std::max(sequence_, SequenceAt(now));
+  heartbeats_.AdvanceSequence(now);
   if (bootstrap_until_ <= now) {
-    resume_sequence_ = 0;
+    resume_filter_.Stop();
   }
   list_.ExpireRefutations(now);
   pending_probes_.Expire(now);
@@ -524,27 +499,11 @@
 auto Membership::SendHeartbeat(const VmId& peer,
                                const PeerLink& link,
                                TimePoint now) -> void {
-  const auto heard = link.HeardSequence(now);
-  if (heard == 0) {
+  if (link.HeardSequence(now) == 0) {
     // The peer may not know this VM yet and could not answer.
     SendMembers(peer, {self_}, {});
   }
-  Heartbeat heartbeat;
-  heartbeat.sequence = ++sequence_;
-  heartbeat.heard_sequence = heard;
-  heartbeat.leaving = self_.leaving;
-  heartbeat.ready = self_.ready;
-  heartbeat.tables = tables_;
-  heartbeat.membership_digest = list_.Digest(self_);
-  heartbeat.is_chosen = link.is_chosen();
-  heartbeat.source = source_;
-  if (heartbeat.source) {
-    heartbeat.source->age += now - source_set_;
-  }
-  if (tables_age_) {
-    heartbeat.tables_age = *tables_age_ + (now - source_set_);
-  }
-  Send(peer, std::move(heartbeat));
+  Send(peer, heartbeats_.Write(self_, link, list_.Digest(self_), now));
 }
 
 auto Membership::SendMembers(const VmId& peer,
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -12,12 +12,14 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "core/time.h"
+#include "decision/fleet/heartbeat_writer.h"
 #include "decision/fleet/list_sync.h"
 #include "decision/fleet/member.h"
 #include "decision/fleet/member_list.h"
 #include "decision/fleet/membership_event.h"
 #include "decision/fleet/peer_links.h"
 #include "decision/fleet/pending_indirect_probes.h"
+#include "decision/fleet/resume_filter.h"
 #include "decision/fleet/update_dissemination.h"
 #include "decision/peer/peer_message.h"
 
@@ -60,7 +62,6 @@
   auto Handle(const MembershipStarted& event, TimePoint now) -> void;
   auto Handle(const VmListSeeded& event, TimePoint now) -> void;
   auto Handle(const PeerEnvelope& envelope, TimePoint now) -> void;
-  auto IsFreshAfterResume(const PeerEnvelope& envelope) -> bool;
   auto Handle(const SelfAnnounced& event, TimePoint now) -> void;
   auto Handle(const SourceConfirmed& event, TimePoint now) -> void;
   auto Handle(const HomePeersChanged& event, TimePoint now) -> void;
@@ -114,23 +115,12 @@
   UpdateDissemination update_dissemination_;
   PendingIndirectProbes pending_probes_;
   ListSync list_sync_;
+  HeartbeatWriter heartbeats_;
+  ResumeFilter resume_filter_;
   std::set<VmId> home_peers_;
   std::vector<VmId> first_peers_;
-  std::vector<TableDigest> tables_;
-  // For heartbeats: the newest confirmation, and when it had its age.
-  std::optional<SourceConfirmation> source_;
-  std::optional<Duration> tables_age_;
-  // When both were set.
-  TimePoint source_set_;
 
   std::uint64_t ticks_ = 0;
-  // Highest sequence sent. Initialized from the clock, so that it also
-  // increases when only the fleet task restarts.
-  std::uint64_t sequence_ = 0;
-  // Highest sequence sent before the last pause, reset to 0 once
-  // kBootstrapTimeout has passed, and the peers that have answered a later one.
-  std::uint64_t resume_sequence_ = 0;
-  std::set<VmId> heard_since_resume_;
   std::optional<TimePoint> next_tick_;
   TimePoint bootstrap_until_;
   TimePoint next_contact_;
