Let VmContacts choose the VMs without a link to contact

Cause: Membership also chose the dead, unproven and spare VMs that it contacts, with the timing of the bootstrap.

VmContacts makes this choice; the random numbers are drawn in the same order. No change of behaviour.

--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -11,14 +11,6 @@
 #include "decision/fleet/report_verdict.h"
 
 namespace flamingoyoke {
-namespace {
-
-// A node that hears fewer than kBootstrapLinks peers for this long contacts
-// other live VMs, without waiting until it declares its peers dead: they may
-// have been lost together. Longer than the period of the slow heartbeats.
-constexpr Duration kMaxPeerSilence = std::chrono::milliseconds(1300);
-
-}  // namespace
 
 Membership::Membership(Member self, Random random)
     : self_(std::move(self)), random_(random), list_(self_.id) {
@@ -81,7 +73,7 @@
   // The random offset keeps nodes that start together from ticking together.
   next_tick_ =
       now + Duration(random_.Below(static_cast<std::uint64_t>(kTick.count())));
-  bootstrap_until_ = now + kBootstrapTimeout;
+  contacts_.Start(now);
   next_tombstone_sweep_ = now + kTombstoneSweepPeriod;
 }
 
@@ -161,8 +153,7 @@
   AnnounceSelf(now);
   heartbeats_.AdvanceSequence(now);
   resume_filter_.Start(heartbeats_.last_sequence());
-  bootstrap_until_ = now + kBootstrapTimeout;
-  next_contact_ = now;
+  contacts_.Resume(now);
   list_sync_.Resume(now);
   next_tick_ = now;
 }
@@ -363,7 +354,7 @@
 auto Membership::Tick(TimePoint now) -> void {
   ++ticks_;
   heartbeats_.AdvanceSequence(now);
-  if (bootstrap_until_ <= now) {
+  if (contacts_.IsBootstrapOver(now)) {
     resume_filter_.Stop();
   }
   list_.ExpireRefutations(now);
@@ -420,60 +411,27 @@
 }
 
 auto Membership::ContactAbsentVms(TimePoint now) -> void {
-  const bool is_bootstrapping =
-      now < bootstrap_until_ && links_.TwoWay(now).size() < kBootstrapLinks;
-  if (!is_bootstrapping && now < next_contact_) {
-    return;
-  }
-  const auto absent = AbsentVms();
-  const auto count = is_bootstrapping ? kBootstrapContacts : 1;
-  for (std::size_t i = 0; i < std::min(count, absent.size()); ++i) {
-    const auto& vm = absent[random_.Below(absent.size())];
+  // Sync requests are large, so only one of the contacts carries one.
+  bool is_first = true;
+  for (const auto& vm : contacts_.TakeAbsent(list_, links_, random_, now)) {
+    const bool asks_for_sync = std::exchange(is_first, false);
     auto* link = links_.FindOrAdd(vm, now);
     if (link == nullptr) {
       continue;
     }
     link->RecordActivity(now);
-    // Sync requests are large, so only one of the contacts carries one.
-    if (i == 0) {
+    if (asks_for_sync) {
       Send(vm, ListSync::MakeRequest(self_, list_));
     } else {
       SendMembers(vm, {self_}, {});
     }
     SendHeartbeat(vm, *link, now);
   }
-  const auto share =
-      absent.empty()
-          ? 0.0
-          : static_cast<double>(list_.present_count() + 1) /
-                (kContactsPerSecond * static_cast<double>(absent.size()));
-  const auto period = std::max(
-      kMinContactPeriod, Duration(static_cast<std::int64_t>(share * 1e6)));
-  // The jitter keeps nodes that start together from acting in lockstep.
-  next_contact_ =
-      now + period / 2 +
-      Duration(random_.Below(static_cast<std::uint64_t>(period.count())));
 }
 
 auto Membership::ReplaceSilentPeers(TimePoint now) -> void {
-  std::size_t heard = 0;
-  for (const auto& [vm, link] : links_.links()) {
-    const bool is_heard =
-        link.IsTwoWay(now) && link.Silence(now) <= kMaxPeerSilence;
-    heard += is_heard ? 1 : 0;
-  }
-  if (heard >= kBootstrapLinks) {
-    return;
-  }
-  std::vector<VmId> others;
-  for (const auto& [vm, record] : list_.records()) {
-    if (IsPresent(record) && links_.Find(vm) == nullptr) {
-      others.push_back(vm);
-    }
-  }
-  const auto count = std::min(kBootstrapContacts, others.size());
-  for (std::size_t i = 0; i < count; ++i) {
-    const auto& vm = others[random_.Below(others.size())];
+  for (const auto& vm :
+       VmContacts::ReplacementsForSilent(list_, links_, random_, now)) {
     if (auto* link = links_.FindOrAdd(vm, now)) {
       link->RecordActivity(now);
       SendHeartbeat(vm, *link, now);
@@ -481,17 +439,6 @@
   }
 }
 
-auto Membership::AbsentVms() const -> std::vector<VmId> {
-  std::vector<VmId> absent;
-  for (const auto& [vm, record] : list_.records()) {
-    if (record.member.liveness == Liveness::kDead ||
-        record.member.liveness == Liveness::kUnproven) {
-      absent.push_back(vm);
-    }
-  }
-  return absent;
-}
-
 auto Membership::Send(const VmId& peer, PeerMessage message) -> void {
   actions_.emplace_back(SendToPeer{peer, std::move(message)});
 }
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -21,6 +21,7 @@
 #include "decision/fleet/pending_indirect_probes.h"
 #include "decision/fleet/resume_filter.h"
 #include "decision/fleet/update_dissemination.h"
+#include "decision/fleet/vm_contacts.h"
 #include "decision/peer/peer_message.h"
 
 namespace flamingoyoke {
@@ -93,7 +94,6 @@
   auto ContactAbsentVms(TimePoint now) -> void;
   // Contacts live VMs that are no peers if most peers have fallen silent.
   auto ReplaceSilentPeers(TimePoint now) -> void;
-  [[nodiscard]] auto AbsentVms() const -> std::vector<VmId>;
 
   // Sending.
   auto Send(const VmId& peer, PeerMessage message) -> void;
@@ -114,6 +114,7 @@
   PeerLinks links_;
   UpdateDissemination update_dissemination_;
   PendingIndirectProbes pending_probes_;
+  VmContacts contacts_;
   ListSync list_sync_;
   HeartbeatWriter heartbeats_;
   ResumeFilter resume_filter_;
@@ -122,8 +123,6 @@
 
   std::uint64_t ticks_ = 0;
   std::optional<TimePoint> next_tick_;
-  TimePoint bootstrap_until_;
-  TimePoint next_contact_;
   TimePoint next_tombstone_sweep_;
 
   // State that the last actions reported.
