Let PeerChoice keep the links in line with the home peers

Cause: Membership also chose its peers anew after changes of the home sets or of the present VMs, and compared the connections with those reported last.

PeerChoice does both. No change of behaviour.

--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -7,7 +7,6 @@
 
 #include "core/overloaded.h"
 #include "decision/fleet/membership_timing.h"
-#include "decision/fleet/peer_selection.h"
 #include "decision/fleet/report_verdict.h"
 
 namespace flamingoyoke {
@@ -131,10 +130,7 @@
 
 auto Membership::Handle(const HomePeersChanged& event, TimePoint /*now*/)
     -> void {
-  home_peers_ = std::set<VmId>(event.peers.begin(), event.peers.end());
-  first_peers_ = event.first;
-  links_.set_max_peers(event.is_hub ? kMaxHubPeers : kMaxPeers);
-  selection_is_stale_ = true;
+  peer_choice_.SetHomePeers(event, links_);
 }
 
 auto Membership::Handle(const LeavingDeclared& /*event*/, TimePoint now)
@@ -462,8 +458,8 @@
 }
 
 auto Membership::DisseminateUpdates() -> void {
-  const auto reports =
-      update_dissemination_.TakeReports(self_, list_, links_, domain_size_);
+  const auto reports = update_dissemination_.TakeReports(
+      self_, list_, links_, peer_choice_.domain_size());
   for (const auto& [peer, members] : reports) {
     SendMembers(peer, members, {});
   }
@@ -474,40 +470,13 @@
   update_dissemination_.AddChange(self_.id, {}, now, is_urgent);
 }
 
-auto Membership::ReselectPeers(TimePoint now) -> void {
-  selected_presence_changes_ = list_.presence_change_count();
-  selection_is_stale_ = false;
-  links_.Choose(SelectPeers(self_, list_.records(), home_peers_, first_peers_),
-                home_peers_, now);
-  domain_size_ = 1;
-  for (const auto& [vm, record] : list_.records()) {
-    const bool is_near =
-        LinkClassOf(self_, record.member) == LinkClass::kSameDomain;
-    domain_size_ += is_near && IsPresent(record) ? 1 : 0;
-  }
-}
-
 auto Membership::CollectActions(TimePoint now)
     -> std::vector<MembershipAction> {
-  if (selection_is_stale_ ||
-      selected_presence_changes_ != list_.presence_change_count()) {
-    ReselectPeers(now);
-  }
-  std::map<VmId, std::string> endpoints;
-  for (const auto& [vm, link] : links_.links()) {
-    if (const auto* record = list_.Find(vm)) {
-      endpoints.emplace(vm, record->member.mesh_address);
-    }
-  }
+  peer_choice_.Update(self_, list_, links_, now);
   std::vector<MembershipAction> actions;
-  if (endpoints != reported_endpoints_) {
-    // Must precede messages to new peers, which need a connection.
-    reported_endpoints_ = endpoints;
-    std::map<VmId, LinkClass> links;
-    for (const auto& [vm, endpoint] : endpoints) {
-      links.emplace(vm, LinkClassOf(self_, list_.Find(vm)->member));
-    }
-    actions.emplace_back(PeersSelected{std::move(endpoints), std::move(links)});
+  // Must precede messages to new peers, which need a connection.
+  if (auto selected = peer_choice_.TakeSelected(self_, list_, links_)) {
+    actions.emplace_back(*std::move(selected));
   }
   std::move(actions_.begin(), actions_.end(), std::back_inserter(actions));
   actions_.clear();
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -3,10 +3,8 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <set>
-#include <string>
 #include <vector>
 
 #include "core/ids.h"
@@ -17,6 +15,7 @@
 #include "decision/fleet/member.h"
 #include "decision/fleet/member_list.h"
 #include "decision/fleet/membership_event.h"
+#include "decision/fleet/peer_choice.h"
 #include "decision/fleet/peer_links.h"
 #include "decision/fleet/pending_indirect_probes.h"
 #include "decision/fleet/resume_filter.h"
@@ -105,21 +104,19 @@
   auto DisseminateUpdates() -> void;
   auto AnnounceSelf(TimePoint now, bool is_urgent = false) -> void;
 
-  auto ReselectPeers(TimePoint now) -> void;
   auto CollectActions(TimePoint now) -> std::vector<MembershipAction>;
 
   Member self_;
   Random random_;
   MemberList list_;
   PeerLinks links_;
+  PeerChoice peer_choice_;
   UpdateDissemination update_dissemination_;
   PendingIndirectProbes pending_probes_;
   VmContacts contacts_;
   ListSync list_sync_;
   HeartbeatWriter heartbeats_;
   ResumeFilter resume_filter_;
-  std::set<VmId> home_peers_;
-  std::vector<VmId> first_peers_;
 
   std::uint64_t ticks_ = 0;
   std::optional<TimePoint> next_tick_;
@@ -127,11 +124,6 @@
 
   // State that the last actions reported.
   std::uint64_t reported_changes_ = 0;
-  std::uint64_t selected_presence_changes_ = 0;
-  // Number of present VMs in the failure domain of this VM, itself included.
-  std::size_t domain_size_ = 1;
-  bool selection_is_stale_ = false;
-  std::map<VmId, std::string> reported_endpoints_;
   std::vector<VmId> reported_cut_off_;
   std::optional<TimePoint> scheduled_wake_;
 
