Share the set-up of the pool tests

Cause: five test files of decision/gateway made the same targets, and pool_fairness_test.cc and pool_overload_test.cc had the same queue of events, work times and arrivals.

pool_fixture.h holds them. It uses the EventQueue of the benches, which moves to tests/unit/decision. target_pool_test.cc makes pools of used targets by a function.

--- a/bench/baseline_balancer.cc
+++ b/bench/baseline_balancer.cc
@@ -5,7 +5,7 @@
 #include <functional>
 #include <queue>
 
-#include "bench/event_queue.h"
+#include "unit/decision/event_queue.h"
 
 namespace flamingoyoke {
 namespace {
--- a/bench/dispatcher_simulation.h
+++ b/bench/dispatcher_simulation.h
@@ -7,10 +7,10 @@
 #include <variant>
 #include <vector>
 
-#include "bench/event_queue.h"
 #include "bench/run_result.h"
 #include "bench/workload.h"
 #include "decision/dispatch/service_dispatcher.h"
+#include "unit/decision/event_queue.h"
 
 namespace flamingoyoke {
 
--- a/bench/gateway_simulation.cc
+++ b/bench/gateway_simulation.cc
@@ -13,11 +13,11 @@
 #include <variant>
 #include <vector>
 
-#include "bench/event_queue.h"
 #include "bench/policy_gateway.h"
 #include "core/overloaded.h"
 #include "core/random.h"
 #include "decision/gateway/pool_dispatcher.h"
+#include "unit/decision/event_queue.h"
 
 namespace flamingoyoke {
 namespace {
--- a/bench/event_queue.h
+++ b/tests/unit/decision/event_queue.h
@@ -1,5 +1,5 @@
-#ifndef FLAMINGOYOKE_BENCH_EVENT_QUEUE_H_
-#define FLAMINGOYOKE_BENCH_EVENT_QUEUE_H_
+#ifndef FLAMINGOYOKE_TESTS_UNIT_DECISION_EVENT_QUEUE_H_
+#define FLAMINGOYOKE_TESTS_UNIT_DECISION_EVENT_QUEUE_H_
 
 #include <cstdint>
 #include <queue>
@@ -49,4 +49,4 @@
 
 }  // namespace flamingoyoke
 
-#endif  // FLAMINGOYOKE_BENCH_EVENT_QUEUE_H_
+#endif  // FLAMINGOYOKE_TESTS_UNIT_DECISION_EVENT_QUEUE_H_
--- a/tests/unit/decision/gateway/pool_dispatcher_test.cc
+++ b/tests/unit/decision/gateway/pool_dispatcher_test.cc
@@ -7,6 +7,7 @@
 #include <set>
 
 #include "core/answer_table.h"
+#include "unit/decision/gateway/pool_fixture.h"
 
 namespace flamingoyoke {
 namespace {
@@ -14,21 +15,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr TimePoint kStart{seconds(100)};
-
-auto MakeTargets(std::size_t count) -> std::vector<RegisteredTarget> {
-  std::vector<RegisteredTarget> targets;
-  for (std::size_t i = 0; i < count; ++i) {
-    RegisteredTarget target;
-    target.id = TargetId("t" + std::to_string(i));
-    target.host = "10.0.0.1";
-    target.port = static_cast<std::uint16_t>(1000 + i);
-    target.slots = 2;
-    targets.push_back(target);
-  }
-  return targets;
-}
-
 auto MakeLimits() -> PoolLimits {
   return {.floor_share = 0.7, .retry_share = 0.2, .min_retries = 10};
 }
--- a/tests/unit/decision/gateway/pool_fairness_test.cc
+++ b/tests/unit/decision/gateway/pool_fairness_test.cc
@@ -1,9 +1,7 @@
 #include <criterion/criterion.h>
 
-#include <cmath>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -11,27 +9,22 @@
 
 #include "core/answer_table.h"
 #include "core/overloaded.h"
-#include "core/random.h"
 #include "decision/gateway/pool_dispatcher.h"
+#include "unit/decision/gateway/pool_fixture.h"
 
 namespace flamingoyoke {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr TimePoint kStart{seconds(100)};
 constexpr std::size_t kTargets = 8;
 constexpr std::uint32_t kSlots = 2;
-constexpr Duration kMinWork = milliseconds(100);
-constexpr Duration kMaxWork = milliseconds(300);
-constexpr Duration kTimeout = milliseconds(3500);
+// Requests that the targets can run in a second.
+constexpr double kCapacity = CapacityOf(kTargets, kSlots);
 constexpr Duration kLength = seconds(24);
 // Requests that arrive between these times after the start are counted.
 constexpr Duration kCountFrom = seconds(5);
 constexpr Duration kCountTo = seconds(20);
-// Requests that the targets can run in a second.
-constexpr double kCapacity = kTargets * kSlots / 0.2;
 constexpr std::uint64_t kSeeds = 3;
 
 // Requests of one team to one route. The rate is in parts of the capacity.
@@ -60,17 +53,12 @@
  public:
   Service(std::vector<Callers> callers, std::uint64_t seed)
       : callers_(std::move(callers)),
-        random_(seed),
-        dispatcher_(ServiceId("s"), Random(random_.Next()), PoolLimits{}) {
+        timeline_(seed),
+        dispatcher_(ServiceId("s"),
+                    Random(timeline_.random().Next()),
+                    PoolLimits{}) {
     PoolConfigured configured;
-    for (std::size_t i = 0; i < kTargets; ++i) {
-      RegisteredTarget target;
-      target.id = TargetId("t" + std::to_string(i));
-      target.host = "10.0.0.1";
-      target.port = static_cast<std::uint16_t>(1000 + i);
-      target.slots = kSlots;
-      configured.targets.push_back(target);
-    }
+    configured.targets = MakeTargets(kTargets, kSlots);
     Handle(configured);
     for (std::size_t i = 0; i < callers_.size(); ++i) {
       PushArrival(i);
@@ -78,11 +66,7 @@
   }
 
   auto Run() -> Service& {
-    while (events_.begin()->first.first < kStart + kLength) {
-      now_ = events_.begin()->first.first;
-      const auto event = events_.extract(events_.begin());
-      std::visit([this](const auto& each) { On(each); }, event.mapped());
-    }
+    timeline_.Run(kLength, [this](const auto& each) { On(each); });
     return *this;
   }
 
@@ -113,14 +97,9 @@
     bool started = false;
   };
 
-  auto Push(Duration delay, Event event) -> void {
-    events_.emplace(std::pair(now_ + delay, ++last_event_), event);
-  }
-
   auto PushArrival(std::size_t callers) -> void {
-    const auto gap =
-        -std::log(1 - random_.Unit()) / (callers_[callers].rate * kCapacity);
-    Push(Duration(static_cast<std::int64_t>(gap * 1e6)), Arrival{callers});
+    timeline_.Push(timeline_.DrawGap(callers_[callers].rate * kCapacity),
+                   Arrival{callers});
   }
 
   // Calls `add` for each sum that the request is a part of.
@@ -136,20 +115,17 @@
   }
 
   auto Handle(const PoolEvent& event) -> void {
-    for (const auto& action : dispatcher_.OnEvent(event, now_)) {
+    for (const auto& action : dispatcher_.OnEvent(event, timeline_.now())) {
       std::visit(
           Overloaded{
               [&](const StartAttempt& start) {
                 requests_.at(start.request.value() - 1).started = true;
-                const auto span =
-                    static_cast<double>((kMaxWork - kMinWork).count());
-                Push(kMinWork + Duration(static_cast<std::int64_t>(
-                                    span * random_.Unit())),
-                     WorkEnds{start.attempt});
+                timeline_.Push(timeline_.DrawWork(), WorkEnds{start.attempt});
               },
               [&](const DeliverAnswer& deliver) {
                 const auto& request = requests_.at(deliver.request.value() - 1);
-                cr_assert_leq(now_, request.arrived + kTimeout + kMaxWork);
+                cr_assert_leq(timeline_.now(),
+                              request.arrived + kTimeout + kMaxWork);
                 Count(request, [](Served& each) { ++each.answered; });
               },
               [&](const RefuseRequest& refuse) {
@@ -159,10 +135,12 @@
                 cr_assert_gt(refuse.retry_after, Duration::zero());
                 Count(request, [&](Served& each) {
                   ++each.refused;
-                  each.held_until_refused += now_ - request.arrived;
+                  each.held_until_refused += timeline_.now() - request.arrived;
                 });
               },
-              [&](const WakePoolAt& wake) { Push(wake.at - now_, Timer{}); },
+              [&](const WakePoolAt& wake) {
+                timeline_.Push(wake.at - timeline_.now(), Timer{});
+              },
               [](const auto&) {},
           },
           action);
@@ -171,15 +149,15 @@
 
   auto On(const Arrival& event) -> void {
     const auto& callers = callers_[event.callers];
-    requests_.push_back({&callers, now_});
+    requests_.push_back({&callers, timeline_.now()});
     Count(requests_.back(), [](Served& each) { ++each.arrived; });
     PushArrival(event.callers);
     Handle(PoolRequestArrived{.request = RequestId(requests_.size()),
                               .route = callers.route,
                               .team = TeamId(callers.team),
                               .priority = callers.priority,
-                              .deadline = now_ + kTimeout,
-                              .objective = milliseconds(1000)});
+                              .deadline = timeline_.now() + kTimeout,
+                              .objective = kObjective});
   }
 
   auto On(const WorkEnds& event) -> void {
@@ -189,10 +167,7 @@
   auto On(const Timer& /*event*/) -> void { Handle(PoolTimer{}); }
 
   const std::vector<Callers> callers_;
-  Random random_;
-  TimePoint now_ = kStart;
-  std::map<std::pair<TimePoint, std::uint64_t>, Event> events_;
-  std::uint64_t last_event_ = 0;
+  PoolTimeline<Event> timeline_;
   std::vector<Request> requests_;
   std::map<std::string, Served> by_team_;
   std::map<std::string, Served> by_route_;
--- a/tests/unit/decision/gateway/pool_load_test.cc
+++ b/tests/unit/decision/gateway/pool_load_test.cc
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "decision/gateway/target_pool.h"
+#include "unit/decision/gateway/pool_fixture.h"
 
 namespace flamingoyoke {
 namespace {
@@ -16,25 +17,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr TimePoint kStart{seconds(100)};
 constexpr std::uint32_t kSlots = 4;
 
-auto MakeTargetId(std::size_t index) -> TargetId {
-  return TargetId("t" + std::to_string(index));
-}
-
-auto MakeTargets(std::size_t count) -> std::vector<RegisteredTarget> {
-  std::vector<RegisteredTarget> targets;
-  for (std::size_t i = 0; i < count; ++i) {
-    RegisteredTarget target;
-    target.id = MakeTargetId(i);
-    target.host = "10.0.0.1";
-    target.port = static_cast<std::uint16_t>(1 + i);
-    target.failure_domain = FailureDomainId("a");
-    target.slots = kSlots;
-    targets.push_back(target);
-  }
-  return targets;
+// Returns targets in the failure domain of the gateways.
+auto MakeNearTargets(std::size_t count) -> std::vector<RegisteredTarget> {
+  return MakeTargets(count, kSlots, FailureDomainId("a"));
 }
 
 // Returns the pool of a gateway that owns all targets, or none.
@@ -76,7 +63,7 @@
 // loaded, all 64 requests would go there.
 Test(pool_load, many_gateways_with_old_news_choose_different_targets) {
   constexpr std::size_t kGateways = 64;
-  const auto targets = MakeTargets(32);
+  const auto targets = MakeNearTargets(32);
   std::map<TargetId, std::size_t> chosen;
   for (std::size_t i = 0; i < kGateways; ++i) {
     auto pool = MakePool(targets, false, 1 + i);
@@ -99,7 +86,7 @@
 // Load: requests to targets of which one runs four times as long. Guards
 // against equal counts, which overrun the slow one while the other idles.
 Test(pool_load, a_slow_target_gets_fewer_requests) {
-  auto pool = MakePool(MakeTargets(2), true);
+  auto pool = MakePool(MakeNearTargets(2), true);
   const std::vector<Duration> run_times = {milliseconds(50), milliseconds(200)};
   std::vector<std::pair<TimePoint, std::size_t>> running;
   std::vector<std::size_t> sent(2);
@@ -130,7 +117,7 @@
 // Load: targets at which other gateways' requests wait. Guards against sending
 // more there while another target of the service has free slots.
 Test(pool_load, a_target_that_stated_waiting_requests_gets_no_more) {
-  auto pool = MakePool(MakeTargets(2), true);
+  auto pool = MakePool(MakeNearTargets(2), true);
   State(pool, 0, 4, 3, kStart);
   State(pool, 1, 1, 0, kStart);
   for (int i = 0; i < 3; ++i) {
@@ -144,7 +131,7 @@
 // Load: news that stops. Guards against a target that stays unused because its
 // last statement said that it was full.
 Test(pool_load, a_full_target_without_further_news_is_used_again) {
-  auto pool = MakePool(MakeTargets(1), true);
+  auto pool = MakePool(MakeNearTargets(1), true);
   State(pool, 0, 4, 0, kStart);
   cr_assert_not(pool.Choose({}, kStart).has_value());
   cr_assert(pool.Choose({}, kStart + milliseconds(100)).has_value());
@@ -153,7 +140,7 @@
 // Load: a gateway with requests at a target is lost. Guards against slots that
 // stay reserved for requests which no report will end.
 Test(pool_load, the_requests_of_a_lost_gateway_age_away) {
-  auto pool = MakePool(MakeTargets(1), true);
+  auto pool = MakePool(MakeNearTargets(1), true);
   State(pool, 0, 0, 0, kStart);
   pool.OnPeerReport(VmId("lost"),
                     {{.target = MakeTargetId(0), .in_flight = kSlots}},
@@ -167,7 +154,7 @@
 // Load: a gateway whose own target is nearly full beside idle ones of others.
 // Guards against callers that wait because their gateway owns few targets.
 Test(pool_load, a_busy_owner_uses_idle_targets_of_others) {
-  const auto targets = MakeTargets(8);
+  const auto targets = MakeNearTargets(8);
   const std::vector<PoolGateway> owners = {
       {VmId("self"), FailureDomainId("a")},
       {VmId("other"), FailureDomainId("a")}};
--- a/tests/unit/decision/gateway/pool_overload_test.cc
+++ b/tests/unit/decision/gateway/pool_overload_test.cc
@@ -1,7 +1,6 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
-#include <cmath>
 #include <map>
 #include <string>
 #include <utility>
@@ -10,8 +9,8 @@
 
 #include "core/answer_table.h"
 #include "core/overloaded.h"
-#include "core/random.h"
 #include "decision/gateway/pool_dispatcher.h"
+#include "unit/decision/gateway/pool_fixture.h"
 
 namespace flamingoyoke {
 namespace {
@@ -19,15 +18,13 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr TimePoint kStart{seconds(100)};
 constexpr std::size_t kGateways = 10;
 constexpr std::size_t kTargets = 20;
 constexpr std::uint32_t kSlots = 2;
+// Requests that the targets can run in a second.
+constexpr double kCapacity = CapacityOf(kTargets, kSlots);
 constexpr Duration kLink = milliseconds(1);
 constexpr Duration kReportDelay = milliseconds(3);
-constexpr Duration kMinWork = milliseconds(100);
-constexpr Duration kMaxWork = milliseconds(300);
-constexpr Duration kTimeout = milliseconds(3500);
 constexpr Duration kLength = seconds(16);
 
 // Outcomes between these times after the start are counted.
@@ -54,16 +51,7 @@
  public:
   // Targets queue up to `target_queue` requests and shed those beyond them.
   Overload(std::size_t target_queue, std::uint64_t seed)
-      : target_queue_(target_queue), random_(seed) {
-    std::vector<RegisteredTarget> registered;
-    for (std::size_t i = 0; i < kTargets; ++i) {
-      RegisteredTarget target;
-      target.id = TargetId("t" + std::to_string(i));
-      target.host = "10.0.0.1";
-      target.port = static_cast<std::uint16_t>(1000 + i);
-      target.slots = kSlots;
-      registered.push_back(target);
-    }
+      : target_queue_(target_queue), timeline_(seed) {
     std::vector<VmId> vms;
     std::vector<PoolGateway> owners;
     for (std::size_t i = 0; i < kGateways; ++i) {
@@ -71,27 +59,23 @@
       owners.push_back({vms.back(), {}});
     }
     for (std::size_t i = 0; i < kGateways; ++i) {
-      gateways_.emplace_back(ServiceId("s"), Random(random_.Next()),
+      gateways_.emplace_back(ServiceId("s"), Random(timeline_.random().Next()),
                              PoolLimits{});
       auto peers = vms;
       std::erase(peers, vms[i]);
-      Handle(i, PoolConfigured{.targets = registered,
+      Handle(i, PoolConfigured{.targets = MakeTargets(kTargets, kSlots),
                                .peers = peers,
                                .gateways = kGateways,
                                .self = vms[i],
                                .owners = owners});
     }
-    Push(Duration::zero(), Arrival{});
+    timeline_.Push(Duration::zero(), Arrival{});
   }
 
   auto Run() -> Outcomes {
-    while (events_.begin()->first.first < kStart + kLength) {
-      now_ = events_.begin()->first.first;
-      const auto event = events_.extract(events_.begin());
-      std::visit([this](const auto& each) { On(each); }, event.mapped());
-    }
+    timeline_.Run(kLength, [this](const auto& each) { On(each); });
     outcomes_.used_capacity = static_cast<double>(answered_) /
-                              (Capacity() * ToSeconds(kCountTo - kCountFrom));
+                              (kCapacity * ToSeconds(kCountTo - kCountFrom));
     return outcomes_;
   }
 
@@ -118,40 +102,36 @@
     std::vector<Work> waiting;
   };
 
-  // Returns how many requests the targets can run in a second.
-  static auto Capacity() -> double {
-    return kTargets * kSlots / ToSeconds((kMinWork + kMaxWork) / 2);
-  }
-
   static auto Counts(TimePoint at) -> bool {
     return at >= kStart + kCountFrom && at < kStart + kCountTo;
   }
 
-  auto Push(Duration delay, Event event) -> void {
-    events_.emplace(std::pair(now_ + delay, ++last_event_), std::move(event));
-  }
-
   auto Handle(std::size_t gateway, const PoolEvent& event) -> void {
-    for (const auto& action : gateways_[gateway].OnEvent(event, now_)) {
+    for (const auto& action :
+         gateways_[gateway].OnEvent(event, timeline_.now())) {
       std::visit(
           Overloaded{
               [&](const StartAttempt& start) {
-                Push(kLink,
-                     AttemptArrives{{gateway, start.attempt, start.target}});
+                timeline_.Push(kLink, AttemptArrives{{gateway, start.attempt,
+                                                      start.target}});
               },
               [&](const CancelAttempt&) {},
-              [&](const DeliverAnswer&) { answered_ += Counts(now_) ? 1 : 0; },
+              [&](const DeliverAnswer&) {
+                answered_ += Counts(timeline_.now()) ? 1 : 0;
+              },
               [&](const RefuseRequest& refuse) { RecordRefused(refuse); },
               [&](const SendToPeer& send) {
                 const auto& report = std::get<OutcomeReport>(send.message);
-                Push(kReportDelay,
-                     Input{static_cast<std::size_t>(
-                               std::stoul(send.peer.value().substr(1))),
-                           PoolPeerReport{VmId("g" + std::to_string(gateway)),
-                                          report.outcomes, report.requests}});
+                timeline_.Push(
+                    kReportDelay,
+                    Input{static_cast<std::size_t>(
+                              std::stoul(send.peer.value().substr(1))),
+                          PoolPeerReport{VmId("g" + std::to_string(gateway)),
+                                         report.outcomes, report.requests}});
               },
               [&](const WakePoolAt& wake) {
-                Push(wake.at - now_, Input{gateway, PoolTimer{}});
+                timeline_.Push(wake.at - timeline_.now(),
+                               Input{gateway, PoolTimer{}});
               },
           },
           action);
@@ -163,7 +143,7 @@
     if (!Counts(arrived)) {
       return;
     }
-    const auto held = now_ - arrived;
+    const auto held = timeline_.now() - arrived;
     ++outcomes_.refused;
     outcomes_.held += held;
     outcomes_.held_over_1s += held > seconds(1) ? 1 : 0;
@@ -173,19 +153,16 @@
   }
 
   auto On(const Arrival& /*event*/) -> void {
-    outcomes_.arrived += Counts(now_) ? 1 : 0;
-    arrived_.push_back(now_);
-    Handle(random_.Below(kGateways),
+    outcomes_.arrived += Counts(timeline_.now()) ? 1 : 0;
+    arrived_.push_back(timeline_.now());
+    Handle(timeline_.random().Below(kGateways),
            PoolRequestArrived{.request = RequestId(arrived_.size()),
                               .priority = static_cast<std::uint32_t>(
-                                  random_.Below(kPriorities)),
+                                  timeline_.random().Below(kPriorities)),
                               .max_attempts = 2,
-                              .deadline = now_ + kTimeout,
-                              .objective = milliseconds(1000)});
-    const auto rate = kLoadFactor * Capacity();
-    Push(Duration(static_cast<std::int64_t>(-std::log(1 - random_.Unit()) /
-                                            rate * 1e6)),
-         Arrival{});
+                              .deadline = timeline_.now() + kTimeout,
+                              .objective = kObjective});
+    timeline_.Push(timeline_.DrawGap(kLoadFactor * kCapacity), Arrival{});
   }
 
   auto On(const AttemptArrives& event) -> void {
@@ -195,24 +172,22 @@
     } else if (target.waiting.size() < target_queue_) {
       target.waiting.push_back(event.work);
     } else {
-      Push(kLink,
-           Input{event.work.gateway,
-                 PoolAttemptEnded{event.work.attempt, AttemptResult::kShed}});
+      timeline_.Push(kLink, Input{event.work.gateway,
+                                  PoolAttemptEnded{event.work.attempt,
+                                                   AttemptResult::kShed}});
     }
   }
 
   auto Begin(Target& target, const Work& work) -> void {
     ++target.running;
-    const auto span = static_cast<double>((kMaxWork - kMinWork).count());
-    Push(kMinWork + Duration(static_cast<std::int64_t>(span * random_.Unit())),
-         WorkEnds{work});
+    timeline_.Push(timeline_.DrawWork(), WorkEnds{work});
   }
 
   auto On(const WorkEnds& event) -> void {
     auto& target = targets_[event.work.target];
     --target.running;
-    Push(kLink,
-         Input{event.work.gateway, PoolAttemptEnded{event.work.attempt}});
+    timeline_.Push(
+        kLink, Input{event.work.gateway, PoolAttemptEnded{event.work.attempt}});
     if (!target.waiting.empty()) {
       const auto next = target.waiting.front();
       target.waiting.erase(target.waiting.begin());
@@ -223,10 +198,7 @@
   auto On(const Input& event) -> void { Handle(event.gateway, event.event); }
 
   std::size_t target_queue_;
-  Random random_;
-  TimePoint now_ = kStart;
-  std::map<std::pair<TimePoint, std::uint64_t>, Event> events_;
-  std::uint64_t last_event_ = 0;
+  PoolTimeline<Event> timeline_;
   std::vector<PoolDispatcher> gateways_;
   std::map<TargetId, Target> targets_;
   std::vector<TimePoint> arrived_;
--- a/tests/unit/decision/gateway/target_pool_test.cc
+++ b/tests/unit/decision/gateway/target_pool_test.cc
@@ -5,31 +5,19 @@
 #include <map>
 #include <set>
 
+#include "unit/decision/gateway/pool_fixture.h"
+
 namespace flamingoyoke {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr TimePoint kStart{seconds(100)};
 constexpr double kFloor = 0.7;
 
-auto MakeTargetId(std::size_t index) -> TargetId {
-  return TargetId("t" + std::to_string(index));
-}
-
-auto MakeTargets(std::size_t count) -> std::vector<RegisteredTarget> {
-  std::vector<RegisteredTarget> targets;
-  for (std::size_t i = 0; i < count; ++i) {
-    RegisteredTarget target;
-    target.id = MakeTargetId(i);
-    target.host = "10.0.0." + std::to_string(i + 1);
-    target.port = 80;
-    target.failure_domain = FailureDomainId("a");
-    target.slots = 2;
-    targets.push_back(target);
-  }
-  return targets;
+// Returns targets in the failure domain of the gateways.
+auto MakeNearTargets(std::size_t count) -> std::vector<RegisteredTarget> {
+  return MakeTargets(count, 2, FailureDomainId("a"));
 }
 
 auto MakePool(const std::vector<RegisteredTarget>& targets) -> TargetPool {
@@ -46,12 +34,34 @@
   pool.OnEnded(target, evidence, now);
 }
 
+// Runs `attempts` on each of the targets from `first` to before `end`.
+auto RunAttempts(TargetPool& pool,
+                 std::size_t first,
+                 std::size_t end,
+                 int attempts,
+                 Evidence evidence) -> void {
+  for (auto i = first; i < end; ++i) {
+    for (int n = 0; n < attempts; ++n) {
+      RunAttempt(pool, MakeTargetId(i), evidence, kStart);
+    }
+  }
+}
+
+// Returns a pool of `targets` with three attempts on each, of which those on
+// the first `failed` targets failed.
+auto MakeUsedPool(std::size_t targets, std::size_t failed) -> TargetPool {
+  auto pool = MakePool(MakeNearTargets(targets));
+  RunAttempts(pool, 0, failed, 3, Evidence::kFailed);
+  RunAttempts(pool, failed, targets, 3, Evidence::kSucceeded);
+  return pool;
+}
+
 }  // namespace
 
 // Guards against one refused request from each gateway after the address of a
 // target went to another process: the first gateway tells the others.
 Test(target_pool, reports_a_replaced_target_to_the_other_gateways) {
-  const auto targets = MakeTargets(2);
+  const auto targets = MakeNearTargets(2);
   auto pool = MakePool(targets);
   pool.OnStarted(MakeTargetId(0), kStart);
   pool.OnEnded(MakeTargetId(0), std::nullopt, kStart);
@@ -66,7 +76,7 @@
 
 // Guards against new requests for a target that announced that it is leaving.
 Test(target_pool, sends_nothing_to_a_leaving_target) {
-  auto targets = MakeTargets(2);
+  auto targets = MakeNearTargets(2);
   targets[0].leaving = true;
   auto pool = MakePool(targets);
   for (int i = 0; i < 4; ++i) {
@@ -80,7 +90,7 @@
 
 // Guards against queueing requests at one target while others are idle.
 Test(target_pool, counts_the_slots_used_by_all_gateways) {
-  auto pool = MakePool(MakeTargets(1));
+  auto pool = MakePool(MakeNearTargets(1));
   pool.OnStarted(MakeTargetId(0), kStart);
   pool.OnPeerReport(VmId("peer"), {{.target = MakeTargetId(0), .in_flight = 1}},
                     kStart);
@@ -92,7 +102,7 @@
 // Guards against a delayed report that frees the slots which a newer one of the
 // same gateway said are in use.
 Test(target_pool, a_delayed_report_frees_no_slots) {
-  auto pool = MakePool(MakeTargets(1));
+  auto pool = MakePool(MakeNearTargets(1));
   const auto report = [&](std::uint32_t in_flight, std::uint64_t sequence) {
     pool.OnPeerReport(VmId("peer"),
                       {{.target = MakeTargetId(0), .in_flight = in_flight}},
@@ -107,7 +117,7 @@
 
 // Guards against sending non-repeatable requests to a failing target.
 Test(target_pool, avoids_a_target_that_a_peer_reported_failing) {
-  auto pool = MakePool(MakeTargets(2));
+  auto pool = MakePool(MakeNearTargets(2));
   pool.OnPeerReport(VmId("peer"), {{.target = MakeTargetId(0), .failed = 2}},
                     kStart);
   for (int i = 0; i < 10; ++i) {
@@ -119,7 +129,7 @@
 // as the others are busy, and against queueing them forever if all are
 // unhealthy.
 Test(target_pool, takes_an_unhealthy_target_only_after_a_wait) {
-  auto pool = MakePool(MakeTargets(2));
+  auto pool = MakePool(MakeNearTargets(2));
   RunAttempt(pool, MakeTargetId(0), Evidence::kFailed, kStart);
   RunAttempt(pool, MakeTargetId(0), Evidence::kFailed, kStart);
   pool.OnStarted(MakeTargetId(1), kStart);
@@ -130,17 +140,14 @@
 
 // Guards against excluding all targets when the whole service fails.
 Test(target_pool, uses_all_targets_when_all_look_unhealthy) {
-  auto pool = MakePool(MakeTargets(4));
-  for (std::size_t i = 0; i < 4; ++i) {
-    RunAttempt(pool, MakeTargetId(i), Evidence::kFailed, kStart);
-    RunAttempt(pool, MakeTargetId(i), Evidence::kFailed, kStart);
-  }
+  auto pool = MakePool(MakeNearTargets(4));
+  RunAttempts(pool, 0, 4, 2, Evidence::kFailed);
   cr_assert(pool.Choose({.wait_share = 0.5}, kStart).has_value());
 }
 
 // Guards against using a different process at a reused address.
 Test(target_pool, excludes_a_replaced_target_until_it_registers_again) {
-  auto targets = MakeTargets(1);
+  auto targets = MakeNearTargets(1);
   auto pool = MakePool(targets);
   pool.OnReplaced(MakeTargetId(0));
   cr_assert_not(pool.HasUsable());
@@ -151,13 +158,13 @@
 
 // Guards against never using new capacity because known targets look better.
 Test(target_pool, tries_a_new_target_soon) {
-  auto targets = MakeTargets(2);
+  auto targets = MakeNearTargets(2);
   auto pool = MakePool(targets);
   for (int i = 0; i < 6; ++i) {
     RunAttempt(pool, MakeTargetId(0), Evidence::kSucceeded, kStart);
     RunAttempt(pool, MakeTargetId(1), Evidence::kSucceeded, kStart);
   }
-  targets = MakeTargets(3);
+  targets = MakeNearTargets(3);
   pool.Configure(targets, FailureDomainId("a"), kStart);
   cr_assert(pool.Choose({}, kStart) != MakeTargetId(2));
   cr_assert(pool.Choose({}, kStart + milliseconds(1600)) == MakeTargetId(2));
@@ -166,11 +173,8 @@
 // Guards against missing the floor while requests fail: all healthy targets
 // must get requests, not only the cheapest.
 Test(target_pool, rotates_over_healthy_targets_while_many_requests_fail) {
-  auto pool = MakePool(MakeTargets(6));
-  for (std::size_t i = 0; i < 6; ++i) {
-    RunAttempt(pool, MakeTargetId(i), Evidence::kSucceeded, kStart);
-    RunAttempt(pool, MakeTargetId(i), Evidence::kSucceeded, kStart);
-  }
+  auto pool = MakePool(MakeNearTargets(6));
+  RunAttempts(pool, 0, 6, 2, Evidence::kSucceeded);
   RunAttempt(pool, MakeTargetId(5), Evidence::kFailed, kStart);
   RunAttempt(pool, MakeTargetId(5), Evidence::kFailed, kStart);
   std::set<TargetId> used;
@@ -188,11 +192,8 @@
 // healthy targets got no requests for two seconds while a fifth of the requests
 // failed, because they were still considered unhealthy.
 Test(target_pool, tries_idle_targets_while_many_requests_fail) {
-  auto pool = MakePool(MakeTargets(8));
-  for (std::size_t i = 0; i < 3; ++i) {
-    RunAttempt(pool, MakeTargetId(i), Evidence::kFailed, kStart);
-    RunAttempt(pool, MakeTargetId(i), Evidence::kFailed, kStart);
-  }
+  auto pool = MakePool(MakeNearTargets(8));
+  RunAttempts(pool, 0, 3, 2, Evidence::kFailed);
   std::set<TargetId> used;
   for (int ms = 0; ms < 4000; ms += 40) {
     const auto now = kStart + milliseconds(ms);
@@ -214,11 +215,8 @@
 // gateway would send non-repeatable requests to targets that failed two seconds
 // ago.
 Test(target_pool, counts_the_requests_of_all_gateways_for_the_floor) {
-  auto pool = MakePool(MakeTargets(8));
-  for (std::size_t i = 0; i < 3; ++i) {
-    RunAttempt(pool, MakeTargetId(i), Evidence::kFailed, kStart);
-    RunAttempt(pool, MakeTargetId(i), Evidence::kFailed, kStart);
-  }
+  auto pool = MakePool(MakeNearTargets(8));
+  RunAttempts(pool, 0, 3, 2, Evidence::kFailed);
   std::set<TargetId> used;
   for (int ms = 0; ms < 4000; ms += 40) {
     const auto now = kStart + milliseconds(ms);
@@ -235,7 +233,7 @@
 }
 
 Test(target_pool, reports_each_ended_request_once) {
-  auto pool = MakePool(MakeTargets(1));
+  auto pool = MakePool(MakeNearTargets(1));
   pool.OnRequestEnded(true, kStart);
   pool.OnRequestEnded(true, kStart);
   pool.OnRequestEnded(false, kStart);
@@ -250,10 +248,8 @@
 // and deploy/days/power.toml, 18 of 125 requests were lost at once and four of
 // eight healthy targets had got no requests in the two seconds before.
 Test(target_pool, uses_most_healthy_targets_at_all_times) {
-  auto pool = MakePool(MakeTargets(8));
-  for (std::size_t i = 0; i < 8; ++i) {
-    RunAttempt(pool, MakeTargetId(i), Evidence::kSucceeded, kStart);
-  }
+  auto pool = MakePool(MakeNearTargets(8));
+  RunAttempts(pool, 0, 8, 1, Evidence::kSucceeded);
   std::map<TargetId, TimePoint> used;
   for (int ms = 40; ms < 8000; ms += 40) {
     const auto now = kStart + milliseconds(ms);
@@ -277,14 +273,7 @@
   constexpr std::size_t kTargets = 14;
   constexpr std::size_t kFailedBefore = 6;
   constexpr std::size_t kRequired = 10;
-  auto pool = MakePool(MakeTargets(kTargets));
-  for (std::size_t i = 0; i < kTargets; ++i) {
-    for (int n = 0; n < 3; ++n) {
-      RunAttempt(pool, MakeTargetId(i),
-                 i < kFailedBefore ? Evidence::kFailed : Evidence::kSucceeded,
-                 kStart);
-    }
-  }
+  auto pool = MakeUsedPool(kTargets, kFailedBefore);
   std::map<TargetId, TimePoint> used;
   for (int ms = 20; ms < 8000; ms += 20) {
     const auto now = kStart + milliseconds(ms);
@@ -307,14 +296,7 @@
 Test(target_pool, leaves_no_recovered_target_idle_while_none_fail) {
   constexpr std::size_t kTargets = 16;
   constexpr std::size_t kFailedBefore = 5;
-  auto pool = MakePool(MakeTargets(kTargets));
-  for (std::size_t i = 0; i < kTargets; ++i) {
-    for (int n = 0; n < 3; ++n) {
-      RunAttempt(pool, MakeTargetId(i),
-                 i < kFailedBefore ? Evidence::kFailed : Evidence::kSucceeded,
-                 kStart);
-    }
-  }
+  auto pool = MakeUsedPool(kTargets, kFailedBefore);
   std::map<TargetId, TimePoint> used;
   for (int ms = 15; ms < 10000; ms += 15) {
     const auto now = kStart + milliseconds(ms);
@@ -332,14 +314,7 @@
 // Guards against a service with few requests that spends them on trials.
 Test(target_pool, limits_the_trials_of_once_only_requests) {
   constexpr std::size_t kFailedBefore = 4;
-  auto pool = MakePool(MakeTargets(8));
-  for (std::size_t i = 0; i < 8; ++i) {
-    for (int n = 0; n < 3; ++n) {
-      RunAttempt(pool, MakeTargetId(i),
-                 i < kFailedBefore ? Evidence::kFailed : Evidence::kSucceeded,
-                 kStart);
-    }
-  }
+  auto pool = MakeUsedPool(8, kFailedBefore);
   std::set<TargetId> tried;
   for (int ms = 6500; ms < 7500; ms += 50) {
     const auto now = kStart + milliseconds(ms);
@@ -358,14 +333,7 @@
 // likely to fail while nearly all requests are served.
 Test(target_pool, tries_no_once_only_requests_while_none_fail) {
   constexpr std::size_t kFailedBefore = 4;
-  auto pool = MakePool(MakeTargets(8));
-  for (std::size_t i = 0; i < 8; ++i) {
-    for (int n = 0; n < 3; ++n) {
-      RunAttempt(pool, MakeTargetId(i),
-                 i < kFailedBefore ? Evidence::kFailed : Evidence::kSucceeded,
-                 kStart);
-    }
-  }
+  auto pool = MakeUsedPool(8, kFailedBefore);
   for (int ms = 20; ms < 4000; ms += 20) {
     const auto now = kStart + milliseconds(ms);
     const auto chosen = pool.Choose({}, now);
@@ -384,14 +352,7 @@
 Test(target_pool, uses_all_recovered_targets_while_many_requests_fail) {
   constexpr std::size_t kTargets = 20;
   constexpr std::size_t kFailedBefore = 6;
-  auto pool = MakePool(MakeTargets(kTargets));
-  for (std::size_t i = 0; i < kTargets; ++i) {
-    for (int n = 0; n < 3; ++n) {
-      RunAttempt(pool, MakeTargetId(i),
-                 i < kFailedBefore ? Evidence::kFailed : Evidence::kSucceeded,
-                 kStart);
-    }
-  }
+  auto pool = MakeUsedPool(kTargets, kFailedBefore);
   std::map<TargetId, TimePoint> used;
   int number = 0;
   for (int ms = 20; ms < 8000; ms += 20) {
@@ -411,14 +372,14 @@
 
 // Guards against retrying on the target that has just failed the request.
 Test(target_pool, never_chooses_a_tried_target_again) {
-  auto pool = MakePool(MakeTargets(2));
+  auto pool = MakePool(MakeNearTargets(2));
   const std::vector<TargetId> tried = {MakeTargetId(1)};
   cr_assert(pool.Choose({.tried = &tried}, kStart) == MakeTargetId(0));
 }
 
 // Guards against traffic between failure domains that costs more than it gains.
 Test(target_pool, keeps_large_bodies_in_its_failure_domain) {
-  auto targets = MakeTargets(2);
+  auto targets = MakeNearTargets(2);
   targets[0].failure_domain = FailureDomainId("b");
   auto pool = MakePool(targets);
   RunAttempt(pool, MakeTargetId(0), Evidence::kSucceeded, kStart);
@@ -427,7 +388,7 @@
 }
 
 Test(target_pool, reports_outcomes_and_slots_in_use_once) {
-  auto pool = MakePool(MakeTargets(2));
+  auto pool = MakePool(MakeNearTargets(2));
   pool.OnStarted(MakeTargetId(0), kStart);
   RunAttempt(pool, MakeTargetId(0), Evidence::kFailed, kStart);
   const auto unreported = pool.TakeUnreportedOutcomes(kStart);
@@ -443,7 +404,7 @@
 // Guards against gateways that all choose the target which one report showed as
 // the best: on jutagatt-large the busiest target got 9.6 times the mean.
 Test(target_pool, takes_targets_of_other_gateways_only_when_its_own_are_full) {
-  const auto targets = MakeTargets(8);
+  const auto targets = MakeNearTargets(8);
   const std::vector<PoolGateway> gateways = {{VmId("a"), FailureDomainId("a")},
                                              {VmId("b"), FailureDomainId("a")}};
   const auto owned = OwnedTargets(VmId("a"), targets, gateways);
