--- a/src/decision/fleet/member_list.cc
+++ b/src/decision/fleet/member_list.cc
@@ -235,6 +235,23 @@
   return found == records_.end() ? nullptr : &found->second;
 }
 
+auto MemberList::MembersWith(const Member& self) const -> std::vector<Member> {
+  std::vector<Member> members;
+  members.reserve(records_.size() + 1);
+  bool self_is_listed = false;
+  for (const auto& [vm, record] : records_) {
+    if (!self_is_listed && self.id < vm) {
+      members.push_back(self);
+      self_is_listed = true;
+    }
+    members.push_back(record.member);
+  }
+  if (!self_is_listed) {
+    members.push_back(self);
+  }
+  return members;
+}
+
 auto MemberList::BucketDigests(const Member& self) const
     -> std::vector<std::uint64_t> {
   std::vector<std::uint64_t> digests(digests_.begin(), digests_.end());
--- a/src/decision/fleet/member_list.h
+++ b/src/decision/fleet/member_list.h
@@ -87,6 +87,9 @@
 
   [[nodiscard]] auto Find(const VmId& vm) const -> const MemberRecord*;
   [[nodiscard]] auto records() const -> const Records& { return records_; }
+  // Returns the members of all records and `self`, ordered by id.
+  [[nodiscard]] auto MembersWith(const Member& self) const
+      -> std::vector<Member>;
 
   // Returns the digests of the present VMs and `self` by bucket, and the digest
   // of all of them.
--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -23,23 +23,6 @@
   return CollectActions(now);
 }
 
-auto Membership::Members() const -> std::vector<Member> {
-  std::vector<Member> members;
-  members.reserve(list_.records().size() + 1);
-  bool self_is_listed = false;
-  for (const auto& [vm, record] : list_.records()) {
-    if (!self_is_listed && self_.id < vm) {
-      members.push_back(self_);
-      self_is_listed = true;
-    }
-    members.push_back(record.member);
-  }
-  if (!self_is_listed) {
-    members.push_back(self_);
-  }
-  return members;
-}
-
 auto Membership::CutOff(TimePoint now) const -> std::vector<VmId> {
   std::vector<VmId> cut_off;
   for (const auto& [vm, link] : links_.links()) {
@@ -52,20 +35,6 @@
   return cut_off;
 }
 
-auto Membership::SilentHomePeers(TimePoint now) const -> std::set<VmId> {
-  std::set<VmId> silent;
-  for (const auto& [vm, link] : links_.links()) {
-    if (link.is_home() && link.Silence(now) >= link.limits().probe) {
-      silent.insert(vm);
-    }
-  }
-  return silent;
-}
-
-auto Membership::TwoWayPeers(TimePoint now) const -> std::vector<VmId> {
-  return links_.TwoWay(now);
-}
-
 auto Membership::Handle(const MembershipStarted& /*event*/, TimePoint now)
     -> void {
   heartbeats_.AdvanceSequence(now);
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -41,14 +41,20 @@
       -> std::vector<MembershipAction>;
 
   // Returns all known VMs, including this one, ordered by id.
-  [[nodiscard]] auto Members() const -> std::vector<Member>;
+  [[nodiscard]] auto Members() const -> std::vector<Member> {
+    return list_.MembersWith(self_);
+  }
   // Returns the alive chosen peers without a two-way link, in order.
   [[nodiscard]] auto CutOff(TimePoint now) const -> std::vector<VmId>;
   // Returns the home peers that have been silent long enough for indirect
   // probes, well before they are suspected.
-  [[nodiscard]] auto SilentHomePeers(TimePoint now) const -> std::set<VmId>;
+  [[nodiscard]] auto SilentHomePeers(TimePoint now) const -> std::set<VmId> {
+    return links_.SilentHome(now);
+  }
   // Returns the peers with a two-way link, in order.
-  [[nodiscard]] auto TwoWayPeers(TimePoint now) const -> std::vector<VmId>;
+  [[nodiscard]] auto TwoWayPeers(TimePoint now) const -> std::vector<VmId> {
+    return links_.TwoWay(now);
+  }
   [[nodiscard]] auto self() const -> const Member& { return self_; }
   [[nodiscard]] auto list() const -> const MemberList& { return list_; }
   // Number of peers, temporary ones included; at most kMaxPeers, or
--- a/src/decision/fleet/peer_links.cc
+++ b/src/decision/fleet/peer_links.cc
@@ -77,6 +77,16 @@
   return peers;
 }
 
+auto PeerLinks::SilentHome(TimePoint now) const -> std::set<VmId> {
+  std::set<VmId> silent;
+  for (const auto& [vm, link] : links_) {
+    if (link.is_home() && link.Silence(now) >= link.limits().probe) {
+      silent.insert(vm);
+    }
+  }
+  return silent;
+}
+
 auto PeerLinks::SelectProbeHelpers(const VmId& subject,
                                    std::size_t count,
                                    Random& random,
--- a/src/decision/fleet/peer_links.h
+++ b/src/decision/fleet/peer_links.h
@@ -45,6 +45,10 @@
   // Returns the peers with a two-way link, in order.
   [[nodiscard]] auto TwoWay(TimePoint now) const -> std::vector<VmId>;
 
+  // Returns the home peers that have been silent long enough for indirect
+  // probes.
+  [[nodiscard]] auto SilentHome(TimePoint now) const -> std::set<VmId>;
+
   // Returns at most `count` peers with a two-way link other than `subject`.
   auto SelectProbeHelpers(const VmId& subject,
                           std::size_t count,
