Collect the figures of three benches in MeasurementList

Cause: fleet_bench.cc, quota_bench.cc and view_age_bench.cc had the same functions to add a figure, with and without a bound.

--- a/bench/fleet_bench.cc
+++ b/bench/fleet_bench.cc
@@ -8,6 +8,7 @@
 
 #include "bench/benches.h"
 #include "bench/measurement.h"
+#include "bench/measurement_list.h"
 #include "decision/fleet/placement.h"
 #include "unit/decision/fleet/fake_fleet.h"
 #include "unit/decision/fleet/fleet_fixture.h"
@@ -83,12 +84,12 @@
     for (const std::size_t nodes : {10, 20, 40, 80, 160}) {
       MeasureFleetSize(nodes, table);
     }
-    profile_ = "7100 by fit";
+    figures_.set_profile("7100 by fit");
     AddFit("table in force everywhere", "s", table, 10);
     MeasureRegions();
     MeasureFaults();
     MeasureCosts();
-    return std::move(measures_);
+    return figures_.Take();
   }
 
  private:
@@ -100,32 +101,13 @@
     return options;
   }
 
-  auto Add(const std::string& name, const std::string& unit, double value)
-      -> Measurement& {
-    Measurement measurement;
-    measurement.bench = "fleet";
-    measurement.profile = profile_;
-    measurement.name = name;
-    measurement.unit = unit;
-    measurement.value = value;
-    measures_.push_back(measurement);
-    return measures_.back();
-  }
-  auto AddBounded(const std::string& name,
-                  const std::string& unit,
-                  double value,
-                  double bound) -> void {
-    auto& measurement = Add(name, unit, value);
-    measurement.bound_kind = BoundKind::kAtMost;
-    measurement.bound = bound;
-  }
   auto AddFit(const std::string& name,
               const std::string& unit,
               const LogFit& fit,
               double bound) -> void {
-    AddBounded(name, unit, fit.At(kProjectedNodes), bound);
-    Add(name + ", slope per doubling", unit, fit.slope());
-    Add(name + ", residual", unit, fit.Residual());
+    figures_.AddBounded(name, unit, fit.At(kProjectedNodes), bound);
+    figures_.Add(name + ", slope per doubling", unit, fit.slope());
+    figures_.Add(name + ", residual", unit, fit.Residual());
   }
 
   // Returns `limit`, which exceeds every bound, if the condition was not
@@ -193,28 +175,30 @@
   }
 
   auto MeasureFleetSize(std::size_t nodes, LogFit& table) -> void {
-    profile_ = std::to_string(nodes) + " nodes";
+    figures_.set_profile(std::to_string(nodes) + " nodes");
     FakeFleet fleet(MakeOptions(nodes, seed_));
     fleet.Publish(1);
     fleet.StartAll();
     const auto peak = PeakReads(fleet);
-    Add("platform reads, busiest second of a restart of all", "1/s", peak);
+    figures_.Add("platform reads, busiest second of a restart of all", "1/s",
+                 peak);
     const auto rate = BytesPerSecond(fleet);
     const auto time = LongestTableSpread(fleet);
     table.Add(nodes, time);
     if (nodes == 40) {
-      AddBounded("bytes sent and received, quiet", "B/s", rate, 2000);
-      AddBounded("table in force everywhere, one reader", "s", time, 3);
+      figures_.AddBounded("bytes sent and received, quiet", "B/s", rate, 2000);
+      figures_.AddBounded("table in force everywhere, one reader", "s", time,
+                          3);
     } else {
-      Add("bytes sent and received, quiet", "B/s", rate);
-      Add("table in force everywhere, one reader", "s", time);
+      figures_.Add("bytes sent and received, quiet", "B/s", rate);
+      figures_.Add("table in force everywhere, one reader", "s", time);
     }
     std::size_t peers = 0;
     for (const auto& node : fleet.nodes()) {
       peers = std::max(peers, node.max_peers);
     }
-    AddBounded("most peers of a node", "", static_cast<double>(peers),
-               static_cast<double>(kMaxPeers));
+    figures_.AddBounded("most peers of a node", "", static_cast<double>(peers),
+                        static_cast<double>(kMaxPeers));
   }
 
   // Topology expected in two years: 25 failure domains in 7 regions, and
@@ -233,15 +217,15 @@
       fleet.RunFor(seconds(15));
       const auto rate = BytesPerSecond(fleet);
       bytes.Add(nodes, rate);
-      profile_ = std::to_string(nodes) + ", 7 regions";
-      Add("bytes sent and received, quiet", "B/s", rate);
+      figures_.set_profile(std::to_string(nodes) + ", 7 regions");
+      figures_.Add("bytes sent and received, quiet", "B/s", rate);
     }
-    profile_ = "7100, 7 regions";
+    figures_.set_profile("7100, 7 regions");
     AddFit("bytes sent and received, quiet", "B/s", bytes, 15'000);
   }
 
   auto MeasureFaults() -> void {
-    profile_ = "40 nodes";
+    figures_.set_profile("40 nodes");
     FakeFleet fleet(MakeOptions(40, seed_));
     fleet.Publish(1);
     fleet.StartAll();
@@ -253,7 +237,8 @@
         [](std::size_t a, std::size_t b) { return (a < 20) == (b < 20); });
     fleet.RunFor(kLimit);
     fleet.SetLinks(nullptr);
-    Add("one list and all ready after a partition", "s",
+    figures_.Add(
+        "one list and all ready after a partition", "s",
         SecondsOrLimit(
             fleet.RunUntil(
                 [&] { return fleet.HasConverged() && fleet.AllReady(); },
@@ -295,9 +280,10 @@
                        kLimit));
       fleet.RunFor(seconds(5));
     }
-    Add("dead vm not used by its home peers, longest of 10", "s", longest_home);
-    Add("dead vm known everywhere, longest of 10", "s", longest);
-    Add("fresh vm ready, longest of 10", "s", longest_fresh);
+    figures_.Add("dead vm not used by its home peers, longest of 10", "s",
+                 longest_home);
+    figures_.Add("dead vm known everywhere, longest of 10", "s", longest);
+    figures_.Add("fresh vm ready, longest of 10", "s", longest_fresh);
   }
 
   auto MeasureOneWayCuts(FakeFleet& fleet) -> void {
@@ -325,7 +311,8 @@
       fleet.SetLinks(nullptr);
       fleet.RunFor(seconds(5));
     }
-    Add("one-way cut known on both sides, longest of 10", "s", longest);
+    figures_.Add("one-way cut known on both sides, longest of 10", "s",
+                 longest);
   }
 
   // Returns the mean wall-clock time of `work` in microseconds.
@@ -341,15 +328,15 @@
   }
 
   auto MeasureCosts() -> void {
-    profile_ = "wall clock";
+    figures_.set_profile("wall clock");
     for (const std::size_t count : {40, 400, 7100}) {
       const auto members = MakeServingMembers(count, 25);
       std::size_t sum = 0;
-      Add("home set of a service, members " + std::to_string(count), "us",
-          MeanMicroseconds(50, [&](int i) {
-            const auto row = MakeRow("s" + std::to_string(i), 1);
-            sum += PlacementOf(row, members).home.size();
-          }));
+      figures_.Add("home set of a service, members " + std::to_string(count),
+                   "us", MeanMicroseconds(50, [&](int i) {
+                     const auto row = MakeRow("s" + std::to_string(i), 1);
+                     sum += PlacementOf(row, members).home.size();
+                   }));
       MeasureHeartbeats(members);
     }
     for (const std::size_t targets : {8, 25, 250}) {
@@ -357,9 +344,10 @@
                                       VmId("d")};
       const auto row = MakeRow("s", targets);
       std::size_t sum = 0;
-      Add("owners of a service, targets " + std::to_string(targets), "us",
-          MeanMicroseconds(
-              100, [&](int) { sum += OwnersOf(row.targets, home).size(); }));
+      figures_.Add("owners of a service, targets " + std::to_string(targets),
+                   "us", MeanMicroseconds(100, [&](int) {
+                     sum += OwnersOf(row.targets, home).size();
+                   }));
     }
     for (const std::size_t services : {30, 300, 3000}) {
       MeasureHomeIndex(services);
@@ -376,7 +364,8 @@
                        now);
     const auto count = std::to_string(others.size());
     std::uint64_t sequence = 0;
-    Add("heartbeat received, members " + count, "us",
+    figures_.Add(
+        "heartbeat received, members " + count, "us",
         MeanMicroseconds(2000, [&](int) {
           Heartbeat heartbeat;
           heartbeat.sequence = ++sequence;
@@ -386,7 +375,8 @@
               PeerEnvelope{others[1].id, others[1].incarnation, heartbeat},
               now);
         }));
-    Add("member event received, members " + count, "us",
+    figures_.Add(
+        "member event received, members " + count, "us",
         MeanMicroseconds(50, [&](int i) {
           auto report = others[2];
           report.version = static_cast<std::uint64_t>(i) + 1;
@@ -405,18 +395,18 @@
     }
     HomeIndex index;
     const auto count = std::to_string(services);
-    Add("all home sets, 7100 members, services " + count, "us",
+    figures_.Add(
+        "all home sets, 7100 members, services " + count, "us",
         MeanMicroseconds(1, [&](int) { index.Update(members, rows); }));
-    Add("home sets after one change, 7100 members, services " + count, "us",
-        MeanMicroseconds(10, [&](int) {
-          members[17].ready = !members[17].ready;
-          index.Update(members, rows);
-        }));
+    figures_.Add("home sets after one change, 7100 members, services " + count,
+                 "us", MeanMicroseconds(10, [&](int) {
+                   members[17].ready = !members[17].ready;
+                   index.Update(members, rows);
+                 }));
   }
 
   std::uint64_t seed_;
-  std::string profile_;
-  std::vector<Measurement> measures_;
+  MeasurementList figures_{"fleet"};
 };
 
 }  // namespace
--- a/bench/quota_bench.cc
+++ b/bench/quota_bench.cc
@@ -10,6 +10,7 @@
 
 #include "bench/benches.h"
 #include "bench/measurement.h"
+#include "bench/measurement_list.h"
 #include "core/name_table.h"
 #include "unit/decision/quota/fake_quota_fleet.h"
 
@@ -119,7 +120,7 @@
                 true);
       }
     }
-    return std::move(measures_);
+    return figures_.Take();
   }
 
  private:
@@ -159,35 +160,24 @@
       messages += static_cast<double>(node.sent_messages);
     }
     const auto per_gateway = ToSeconds(kRun) * static_cast<double>(gateways);
-    profile_ = std::to_string(gateways) + " " + std::string(ToName(division));
+    figures_.set_profile(std::to_string(gateways) + " " +
+                         std::string(ToName(division)));
     const auto allowed = (kRate * 5 + kBurst) * 1.25 + 20;
-    Add(load + ": refused below the limit", "%",
-        100 * fleet.RefusedShare("team"));
-    auto& window = Add(load + ": most in 5 s", "requests",
-                       static_cast<double>(fleet.MaxInWindow("team")));
+    figures_.Add(load + ": refused below the limit", "%",
+                 100 * fleet.RefusedShare("team"));
+    const auto window = static_cast<double>(fleet.MaxInWindow("team"));
     if (division == Division::kLeases) {
-      window.bound_kind = BoundKind::kAtMost;
-      window.bound = allowed;
-      Add(load + ": messages per gateway", "1/s", messages / per_gateway);
-      Add(load + ": bytes per gateway", "B/s", bytes / per_gateway);
+      figures_.AddBounded(load + ": most in 5 s", "requests", window, allowed);
+      figures_.Add(load + ": messages per gateway", "1/s",
+                   messages / per_gateway);
+      figures_.Add(load + ": bytes per gateway", "B/s", bytes / per_gateway);
+    } else {
+      figures_.Add(load + ": most in 5 s", "requests", window);
     }
   }
 
-  auto Add(const std::string& name, const std::string& unit, double value)
-      -> Measurement& {
-    Measurement measurement;
-    measurement.bench = "quota";
-    measurement.profile = profile_;
-    measurement.name = name;
-    measurement.unit = unit;
-    measurement.value = value;
-    measures_.push_back(measurement);
-    return measures_.back();
-  }
-
   std::uint64_t seed_;
-  std::string profile_;
-  std::vector<Measurement> measures_;
+  MeasurementList figures_{"quota"};
 };
 
 }  // namespace
--- a/bench/view_age_bench.cc
+++ b/bench/view_age_bench.cc
@@ -9,6 +9,7 @@
 
 #include "bench/benches.h"
 #include "bench/measurement.h"
+#include "bench/measurement_list.h"
 #include "core/name_table.h"
 #include "decision/fleet/entry_set.h"
 #include "unit/decision/fleet/fake_fleet.h"
@@ -59,7 +60,7 @@
         }
       }
     }
-    return std::move(measures_);
+    return figures_.Take();
   }
 
  private:
@@ -109,35 +110,21 @@
     const auto reads_before = CountReads(fleet);
     const auto time = fleet.RunUntil(
         [&] { return fleet.AllHave(kNewRevision); }, seconds(10));
-    profile_ = std::to_string(nodes) + " vms";
+    figures_.set_profile(std::to_string(nodes) + " vms");
     const auto what = ", " +
                       std::to_string(static_cast<int>(share * 100 + 0.5)) +
                       "% lost, " + std::string(ToName(choice));
-    auto& applied = Add("change in force" + what, "s",
-                        ToSeconds(time.value_or(seconds(10))));
-    applied.bound_kind = BoundKind::kAtMost;
-    applied.bound = ToSeconds(kApplyLimit);
-    Add("reads of the store until then" + what, "calls",
-        static_cast<double>(CountReads(fleet) - reads_before));
-    Add("reads of the store in 5 s before" + what, "calls",
-        static_cast<double>(quiet));
-  }
-
-  auto Add(const std::string& name, const std::string& unit, double value)
-      -> Measurement& {
-    Measurement measurement;
-    measurement.bench = "view_age";
-    measurement.profile = profile_;
-    measurement.name = name;
-    measurement.unit = unit;
-    measurement.value = value;
-    measures_.push_back(measurement);
-    return measures_.back();
+    figures_.AddBounded("change in force" + what, "s",
+                        ToSeconds(time.value_or(seconds(10))),
+                        ToSeconds(kApplyLimit));
+    figures_.Add("reads of the store until then" + what, "calls",
+                 static_cast<double>(CountReads(fleet) - reads_before));
+    figures_.Add("reads of the store in 5 s before" + what, "calls",
+                 static_cast<double>(quiet));
   }
 
   std::uint64_t seed_;
-  std::string profile_;
-  std::vector<Measurement> measures_;
+  MeasurementList figures_{"view_age"};
 };
 
 }  // namespace
