Share the set-up of the tests of fleets and loans

MakeRunningFleet (fake_fleet.h) starts a fleet; the other set-ups are functions of their test file. Each file has as many lines with cr_assert as before.

--- a/tests/unit/decision/dispatch/loan_borrower_test.cc
+++ b/tests/unit/decision/dispatch/loan_borrower_test.cc
@@ -32,6 +32,14 @@
     return {LoanId(9), kService, request.sequence, {kTarget}, kLoanDuration};
   }
 
+  // Borrows one slot, starts an attempt on it, and returns its key.
+  auto BorrowBusySlot() -> LoanKey {
+    borrower_.OnLoan(kLender, LoanFor(RequestSlots()), kNow);
+    auto key = *borrower_.FindIdleSlot(WorkClass::kShort, TargetId());
+    borrower_.MarkBusy(key);
+    return key;
+  }
+
   Random random_{1};
   LoanBorrower borrower_{100};
 };
@@ -128,11 +136,7 @@
 // detector depends on them.
 Test(loan_borrower, outcomes_go_back_with_the_loan) {
   Fixture fixture;
-  fixture.borrower_.OnLoan(kLender, Fixture::LoanFor(fixture.RequestSlots()),
-                           kNow);
-  const auto key =
-      *fixture.borrower_.FindIdleSlot(WorkClass::kShort, TargetId());
-  fixture.borrower_.MarkBusy(key);
+  const auto key = fixture.BorrowBusySlot();
   fixture.borrower_.OnAttemptFinished(key, kTarget, AttemptResult::kTimeout);
   const auto sends = fixture.borrower_.ReturnIdleSlots(WorkClass::kShort);
   const auto& returned = std::get<SlotReturn>(sends.at(0).message);
@@ -142,11 +146,7 @@
 // Guards against the loss of an outcome when the loan ends before the attempt.
 Test(loan_borrower, an_outcome_after_the_loan_is_reported_by_itself) {
   Fixture fixture;
-  fixture.borrower_.OnLoan(kLender, Fixture::LoanFor(fixture.RequestSlots()),
-                           kNow);
-  const auto key =
-      *fixture.borrower_.FindIdleSlot(WorkClass::kShort, TargetId());
-  fixture.borrower_.MarkBusy(key);
+  const auto key = fixture.BorrowBusySlot();
   fixture.borrower_.Expire(kNow + kLoanDuration);
   const auto send = fixture.borrower_.OnAttemptFinished(
       key, kTarget, AttemptResult::kServerError);
@@ -156,11 +156,7 @@
 // Guards against a recall that ends a loan while its slot is in use.
 Test(loan_borrower, a_recalled_loan_is_returned_after_its_attempt) {
   Fixture fixture;
-  fixture.borrower_.OnLoan(kLender, Fixture::LoanFor(fixture.RequestSlots()),
-                           kNow);
-  const auto key =
-      *fixture.borrower_.FindIdleSlot(WorkClass::kShort, TargetId());
-  fixture.borrower_.MarkBusy(key);
+  const auto key = fixture.BorrowBusySlot();
   cr_assert_not(fixture.borrower_.OnRecall(kLender, {LoanId(9), kService}));
   const auto send = fixture.borrower_.OnAttemptFinished(
       key, kTarget, AttemptResult::kAnswered);
--- a/tests/unit/decision/fleet/fake_fleet.h
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -734,6 +734,18 @@
   bool valid_ = true;
 };
 
+// Returns a fleet in which revision 1 is published and that has run for
+// `duration` since all its VMs started.
+inline auto MakeRunningFleet(const FakeFleetOptions& options,
+                             Duration duration = std::chrono::seconds(10))
+    -> FakeFleet {
+  FakeFleet fleet(options);
+  fleet.Publish(1);
+  fleet.StartAll();
+  fleet.RunFor(duration);
+  return fleet;
+}
+
 }  // namespace flamingoyoke
 
 #endif  // FLAMINGOYOKE_TESTS_UNIT_DECISION_FLEET_FAKE_FLEET_H_
--- a/tests/unit/decision/fleet/fleet_random_test.cc
+++ b/tests/unit/decision/fleet/fleet_random_test.cc
@@ -153,13 +153,7 @@
 // a refutation takes.
 Test(fleet_random, message_loss_causes_no_lasting_false_death, .timeout = 240) {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
-    FakeFleetOptions options;
-    options.nodes = kNodes;
-    options.seed = seed;
-    FakeFleet fleet(options);
-    fleet.Publish(1);
-    fleet.StartAll();
-    fleet.RunFor(seconds(10));
+    auto fleet = MakeRunningFleet({.nodes = kNodes, .seed = seed});
     fleet.SetLoss(0.1);
     std::size_t dead_in_a_row = 0;
     for (int step = 0; step < 1200; ++step) {
--- a/tests/unit/decision/fleet/fleet_restart_test.cc
+++ b/tests/unit/decision/fleet/fleet_restart_test.cc
@@ -18,6 +18,7 @@
 constexpr std::size_t kOutdated = 0;
 // VMs from this one on start anew.
 constexpr std::size_t kFirstRestarted = kNodes / 2;
+// That of MakeRunningFleet.
 constexpr std::uint64_t kOldRevision = 1;
 constexpr std::uint64_t kNewRevision = 2;
 
@@ -28,14 +29,8 @@
 // A fleet that reads a published store, with one outdated VM. Half of it starts
 // anew and hears that VM and itself only.
 auto MakeFleetWithOutdatedVm(std::uint64_t seed) -> FakeFleet {
-  FakeFleetOptions options;
-  options.nodes = kNodes;
-  options.seed = seed;
-  options.is_published = true;
-  FakeFleet fleet(options);
-  fleet.Publish(kOldRevision);
-  fleet.StartAll();
-  fleet.RunFor(seconds(10));
+  auto fleet =
+      MakeRunningFleet({.nodes = kNodes, .seed = seed, .is_published = true});
   cr_assert(fleet.AllReady());
   fleet.SetLinks([](std::size_t, std::size_t to) { return to != kOutdated; });
   fleet.SetService([](std::size_t node) { return node != kOutdated; });
@@ -117,15 +112,9 @@
   constexpr auto kApplyLimit = seconds(2);
   constexpr auto kChangeDelay = milliseconds(900);
   for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-    FakeFleetOptions options;
-    options.nodes = 40;
-    options.seed = seed;
-    options.is_published = true;
-    FakeFleet fleet(options);
-    fleet.Publish(kOldRevision);
-    fleet.StartAll();
-    fleet.RunFor(seconds(10));
-    const std::size_t lonely = options.nodes - 1;
+    auto fleet =
+        MakeRunningFleet({.nodes = 40, .seed = seed, .is_published = true});
+    const auto lonely = fleet.nodes().size() - 1;
     for (const auto& [vm, address] : fleet.nodes()[lonely].endpoints) {
       fleet.Stop(std::stoul(vm.value().substr(3)));
     }
@@ -146,15 +135,10 @@
   constexpr std::size_t kLost = 8;
   for (const std::size_t nodes : {9, 15, 32}) {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
-      FakeFleetOptions options;
-      options.nodes = nodes;
-      options.seed = seed;
-      options.is_published = true;
-      options.max_view_age = seconds(1);
-      FakeFleet fleet(options);
-      fleet.Publish(kOldRevision);
-      fleet.StartAll();
-      fleet.RunFor(seconds(10));
+      auto fleet = MakeRunningFleet({.nodes = nodes,
+                                     .seed = seed,
+                                     .is_published = true,
+                                     .max_view_age = seconds(1)});
       const auto members = fleet.nodes().front().membership->Members();
       for (const auto& vm : ReaderVms(members, kLost)) {
         fleet.Stop(std::stoul(vm.value().substr(3)));
@@ -171,14 +155,8 @@
 
 // Guards against more calls to the store while nothing is wrong.
 Test(fleet_restart, only_the_elected_vms_read_a_calm_store) {
-  FakeFleetOptions options;
-  options.nodes = 32;
-  options.is_published = true;
-  options.max_view_age = seconds(1);
-  FakeFleet fleet(options);
-  fleet.Publish(kOldRevision);
-  fleet.StartAll();
-  fleet.RunFor(seconds(10));
+  auto fleet = MakeRunningFleet(
+      {.nodes = 32, .is_published = true, .max_view_age = seconds(1)});
   for (int second = 0; second < 60; ++second) {
     fleet.RunFor(seconds(1));
     const auto readers = std::count_if(
@@ -191,13 +169,7 @@
 
 // Guards against a VM that trusts what it read before a pause.
 Test(fleet_restart, a_paused_vm_reads_again_before_it_accepts_callers) {
-  FakeFleetOptions options;
-  options.nodes = kNodes;
-  options.is_published = true;
-  FakeFleet fleet(options);
-  fleet.Publish(kOldRevision);
-  fleet.StartAll();
-  fleet.RunFor(seconds(10));
+  auto fleet = MakeRunningFleet({.nodes = kNodes, .is_published = true});
   fleet.Pause(kFirstRestarted);
   fleet.Publish(kNewRevision);
   fleet.RunFor(seconds(5));
--- a/tests/unit/decision/fleet/membership_test.cc
+++ b/tests/unit/decision/fleet/membership_test.cc
@@ -14,14 +14,7 @@
 using std::chrono::seconds;
 
 auto MakeFleet(std::size_t nodes = 16, std::uint64_t seed = 1) -> FakeFleet {
-  FakeFleetOptions options;
-  options.nodes = nodes;
-  options.seed = seed;
-  FakeFleet fleet(options);
-  fleet.Publish(1);
-  fleet.StartAll();
-  fleet.RunFor(seconds(10));
-  return fleet;
+  return MakeRunningFleet({.nodes = nodes, .seed = seed});
 }
 
 // Guards against VMs that start simultaneously and never discover each other.
@@ -264,15 +257,8 @@
 // Guards against entry VMs that lose their links to each other while a large
 // fleet starts, and then choose targets without the outcomes of the others.
 Test(membership, home_peers_stay_linked_in_a_large_fleet) {
-  FakeFleetOptions options;
-  options.nodes = 120;
-  options.domains = 6;
-  options.services = 1;
-  options.home = 13;
-  FakeFleet fleet(options);
-  fleet.Publish(1);
-  fleet.StartAll();
-  fleet.RunFor(seconds(5));
+  auto fleet = MakeRunningFleet(
+      {.nodes = 120, .domains = 6, .services = 1, .home = 13}, seconds(5));
   cr_assert_eq(FewestHomeLinks(fleet), 12U);
   // One is lost and another takes its place.
   for (std::size_t i = 0; i < fleet.nodes().size(); ++i) {
@@ -288,15 +274,8 @@
 // Guards against a set of entry VMs that outgrows the peers which a VM may have
 // and then has no links at all: each keeps kMaxHomePeers.
 Test(membership, a_large_home_set_keeps_links_up_to_the_limit) {
-  FakeFleetOptions options;
-  options.nodes = 60;
-  options.domains = 6;
-  options.services = 1;
-  options.home = 40;
-  FakeFleet fleet(options);
-  fleet.Publish(1);
-  fleet.StartAll();
-  fleet.RunFor(seconds(5));
+  auto fleet = MakeRunningFleet(
+      {.nodes = 60, .domains = 6, .services = 1, .home = 40}, seconds(5));
   cr_assert_geq(FewestHomeLinks(fleet), kMaxHomePeers);
 }
 
--- a/tests/unit/decision/fleet/table_dissemination_test.cc
+++ b/tests/unit/decision/fleet/table_dissemination_test.cc
@@ -156,13 +156,7 @@
 }
 
 auto MakeFleet() -> FakeFleet {
-  FakeFleetOptions options;
-  options.nodes = 16;
-  FakeFleet fleet(options);
-  fleet.Publish(1);
-  fleet.StartAll();
-  fleet.RunFor(seconds(10));
-  return fleet;
+  return MakeRunningFleet({.nodes = 16});
 }
 
 auto FirstReader(const FakeFleet& fleet) -> std::size_t {
@@ -243,31 +237,41 @@
   cr_assert(fleet.RunUntil([&] { return fleet.AllHave(2); }, seconds(10)));
 }
 
+// A lower revision of a later era of the store.
+auto LaterDigest() -> TableDigest {
+  return {0, Revision(19), HashOf("new"), StoreEra(2)};
+}
+
+// Returns the state of a VM that has LaterDigest in force.
+auto MakeInLaterEra() -> TableDissemination {
+  TableDissemination dissemination(1, Random(1));
+  dissemination.OnEvent(TableTextRead{0, Revision(19), "new", StoreEra(2)},
+                        kStart);
+  dissemination.OnEvent(TableChecked{LaterDigest(), true, ""}, kStart);
+  return dissemination;
+}
+
 }  // namespace
+
 // Guards against VMs that keep a registry of before a return of the store: its
 // revisions are given out again.
 Test(table_dissemination, a_later_era_replaces_a_higher_revision) {
   TableDissemination dissemination(1, Random(1));
   Accept(dissemination, 60, "old");
-  TableDigest digest{0, Revision(19), HashOf("new"), StoreEra(2)};
   const auto announced =
-      dissemination.OnEvent(From("a", TableAnnounce{digest}), kStart);
+      dissemination.OnEvent(From("a", TableAnnounce{LaterDigest()}), kStart);
   const auto* pull = Find<SendToPeer>(announced);
   cr_assert(pull != nullptr);
   cr_assert(std::get<TablePull>(pull->message).have_era == StoreEra());
-  dissemination.OnEvent(From("a", TableData{digest, "new"}), kStart);
-  dissemination.OnEvent(TableChecked{digest, true, ""}, kStart);
-  cr_assert(*dissemination.InForce(0) == digest);
+  dissemination.OnEvent(From("a", TableData{LaterDigest(), "new"}), kStart);
+  dissemination.OnEvent(TableChecked{LaterDigest(), true, ""}, kStart);
+  cr_assert(*dissemination.InForce(0) == LaterDigest());
 }
 
 // Guards against a VM that was cut off over a return and brings back the
 // registry of before.
 Test(table_dissemination, an_earlier_era_changes_nothing) {
-  TableDissemination dissemination(1, Random(1));
-  const TableDigest digest{0, Revision(19), HashOf("new"), StoreEra(2)};
-  dissemination.OnEvent(TableTextRead{0, Revision(19), "new", StoreEra(2)},
-                        kStart);
-  dissemination.OnEvent(TableChecked{digest, true, ""}, kStart);
+  auto dissemination = MakeInLaterEra();
   const auto announced = dissemination.OnEvent(
       From("a", TableAnnounce{DigestFor(60, "old")}), kStart);
   cr_assert(AskedPeer(announced).empty());
@@ -279,16 +283,12 @@
 // Guards against a VM that is never sent the registry of a later era, as the
 // revision that it has is higher.
 Test(table_dissemination, answers_a_pull_from_an_earlier_era) {
-  TableDissemination dissemination(1, Random(1));
-  const TableDigest digest{0, Revision(19), HashOf("new"), StoreEra(2)};
-  dissemination.OnEvent(TableTextRead{0, Revision(19), "new", StoreEra(2)},
-                        kStart);
-  dissemination.OnEvent(TableChecked{digest, true, ""}, kStart);
+  auto dissemination = MakeInLaterEra();
   const auto earlier = dissemination.OnEvent(
       From("a", TablePull{0, Revision(60), StoreEra(1)}), kStart);
   const auto* answer = Find<SendToPeer>(earlier);
   cr_assert(answer != nullptr);
-  cr_assert(std::get<TableData>(answer->message).digest == digest);
+  cr_assert(std::get<TableData>(answer->message).digest == LaterDigest());
   const auto later = dissemination.OnEvent(
       From("a", TablePull{0, Revision(1), StoreEra(3)}), kStart);
   cr_assert(Find<SendToPeer>(later) == nullptr);
