--- a/src/decision/detection/detector.cc
+++ b/src/decision/detection/detector.cc
@@ -8,9 +8,6 @@
 namespace flamingoyoke {
 namespace {
 
-// Nodes that used targets of this node within this time get its notices.
-constexpr Duration kBorrowerRetention = std::chrono::seconds(10);
-constexpr std::size_t kMaxBorrowers = 64;
 // Interval at which the share of a ramping target rises; see ShareOf().
 constexpr Duration kRampStepDuration = kRampDuration / 20;
 // Limits the consecutive state changes of one target per event.
@@ -41,7 +38,7 @@
     return statuses;
   }
   for (const auto& target : configuration_->row.targets) {
-    statuses.push_back(statuses_.at(target.id));
+    statuses.push_back(shares_.StatusOf(target.id));
   }
   return statuses;
 }
@@ -71,8 +68,8 @@
     return !row_targets_.contains(entry.first);
   };
   std::erase_if(budgets_, is_gone);
-  std::erase_if(local_drains_, is_gone);
-  std::erase_if(statuses_, is_gone);
+  drains_.Retain(row_targets_);
+  shares_.Retain(row_targets_);
   std::erase_if(takeovers_, is_gone);
   notices_.Retain(targets);
   for (const auto& target : known) {
@@ -98,7 +95,7 @@
       StartMonitor(target, !is_first && !known.contains(target), now);
     }
   }
-  UpdateVerifiers();
+  peers_.Configure(event.self, event.home);
   Reconcile(now);
 }
 
@@ -165,9 +162,9 @@
     return;
   }
   if (event.draining) {
-    local_drains_[event.target] = TimePoint::max();
+    drains_.Set(event.target);
   } else {
-    local_drains_.erase(event.target);
+    drains_.Clear(event.target);
     notices_.ClearDrains(event.target);
   }
   Reconcile(now);
@@ -185,7 +182,7 @@
                       !std::is_same_v<Message, SlotLoan> &&
                       !std::is_same_v<Message, SlotRecall>) {
           if (message.service == configuration_->row.service) {
-            lost_peers_.erase(event.sender);
+            peers_.OnHeard(event.sender);
             ApplyMessage(event.sender, message, now);
           }
         }
@@ -194,10 +191,8 @@
 }
 
 auto Detector::Apply(const DetectionPeerLost& event, TimePoint now) -> void {
-  lost_peers_.insert(event.peer);
   stats_.ForgetMember(event.peer);
-  borrowers_.erase(event.peer);
-  UpdateVerifiers();
+  peers_.OnLost(event.peer);
   Reconcile(now);
 }
 
@@ -207,10 +202,8 @@
   permit_issuer_.Clear();
   verifier_.Clear();
   borrowed_.Clear();
-  borrowers_.clear();
-  for (auto& [target, ends] : local_drains_) {
-    ends = std::min(ends, now + EjectionNoticeStore::kLifetimeAfterResume);
-  }
+  peers_.ForgetBorrowers();
+  drains_.Resume(now, EjectionNoticeStore::kLifetimeAfterResume);
   for (auto& [target, budget] : budgets_) {
     budget.End();
   }
@@ -260,9 +253,8 @@
 auto Detector::ApplyMessage(const VmId& sender,
                             const EjectionPermitRequest& message,
                             TimePoint now) -> void {
-  const auto& home = configuration_->home;
-  if (!HasTarget(message.target) || home.empty() ||
-      home.front().id != configuration_->self) {
+  if (!HasTarget(message.target) ||
+      !peers_.IsPermitIssuer(configuration_->self)) {
     return;
   }
   Send(sender, EjectionPermit{configuration_->row.service, message.target,
@@ -273,8 +265,7 @@
                             const EjectionPermit& message,
                             TimePoint now) -> void {
   const auto found = monitors_.find(message.target);
-  const auto& home = configuration_->home;
-  if (found == monitors_.end() || home.empty() || home.front().id != sender) {
+  if (found == monitors_.end() || !peers_.IsPermitIssuer(sender)) {
     return;
   }
   found->second.OnPermit(message.granted, now);
@@ -303,11 +294,7 @@
 auto Detector::ApplyOutcomes(const VmId& sender,
                              const std::vector<TargetOutcomes>& outcomes,
                              TimePoint now) -> void {
-  const bool is_bounded =
-      borrowers_.contains(sender) || borrowers_.size() < kMaxBorrowers;
-  if (!IsHomeMember(sender) && is_bounded) {
-    borrowers_[sender] = now;
-  }
+  peers_.OnOutcomes(sender, now);
   bool is_due = false;
   for (const auto& entry : outcomes) {
     const auto found = monitors_.find(entry.target);
@@ -344,18 +331,12 @@
 }
 
 auto Detector::Context(const TargetId& target) -> MonitorContext {
-  const auto& home = configuration_->home;
-  const bool is_only_home_member =
-      home.empty() ||
-      (home.size() == 1 && home.front().id == configuration_->self);
-  const bool has_permit_issuer =
-      !home.empty() && !lost_peers_.contains(home.front().id);
   return {stats_,
           budgets_[target],
-          verifiers_,
+          peers_.verifiers(),
           configuration_->row.slots,
-          is_only_home_member,
-          has_permit_issuer};
+          peers_.IsAlone(),
+          peers_.HasPermitIssuer()};
 }
 
 auto Detector::Reconcile(TimePoint now) -> void {
@@ -401,14 +382,12 @@
 }
 
 auto Detector::SyncDrains(TimePoint now) -> void {
-  std::erase_if(local_drains_,
-                [&](const auto& entry) { return entry.second <= now; });
+  drains_.RemoveExpired(now);
   for (auto& [target, monitor] : monitors_) {
     // Only drain signals that a node received itself are repeated. Otherwise
     // two owners could renew each other's drain notices forever.
     monitor.SetDraining(
-        HasLocalDrain(target, now) || notices_.HasDirectDrain(target, now),
-        now);
+        drains_.Has(target, now) || notices_.HasDirectDrain(target, now), now);
   }
 }
 
@@ -428,11 +407,10 @@
       Send(*actions.ask_verifier,
            VerifyRequest{configuration_->row.service, target});
     }
-    const auto& home = configuration_->home;
-    if (actions.ask_permit && home.front().id == configuration_->self) {
+    if (actions.ask_permit && peers_.IsPermitIssuer(configuration_->self)) {
       monitor.OnPermit(TryGrantPermit(target, now), now);
     } else if (actions.ask_permit) {
-      Send(home.front().id,
+      Send(configuration_->home.front().id,
            EjectionPermitRequest{configuration_->row.service, target});
     }
     if (!monitor.IsDue()) {
@@ -461,10 +439,8 @@
     outcomes.target = target;
     outcomes.timed_out = 1;
     // Members that do not own the target ignore the report.
-    for (const auto& member : configuration_->home) {
-      if (member.id != configuration_->self) {
-        Send(member.id, OutcomeReport{configuration_->row.service, {outcomes}});
-      }
+    for (const auto& member : peers_.others()) {
+      Send(member, OutcomeReport{configuration_->row.service, {outcomes}});
     }
   }
 }
@@ -487,7 +463,7 @@
 auto Detector::PublishNotices(TimePoint now) -> void {
   for (const auto& target : row_targets_) {
     const auto found = monitors_.find(target);
-    const bool has_drain = HasLocalDrain(target, now);
+    const bool has_drain = drains_.Has(target, now);
     auto state = TargetState::kHealthy;
     double severity = 0;
     if (has_drain) {
@@ -499,38 +475,21 @@
     }
     if (auto notice = notice_publisher_.Update(target, state, severity, now)) {
       notice->service = configuration_->row.service;
-      Broadcast(*notice, now);
+      for (const auto& receiver : peers_.NoticeReceivers(now)) {
+        Send(receiver, *notice);
+      }
     }
   }
 }
 
 auto Detector::PublishShares(TimePoint now) -> void {
-  std::vector<FloorEntry> entries;
-  std::vector<TargetStatus> desired;
+  std::vector<DesiredShare> desired;
   for (const auto& spec : configuration_->row.targets) {
-    desired.push_back(EvaluateTarget(spec, now));
-    entries.push_back({spec.id, spec.weight, desired.back().state,
-                       SeverityFor(spec.id, now), desired.back().share, false});
-  }
-  healthy_share_ = UsedShare(entries);
-  ApplyFloor(entries, configuration_->row.floor);
-  for (std::size_t i = 0; i < entries.size(); ++i) {
-    auto& status = desired[i];
-    status.share = entries[i].share;
-    if (entries[i].is_raised_by_floor) {
-      status.reason += ", in use for the floor";
-    }
-    auto& current = statuses_[status.target];
-    const bool is_new = current.target.empty();
-    const bool is_changed = is_new || current.state != status.state ||
-                            current.reason != status.reason;
-    if (!is_changed && current.share == status.share) {
-      continue;
-    }
-    status.since = is_changed ? now : current.since;
-    current = status;
-    actions_.emplace_back(SetTargetShare{status.target, status.share,
-                                         status.state, status.reason});
+    desired.push_back({EvaluateTarget(spec, now), SeverityFor(spec.id, now)});
+  }
+  for (auto& change :
+       shares_.Update(configuration_->row, std::move(desired), now)) {
+    actions_.emplace_back(std::move(change));
   }
 }
 
@@ -552,7 +511,7 @@
       return status;
     }
   }
-  if (HasLocalDrain(spec.id, now)) {
+  if (drains_.Has(spec.id, now)) {
     status.state = TargetState::kDraining;
     status.reason = "drain signal";
     status.share = 0;
@@ -586,15 +545,13 @@
 }
 
 auto Detector::ScheduleWake(TimePoint now) -> void {
-  auto wake = std::min({notice_publisher_.NextWake(), notices_.NextExpiry(now),
-                        borrowed_.NextWake(now),
-                        verifier_.NextWake(ProbeTimeout(now))});
+  auto wake =
+      std::min({notice_publisher_.NextWake(), notices_.NextExpiry(now),
+                borrowed_.NextWake(now), verifier_.NextWake(ProbeTimeout(now)),
+                drains_.NextExpiry()});
   for (const auto& target : verifier_.TargetsAwaitingProbe()) {
     wake = std::min(wake, budgets_[target].NextStartAt());
   }
-  for (const auto& [target, ends] : local_drains_) {
-    wake = std::min(wake, ends);
-  }
   for (const auto& [target, monitor] : monitors_) {
     wake = std::min(wake, monitor.NextWake(Context(target), now));
     if (StateOf(monitor.phase()) == TargetState::kRamping) {
@@ -619,20 +576,6 @@
   actions_.emplace_back(SendToPeer{peer, std::move(message)});
 }
 
-auto Detector::Broadcast(const EjectionNotice& notice, TimePoint now) -> void {
-  for (const auto& member : configuration_->home) {
-    if (member.id != configuration_->self) {
-      Send(member.id, notice);
-    }
-  }
-  std::erase_if(borrowers_, [&](const auto& entry) {
-    return now - entry.second >= kBorrowerRetention;
-  });
-  for (const auto& [borrower, at] : borrowers_) {
-    Send(borrower, notice);
-  }
-}
-
 auto Detector::HasTarget(const TargetId& target) const -> bool {
   return row_targets_.contains(target);
 }
@@ -642,38 +585,6 @@
   return std::find(owned.begin(), owned.end(), target) != owned.end();
 }
 
-auto Detector::IsHomeMember(const VmId& vm) const -> bool {
-  const auto& home = configuration_->home;
-  return std::any_of(home.begin(), home.end(),
-                     [&](const auto& member) { return member.id == vm; });
-}
-
-auto Detector::HasLocalDrain(const TargetId& target, TimePoint now) const
-    -> bool {
-  const auto found = local_drains_.find(target);
-  return found != local_drains_.end() && found->second > now;
-}
-
-auto Detector::UpdateVerifiers() -> void {
-  const auto& home = configuration_->home;
-  FailureDomainId own_domain;
-  for (const auto& member : home) {
-    if (member.id == configuration_->self) {
-      own_domain = member.failure_domain;
-    }
-  }
-  verifiers_.clear();
-  std::vector<VmId> same_domain;
-  for (const auto& member : home) {
-    if (member.id == configuration_->self || lost_peers_.contains(member.id)) {
-      continue;
-    }
-    auto& list = member.failure_domain == own_domain ? same_domain : verifiers_;
-    list.push_back(member.id);
-  }
-  verifiers_.insert(verifiers_.end(), same_domain.begin(), same_domain.end());
-}
-
 auto Detector::ProbeTimeout(TimePoint now) -> Duration {
   return std::max(PathCheck::kMinProbeTimeout, stats_.OverdueThreshold(now));
 }
--- a/src/decision/detection/detector.h
+++ b/src/decision/detection/detector.h
@@ -11,15 +11,17 @@
 #include "core/random.h"
 #include "core/time.h"
 #include "decision/detection/borrowed_target_monitor.h"
-#include "decision/detection/capacity_floor.h"
 #include "decision/detection/detection_event.h"
+#include "decision/detection/drain_signals.h"
 #include "decision/detection/ejection_notice_publisher.h"
 #include "decision/detection/ejection_notice_store.h"
 #include "decision/detection/ejection_permit_issuer.h"
 #include "decision/detection/probe_budget.h"
 #include "decision/detection/report_deduplicator.h"
+#include "decision/detection/service_peers.h"
 #include "decision/detection/service_stats.h"
 #include "decision/detection/target_monitor.h"
+#include "decision/detection/target_shares.h"
 #include "decision/detection/target_status.h"
 #include "decision/detection/target_verifier.h"
 
@@ -45,7 +47,9 @@
 
   // Returns the usable share of the row's total weight, 0 to 1, as given by the
   // states of the targets before the floor brings any target back.
-  [[nodiscard]] auto HealthyShare() const -> double { return healthy_share_; }
+  [[nodiscard]] auto HealthyShare() const -> double {
+    return shares_.healthy_share();
+  }
 
   // Returns the targets that this node is currently responsible for: its
   // configured targets except those handed over, and the targets taken over
@@ -118,12 +122,8 @@
   auto EnsureWakeBy(TimePoint at) -> void;
 
   auto Send(const VmId& peer, PeerMessage message) -> void;
-  auto Broadcast(const EjectionNotice& notice, TimePoint now) -> void;
   auto HasTarget(const TargetId& target) const -> bool;
   auto IsConfiguredOwner(const TargetId& target) const -> bool;
-  auto IsHomeMember(const VmId& vm) const -> bool;
-  auto HasLocalDrain(const TargetId& target, TimePoint now) const -> bool;
-  auto UpdateVerifiers() -> void;
   auto ProbeTimeout(TimePoint now) -> Duration;
 
   Random random_;
@@ -134,22 +134,15 @@
   std::map<TargetId, ProbeBudget> budgets_;
   // Targets taken over, and the member that cannot reach them.
   std::map<TargetId, VmId> takeovers_;
-  // Drain signals that this node received, and when they expire. They only
-  // expire, i.e. differ from TimePoint::max(), after a pause of the process.
-  std::map<TargetId, TimePoint> local_drains_;
+  DrainSignals drains_;
   EjectionNoticeStore notices_;
   EjectionPermitIssuer permit_issuer_;
   TargetVerifier verifier_;
   EjectionNoticePublisher notice_publisher_;
   BorrowedTargetMonitor borrowed_;
   ReportDeduplicator reports_;
-  std::vector<VmId> verifiers_;
-  std::set<VmId> lost_peers_;
-  // Nodes outside the home set that recently reported outcomes of borrowed
-  // slots, and the time of the last report.
-  std::map<VmId, TimePoint> borrowers_;
-  std::map<TargetId, TargetStatus> statuses_;
-  double healthy_share_ = 1;
+  ServicePeers peers_;
+  TargetShares shares_;
   TimePoint wake_at_ = TimePoint::max();
   std::vector<DetectionAction> actions_;
 };
