--- a/bench/view_age_bench.cc
+++ b/bench/view_age_bench.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <cstddef>
 #include <cstdint>
 #include <set>
@@ -111,8 +112,7 @@
     const auto time = fleet.RunUntil(
         [&] { return fleet.AllHave(kNewRevision); }, seconds(10));
     figures_.set_profile(std::to_string(nodes) + " vms");
-    const auto what = ", " +
-                      std::to_string(static_cast<int>(share * 100 + 0.5)) +
+    const auto what = ", " + std::to_string(std::lround(share * 100)) +
                       "% lost, " + std::string(ToName(choice));
     figures_.AddBounded("change in force" + what, "s",
                         ToSeconds(time.value_or(seconds(10))),
