--- a/src/decision/fleet/membership.cc
+++ b/src/decision/fleet/membership.cc
@@ -7,26 +7,9 @@
 
 #include "core/overloaded.h"
 #include "decision/fleet/membership_timing.h"
-#include "decision/fleet/peer_selection.h"
-#include "decision/fleet/rendezvous.h"
+#include "decision/fleet/report_verdict.h"
 
 namespace flamingoyoke {
-namespace {
-
-// Sequences follow the clock in milliseconds. A node sends far fewer than a
-// thousand heartbeats per second, so they increase across restarts of the fleet
-// task.
-auto SequenceAt(TimePoint now) -> std::uint64_t {
-  return static_cast<std::uint64_t>(
-      std::max<std::int64_t>(ToMilliseconds(now.time_since_epoch()), 0));
-}
-
-// A node that hears fewer than kBootstrapLinks peers for this long contacts
-// other live VMs, without waiting until it declares its peers dead: they may
-// have been lost together. Longer than the period of the slow heartbeats.
-constexpr Duration kMaxPeerSilence = std::chrono::milliseconds(1300);
-
-}  // namespace
 
 Membership::Membership(Member self, Random random)
     : self_(std::move(self)), random_(random), list_(self_.id) {
@@ -40,23 +23,6 @@
   return CollectActions(now);
 }
 
-auto Membership::Members() const -> std::vector<Member> {
-  std::vector<Member> members;
-  members.reserve(list_.records().size() + 1);
-  bool self_is_listed = false;
-  for (const auto& [vm, record] : list_.records()) {
-    if (!self_is_listed && self_.id < vm) {
-      members.push_back(self_);
-      self_is_listed = true;
-    }
-    members.push_back(record.member);
-  }
-  if (!self_is_listed) {
-    members.push_back(self_);
-  }
-  return members;
-}
-
 auto Membership::CutOff(TimePoint now) const -> std::vector<VmId> {
   std::vector<VmId> cut_off;
   for (const auto& [vm, link] : links_.links()) {
@@ -69,27 +35,13 @@
   return cut_off;
 }
 
-auto Membership::SilentHomePeers(TimePoint now) const -> std::set<VmId> {
-  std::set<VmId> silent;
-  for (const auto& [vm, link] : links_.links()) {
-    if (link.is_home() && link.Silence(now) >= link.limits().probe) {
-      silent.insert(vm);
-    }
-  }
-  return silent;
-}
-
-auto Membership::TwoWayPeers(TimePoint now) const -> std::vector<VmId> {
-  return links_.TwoWay(now);
-}
-
 auto Membership::Handle(const MembershipStarted& /*event*/, TimePoint now)
     -> void {
-  sequence_ = SequenceAt(now);
+  heartbeats_.AdvanceSequence(now);
   // The random offset keeps nodes that start together from ticking together.
   next_tick_ =
       now + Duration(random_.Below(static_cast<std::uint64_t>(kTick.count())));
-  bootstrap_until_ = now + kBootstrapTimeout;
+  contacts_.Start(now);
   next_tombstone_sweep_ = now + kTombstoneSweepPeriod;
 }
 
@@ -107,7 +59,7 @@
     }
     return;
   }
-  if (!IsFreshAfterResume(envelope)) {
+  if (!resume_filter_.Accepts(envelope)) {
     return;
   }
   std::visit(
@@ -122,23 +74,8 @@
       envelope.message);
 }
 
-// Sockets buffer messages during a pause, so buffered messages say nothing
-// about the present. A heartbeat that acknowledges a sequence sent since the
-// pause is new.
-auto Membership::IsFreshAfterResume(const PeerEnvelope& envelope) -> bool {
-  if (resume_sequence_ == 0 || heard_since_resume_.count(envelope.sender) > 0) {
-    return true;
-  }
-  const auto* heartbeat = std::get_if<Heartbeat>(&envelope.message);
-  if (heartbeat == nullptr || heartbeat->heard_sequence <= resume_sequence_) {
-    return false;
-  }
-  heard_since_resume_.insert(envelope.sender);
-  return true;
-}
-
 auto Membership::Handle(const SelfAnnounced& event, TimePoint now) -> void {
-  tables_ = event.tables;
+  heartbeats_.set_tables(event.tables);
   auto announced = self_;
   announced.ready = event.ready;
   announced.lost_source = event.lost_source;
@@ -151,9 +88,7 @@
 }
 
 auto Membership::Handle(const SourceConfirmed& event, TimePoint now) -> void {
-  source_ = event.newest;
-  tables_age_ = event.tables_age;
-  source_set_ = now;
+  heartbeats_.SetSource(event, now);
   if (!event.announce) {
     return;
   }
@@ -164,10 +99,7 @@
 
 auto Membership::Handle(const HomePeersChanged& event, TimePoint /*now*/)
     -> void {
-  home_peers_ = std::set<VmId>(event.peers.begin(), event.peers.end());
-  first_peers_ = event.first;
-  links_.set_max_peers(event.is_hub ? kMaxHubPeers : kMaxPeers);
-  selection_is_stale_ = true;
+  peer_choice_.SetHomePeers(event, links_);
 }
 
 auto Membership::Handle(const LeavingDeclared& /*event*/, TimePoint now)
@@ -184,12 +116,10 @@
   links_.Restart(now);
   // Other nodes may consider this VM dead by now.
   AnnounceSelf(now);
-  sequence_ = std::max(sequence_, SequenceAt(now));
-  resume_sequence_ = sequence_;
-  heard_since_resume_.clear();
-  bootstrap_until_ = now + kBootstrapTimeout;
-  next_contact_ = now;
-  next_sync_ = now;
+  heartbeats_.AdvanceSequence(now);
+  resume_filter_.Start(heartbeats_.last_sequence());
+  contacts_.Resume(now);
+  list_sync_.Resume(now);
   next_tick_ = now;
 }
 
@@ -233,7 +163,8 @@
     // Otherwise two temporary peers would keep each other's links open forever.
     link->RecordActivity(now);
   }
-  if (!link->RecordHeartbeat(heartbeat, envelope.incarnation, sequence_, now)) {
+  if (!link->RecordHeartbeat(heartbeat, envelope.incarnation,
+                             heartbeats_.last_sequence(), now)) {
     return;
   }
   if (record->member.liveness == Liveness::kDead) {
@@ -254,36 +185,25 @@
   if (is_new || heartbeat.heard_sequence == 0) {
     SendHeartbeat(sender, *link, now);
   }
-  CompareDigests(sender, *link, heartbeat.membership_digest, now);
+  HandleDigest(sender, *link, heartbeat.membership_digest, now);
 }
 
-auto Membership::CompareDigests(const VmId& sender,
-                                PeerLink& link,
-                                std::uint64_t digest,
-                                TimePoint now) -> void {
-  if (digest == list_.Digest(self_)) {
-    link.mismatch_since.reset();
-    if (list_.unconfirmed_count() > 0) {
-      list_.ConfirmAll(now);
-    }
-    return;
-  }
-  if (!link.mismatch_since) {
-    link.mismatch_since = now;
-  }
-  // A node that knows few members synchronizes at once.
-  const bool knows_few_members =
-      list_.unconfirmed_count() > 0 || list_.present_count() < kBootstrapLinks;
-  const auto mismatch_delay = knows_few_members ? Duration::zero()
-                              : self_.id < sender
-                                  ? kDigestMismatchDelay
-                                  : kDigestMismatchDelayOfHigherId;
-  if (now - *link.mismatch_since < mismatch_delay || now < next_sync_) {
-    return;
+auto Membership::HandleDigest(const VmId& sender,
+                              PeerLink& link,
+                              std::uint64_t digest,
+                              TimePoint now) -> void {
+  switch (list_sync_.OnDigest(self_, list_, sender, digest, link, now)) {
+    case DigestResult::kEqual:
+      if (list_.unconfirmed_count() > 0) {
+        list_.ConfirmAll(now);
+      }
+      return;
+    case DigestResult::kDiffers:
+      return;
+    case DigestResult::kSyncDue:
+      Send(sender, ListSync::MakeRequest(self_, list_));
+      return;
   }
-  link.mismatch_since = now;
-  next_sync_ = now + kSyncPeriod;
-  SendSyncRequest(sender);
 }
 
 auto Membership::HandleMessage(const PeerEnvelope& envelope,
@@ -339,7 +259,10 @@
     SendMembers(sender, {ReportOf(*record), self_}, {});
   }
   if (update.wants_answer || !update.bucket_digests.empty()) {
-    ReplyToSync(sender, update, now);
+    for (auto& reply :
+         list_sync_.MakeReply(self_, list_, sender, update, now)) {
+      Send(sender, std::move(reply));
+    }
   }
 }
 
@@ -350,31 +273,20 @@
     HandleReportOfSelf(report, now);
     return;
   }
+  const auto verdict =
+      JudgeReport(report, links_.Find(report.id), links_.Find(sender), now);
+  if (verdict == ReportVerdict::kForward) {
+    SendMembers(report.id, {report}, {});
+    return;
+  }
+  if (verdict == ReportVerdict::kReject) {
+    return;
+  }
   auto accepted = report;
-  if (report.liveness == Liveness::kDead ||
-      report.liveness == Liveness::kSuspect) {
-    auto* link = links_.Find(report.id);
-    if (link != nullptr && link->HasRecentHeartbeat(now)) {
-      // This node hears the VM, so it forwards the report to it for refutation.
-      SendMembers(report.id, {report}, {});
-      return;
-    }
-    if (!AcceptsDeathReportsFrom(sender, now)) {
-      return;
-    }
-    auto* from = links_.Find(sender);
-    if (from == nullptr || !from->IsTwoWay(now)) {
-      // The sender may be cut off itself.
-      accepted.liveness = Liveness::kSuspect;
-    }
+  if (verdict == ReportVerdict::kAcceptAsDoubt) {
+    accepted.liveness = Liveness::kSuspect;
   }
-  const auto* known = list_.Find(report.id);
-  const bool was_doubted =
-      known != nullptr && (known->refutation_deadline ||
-                           ((known->member.liveness == Liveness::kDead ||
-                             known->member.liveness == Liveness::kSuspect) &&
-                            known->member.incarnation == report.incarnation));
-  const bool is_urgent = was_doubted || report.liveness != Liveness::kAlive;
+  const bool is_urgent = IsUrgentReport(report, list_.Find(report.id));
   VmId replaced;
   const auto result = list_.Merge(accepted, now, replaced);
   if (result == MergeResult::kUpdated) {
@@ -389,76 +301,26 @@
   }
 }
 
-// A chosen peer that cannot receive messages considers all others dead. This
-// shows in the link to it, which is then not two-way.
-auto Membership::AcceptsDeathReportsFrom(const VmId& sender, TimePoint now)
-    -> bool {
-  const auto* link = links_.Find(sender);
-  return link == nullptr || !link->is_chosen() || !link->was_two_way() ||
-         link->IsTwoWay(now);
-}
-
 auto Membership::HandleReportOfSelf(const Member& report, TimePoint now)
     -> void {
-  if (self_.incarnation < report.incarnation) {
-    actions_.emplace_back(SelfSuperseded{report.incarnation});
-    return;
-  }
-  if (report.incarnation < self_.incarnation ||
-      report.version < self_.version) {
-    return;
-  }
-  // A report of this VM's death, or an announcement from before a restart of
-  // the fleet task.
-  const bool is_same =
-      report.version == self_.version && report.liveness == Liveness::kAlive;
-  if (!is_same) {
-    self_.version = report.version;
-    AnnounceSelf(now, /*is_urgent=*/true);
-  }
-}
-
-auto Membership::ReplyToSync(const VmId& sender,
-                             const MemberUpdate& update,
-                             TimePoint now) -> void {
-  if (update.wants_answer && now < next_sync_reply_) {
-    return;
-  }
-  const auto own = list_.BucketDigests(self_);
-  const bool has_digests = update.bucket_digests.size() == own.size();
-  const auto differs = [&](std::uint64_t hash) {
-    const auto bucket = MemberList::BucketOf(hash);
-    return !has_digests || update.bucket_digests[bucket] != own[bucket];
-  };
-  std::vector<Member> members = {self_};
-  for (const auto& [vm, record] : list_.records()) {
-    if (!HasBeenHeard(record) || vm == sender || !differs(record.hash)) {
-      continue;
-    }
-    members.push_back(ReportOf(record));
-    // The report may be outdated information from the other side of a
-    // partition, so the VM gets the time to refute it.
-    if (members.back().liveness == Liveness::kDead) {
-      members.back().liveness = Liveness::kSuspect;
-    }
-  }
-  if (const auto* record = list_.Find(sender)) {
-    members.push_back(ReportOf(*record));
-  }
-  MemberUpdate last;
-  if (update.wants_answer) {
-    last.bucket_digests = own;
-    next_sync_reply_ = now + kSyncReplyTimePerMember *
-                                 static_cast<std::int64_t>(members.size());
+  switch (JudgeReportOfSelf(report, self_)) {
+    case SelfReportVerdict::kIgnore:
+      return;
+    case SelfReportVerdict::kRefute:
+      self_.version = report.version;
+      AnnounceSelf(now, /*is_urgent=*/true);
+      return;
+    case SelfReportVerdict::kSuperseded:
+      actions_.emplace_back(SelfSuperseded{report.incarnation});
+      return;
   }
-  SendMembers(sender, members, std::move(last));
 }
 
 auto Membership::Tick(TimePoint now) -> void {
   ++ticks_;
-  sequence_ = std::max(sequence_, SequenceAt(now));
-  if (bootstrap_until_ <= now) {
-    resume_sequence_ = 0;
+  heartbeats_.AdvanceSequence(now);
+  if (contacts_.IsBootstrapOver(now)) {
+    resume_filter_.Stop();
   }
   list_.ExpireRefutations(now);
   pending_probes_.Expire(now);
@@ -514,60 +376,27 @@
 }
 
 auto Membership::ContactAbsentVms(TimePoint now) -> void {
-  const bool is_bootstrapping =
-      now < bootstrap_until_ && links_.TwoWay(now).size() < kBootstrapLinks;
-  if (!is_bootstrapping && now < next_contact_) {
-    return;
-  }
-  const auto absent = AbsentVms();
-  const auto count = is_bootstrapping ? kBootstrapContacts : 1;
-  for (std::size_t i = 0; i < std::min(count, absent.size()); ++i) {
-    const auto& vm = absent[random_.Below(absent.size())];
+  // Sync requests are large, so only one of the contacts carries one.
+  bool is_first = true;
+  for (const auto& vm : contacts_.TakeAbsent(list_, links_, random_, now)) {
+    const bool asks_for_sync = std::exchange(is_first, false);
     auto* link = links_.FindOrAdd(vm, now);
     if (link == nullptr) {
       continue;
     }
     link->RecordActivity(now);
-    // Sync requests are large, so only one of the contacts carries one.
-    if (i == 0) {
-      SendSyncRequest(vm);
+    if (asks_for_sync) {
+      Send(vm, ListSync::MakeRequest(self_, list_));
     } else {
       SendMembers(vm, {self_}, {});
     }
     SendHeartbeat(vm, *link, now);
   }
-  const auto share =
-      absent.empty()
-          ? 0.0
-          : static_cast<double>(list_.present_count() + 1) /
-                (kContactsPerSecond * static_cast<double>(absent.size()));
-  const auto period = std::max(
-      kMinContactPeriod, Duration(static_cast<std::int64_t>(share * 1e6)));
-  // The jitter keeps nodes that start together from acting in lockstep.
-  next_contact_ =
-      now + period / 2 +
-      Duration(random_.Below(static_cast<std::uint64_t>(period.count())));
 }
 
 auto Membership::ReplaceSilentPeers(TimePoint now) -> void {
-  std::size_t heard = 0;
-  for (const auto& [vm, link] : links_.links()) {
-    const bool is_heard =
-        link.IsTwoWay(now) && link.Silence(now) <= kMaxPeerSilence;
-    heard += is_heard ? 1 : 0;
-  }
-  if (heard >= kBootstrapLinks) {
-    return;
-  }
-  std::vector<VmId> others;
-  for (const auto& [vm, record] : list_.records()) {
-    if (IsPresent(record) && links_.Find(vm) == nullptr) {
-      others.push_back(vm);
-    }
-  }
-  const auto count = std::min(kBootstrapContacts, others.size());
-  for (std::size_t i = 0; i < count; ++i) {
-    const auto& vm = others[random_.Below(others.size())];
+  for (const auto& vm :
+       VmContacts::ReplacementsForSilent(list_, links_, random_, now)) {
     if (auto* link = links_.FindOrAdd(vm, now)) {
       link->RecordActivity(now);
       SendHeartbeat(vm, *link, now);
@@ -575,17 +404,6 @@
   }
 }
 
-auto Membership::AbsentVms() const -> std::vector<VmId> {
-  std::vector<VmId> absent;
-  for (const auto& [vm, record] : list_.records()) {
-    if (record.member.liveness == Liveness::kDead ||
-        record.member.liveness == Liveness::kUnproven) {
-      absent.push_back(vm);
-    }
-  }
-  return absent;
-}
-
 auto Membership::Send(const VmId& peer, PeerMessage message) -> void {
   actions_.emplace_back(SendToPeer{peer, std::move(message)});
 }
@@ -593,35 +411,11 @@
 auto Membership::SendHeartbeat(const VmId& peer,
                                const PeerLink& link,
                                TimePoint now) -> void {
-  const auto heard = link.HeardSequence(now);
-  if (heard == 0) {
+  if (link.HeardSequence(now) == 0) {
     // The peer may not know this VM yet and could not answer.
     SendMembers(peer, {self_}, {});
   }
-  Heartbeat heartbeat;
-  heartbeat.sequence = ++sequence_;
-  heartbeat.heard_sequence = heard;
-  heartbeat.leaving = self_.leaving;
-  heartbeat.ready = self_.ready;
-  heartbeat.tables = tables_;
-  heartbeat.membership_digest = list_.Digest(self_);
-  heartbeat.is_chosen = link.is_chosen();
-  heartbeat.source = source_;
-  if (heartbeat.source) {
-    heartbeat.source->age += now - source_set_;
-  }
-  if (tables_age_) {
-    heartbeat.tables_age = *tables_age_ + (now - source_set_);
-  }
-  Send(peer, std::move(heartbeat));
-}
-
-auto Membership::SendSyncRequest(const VmId& peer) -> void {
-  MemberUpdate update;
-  update.members = {self_};
-  update.wants_answer = true;
-  update.bucket_digests = list_.BucketDigests(self_);
-  Send(peer, std::move(update));
+  Send(peer, heartbeats_.Write(self_, link, list_.Digest(self_), now));
 }
 
 auto Membership::SendMembers(const VmId& peer,
@@ -633,96 +427,25 @@
 }
 
 auto Membership::DisseminateUpdates() -> void {
-  const auto changes = update_dissemination_.TakeChanges();
-  const auto links = UpdateLinks();
-  std::map<VmId, std::set<VmId>> receivers;
-  for (const auto& [vm, change] : changes) {
-    if (!change.is_urgent) {
-      receivers[vm] = UpdateReceivers(OriginOf(vm, change.is_first), links);
-    }
-  }
-  for (const auto& [peer, link] : links_.links()) {
-    std::vector<Member> reports;
-    for (const auto& [vm, change] : changes) {
-      if (vm == peer || change.known_by.count(peer) > 0 ||
-          (!change.is_urgent && !receivers[vm].contains(peer))) {
-        continue;
-      }
-      if (vm == self_.id) {
-        reports.push_back(self_);
-      } else if (const auto* record = list_.Find(vm)) {
-        reports.push_back(ReportOf(*record));
-      }
-    }
-    if (!reports.empty()) {
-      SendMembers(peer, reports, {});
-    }
+  const auto reports = update_dissemination_.TakeReports(
+      self_, list_, links_, peer_choice_.domain_size());
+  for (const auto& [peer, members] : reports) {
+    SendMembers(peer, members, {});
   }
 }
 
-auto Membership::UpdateLinks() const -> std::vector<UpdateLink> {
-  std::vector<UpdateLink> links;
-  for (const auto& [vm, link] : links_.links()) {
-    UpdateLink each{vm};
-    if (const auto* record = list_.Find(vm)) {
-      const auto& peer = record->member;
-      each.link = LinkClassOf(self_, peer);
-      each.group = each.link == LinkClass::kOtherRegion
-                       ? HashOf("region " + peer.region.value())
-                       : HashOf("domain " + peer.failure_domain.value());
-    }
-    links.push_back(std::move(each));
-  }
-  return links;
-}
-
-auto Membership::OriginOf(const VmId& vm, bool is_first) const -> UpdateOrigin {
-  const auto* record = vm == self_.id ? nullptr : list_.Find(vm);
-  const auto& member = record == nullptr ? self_ : record->member;
-  return {RendezvousScore(HashOf(vm.value()),
-                          member.version + member.incarnation.value()),
-          HashOf(self_.id.value()), domain_size_, is_first};
-}
-
 auto Membership::AnnounceSelf(TimePoint now, bool is_urgent) -> void {
   ++self_.version;
   update_dissemination_.AddChange(self_.id, {}, now, is_urgent);
 }
 
-auto Membership::ReselectPeers(TimePoint now) -> void {
-  selected_presence_changes_ = list_.presence_change_count();
-  selection_is_stale_ = false;
-  links_.Choose(SelectPeers(self_, list_.records(), home_peers_, first_peers_),
-                home_peers_, now);
-  domain_size_ = 1;
-  for (const auto& [vm, record] : list_.records()) {
-    const bool is_near =
-        LinkClassOf(self_, record.member) == LinkClass::kSameDomain;
-    domain_size_ += is_near && IsPresent(record) ? 1 : 0;
-  }
-}
-
 auto Membership::CollectActions(TimePoint now)
     -> std::vector<MembershipAction> {
-  if (selection_is_stale_ ||
-      selected_presence_changes_ != list_.presence_change_count()) {
-    ReselectPeers(now);
-  }
-  std::map<VmId, std::string> endpoints;
-  for (const auto& [vm, link] : links_.links()) {
-    if (const auto* record = list_.Find(vm)) {
-      endpoints.emplace(vm, record->member.mesh_address);
-    }
-  }
+  peer_choice_.Update(self_, list_, links_, now);
   std::vector<MembershipAction> actions;
-  if (endpoints != reported_endpoints_) {
-    // Must precede messages to new peers, which need a connection.
-    reported_endpoints_ = endpoints;
-    std::map<VmId, LinkClass> links;
-    for (const auto& [vm, endpoint] : endpoints) {
-      links.emplace(vm, LinkClassOf(self_, list_.Find(vm)->member));
-    }
-    actions.emplace_back(PeersSelected{std::move(endpoints), std::move(links)});
+  // Must precede messages to new peers, which need a connection.
+  if (auto selected = peer_choice_.TakeSelected(self_, list_, links_)) {
+    actions.emplace_back(*std::move(selected));
   }
   std::move(actions_.begin(), actions_.end(), std::back_inserter(actions));
   actions_.clear();
--- a/src/decision/fleet/membership.h
+++ b/src/decision/fleet/membership.h
@@ -3,22 +3,24 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <set>
-#include <string>
 #include <vector>
 
 #include "core/ids.h"
 #include "core/random.h"
 #include "core/time.h"
+#include "decision/fleet/heartbeat_writer.h"
+#include "decision/fleet/list_sync.h"
 #include "decision/fleet/member.h"
 #include "decision/fleet/member_list.h"
 #include "decision/fleet/membership_event.h"
+#include "decision/fleet/peer_choice.h"
 #include "decision/fleet/peer_links.h"
 #include "decision/fleet/pending_indirect_probes.h"
+#include "decision/fleet/resume_filter.h"
 #include "decision/fleet/update_dissemination.h"
-#include "decision/fleet/update_receivers.h"
+#include "decision/fleet/vm_contacts.h"
 #include "decision/peer/peer_message.h"
 
 namespace flamingoyoke {
@@ -39,14 +41,20 @@
       -> std::vector<MembershipAction>;
 
   // Returns all known VMs, including this one, ordered by id.
-  [[nodiscard]] auto Members() const -> std::vector<Member>;
+  [[nodiscard]] auto Members() const -> std::vector<Member> {
+    return list_.MembersWith(self_);
+  }
   // Returns the alive chosen peers without a two-way link, in order.
   [[nodiscard]] auto CutOff(TimePoint now) const -> std::vector<VmId>;
   // Returns the home peers that have been silent long enough for indirect
   // probes, well before they are suspected.
-  [[nodiscard]] auto SilentHomePeers(TimePoint now) const -> std::set<VmId>;
+  [[nodiscard]] auto SilentHomePeers(TimePoint now) const -> std::set<VmId> {
+    return links_.SilentHome(now);
+  }
   // Returns the peers with a two-way link, in order.
-  [[nodiscard]] auto TwoWayPeers(TimePoint now) const -> std::vector<VmId>;
+  [[nodiscard]] auto TwoWayPeers(TimePoint now) const -> std::vector<VmId> {
+    return links_.TwoWay(now);
+  }
   [[nodiscard]] auto self() const -> const Member& { return self_; }
   [[nodiscard]] auto list() const -> const MemberList& { return list_; }
   // Number of peers, temporary ones included; at most kMaxPeers, or
@@ -60,7 +68,6 @@
   auto Handle(const MembershipStarted& event, TimePoint now) -> void;
   auto Handle(const VmListSeeded& event, TimePoint now) -> void;
   auto Handle(const PeerEnvelope& envelope, TimePoint now) -> void;
-  auto IsFreshAfterResume(const PeerEnvelope& envelope) -> bool;
   auto Handle(const SelfAnnounced& event, TimePoint now) -> void;
   auto Handle(const SourceConfirmed& event, TimePoint now) -> void;
   auto Handle(const HomePeersChanged& event, TimePoint now) -> void;
@@ -81,13 +88,10 @@
   auto HandleReport(const VmId& sender, const Member& report, TimePoint now)
       -> void;
   auto HandleReportOfSelf(const Member& report, TimePoint now) -> void;
-  auto CompareDigests(const VmId& sender,
-                      PeerLink& link,
-                      std::uint64_t digest,
-                      TimePoint now) -> void;
-  auto ReplyToSync(const VmId& sender,
-                   const MemberUpdate& update,
-                   TimePoint now) -> void;
+  auto HandleDigest(const VmId& sender,
+                    PeerLink& link,
+                    std::uint64_t digest,
+                    TimePoint now) -> void;
 
   // Periodic work.
   auto Tick(TimePoint now) -> void;
@@ -95,63 +99,37 @@
   auto ContactAbsentVms(TimePoint now) -> void;
   // Contacts live VMs that are no peers if most peers have fallen silent.
   auto ReplaceSilentPeers(TimePoint now) -> void;
-  [[nodiscard]] auto AbsentVms() const -> std::vector<VmId>;
 
   // Sending.
   auto Send(const VmId& peer, PeerMessage message) -> void;
   auto SendHeartbeat(const VmId& peer, const PeerLink& link, TimePoint now)
       -> void;
-  auto SendSyncRequest(const VmId& peer) -> void;
   auto SendMembers(const VmId& peer,
                    const std::vector<Member>& members,
                    MemberUpdate last) -> void;
   auto DisseminateUpdates() -> void;
-  [[nodiscard]] auto UpdateLinks() const -> std::vector<UpdateLink>;
-  [[nodiscard]] auto OriginOf(const VmId& vm, bool is_first) const
-      -> UpdateOrigin;
   auto AnnounceSelf(TimePoint now, bool is_urgent = false) -> void;
 
-  auto AcceptsDeathReportsFrom(const VmId& sender, TimePoint now) -> bool;
-  auto ReselectPeers(TimePoint now) -> void;
   auto CollectActions(TimePoint now) -> std::vector<MembershipAction>;
 
   Member self_;
   Random random_;
   MemberList list_;
   PeerLinks links_;
+  PeerChoice peer_choice_;
   UpdateDissemination update_dissemination_;
   PendingIndirectProbes pending_probes_;
-  std::set<VmId> home_peers_;
-  std::vector<VmId> first_peers_;
-  std::vector<TableDigest> tables_;
-  // For heartbeats: the newest confirmation, and when it had its age.
-  std::optional<SourceConfirmation> source_;
-  std::optional<Duration> tables_age_;
-  // When both were set.
-  TimePoint source_set_;
+  VmContacts contacts_;
+  ListSync list_sync_;
+  HeartbeatWriter heartbeats_;
+  ResumeFilter resume_filter_;
 
   std::uint64_t ticks_ = 0;
-  // Highest sequence sent. Initialized from the clock, so that it also
-  // increases when only the fleet task restarts.
-  std::uint64_t sequence_ = 0;
-  // Highest sequence sent before the last pause, reset to 0 once
-  // kBootstrapTimeout has passed, and the peers that have answered a later one.
-  std::uint64_t resume_sequence_ = 0;
-  std::set<VmId> heard_since_resume_;
   std::optional<TimePoint> next_tick_;
-  TimePoint bootstrap_until_;
-  TimePoint next_contact_;
-  TimePoint next_sync_;
-  TimePoint next_sync_reply_;
   TimePoint next_tombstone_sweep_;
 
   // State that the last actions reported.
   std::uint64_t reported_changes_ = 0;
-  std::uint64_t selected_presence_changes_ = 0;
-  // Number of present VMs in the failure domain of this VM, itself included.
-  std::size_t domain_size_ = 1;
-  bool selection_is_stale_ = false;
-  std::map<VmId, std::string> reported_endpoints_;
   std::vector<VmId> reported_cut_off_;
   std::optional<TimePoint> scheduled_wake_;
 
