Report teams and keys in the log of the stand-in target

The soak has to see which team a request names at a target, also where the header is there twice, and whether a caller's key arrives. An arrival now has the team headers as "team", and "with_key" counts requests with a key.

--- a/tests/standins/common/http_exchange.cc
+++ b/tests/standins/common/http_exchange.cc
@@ -92,6 +92,19 @@
       evhttp_request_get_input_headers(request_.get()), name));
 }
 
+auto HttpExchange::AllHeaders(const char* name) const
+    -> std::vector<std::string> {
+  std::vector<std::string> values;
+  const auto* headers = evhttp_request_get_input_headers(request_.get());
+  for (const auto* each = headers->tqh_first; each != nullptr;
+       each = each->next.tqe_next) {
+    if (evutil_ascii_strcasecmp(each->key, name) == 0) {
+      values.emplace_back(each->value);
+    }
+  }
+  return values;
+}
+
 auto HttpExchange::Body() const -> std::string {
   auto* buffer = evhttp_request_get_input_buffer(request_.get());
   std::string body(evbuffer_get_length(buffer), '\0');
--- a/tests/standins/common/http_exchange.h
+++ b/tests/standins/common/http_exchange.h
@@ -43,6 +43,9 @@
   [[nodiscard]] auto Number(const char* name, double fallback) const -> double;
   [[nodiscard]] auto Header(const char* name) const
       -> std::optional<std::string>;
+  // Values of all headers with this name, in their order.
+  [[nodiscard]] auto AllHeaders(const char* name) const
+      -> std::vector<std::string>;
   [[nodiscard]] auto Body() const -> std::string;
 
   // Returns whether the caller has closed its connection.
--- a/tests/standins/target/target_task.cc
+++ b/tests/standins/target/target_task.cc
@@ -19,6 +19,7 @@
 constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
 constexpr int kDeadlineReached = 504;
+constexpr auto* kTeamHeader = "X-Tenant-Id";
 constexpr std::size_t kLongestQueue = 16;
 constexpr int kLongestTimeMs = 3'600'000;
 constexpr auto kIdleTimeout = milliseconds(30);
@@ -49,6 +50,14 @@
   return head.substr(value, head.find("\r\n", value) - value);
 }
 
+auto Join(const std::vector<std::string>& values) -> std::string {
+  std::string text;
+  for (const auto& value : values) {
+    text += (text.empty() ? "" : ",") + value;
+  }
+  return text;
+}
+
 auto HasLength(TargetMode mode) -> bool {
   return mode != TargetMode::kNoLength && mode != TargetMode::kNoLengthReset;
 }
@@ -101,6 +110,7 @@
     OnControl(std::move(exchange));
     return;
   }
+  with_key_ += exchange.Header("X-Key") ? 1 : 0;
   const auto id = exchange.Header("X-Request-Id").value_or("");
   if (answered_early_.erase(id) > 0) {
     exchange.Complete();
@@ -114,7 +124,7 @@
                     ""});
     return;
   }
-  arrivals_.push_back({id, Now()});
+  arrivals_.push_back({id, Now(), Join(exchange.AllHeaders(kTeamHeader))});
   if (mode_ == TargetMode::kShed) {
     Shed(std::move(exchange));
     return;
@@ -146,12 +156,16 @@
     auto arrivals = nlohmann::json::array();
     for (const auto& arrival : arrivals_) {
       arrivals.push_back({{"id", arrival.id},
-                          {"at_us", arrival.at.time_since_epoch().count()}});
+                          {"at_us", arrival.at.time_since_epoch().count()},
+                          {"team", arrival.team}});
     }
-    const nlohmann::json counters = {
-        {"runs", runs_},           {"misdirected", misdirected_},
-        {"by_id", runs_by_id_},    {"arrivals", arrivals},
-        {"early", early_answers_}, {"log", log}};
+    const nlohmann::json counters = {{"runs", runs_},
+                                     {"misdirected", misdirected_},
+                                     {"by_id", runs_by_id_},
+                                     {"arrivals", arrivals},
+                                     {"early", early_answers_},
+                                     {"with_key", with_key_},
+                                     {"log", log}};
     exchange.Reply({kOk, {}, counters.dump()});
     return;
   }
@@ -260,7 +274,7 @@
       (!expected.empty() && expected != options_.id)) {
     return std::nullopt;
   }
-  arrivals_.push_back({id, Now()});
+  arrivals_.push_back({id, Now(), HeaderIn(head, kTeamHeader)});
   ++runs_;
   ++early_answers_;
   ++runs_by_id_[id];
--- a/tests/standins/target/target_task.h
+++ b/tests/standins/target/target_task.h
@@ -82,7 +82,10 @@
 //                                  "log" with the times of each run,
 //                                  "arrivals" with those of all requests that
 //                                  the target did not answer with 421, and
-//                                  "early" with the number of early answers
+//                                  "early" with the number of early answers.
+//                                  An arrival has the names of teams that its
+//                                  headers hold as "team"; "with_key" counts
+//                                  the requests with a caller's key
 class TargetTask {
  public:
   using Message = StandinMessage;
@@ -97,6 +100,8 @@
   struct Arrival {
     std::string id;
     TimePoint at;
+    // Values of the header, joined by commas.
+    std::string team;
   };
   // A run of a request, which stays in the log.
   struct RunRecord {
@@ -155,6 +160,7 @@
   // Ids of requests that were answered while their body was incomplete.
   std::set<std::string> answered_early_;
   std::uint64_t early_answers_ = 0;
+  std::uint64_t with_key_ = 0;
   std::optional<HttpServer> server_;
   std::optional<TimerQueue> timers_;
 };
