Let the soak change keys and limits of teams

The soak published no teams, so that nothing checked keys and limits while gateways are stopped, killed and paused and the store fails. Each caller sends a key of its team, a quarter of the requests names a false team too. Storms take keys away, give them back and change the limits; each calm time takes a key away right after the route is added.

New checks: REVOKED, UNAUTHORIZED, QUOTA, UNLIMITED, TEAM and KEY, described in section 1.9 of the design. They use kApplyTime and kInTouchTime of CONFIG and DRAIN. A gateway that stops, or runs for less than kInTouchTime, doesn't count as undisturbed, nor does any while the store was away in that time. REFUSED takes 401 for "not run" as well. RECOVER leaves out what keys and limits refuse, so that it is as strict for the rest. The other checks are unchanged.

--- a/tests/integration/soak/call_checks.h
+++ b/tests/integration/soak/call_checks.h
@@ -27,6 +27,10 @@
   std::map<std::string, std::vector<TargetRun>> runs;
   // When requests reached a target, also those that did not run.
   std::map<std::string, std::vector<TimePoint>> arrivals;
+  // The teams that these requests named, in the same order.
+  std::map<std::string, std::vector<std::string>> teams;
+  // Number of requests with the key of a caller.
+  std::size_t with_key = 0;
 };
 
 // What the soak did to one gateway.
@@ -35,6 +39,8 @@
   std::vector<Interval> harmed;
   // SIGTERMs.
   std::vector<TimePoint> stops;
+  // Starts of its processes.
+  std::vector<TimePoint> starts;
 };
 
 // Judges calls by what callers and targets saw. Not thread-safe.
--- a/tests/integration/soak/caller_task.cc
+++ b/tests/integration/soak/caller_task.cc
@@ -32,8 +32,19 @@
 // Share of callers that leave within the time that most work takes.
 constexpr double kImpatientShare = 0.05;
 constexpr double kImpatientWorkFactor = 2;
+// One of so many requests names a team that is not the caller's.
+constexpr std::uint64_t kRequestsPerFalseTeam = 4;
 constexpr auto kDirectoryTimeout = std::chrono::seconds(1);
 
+// Returns the teams of successive callers, in proportion to their weights.
+auto TeamsInTurn(const SoakSettings& settings) -> std::vector<std::size_t> {
+  std::vector<std::size_t> turns;
+  for (std::size_t i = 0; i < settings.teams.size(); ++i) {
+    turns.insert(turns.end(), settings.teams[i].weight, i);
+  }
+  return turns;
+}
+
 }  // namespace
 
 CallerTask::CallerTask(const SoakSettings& settings,
@@ -48,6 +59,7 @@
   for (const auto& route : settings_.routes) {
     weights += route.weight;
   }
+  const auto turns = TeamsInTurn(settings_);
   for (std::size_t i = 0; i < settings_.callers; ++i) {
     auto left = random_.Unit() * weights;
     std::size_t route = 0;
@@ -56,6 +68,9 @@
     }
     auto& caller = callers_.emplace_back();
     caller.route = route;
+    caller.team = turns[i % turns.size()];
+    const auto& keys = settings_.teams[caller.team].keys;
+    caller.key = keys[i % keys.size()];
     caller.book = i % kCallersPerOldOne == 1     ? kOldBook
                   : i % kCallersPerStaleOne == 0 ? kStaleBook
                                                  : kFreshBook;
@@ -159,6 +174,8 @@
     call.id = "c-" + std::to_string(++sent_);
     call.gateway = caller.gateway;
     call.route = caller.route;
+    call.team = caller.team;
+    call.key = caller.key;
     call.time.start = Now();
     call.is_kept = caller.is_kept;
     call.is_behind = i > 0;
@@ -234,6 +251,11 @@
           std::to_string(route.deadline.count()) +
           "\r\nX-Work-Ms: " + std::to_string(ToMilliseconds(PickWork(route))) +
           "\r\n";
+  head += "X-Key: " + call.key + "\r\n";
+  if (sent_ % kRequestsPerFalseTeam == 0) {
+    const auto other = (call.team + 1) % settings_.teams.size();
+    head += "X-Tenant-Id: " + settings_.teams[other].name + "\r\n";
+  }
   if (route.body_bytes > 0) {
     head += "Content-Length: " + std::to_string(route.body_bytes) + "\r\n";
   }
@@ -275,6 +297,7 @@
     caller.waiting.pop_front();
   }
   call.status = answer.status;
+  call.is_over_limit = answer.Header("Flamingoyoke-Error") == "team-limit";
   call.is_signed = !signature.empty();
   call.is_right = answer.body == "body of " + call.id &&
                   answer.Header("X-Request-Id") == call.id &&
--- a/tests/integration/soak/caller_task.h
+++ b/tests/integration/soak/caller_task.h
@@ -74,6 +74,8 @@
  private:
   struct Caller {
     std::size_t route = 0;
+    std::size_t team = 0;
+    std::string key;
     // Index of the addresses that it uses.
     std::size_t book = 0;
     std::size_t gateway = 0;
--- a/tests/integration/soak/ended_call.h
+++ b/tests/integration/soak/ended_call.h
@@ -62,6 +62,9 @@
   std::size_t gateway = 0;
   // Index of the route in the settings.
   std::size_t route = 0;
+  // Index of the caller's team in the settings, and the key that it sent.
+  std::size_t team = 0;
+  std::string key;
   // From the last byte of the request until the end.
   Interval time;
   // Whether the connection had carried an answer before.
@@ -70,6 +73,8 @@
   bool is_behind = false;
   CallEnd end = CallEnd::kAnswered;
   int status = 0;
+  // Whether the answer says that the limit of the team is reached.
+  bool is_over_limit = false;
   // Whether the answer bears the signature of a target.
   bool is_signed = false;
   // Whether a successful answer is the complete one to this call.
--- a/tests/integration/soak/fault_player.h
+++ b/tests/integration/soak/fault_player.h
@@ -46,6 +46,10 @@
   auto PickRoll() -> RollGateways;
   // Returns a mode other than the normal one for some target.
   auto PickHarm() -> HarmTarget;
+  // Returns the loss of any caller's key.
+  auto PickKeyLoss() -> LoseKey;
+  // Returns a new limit of a team. Precondition: the team has a limit.
+  auto PickLimit(std::size_t team) -> ChangeLimit;
 
  private:
   auto PickFault() -> Fault;
@@ -65,6 +69,8 @@
   auto Apply(const EndWatches& fault) -> void;
   auto Apply(const CompactHistory& fault) -> void;
   auto Apply(const Burst& fault) -> void;
+  auto Apply(const LoseKey& fault) -> void;
+  auto Apply(const ChangeLimit& fault) -> void;
 
   const SoakSettings& settings_;
   Random& random_;
--- a/tests/integration/soak/gateway_watch.cc
+++ b/tests/integration/soak/gateway_watch.cc
@@ -157,6 +157,7 @@
 
 auto GatewayWatch::Start(std::size_t index) -> void {
   processes_[index] = {};
+  histories_[index].starts.push_back(Now());
   fleet_.SetLauncher(index, Launcher(index));
   fleet_.StartGateway(index);
 }
--- a/tests/integration/soak/soak.h
+++ b/tests/integration/soak/soak.h
@@ -14,6 +14,7 @@
 #include "integration/soak/gateway_watch.h"
 #include "integration/soak/soak_settings.h"
 #include "integration/soak/soak_store.h"
+#include "integration/soak/team_checks.h"
 #include "integration/support/published_fleet.h"
 #include "runtime/clock.h"
 #include "runtime/mailbox.h"
@@ -52,6 +53,12 @@
   // Returns what reached the targets.
   auto CollectTargetLogs() -> TargetLogs;
   auto CheckCalls() -> void;
+  // Checks that no team exceeds its limit, and that no key reached a target.
+  auto CheckTeams(const TeamChecks& checks,
+                  const std::vector<EndedCall>& calls,
+                  const TargetLogs& logs) -> void;
+  // Returns when `key` was missing from the configuration.
+  auto DescribeAbsences(const std::string& key) -> std::string;
   // Keeps the logs of the gateways for a trace.
   auto KeepLogs() -> void;
 
--- a/tests/integration/soak/soak_settings.cc
+++ b/tests/integration/soak/soak_settings.cc
@@ -28,6 +28,14 @@
           .weight = route.at("weight")};
 }
 
+auto ReadTeam(const json& team) -> TeamSettings {
+  return {.name = team.at("name"),
+          .keys = team.at("keys"),
+          .rate_per_s = team.at("rate_per_s"),
+          .burst = team.at("burst"),
+          .weight = team.at("weight")};
+}
+
 auto ReadLimit(const std::string& name) -> SystemLimit {
   const auto limit = FromName<SystemLimit>(name);
   cr_assert(limit.has_value(), "unknown limit %s", name.c_str());
@@ -48,6 +56,7 @@
       .targets = root.at("targets"),
       .slots = root.at("slots"),
       .routes = {},
+      .teams = {},
       .address_ttl = Milliseconds(root, "address_ttl_ms"),
       .grace = Milliseconds(root, "grace_ms"),
       .storms = root.at("storms"),
@@ -59,6 +68,9 @@
   for (const auto& route : root.at("routes")) {
     settings.routes.push_back(ReadRoute(route));
   }
+  for (const auto& team : root.at("teams")) {
+    settings.teams.push_back(ReadTeam(team));
+  }
   for (const auto& limit : root.at("limits")) {
     settings.limits.push_back(ReadLimit(limit));
   }
--- a/tests/integration/soak/soak_settings.h
+++ b/tests/integration/soak/soak_settings.h
@@ -66,6 +66,18 @@
   double weight;
 };
 
+// A team of the configuration and its callers.
+struct TeamSettings {
+  std::string name;
+  // Each caller uses one of them.
+  std::vector<std::string> keys;
+  // 0 for no limit.
+  double rate_per_s;
+  double burst;
+  // Share of the callers, relative to the other teams.
+  std::size_t weight;
+};
+
 // Size, load and faults of a soak.
 struct SoakSettings {
   std::size_t gateways;
@@ -78,6 +90,7 @@
   // Requests that a target runs at a time.
   std::size_t slots;
   std::vector<RouteSettings> routes;
+  std::vector<TeamSettings> teams;
   // Time that callers use an answer of the directory; a third of them uses it
   // three times as long.
   std::chrono::milliseconds address_ttl;
