Scan the whole head and the chunks of answers

Cause: AnswerStatusScanner looked at status lines only. evhttp took chunk sizes 0x2 and -0 and a chunk without the end of its line, ended a line at a NUL, so that a status behind it was not checked, and passed on a CR inside the reason and a field named 'Content-Length '. The fields of a 100 were added to those of the final answer: its Content-Length cut an answer that had none. Change: AnswerScanner takes the place of AnswerStatusScanner. It checks the lines of all heads, the framing of chunks and the trailers; what is outside the grammar ends the attempt like a reset. Bare LF stays allowed, and so do folded fields, except those that frame the answer. The fields of a 100 are dropped.

--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -193,7 +193,7 @@
   received_bytes_ = 0;
   body_bytes_ = 0;
   broken_ = false;
-  status_scanner_ = {};
+  scanner_ = AnswerScanner(head.method != "HEAD");
   const auto now = Now();
   deadline_ = now + limits.response_timeout;
   total_deadline_ = now + limits.total_timeout;
@@ -279,7 +279,7 @@
   if (broken_) {
     return;
   }
-  if (!status_scanner_.is_done() && !HasValidStatus(added)) {
+  if (!scanner_.is_done() && !IsValidInput(added)) {
     EndBroken();
     return;
   }
@@ -293,14 +293,14 @@
   }
 }
 
-auto UpstreamConnection::HasValidStatus(std::size_t added) -> bool {
+auto UpstreamConnection::IsValidInput(std::size_t added) -> bool {
   auto* input = bufferevent_get_input(bev_);
   evbuffer_ptr position{};
   evbuffer_ptr_set(input, &position, evbuffer_get_length(input) - added,
                    EVBUFFER_PTR_SET);
   evbuffer_iovec part{};
   while (evbuffer_peek(input, -1, &position, &part, 1) >= 1) {
-    if (!status_scanner_.Consume(std::string_view(
+    if (!scanner_.Consume(std::string_view(
             static_cast<const char*>(part.iov_base), part.iov_len))) {
       return false;
     }
@@ -381,6 +381,8 @@
   }
   const int status = evhttp_request_get_response_code(request);
   if (status == kContinue) {
+    // evhttp would add them to the fields of the final answer.
+    evhttp_clear_headers(evhttp_request_get_input_headers(request));
     return true;
   }
   if (status < kOk) {
--- a/src/node/traffic/upstream_connection.h
+++ b/src/node/traffic/upstream_connection.h
@@ -15,7 +15,7 @@
 #include "decision/dispatch/attempt.h"
 #include "decision/gateway/load_estimate.h"
 #include "node/traffic/answer_memory.h"
-#include "node/traffic/answer_status_scanner.h"
+#include "node/traffic/answer_scanner.h"
 #include "node/traffic/connection_part.h"
 #include "node/traffic/http_message.h"
 #include "runtime/event_loop.h"
@@ -145,11 +145,11 @@
   auto StopAllIo() -> void;
   // Called when input arrives while the request is still being written.
   auto OnEarlyResponse() -> void;
-  // Checks the status lines, and the limits on what a target may make this
+  // Checks the raw answer, and the limits on what a target may make this
   // process hold.
   auto OnInput(std::size_t added) -> void;
   // Whether the last `added` bytes of the input may be part of an answer.
-  auto HasValidStatus(std::size_t added) -> bool;
+  auto IsValidInput(std::size_t added) -> bool;
   // Ends the attempt in a later event, because the target sent too much.
   auto EndOversized() -> void;
   // Ends the attempt in a later event and discards the input.
@@ -183,7 +183,7 @@
   RequestHead request_head_;
   ResponseHead response_head_;
   UpstreamSignals signals_;
-  AnswerStatusScanner status_scanner_;
+  AnswerScanner scanner_;
   // Unparsed input of the connection.
   AnswerMemory::Share held_;
   // Bytes received for the current request, and those passed on as the body.
