Remove an unused field that breaks the build of the fuzz targets

Cause: clang reports CallerConnection's reference to its loop as unused, and warnings are errors, so that scripts/fuzz could not build fuzz_framing. Change: the field is gone.

--- a/src/node/traffic/caller_connection.h
+++ b/src/node/traffic/caller_connection.h
@@ -144,7 +144,6 @@
   auto OnReplySent(evhttp_request* request) -> void;
   auto OnTimer() -> void;
 
-  EventLoop& loop_;
   bufferevent* bev_;
   const CallerConnectionLimits& limits_;
   BodyBudget& budget_;
