Test messages of strangers at the port for other VMs

Cause: the crowd of hostile_callers/callers_reach_the_port_for_other_vms never reaches MeshTask. Change: four further tests whose peers wait for the handshake and then send many small messages, large ones, one that stops short, or parts without an end. The first two check by the metric that MeshTask handles them. The bounds are those of the other tests.

--- a/tests/process/hostile_callers_test.cc
+++ b/tests/process/hostile_callers_test.cc
@@ -34,6 +34,25 @@
   std::string path;
 };
 
+// What a peer of the port for other vms sends first: the greeting of ZMTP 3.0
+// with the mechanism NULL, and READY.
+auto PeerHandshake() -> std::string {
+  using namespace std::string_literals;
+  return "\xff"s + std::string(8, '\0') + "\x7f\x03"s + std::string(1, '\0') +
+         "NULL" + std::string(16, '\0') + std::string(32, '\0') +
+         "\x04\x1c\x05READY\x0bSocket-Type"s + std::string(3, '\0') + "\x06" +
+         "DEALER";
+}
+
+constexpr std::size_t kFrameBytes = 1'000'000;
+
+// `bytes` bytes of a frame of kFrameBytes.
+auto LargeFrame(std::size_t bytes) -> std::string {
+  using namespace std::string_literals;
+  return "\x02"s + std::string(5, '\0') + "\x0f\x42\x40" +
+         std::string(bytes, 'x');
+}
+
 // A gateway with little memory, another one and two targets.
 class SmallVm {
  public:
@@ -98,6 +117,31 @@
     ExpectWithinLimits(what);
   }
 
+  // Plays a crowd of strangers that send `bytes` to the port for other vms
+  // after the handshake.
+  auto PlayPeers(std::size_t connections, const std::string& bytes) -> void {
+    const auto handshake = PeerHandshake();
+    Crowd crowd;
+    crowd.Add(fleet_.AddressesOf(0)[2], connections, handshake + bytes);
+    crowd.Send(handshake.size());
+    // libzmq closes a connection with a message that arrives before its own
+    // READY was sent.
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+    crowd.Send();
+    ExpectServed("peers", "order");
+  }
+
+  // Fails the test unless at least `count` malformed messages of peers were
+  // handled.
+  auto ExpectMessages(int count) -> void {
+    const auto handled = [&] {
+      return ReadMetric(fleet_, 0,
+                        "flamingoyoke_mesh_malformed_messages_total");
+    };
+    cr_expect(WaitUntil([&] { return handled() >= count; }, kFleetTimeout),
+              "%.0f messages were handled", handled());
+  }
+
   // Plays a crowd with `bytes` of each path, one path after the other.
   template <typename MakeBytes>
   auto Play(std::size_t connections, const MakeBytes& bytes) -> void {
@@ -258,6 +302,33 @@
   vm.ExpectServed("peers", "order");
 }
 
+// Guards against messages of strangers that wait to be handled.
+Test(hostile_callers, strangers_send_many_small_messages) {
+  using namespace std::string_literals;
+  SmallVm vm;
+  vm.PlayPeers(48, Repeat("\0\x01x"s, 20'000));
+  vm.ExpectMessages(48);
+}
+
+// Guards against large messages of many strangers at the same time.
+Test(hostile_callers, strangers_send_large_messages) {
+  SmallVm vm;
+  vm.PlayPeers(48, Repeat(LargeFrame(kFrameBytes), 2));
+  vm.ExpectMessages(48);
+}
+
+// Guards against a frame that is held until it is complete.
+Test(hostile_callers, messages_of_strangers_stop_short_of_their_end) {
+  SmallVm vm;
+  vm.PlayPeers(96, LargeFrame(kFrameBytes - 1));
+}
+
+// Guards against parts that are held until the last one of their message.
+Test(hostile_callers, messages_of_strangers_have_parts_without_an_end) {
+  SmallVm vm;
+  vm.PlayPeers(48, Repeat("\x01\x01x", 50'000));
+}
+
 // Guards against limits that hold for each kind alone.
 Test(hostile_callers, all_kinds_at_once_beside_an_ordinary_upload) {
   SmallVm vm;
