--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -153,7 +153,6 @@
   auto OnCallerGone(RequestId id) -> void;
   auto Finish(RequestId id, int status, std::optional<ErrorKind> error) -> void;
 
-  EventLoop& loop_;
   const GatewayConfig& config_;
   AnswerMemory& memory_;
   const Hooks hooks_;
