Read an answer without a length to its end whatever its Connection field says

Cause: if an answer has no length and a Connection field other than 'close', such as keep-alive, evhttp takes the body for empty and the answer for complete. A caller of a registered target got 200 with no body, also if the target then sent a body, sent nothing more or reset the connection. Change: evhttp is given 'Connection: close' for such an answer, so that it reads to the end of the connection and takes a reset for a failure.

--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -86,6 +86,19 @@
          (accepts_close_delimited && lengths + encodings == 0);
 }
 
+// Makes evhttp read the body up to the end of the connection, if the head
+// states no length: with another Connection field than "close", it would report
+// an empty body as complete.
+auto ReadToEndWithoutLength(evkeyvalq* headers) -> void {
+  if (evhttp_find_header(headers, "Content-Length") != nullptr ||
+      evhttp_find_header(headers, "Transfer-Encoding") != nullptr) {
+    return;
+  }
+  while (evhttp_remove_header(headers, "Connection") == 0) {
+  }
+  evhttp_add_header(headers, "Connection", "close");
+}
+
 auto ParseLoad(std::string_view text) -> std::optional<double> {
   const std::string copy(text);
   char* end = nullptr;
@@ -405,6 +418,9 @@
     response_started_ = true;
     return false;
   }
+  if (has_body) {
+    ReadToEndWithoutLength(evhttp_request_get_input_headers(request));
+  }
   response_started_ = true;
   if (!broken_) {
     ScheduleProgressTimer();
