--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -86,6 +86,19 @@
          (accepts_close_delimited && lengths + encodings == 0);
 }
 
+// Makes evhttp read the body up to the end of the connection, if the head
+// states no length: with another Connection field than "close", it would report
+// an empty body as complete.
+auto ReadToEndWithoutLength(evkeyvalq* headers) -> void {
+  if (evhttp_find_header(headers, "Content-Length") != nullptr ||
+      evhttp_find_header(headers, "Transfer-Encoding") != nullptr) {
+    return;
+  }
+  while (evhttp_remove_header(headers, "Connection") == 0) {
+  }
+  evhttp_add_header(headers, "Connection", "close");
+}
+
 auto ParseLoad(std::string_view text) -> std::optional<double> {
   const std::string copy(text);
   char* end = nullptr;
@@ -193,7 +206,7 @@
   received_bytes_ = 0;
   body_bytes_ = 0;
   broken_ = false;
-  status_scanner_ = {};
+  scanner_ = AnswerScanner(head.method != "HEAD");
   const auto now = Now();
   deadline_ = now + limits.response_timeout;
   total_deadline_ = now + limits.total_timeout;
@@ -279,7 +292,7 @@
   if (broken_) {
     return;
   }
-  if (!status_scanner_.is_done() && !HasValidStatus(added)) {
+  if (!scanner_.is_done() && !IsValidInput(added)) {
     EndBroken();
     return;
   }
@@ -293,14 +306,14 @@
   }
 }
 
-auto UpstreamConnection::HasValidStatus(std::size_t added) -> bool {
+auto UpstreamConnection::IsValidInput(std::size_t added) -> bool {
   auto* input = bufferevent_get_input(bev_);
   evbuffer_ptr position{};
   evbuffer_ptr_set(input, &position, evbuffer_get_length(input) - added,
                    EVBUFFER_PTR_SET);
   evbuffer_iovec part{};
   while (evbuffer_peek(input, -1, &position, &part, 1) >= 1) {
-    if (!status_scanner_.Consume(std::string_view(
+    if (!scanner_.Consume(std::string_view(
             static_cast<const char*>(part.iov_base), part.iov_len))) {
       return false;
     }
@@ -381,6 +394,8 @@
   }
   const int status = evhttp_request_get_response_code(request);
   if (status == kContinue) {
+    // evhttp would add them to the fields of the final answer.
+    evhttp_clear_headers(evhttp_request_get_input_headers(request));
     return true;
   }
   if (status < kOk) {
@@ -403,6 +418,9 @@
     response_started_ = true;
     return false;
   }
+  if (has_body) {
+    ReadToEndWithoutLength(evhttp_request_get_input_headers(request));
+  }
   response_started_ = true;
   if (!broken_) {
     ScheduleProgressTimer();
