Tell held, queued and shed requests apart in the simulation of gateways

One share of requests that waited beside an idle slot did not show where they waited. The simulation now divides it, and the waiting of the longest 2%, by gateway and target.

--- a/bench/gateway_simulation.cc
+++ b/bench/gateway_simulation.cc
@@ -56,6 +56,8 @@
 constexpr Duration kSwingPeriod = std::chrono::seconds(5);
 // A shorter wait is a delay of messages.
 constexpr Duration kMinWait = std::chrono::milliseconds(1);
+// Share of the served requests whose waiting is divided by its place.
+constexpr double kLongestShare = 0.02;
 
 auto DomainOf(std::size_t index) -> FailureDomainId {
   return FailureDomainId("d" + std::to_string(index % kDomains));
@@ -66,6 +68,7 @@
   AttemptId attempt;
   std::size_t target = 0;
   RequestId request;
+  TimePoint arrives = {};
 };
 struct Arrival {};
 struct AttemptArrives {
@@ -177,11 +180,20 @@
   TimePoint arrived;
   bool served = false;
   bool started = false;
-  // Waiting until the last attempt began to run.
+  // Waiting until the last attempt began to run, and the part of it at the
+  // target.
   Duration waited = Duration::zero();
+  Duration queued = Duration::zero();
   std::optional<Duration> response;
-  // Whether it waited while a target had a free slot.
-  bool waited_beside_idle = false;
+  // Whether it was held at the gateway, queued at a target or shed by one while
+  // another target had a free slot.
+  bool held_beside_idle = false;
+  bool queued_beside_idle = false;
+  bool shed_beside_idle = false;
+
+  [[nodiscard]] auto WaitedBesideIdle() const -> bool {
+    return held_beside_idle || queued_beside_idle || shed_beside_idle;
+  }
 };
 
 // The value that 99% of `values` don't exceed, in milliseconds.
@@ -196,6 +208,32 @@
   return 1000 * ToSeconds(*nth);
 }
 
+// Mean times of the requests that waited longest.
+struct LongestWaitTimes {
+  double held_ms = 0;
+  double queued_ms = 0;
+};
+
+auto LongestWaits(std::vector<const RequestState*> served) -> LongestWaitTimes {
+  const auto count = static_cast<std::size_t>(
+      kLongestShare * static_cast<double>(served.size()));
+  if (count == 0) {
+    return {};
+  }
+  std::nth_element(served.begin(),
+                   served.begin() + static_cast<std::ptrdiff_t>(count),
+                   served.end(), [](const auto* a, const auto* b) {
+                     return a->waited > b->waited;
+                   });
+  Mean held;
+  Mean queued;
+  for (std::size_t i = 0; i < count; ++i) {
+    held.Add(served[i]->waited - served[i]->queued);
+    queued.Add(served[i]->queued);
+  }
+  return {held.value(), queued.value()};
+}
+
 class GatewaySimulation {
  public:
   explicit GatewaySimulation(const GatewaySimulationOptions& options)
@@ -386,8 +424,9 @@
     ++targets_[target].coming;
     UpdateFree(target);
     crossed_ += Counts() && DomainOf(target) != DomainOf(gateway) ? 1 : 0;
-    events_.Push(now_ + delay, AttemptArrives{{gateway, start.attempt, target,
-                                               start.request}});
+    events_.Push(now_ + delay,
+                 AttemptArrives{{gateway, start.attempt, target, start.request,
+                                 now_ + delay}});
   }
 
   // Counts the targets with a slot for which no request is running or coming.
@@ -427,7 +466,7 @@
                               .deadline = now_ + kDeadline,
                               .objective = kObjective});
     if (!state_of(request).started && free_targets_ > 0) {
-      state_of(request).waited_beside_idle = true;
+      state_of(request).held_beside_idle = true;
     }
     events_.Push(now_ + Duration(static_cast<std::int64_t>(
                             -std::log(1 - random_.Unit()) / DemandNow() * 1e6)),
@@ -455,13 +494,14 @@
       return;
     }
     UpdateFree(event.work.target);
-    if (free_targets_ > 0) {
-      state_of(event.work.request).waited_beside_idle = true;
-    }
+    auto& state = state_of(event.work.request);
+    const bool is_beside_idle = free_targets_ > 0;
     if (target.waiting.size() < kTargetQueue) {
+      state.queued_beside_idle = state.queued_beside_idle || is_beside_idle;
       target.waiting.push_back(event.work);
       return;
     }
+    state.shed_beside_idle = state.shed_beside_idle || is_beside_idle;
     shed_ += Counts() ? 1 : 0;
     events_.Push(now_ + kLink, AttemptReturns{event.work, AttemptResult::kShed,
                                               LoadOf(target, 0)});
@@ -483,6 +523,7 @@
     auto& state = state_of(work.request);
     const auto waited = now_ - state.arrived - kLink;
     state.waited = waited < kMinWait ? Duration::zero() : waited;
+    state.queued = now_ - work.arrives;
     const bool fails = target.failing && random_.Unit() < options_.failure_rate;
     auto time =
         fails ? kFailureTime : kMinWork + RandomTime(kMaxWork - kMinWork);
@@ -622,17 +663,26 @@
     }
     std::vector<Duration> waits;
     std::vector<Duration> responses;
+    std::vector<const RequestState*> served;
     std::size_t beside_idle = 0;
+    std::size_t held_beside_idle = 0;
+    std::size_t queued_beside_idle = 0;
+    std::size_t shed_beside_idle = 0;
     for (const auto& request : requests_made_) {
       if (request.arrived - kStart < options_.turn) {
         continue;
       }
-      beside_idle += request.waited_beside_idle ? 1 : 0;
+      beside_idle += request.WaitedBesideIdle() ? 1 : 0;
+      held_beside_idle += request.held_beside_idle ? 1 : 0;
+      queued_beside_idle += request.queued_beside_idle ? 1 : 0;
+      shed_beside_idle += request.shed_beside_idle ? 1 : 0;
       if (request.served) {
+        served.push_back(&request);
         waits.push_back(request.waited);
         responses.push_back(request.response.value_or(Duration::zero()));
       }
     }
+    const auto longest = LongestWaits(std::move(served));
     return {
         .requests = requests_,
         .failed_share = static_cast<double>(failed_) / requests,
@@ -652,6 +702,14 @@
         .waiting_p99_ms = PercentileMs(std::move(waits)),
         .response_p99_ms = PercentileMs(std::move(responses)),
         .waited_beside_idle_share = static_cast<double>(beside_idle) / requests,
+        .held_beside_idle_share =
+            static_cast<double>(held_beside_idle) / requests,
+        .queued_beside_idle_share =
+            static_cast<double>(queued_beside_idle) / requests,
+        .shed_beside_idle_share =
+            static_cast<double>(shed_beside_idle) / requests,
+        .longest_held_ms = longest.held_ms,
+        .longest_queued_ms = longest.queued_ms,
         .shed_share = static_cast<double>(shed_) / requests,
         .crossed_share = static_cast<double>(crossed_) / requests,
     };
--- a/bench/gateway_simulation.h
+++ b/bench/gateway_simulation.h
@@ -84,6 +84,15 @@
   // Share of the requests that waited at a gateway or target, or were shed,
   // while another target had a free slot.
   double waited_beside_idle_share = 0;
+  // The parts of that share: requests that were held at a gateway, that were
+  // queued at a target, and that a target shed. One request may be in several.
+  double held_beside_idle_share = 0;
+  double queued_beside_idle_share = 0;
+  double shed_beside_idle_share = 0;
+  // Mean waiting of the 2% of the served requests that waited longest: at the
+  // gateway, retries included, and at the target that answered.
+  double longest_held_ms = 0;
+  double longest_queued_ms = 0;
   // Attempts that targets shed, and attempts that left the failure domain, for
   // each request.
   double shed_share = 0;
