--- a/bench/gateway_simulation.cc
+++ b/bench/gateway_simulation.cc
@@ -220,11 +220,10 @@
   if (count == 0) {
     return {};
   }
-  std::nth_element(served.begin(),
-                   served.begin() + static_cast<std::ptrdiff_t>(count),
-                   served.end(), [](const auto* a, const auto* b) {
-                     return a->waited > b->waited;
-                   });
+  std::nth_element(
+      served.begin(), served.begin() + static_cast<std::ptrdiff_t>(count),
+      served.end(),
+      [](const auto* a, const auto* b) { return a->waited > b->waited; });
   Mean held;
   Mean queued;
   for (std::size_t i = 0; i < count; ++i) {
@@ -424,9 +423,8 @@
     ++targets_[target].coming;
     UpdateFree(target);
     crossed_ += Counts() && DomainOf(target) != DomainOf(gateway) ? 1 : 0;
-    events_.Push(now_ + delay,
-                 AttemptArrives{{gateway, start.attempt, target, start.request,
-                                 now_ + delay}});
+    events_.Push(now_ + delay, AttemptArrives{{gateway, start.attempt, target,
+                                               start.request, now_ + delay}});
   }
 
   // Counts the targets with a slot for which no request is running or coming.
--- a/src/decision/gateway/load_estimate.cc
+++ b/src/decision/gateway/load_estimate.cc
@@ -7,8 +7,7 @@
 namespace flamingoyoke {
 namespace {
 
-// Weights of the newest value in the averages.
-constexpr double kRunTimeWeight = 0.1;
+// Weight of the newest value in the average of the statements.
 constexpr double kOthersWeight = 0.2;
 // The usual load of the service counts as so many statements of a target.
 constexpr double kUsualWeight = 4;
@@ -32,13 +31,7 @@
 }
 
 auto LoadEstimate::OnAnswered(Duration run_time) -> void {
-  run_time_ =
-      run_time_ == Duration::zero()
-          ? run_time
-          : run_time_ +
-                Duration(static_cast<std::int64_t>(
-                    kRunTimeWeight *
-                    static_cast<double>((run_time - run_time_).count())));
+  run_time_.Add(run_time);
 }
 
 auto LoadEstimate::OnStated(const LoadNews& news,
@@ -72,7 +65,8 @@
 }
 
 auto LoadEstimate::Validity(TimePoint now) const -> double {
-  const auto time = run_time_ == Duration::zero() ? kAssumedRunTime : run_time_;
+  const auto time =
+      run_time() == Duration::zero() ? kAssumedRunTime : run_time();
   return Decay(now - *stated_at_, std::max(time, kMinRunTime));
 }
 
--- a/src/decision/gateway/load_estimate.h
+++ b/src/decision/gateway/load_estimate.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "core/time.h"
+#include "decision/gateway/run_time_average.h"
 
 namespace flamingoyoke {
 
@@ -74,11 +75,13 @@
     return stated_at_;
   }
   // Returns the learned time of one request; zero if nothing is known.
-  [[nodiscard]] auto run_time() const -> Duration { return run_time_; }
+  [[nodiscard]] auto run_time() const -> Duration { return run_time_.value(); }
   // Returns the number of requests that this gateway sent lately.
   [[nodiscard]] auto RecentlySent(TimePoint now) const -> double;
 
  private:
+  static constexpr double kRunTimeWeight = 0.1;
+
   // Returns the share of the statement that is still true.
   [[nodiscard]] auto Validity(TimePoint now) const -> double;
   [[nodiscard]] auto Average(double usual) const -> double;
@@ -89,7 +92,7 @@
   // weights.
   double sum_others_ = 0;
   double sum_weights_ = 0;
-  Duration run_time_ = Duration::zero();
+  RunTimeAverage run_time_{kRunTimeWeight};
   double sent_ = 0;
   std::optional<TimePoint> last_sent_;
   // Whether statements count the request that they answer; not specified.
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -53,7 +53,6 @@
 // Range of a target's learned speed over that of the service. Run times differ
 // by request, so larger differences may be chance.
 constexpr double kMaxRelativeSpeed = 2;
-constexpr double kRunTimeWeight = 0.05;
 // Targets that were used within this time take turns by what they can do. With
 // fewer requests all take turns alike, as each must be in use for the floor.
 constexpr Duration kWeighedTurnTime = std::chrono::milliseconds(100);
@@ -275,13 +274,14 @@
 
 auto TargetPool::CapacityOf(const TargetState& state) const -> double {
   const auto slots = std::max<std::uint32_t>(1, state.spec.slots);
+  const auto usual = run_time_.value();
   const auto own = state.load.run_time();
   // Without statements, requests of others may be why a target is slow.
   if (!state.load.stated_at() || own <= Duration::zero() ||
-      run_time_ <= Duration::zero()) {
+      usual <= Duration::zero()) {
     return slots;
   }
-  return slots * std::clamp(ToSeconds(run_time_) / ToSeconds(own),
+  return slots * std::clamp(ToSeconds(usual) / ToSeconds(own),
                             1 / kMaxRelativeSpeed, kMaxRelativeSpeed);
 }
 
@@ -700,13 +700,7 @@
   }
   if (run_time) {
     state.load.OnAnswered(*run_time);
-    run_time_ =
-        run_time_ == Duration::zero()
-            ? *run_time
-            : run_time_ +
-                  Duration(static_cast<std::int64_t>(
-                      kRunTimeWeight *
-                      static_cast<double>((*run_time - run_time_).count())));
+    run_time_.Add(*run_time);
   }
 }
 
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -12,6 +12,7 @@
 #include "core/time.h"
 #include "decision/detection/rate_window.h"
 #include "decision/gateway/load_estimate.h"
+#include "decision/gateway/run_time_average.h"
 #include "decision/gateway/target_availability.h"
 #include "decision/gateway/target_health_estimator.h"
 #include "decision/gateway/target_ownership.h"
@@ -153,6 +154,8 @@
                                           TimePoint now) const -> double;
 
  private:
+  static constexpr double kRunTimeWeight = 0.05;
+
   struct PeerUsage {
     std::uint32_t in_flight = 0;
     TimePoint reported_at;
@@ -300,7 +303,7 @@
   std::vector<TargetState*> near_others_;
   std::vector<TargetState*> far_others_;
   // Average run time of the answered requests; zero if there is none.
-  Duration run_time_ = Duration::zero();
+  RunTimeAverage run_time_{kRunTimeWeight};
   // Average number of other gateways' requests for each slot of a target that
   // stated its load.
   double others_per_slot_ = 0;
