--- a/bench/gateway_bench.cc
+++ b/bench/gateway_bench.cc
@@ -51,6 +51,25 @@
       .length = std::chrono::seconds(60)}},
 });
 
+// Targets that differ, with and without statements of their load. The shares of
+// five runs differ by a quarter by chance, so many more are needed.
+constexpr std::uint64_t kStatementRuns = 200;
+constexpr std::size_t kStatementGateways = 8;
+
+auto MeanFailedShare(bool states_load, std::uint64_t seed) -> double {
+  double failed = 0;
+  for (std::uint64_t i = 0; i < kStatementRuns; ++i) {
+    failed += RunGatewaySimulation(
+                  {.gateways = kStatementGateways,
+                   .targets = kStatementGateways * kTargetsPerGateway,
+                   .unequal_targets = true,
+                   .states_load = states_load,
+                   .seed = seed * kStatementRuns + i})
+                  .failed_share;
+  }
+  return failed / static_cast<double>(kStatementRuns);
+}
+
 }  // namespace
 
 auto RunGatewayBench(std::uint64_t seed) -> std::vector<Measurement> {
@@ -107,6 +126,14 @@
   }
   // A single gateway knows all outcomes at once.
   run(1, kGateways.front() * kTargetsPerGateway, "1 gateway");
+  const auto silent = MeanFailedShare(false, seed);
+  add("8 gateways, unequal targets", "failed without statements of load", "%",
+      100 * silent);
+  // A failing target answers soon and states a low load.
+  add("8 gateways, unequal targets", "failed with statements of load", "%",
+      100 * MeanFailedShare(true, seed));
+  measurements.back().bound_kind = BoundKind::kAtMost;
+  measurements.back().bound = 100 * kMaxGrowth * silent;
   for (const auto& [profile, options] : kFloorProfiles) {
     double missed = 0;
     double exposed = 0;
