Consider targets with recent news when a request goes to another owner's

From 32 gateways on no request is held at a gateway, and 38% queue at a target beside an idle one: a draw of four from many targets rarely finds one that the gateway has recent news of. Each gateway now also considers the 16 targets of its failure domain, and the 16 of elsewhere, whose successful answers came last. Statements in failed answers don't count, as a failing target answers soon.

--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "decision/gateway/outcome_count.h"
+
 namespace flamingoyoke {
 namespace {
 
@@ -145,28 +147,6 @@
                    target) != requirements.tried->end();
 }
 
-// Adds `evidence` to the report to other gateways.
-auto CountOutcome(Evidence evidence, TargetOutcomes& outcomes) -> void {
-  switch (evidence) {
-    case Evidence::kSucceeded:
-      ++outcomes.succeeded;
-      return;
-    case Evidence::kFailed:
-    case Evidence::kBroken:
-    case Evidence::kRefused:
-      ++outcomes.failed;
-      return;
-    case Evidence::kTimedOut:
-      ++outcomes.timed_out;
-      return;
-    case Evidence::kOverdue:
-      ++outcomes.slow;
-      return;
-    case Evidence::kShed:
-      return;
-  }
-}
-
 }  // namespace
 
 TargetPool::TargetPool(Random random, double floor_share)
@@ -209,15 +189,17 @@
     });
   }
   owned_.clear();
-  near_others_.clear();
-  far_others_.clear();
+  near_others_ = {};
+  far_others_ = {};
   for (auto& [id, state] : targets_) {
-    auto& others =
-        state.spec.failure_domain == own_domain_ ? near_others_ : far_others_;
-    (state.owned ? owned_ : others).push_back(&state);
+    (state.owned ? owned_ : OthersLike(state).all).push_back(&state);
   }
 }
 
+auto TargetPool::OthersLike(const TargetState& state) -> OtherTargets& {
+  return state.spec.failure_domain == own_domain_ ? near_others_ : far_others_;
+}
+
 auto TargetPool::IsUsable(const TargetState& state) -> bool {
   return !state.spec.leaving && !state.replaced &&
          !state.availability.has_left();
@@ -609,35 +591,46 @@
   return best;
 }
 
-auto TargetPool::DrawCheapest(const std::vector<TargetState*>& targets,
+auto TargetPool::Consider(TargetState& state,
+                          const TargetRequirements& requirements,
+                          double limit,
+                          TimePoint now,
+                          Candidate& best) -> bool {
+  const auto unhealthy = state.health.UnhealthyProbability(now);
+  if (unhealthy > limit || !HasRoom(state, requirements, now)) {
+    return false;
+  }
+  const auto cost = EstimateCost(state, requirements, now);
+  if (best.state == nullptr || cost < best.cost) {
+    best = {&state, unhealthy, cost,
+            EstimatePlacementCost(state, requirements, now)};
+  }
+  return true;
+}
+
+auto TargetPool::DrawCheapest(const OtherTargets& others,
                               const TargetRequirements& requirements,
                               double limit,
                               TimePoint now,
                               Candidate& best) -> void {
+  const auto& targets = others.all;
   if (targets.empty()) {
     return;
   }
-  const auto most =
-      &targets == &near_others_ ? kNearCandidates : kFarCandidates;
+  const auto most = &others == &near_others_ ? kNearCandidates : kFarCandidates;
   std::size_t found = 0;
-  const auto consider = [&](TargetState* state) {
-    const auto unhealthy = state->health.UnhealthyProbability(now);
-    if (unhealthy > limit || !HasRoom(*state, requirements, now)) {
-      return;
-    }
-    ++found;
-    const auto cost = EstimateCost(*state, requirements, now);
-    if (best.state == nullptr || cost < best.cost) {
-      best = {state, unhealthy, cost,
-              EstimatePlacementCost(*state, requirements, now)};
-    }
-  };
   for (std::size_t i = 0; i < kDrawsPerCandidate * most && found < most; ++i) {
-    consider(targets[random_.Below(targets.size())]);
+    auto& drawn = *targets[random_.Below(targets.size())];
+    found += Consider(drawn, requirements, limit, now, best) ? 1 : 0;
   }
   const auto first = random_.Below(targets.size());
   for (std::size_t i = 0; i < targets.size() && found < most; ++i) {
-    consider(targets[(first + i) % targets.size()]);
+    auto& next = *targets[(first + i) % targets.size()];
+    found += Consider(next, requirements, limit, now, best) ? 1 : 0;
+  }
+  // After the draw, which so decides between targets that cost the same.
+  for (auto* const state : others.recent.objects()) {
+    Consider(*state, requirements, limit, now, best);
   }
 }
 
@@ -697,6 +690,10 @@
                                             UsualOthers(state), load_counters_);
     const auto slots = std::max<std::uint32_t>(1, state.spec.slots);
     others_per_slot_ += kOthersWeight * (others / slots - others_per_slot_);
+    // A target that fails answers soon and states a low load.
+    if (run_time && !state.owned) {
+      OthersLike(state).recent.Add(state);
+    }
   }
   if (run_time) {
     state.load.OnAnswered(*run_time);
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -12,6 +12,7 @@
 #include "core/time.h"
 #include "decision/detection/rate_window.h"
 #include "decision/gateway/load_estimate.h"
+#include "decision/gateway/recent_list.h"
 #include "decision/gateway/run_time_average.h"
 #include "decision/gateway/target_availability.h"
 #include "decision/gateway/target_health_estimator.h"
@@ -155,6 +156,7 @@
 
  private:
   static constexpr double kRunTimeWeight = 0.05;
+  static constexpr std::size_t kRecentOthers = 16;
 
   struct PeerUsage {
     std::uint32_t in_flight = 0;
@@ -190,12 +192,23 @@
     double placement_cost = 0;
   };
 
+  // Targets that other gateways own.
+  struct OtherTargets {
+    std::vector<TargetState*> all;
+    // Those whose successful answers stated their load last. In a large service
+    // a draw rarely finds a target with recent news.
+    RecentList<TargetState> recent{kRecentOthers};
+  };
+
   struct FloorTrial {
     TargetId target;
     // Whether fewer targets than the floor share are in use without it.
     bool is_required = false;
   };
 
+  // Returns the targets of others in the same part of the fleet, the own
+  // failure domain or elsewhere.
+  auto OthersLike(const TargetState& state) -> OtherTargets&;
   // Returns whether the target is neither leaving nor replaced.
   [[nodiscard]] static auto IsUsable(const TargetState& state) -> bool;
   // Returns whether it is usable and does not rest.
@@ -280,8 +293,16 @@
   auto FindLessLoaded(const TargetState& owned,
                       const TargetRequirements& requirements,
                       TimePoint now) -> TargetState*;
-  // Replaces `best` if one of a few targets drawn from `targets` is cheaper.
-  auto DrawCheapest(const std::vector<TargetState*>& targets,
+  // Replaces `best` if `state` may get the request and is cheaper. Returns
+  // whether it may.
+  auto Consider(TargetState& state,
+                const TargetRequirements& requirements,
+                double limit,
+                TimePoint now,
+                Candidate& best) -> bool;
+  // Replaces `best` if one of `others` is cheaper: of those with recent news
+  // and a few drawn at random.
+  auto DrawCheapest(const OtherTargets& others,
                     const TargetRequirements& requirements,
                     double limit,
                     TimePoint now,
@@ -300,8 +321,8 @@
   // The targets that this gateway owns and those of others in its failure
   // domain and elsewhere, in targets_.
   std::vector<TargetState*> owned_;
-  std::vector<TargetState*> near_others_;
-  std::vector<TargetState*> far_others_;
+  OtherTargets near_others_;
+  OtherTargets far_others_;
   // Average run time of the answered requests; zero if there is none.
   RunTimeAverage run_time_{kRunTimeWeight};
   // Average number of other gateways' requests for each slot of a target that
--- a/tests/unit/decision/gateway/pool_load_test.cc
+++ b/tests/unit/decision/gateway/pool_load_test.cc
@@ -96,6 +96,20 @@
   cr_assert_geq(chosen.size(), 20U);
 }
 
+// Load: a service of many targets, of which this gateway has news of few.
+// Guards against draws that miss the one that is known to be idle.
+Test(pool_load, a_target_with_recent_news_is_considered_in_a_large_service) {
+  const auto targets = MakeTargets(400);
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    auto pool = MakePool(targets, false, seed);
+    State(pool, 250, 0, 0, kStart);
+    for (std::size_t t = 0; t < 12; ++t) {
+      State(pool, t, kSlots, 0, kStart);
+    }
+    cr_assert(pool.Choose({}, kStart + milliseconds(10)) == MakeTargetId(250));
+  }
+}
+
 // Load: requests to targets of which one runs four times as long. Guards
 // against equal counts, which overrun the slow one while the other idles.
 Test(pool_load, a_slow_target_gets_fewer_requests) {
