Leave an own target only for a clearly cheaper one of others

With a margin of 0.005 requests left their owner's targets for differences below the error of the estimate, and each costs a report.

--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -66,7 +66,7 @@
 // an own target, and chosen if they are cheaper by the margin, as evidence
 // about them is late.
 constexpr double kMinComparedWait = 0.03;
-constexpr double kLessLoadedMargin = 0.005;
+constexpr double kLessLoadedMargin = 0.02;
 // Evidence about targets of other gateways is late, so only those that were
 // healthy get requests at once. A request that has waited for a tenth of its
 // objective accepts one without evidence.
