--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -30,6 +30,7 @@
       {"gateway", "Choice of targets against the number of gateways",
        &RunGatewayBench},
       {"fleet", "Membership and the table against fleet size", &RunFleetBench},
+      {"quota", "Ways to divide the quota of a team", &RunQuotaBench},
       {"view_age", "Changes after the loss of the readers", &RunViewAgeBench},
   };
   return benches;
--- a/bench/benches.h
+++ b/bench/benches.h
@@ -26,6 +26,8 @@
 auto RunGatewayBench(std::uint64_t seed) -> std::vector<Measurement>;
 // Table propagation, membership and their cost by fleet size.
 auto RunFleetBench(std::uint64_t seed) -> std::vector<Measurement>;
+// Ways to divide the quota of a team among gateways.
+auto RunQuotaBench(std::uint64_t seed) -> std::vector<Measurement>;
 // Age of the configuration after the loss of its readers, by fleet size.
 auto RunViewAgeBench(std::uint64_t seed) -> std::vector<Measurement>;
 
--- a/src/decision/descriptors/descriptor_budget.cc
+++ b/src/decision/descriptors/descriptor_budget.cc
@@ -17,9 +17,6 @@
 // and targets. Such a process doesn't have all peers.
 constexpr std::uint64_t kReserveNumerator = 3;
 constexpr std::uint64_t kReserveDenominator = 4;
-// Limit from which all peers of a VM that keeps quotas have a part. Such a VM
-// with a lower limit uses the parts of callers and targets.
-constexpr std::uint64_t kHubLimit = 4096;
 
 }  // namespace
 
@@ -29,9 +26,8 @@
   // Peers come last: a fleet on a machine with such a limit is small.
   const auto process = std::min(kProcessPart, most);
   const auto control = std::min(kControlPart, (most - process) / 2);
-  const auto links = limit >= kHubLimit ? kMaxHubPeers : kMaxPeers;
   const auto peers =
-      std::min(links * kDescriptorsPerPeer, most - process - control);
+      std::min(kMaxPeers * kDescriptorsPerPeer, most - process - control);
   const auto rest = limit - process - control - peers;
   // Most requests hold one connection of each kind.
   const auto callers =
