--- a/bench/bench_main.cc
+++ b/bench/bench_main.cc
@@ -29,6 +29,8 @@
        true},
       {"gateway", "Choice of targets against the number of gateways",
        &RunGatewayBench},
+      {"even_load", "Ways in which many gateways choose targets that differ",
+       &RunEvenLoadBench, true},
       {"fleet", "Membership and the table against fleet size", &RunFleetBench},
       {"view_age", "Changes after the loss of the readers", &RunViewAgeBench},
   };
--- a/bench/benches.h
+++ b/bench/benches.h
@@ -24,6 +24,8 @@
 auto RunEjectionBench(std::uint64_t seed) -> std::vector<Measurement>;
 // Choice of targets against the number of gateways that share them.
 auto RunGatewayBench(std::uint64_t seed) -> std::vector<Measurement>;
+// Waiting and rejected requests by the way in which many gateways choose.
+auto RunEvenLoadBench(std::uint64_t seed) -> std::vector<Measurement>;
 // Table propagation, membership and their cost by fleet size.
 auto RunFleetBench(std::uint64_t seed) -> std::vector<Measurement>;
 // Age of the configuration after the loss of its readers, by fleet size.
--- a/bench/gateway_bench.cc
+++ b/bench/gateway_bench.cc
@@ -1,6 +1,5 @@
 #include <array>
 #include <cstddef>
-#include <functional>
 #include <string>
 #include <string_view>
 
@@ -52,63 +51,6 @@
       .length = std::chrono::seconds(60)}},
 });
 
-// Targets that differ under a demand that swings between 39% and 91% of what
-// they can do.
-constexpr std::uint64_t kLoadRuns = 3;
-constexpr double kUtilization = 0.65;
-constexpr double kSwing = 0.4;
-// The product links an entry to so many others.
-constexpr std::size_t kLinkedEntries = 12;
-
-using AddFigure = std::function<void(const std::string& profile,
-                                     const std::string& name,
-                                     const std::string& unit,
-                                     double value)>;
-
-auto RunLoadProfile(std::size_t gateways,
-                    LoadPolicy policy,
-                    std::uint64_t seed,
-                    const AddFigure& add) -> void {
-  GatewaySimulationResult mean;
-  const auto runs = gateways >= kLargeFleet ? 1 : kLoadRuns;
-  const auto part = 1 / static_cast<double>(runs);
-  for (std::uint64_t i = 0; i < runs; ++i) {
-    const bool is_ideal = policy == LoadPolicy::kOneQueue;
-    const auto result =
-        RunGatewaySimulation({.gateways = is_ideal ? 1 : gateways,
-                              .targets = gateways,
-                              .failing_share = 0,
-                              .turn = std::chrono::seconds(5),
-                              .policy = policy,
-                              .unequal_targets = true,
-                              .utilization = kUtilization,
-                              .swing = kSwing,
-                              .peers = kLinkedEntries,
-                              .length = std::chrono::seconds(15),
-                              .seed = seed * kLoadRuns + i});
-    mean.waiting_p99_ms += part * result.waiting_p99_ms;
-    mean.response_p99_ms += part * result.response_p99_ms;
-    mean.waited_beside_idle_share += part * result.waited_beside_idle_share;
-    mean.shed_share += part * result.shed_share;
-    mean.failed_share += part * result.failed_share;
-    mean.weighted_busiest_over_mean += part * result.weighted_busiest_over_mean;
-    mean.crossed_share += part * result.crossed_share;
-    mean.reports_per_gateway_s += part * result.reports_per_gateway_s;
-  }
-  const auto profile = std::to_string(gateways) +
-                       " gateways, even load: " + std::string(ToName(policy));
-  add(profile, "waiting, p99", "ms", mean.waiting_p99_ms);
-  add(profile, "response, p99", "ms", mean.response_p99_ms);
-  add(profile, "waited beside an idle slot", "%",
-      100 * mean.waited_beside_idle_share);
-  add(profile, "rejected by targets", "%", 100 * mean.shed_share);
-  add(profile, "failed requests", "%", 100 * mean.failed_share);
-  add(profile, "busiest target over the mean, by capacity", "",
-      mean.weighted_busiest_over_mean);
-  add(profile, "left the failure domain", "%", 100 * mean.crossed_share);
-  add(profile, "messages sent by a gateway", "1/s", mean.reports_per_gateway_s);
-}
-
 }  // namespace
 
 auto RunGatewayBench(std::uint64_t seed) -> std::vector<Measurement> {
@@ -184,11 +126,6 @@
     measurements.back().bound_kind = BoundKind::kAtMost;
     measurements.back().bound = 0;
   }
-  for (const auto gateways : kGateways) {
-    for (const auto& [policy, name] : EnumNames<LoadPolicy>::kTable) {
-      RunLoadProfile(gateways, policy, seed, add);
-    }
-  }
   return measurements;
 }
 
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -47,12 +47,16 @@
 // news choose the same target.
 constexpr std::size_t kNearCandidates = 4;
 constexpr std::size_t kFarCandidates = 4;
-// Draws for each of them before all targets are looked at.
+// Draws for each of them before the others are taken in the order of a random
+// start. With fewer, the healthiest are missed while many targets fail.
 constexpr std::size_t kDrawsPerCandidate = 3;
 // Range of a target's learned speed over that of the service. Run times differ
 // by request, so larger differences may be chance.
 constexpr double kMaxRelativeSpeed = 2;
 constexpr double kRunTimeWeight = 0.05;
+// Targets that were used within this time take turns by what they can do. With
+// fewer requests all take turns alike, as each must be in use for the floor.
+constexpr Duration kWeighedTurnTime = std::chrono::milliseconds(100);
 constexpr double kOthersWeight = 0.05;
 // Targets of other failure domains are considered if a request would wait
 // longer at the near ones. In average run times of the service.
@@ -271,7 +275,9 @@
 auto TargetPool::CapacityOf(const TargetState& state) const -> double {
   const auto slots = std::max<std::uint32_t>(1, state.spec.slots);
   const auto own = state.load.run_time();
-  if (own <= Duration::zero() || run_time_ <= Duration::zero()) {
+  // Without statements, requests of others may be why a target is slow.
+  if (!state.load.stated_at() || own <= Duration::zero() ||
+      run_time_ <= Duration::zero()) {
     return slots;
   }
   return slots * std::clamp(ToSeconds(run_time_) / ToSeconds(own),
@@ -576,7 +582,10 @@
     }
     const auto a_sent = a.state->load.RecentlySent(now) / CapacityOf(*a.state);
     const auto b_sent = b.state->load.RecentlySent(now) / CapacityOf(*b.state);
-    if (!spread && a_sent != b_sent) {
+    const auto is_busy = [now](const TargetState& state) {
+      return !IsUnsetOrOlder(state.last_used, kWeighedTurnTime, now);
+    };
+    if (!spread && a_sent != b_sent && is_busy(*a.state) && is_busy(*b.state)) {
       return a_sent < b_sent;
     }
     return a.state->last_used < b.state->last_used;
@@ -625,11 +634,8 @@
   for (std::size_t i = 0; i < kDrawsPerCandidate * most && found < most; ++i) {
     consider(targets[random_.Below(targets.size())]);
   }
-  if (found > 0) {
-    return;
-  }
   const auto first = random_.Below(targets.size());
-  for (std::size_t i = 0; i < targets.size() && found == 0; ++i) {
+  for (std::size_t i = 0; i < targets.size() && found < most; ++i) {
     consider(targets[(first + i) % targets.size()]);
   }
 }
