Measure what the time of each task goes to

Nothing in the metrics or the log said how long a VM works on which kind of message.

WorkTimes adds up the time and the number of events by task and kind, in /metrics and in a line each 5 s with the log level debug.

--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -8,6 +8,7 @@
 #include "decision/fleet/entry_set.h"
 #include "decision/fleet/published_shard.h"
 #include "decision/fleet/reader_election.h"
+#include "decision/peer/peer_message_kind.h"
 #include "decision/quota/quota_scope.h"
 #include "node/log.h"
 #include "runtime/clock.h"
@@ -75,6 +76,7 @@
   context_ = &context;
   auto& loop = context.loop();
   membership_timer_ = loop.MakeTimer([this] {
+    const WorkTimes::Scope work(work_times_, ToName(WorkKind::kTimer));
     ProcessEvent(PauseCheck{});
     UpdateFreshness();
     ProcessEvent(MembershipTimer{});
@@ -82,6 +84,7 @@
     UpdateReadiness();
   });
   table_timer_ = loop.MakeTimer([this] {
+    const WorkTimes::Scope work(work_times_, ToName(WorkKind::kTimer));
     ProcessEvent(PauseCheck{});
     ProcessEvent(TableDisseminationTimer{});
   });
@@ -90,6 +93,7 @@
   readiness_timer_ = loop.MakeTimer([this] { UpdateReadiness(); });
   source_timer_ = loop.MakeTimer([this] { SetLostSource(false); });
   freshness_timer_ = loop.MakeTimer([this] {
+    const WorkTimes::Scope work(work_times_, ToName(WorkKind::kTimer));
     ProcessEvent(PauseCheck{});
     NotifyTableDissemination(membership_.Members());
     ScheduleFreshnessCheck();
@@ -113,6 +117,11 @@
 }
 
 auto FleetTask::Handle(Message message) -> Result<void> {
+  const auto* received = std::get_if<PeerMessageReceived>(&message);
+  const WorkTimes::Scope work(work_times_,
+                              received != nullptr
+                                  ? ToName(KindOf(received->envelope.message))
+                                  : ToName(WorkKind::kNodeMessage));
   // Detects a pause first, so that nothing is sent based on outdated state.
   ProcessEvent(PauseCheck{});
   std::visit([this](auto& each) { HandleMessage(std::move(each)); }, message);
@@ -506,6 +515,7 @@
 }
 
 auto FleetTask::Publish() -> void {
+  const WorkTimes::Scope work(work_times_, ToName(WorkKind::kPublish));
   publish_timer_.Cancel();
   const auto begin = Now();
   auto view = std::make_shared<FleetView>();
@@ -673,7 +683,7 @@
   for (const auto& member : membership_.Members()) {
     alive += member.liveness == Liveness::kAlive ? 1 : 0;
   }
-  outlets_.telemetry.Post(MetricsReported{
+  MetricsReported metrics = {
       .task = std::string(ToName(Part::kFleet)),
       .samples = {
           Gauge("flamingoyoke_fleet_alive_vms",
@@ -705,7 +715,15 @@
           {.name = "flamingoyoke_fleet_pauses_total",
            .help = "Times that the process was paused.",
            .value = static_cast<double>(pauses_)},
-      }});
+          {.name = "flamingoyoke_thread_processor_seconds_total",
+           .help = "Processor time of the thread that runs the task.",
+           .label_name = "task",
+           .label_value = std::string(ToName(Part::kFleet)),
+           .value = ToSeconds(ThreadProcessorTime())},
+      }};
+  work_times_.AppendTo(metrics.samples);
+  work_times_.LogSummary();
+  outlets_.telemetry.Post(std::move(metrics));
 }
 
 }  // namespace flamingoyoke
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -23,6 +23,7 @@
 #include "node/control/fleet/table_compressor.h"
 #include "node/control/fleet/table_store.h"
 #include "node/messages.h"
+#include "node/work_times.h"
 #include "runtime/event_loop.h"
 #include "runtime/task.h"
 
@@ -174,6 +175,7 @@
   std::uint64_t rejected_tables_ = 0;
   std::uint64_t unreadable_tables_ = 0;
   std::uint64_t pauses_ = 0;
+  WorkTimes work_times_{Part::kFleet};
   // Times that this VM began to read the store as a substitute.
   std::uint64_t substitutions_ = 0;
 
--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -97,7 +97,10 @@
 auto MeshTask::Handle(Message message) -> Result<void> {
   std::visit(
       Overloaded{
-          [this](const PeerMessageToSend& send) { Send(send.order); },
+          [this](const PeerMessageToSend& send) {
+            const WorkTimes::Scope work(work_times_, ToName(WorkKind::kEncode));
+            Send(send.order);
+          },
           [this](const PeerEndpointsChanged& change) { UpdatePeers(change); },
           [this](const PeerLinkSilent& silent) { Reconnect(silent.peer); },
       },
@@ -189,6 +192,7 @@
 }
 
 auto MeshTask::ReceiveBatch() -> void {
+  const WorkTimes::Scope work(work_times_, ToName(WorkKind::kDecode));
   // The ZeroMQ descriptor is edge-triggered: it does not signal again until the
   // socket has been drained.
   for (int received = 0; received < kMaxReceiveBatch;) {
@@ -242,6 +246,7 @@
   if (const auto summary = traffic_.TakeSummary(); !summary.empty()) {
     Log(Part::kMesh, LogLevel::kDebug, "in 5 s: " + summary);
   }
+  work_times_.LogSummary();
   std::vector<MetricSample> samples = {
       Counter("flamingoyoke_mesh_received_messages_total",
               "Messages received from peers.", counts_.received_messages),
@@ -269,6 +274,7 @@
   };
   auto by_kind = traffic_.Samples();
   std::move(by_kind.begin(), by_kind.end(), std::back_inserter(samples));
+  work_times_.AppendTo(samples);
   outlets_.telemetry.Post(MetricsReported{
       .task = std::string(ToName(Part::kMesh)), .samples = std::move(samples)});
 }
--- a/src/node/control/mesh/mesh_task.h
+++ b/src/node/control/mesh/mesh_task.h
@@ -16,6 +16,7 @@
 #include "node/control/mesh/peer_socket.h"
 #include "node/control/mesh/traffic_counts.h"
 #include "node/messages.h"
+#include "node/work_times.h"
 #include "runtime/task.h"
 
 namespace flamingoyoke {
@@ -85,6 +86,7 @@
   std::map<VmId, std::unique_ptr<PeerSocket>> peers_;
   MessageCounts counts_;
   TrafficCounts traffic_;
+  WorkTimes work_times_{Part::kMesh};
   EventLoop::Handle receive_watch_;
   EventLoop::Handle receive_timer_;
   EventLoop::Handle metrics_timer_;
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -10,6 +10,7 @@
 #include "core/answer_table.h"
 #include "decision/gateway/overload_limit.h"
 #include "decision/gateway/retry_slack.h"
+#include "decision/peer/peer_message_kind.h"
 #include "node/log.h"
 #include "node/traffic/caller_headers.h"
 #include "node/traffic/error_response.h"
@@ -25,6 +26,7 @@
 constexpr Duration kBusyTick = std::chrono::milliseconds(100);
 constexpr Duration kIdleTick = std::chrono::seconds(1);
 constexpr Duration kReportPeriod = std::chrono::seconds(1);
+constexpr Duration kSummaryPeriod = std::chrono::seconds(5);
 // Maximum time to flush the last answers of a hard stop.
 constexpr Duration kFlushLimit = std::chrono::milliseconds(200);
 // Maximum body size of a status request, whose body is ignored.
@@ -111,6 +113,11 @@
 }
 
 auto GatewayTask::Handle(Message message) -> Result<void> {
+  const auto* received = std::get_if<PeerMessageReceived>(&message);
+  const WorkTimes::Scope work(work_times_,
+                              received != nullptr
+                                  ? ToName(KindOf(received->envelope.message))
+                                  : ToName(WorkKind::kFleetView));
   CheckPause();
   std::visit([this](auto& typed) { OnMessage(typed); }, message);
   return {};
@@ -301,8 +308,8 @@
   };
   hooks.on_received = [this](std::size_t bytes) { received_bytes_ += bytes; };
   runner = std::make_unique<PoolRunner>(
-      context_->loop(), config_, answer_memory_, target_connections_, service,
-      Random(random_.Next()), std::move(hooks));
+      context_->loop(), config_, answer_memory_, target_connections_,
+      work_times_, service, Random(random_.Next()), std::move(hooks));
   return *runner;
 }
 
@@ -324,6 +331,7 @@
 }
 
 auto GatewayTask::OnRequest(std::unique_ptr<CallerExchange> exchange) -> void {
+  const WorkTimes::Scope work(work_times_, ToName(WorkKind::kRequest));
   CheckPause();
   if (AnswerStatusRequest(*exchange)) {
     return;
@@ -625,6 +633,17 @@
     queues.Add(runner->dispatcher());
   }
   queues.AppendTo(metrics.samples);
+  metrics.samples.push_back(
+      {.name = "flamingoyoke_thread_processor_seconds_total",
+       .help = "Processor time of the thread that runs the task.",
+       .label_name = "task",
+       .label_value = std::string(ToName(Part::kGateway)),
+       .value = ToSeconds(ThreadProcessorTime())});
+  work_times_.AppendTo(metrics.samples);
+  if (last_report_ - last_summary_ >= kSummaryPeriod) {
+    last_summary_ = last_report_;
+    work_times_.LogSummary();
+  }
   outbox_.telemetry.Post(std::move(metrics));
 }
 
--- a/src/node/traffic/gateway/gateway_task.h
+++ b/src/node/traffic/gateway/gateway_task.h
@@ -27,6 +27,7 @@
 #include "node/traffic/gateway/request_log.h"
 #include "node/traffic/late_tick_detector.h"
 #include "node/traffic/stop_procedure.h"
+#include "node/work_times.h"
 #include "runtime/event_loop.h"
 #include "runtime/task.h"
 #include "table/route_index.h"
@@ -137,6 +138,8 @@
   TeamIndex teams_;
   ServiceSplitter splitter_;
   RequestLog request_log_;
+  // Used by the runners of the services.
+  WorkTimes work_times_{Part::kGateway};
   std::unique_ptr<CallerServer> server_;
   std::unordered_map<ServiceId, std::unique_ptr<PoolRunner>> services_;
   // Set by Start().
@@ -151,6 +154,7 @@
   // Set by Start(). Uses the server and is destroyed before it.
   std::optional<StopProcedure> stop_;
   TimePoint last_report_;
+  TimePoint last_summary_;
   TimePoint tick_due_;
   EventLoop::Handle tick_;
 };
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -35,11 +35,13 @@
                        const GatewayConfig& config,
                        AnswerMemory& memory,
                        ConnectionPart& connections,
+                       WorkTimes& work_times,
                        const ServiceId& service,
                        Random random,
                        Hooks hooks)
     : config_(config),
       memory_(memory),
+      work_times_(work_times),
       hooks_(std::move(hooks)),
       random_(random),
       service_(service),
@@ -48,7 +50,10 @@
             RegisteredUpstreamInterface(config.dialect),
             memory,
             connections),
-      timer_(loop.MakeTimer([this] { Post(PoolTimer{}); })) {}
+      timer_(loop.MakeTimer([this] {
+        const WorkTimes::Scope work(work_times_, ToName(WorkKind::kTimer));
+        Post(PoolTimer{});
+      })) {}
 
 auto PoolRunner::Configure(const std::vector<RegisteredTarget>& targets,
                            const std::vector<VmId>& peers,
@@ -305,6 +310,7 @@
 auto PoolRunner::OnAttemptEnd(AttemptId id,
                               AttemptResult result,
                               const UpstreamSignals& signals) -> void {
+  const WorkTimes::Scope work(work_times_, ToName(WorkKind::kAttempt));
   const auto found = attempts_.find(id);
   if (found == attempts_.end()) {
     return;
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -18,6 +18,7 @@
 #include "node/traffic/gateway/gateway_config.h"
 #include "node/traffic/trace_context.h"
 #include "node/traffic/upstream_pool.h"
+#include "node/work_times.h"
 #include "runtime/event_loop.h"
 #include "table/registry.h"
 #include "table/routing.h"
@@ -72,6 +73,7 @@
              const GatewayConfig& config,
              AnswerMemory& memory,
              ConnectionPart& connections,
+             WorkTimes& work_times,
              const ServiceId& service,
              Random random,
              Hooks hooks);
@@ -155,6 +157,7 @@
 
   const GatewayConfig& config_;
   AnswerMemory& memory_;
+  WorkTimes& work_times_;
   const Hooks hooks_;
   Random random_;
   const ServiceId service_;
--- a/src/runtime/clock.cc
+++ b/src/runtime/clock.cc
@@ -6,12 +6,24 @@
 
 namespace flamingoyoke {
 
-auto Now() -> TimePoint {
+namespace {
+
+auto Read(clockid_t clock) -> Duration {
   timespec time = {};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return TimePoint(std::chrono::duration_cast<Duration>(
+  clock_gettime(clock, &time);
+  return std::chrono::duration_cast<Duration>(
       std::chrono::seconds(time.tv_sec) +
-      std::chrono::nanoseconds(time.tv_nsec)));
+      std::chrono::nanoseconds(time.tv_nsec));
+}
+
+}  // namespace
+
+auto Now() -> TimePoint {
+  return TimePoint(Read(CLOCK_BOOTTIME));
+}
+
+auto ThreadProcessorTime() -> Duration {
+  return Read(CLOCK_THREAD_CPUTIME_ID);
 }
 
 auto WallClockMs() -> std::int64_t {
