Handle messages and timeouts before the sockets that wait

Cause: a loop handles all events of a pass in the order of arrival. On a VM that is short of processor a pass takes hundreds of milliseconds, and the registry without the target, or the timer of a request, waits behind the sockets that it concerns.

Change: a loop looks for new events after 5 ms of a pass. The mailbox of a task with a thread of its own and the timers of the pools go before sockets, for at most half of the time. QueueDelay() says how long an event has waited since it was found; deadlines and timeouts of requests are counted from before that wait.

--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -402,6 +402,7 @@
   const auto& names = config_.dialect.headers;
   const auto caller = ReadGatewayCaller(names, exchange->head().headers);
   const auto now = Now();
+  const auto waited = context_->loop().QueueDelay();
   GatewayRequest request;
   request.id = RequestId(++last_request_);
   received_bytes_ += kTypicalHeadBytes + evbuffer_get_length(exchange->body());
@@ -415,9 +416,11 @@
     ReplaceTeamHeaders(names, request.team, request.forwarded.headers);
   }
   request.repeatability = route.repeatability;
-  request.arrived = now;
+  // The caller counts its deadline from before the request waited here.
+  request.arrived = now - waited;
   request.deadline =
-      now + std::min(caller.time_left.value_or(route.timeout), route.timeout);
+      request.arrived +
+      std::min(caller.time_left.value_or(route.timeout), route.timeout);
   request.objective = route.objective;
   request.priority = team.team == nullptr
                          ? route.priority
@@ -440,8 +443,7 @@
     Reject(request, route, ErrorKind::kLeaving, Duration::zero());
     return;
   }
-  if (const auto waited = context_->loop().TimeSincePoll();
-      IsOverloaded(waited, request.deadline - now)) {
+  if (IsOverloaded(waited, request.deadline - now)) {
     RejectOverloaded(request, route, waited);
     return;
   }
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -50,7 +50,7 @@
             RegisteredUpstreamInterface(config.dialect),
             memory,
             connections),
-      timer_(loop.MakeTimer([this] {
+      timer_(loop.MakePromptTimer([this] {
         const WorkTimes::Scope work(work_times_, ToName(WorkKind::kTimer));
         Post(PoolTimer{});
       })) {}
--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -22,9 +22,18 @@
           .tv_usec = static_cast<suseconds_t>((duration - seconds).count())};
 }
 
-// Priorities of events; lower ones run first.
+// Priorities of events; lower ones run first. libevent gives the middle one to
+// all other events, such as those of sockets.
 constexpr int kUrgent = 0;
-constexpr int kPriorities = 2;
+constexpr int kPrompt = 1;
+constexpr int kOthers = 2;
+constexpr int kPriorities = 4;
+static_assert(kOthers == kPriorities / 2);
+
+// The loop looks for new events after this time even if others wait. A pass
+// over all sockets takes seconds on a VM that is short of processor.
+constexpr timeval kMaxPassTime = {.tv_sec = 0, .tv_usec = 5000};
+constexpr int kUnlimitedCallbacks = -1;
 
 // Descriptors of a libevent base: polling, its timer, and two for signals.
 constexpr int kBaseDescriptors = 4;
@@ -54,12 +63,13 @@
   // Without the flag, timers have a resolution of a few milliseconds.
   auto* config = event_config_new();
   event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+  event_config_set_max_dispatch_interval(config, &kMaxPassTime,
+                                         kUnlimitedCallbacks, kOthers);
   auto* base = event_base_new_with_config(config);
   event_config_free(config);
   if (base == nullptr) {
     throw std::bad_alloc();
   }
-  // Other events have the last priority by default.
   event_base_priority_init(base, kPriorities);
   return base;
 }
@@ -67,15 +77,50 @@
 }  // namespace
 
 struct EventLoop::Handle::State {
+  // Calls the callback, which may destroy this object.
+  auto Run() -> void;
+
   EventLoop& loop;
   Callback callback;
   std::unique_ptr<event, EventDeleter> ev;
   // Expiry of a one-shot timer.
   TimePoint due;
   bool is_one_shot = false;
+  // Whether the event goes before those of sockets.
+  bool is_prompt = false;
+  // A prompt timer runs no earlier than this, so that it takes at most half of
+  // the time and sockets have theirs.
+  TimePoint rested;
+  // Set to true when this object is destroyed, if not null.
+  bool* destroyed = nullptr;
 };
 
+auto EventLoop::Handle::State::Run() -> void {
+  if (!is_prompt || !is_one_shot) {
+    loop.Invoke(callback);
+    return;
+  }
+  const auto begin = Now();
+  bool was_destroyed = false;
+  destroyed = &was_destroyed;
+  loop.Invoke(callback);
+  if (was_destroyed) {
+    return;
+  }
+  destroyed = nullptr;
+  const auto end = Now();
+  rested = end + (end - begin);
+  if (due < rested && event_pending(ev.get(), EV_TIMEOUT, nullptr) != 0) {
+    due = rested;
+    const auto interval = ToTimeval(rested - end);
+    event_add(ev.get(), &interval);
+  }
+}
+
 auto EventLoop::Handle::StateDeleter::operator()(State* state) const -> void {
+  if (state->destroyed != nullptr) {
+    *state->destroyed = true;
+  }
   delete state;
 }
 
@@ -83,8 +128,10 @@
   if (!state_) {
     return;
   }
-  const auto wait = std::max(delay, Duration::zero());
-  state_->due = Now() + wait;
+  const auto now = Now();
+  state_->due =
+      std::max(now + std::max(delay, Duration::zero()), state_->rested);
+  const auto wait = state_->due - now;
   const auto interval = ToTimeval(wait);
   event_add(state_->ev.get(), &interval);
 }
@@ -101,6 +148,12 @@
   }
 }
 
+auto EventLoop::Handle::Resume() -> void {
+  if (state_) {
+    StartWatch(*this);
+  }
+}
+
 auto EventLoop::Handle::IsPending() const -> bool {
   return state_ &&
          event_pending(state_->ev.get(), EV_TIMEOUT | EV_READ, nullptr) != 0;
@@ -141,18 +194,23 @@
   return handle;
 }
 
-auto EventLoop::TimeSincePoll() -> Duration {
-  // libevent exposes the cached time of an iteration only as wall-clock time,
-  // which can step. It serves only to detect that a new iteration has started.
-  timeval poll_time{};
-  event_base_gettimeofday_cached(base_, &poll_time);
+auto EventLoop::MakePromptTimer(Callback callback) -> Handle {
+  auto handle = MakeTimer(std::move(callback));
+  event_priority_set(handle.state_->ev.get(), kPrompt);
+  handle.state_->is_prompt = true;
+  return handle;
+}
+
+auto EventLoop::QueueDelay() -> Duration {
   const auto now = Now();
-  if (poll_time.tv_sec != poll_time_.tv_sec ||
-      poll_time.tv_usec != poll_time_.tv_usec) {
-    poll_time_ = poll_time;
-    iteration_start_ = now;
+  if (!marked_at_) {
+    if (!marker_.state_) {
+      marker_ = MakeHandle(-1, 0, [this] { marked_at_.reset(); });
+    }
+    marked_at_ = now;
+    marker_.Trigger();
   }
-  return now - iteration_start_;
+  return now - *marked_at_;
 }
 
 auto EventLoop::MakePeriodicTimer(Duration period, Callback callback)
@@ -171,17 +229,30 @@
 auto EventLoop::WatchReadable(int descriptor, Callback callback) -> Handle {
   auto handle =
       MakeHandle(descriptor, EV_READ | EV_PERSIST, std::move(callback));
+  StartWatch(handle);
+  return handle;
+}
+
+auto EventLoop::WatchReadablePromptly(int descriptor, Callback callback)
+    -> Handle {
+  auto handle =
+      MakeHandle(descriptor, EV_READ | EV_PERSIST, std::move(callback));
+  event_priority_set(handle.state_->ev.get(), kPrompt);
+  StartWatch(handle);
+  return handle;
+}
+
+auto EventLoop::StartWatch(const Handle& handle) -> void {
   if (event_add(handle.state_->ev.get(), nullptr) != 0) {
     throw std::bad_alloc();
   }
-  return handle;
 }
 
 auto EventLoop::MakeHandle(int descriptor, short events, Callback callback)
     -> Handle {
   Handle handle;
   handle.state_.reset(
-      new Handle::State{*this, std::move(callback), nullptr, {}, false});
+      new Handle::State{*this, std::move(callback), nullptr, {}});
   handle.state_->ev.reset(event_new(
       base_, descriptor, events,
       [](evutil_socket_t, short, void* context) {
@@ -196,7 +267,7 @@
           event_add(state->ev.get(), &interval);
           return;
         }
-        state->loop.Invoke(state->callback);
+        state->Run();
       },
       handle.state_.get()));
   if (!handle.state_->ev) {
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -35,8 +35,13 @@
     // Runs the callback as soon as the current one has returned; with an urgent
     // handle, before any other event.
     auto Trigger() -> void;
-    // Cancels a pending run, if there is one.
+    // Cancels a pending run, if there is one. A descriptor is no longer
+    // watched.
     auto Cancel() -> void;
+    // Watches the descriptor again after Cancel. Throws std::bad_alloc if the
+    // system refuses that. Precondition: WatchReadable() or
+    // WatchReadablePromptly() returned the handle.
+    auto Resume() -> void;
     [[nodiscard]] auto IsPending() const -> bool;
 
    private:
@@ -76,6 +81,10 @@
 
   // Returns a timer that is not yet scheduled.
   auto MakeTimer(Callback callback) -> Handle;
+  // As MakeTimer, but `callback` runs before the events of sockets that wait,
+  // as long as it takes at most half of the time. For timeouts, which would
+  // otherwise be late by all that is queued on a busy loop.
+  auto MakePromptTimer(Callback callback) -> Handle;
   // Returns a timer that runs `callback` each `period`.
   auto MakePeriodicTimer(Duration period, Callback callback) -> Handle;
   // Returns a handle that runs `callback` when triggered, before other events.
@@ -84,11 +93,15 @@
   // descriptor open for the life of the handle. Throws std::bad_alloc if the
   // system refuses to watch it.
   auto WatchReadable(int descriptor, Callback callback) -> Handle;
+  // As WatchReadable, but `callback` runs before the events of sockets that
+  // wait. It must not take long each time, or cancel the watch for a while.
+  auto WatchReadablePromptly(int descriptor, Callback callback) -> Handle;
 
-  // Returns a lower bound of the time since the loop last polled for events,
-  // measured from the first call in the iteration. The event being handled has
-  // waited at least that long. Call it within a callback.
-  auto TimeSincePoll() -> Duration;
+  // Returns a lower bound of the time that the event being handled has waited
+  // in the queue of the loop. Call it in the callback of a socket or an
+  // ordinary timer. The first call, and one after all that was queued at an
+  // earlier one has been handled, returns zero.
+  auto QueueDelay() -> Duration;
 
   // The underlying loop, for libraries built on libevent such as evhttp.
   [[nodiscard]] auto base() const -> event_base* { return base_; }
@@ -98,15 +111,17 @@
     auto operator()(event_base* base) const -> void { event_base_free(base); }
   };
 
+  static auto StartWatch(const Handle& handle) -> void;
   auto MakeHandle(int descriptor, short events, Callback callback) -> Handle;
 
   // Empty in a part of another loop.
   std::unique_ptr<event_base, BaseDeleter> own_base_;
   event_base* const base_;
   std::optional<PartHandlers> part_;
-  // Time of libevent's last poll, and of the first TimeSincePoll call since.
-  timeval poll_time_{};
-  TimePoint iteration_start_{};
+  // An event at the end of the queue, and when it was put there; nothing if it
+  // is not queued.
+  std::optional<TimePoint> marked_at_;
+  Handle marker_;
 };
 
 }  // namespace flamingoyoke
--- a/src/runtime/task_host.h
+++ b/src/runtime/task_host.h
@@ -1,7 +1,6 @@
 #ifndef FLAMINGOYOKE_RUNTIME_TASK_HOST_H_
 #define FLAMINGOYOKE_RUNTIME_TASK_HOST_H_
 
-#include <array>
 #include <atomic>
 #include <exception>
 #include <functional>
@@ -13,31 +12,16 @@
 #include <thread>
 #include <utility>
 
-#include "core/name_table.h"
 #include "core/result.h"
 #include "runtime/event_loop.h"
 #include "runtime/mailbox.h"
 #include "runtime/system_limits.h"
 #include "runtime/task.h"
+#include "runtime/task_placement.h"
 #include "runtime/task_run.h"
 
 namespace flamingoyoke {
 
-// Which loop a task runs on.
-enum class TaskPlacement {
-  kOwnThread,       // A loop of its own. For work that may take long or block.
-  kSupervisorLoop,  // The loop of its supervisor, which it shares.
-};
-
-template <>
-struct EnumNames<TaskPlacement> {
-  static constexpr auto kTable = std::to_array<NameEntry<TaskPlacement>>({
-      {TaskPlacement::kOwnThread, "own-thread"},
-      {TaskPlacement::kSupervisorLoop, "supervisor-loop"},
-  });
-};
-static_assert(IsDense<TaskPlacement>());
-
 // Runs one task at a time on a thread of its own or on a loop that it shares
 // with other tasks. The mailbox outlives the task, so messages sent during a
 // restart are kept.
@@ -141,7 +125,8 @@
       on_exit(std::move(error));
     });
     run_.emplace(
-        loop, mailbox_, stop_mode_, [this] { end_.Trigger(); }, has_run_);
+        loop, mailbox_, stop_mode_, [this] { end_.Trigger(); },
+        TaskStart{placement_, has_run_});
     auto error = run_->Start(factory_);
     if (!error) {
       has_run_ = true;
--- a/tests/unit/runtime/event_loop_test.cc
+++ b/tests/unit/runtime/event_loop_test.cc
@@ -8,6 +8,7 @@
 #include <cerrno>
 #include <chrono>
 #include <system_error>
+#include <thread>
 #include <vector>
 
 #include "runtime/clock.h"
@@ -47,13 +48,13 @@
   cr_assert_not(is_early);
 }
 
-// Guards against overload that goes undetected while one iteration of the loop
-// takes long.
-Test(event_loop, measures_time_since_poll_within_an_iteration) {
+// Guards against overload that goes undetected while the events of a busy loop
+// wait.
+Test(event_loop, measures_how_long_events_wait) {
   EventLoop loop;
   std::vector<Duration> ages;
   const auto work = [&] {
-    ages.push_back(loop.TimeSincePoll());
+    ages.push_back(loop.QueueDelay());
     const auto begin = Now();
     while (Now() - begin < milliseconds(20)) {
     }
@@ -75,6 +76,68 @@
   cr_assert(ages[1] >= milliseconds(20));
 }
 
+// Guards against timeouts that wait until a busy loop has come to all sockets.
+Test(event_loop, a_prompt_timer_overtakes_the_sockets_that_wait) {
+  EventLoop loop;
+  int served = 0;
+  int served_before_timer = -1;
+  std::vector<EventLoop::Handle> sockets(100);
+  auto timer = loop.MakePromptTimer([&] { served_before_timer = served; });
+  for (auto& socket : sockets) {
+    socket = loop.MakeTimer([&] {
+      if (++served == 1) {
+        timer.Schedule(milliseconds(4));
+      }
+      if (served == 100) {
+        loop.Quit();
+      }
+      std::this_thread::sleep_for(milliseconds(2));
+    });
+    socket.Schedule(Duration::zero());
+  }
+  loop.Run();
+  cr_expect_geq(served_before_timer, 1);
+  cr_expect_leq(served_before_timer, 15);
+}
+
+// Guards against a timer that is always due and keeps sockets from their turn.
+Test(event_loop, prompt_timers_leave_sockets_half_of_the_time) {
+  EventLoop loop;
+  int turns = 0;
+  int ticks = 0;
+  EventLoop::Handle timer;
+  timer = loop.MakePromptTimer([&] {
+    ++ticks;
+    std::this_thread::sleep_for(milliseconds(2));
+    timer.Schedule(Duration::zero());
+  });
+  EventLoop::Handle socket;
+  socket = loop.MakeTimer([&] {
+    std::this_thread::sleep_for(milliseconds(2));
+    if (++turns == 20) {
+      loop.Quit();
+      return;
+    }
+    socket.Schedule(Duration::zero());
+  });
+  timer.Schedule(Duration::zero());
+  socket.Schedule(Duration::zero());
+  loop.Run();
+  cr_expect_leq(ticks, 25);
+}
+
+// Guards against a use of a timer that its own callback destroys.
+Test(event_loop, a_prompt_timer_may_be_destroyed_by_its_callback) {
+  EventLoop loop;
+  EventLoop::Handle timer;
+  timer = loop.MakePromptTimer([&] {
+    loop.Quit();
+    timer = {};
+  });
+  timer.Schedule(Duration::zero());
+  loop.Run();
+}
+
 // Guards against a cancelled timer that still runs.
 Test(event_loop, a_cancelled_timer_does_not_run) {
   EventLoop loop;
--- a/tests/unit/runtime/task_host_test.cc
+++ b/tests/unit/runtime/task_host_test.cc
@@ -14,6 +14,8 @@
 #include <variant>
 #include <vector>
 
+#include "runtime/wake_descriptor.h"
+
 namespace flamingoyoke {
 namespace {
 
@@ -212,6 +214,72 @@
   cr_assert(fixture.has_first_exited);
 }
 
+// Guards against news that waits until a busy VM has come to all its sockets,
+// which took seconds and let requests reach targets that had left long ago.
+Test(task_host, a_message_overtakes_the_sockets_that_wait) {
+  constexpr int kSockets = 100;
+  Mailbox<NumberMessage> mailbox{16};
+  std::vector<std::string> events;
+  int served = 0;
+  int served_before_message = -1;
+  WakeDescriptor descriptor;
+  descriptor.Signal();
+  Script script{.events = &events, .name = "task"};
+  script.on_start = [&](TaskContext& context, Timers& sockets) {
+    for (int i = 0; i < kSockets; ++i) {
+      sockets.push_back(
+          context.loop().WatchReadable(dup(descriptor.descriptor()), [&] {
+            if (++served == 1) {
+              mailbox.Post(Number{1});
+            }
+            std::this_thread::sleep_for(milliseconds(2));
+            if (served == kSockets) {
+              context.Exit();
+            }
+          }));
+    }
+  };
+  script.on_number = [&](int) { served_before_message = served; };
+  TaskHost<ScriptedTask> host(
+      "task", mailbox, [&] { return std::make_unique<ScriptedTask>(script); });
+  host.Start([](const std::optional<Error>&) {});
+  host.Join();
+  cr_expect_geq(served_before_message, 1);
+  cr_expect_leq(served_before_message, 10);
+}
+
+// Guards against messages without a pause that keep sockets from their turn.
+Test(task_host, messages_without_a_pause_leave_sockets_half_of_the_time) {
+  constexpr int kTurns = 20;
+  Mailbox<NumberMessage> mailbox{16};
+  std::vector<std::string> events;
+  int turns = 0;
+  int messages = 0;
+  WakeDescriptor descriptor;
+  descriptor.Signal();
+  Script script{.events = &events, .name = "task"};
+  script.on_start = [&](TaskContext& context, Timers& sockets) {
+    sockets.push_back(
+        context.loop().WatchReadable(descriptor.descriptor(), [&] {
+          std::this_thread::sleep_for(milliseconds(2));
+          if (++turns == kTurns) {
+            context.Exit();
+          }
+        }));
+  };
+  script.on_number = [&](int value) {
+    ++messages;
+    std::this_thread::sleep_for(milliseconds(2));
+    mailbox.Post(Number{value + 1});
+  };
+  mailbox.Post(Number{0});
+  TaskHost<ScriptedTask> host(
+      "task", mailbox, [&] { return std::make_unique<ScriptedTask>(script); });
+  host.Start([](const std::optional<Error>&) {});
+  host.Join();
+  cr_expect_leq(messages, 2 * kTurns);
+}
+
 // Guards against a task that outlives its supervisor on a shared loop.
 Test(task_host, ends_the_task_when_it_is_destroyed) {
   std::vector<std::string> events;
