Pause between versions of the registry in proportion to their cost

On a VM that is short of processor this work takes the time that requests and the news of leaving targets need.

A VM now pulls the next version of a shard after 8 times as long as it worked on the last one, 200 ms at most. One that doesn't know the newest state yet pulls at once, since it doesn't accept callers.

table_dissemination/pauses_between_versions_in_proportion_to_their_cost plays versions each 25 ms that cost 10 ms each; the others guard the limit of 200 ms and the start.

--- a/src/decision/fleet/table_dissemination.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -15,6 +15,12 @@
 // The role of a new node depends on the time since its start, which needs no
 // precise timer.
 constexpr Duration kRoleCheckPeriod = std::chrono::milliseconds(100);
+// After a version was accepted, the next one of the shard is pulled after this
+// many times as long as this VM worked on it, at most kMaxPullPause. While
+// hundreds of targets register or leave, there are dozens of versions in a
+// second, and each contains those before it.
+constexpr int kPullPauseFactor = 8;
+constexpr Duration kMaxPullPause = std::chrono::milliseconds(200);
 
 auto IsBefore(const TableDigest& a, const TableDigest& b) -> bool {
   return std::tie(a.era, a.revision, a.hash) <
@@ -139,6 +145,11 @@
   auto version = std::move(found->second);
   candidates_.erase(found);
   if (event.is_valid) {
+    if (HasReadNewest()) {
+      // Before that, this VM doesn't accept callers and catches up at once.
+      pull_pauses_[event.digest.shard] =
+          now + std::min(kPullPauseFactor * event.took, kMaxPullPause);
+    }
     Accept(std::move(version), now);
     return;
   }
@@ -319,8 +330,12 @@
 auto TableDissemination::ContinuePulls(TimePoint now) -> void {
   for (auto it = pulls_.begin(); it != pulls_.end();) {
     auto& pull = it->second;
+    const auto shard = it->first;
+    if (PauseOf(shard, now)) {
+      ++it;
+      continue;
+    }
     if (const auto peer = pull.NextSource(now)) {
-      const auto shard = it->first;
       const auto have = InForce(shard).value_or(TableDigest());
       TablePull message{shard, have.revision, have.era};
       if (!pull.wants_plain_text()) {
@@ -332,6 +347,14 @@
   }
 }
 
+auto TableDissemination::PauseOf(std::uint32_t shard, TimePoint now) const
+    -> std::optional<TimePoint> {
+  const auto found = pull_pauses_.find(shard);
+  return found != pull_pauses_.end() && found->second > now
+             ? std::optional(found->second)
+             : std::nullopt;
+}
+
 auto TableDissemination::IsNewer(const TableDigest& digest) const -> bool {
   const auto found = in_force_.find(digest.shard);
   return found == in_force_.end() || IsBefore(found->second.digest, digest);
@@ -417,8 +440,10 @@
   }
   auto wake = RoleCheckDue(role.is_reader, now);
   for (const auto& [shard, pull] : pulls_) {
-    if (pull.deadline() && (!wake || *pull.deadline() < *wake)) {
-      wake = pull.deadline();
+    const auto pause = PauseOf(shard, now);
+    const auto due = pause ? pause : pull.deadline();
+    if (due && (!wake || *due < *wake)) {
+      wake = due;
     }
   }
   if (wake && (!scheduled_wake_ || *wake < *scheduled_wake_)) {
--- a/src/decision/fleet/table_dissemination.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -148,6 +148,9 @@
   auto AddPullSource(const VmId& peer, const TableDigest& digest, TimePoint now)
       -> void;
   auto ContinuePulls(TimePoint now) -> void;
+  // Returns when `shard` may be pulled again if that is after `now`.
+  [[nodiscard]] auto PauseOf(std::uint32_t shard, TimePoint now) const
+      -> std::optional<TimePoint>;
   [[nodiscard]] auto IsNewer(const TableDigest& digest) const -> bool;
   [[nodiscard]] auto IsRejected(const TableDigest& digest) const -> bool;
   [[nodiscard]] auto KnownRevision() const -> Revision;
@@ -167,6 +170,8 @@
   // Versions whose check is pending.
   std::map<std::uint32_t, Version> candidates_;
   std::map<std::uint32_t, TablePullState> pulls_;
+  // Until when no further version of a shard is pulled.
+  std::map<std::uint32_t, TimePoint> pull_pauses_;
   std::deque<TableDigest> rejected_;
   std::vector<VmId> peers_;
   std::size_t fleet_size_ = 1;
--- a/src/decision/fleet/table_dissemination_event.h
+++ b/src/decision/fleet/table_dissemination_event.h
@@ -58,6 +58,8 @@
   bool is_valid = false;
   // Why the table was rejected, for operators.
   std::string reason;
+  // How long this VM worked on the version, waits for the processor included.
+  Duration took = Duration::zero();
 };
 
 // A peer sent this version, but its message could not be expanded.
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -122,6 +122,7 @@
                               received != nullptr
                                   ? ToName(KindOf(received->envelope.message))
                                   : ToName(WorkKind::kNodeMessage));
+  handling_since_ = Now();
   // Detects a pause first, so that nothing is sent based on outdated state.
   ProcessEvent(PauseCheck{});
   std::visit([this](auto& each) { HandleMessage(std::move(each)); }, message);
@@ -355,7 +356,8 @@
   const auto reason = std::visit(
       [&](auto& store) { return store.Check(action.digest, action.text); },
       tables_);
-  ProcessEvent(TableChecked{action.digest, !reason, reason.value_or("")});
+  ProcessEvent(TableChecked{action.digest, !reason, reason.value_or(""),
+                            Now() - handling_since_});
 }
 
 auto FleetTask::Execute(const TableAccepted& action) -> void {
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -175,6 +175,8 @@
   std::uint64_t rejected_tables_ = 0;
   std::uint64_t unreadable_tables_ = 0;
   std::uint64_t pauses_ = 0;
+  // When the handling of the present message began.
+  TimePoint handling_since_;
   WorkTimes work_times_{Part::kFleet};
   // Times that this VM began to read the store as a substitute.
   std::uint64_t substitutions_ = 0;
--- a/tests/unit/decision/fleet/table_dissemination_test.cc
+++ b/tests/unit/decision/fleet/table_dissemination_test.cc
@@ -2,6 +2,9 @@
 
 #include <criterion/criterion.h>
 
+#include <chrono>
+#include <string>
+
 #include "decision/fleet/rendezvous.h"
 #include "unit/decision/fleet/fake_fleet.h"
 
@@ -78,6 +81,76 @@
   cr_assert_geq(accepted->origin.pulls, 2U);
 }
 
+// Load: many targets leave at once, so that there is a new version each 25 ms,
+// and a VM works on each for 10 ms. Guards against VMs that use up their
+// processor share by it.
+Test(table_dissemination, pauses_between_versions_in_proportion_to_their_cost) {
+  constexpr Duration kCost = std::chrono::milliseconds(10);
+  constexpr Duration kInterval = std::chrono::milliseconds(25);
+  TableDissemination dissemination(1, Random(1), FirstRead::kBeforeReady);
+  dissemination.OnEvent(TableDisseminationStarted{}, kStart);
+  Accept(dissemination, 1, "1");
+  dissemination.OnEvent(SourceRead{kStart}, kStart);
+  int pulls = 0;
+  for (int i = 2; i <= 80; ++i) {
+    const auto text = std::to_string(i);
+    const auto digest = DigestFor(static_cast<std::uint64_t>(i), text);
+    const auto announced = kStart + i * kInterval;
+    auto actions =
+        dissemination.OnEvent(From("a", TableAnnounce{digest}), announced);
+    // The pull may come with the announcement or with the timer after it.
+    auto now = announced;
+    for (int tick = 0; tick < 5; ++tick, now += kInterval / 5) {
+      if (!AskedPeer(actions).empty()) {
+        ++pulls;
+        dissemination.OnEvent(From("a", TableData{digest, text}), now);
+        dissemination.OnEvent(TableChecked{digest, true, "", kCost},
+                              now + kCost);
+      }
+      actions = dissemination.OnEvent(TableDisseminationTimer{}, now);
+    }
+  }
+  // Two seconds with 10 ms of work and 80 ms of pause a version.
+  cr_assert_geq(pulls, 18);
+  cr_assert_leq(pulls, 25);
+}
+
+// Guards against a change that waits long since the one before it was costly.
+Test(table_dissemination, pulls_the_next_version_after_200_ms_at_most) {
+  TableDissemination dissemination(1, Random(1), FirstRead::kBeforeReady);
+  dissemination.OnEvent(TableDisseminationStarted{}, kStart);
+  dissemination.OnEvent(SourceRead{kStart}, kStart);
+  dissemination.OnEvent(TableTextRead{0, Revision(1), "one"}, kStart);
+  dissemination.OnEvent(TableChecked{DigestFor(1, "one"), true, "", seconds(1)},
+                        kStart);
+  dissemination.OnEvent(SourceRead{kStart}, kStart);
+  dissemination.OnEvent(TableTextRead{0, Revision(2), "two"}, kStart);
+  dissemination.OnEvent(TableChecked{DigestFor(2, "two"), true, "", seconds(1)},
+                        kStart);
+  dissemination.OnEvent(TableDisseminationTimer{}, kStart);
+  const auto digest = DigestFor(3, "three");
+  const auto actions =
+      dissemination.OnEvent(From("a", TableAnnounce{digest}), kStart);
+  cr_assert(AskedPeer(actions).empty());
+  const auto* wake = Find<WakeTableDisseminationAt>(actions);
+  cr_assert(wake != nullptr);
+  cr_assert(wake->at == kStart + std::chrono::milliseconds(200));
+  cr_assert(AskedPeer(dissemination.OnEvent(TableDisseminationTimer{},
+                                            wake->at)) == "a");
+}
+
+// Guards against a VM that starts while targets register and isn't ready for
+// long, as it pauses before each version.
+Test(table_dissemination, a_vm_that_is_not_current_pulls_without_a_pause) {
+  TableDissemination dissemination(1, Random(1), FirstRead::kBeforeReady);
+  dissemination.OnEvent(TableDisseminationStarted{}, kStart);
+  dissemination.OnEvent(TableTextRead{0, Revision(1), "one"}, kStart);
+  dissemination.OnEvent(TableChecked{DigestFor(1, "one"), true, "", seconds(1)},
+                        kStart);
+  cr_assert(AskedPeer(dissemination.OnEvent(
+                From("a", TableAnnounce{DigestFor(2, "two")}), kStart)) == "a");
+}
+
 // Guards against corrupt data that is put in force or blocks further pulls.
 Test(table_dissemination, drops_a_text_that_does_not_match_its_digest) {
   TableDissemination dissemination(1, Random(1));
