Withdraw requests that were not sent from targets that leave

A request whose connection to its target is not established yet was still sent when it was, however long after the target had left. On VMs that are short of processor and links that are full this takes seconds.

PoolRunner ends such attempts when the registry says that the target leaves or lacks it, and when the target itself says so. Nothing was written, so the request is sent elsewhere and no evidence counts.

Test: target_signal/an_unsent_request_goes_elsewhere_when_its_target_leaves.

--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 #include "core/answer_table.h"
@@ -72,6 +73,14 @@
   pool_.Configure(row);
   Post(PoolConfigured{targets, config_.failure_domain, peers, gateways,
                       min_retries, config_.traffic.vm, owners});
+  std::unordered_set<TargetId> usable;
+  for (const auto& target : targets) {
+    if (!target.leaving) {
+      usable.insert(target.id);
+    }
+  }
+  WithdrawUnsent(
+      [&](const TargetId& target) { return usable.contains(target); });
 }
 
 auto PoolRunner::Submit(GatewayRequest request) -> void {
@@ -262,6 +271,31 @@
   }
   Post(PoolTargetSignalled{id, signals.draining,
                            signals.rest.value_or(Duration::zero())});
+  if (signals.draining) {
+    WithdrawUnsent([&](const TargetId& each) { return each != target; });
+  }
+}
+
+auto PoolRunner::WithdrawUnsent(
+    const std::function<bool(const TargetId&)>& is_usable) -> void {
+  std::vector<AttemptId> unsent;
+  for (const auto& [id, attempt] : attempts_) {
+    const auto& connection = attempt.lease.connection;
+    if (connection && !connection->has_written() &&
+        !is_usable(attempt.lease.target)) {
+      unsent.push_back(id);
+    }
+  }
+  for (const auto id : unsent) {
+    const auto found = attempts_.find(id);
+    const auto request = requests_.find(found->second.request);
+    if (request != requests_.end()) {
+      request->second.history +=
+          " " + found->second.lease.target.value() + "=withdrawn";
+    }
+    Execute(CancelAttempt{id});
+    Post(PoolAttemptEnded{id, AttemptResult::kNoConnection});
+  }
 }
 
 auto PoolRunner::OnAnswerBody(AttemptId id, evbuffer* data) -> void {
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -149,6 +149,10 @@
   auto OnAttemptEnd(AttemptId id,
                     AttemptResult result,
                     const UpstreamSignals& signals) -> void;
+  // Ends the attempts for whose target `is_usable` returns false and that have
+  // written nothing, so that their requests go elsewhere.
+  auto WithdrawUnsent(const std::function<bool(const TargetId&)>& is_usable)
+      -> void;
   // Returns whether bytes of a running attempt of the request were written.
   [[nodiscard]] auto MayHaveRun(RequestId id) const -> bool;
   auto OnDrained(RequestId id) -> void;
--- a/tests/unit/node/traffic/gateway/target_signal_test.cc
+++ b/tests/unit/node/traffic/gateway/target_signal_test.cc
@@ -39,6 +39,40 @@
   cr_assert_gt(other.executions(), 0U);
 }
 
+// Guards against a request that reaches a target long after it left, because
+// its connection was not established before.
+Test(target_signal, an_unsent_request_goes_elsewhere_when_its_target_leaves) {
+  // A listener whose queue is full answers no new connection until it accepts
+  // one.
+  TestSocket listener(socket(AF_INET, SOCK_STREAM, 0));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  cr_assert_eq(bind(listener.descriptor(),
+                    reinterpret_cast<const sockaddr*>(&address), size),
+               0);
+  cr_assert_eq(listen(listener.descriptor(), 0), 0);
+  getsockname(listener.descriptor(), reinterpret_cast<sockaddr*>(&address),
+              &size);
+  const auto port = ntohs(address.sin_port);
+  auto first = TestSocket::Connect(port);
+  UpstreamFake other(Always(Answer(kSuccess, "done")));
+  auto config = MakeGatewayConfig();
+  config.traffic.connect_timeout = std::chrono::seconds(10);
+  GatewayFixture gateway({port}, config);
+  auto caller = gateway.Connect();
+  cr_assert(caller.Write(Request("POST", "/once/1", "order")));
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  const auto left = Now();
+  gateway.Publish({other.port()});
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_expect_eq(answer->status(), 200);
+  cr_expect_lt(ToMilliseconds(Now() - left), 2000);
+  cr_expect_eq(other.executions(), 1U);
+}
+
 // Guards against requests that wait for a target which will not come back.
 Test(target_signal, requests_are_refused_when_all_targets_leave) {
   UpstreamFake leaving(
