--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -308,8 +308,9 @@
   };
   hooks.on_received = [this](std::size_t bytes) { received_bytes_ += bytes; };
   runner = std::make_unique<PoolRunner>(
-      context_->loop(), config_, answer_memory_, target_connections_,
-      work_times_, service, Random(random_.Next()), std::move(hooks));
+      context_->loop(), config_,
+      PoolRunner::Shared{answer_memory_, target_connections_, work_times_},
+      service, Random(random_.Next()), std::move(hooks));
   return *runner;
 }
 
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -34,23 +34,21 @@
 
 PoolRunner::PoolRunner(EventLoop& loop,
                        const GatewayConfig& config,
-                       AnswerMemory& memory,
-                       ConnectionPart& connections,
-                       WorkTimes& work_times,
+                       const Shared& shared,
                        const ServiceId& service,
                        Random random,
                        Hooks hooks)
     : config_(config),
-      memory_(memory),
-      work_times_(work_times),
+      memory_(shared.memory),
+      work_times_(shared.work_times),
       hooks_(std::move(hooks)),
       random_(random),
       service_(service),
       dispatcher_(service, Random(random_.Next()), config.limits),
       pool_(loop,
             RegisteredUpstreamInterface(config.dialect),
-            memory,
-            connections),
+            shared.memory,
+            shared.connections),
       timer_(loop.MakePromptTimer([this] {
         const WorkTimes::Scope work(work_times_, ToName(WorkKind::kTimer));
         Post(PoolTimer{});
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -68,12 +68,17 @@
     std::function<void(std::size_t)> on_received;
   };
 
-  // `config`, `loop`, `memory` and `connections` must outlive the runner.
+  // What the runners of all services share.
+  struct Shared {
+    AnswerMemory& memory;
+    ConnectionPart& connections;
+    WorkTimes& work_times;
+  };
+
+  // `config`, `loop` and what `shared` refers to must outlive the runner.
   PoolRunner(EventLoop& loop,
              const GatewayConfig& config,
-             AnswerMemory& memory,
-             ConnectionPart& connections,
-             WorkTimes& work_times,
+             const Shared& shared,
              const ServiceId& service,
              Random random,
              Hooks hooks);
