--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -3,6 +3,7 @@
 #include <event2/buffer.h>
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 #include "core/answer_table.h"
@@ -33,22 +34,25 @@
 
 PoolRunner::PoolRunner(EventLoop& loop,
                        const GatewayConfig& config,
-                       AnswerMemory& memory,
-                       ConnectionPart& connections,
+                       const Shared& shared,
                        const ServiceId& service,
                        Random random,
                        Hooks hooks)
     : config_(config),
-      memory_(memory),
+      memory_(shared.memory),
+      work_times_(shared.work_times),
       hooks_(std::move(hooks)),
       random_(random),
       service_(service),
       dispatcher_(service, Random(random_.Next()), config.limits),
       pool_(loop,
             RegisteredUpstreamInterface(config.dialect),
-            memory,
-            connections),
-      timer_(loop.MakeTimer([this] { Post(PoolTimer{}); })) {}
+            shared.memory,
+            shared.connections),
+      timer_(loop.MakePromptTimer([this] {
+        const WorkTimes::Scope work(work_times_, ToName(WorkKind::kTimer));
+        Post(PoolTimer{});
+      })) {}
 
 auto PoolRunner::Configure(const std::vector<RegisteredTarget>& targets,
                            const std::vector<VmId>& peers,
@@ -67,6 +71,14 @@
   pool_.Configure(row);
   Post(PoolConfigured{targets, config_.failure_domain, peers, gateways,
                       min_retries, config_.traffic.vm, owners});
+  std::unordered_set<TargetId> usable;
+  for (const auto& target : targets) {
+    if (!target.leaving) {
+      usable.insert(target.id);
+    }
+  }
+  WithdrawUnsent(
+      [&](const TargetId& target) { return usable.contains(target); });
 }
 
 auto PoolRunner::Submit(GatewayRequest request) -> void {
@@ -257,6 +269,31 @@
   }
   Post(PoolTargetSignalled{id, signals.draining,
                            signals.rest.value_or(Duration::zero())});
+  if (signals.draining) {
+    WithdrawUnsent([&](const TargetId& each) { return each != target; });
+  }
+}
+
+auto PoolRunner::WithdrawUnsent(
+    const std::function<bool(const TargetId&)>& is_usable) -> void {
+  std::vector<AttemptId> unsent;
+  for (const auto& [id, attempt] : attempts_) {
+    const auto& connection = attempt.lease.connection;
+    if (connection && !connection->has_written() &&
+        !is_usable(attempt.lease.target)) {
+      unsent.push_back(id);
+    }
+  }
+  for (const auto id : unsent) {
+    const auto found = attempts_.find(id);
+    const auto request = requests_.find(found->second.request);
+    if (request != requests_.end()) {
+      request->second.history +=
+          " " + found->second.lease.target.value() + "=withdrawn";
+    }
+    Execute(CancelAttempt{id});
+    Post(PoolAttemptEnded{id, AttemptResult::kNoConnection});
+  }
 }
 
 auto PoolRunner::OnAnswerBody(AttemptId id, evbuffer* data) -> void {
@@ -305,6 +342,7 @@
 auto PoolRunner::OnAttemptEnd(AttemptId id,
                               AttemptResult result,
                               const UpstreamSignals& signals) -> void {
+  const WorkTimes::Scope work(work_times_, ToName(WorkKind::kAttempt));
   const auto found = attempts_.find(id);
   if (found == attempts_.end()) {
     return;
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -18,6 +18,7 @@
 #include "node/traffic/gateway/gateway_config.h"
 #include "node/traffic/trace_context.h"
 #include "node/traffic/upstream_pool.h"
+#include "node/work_times.h"
 #include "runtime/event_loop.h"
 #include "table/registry.h"
 #include "table/routing.h"
@@ -67,11 +68,17 @@
     std::function<void(std::size_t)> on_received;
   };
 
-  // `config`, `loop`, `memory` and `connections` must outlive the runner.
+  // What the runners of all services share.
+  struct Shared {
+    AnswerMemory& memory;
+    ConnectionPart& connections;
+    WorkTimes& work_times;
+  };
+
+  // `config`, `loop` and what `shared` refers to must outlive the runner.
   PoolRunner(EventLoop& loop,
              const GatewayConfig& config,
-             AnswerMemory& memory,
-             ConnectionPart& connections,
+             const Shared& shared,
              const ServiceId& service,
              Random random,
              Hooks hooks);
@@ -147,6 +154,10 @@
   auto OnAttemptEnd(AttemptId id,
                     AttemptResult result,
                     const UpstreamSignals& signals) -> void;
+  // Ends the attempts for whose target `is_usable` returns false and that have
+  // written nothing, so that their requests go elsewhere.
+  auto WithdrawUnsent(const std::function<bool(const TargetId&)>& is_usable)
+      -> void;
   // Returns whether bytes of a running attempt of the request were written.
   [[nodiscard]] auto MayHaveRun(RequestId id) const -> bool;
   auto OnDrained(RequestId id) -> void;
@@ -155,6 +166,7 @@
 
   const GatewayConfig& config_;
   AnswerMemory& memory_;
+  WorkTimes& work_times_;
   const Hooks hooks_;
   Random random_;
   const ServiceId service_;
