Let reports of outcomes give way to other messages of a VM

The log shows the mesh task at work for 3.8 of 5 s, mostly on outcome reports, with pulls of the registry waiting behind them.

MeshTask sends them when nothing else waits and keeps the newest 128. Turns of the mesh task, and batches of messages on a shared loop, end after 20 ms, so that the fleet task has its turn.

--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -4,6 +4,7 @@
 #include <zmq.h>
 
 #include <cerrno>
+#include <chrono>
 #include <iterator>
 #include <string>
 #include <type_traits>
@@ -11,9 +12,11 @@
 #include <vector>
 
 #include "core/overloaded.h"
+#include "decision/peer/peer_message_kind.h"
 #include "node/control/mesh/socket_options.h"
 #include "node/listen_error.h"
 #include "node/log.h"
+#include "runtime/clock.h"
 #include "runtime/resource_check.h"
 #include "wire/peer_codec.h"
 
@@ -27,6 +30,11 @@
 // is not starved. The fleet task on the same loop handles as many in its turn;
 // more would overflow its mailbox.
 constexpr int kMaxReceiveBatch = 64;
+// Time after which other work has its turn. A message takes milliseconds on a
+// VM that is short of processor.
+constexpr Duration kMaxTurn = std::chrono::milliseconds(20);
+// A few reports for each of the peers that a VM exchanges outcomes with.
+constexpr std::size_t kMaxDeferred = 128;
 
 // libzmq 4.3.4 aborts the process if its context is refused a thread or a
 // descriptor. It starts two threads. The headroom is less than at the start of
@@ -90,6 +98,7 @@
   receive_watch_ = loop.WatchReadable(receiver_.get(zmq::sockopt::fd),
                                       [this] { ReceiveAll(); });
   receive_timer_ = loop.MakeTimer([this] { ReceiveAll(); });
+  deferred_timer_ = loop.MakeTimer([this] { SendDeferred(); });
   ReceiveAll();
   return {};
 }
@@ -97,7 +106,11 @@
 auto MeshTask::Handle(Message message) -> Result<void> {
   std::visit(
       Overloaded{
-          [this](const PeerMessageToSend& send) {
+          [this](PeerMessageToSend& send) {
+            if (KindOf(send.order.message) == PeerMessageKind::kOutcomeReport) {
+              Defer(std::move(send.order));
+              return;
+            }
             const WorkTimes::Scope work(work_times_, ToName(WorkKind::kEncode));
             Send(send.order);
           },
@@ -135,6 +148,29 @@
                LinkTo(order.peer), bytes.size());
 }
 
+auto MeshTask::Defer(SendToPeer order) -> void {
+  if (deferred_.size() >= kMaxDeferred) {
+    deferred_.pop_front();
+    ++counts_.dropped_reports;
+  }
+  deferred_.push_back(std::move(order));
+  if (!deferred_timer_.IsPending()) {
+    deferred_timer_.Schedule(Duration::zero());
+  }
+}
+
+auto MeshTask::SendDeferred() -> void {
+  const WorkTimes::Scope work(work_times_, ToName(WorkKind::kEncode));
+  const auto end = Now() + kMaxTurn;
+  while (!deferred_.empty() && Now() < end) {
+    Send(deferred_.front());
+    deferred_.pop_front();
+  }
+  if (!deferred_.empty()) {
+    deferred_timer_.Schedule(Duration::zero());
+  }
+}
+
 auto MeshTask::UpdatePeers(const PeerEndpointsChanged& change) -> void {
   std::erase_if(peers_, [&](const auto& peer) {
     const auto wanted = change.endpoints.find(peer.first);
@@ -195,7 +231,8 @@
   const WorkTimes::Scope work(work_times_, ToName(WorkKind::kDecode));
   // The ZeroMQ descriptor is edge-triggered: it does not signal again until the
   // socket has been drained.
-  for (int received = 0; received < kMaxReceiveBatch;) {
+  const auto end = Now() + kMaxTurn;
+  for (int received = 0; received < kMaxReceiveBatch && Now() < end;) {
     zmq::message_t frame;
     if (!receiver_.recv(frame, zmq::recv_flags::dontwait)) {
       return;
@@ -259,6 +296,9 @@
       Counter("flamingoyoke_mesh_unsent_messages_total",
               "Messages dropped because a peer was not connected.",
               counts_.unsent_messages),
+      Counter("flamingoyoke_mesh_dropped_reports_total",
+              "Reports of outcomes dropped because newer ones waited, too.",
+              counts_.dropped_reports),
       Counter("flamingoyoke_mesh_malformed_messages_total",
               "Messages that could not be decoded.",
               counts_.malformed_messages),
--- a/src/node/control/mesh/mesh_task.h
+++ b/src/node/control/mesh/mesh_task.h
@@ -2,6 +2,7 @@
 #define FLAMINGOYOKE_NODE_CONTROL_MESH_MESH_TASK_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -52,6 +53,7 @@
     std::uint64_t sent_messages = 0;
     std::uint64_t sent_bytes = 0;
     std::uint64_t unsent_messages = 0;
+    std::uint64_t dropped_reports = 0;
     std::uint64_t malformed_messages = 0;
     std::uint64_t reconnects = 0;
   };
@@ -59,6 +61,10 @@
   // Fails if the address cannot be listened on. Throws zmq::error_t.
   auto Listen(EventLoop& loop) -> Result<void>;
   auto Send(const SendToPeer& order) -> void;
+  // Queues a message that gives way to all others.
+  auto Defer(SendToPeer order) -> void;
+  // Sends deferred messages until other work has its turn.
+  auto SendDeferred() -> void;
   auto UpdatePeers(const PeerEndpointsChanged& change) -> void;
   auto Connect(const VmId& vm, const std::string& endpoint) -> void;
   // Replaces the connection to a peer, which a middlebox may have dropped.
@@ -84,11 +90,15 @@
   std::map<VmId, std::string> endpoints_;
   std::map<VmId, LinkClass> links_;
   std::map<VmId, std::unique_ptr<PeerSocket>> peers_;
+  // Reports of outcomes. A VM that is short of processor sends them when it has
+  // nothing else to do, and keeps the newest.
+  std::deque<SendToPeer> deferred_;
   MessageCounts counts_;
   TrafficCounts traffic_;
   WorkTimes work_times_{Part::kMesh};
   EventLoop::Handle receive_watch_;
   EventLoop::Handle receive_timer_;
+  EventLoop::Handle deferred_timer_;
   EventLoop::Handle metrics_timer_;
   EventLoop::Handle listener_timer_;
 };
--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -31,8 +31,9 @@
 static_assert(kOthers == kPriorities / 2);
 
 // The loop looks for new events after this time even if others wait. A pass
-// over all sockets takes seconds on a VM that is short of processor.
-constexpr timeval kMaxPassTime = {.tv_sec = 0, .tv_usec = 5000};
+// over all sockets takes seconds on a VM that is short of processor; looking
+// more often would take much of what such a VM has.
+constexpr timeval kMaxPassTime = {.tv_sec = 0, .tv_usec = 20'000};
 constexpr int kUnlimitedCallbacks = -1;
 
 // Descriptors of a libevent base: polling, its timer, and two for signals.
--- a/src/runtime/task_run.h
+++ b/src/runtime/task_run.h
@@ -84,10 +84,10 @@
   }
 
  private:
-  // Messages handled before other tasks on the loop have their turn, and the
-  // time after which sockets have as much before the next messages.
+  // Messages, and time for them, before other tasks and sockets on the loop
+  // have their turn.
   static constexpr std::size_t kMaxBatch = 64;
-  static constexpr Duration kMaxBusy = std::chrono::milliseconds(5);
+  static constexpr Duration kMaxBusy = std::chrono::milliseconds(20);
 
   auto WatchMailbox() -> void {
     if (placement_ == TaskPlacement::kSupervisorLoop) {
@@ -105,7 +105,7 @@
   }
 
   auto OnWake() -> void {
-    if (!HandleBatch(std::nullopt)) {
+    if (!HandleBatch(Now() + kMaxBusy)) {
       mailbox_.Wake();
     }
   }
@@ -126,12 +126,12 @@
 
   // Handles messages until `end`, and at least one of them. Returns false if
   // others are left.
-  auto HandleBatch(std::optional<TimePoint> end) -> bool {
+  auto HandleBatch(TimePoint end) -> bool {
     auto messages = mailbox_.TakeAll();
     for (std::size_t handled = 0; !messages.empty(); ++handled) {
       // A stop waits for all messages before it, but for no later ones.
       const bool is_over =
-          handled >= kMaxBatch || (handled > 0 && end && Now() >= *end);
+          handled >= kMaxBatch || (handled > 0 && Now() >= end);
       if (is_over && stop_mode_.load() <= signaled_mode_) {
         mailbox_.PutBack(std::move(messages));
         return false;
--- a/tests/unit/node/control/mesh/mesh_task_test.cc
+++ b/tests/unit/node/control/mesh/mesh_task_test.cc
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <ctime>
+#include <optional>
 #include <string>
 #include <thread>
 #include <zmq.hpp>
@@ -56,6 +57,13 @@
     cr_assert_not(error);
   }
 
+  auto Send(PeerMessage message) -> void {
+    cr_assert_not(CaptureError([&] {
+      return task_.Handle(
+          PeerMessageToSend{{VmId("vm-b"), std::move(message)}});
+    }));
+  }
+
   // Tells the task that the link to that peer is silent.
   auto ReopenLink() -> void {
     cr_assert_not(CaptureError(
@@ -95,6 +103,19 @@
   TaskContext context_;
 };
 
+// Reads the next message that the peer receives.
+auto ReadNext(zmq::socket_t& peer) -> PeerMessage {
+  zmq::message_t frame;
+  do {
+    cr_assert(peer.recv(frame).has_value());
+  } while (frame.more());
+  std::optional<PeerEnvelope> envelope;
+  const auto error = CaptureInto(
+      envelope, [&] { return DecodeEnvelope(frame.to_string_view()); });
+  cr_assert_not(error);
+  return envelope->message;
+}
+
 // Sets a limit at which no descriptor is free, and returns the one before.
 auto UseAllDescriptors() -> rlimit {
   // The sanitizer opens a pipe when it checks the type of an object first.
@@ -110,6 +131,54 @@
 
 }  // namespace
 
+// Load: a VM that is short of processor, whose gateway reports more outcomes
+// than it can send. Guards against news that waits for seconds behind reports.
+Test(mesh_task, reports_of_outcomes_give_way_to_other_messages) {
+  constexpr int kReports = 100;
+  zmq::context_t context;
+  zmq::socket_t peer(context, zmq::socket_type::router);
+  peer.set(zmq::sockopt::rcvtimeo, 10'000);
+  peer.bind("tcp://127.0.0.1:*");
+  const auto endpoint = peer.get(zmq::sockopt::last_endpoint);
+  StarvedMesh mesh;
+  mesh.ConnectTo(static_cast<std::uint16_t>(
+      std::stoi(endpoint.substr(endpoint.rfind(':') + 1))));
+  mesh.Run(kDeliveryWait);
+  for (int i = 0; i < kReports; ++i) {
+    mesh.Send(OutcomeReport{ServiceId("s"), {}, {}, 1});
+  }
+  mesh.Send(TableAnnounce{});
+  mesh.Run(kDeliveryWait);
+  cr_expect(std::holds_alternative<TableAnnounce>(ReadNext(peer)));
+  for (int i = 0; i < kReports; ++i) {
+    cr_expect(std::holds_alternative<OutcomeReport>(ReadNext(peer)));
+  }
+}
+
+// Load: reports that the task has no time to send. Guards against memory that
+// grows with them.
+Test(mesh_task, keeps_the_newest_reports_of_outcomes) {
+  constexpr std::uint64_t kReports = 1000;
+  zmq::context_t context;
+  zmq::socket_t peer(context, zmq::socket_type::router);
+  peer.set(zmq::sockopt::rcvtimeo, 10'000);
+  peer.bind("tcp://127.0.0.1:*");
+  const auto endpoint = peer.get(zmq::sockopt::last_endpoint);
+  StarvedMesh mesh;
+  mesh.ConnectTo(static_cast<std::uint16_t>(
+      std::stoi(endpoint.substr(endpoint.rfind(':') + 1))));
+  mesh.Run(kDeliveryWait);
+  for (std::uint64_t i = 1; i <= kReports; ++i) {
+    mesh.Send(OutcomeReport{ServiceId("s"), {}, {}, i});
+  }
+  mesh.Run(kDeliveryWait);
+  const auto first = std::get<OutcomeReport>(ReadNext(peer)).sequence;
+  cr_expect_gt(first, kReports - 200);
+  for (auto i = first + 1; i <= kReports; ++i) {
+    cr_expect_eq(std::get<OutcomeReport>(ReadNext(peer)).sequence, i);
+  }
+}
+
 // Guards against an abort inside ZeroMQ: a peer whose messages fill the queue
 // of a VM short of processor time resets its connection.
 Test(mesh_task, survives_the_reset_of_a_connection_with_a_full_queue) {
