--- a/src/node/process_reporter.h
+++ b/src/node/process_reporter.h
@@ -9,7 +9,9 @@
 
 namespace flamingoyoke {
 
-// Reports the threads and descriptors that this process uses. Not thread-safe.
+// Reports the threads, descriptors, resident memory and socket buffers that
+// this process uses. The buffers belong to the kernel and are not part of the
+// resident memory. Not thread-safe.
 class ProcessReporter {
  public:
   // Returns one sample for each figure that can be read. Reads the system at
