Count and bound what endless answers take in the process and the kernel

Causes on the code before this change:

- The memory of answers counted bytes of input that was not parsed.
Fields that evhttp has parsed take about 40 times their size and were not counted; a head of 64 KiB was copied, and kept on idle connections.
- Each chunk of a body was passed on in a buffer of its own of 1 KiB, also one of 16 bytes, while its payload alone was counted.
- The kernel's socket buffers had no limit.

Fields and lines that are not complete count as memory of answers. Small parts of a body are collected up to 4 KiB. Idle connections keep no heads. The kernel's buffers follow the VM's memory and the number of connections.

A caller whose answer starts counts as one with progress: it was closed before it could read if it had waited for longer than 1 s while three quarters of the memory of answers were used.

--- a/src/node/traffic/answer_memory.h
+++ b/src/node/traffic/answer_memory.h
@@ -41,6 +41,7 @@
   AnswerMemory(const AnswerMemory&) = delete;
   auto operator=(const AnswerMemory&) -> AnswerMemory& = delete;
 
+  [[nodiscard]] auto limit() const -> std::uint64_t { return limit_; }
   [[nodiscard]] auto used() const -> std::uint64_t { return used_; }
   // Whether more than half of the limit is used. Answers should then be relayed
   // in small pieces.
--- a/src/node/traffic/answer_scanner.cc
+++ b/src/node/traffic/answer_scanner.cc
@@ -15,6 +15,9 @@
 constexpr std::string_view kNotModified = "304";
 // As long as the longest head that evhttp takes.
 constexpr std::size_t kMaxLineBytes = 64 << 10;
+// Memory of a field besides its text: an entry of evhttp with two allocations,
+// and two copies of it for the caller.
+constexpr std::size_t kBytesPerField = 256;
 
 auto IsDigit(char c) -> bool {
   return c >= '0' && c <= '9';
@@ -84,8 +87,10 @@
     case AnswerPart::kFields:
     case AnswerPart::kTrailers:
       if (line.empty()) {
+        field_bytes_ = part_ == AnswerPart::kInterimFields ? 0 : field_bytes_;
         part_ = PartAfterFields();
       } else {
+        field_bytes_ += line.size() + kBytesPerField;
         OnField(line);
       }
       return;
--- a/src/node/traffic/answer_scanner.h
+++ b/src/node/traffic/answer_scanner.h
@@ -2,6 +2,7 @@
 #define FLAMINGOYOKE_NODE_TRAFFIC_ANSWER_SCANNER_H_
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -55,6 +56,12 @@
   // answer with exactly three digits from 100 to 599 as its status.
   auto Consume(std::string_view bytes) -> bool;
 
+  // Memory that the scanner takes, and that evhttp and copies of the head take
+  // for the fields so far. It is many times the size of short fields.
+  [[nodiscard]] auto held_bytes() const -> std::size_t {
+    return line_.capacity() + field_bytes_;
+  }
+
   // Whether the rest of the answer needs no check.
   [[nodiscard]] auto is_done() const -> bool {
     return part_ == AnswerPart::kDone;
@@ -74,6 +81,9 @@
   AnswerPart part_ = AnswerPart::kStatusLine;
   // The start of a line that is not complete.
   std::string line_;
+  // Fields of the head and of the trailer, without those of interim responses
+  // that are complete.
+  std::size_t field_bytes_ = 0;
   bool is_chunked_ = false;
   // Whether the next line may continue the field of the last one, which must
   // not be one that frames the answer.
--- a/src/node/traffic/caller_connection.cc
+++ b/src/node/traffic/caller_connection.cc
@@ -155,6 +155,15 @@
         static_cast<CallerConnection*>(self)->OnClosed();
       },
       this);
+  if (socket_buffers_.send_bytes > 0) {
+    // Errors are ignored: the connection works with larger buffers.
+    const auto set = [this](int name, int bytes) {
+      setsockopt(bufferevent_getfd(bev_), SOL_SOCKET, name, &bytes,
+                 sizeof(bytes));
+    };
+    set(SO_RCVBUF, socket_buffers_.receive_bytes);
+    set(SO_SNDBUF, socket_buffers_.send_bytes);
+  }
   const auto write_timeout = ToTimeval(limits_.write_timeout);
   bufferevent_set_timeouts(bev_, nullptr, &write_timeout);
 }
@@ -237,7 +246,9 @@
 
 auto CallerConnection::OnOutput(const evbuffer_cb_info& info) -> void {
   if (connection_ != nullptr) {
-    UpdateMemory(info.n_deleted > 0);
+    // A caller has its time to read from the start of an answer, however long
+    // it waited for it.
+    UpdateMemory(info.n_deleted > 0 || info.orig_size == 0);
   }
 }
 
--- a/src/node/traffic/caller_connection.h
+++ b/src/node/traffic/caller_connection.h
@@ -13,6 +13,7 @@
 
 #include "core/error_kind.h"
 #include "core/time.h"
+#include "decision/memory/socket_buffers.h"
 #include "node/traffic/body_budget.h"
 #include "node/traffic/caller_exchange.h"
 #include "node/traffic/caller_input.h"
@@ -82,6 +83,12 @@
   [[nodiscard]] auto closes_after_reply() const -> bool;
   [[nodiscard]] auto pending_output_bytes() const -> std::size_t;
 
+  // Sets the kernel's buffers for the connection. Call before the first event
+  // of the connection.
+  auto set_socket_buffers(const SocketBuffers& buffers) -> void {
+    socket_buffers_ = buffers;
+  }
+
   // Closes the connection unless its first request begins soon. Precondition:
   // awaiting_first_request().
   auto LimitFirstRequestWait() -> void;
@@ -148,6 +155,7 @@
   const CallerConnectionLimits& limits_;
   BodyBudget& budget_;
   const Owner& owner_;
+  SocketBuffers socket_buffers_;
   CallerMemory& memory_;
   CallerMemory::Share share_;
   CallerInput input_;
--- a/src/node/traffic/caller_server.cc
+++ b/src/node/traffic/caller_server.cc
@@ -19,6 +19,10 @@
     EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD | EVHTTP_REQ_PUT |
     EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH;
 
+// The kernel's buffers for callers have a tenth of what may be held for them in
+// the process.
+constexpr std::uint64_t kCallerMemoryPerBufferMemory = 10;
+
 // A caller that sends nothing for so long gives its connection to another one.
 constexpr Duration kStallTime = std::chrono::seconds(1);
 
@@ -142,6 +146,8 @@
   const bool has_room = part_.MakeRoom();
   connections_.emplace(
       bev, OpenConnection{std::move(connection), ConnectionPart::Share(part_)});
+  created->set_socket_buffers(SocketBuffersFor(
+      limits_.memory_bytes / kCallerMemoryPerBufferMemory, part_.used()));
   if (!has_room) {
     memory_.CountTurnedAway(CallerLimit::kConnections);
     created->ScheduleClose();
--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -45,6 +45,10 @@
 constexpr std::uint64_t kMaxOverheadBytes = 256 << 10;
 constexpr std::uint64_t kMaxOverheadPerBodyByte = 8;
 
+// Smaller parts of a body are collected: each part that is passed on takes a
+// buffer of 1 KiB at least, and a target may send chunks of one byte.
+constexpr std::size_t kMinPartBytes = 4096;
+
 // TCP keepalive: the first probe after 1 s idle, then one each second, and the
 // connection is closed after 2 unanswered probes. A dead connection is detected
 // within 3 s, before most connections are reused.
@@ -140,7 +144,8 @@
     : interface_(interface),
       bev_(bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
       timer_(loop.MakeTimer([this] { OnTimer(); })),
-      held_(&memory, [this] { EndOversized(); }) {
+      held_(&memory, [this] { EndOversized(); }),
+      body_timer_(loop.MakeTimer([this] { PassOnBody(); })) {
   if (bev_ == nullptr) {
     throw std::bad_alloc();
   }
@@ -218,6 +223,7 @@
   if (request == nullptr) {
     throw std::bad_alloc();
   }
+  request_ = request;
   evhttp_request_set_header_cb(request, [](evhttp_request* r, void* self) {
     return static_cast<UpstreamConnection*>(self)->OnResponseHead(r) ? 0 : -1;
   });
@@ -262,6 +268,10 @@
   set(IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
   set(IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
   set(IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  if (socket_buffers_.receive_bytes > 0) {
+    set(SOL_SOCKET, SO_RCVBUF, socket_buffers_.receive_bytes);
+    set(SOL_SOCKET, SO_SNDBUF, socket_buffers_.send_bytes);
+  }
 }
 
 auto UpstreamConnection::OnEarlyResponse() -> void {
@@ -285,8 +295,8 @@
 
 auto UpstreamConnection::OnInput(std::size_t added) -> void {
   const auto held = evbuffer_get_length(bufferevent_get_input(bev_));
-  held_.Set(held);
   if (!busy_) {
+    held_.Set(held);
     return;
   }
   if (broken_) {
@@ -296,6 +306,11 @@
     EndBroken();
     return;
   }
+  held_.Set(HeldBytes());
+  // Another connection that holds most may be closed instead.
+  if (broken_) {
+    return;
+  }
   received_bytes_ += added;
   const auto max_held =
       response_started_ ? kMaxHeldBodyBytes : kMaxHeldHeadBytes;
@@ -325,6 +340,11 @@
   return true;
 }
 
+auto UpstreamConnection::HeldBytes() const -> std::size_t {
+  return evbuffer_get_length(bufferevent_get_input(bev_)) +
+         evbuffer_get_length(body_.get()) + scanner_.held_bytes();
+}
+
 auto UpstreamConnection::EndOversized() -> void {
   signals_.oversized = true;
   EndBroken();
@@ -337,6 +357,11 @@
   StopAllIo();
   auto* input = bufferevent_get_input(bev_);
   evbuffer_drain(input, evbuffer_get_length(input));
+  scanner_ = AnswerScanner();
+  if (request_ != nullptr && !response_started_) {
+    // evhttp parses no more of this head.
+    evhttp_clear_headers(evhttp_request_get_input_headers(request_));
+  }
   held_.Set(0);
   timer_.Schedule(Duration::zero());
 }
@@ -348,6 +373,7 @@
   must_close_ = true;
   held_.Set(0);
   timer_.Cancel();
+  body_timer_.Cancel();
   StopAllIo();
 }
 
@@ -440,16 +466,39 @@
     return;
   }
   auto* data = evhttp_request_get_input_buffer(request);
-  body_bytes_ += evbuffer_get_length(data);
-  held_.Set(evbuffer_get_length(bufferevent_get_input(bev_)));
+  const auto size = evbuffer_get_length(data);
+  body_bytes_ += size;
+  held_.Set(HeldBytes());
   if (!broken_) {
     ScheduleProgressTimer();
   }
-  if (!signals_.not_run && observer_.on_body) {
-    observer_.on_body(data);
+  if (signals_.not_run || !observer_.on_body) {
+    return;
+  }
+  if (size >= kMinPartBytes) {
+    PassOnBody();
+    if (observer_.on_body) {
+      observer_.on_body(data);
+    }
+    return;
+  }
+  evbuffer_add(body_.get(), evbuffer_pullup(data, -1), size);
+  if (evbuffer_get_length(body_.get()) >= kMinPartBytes) {
+    PassOnBody();
+  } else {
+    // Runs after the chunks that were received together.
+    body_timer_.Schedule(Duration::zero());
   }
 }
 
+auto UpstreamConnection::PassOnBody() -> void {
+  body_timer_.Cancel();
+  if (evbuffer_get_length(body_.get()) > 0 && observer_.on_body) {
+    observer_.on_body(body_.get());
+  }
+  evbuffer_drain(body_.get(), evbuffer_get_length(body_.get()));
+}
+
 auto UpstreamConnection::OnResponseEnd(evhttp_request* request) -> void {
   if (!busy_) {
     return;
@@ -521,6 +570,12 @@
 }
 
 auto UpstreamConnection::Finish(AttemptResult result) -> void {
+  PassOnBody();
+  request_ = nullptr;
+  // An idle connection keeps neither heads nor the start of a line.
+  request_head_ = {};
+  response_head_ = {};
+  scanner_ = AnswerScanner();
   busy_ = false;
   paused_ = false;
   held_.Set(0);
--- a/src/node/traffic/upstream_connection.h
+++ b/src/node/traffic/upstream_connection.h
@@ -14,6 +14,7 @@
 #include "core/time.h"
 #include "decision/dispatch/attempt.h"
 #include "decision/gateway/load_estimate.h"
+#include "decision/memory/socket_buffers.h"
 #include "node/traffic/answer_memory.h"
 #include "node/traffic/answer_scanner.h"
 #include "node/traffic/connection_part.h"
@@ -70,7 +71,8 @@
     // Called with the response head, unless the response reports that the
     // request was not run.
     std::function<void(const ResponseHead&)> on_head;
-    // Called with a part of the response body. Data that the callback leaves in
+    // Called with a part of the response body, which has several chunks if they
+    // are small. Data that the callback leaves in
     // the buffer is discarded.
     std::function<void(evbuffer*)> on_body;
     // Called exactly once, as the last callback, unless Abandon() was called.
@@ -129,6 +131,12 @@
     on_idle_close_ = std::move(on_idle_close);
   }
 
+  // Sets the kernel's buffers for the connection. Call before the first
+  // request.
+  auto set_socket_buffers(const SocketBuffers& buffers) -> void {
+    socket_buffers_ = buffers;
+  }
+
   // Counts the connection for as long as it exists.
   auto set_share(ConnectionPart::Share share) -> void {
     share_ = std::move(share);
@@ -143,6 +151,10 @@
 
   // Stops all reads and writes of evhttp on this connection.
   auto StopAllIo() -> void;
+  // Memory of what was received and not passed on.
+  [[nodiscard]] auto HeldBytes() const -> std::size_t;
+  // Passes on what was collected of the body.
+  auto PassOnBody() -> void;
   // Called when input arrives while the request is still being written.
   auto OnEarlyResponse() -> void;
   // Checks the raw answer, and the limits on what a target may make this
@@ -154,8 +166,8 @@
   auto EndOversized() -> void;
   // Ends the attempt in a later event and discards the input.
   auto EndBroken() -> void;
-  // Sets TCP_NODELAY, and the options by which the kernel detects a dead
-  // connection.
+  // Sets TCP_NODELAY, the size of the buffers, and the options by which the
+  // kernel detects a dead connection.
   auto SetSocketOptions() -> void;
   auto OnResponseHead(evhttp_request* request) -> bool;
   auto OnResponseBody(evhttp_request* request) -> void;
@@ -184,8 +196,15 @@
   ResponseHead response_head_;
   UpstreamSignals signals_;
   AnswerScanner scanner_;
-  // Unparsed input of the connection.
+  // Input of the connection that is not parsed, the fields of the answer, and
+  // body_.
   AnswerMemory::Share held_;
+  // Small parts of the body that are passed on together.
+  EvbufferPtr body_ = MakeEvbuffer();
+  EventLoop::Handle body_timer_;
+  SocketBuffers socket_buffers_;
+  // The current request, which evhttp owns.
+  evhttp_request* request_ = nullptr;
   // Bytes received for the current request, and those passed on as the body.
   std::uint64_t received_bytes_ = 0;
   std::uint64_t body_bytes_ = 0;
--- a/src/node/traffic/upstream_pool.cc
+++ b/src/node/traffic/upstream_pool.cc
@@ -4,6 +4,13 @@
 #include <utility>
 
 namespace flamingoyoke {
+namespace {
+
+// The kernel's buffers for targets have a quarter of what answers may take in
+// the process.
+constexpr std::uint64_t kAnswerMemoryPerBufferMemory = 4;
+
+}  // namespace
 
 UpstreamPool::UpstreamPool(EventLoop& loop,
                            UpstreamInterface interface,
@@ -72,6 +79,8 @@
     lease.connection = std::make_unique<UpstreamConnection>(
         loop_, entry.spec.host, entry.spec.port, interface_, memory_);
     lease.connection->set_share(ConnectionPart::Share(part_));
+    lease.connection->set_socket_buffers(SocketBuffersFor(
+        memory_.limit() / kAnswerMemoryPerBufferMemory, part_.used()));
   }
   ++entry.leased;
   return lease;
--- a/tests/integration/support/gateway_figures.cc
+++ b/tests/integration/support/gateway_figures.cc
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 
 namespace flamingoyoke::integration {
@@ -43,6 +44,50 @@
   return static_cast<std::size_t>(std::distance(begin(folder), end(folder)));
 }
 
+auto SocketQueueBytes(pid_t pid) -> std::size_t {
+  std::set<std::string> inodes;
+  const std::string prefix = "socket:[";
+  std::error_code error;
+  const std::filesystem::directory_iterator folder(
+      "/proc/" + std::to_string(pid) + "/fd", error);
+  for (const auto& entry : folder) {
+    const auto link = std::filesystem::read_symlink(entry, error).string();
+    if (link.starts_with(prefix)) {
+      inodes.insert(
+          link.substr(prefix.size(), link.size() - prefix.size() - 1));
+    }
+  }
+  std::ifstream file("/proc/net/tcp");
+  std::string line;
+  std::getline(file, line);
+  std::size_t total = 0;
+  constexpr int kHex = 16;
+  constexpr const char* kListening = "0A";
+  while (std::getline(file, line)) {
+    std::istringstream fields(line);
+    std::string slot;
+    std::string local;
+    std::string remote;
+    std::string state;
+    std::string queues;
+    std::string timer;
+    std::string retransmits;
+    std::string user;
+    std::string timeout;
+    std::string inode;
+    fields >> slot >> local >> remote >> state >> queues >> timer >>
+        retransmits >> user >> timeout >> inode;
+    // The queue of a listener counts connections.
+    if (state == kListening || !inodes.contains(inode)) {
+      continue;
+    }
+    const auto colon = queues.find(':');
+    total += std::stoul(queues.substr(0, colon), nullptr, kHex) +
+             std::stoul(queues.substr(colon + 1), nullptr, kHex);
+  }
+  return total;
+}
+
 auto ReadMetric(PublishedStoreFleet& fleet,
                 std::size_t gateway,
                 const std::string& name) -> double {
--- a/tests/integration/support/gateway_figures.h
+++ b/tests/integration/support/gateway_figures.h
@@ -20,6 +20,11 @@
 // Number of descriptors that `pid` has open.
 auto CountDescriptors(pid_t pid) -> std::size_t;
 
+// Bytes that the kernel holds in the queues of the IPv4 TCP sockets of `pid`:
+// received ones that it didn't read, and written ones that were not
+// acknowledged.
+auto SocketQueueBytes(pid_t pid) -> std::size_t;
+
 // Returns the value of a metric without labels, or -1 if it cannot be read.
 auto ReadMetric(PublishedStoreFleet& fleet,
                 std::size_t gateway,
