--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -307,7 +307,7 @@
     return;
   }
   held_.Set(HeldBytes());
-  // Another connection that holds most may be closed instead.
+  // Set() ends the connection that holds most, which may be this one.
   if (broken_) {
     return;
   }
@@ -371,6 +371,7 @@
   on_idle_close_ = nullptr;
   busy_ = false;
   must_close_ = true;
+  request_ = nullptr;
   held_.Set(0);
   timer_.Cancel();
   body_timer_.Cancel();
--- a/tests/integration/support/unruly_target.cc
+++ b/tests/integration/support/unruly_target.cc
@@ -17,6 +17,8 @@
 
 constexpr int kBacklog = 1024;
 constexpr int kPollMs = 50;
+// The gateway has taken the answer by then.
+constexpr std::chrono::milliseconds kIdleTime(500);
 constexpr std::size_t kReadBytes = 16 << 10;
 constexpr std::size_t kPieceBytes = 16 << 10;
 // Above the number of callers of a test.
@@ -39,6 +41,7 @@
     case EndlessPart::kField:
     case EndlessPart::kBodyByLength:
     case EndlessPart::kAfterAnswer:
+    case EndlessPart::kOnIdleConnection:
       return std::string(kPieceBytes, 'x');
     case EndlessPart::kFields:
     case EndlessPart::kTrailer:
@@ -55,8 +58,8 @@
 
 // Returns what comes before the bytes that repeat.
 auto PrefixOf(EndlessPart part, const std::string& fields) -> std::string {
-  const auto head = "HTTP/1.1 200 OK\r\n" + fields;
-  const auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  auto head = "HTTP/1.1 200 OK\r\n" + fields;
+  auto chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
   switch (part) {
     case EndlessPart::kStatusLine:
       return "HTTP/1.1 200 ";
@@ -75,6 +78,7 @@
     case EndlessPart::kInterimResponses:
       return "";
     case EndlessPart::kAfterAnswer:
+    case EndlessPart::kOnIdleConnection:
       return head + "Content-Length: 4\r\n\r\nbody";
   }
   return "";
@@ -126,6 +130,7 @@
 
 auto UnrulyTarget::Run() -> void {
   while (!is_stopping_) {
+    StartDue();
     std::vector<pollfd> watched = {
         {.fd = listener_, .events = POLLIN, .revents = 0}};
     for (const auto& [descriptor, connection] : connections_) {
@@ -188,8 +193,21 @@
   connection.output += PrefixOf(
       part_, "X-Request-Id: " + id + "\r\nX-Gateway-Signature: " + name() +
                  "." + id + "\r\n");
-  connection.is_answering = true;
   ++answered_;
+  if (part_ == EndlessPart::kOnIdleConnection) {
+    connection.starts_at = std::chrono::steady_clock::now() + kIdleTime;
+  } else {
+    connection.is_answering = true;
+  }
+}
+
+auto UnrulyTarget::StartDue() -> void {
+  const auto now = std::chrono::steady_clock::now();
+  for (auto& [descriptor, connection] : connections_) {
+    if (connection.starts_at && *connection.starts_at <= now) {
+      connection.is_answering = true;
+    }
+  }
 }
 
 auto UnrulyTarget::Write(int descriptor, Connection& connection) -> bool {
--- a/tests/integration/support/unruly_target.h
+++ b/tests/integration/support/unruly_target.h
@@ -3,8 +3,10 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <thread>
 #include <unordered_map>
@@ -26,6 +28,8 @@
   kInterimResponses,
   // Bytes after a complete answer.
   kAfterAnswer,
+  // The same some time later, when the connection is idle.
+  kOnIdleConnection,
 };
 
 }  // namespace integration
@@ -43,6 +47,7 @@
       {Part::kTrailer, "trailer"},
       {Part::kInterimResponses, "interim-responses"},
       {Part::kAfterAnswer, "after-answer"},
+      {Part::kOnIdleConnection, "on-idle-connection"},
   });
 };
 static_assert(IsDense<integration::EndlessPart>());
@@ -74,6 +79,8 @@
     std::string input;
     std::string output;
     bool is_answering = false;
+    // When the bytes without an end start, if not at once.
+    std::optional<std::chrono::steady_clock::time_point> starts_at;
   };
 
   auto Run() -> void;
@@ -81,6 +88,8 @@
   auto Read(int descriptor, Connection& connection) -> bool;
   auto Write(int descriptor, Connection& connection) -> bool;
   auto StartAnswer(Connection& connection) -> void;
+  // Starts the bytes without an end that are due.
+  auto StartDue() -> void;
 
   const EndlessPart part_;
   int listener_;
