--- a/src/node/control/mesh/mesh_config.h
+++ b/src/node/control/mesh/mesh_config.h
@@ -1,6 +1,7 @@
 #ifndef FLAMINGOYOKE_NODE_CONTROL_MESH_MESH_CONFIG_H_
 #define FLAMINGOYOKE_NODE_CONTROL_MESH_MESH_CONFIG_H_
 
+#include <cstdint>
 #include <string>
 
 #include "core/ids.h"
@@ -18,6 +19,8 @@
   // prove possession of it.
   std::string public_key;
   std::string secret_key;
+  // Bound of what is held for connections of peers without keys.
+  std::uint64_t receive_memory_bytes = 32ULL << 20;
 
   [[nodiscard]] auto HasKeys() const -> bool { return !public_key.empty(); }
 };
--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -1,9 +1,7 @@
 #include "node/control/mesh/mesh_task.h"
 
 #include <google/protobuf/stubs/logging.h>
-#include <zmq.h>
 
-#include <cerrno>
 #include <iterator>
 #include <string>
 #include <type_traits>
@@ -11,7 +9,6 @@
 #include <vector>
 
 #include "core/overloaded.h"
-#include "node/control/mesh/socket_options.h"
 #include "node/listen_error.h"
 #include "node/log.h"
 #include "runtime/resource_check.h"
@@ -20,14 +17,7 @@
 namespace flamingoyoke {
 namespace {
 
-// How long libzmq may call accept() in vain while descriptors are used up.
-constexpr Duration kListenerCheckPeriod = std::chrono::milliseconds(250);
 constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
-// Messages received before control returns to the event loop, so that sending
-// is not starved. The fleet task on the same loop handles as many in its turn;
-// more would overflow its mailbox.
-constexpr int kMaxReceiveBatch = 64;
-
 // libzmq 4.3.4 aborts the process if its context is refused a thread or a
 // descriptor. It starts two threads. The headroom is less than at the start of
 // the process, so that a process that has started in part goes first.
@@ -66,8 +56,10 @@
   } catch (const zmq::error_t& error) {
     return FailListen(config_.address, error.num(), error.what());
   }
+  // Also how long libzmq may call accept() in vain while descriptors are used
+  // up.
   listener_timer_ = context.loop().MakePeriodicTimer(
-      kListenerCheckPeriod, [this] { listener_.Check(); });
+      PeerServer::kCheckPeriod, [this] { CheckReceiver(); });
   metrics_timer_ = context.loop().MakePeriodicTimer(
       kMetricsPeriod, [this] { ReportMetrics(); });
   outlets_.fleet.Post(PeerServerStarted{});
@@ -78,20 +70,23 @@
 auto MeshTask::Listen(EventLoop& loop) -> Result<void> {
   BOOST_LEAF_CHECK(listener_.Listen(config_.address));
   zmq_context_.emplace(/*io_threads=*/1);
-  receiver_ = zmq::socket_t(*zmq_context_, zmq::socket_type::router);
-  SetReceiverOptions(receiver_);
-  if (config_.HasKeys()) {
-    authenticator_.emplace(*zmq_context_, loop, config_);
-    SetKeys(receiver_, config_, /*is_server=*/true);
+  if (!config_.HasKeys()) {
+    // The first socket starts the threads of libzmq. Later the system may
+    // refuse them, which would end the process.
+    const zmq::socket_t first(*zmq_context_, zmq::socket_type::dealer);
+    receiver_.emplace<PeerServer>(
+        loop, listener_,
+        PeerServer::Limits{.message_bytes = kMaxEnvelopeBytes,
+                           .memory_bytes = config_.receive_memory_bytes},
+        [this](std::string_view bytes) { return Receive(bytes); });
+    return {};
   }
-  BOOST_LEAF_AUTO(descriptor, listener_.Duplicate());
-  receiver_.set(zmq::sockopt::use_fd, descriptor);
-  receiver_.bind("tcp://" + config_.address);
-  receive_watch_ = loop.WatchReadable(receiver_.get(zmq::sockopt::fd),
-                                      [this] { ReceiveAll(); });
-  receive_timer_ = loop.MakeTimer([this] { ReceiveAll(); });
-  ReceiveAll();
-  return {};
+  auto& router = receiver_.emplace<RouterReceiver>(
+      loop, RouterReceiver::Callbacks{
+                [this](std::string_view bytes) { Receive(bytes); },
+                [this](Error error) { context_->Abort(std::move(error)); }});
+  authenticator_.emplace(*zmq_context_, loop, config_);
+  return router.Start(*zmq_context_, config_, listener_);
 }
 
 auto MeshTask::Handle(Message message) -> Result<void> {
@@ -177,39 +172,8 @@
   Connect(vm, peer->second);
 }
 
-auto MeshTask::ReceiveAll() -> void {
-  try {
-    ReceiveBatch();
-  } catch (const zmq::error_t& error) {
-    // An exception must not reach libevent, which would end the process.
-    if (error.num() == EINTR) {
-      receive_timer_.Schedule(Duration::zero());
-      return;
-    }
-    context_->Abort({ErrorKind::kSocketFailed,
-                     std::string("cannot receive: ") + error.what()});
-  }
-}
-
-auto MeshTask::ReceiveBatch() -> void {
+auto MeshTask::Receive(std::string_view bytes) -> bool {
   const WorkTimes::Scope work(work_times_, ToName(WorkKind::kDecode));
-  // The ZeroMQ descriptor is edge-triggered: it does not signal again until the
-  // socket has been drained.
-  for (int received = 0; received < kMaxReceiveBatch;) {
-    zmq::message_t frame;
-    if (!receiver_.recv(frame, zmq::recv_flags::dontwait)) {
-      return;
-    }
-    const auto is_payload = !frame.more();
-    if (is_payload) {
-      ++received;
-      Receive(frame.to_string_view());
-    }
-  }
-  receive_timer_.Schedule(Duration::zero());
-}
-
-auto MeshTask::Receive(std::string_view bytes) -> void {
   ++counts_.received_messages;
   counts_.received_bytes += bytes.size();
   std::optional<PeerEnvelope> envelope;
@@ -218,11 +182,12 @@
   if (error) {
     ++counts_.malformed_messages;
     Log(Part::kMesh, LogLevel::kWarning, "dropped a malformed peer message");
-    return;
+    return false;
   }
   traffic_.Add(TrafficDirection::kReceived, KindOf(envelope->message),
                LinkTo(envelope->sender), bytes.size());
   Deliver(std::move(*envelope));
+  return true;
 }
 
 auto MeshTask::LinkTo(const VmId& vm) const -> LinkClass {
@@ -240,6 +205,26 @@
   }
 }
 
+auto MeshTask::CheckReceiver() -> void {
+  listener_.Check();
+  std::visit(Overloaded{
+                 [](std::monostate) {},
+                 [](const RouterReceiver&) {},
+                 [](PeerServer& server) { server.Check(); },
+             },
+             receiver_);
+}
+
+auto MeshTask::AppendReceiverTo(std::vector<MetricSample>& samples) const
+    -> void {
+  std::visit(Overloaded{
+                 [](std::monostate) {},
+                 [](const RouterReceiver&) {},
+                 [&](const PeerServer& server) { server.AppendTo(samples); },
+             },
+             receiver_);
+}
+
 auto MeshTask::ReportMetrics() -> void {
   const auto refused =
       authenticator_ ? authenticator_->refused_count() : std::uint64_t{0};
@@ -272,6 +257,7 @@
        .is_counter = false,
        .value = listener_.is_paused() ? 1.0 : 0.0},
   };
+  AppendReceiverTo(samples);
   auto by_kind = traffic_.Samples();
   std::move(by_kind.begin(), by_kind.end(), std::back_inserter(samples));
   work_times_.AppendTo(samples);
--- a/src/node/control/mesh/mesh_task.h
+++ b/src/node/control/mesh/mesh_task.h
@@ -7,13 +7,17 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
+#include <vector>
 #include <zmq.hpp>
 
 #include "core/result.h"
 #include "node/control/mesh/key_authenticator.h"
 #include "node/control/mesh/mesh_config.h"
 #include "node/control/mesh/peer_listener.h"
+#include "node/control/mesh/peer_server.h"
 #include "node/control/mesh/peer_socket.h"
+#include "node/control/mesh/router_receiver.h"
 #include "node/control/mesh/traffic_counts.h"
 #include "node/messages.h"
 #include "node/work_times.h"
@@ -28,8 +32,9 @@
   Mailbox<TelemetryMessage>& telemetry;
 };
 
-// Owns the sockets between nodes: one ROUTER that receives from all peers, and
-// one DEALER per peer for sending. Only encodes, decodes and delivers messages;
+// Owns the sockets between nodes: one receiver of all peers, and one DEALER per
+// peer for sending. The receiver is a ROUTER socket with keys and a PeerServer
+// without. Only encodes, decodes and delivers messages;
 // contains no decision logic.
 class MeshTask {
  public:
@@ -63,12 +68,13 @@
   auto Connect(const VmId& vm, const std::string& endpoint) -> void;
   // Replaces the connection to a peer, which a middlebox may have dropped.
   auto Reconnect(const VmId& vm) -> void;
-  auto ReceiveAll() -> void;
-  // Throws zmq::error_t.
-  auto ReceiveBatch() -> void;
-  auto Receive(std::string_view bytes) -> void;
+  // Returns whether the message was valid.
+  auto Receive(std::string_view bytes) -> bool;
   auto Deliver(PeerEnvelope envelope) -> void;
   [[nodiscard]] auto LinkTo(const VmId& vm) const -> LinkClass;
+  // Checks the descriptors and the connections of peers.
+  auto CheckReceiver() -> void;
+  auto AppendReceiverTo(std::vector<MetricSample>& samples) const -> void;
   auto ReportMetrics() -> void;
 
   MeshConfig config_;
@@ -78,7 +84,8 @@
   std::optional<zmq::context_t> zmq_context_;
   std::optional<KeyAuthenticator> authenticator_;
   PeerListener listener_;
-  zmq::socket_t receiver_;
+  // Empty until the task starts.
+  std::variant<std::monostate, RouterReceiver, PeerServer> receiver_;
   // The peers to be connected to. One that the system refused a socket for has
   // none in `peers_` until its link is reopened.
   std::map<VmId, std::string> endpoints_;
@@ -87,8 +94,6 @@
   MessageCounts counts_;
   TrafficCounts traffic_;
   WorkTimes work_times_{Part::kMesh};
-  EventLoop::Handle receive_watch_;
-  EventLoop::Handle receive_timer_;
   EventLoop::Handle metrics_timer_;
   EventLoop::Handle listener_timer_;
 };
--- a/src/node/control/mesh/peer_listener.cc
+++ b/src/node/control/mesh/peer_listener.cc
@@ -61,6 +61,11 @@
   return copy;
 }
 
+auto PeerListener::Accept() -> OwnedDescriptor {
+  return OwnedDescriptor(accept4(socket_.number(), nullptr, nullptr,
+                                 SOCK_NONBLOCK | SOCK_CLOEXEC));
+}
+
 auto PeerListener::Check() -> void {
   const auto free = CountFreeDescriptors(kResumeFrom);
   if (!is_paused_ && free < kPauseBelow) {
--- a/src/node/node_config.cc
+++ b/src/node/node_config.cc
@@ -36,6 +36,11 @@
 // of the memory of the smallest VMs.
 constexpr std::uint64_t kCallerMemoryNumerator = 5;
 constexpr std::uint64_t kCallerMemoryDenominator = 16;
+// Divides the memory of the VM to limit what peers without keys may make it
+// hold. The least leaves room for a message of the largest size beside all
+// connections.
+constexpr std::uint64_t kPeerMemoryDivisor = 16;
+constexpr std::uint64_t kMinPeerMemoryBytes = 4'000'000;
 constexpr std::uint64_t kBytesPerMegabyte = 1'000'000;
 
 auto FormatAddress(const NamedEndpoint& address) -> std::string {
@@ -156,6 +161,9 @@
   MeshConfig config{.self = settings_.vm.id,
                     .incarnation = incarnation_,
                     .address = FormatAddress(settings_.mesh.address)};
+  config.receive_memory_bytes =
+      std::max(kMinPeerMemoryBytes,
+               settings_.vm.memory_mb * kBytesPerMegabyte / kPeerMemoryDivisor);
   if (settings_.mesh.keys) {
     config.public_key = settings_.mesh.keys->public_key;
     config.secret_key = settings_.mesh.keys->secret_key;
--- a/tests/unit/node/control/mesh/mesh_stranger.h
+++ b/tests/unit/node/control/mesh/mesh_stranger.h
@@ -3,7 +3,10 @@
 
 #include <sys/socket.h>
 
+#include <array>
+#include <cerrno>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -45,10 +48,30 @@
   auto Write(std::string_view bytes) -> bool { return socket_.Write(bytes); }
 
   // Opens the connection in order. ZeroMQ ignores messages that arrive together
-  // with the handshake. Returns whether the other side followed.
-  auto ShakeHands() -> bool {
-    return Write(Greeting()) && ReadBytes(Greeting().size()) &&
-           Write(Ready()) && ReadBytes(1);
+  // with the handshake. `let_answer` is called before each answer is read, for
+  // another side that runs on this thread. Returns whether the other side
+  // followed.
+  auto ShakeHands(const std::function<void()>& let_answer = [] {}) -> bool {
+    if (!Write(Greeting())) {
+      return false;
+    }
+    let_answer();
+    if (!ReadBytes(Greeting().size()) || !Write(Ready())) {
+      return false;
+    }
+    let_answer();
+    return ReadBytes(1);
+  }
+
+  // Whether the other side closed the connection. Drops what it sent.
+  [[nodiscard]] auto IsClosed() const -> bool {
+    std::array<char, 256> bytes{};
+    ssize_t received = 0;
+    do {
+      received =
+          recv(socket_.descriptor(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+    } while (received > 0);
+    return received == 0 || errno != EAGAIN;
   }
 
   // Resets the connection instead of closing it in order.
--- a/tests/unit/node/control/mesh/mesh_task_test.cc
+++ b/tests/unit/node/control/mesh/mesh_task_test.cc
@@ -29,6 +29,7 @@
 constexpr std::size_t kAnswerBytes = 32 << 10;
 // Longer than the heartbeat period of a ZeroMQ connection that has one.
 constexpr auto kTimerWait = std::chrono::milliseconds(2500);
+constexpr auto kHandshakeWait = std::chrono::milliseconds(100);
 constexpr auto kDeliveryWait = std::chrono::milliseconds(300);
 
 // A mesh task whose thread gets no processor time unless the test calls Run().
@@ -69,11 +70,16 @@
     loop_.Run();
   }
 
+  // Lets `peer` connect, which the task runs for. Returns whether it followed.
+  auto ShakeHandsWith(MeshStranger& peer) -> bool {
+    return peer.ShakeHands([this] { Run(kHandshakeWait); });
+  }
+
   // Whether the task receives the message of a peer.
   auto Receives() -> bool {
     mailboxes_.fleet.TakeAll();
     MeshStranger peer(port_);
-    cr_assert(peer.ShakeHands());
+    cr_assert(ShakeHandsWith(peer));
     const PeerEnvelope envelope{VmId("vm-b"), Incarnation(1), Heartbeat{}};
     peer.Write(MeshStranger::Message(EncodeEnvelope(envelope)));
     return ReceivesAny();
@@ -115,7 +121,7 @@
 Test(mesh_task, survives_the_reset_of_a_connection_with_a_full_queue) {
   StarvedMesh mesh;
   MeshStranger peer(mesh.port());
-  cr_assert(peer.ShakeHands());
+  cr_assert(mesh.ShakeHandsWith(peer));
   std::string flood;
   for (int i = 0; i < kFloodMessages; ++i) {
     flood += MeshStranger::Message("x");
@@ -133,7 +139,7 @@
 Test(mesh_task, survives_heartbeats_queued_before_a_reset) {
   StarvedMesh mesh;
   MeshStranger peer(mesh.port());
-  cr_assert(peer.ShakeHands());
+  cr_assert(mesh.ShakeHandsWith(peer));
   std::string flood;
   for (int i = 0; i < kFloodMessages; ++i) {
     flood += MeshStranger::Message("x");
@@ -217,7 +223,7 @@
 Test(mesh_task, pauses_the_listener_while_descriptors_are_used_up) {
   StarvedMesh mesh;
   MeshStranger connected(mesh.port());
-  cr_assert(connected.ShakeHands());
+  cr_assert(mesh.ShakeHandsWith(connected));
   const int waiting = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const auto before = UseAllDescriptors();
   sockaddr_in address{};
