--- a/tests/unit/node/control/mesh/peer_server_test.cc
+++ b/tests/unit/node/control/mesh/peer_server_test.cc
@@ -138,8 +138,9 @@
     dealer.send(zmq::buffer(std::string_view("small")), zmq::send_flags::none);
     dealer.send(zmq::buffer(large), zmq::send_flags::none);
     server.Run(std::chrono::milliseconds(500));
-    cr_expect(server.TakeMessages() == std::vector<std::string>{"small", large},
-              "heartbeats each %d ms", heartbeat_ms);
+    const std::vector<std::string> expected = {"small", large};
+    cr_expect(server.TakeMessages() == expected, "heartbeats each %d ms",
+              heartbeat_ms);
     server.Run(std::chrono::milliseconds(500));
     dealer.send(zmq::buffer(std::string_view("late")), zmq::send_flags::none);
     server.Run();
