--- a/tests/unit/node/control/mesh/mesh_task_test.cc
+++ b/tests/unit/node/control/mesh/mesh_task_test.cc
@@ -6,7 +6,9 @@
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <zmq.h>
 
+#include <array>
 #include <chrono>
 #include <ctime>
 #include <string>
@@ -263,4 +265,53 @@
   cr_assert_eq(poll(&connection, 1, 0), 1);
 }
 
+// Guards against a fleet with keys whose VMs don't hear each other, and against
+// peers without the keys that are heard.
+Test(mesh_task, only_peers_with_the_keys_are_heard) {
+  std::array<char, 41> public_key{};
+  std::array<char, 41> secret_key{};
+  cr_assert_eq(zmq_curve_keypair(public_key.data(), secret_key.data()), 0);
+  EventLoop loop;
+  Mailboxes mailboxes;
+  TaskContext context(loop);
+  const auto port = TestListener().port();
+  const auto address = "127.0.0.1:" + std::to_string(port);
+  MeshTask receiver({.self = VmId("vm-b"),
+                     .incarnation = Incarnation(1),
+                     .address = address,
+                     .public_key = public_key.data(),
+                     .secret_key = secret_key.data()},
+                    {mailboxes.fleet, mailboxes.traffic, mailboxes.telemetry});
+  cr_assert_not(CaptureError([&] { return receiver.Start(context); }));
+  const auto is_heard = [&](MeshConfig config) {
+    const auto own_port = TestListener().port();
+    config.address = "127.0.0.1:" + std::to_string(own_port);
+    Mailboxes own;
+    MeshTask sender(config, {own.fleet, own.traffic, own.telemetry});
+    TaskContext own_context(loop);
+    cr_assert_not(CaptureError([&] { return sender.Start(own_context); }));
+    cr_assert_not(CaptureError([&] {
+      return sender.Handle(PeerEndpointsChanged{{{VmId("vm-b"), address}}});
+    }));
+    auto timer = loop.MakeTimer([&] { loop.Quit(); });
+    mailboxes.fleet.TakeAll();
+    for (int i = 0; i < 2; ++i) {
+      timer.Schedule(kDeliveryWait);
+      loop.Run();
+      cr_assert_not(CaptureError([&] {
+        return sender.Handle(
+            PeerMessageToSend{SendToPeer{VmId("vm-b"), Heartbeat{}}});
+      }));
+    }
+    timer.Schedule(kDeliveryWait);
+    loop.Run();
+    return !mailboxes.fleet.TakeAll().empty();
+  };
+  MeshConfig config{.self = VmId("vm-a"), .incarnation = Incarnation(1)};
+  cr_expect_not(is_heard(config), "without keys");
+  config.public_key = public_key.data();
+  config.secret_key = secret_key.data();
+  cr_expect(is_heard(config), "with keys");
+}
+
 }  // namespace flamingoyoke
