--- a/tests/unit/node/control/mesh/mesh_task_test.cc
+++ b/tests/unit/node/control/mesh/mesh_task_test.cc
@@ -6,7 +6,9 @@
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <zmq.h>
 
+#include <array>
 #include <chrono>
 #include <ctime>
 #include <optional>
@@ -30,6 +32,7 @@
 constexpr std::size_t kAnswerBytes = 32 << 10;
 // Longer than the heartbeat period of a ZeroMQ connection that has one.
 constexpr auto kTimerWait = std::chrono::milliseconds(2500);
+constexpr auto kHandshakeWait = std::chrono::milliseconds(100);
 constexpr auto kDeliveryWait = std::chrono::milliseconds(300);
 
 // A mesh task whose thread gets no processor time unless the test calls Run().
@@ -77,11 +80,16 @@
     loop_.Run();
   }
 
+  // Lets `peer` connect, which the task runs for. Returns whether it followed.
+  auto ShakeHandsWith(MeshStranger& peer) -> bool {
+    return peer.ShakeHands([this] { Run(kHandshakeWait); });
+  }
+
   // Whether the task receives the message of a peer.
   auto Receives() -> bool {
     mailboxes_.fleet.TakeAll();
     MeshStranger peer(port_);
-    cr_assert(peer.ShakeHands());
+    cr_assert(ShakeHandsWith(peer));
     const PeerEnvelope envelope{VmId("vm-b"), Incarnation(1), Heartbeat{}};
     peer.Write(MeshStranger::Message(EncodeEnvelope(envelope)));
     return ReceivesAny();
@@ -184,7 +192,7 @@
 Test(mesh_task, survives_the_reset_of_a_connection_with_a_full_queue) {
   StarvedMesh mesh;
   MeshStranger peer(mesh.port());
-  cr_assert(peer.ShakeHands());
+  cr_assert(mesh.ShakeHandsWith(peer));
   std::string flood;
   for (int i = 0; i < kFloodMessages; ++i) {
     flood += MeshStranger::Message("x");
@@ -202,7 +210,7 @@
 Test(mesh_task, survives_heartbeats_queued_before_a_reset) {
   StarvedMesh mesh;
   MeshStranger peer(mesh.port());
-  cr_assert(peer.ShakeHands());
+  cr_assert(mesh.ShakeHandsWith(peer));
   std::string flood;
   for (int i = 0; i < kFloodMessages; ++i) {
     flood += MeshStranger::Message("x");
@@ -286,7 +294,7 @@
 Test(mesh_task, pauses_the_listener_while_descriptors_are_used_up) {
   StarvedMesh mesh;
   MeshStranger connected(mesh.port());
-  cr_assert(connected.ShakeHands());
+  cr_assert(mesh.ShakeHandsWith(connected));
   const int waiting = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   const auto before = UseAllDescriptors();
   sockaddr_in address{};
@@ -326,4 +334,53 @@
   cr_assert_eq(poll(&connection, 1, 0), 1);
 }
 
+// Guards against a fleet with keys whose VMs don't hear each other, and against
+// peers without the keys that are heard.
+Test(mesh_task, only_peers_with_the_keys_are_heard) {
+  std::array<char, 41> public_key{};
+  std::array<char, 41> secret_key{};
+  cr_assert_eq(zmq_curve_keypair(public_key.data(), secret_key.data()), 0);
+  EventLoop loop;
+  Mailboxes mailboxes;
+  TaskContext context(loop);
+  const auto port = TestListener().port();
+  const auto address = "127.0.0.1:" + std::to_string(port);
+  MeshTask receiver({.self = VmId("vm-b"),
+                     .incarnation = Incarnation(1),
+                     .address = address,
+                     .public_key = public_key.data(),
+                     .secret_key = secret_key.data()},
+                    {mailboxes.fleet, mailboxes.traffic, mailboxes.telemetry});
+  cr_assert_not(CaptureError([&] { return receiver.Start(context); }));
+  const auto is_heard = [&](MeshConfig config) {
+    const auto own_port = TestListener().port();
+    config.address = "127.0.0.1:" + std::to_string(own_port);
+    Mailboxes own;
+    MeshTask sender(config, {own.fleet, own.traffic, own.telemetry});
+    TaskContext own_context(loop);
+    cr_assert_not(CaptureError([&] { return sender.Start(own_context); }));
+    cr_assert_not(CaptureError([&] {
+      return sender.Handle(PeerEndpointsChanged{{{VmId("vm-b"), address}}});
+    }));
+    auto timer = loop.MakeTimer([&] { loop.Quit(); });
+    mailboxes.fleet.TakeAll();
+    for (int i = 0; i < 2; ++i) {
+      timer.Schedule(kDeliveryWait);
+      loop.Run();
+      cr_assert_not(CaptureError([&] {
+        return sender.Handle(
+            PeerMessageToSend{SendToPeer{VmId("vm-b"), Heartbeat{}}});
+      }));
+    }
+    timer.Schedule(kDeliveryWait);
+    loop.Run();
+    return !mailboxes.fleet.TakeAll().empty();
+  };
+  MeshConfig config{.self = VmId("vm-a"), .incarnation = Incarnation(1)};
+  cr_expect_not(is_heard(config), "without keys");
+  config.public_key = public_key.data();
+  config.secret_key = secret_key.data();
+  cr_expect(is_heard(config), "with keys");
+}
+
 }  // namespace flamingoyoke
