Have the test of a batch avoid each target in turn

With one target avoided, the test passed with a gateway that used the first report of a batch only, if this VM happened to own the other target.

--- a/tests/unit/node/traffic/gateway/gateway_task_test.cc
+++ b/tests/unit/node/traffic/gateway/gateway_task_test.cc
@@ -234,28 +234,32 @@
 }
 
 // Guards against a batch of which only a part is used. The peer says that it
-// avoids a target of each service, so the other one gets all requests.
+// avoids a target of each service, so the other one gets all requests. Each is
+// avoided in turn, since this VM prefers the one that it owns.
 Test(gateway_task, uses_all_reports_of_a_batch) {
-  UpstreamFake avoided(
-      Always(Answer("200 OK\r\nId: req-1\r\nSigned: x", "avoided")));
-  UpstreamFake other(
-      Always(Answer("200 OK\r\nId: req-1\r\nSigned: x", "other")));
-  GatewayFixture gateway({avoided.port(), other.port()});
-  const VmId peer("vm-b");
-  gateway.Publish({avoided.port(), other.port()}, true, {}, {peer});
-  const auto port = std::to_string(avoided.port());
+  UpstreamFake first(
+      Always(Answer("200 OK\r\nId: req-1\r\nSigned: x", "first")));
+  UpstreamFake second(
+      Always(Answer("200 OK\r\nId: req-1\r\nSigned: x", "second")));
   const auto report = [](const std::string& service, const std::string& id) {
     return OutcomeReport{ServiceId(service),
                          {TargetOutcomes{.target = TargetId(id),
                                          .avoid = std::chrono::seconds(5)}}};
   };
-  gateway.Receive(
-      {peer, Incarnation(1),
-       OutcomeBatch{{report("s", "t" + port), report("s2", "u" + port)}}});
-  for (int i = 0; i < 6; ++i) {
-    for (const auto* path : {"/once/1", "/other/1"}) {
-      cr_assert_eq(gateway.Exchange(Request("POST", path, "o")).body, "other",
-                   "%s", path);
+  for (const bool avoids_first : {true, false}) {
+    GatewayFixture gateway({first.port(), second.port()});
+    const VmId peer("vm-b");
+    gateway.Publish({first.port(), second.port()}, true, {}, {peer});
+    const auto port =
+        std::to_string(avoids_first ? first.port() : second.port());
+    gateway.Receive(
+        {peer, Incarnation(1),
+         OutcomeBatch{{report("s", "t" + port), report("s2", "u" + port)}}});
+    for (int i = 0; i < 6; ++i) {
+      for (const auto* path : {"/once/1", "/other/1"}) {
+        cr_assert_eq(gateway.Exchange(Request("POST", path, "o")).body,
+                     avoids_first ? "second" : "first", "%s", path);
+      }
     }
   }
 }
