--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -18,9 +18,10 @@
 // Outcomes that change nothing for other gateways, such as successes on targets
 // that this gateway owns, are reported at this interval.
 constexpr Duration kCalmReportPeriod = std::chrono::milliseconds(250);
-// The interval grows by this multiple of the time that events wait in the loop
-// of the gateway, up to the maximum. Other gateways trust the slots in use for
-// a second, and a report may be as late as the events.
+// The interval grows for successes of healthy targets by this multiple of the
+// time that events wait in the loop of the gateway, up to the maximum. Other
+// gateways trust the slots in use for a second, and a report may be as late as
+// the events.
 constexpr int kCalmPerDelay = 4;
 constexpr Duration kMaxCalmReportPeriod = std::chrono::milliseconds(600);
 // A report that is sent together with one of another service goes after this
@@ -523,9 +524,11 @@
       std::max(kReportPeriod, kReportPeriodPerPeer *
                                   static_cast<std::int64_t>(peers_.size())) /
       divisor;
+  // Evidence about targets is no later while the processor is short.
+  const auto calm_period =
+      pool_.has_unexpected() ? kCalmReportPeriod : calm_report_period_;
   const bool is_calm_due =
-      !last_full_report_ ||
-      now_ - *last_full_report_ >= calm_report_period_ / divisor;
+      !last_full_report_ || now_ - *last_full_report_ >= calm_period / divisor;
   if (!pool_.has_unreported() || (!pool_.has_urgent() && !is_calm_due) ||
       (last_report_ && now_ - *last_report_ < period)) {
     return;
--- a/src/decision/gateway/pool_dispatcher.h
+++ b/src/decision/gateway/pool_dispatcher.h
@@ -198,7 +198,7 @@
   std::uint64_t last_report_sequence_ = 0;
   // Whether a report costs no message of its own while this event is handled.
   bool is_invited_ = false;
-  // Interval between reports of outcomes that change nothing for others.
+  // Interval between reports of successes of targets that look healthy.
   Duration calm_report_period_;
   std::optional<TimePoint> scheduled_wake_;
   std::vector<PoolAction> actions_;
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -723,9 +723,12 @@
 auto TargetPool::RecordEvidence(TargetState& state,
                                 Evidence evidence,
                                 TimePoint now) -> void {
-  const bool changes_belief =
-      evidence != Evidence::kSucceeded &&
+  const bool looked_healthy =
       state.health.UnhealthyProbability(now) < kAvoidThreshold;
+  const bool changes_belief =
+      evidence != Evidence::kSucceeded && looked_healthy;
+  has_unexpected_ =
+      has_unexpected_ || evidence != Evidence::kSucceeded || !looked_healthy;
   state.health.Add(evidence, now);
   if (evidence == Evidence::kSucceeded) {
     state.availability.OnSucceeded(now);
@@ -902,6 +905,7 @@
   }
   has_unreported_ = more;
   has_urgent_ = false;
+  has_unexpected_ = has_unexpected_ && only_urgent;
   return unreported;
 }
 
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -125,6 +125,9 @@
       -> std::vector<TargetOutcomes>;
   // Whether an outcome is unreported that changes what other gateways do.
   [[nodiscard]] auto has_urgent() const -> bool { return has_urgent_; }
+  // Returns whether an unreported outcome is other than a success of a target
+  // that looked healthy.
+  [[nodiscard]] auto has_unexpected() const -> bool { return has_unexpected_; }
   [[nodiscard]] auto has_unreported() const -> bool { return has_unreported_; }
 
   // Number of targets that this gateway owns.
@@ -347,6 +350,7 @@
   double once_trials_ = 1;
   bool has_unreported_ = false;
   bool has_urgent_ = false;
+  bool has_unexpected_ = false;
   // Whether other gateways own targets.
   bool has_other_owners_ = false;
 };
--- a/tests/unit/decision/gateway/pool_dispatcher_test.cc
+++ b/tests/unit/decision/gateway/pool_dispatcher_test.cc
@@ -624,6 +624,14 @@
     }
     now += milliseconds(20);
     cr_assert_eq(run(AttemptResult::kServerError, now), 1U);
+    // The next failure of the target is no surprise, but others learn from it.
+    now += milliseconds(20);
+    std::size_t further = 0;
+    while (further == 0) {
+      now += milliseconds(10);
+      further += run(AttemptResult::kServerError, now);
+      cr_assert_leq(ToMilliseconds(now - kStart), 3000 + 20 + 260 + 20);
+    }
     return reports;
   };
   cr_assert_eq(count(Duration::zero()), 12U);
