--- a/tests/unit/decision/gateway/pool_dispatcher_test.cc
+++ b/tests/unit/decision/gateway/pool_dispatcher_test.cc
@@ -569,6 +569,7 @@
 Test(pool_dispatcher, an_invitation_halves_the_wait_of_a_failure) {
   PoolDispatcher dispatcher(ServiceId("s"), Random(1), MakeLimits());
   std::vector<VmId> peers;
+  peers.reserve(12);
   for (int i = 0; i < 12; ++i) {
     peers.emplace_back("g" + std::to_string(i));
   }
