Play a fleet that is short of processor in the soak

No limit of the soak makes the whole fleet short of processor, and no check looks at answers after the timeout of a route.

Callers send the load of the settings for this limit. FLAMINGOYOKE_SOAK_LIMIT plays all seeds under one limit.

TIMEOUT: of the calls without an answer at the timeout of their route at most half have none 500 ms later, and not eight or more that are over a quarter. Routes whose callers may leave before that are not counted.

--- a/tests/integration/soak/call_checks.cc
+++ b/tests/integration/soak/call_checks.cc
@@ -22,6 +22,10 @@
 // A gateway is in touch when it was undisturbed for this long.
 constexpr auto kStableTime = seconds(3);
 
+// An answer must come this long after the timeout of the route.
+constexpr auto kHoldTime = milliseconds(500);
+constexpr std::size_t kMostHeld = 7;
+
 auto SaysNotRun(int status) -> bool {
   return status == 401 || status == 429 || status == 503 || status == 408 ||
          status == 421;
@@ -38,6 +42,11 @@
 
 }  // namespace
 
+auto HeldCalls::IsTooMany() const -> bool {
+  return unanswered * 2 > reached ||
+         (unanswered > kMostHeld && unanswered * 4 > reached);
+}
+
 CallChecks::CallChecks(const SoakSettings& settings,
                        const std::vector<GatewayHistory>& gateways,
                        TargetLogs logs)
@@ -78,6 +87,22 @@
          !IsHarmed(call.gateway, {call.time.end - kStableTime, last});
 }
 
+auto CallChecks::ReachesTimeout(const EndedCall& call) const -> bool {
+  const auto& route = settings_.routes[call.route];
+  const bool is_sent =
+      call.end != CallEnd::kNotSent && call.end != CallEnd::kUnexpected;
+  return is_sent && !call.is_behind &&
+         route.deadline >= route.timeout + kHoldTime &&
+         call.time.end > call.time.start + route.timeout &&
+         !IsHarmed(call.gateway, call.time);
+}
+
+auto CallChecks::IsHeld(const EndedCall& call) const -> bool {
+  return call.end != CallEnd::kAnswered ||
+         call.time.end >
+             call.time.start + settings_.routes[call.route].timeout + kHoldTime;
+}
+
 auto CallChecks::RunsOf(const EndedCall& call) const
     -> const std::vector<TargetRun>& {
   static const std::vector<TargetRun> none;
--- a/tests/integration/soak/call_checks.h
+++ b/tests/integration/soak/call_checks.h
@@ -43,6 +43,17 @@
   std::vector<TimePoint> starts;
 };
 
+// Calls that had no answer at the timeout of their route.
+struct HeldCalls {
+  std::size_t reached = 0;
+  // Those that had none half a second later either.
+  std::size_t unanswered = 0;
+
+  // Whether the gateways do not keep to the timeouts: over half of the calls
+  // are held, or eight and over a quarter.
+  [[nodiscard]] auto IsTooMany() const -> bool;
+};
+
 // Judges calls by what callers and targets saw. Not thread-safe.
 class CallChecks {
  public:
@@ -58,6 +69,12 @@
   // Returns whether the call reached a target long after its caller closed the
   // connection to an undisturbed gateway.
   [[nodiscard]] auto ArrivesAfterClose(const EndedCall& call) const -> bool;
+  // Returns whether the call had no answer of an undisturbed gateway at the
+  // timeout of its route, of which callers wait for half a second more.
+  [[nodiscard]] auto ReachesTimeout(const EndedCall& call) const -> bool;
+  // Returns whether it had none half a second later either. Precondition: it
+  // reaches its timeout.
+  [[nodiscard]] auto IsHeld(const EndedCall& call) const -> bool;
   // Returns the number of runs whose target broke off its answer.
   [[nodiscard]] auto CountBrokenOff() const -> std::size_t;
 
--- a/tests/integration/soak/gateway_watch.cc
+++ b/tests/integration/soak/gateway_watch.cc
@@ -20,17 +20,33 @@
 constexpr auto kHarmTime = milliseconds(100);
 constexpr auto kResumeTime = seconds(1);
 constexpr std::size_t kGatewaysPerLimitedOne = 3;
-// Lets the gateway, into which the shell turns, run 20 of each 100 ms until it
-// ends.
+constexpr auto kQuotaPeriod = milliseconds(100);
+constexpr auto kQuotaTime = milliseconds(20);
+// Lets the gateway, into which the shell turns, run for $2 after each pause of
+// $1 seconds until it ends.
 constexpr const char* kQuotaScript = R"(
+  pause=$1 run=$2; shift 2
   (exec {timer}<> <(:)
    while kill -STOP $$ 2>/dev/null; do
-     read -rt 0.08 -u $timer; kill -CONT $$; read -rt 0.02 -u $timer
+     read -rt $pause -u $timer; kill -CONT $$; read -rt $run -u $timer
    done) &
   exec "$@")";
 // A user without other processes.
 constexpr const char* kUnusedUser = "--reuid=64321";
 
+// Lets a gateway run for `time` of each period.
+auto QuotaLauncher(milliseconds time) -> std::vector<std::string> {
+  const auto to_seconds = [](milliseconds each) {
+    return std::to_string(std::chrono::duration<double>(each).count());
+  };
+  return {"bash",
+          "-c",
+          kQuotaScript,
+          "quota",
+          to_seconds(kQuotaPeriod - time),
+          to_seconds(time)};
+}
+
 // Whether process `pid` has set its handler of SIGTERM.
 auto HandlesStop(pid_t pid) -> bool {
   std::ifstream status("/proc/" + std::to_string(pid) + "/status");
@@ -164,6 +180,7 @@
 
 auto GatewayWatch::IsLimited(std::size_t index) const -> bool {
   return limit_ == SystemLimit::kOneCore || limit_ == SystemLimit::kTasks ||
+         limit_ == SystemLimit::kScarceProcessor ||
          index % kGatewaysPerLimitedOne == 0;
 }
 
@@ -176,7 +193,9 @@
     case SystemLimit::kNone:
       return {};
     case SystemLimit::kQuota:
-      return {"bash", "-c", kQuotaScript, "quota"};
+      return QuotaLauncher(kQuotaTime);
+    case SystemLimit::kScarceProcessor:
+      return QuotaLauncher(settings_.scarce_processor.run);
     case SystemLimit::kDescriptors256:
       return {"prlimit", "--nofile=256"};
     case SystemLimit::kDescriptors1024:
--- a/tests/integration/soak/soak.cc
+++ b/tests/integration/soak/soak.cc
@@ -31,6 +31,15 @@
 constexpr std::size_t kMostCalls = 1 << 20;
 constexpr std::size_t kMostCallerMessages = 1 << 12;
 
+// Returns the settings with the load that the fleet can serve under `limit`.
+auto WithLoadUnder(SystemLimit limit, SoakSettings settings) -> SoakSettings {
+  if (limit == SystemLimit::kScarceProcessor) {
+    settings.callers = settings.scarce_processor.callers;
+    settings.requests_per_s = settings.scarce_processor.requests_per_s;
+  }
+  return settings;
+}
+
 auto ToTimePoint(const nlohmann::json& microseconds) -> TimePoint {
   return TimePoint(Duration(microseconds.get<std::int64_t>()));
 }
@@ -39,8 +48,8 @@
 
 Soak::Soak(std::uint64_t seed, const SoakSettings& settings)
     : seed_(seed),
-      settings_(settings),
       limit_(settings.limits.at(seed % settings.limits.size())),
+      settings_(WithLoadUnder(limit_, settings)),
       random_(seed),
       fleet_(FleetSize{.targets = settings.targets,
                        .service_ms = kServiceMs,
@@ -52,11 +61,11 @@
       ended_(kMostCalls),
       caller_mailbox_(kMostCallerMessages),
       gateways_(fleet_,
-                settings,
+                settings_,
                 limit_,
                 [this](const std::string& what) { Report(what); }),
-      store_(fleet_, settings),
-      faults_(settings, random_, fleet_, gateways_, store_, caller_mailbox_),
+      store_(fleet_, settings_),
+      faults_(settings_, random_, fleet_, gateways_, store_, caller_mailbox_),
       callers_("callers", caller_mailbox_, [this] { return MakeCallers(); }) {
   gateways_.StartMore(settings.gateways);
 }
@@ -279,6 +288,7 @@
   int calls = 0;
   std::string late;
   int late_calls = 0;
+  HeldCalls held;
   for (const auto& message : ended_.TakeAll()) {
     const auto& call = std::get<EndedCall>(message);
     ended.push_back(call);
@@ -292,6 +302,10 @@
       late += " " + call.id + " to gateway " + std::to_string(call.gateway) +
               ", closed at " + SinceStart(call.time.end);
     }
+    if (checks.ReachesTimeout(call)) {
+      ++held.reached;
+      held.unanswered += checks.IsHeld(call) ? 1 : 0;
+    }
     auto promises = checks.Check(call);
     std::ranges::move(team_checks.Check(call), std::back_inserter(promises));
     for (const auto& promise : promises) {
@@ -327,16 +341,24 @@
   printf(
       "soak: seed %lu, limit %s: %d of %d calls served, %d without an "
       "answer, %d given up, %d reached a target after their callers left; "
-      "%zu stops, %zu answers broken off, %d early, store in era %d\n",
+      "%zu stops, %zu answers broken off, %d early, store in era %d; %zu of "
+      "%zu unanswered at their timeout are held\n",
       static_cast<unsigned long>(seed_), std::string(ToName(limit_)).c_str(),
       served, calls, closed, given_up, late_calls, stops,
       checks.CountBrokenOff(), early,
-      fleet_.StoreCounters().at("era").get<int>());
+      fleet_.StoreCounters().at("era").get<int>(), held.unanswered,
+      held.reached);
   std::fflush(stdout);
   if (late_calls > kMostLateCalls) {
     Report("GONE: " + std::to_string(late_calls) +
            " requests reach a target after their callers left:" + late);
   }
+  if (held.IsTooMany()) {
+    Report("TIMEOUT: " + std::to_string(held.unanswered) + " of " +
+           std::to_string(held.reached) +
+           " calls without an answer at the timeout of their route have none "
+           "500 ms later");
+  }
   // Calls that had to be refused do not count.
   if (calls == refused || served * 4 < calls - refused) {
     Report("RECOVER: only " + std::to_string(served) + " of " +
--- a/tests/integration/soak/soak.h
+++ b/tests/integration/soak/soak.h
@@ -28,7 +28,7 @@
 // Not thread-safe.
 class Soak {
  public:
-  // Starts the gateways. `settings` must outlive the soak.
+  // Starts the gateways.
   Soak(std::uint64_t seed, const SoakSettings& settings);
 
   // Returns the promises that were broken.
@@ -63,8 +63,8 @@
   auto KeepLogs() -> void;
 
   const std::uint64_t seed_;
-  const SoakSettings& settings_;
   const SystemLimit limit_;
+  const SoakSettings settings_;
   const TimePoint start_ = Now();
   Random random_;
   PublishedStoreFleet fleet_;
--- a/tests/integration/soak/soak_settings.cc
+++ b/tests/integration/soak/soak_settings.cc
@@ -28,6 +28,12 @@
           .weight = route.at("weight")};
 }
 
+auto ReadScarceProcessor(const json& processor) -> ScarceProcessor {
+  return {.run = Milliseconds(processor, "run_ms"),
+          .callers = processor.at("callers"),
+          .requests_per_s = processor.at("requests_per_s")};
+}
+
 auto ReadTeam(const json& team) -> TeamSettings {
   return {.name = team.at("name"),
           .keys = team.at("keys"),
@@ -36,14 +42,14 @@
           .weight = team.at("weight")};
 }
 
+}  // namespace
+
 auto ReadLimit(const std::string& name) -> SystemLimit {
   const auto limit = FromName<SystemLimit>(name);
   cr_assert(limit.has_value(), "unknown limit %s", name.c_str());
   return *limit;
 }
 
-}  // namespace
-
 auto ReadSoakSettings(const std::string& path) -> SoakSettings {
   std::ifstream file(path);
   cr_assert(file.good(), "cannot read %s", path.c_str());
@@ -64,7 +70,8 @@
       .longest_fault_gap = Milliseconds(root, "longest_fault_gap_ms"),
       .roll_share = root.at("roll_share"),
       .grown_routes = root.at("grown_routes"),
-      .limits = {}};
+      .limits = {},
+      .scarce_processor = ReadScarceProcessor(root.at("scarce_processor"))};
   for (const auto& route : root.at("routes")) {
     settings.routes.push_back(ReadRoute(route));
   }
--- a/tests/integration/soak/soak_settings.h
+++ b/tests/integration/soak/soak_settings.h
@@ -20,6 +20,7 @@
   kFileSize,         // 64 KB, which the log reaches; every third gateway.
   kOneCore,          // All gateways share one core.
   kQuota,            // Every third gateway runs 20 of each 100 ms.
+  kScarceProcessor,  // All gateways run a few of each 100 ms.
   kTasks,            // 512 for all gateways together; needs root.
 };
 
@@ -38,6 +39,7 @@
           {integration::SystemLimit::kFileSize, "file-size"},
           {integration::SystemLimit::kOneCore, "one-core"},
           {integration::SystemLimit::kQuota, "quota"},
+          {integration::SystemLimit::kScarceProcessor, "scarce-processor"},
           {integration::SystemLimit::kTasks, "tasks"},
       });
 };
@@ -78,6 +80,15 @@
   std::size_t weight;
 };
 
+// What `SystemLimit::kScarceProcessor` means.
+struct ScarceProcessor {
+  // Time that each gateway may run of each 100 ms.
+  std::chrono::milliseconds run;
+  // Load that a fleet with so little processor time can serve.
+  std::size_t callers;
+  double requests_per_s;
+};
+
 // Size, load and faults of a soak.
 struct SoakSettings {
   std::size_t gateways;
@@ -104,8 +115,12 @@
   std::size_t grown_routes;
   // The seed chooses one.
   std::vector<SystemLimit> limits;
+  ScarceProcessor scarce_processor;
 };
 
+// Returns the limit called `name`. Aborts the test if there is none.
+auto ReadLimit(const std::string& name) -> SystemLimit;
+
 // Reads settings from a JSON file. Aborts the test on an error.
 auto ReadSoakSettings(const std::string& path) -> SoakSettings;
 
--- a/tests/integration/soak_test.cc
+++ b/tests/integration/soak_test.cc
@@ -13,7 +13,7 @@
 
 // FLAMINGOYOKE_SOAK_SEEDS, _SEED and _GATEWAYS set the number of seeds, the
 // first seed and the size of the fleet of longer runs; _SETTINGS names another
-// settings file.
+// settings file, _LIMIT the system limit of all seeds.
 constexpr std::uint64_t kSeeds = 2;
 constexpr std::uint64_t kFirstSeed = 1;
 constexpr const char* kSettings =
@@ -32,6 +32,9 @@
   auto settings = ReadSoakSettings(path == nullptr ? kSettings : path);
   settings.gateways =
       FromEnvironment("FLAMINGOYOKE_SOAK_GATEWAYS", settings.gateways);
+  if (const char* limit = std::getenv("FLAMINGOYOKE_SOAK_LIMIT")) {
+    settings.limits = {ReadLimit(limit)};
+  }
   std::string all;
   for (auto seed = first; seed < first + seeds; ++seed) {
     for (const auto& broken : Soak(seed, settings).Run()) {
