--- a/tests/integration/soak/soak.cc
+++ b/tests/integration/soak/soak.cc
@@ -309,25 +309,7 @@
     auto promises = checks.Check(call);
     std::ranges::move(team_checks.Check(call), std::back_inserter(promises));
     for (const auto& promise : promises) {
-      auto text = promise + ": call " + call.id + " of " +
-                  settings_.routes[call.route].prefix + " to gateway " +
-                  std::to_string(call.gateway) + ", " +
-                  SinceStart(call.time.start) + " to " +
-                  SinceStart(call.time.end) + " ms, status " +
-                  std::to_string(call.status) + ", end " +
-                  std::string(ToName(call.end)) + ", key " + call.key +
-                  (call.is_kept ? ", kept" : ", new") +
-                  (call.is_behind ? ", behind" : "");
-      for (const auto& run : checks.RunsOf(call)) {
-        text += ", ran from " + SinceStart(run.start) + " to " +
-                (run.end ? SinceStart(*run.end) : "?") +
-                (run.is_sound ? "" : " without an answer");
-      }
-      for (const auto& stop : gateways_.histories()[call.gateway].stops) {
-        text += ", SIGTERM " + SinceStart(stop);
-      }
-      text += DescribeAbsences(call.key);
-      Report(text);
+      Report(promise + ": " + DescribeCall(checks, call));
     }
   }
   std::size_t stops = 0;
@@ -405,6 +387,27 @@
   }
 }
 
+auto Soak::DescribeCall(const CallChecks& checks, const EndedCall& call)
+    -> std::string {
+  auto text = "call " + call.id + " of " + settings_.routes[call.route].prefix +
+              " to gateway " + std::to_string(call.gateway) + ", " +
+              SinceStart(call.time.start) + " to " + SinceStart(call.time.end) +
+              " ms, status " + std::to_string(call.status) + ", end " +
+              std::string(ToName(call.end)) + ", key " + call.key +
+              (call.is_kept ? ", kept" : ", new") +
+              (call.is_behind ? ", behind" : "");
+  for (const auto& run : checks.RunsOf(call)) {
+    text += ", ran from " + SinceStart(run.start) + " to " +
+            (run.end ? SinceStart(*run.end) : "?") +
+            (run.is_sound ? "" : " without an answer");
+  }
+  for (const auto& stop : gateways_.histories()[call.gateway].stops) {
+    text += ", SIGTERM " + SinceStart(stop);
+  }
+  text += DescribeAbsences(call.key);
+  return text;
+}
+
 auto Soak::DescribeAbsences(const std::string& key) -> std::string {
   const auto& absences = store_.history().absences;
   const auto found = absences.find(key);
--- a/tests/integration/soak/soak.h
+++ b/tests/integration/soak/soak.h
@@ -57,6 +57,9 @@
   auto CheckTeams(const TeamChecks& checks,
                   const std::vector<EndedCall>& calls,
                   const TargetLogs& logs) -> void;
+  // Describes a call, its runs and what was done to its gateway.
+  auto DescribeCall(const CallChecks& checks, const EndedCall& call)
+      -> std::string;
   // Returns when `key` was missing from the configuration.
   auto DescribeAbsences(const std::string& key) -> std::string;
   // Keeps the logs of the gateways for a trace.
