--- a/tests/integration/soak/soak.cc
+++ b/tests/integration/soak/soak.cc
@@ -289,6 +289,7 @@
   std::string late;
   int late_calls = 0;
   HeldCalls held;
+  std::string held_calls;
   for (const auto& message : ended_.TakeAll()) {
     const auto& call = std::get<EndedCall>(message);
     ended.push_back(call);
@@ -304,7 +305,10 @@
     }
     if (checks.ReachesTimeout(call)) {
       ++held.reached;
-      held.unanswered += checks.IsHeld(call) ? 1 : 0;
+      if (checks.IsHeld(call)) {
+        ++held.unanswered;
+        held_calls += "; " + DescribeCall(checks, call);
+      }
     }
     auto promises = checks.Check(call);
     std::ranges::move(team_checks.Check(call), std::back_inserter(promises));
@@ -339,7 +343,8 @@
     Report("TIMEOUT: " + std::to_string(held.unanswered) + " of " +
            std::to_string(held.reached) +
            " calls without an answer at the timeout of their route have none "
-           "500 ms later");
+           "500 ms later" +
+           held_calls);
   }
   // Calls that had to be refused do not count.
   if (calls == refused || served * 4 < calls - refused) {
