--- a/tests/integration/soak/soak_settings.h
+++ b/tests/integration/soak/soak_settings.h
@@ -84,7 +84,9 @@
 struct ScarceProcessor {
   // Time that each gateway may run of each 100 ms.
   std::chrono::milliseconds run;
-  // Load that a fleet with so little processor time can serve.
+  // Load that a fleet with so little processor time can serve. A call costs all
+  // gateways together 0.19 to 0.23 ms, starts and control included (12 plays
+  // of small.json).
   std::size_t callers;
   double requests_per_s;
 };
