--- a/tests/integration/soak/soak.h
+++ b/tests/integration/soak/soak.h
@@ -28,7 +28,7 @@
 // Not thread-safe.
 class Soak {
  public:
-  // Starts the gateways. `settings` must outlive the soak.
+  // Starts the gateways.
   Soak(std::uint64_t seed, const SoakSettings& settings);
 
   // Returns the promises that were broken.
@@ -57,14 +57,17 @@
   auto CheckTeams(const TeamChecks& checks,
                   const std::vector<EndedCall>& calls,
                   const TargetLogs& logs) -> void;
+  // Describes a call, its runs and what was done to its gateway.
+  auto DescribeCall(const CallChecks& checks, const EndedCall& call)
+      -> std::string;
   // Returns when `key` was missing from the configuration.
   auto DescribeAbsences(const std::string& key) -> std::string;
   // Keeps the logs of the gateways for a trace.
   auto KeepLogs() -> void;
 
   const std::uint64_t seed_;
-  const SoakSettings& settings_;
   const SystemLimit limit_;
+  const SoakSettings settings_;
   const TimePoint start_ = Now();
   Random random_;
   PublishedStoreFleet fleet_;
