Withdraw unsent requests of the native front end as well

A request whose connection to its target was not established yet stayed with it when the table no longer listed the target or the target was found to drain. It reached the target when the connection came, or after 2 s, when the system gives the connection up, was sent elsewhere at the cost of the retry budget: of 8 such requests 3 were refused.

ServiceRunner ends such attempts, without evidence about the target and without use of the retry budget. A request whose service has no targets left fails at once; it waited in the queue until its deadline.

Tests: upstream_interface/unsent_request_* (3). With an empty WithdrawUnsent all three fail: the answers take 2.0 s instead of less than 1 s, and 3 of 8 are not 200. They pass with it.

--- a/src/decision/dispatch/dispatch_event.h
+++ b/src/decision/dispatch/dispatch_event.h
@@ -51,6 +51,10 @@
   AttemptResult result = AttemptResult::kAnswered;
   // Load reported by the upstream, 0 to 1; negative if it reported none.
   double reported_load = -1;
+  // Whether this VM ended the attempt before anything was sent, as the target
+  // is no longer to be used. To send the request elsewhere takes no retry
+  // budget.
+  bool withdrawn = false;
 };
 
 // The failure detector changed the usable share of a target's slots, 0 to 1.
--- a/src/decision/dispatch/service_dispatcher.cc
+++ b/src/decision/dispatch/service_dispatcher.cc
@@ -244,7 +244,7 @@
     return;
   }
   if (!IsAnswer(event.result)) {
-    OnAttemptFailed(*attempt, event.result);
+    OnAttemptFailed(*attempt, event);
     return;
   }
   ++counters_.answered;
@@ -271,7 +271,8 @@
 }
 
 auto ServiceDispatcher::OnAttemptFailed(const TrackedAttempt& attempt,
-                                        AttemptResult result) -> void {
+                                        const AttemptFinished& event) -> void {
+  const auto result = event.result;
   auto* request = tracker_.FindRequest(attempt.request);
   request->avoided_target = attempt.target;
   if (!ProvesNotRun(result)) {
@@ -282,8 +283,9 @@
   }
   const bool may_run_again =
       !request->unknown_outcome_error || request->repeatable;
-  if (request->response_started || !may_run_again ||
-      request->deadline <= now_ || !retry_budget_.Allow(now_)) {
+  if (request->response_started || !may_run_again || row_->targets.empty() ||
+      request->deadline <= now_ ||
+      (!event.withdrawn && !retry_budget_.Allow(now_))) {
     Fail(attempt.request, ErrorOf(result));
     return;
   }
--- a/src/decision/dispatch/service_dispatcher.h
+++ b/src/decision/dispatch/service_dispatcher.h
@@ -111,8 +111,8 @@
   // Queues a request that has no attempt in flight.
   auto Enqueue(const TrackedRequest& request) -> void;
   // Retries or fails a request after a failed attempt.
-  auto OnAttemptFailed(const TrackedAttempt& attempt, AttemptResult result)
-      -> void;
+  auto OnAttemptFailed(const TrackedAttempt& attempt,
+                       const AttemptFinished& event) -> void;
   // Releases the slot of a finished attempt and records its result.
   auto ReleaseSlot(const TrackedAttempt& attempt, AttemptResult result) -> void;
   // Ends a request with `error`, or with the error of an earlier attempt that
--- a/src/node/traffic/service_runner.cc
+++ b/src/node/traffic/service_runner.cc
@@ -1,6 +1,7 @@
 #include "node/traffic/service_runner.h"
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 #include "core/overloaded.h"
@@ -65,6 +66,12 @@
                           placement_.owned});
   Post(DetectionConfigured{placement_.row, config_.vm, placement_.home,
                            placement_.owned});
+  std::unordered_set<TargetId> listed;
+  for (const auto& target : placement_.row.targets) {
+    listed.insert(target.id);
+  }
+  WithdrawUnsent(
+      [&](const TargetId& target) { return listed.contains(target); });
   SyncOwnedTargets();
 }
 
@@ -263,7 +270,11 @@
 }
 
 auto ServiceRunner::Execute(const CancelAttempt& action) -> void {
-  const auto found = attempts_.find(action.attempt);
+  Abandon({.attempt = action.attempt, .result = AttemptResult::kCancelled});
+}
+
+auto ServiceRunner::Abandon(const AttemptFinished& finished) -> void {
+  const auto found = attempts_.find(finished.attempt);
   if (found == attempts_.end()) {
     return;
   }
@@ -277,9 +288,25 @@
   lease.connection->Abandon();
   const auto target = lease.target;
   pool_.Release(std::move(lease));
-  Post(
-      AttemptEnded{action.attempt, target, AttemptResult::kCancelled, latency});
-  Post(AttemptFinished{action.attempt, AttemptResult::kCancelled});
+  Post(AttemptEnded{finished.attempt, target, AttemptResult::kCancelled,
+                    latency});
+  Post(finished);
+}
+
+auto ServiceRunner::WithdrawUnsent(
+    const std::function<bool(const TargetId&)>& is_usable) -> void {
+  std::vector<AttemptId> unsent;
+  for (const auto& [id, attempt] : attempts_) {
+    if (!attempt.lease.connection->has_written() &&
+        !is_usable(attempt.lease.target)) {
+      unsent.push_back(id);
+    }
+  }
+  for (const auto id : unsent) {
+    Abandon({.attempt = id,
+             .result = AttemptResult::kNoConnection,
+             .withdrawn = true});
+  }
 }
 
 auto ServiceRunner::Execute(const FailRequest& action) -> void {
@@ -306,6 +333,10 @@
 
 auto ServiceRunner::Execute(const SetTargetShare& action) -> void {
   Post(TargetShareChanged{action.target, action.share});
+  if (action.state == TargetState::kDraining) {
+    WithdrawUnsent(
+        [&](const TargetId& target) { return target != action.target; });
+  }
 }
 
 auto ServiceRunner::Execute(const StartProbe& action) -> void {
--- a/src/node/traffic/service_runner.h
+++ b/src/node/traffic/service_runner.h
@@ -129,6 +129,13 @@
   auto Execute(const SetTargetShare& action) -> void;
   auto Execute(const WakeDetectorAt& action) -> void;
 
+  // Ends an attempt without a result of its target, and tells the dispatcher
+  // that it is `finished`.
+  auto Abandon(const AttemptFinished& finished) -> void;
+  // Ends the attempts of which nothing was written, on targets that are not
+  // `is_usable`, so that their requests are sent elsewhere.
+  auto WithdrawUnsent(const std::function<bool(const TargetId&)>& is_usable)
+      -> void;
   auto SendAttempt(AttemptId id, Attempt& attempt, ServiceRequest& request)
       -> void;
   auto OnResponseHead(AttemptId id, const ResponseHead& head) -> void;
--- a/tests/unit/node/traffic/upstream_interface_test.cc
+++ b/tests/unit/node/traffic/upstream_interface_test.cc
@@ -1,11 +1,17 @@
 // Tests the upstream interface of the traffic task over loopback sockets.
 #include <criterion/criterion.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <atomic>
+#include <chrono>
+#include <cstdint>
 #include <string>
+#include <thread>
 #include <vector>
 
+#include "runtime/clock.h"
 #include "unit/node/traffic/traffic_fixture.h"
 
 namespace flamingoyoke {
@@ -345,6 +351,112 @@
   cr_assert_eq(draining.executions(), 1U);
 }
 
+// Listens on a port and answers no new connection, as its queue is full.
+class UnansweringListener {
+ public:
+  UnansweringListener() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    cr_assert_eq(bind(listener_.descriptor(), generic, size), 0);
+    cr_assert_eq(listen(listener_.descriptor(), 0), 0);
+    getsockname(listener_.descriptor(), generic, &size);
+    port_ = ntohs(address.sin_port);
+    first_ = TestSocket::Connect(port_);
+  }
+
+  [[nodiscard]] auto port() const -> std::uint16_t { return port_; }
+
+ private:
+  TestSocket listener_;
+  std::uint16_t port_ = 0;
+  TestSocket first_;
+};
+
+auto SlowConnectConfig() -> TrafficConfig {
+  auto config = MakeConfig();
+  // The system ends a connection that is not established after 2 s.
+  config.connect_timeout = std::chrono::seconds(10);
+  return config;
+}
+
+// Guards against a request that reaches a target long after the table dropped
+// it, because its connection was not established before.
+Test(upstream_interface, unsent_request_leaves_a_target_that_is_removed) {
+  const UnansweringListener removed;
+  UpstreamFake staying(EchoScript());
+  TrafficFixture node({MakeNonRepeatableRow("orders", {removed.port()})},
+                      SlowConnectConfig());
+  auto caller = node.Connect();
+  cr_assert(caller.Write(PostRequest("/orders", "book")));
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  const auto begin = Now();
+  node.SetRows({MakeNonRepeatableRow("orders", {staying.port()})});
+  node.Publish();
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_expect_eq(answer->status(), 200);
+  cr_expect_eq(answer->body, std::string("book"));
+  cr_expect_lt(ToMilliseconds(Now() - begin), 1000);
+  cr_expect_eq(staying.executions(), 1U);
+}
+
+// Guards against requests that wait for a connection to a target whose service
+// was removed, although no target is left.
+Test(upstream_interface, unsent_request_of_a_removed_service_is_not_run) {
+  const UnansweringListener removed;
+  TrafficFixture node({MakeNonRepeatableRow("orders", {removed.port()})},
+                      SlowConnectConfig());
+  auto caller = node.Connect();
+  cr_assert(caller.Write(PostRequest("/orders", "book")));
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  const auto begin = Now();
+  node.SetRows({});
+  node.Publish();
+  const auto answer = caller.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_expect_geq(answer->status(), 500);
+  cr_expect(answer->header("Flamingoyoke-Outcome") == "not-run");
+  cr_expect_lt(ToMilliseconds(Now() - begin), 1000);
+}
+
+// Guards against a request that reaches a target long after a peer said that it
+// drains, because its connection was not established before.
+Test(upstream_interface, unsent_request_leaves_a_target_that_drains) {
+  const UnansweringListener draining;
+  UpstreamFake staying(EchoScript());
+  auto row = MakeNonRepeatableRow("orders", {draining.port(), staying.port()});
+  row.floor = 0;
+  row.slots = 8;
+  TrafficFixture node({row}, SlowConnectConfig());
+  std::vector<TestSocket> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.push_back(node.Connect());
+    cr_assert(callers.back().Write(PostRequest("/orders", "book")));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  cr_assert_lt(staying.executions(), 8U);
+  const auto begin = Now();
+  EjectionNotice notice;
+  notice.service = row.service;
+  notice.target = row.targets.front().id;
+  notice.state = TargetState::kDraining;
+  notice.version = 1;
+  notice.severity = 1;
+  notice.duration = std::chrono::seconds(10);
+  node.mailboxes().traffic.Post(
+      PeerMessageReceived{{VmId("vm-b"), Incarnation(1), notice}});
+  for (auto& caller : callers) {
+    const auto answer = caller.ReadMessage();
+    cr_assert(answer.has_value());
+    cr_expect_eq(answer->status(), 200);
+  }
+  cr_expect_lt(ToMilliseconds(Now() - begin), 1000);
+  cr_expect_eq(staying.executions(), 8U);
+}
+
 // A VM without slots for a service, because the home set is elsewhere and
 // unreachable, must refuse requests as not run.
 Test(upstream_interface, service_without_slots_is_not_run) {
