Don't prolong the pause of pulls while a pull waits

A VM that reads the store itself prolonged its pause with each version of its own. If these come more often than the pause is long, 200 ms at most, it never asked its peers, even if they had a far newer version than its own lagging view of the store.

A pause stays as it is while a pull waits for its end.

Test: table_dissemination/versions_from_the_store_do_not_prolong_a_pause. It plays a version of the store each 50 ms beside a newer one of a peer; without the condition the peer is never asked.

--- a/src/decision/fleet/table_dissemination.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -145,12 +145,12 @@
   auto version = std::move(found->second);
   candidates_.erase(found);
   if (event.is_valid) {
-    if (HasReadNewest()) {
-      // Before that, this VM doesn't accept callers and catches up at once.
-      pull_pauses_[event.digest.shard] =
-          now + std::min(kPullPauseFactor * event.took, kMaxPullPause);
-    }
+    // Before that, this VM doesn't accept callers and catches up at once.
+    const bool is_current = HasReadNewest();
     Accept(std::move(version), now);
+    if (is_current) {
+      PausePulls(event.digest.shard, event.took, now);
+    }
     return;
   }
   rejected_.push_back(event.digest);
@@ -332,10 +332,12 @@
     auto& pull = it->second;
     const auto shard = it->first;
     if (PauseOf(shard, now)) {
+      pull_pauses_[shard].delays_pull = true;
       ++it;
       continue;
     }
     if (const auto peer = pull.NextSource(now)) {
+      pull_pauses_[shard].delays_pull = false;
       const auto have = InForce(shard).value_or(TableDigest());
       TablePull message{shard, have.revision, have.era};
       if (!pull.wants_plain_text()) {
@@ -347,11 +349,23 @@
   }
 }
 
+auto TableDissemination::PausePulls(std::uint32_t shard,
+                                    Duration took,
+                                    TimePoint now) -> void {
+  auto& pause = pull_pauses_[shard];
+  // A VM that reads the store may accept versions of its own so often that a
+  // pause which each of them prolongs never ends.
+  if (pause.delays_pull && pulls_.contains(shard)) {
+    return;
+  }
+  pause = {now + std::min(kPullPauseFactor * took, kMaxPullPause), false};
+}
+
 auto TableDissemination::PauseOf(std::uint32_t shard, TimePoint now) const
     -> std::optional<TimePoint> {
   const auto found = pull_pauses_.find(shard);
-  return found != pull_pauses_.end() && found->second > now
-             ? std::optional(found->second)
+  return found != pull_pauses_.end() && found->second.until > now
+             ? std::optional(found->second.until)
              : std::nullopt;
 }
 
--- a/src/decision/fleet/table_dissemination.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -118,6 +118,12 @@
     // Peer that sent it; empty if it was read from its source.
     VmId sender;
   };
+  struct PullPause {
+    // Until when no further version of the shard is pulled.
+    TimePoint until;
+    // Whether a pull waits for the end.
+    bool delays_pull = false;
+  };
 
   auto Handle(const TableDisseminationStarted& event, TimePoint now) -> void;
   auto Handle(const TableFleetChanged& event, TimePoint now) -> void;
@@ -148,6 +154,8 @@
   auto AddPullSource(const VmId& peer, const TableDigest& digest, TimePoint now)
       -> void;
   auto ContinuePulls(TimePoint now) -> void;
+  // Pulls no further version of `shard` for a while after one was accepted.
+  auto PausePulls(std::uint32_t shard, Duration took, TimePoint now) -> void;
   // Returns when `shard` may be pulled again if that is after `now`.
   [[nodiscard]] auto PauseOf(std::uint32_t shard, TimePoint now) const
       -> std::optional<TimePoint>;
@@ -170,8 +178,7 @@
   // Versions whose check is pending.
   std::map<std::uint32_t, Version> candidates_;
   std::map<std::uint32_t, TablePullState> pulls_;
-  // Until when no further version of a shard is pulled.
-  std::map<std::uint32_t, TimePoint> pull_pauses_;
+  std::map<std::uint32_t, PullPause> pull_pauses_;
   std::deque<TableDigest> rejected_;
   std::vector<VmId> peers_;
   std::size_t fleet_size_ = 1;
--- a/tests/unit/decision/fleet/table_dissemination_test.cc
+++ b/tests/unit/decision/fleet/table_dissemination_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <chrono>
+#include <optional>
 #include <string>
 
 #include "decision/fleet/rendezvous.h"
@@ -139,6 +140,34 @@
                                             wake->at)) == "a");
 }
 
+// Guards against a reader whose own view of the store lags behind that of its
+// peers, and whose versions come so often that it never asks them.
+Test(table_dissemination, versions_from_the_store_do_not_prolong_a_pause) {
+  TableDissemination dissemination(1, Random(1), FirstRead::kBeforeReady);
+  dissemination.OnEvent(TableDisseminationStarted{}, kStart);
+  dissemination.OnEvent(SourceRead{kStart}, kStart);
+  const auto newest = DigestFor(1000, "newest");
+  std::optional<TimePoint> asked;
+  for (int i = 1; i <= 20; ++i) {
+    const auto now = kStart + i * std::chrono::milliseconds(50);
+    const auto text = std::to_string(i);
+    const auto revision = static_cast<std::uint64_t>(i);
+    const std::vector<TableDisseminationEvent> events = {
+        SourceRead{now}, TableTextRead{0, Revision(revision), text},
+        TableChecked{DigestFor(revision, text), true, "", seconds(1)},
+        From("a", TableAnnounce{newest})};
+    for (const auto& event : events) {
+      const auto actions = dissemination.OnEvent(event, now);
+      // The first versions make this VM current; before, it asks at once.
+      if (i > 2 && !asked && !AskedPeer(actions).empty()) {
+        asked = now;
+      }
+    }
+  }
+  cr_assert(asked.has_value());
+  cr_expect_leq(ToMilliseconds(*asked - kStart), 500);
+}
+
 // Guards against a VM that starts while targets register and isn't ready for
 // long, as it pauses before each version.
 Test(table_dissemination, a_vm_that_is_not_current_pulls_without_a_pause) {
