Handle the timers of the native dispatcher before sockets that wait

Deadlines in the queue, expiries of loans and load reports of the native front end waited behind all sockets of a busy loop, as the timers of the pools did before.

The timer of the detector stays an ordinary one: it must not overtake answers that wait, or targets look overdue whose answers have arrived.

Test: service_runner/timers_of_the_dispatcher_overtake_sockets_that_wait. With the ordinary timer the report that is due after 100 ms isn't sent before all 300 sockets, 600 ms of work, have been handled.

--- a/src/node/traffic/service_runner.cc
+++ b/src/node/traffic/service_runner.cc
@@ -48,7 +48,10 @@
       dispatcher_(Random(random_.Next())),
       detector_(Random(random_.Next())),
       pool_(loop, NativeUpstreamInterface(), memory, connections),
-      dispatcher_timer_(loop.MakeTimer([this] { Post(DispatchTimer{}); })),
+      dispatcher_timer_(
+          loop.MakePromptTimer([this] { Post(DispatchTimer{}); })),
+      // Not prompt: answers that wait on a busy loop are evidence that the
+      // detector must have before it finds a target overdue.
       detector_timer_(loop.MakeTimer([this] { Post(DetectionTimer{}); })) {}
 
 auto ServiceRunner::Configure(const ServicePlacement& placement) -> void {
