Don't take a backlog of sockets for a pause of the process

The tasks that serve callers detect a pause by a tick that is late by more than a second. The tick waited behind the sockets of a busy loop, so a VM short of processor took itself for paused. It then forgot what it knew about its targets, the native front end its drain signals and loans too, and gave out no addresses for 2 s.

The tick goes before sockets now, in both front ends.

--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -97,7 +97,8 @@
   BOOST_LEAF_CHECK(server_->Listen(traffic.listen_host, traffic.listen_port));
   descriptor_watch_.Update(server_->part(), target_connections_);
   quotas_ = MakeQuotaRunner();
-  tick_ = loop.MakeTimer([this] { OnTick(); });
+  // Prompt, as a tick that is late by a busy loop would look like a pause.
+  tick_ = loop.MakePromptTimer([this] { OnTick(); });
   stop_.emplace(
       loop, *server_,
       StopProcedure::Limits{
--- a/src/node/traffic/traffic_task.cc
+++ b/src/node/traffic/traffic_task.cc
@@ -91,7 +91,8 @@
           }});
   BOOST_LEAF_CHECK(server_->Listen(config_.listen_host, config_.listen_port));
   descriptor_watch_.Update(server_->part(), target_connections_);
-  tick_ = loop.MakeTimer([this] { OnTick(); });
+  // Prompt, as a tick that is late by a busy loop would look like a pause.
+  tick_ = loop.MakePromptTimer([this] { OnTick(); });
   stop_.emplace(
       loop, *server_,
       StopProcedure::Limits{config_.address_ttl + config_.drain_margin,
