Count the wait of a request for its deadline in the native front end

The deadline of a request counted from the moment of handling, so a request that had waited on a busy loop ran after its caller had given up. It counts from before the wait, by QueueDelay(), as in the gateway.

Test: busy_traffic/the_wait_of_a_request_counts_for_its_deadline.

--- a/src/node/traffic/request_admission.cc
+++ b/src/node/traffic/request_admission.cc
@@ -89,6 +89,7 @@
                              const ServiceRow& row,
                              const FleetView& view,
                              const AdmitsDeadline& admits_deadline,
+                             Duration waited,
                              TimePoint now) -> std::optional<ServiceRequest> {
   std::optional<CallerHeaders> headers;
   const auto error = CaptureInto(
@@ -102,7 +103,7 @@
     exchange->ReplyError(ErrorKind::kKeyRequired);
     return std::nullopt;
   }
-  auto request = MakeRequest(std::move(exchange), *headers, row, now);
+  auto request = MakeRequest(std::move(exchange), *headers, row, now - waited);
   if (!admits_deadline(request.deadline)) {
     request.exchange->ReplyError(ErrorKind::kLeaving);
     return std::nullopt;
@@ -116,7 +117,7 @@
 auto RequestAdmission::MakeRequest(std::unique_ptr<CallerExchange> exchange,
                                    const CallerHeaders& headers,
                                    const ServiceRow& row,
-                                   TimePoint now) -> ServiceRequest {
+                                   TimePoint arrived) -> ServiceRequest {
   const auto body_bytes = evbuffer_get_length(exchange->body());
   ServiceRequest request;
   request.id = RequestId(++last_request_);
@@ -130,10 +131,10 @@
                            ? WorkClass::kLong
                            : WorkClass::kShort;
   request.repeatable = row.repeatable;
-  request.arrived = now;
+  request.arrived = arrived;
   // A caller can shorten the deadline of the row, but not extend it.
   request.deadline =
-      now + std::min(headers.deadline.value_or(row.deadline), row.deadline);
+      arrived + std::min(headers.deadline.value_or(row.deadline), row.deadline);
   request.trace =
       headers.trace ? StartSpan(*headers.trace, random_)
                     : StartTrace(random_, random_.Unit() < trace_sample_rate_);
--- a/src/node/traffic/request_admission.h
+++ b/src/node/traffic/request_admission.h
@@ -34,18 +34,20 @@
   using AdmitsDeadline = std::function<bool(TimePoint deadline)>;
 
   // Returns the admitted request, or nullopt if a response was sent. `view` is
-  // used to find the issuer of a key from another VM.
+  // used to find the issuer of a key from another VM. `waited` is how long the
+  // request was queued here before `now`, which counts for its deadline.
   auto Admit(std::unique_ptr<CallerExchange> exchange,
              const ServiceRow& row,
              const FleetView& view,
              const AdmitsDeadline& admits_deadline,
+             Duration waited,
              TimePoint now) -> std::optional<ServiceRequest>;
 
  private:
   auto MakeRequest(std::unique_ptr<CallerExchange> exchange,
                    const CallerHeaders& headers,
                    const ServiceRow& row,
-                   TimePoint now) -> ServiceRequest;
+                   TimePoint arrived) -> ServiceRequest;
   // Returns whether the ledger allows the request to run; responds if not.
   auto ClaimKey(ServiceRequest& request,
                 const IdempotencyKey& key,
--- a/src/node/traffic/traffic_task.cc
+++ b/src/node/traffic/traffic_task.cc
@@ -290,7 +290,8 @@
   }
   auto request = admission_.Admit(
       std::move(exchange), *row, *view_,
-      [this](TimePoint deadline) { return stop_->Admits(deadline); }, Now());
+      [this](TimePoint deadline) { return stop_->Admits(deadline); },
+      context_->loop().QueueDelay(), Now());
   if (!request) {
     return;
   }
--- a/tests/unit/node/traffic/busy_traffic_test.cc
+++ b/tests/unit/node/traffic/busy_traffic_test.cc
@@ -127,5 +127,30 @@
   cr_expect_eq(answer->status(), 200);
 }
 
+// Guards against a request that runs after its caller has given up, because the
+// time that it waited on a busy VM doesn't count.
+Test(busy_traffic, the_wait_of_a_request_counts_for_its_deadline) {
+  UpstreamFake upstream(EchoScript());
+  // The first request is handled between the two, the second one after them.
+  BusyNode node(upstream.port(),
+                {{milliseconds(500), 100}, {milliseconds(600), 200}});
+  auto first = node.Connect();
+  auto second = node.Connect();
+  for (auto* caller : {&first, &second}) {
+    cr_assert(caller->Write(Get("/stock")));
+    cr_assert(caller->ReadMessage().has_value());
+  }
+  node.WaitUntil(milliseconds(530));
+  cr_assert(first.Write(Get("/stock")));
+  node.WaitUntil(milliseconds(800));
+  cr_assert(second.Write(Get("/stock", "Flamingoyoke-Deadline-Ms: 500\r\n")));
+  const auto answer = second.ReadMessage();
+  cr_assert(answer.has_value());
+  cr_expect_eq(answer->status(), 504);
+  cr_expect(answer->header("Flamingoyoke-Outcome") == "not-run");
+  cr_assert(first.ReadMessage().has_value());
+  cr_expect_eq(upstream.executions(), 3U);
+}
+
 }  // namespace
 }  // namespace flamingoyoke
