Come to the hard limit of a shutdown in time on a busy loop

A platform that kills a process after its grace would cut off requests without an answer.

Test: busy_traffic/the_hard_limit_of_a_shutdown_does_not_wait.

--- a/src/node/traffic/stop_procedure.cc
+++ b/src/node/traffic/stop_procedure.cc
@@ -19,7 +19,8 @@
     server_.StartClosing(true);
     ExitIfDone();
   });
-  hard_timer_ = loop.MakeTimer([this] {
+  // Prompt, as the platform kills a process that ends too late.
+  hard_timer_ = loop.MakePromptTimer([this] {
     if (mode_ == StopMode::kHard) {
       hooks_.exit();
       return;
--- a/tests/unit/node/traffic/busy_traffic_test.cc
+++ b/tests/unit/node/traffic/busy_traffic_test.cc
@@ -152,5 +152,23 @@
   cr_expect_eq(upstream.executions(), 3U);
 }
 
+// Guards against a busy VM that the platform kills during its shutdown, as it
+// comes to its hard limit too late.
+Test(busy_traffic, the_hard_limit_of_a_shutdown_does_not_wait) {
+  UpstreamFake upstream([](const UpstreamFake::Request&, TestSocket&) {
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    return false;
+  });
+  auto config = MakeConfig();
+  config.shutdown_hard_limit = milliseconds(500);
+  BusyNode node(upstream.port(), {{milliseconds(300), 1000}}, config);
+  auto caller = node.Connect();
+  cr_assert(caller.Write(Get("/stock")));
+  node.WaitUntil(milliseconds(400));
+  node.Stop();
+  // The last answers may take a second more.
+  cr_expect(node.EndsWithin(milliseconds(3000)));
+}
+
 }  // namespace
 }  // namespace flamingoyoke
