Limit all prompt timers of a loop to half of the time together

Each prompt timer rested as long as it had run, but the timers of several services took turns: three that were always due kept sockets from their turn.

The loop adds up the runs of all its prompt timers, less the time between them, and each rests for the sum. The mailbox has its own half, so timers and messages that are both without end still leave sockets no time.

Test: event_loop/several_prompt_timers_leave_sockets_half_of_the_time. Before, 200 ticks of three timers came before 20 turns of a socket; now at most 40.

--- a/src/runtime/event_loop.cc
+++ b/src/runtime/event_loop.cc
@@ -109,7 +109,7 @@
   }
   destroyed = nullptr;
   const auto end = Now();
-  rested = end + (end - begin);
+  rested = end + loop.AddPromptWork(begin, end);
   if (due < rested && event_pending(ev.get(), EV_TIMEOUT, nullptr) != 0) {
     due = rested;
     const auto interval = ToTimeval(rested - end);
@@ -201,6 +201,14 @@
   return handle;
 }
 
+auto EventLoop::AddPromptWork(TimePoint begin, TimePoint end) -> Duration {
+  const auto rest = begin - prompt_end_;
+  prompt_work_ = std::max(prompt_work_ - rest, Duration::zero());
+  prompt_work_ += end - begin;
+  prompt_end_ = end;
+  return prompt_work_;
+}
+
 auto EventLoop::QueueDelay() -> Duration {
   const auto now = Now();
   if (!marked_at_) {
--- a/src/runtime/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -82,8 +82,9 @@
   // Returns a timer that is not yet scheduled.
   auto MakeTimer(Callback callback) -> Handle;
   // As MakeTimer, but `callback` runs before the events of sockets that wait,
-  // as long as it takes at most half of the time. For timeouts, which would
-  // otherwise be late by all that is queued on a busy loop.
+  // as long as all prompt timers together take at most half of the time. For
+  // timeouts, which would otherwise be late by all that is queued on a busy
+  // loop.
   auto MakePromptTimer(Callback callback) -> Handle;
   // Returns a timer that runs `callback` each `period`.
   auto MakePeriodicTimer(Duration period, Callback callback) -> Handle;
@@ -112,12 +113,18 @@
   };
 
   static auto StartWatch(const Handle& handle) -> void;
+  // Adds the run of a prompt timer. Returns how long the timer must rest, so
+  // that all of them take at most half of the time.
+  auto AddPromptWork(TimePoint begin, TimePoint end) -> Duration;
   auto MakeHandle(int descriptor, short events, Callback callback) -> Handle;
 
   // Empty in a part of another loop.
   std::unique_ptr<event_base, BaseDeleter> own_base_;
   event_base* const base_;
   std::optional<PartHandlers> part_;
+  // Time that prompt timers took lately, less the time between their runs.
+  Duration prompt_work_ = Duration::zero();
+  TimePoint prompt_end_;
   // An event at the end of the queue, and when it was put there; nothing if it
   // is not queued.
   std::optional<TimePoint> marked_at_;
--- a/tests/unit/runtime/event_loop_test.cc
+++ b/tests/unit/runtime/event_loop_test.cc
@@ -126,6 +126,40 @@
   cr_expect_leq(ticks, 25);
 }
 
+// Guards against timers of several services that take turns and together keep
+// sockets from theirs.
+Test(event_loop, several_prompt_timers_leave_sockets_half_of_the_time) {
+  constexpr int kTurns = 20;
+  constexpr int kMaxTicks = 200;
+  EventLoop loop;
+  int turns = 0;
+  int ticks = 0;
+  std::vector<EventLoop::Handle> timers(3);
+  for (auto& timer : timers) {
+    timer = loop.MakePromptTimer([&] {
+      std::this_thread::sleep_for(milliseconds(2));
+      if (++ticks == kMaxTicks) {
+        loop.Quit();
+      }
+      timer.Schedule(Duration::zero());
+    });
+    timer.Schedule(Duration::zero());
+  }
+  EventLoop::Handle socket;
+  socket = loop.MakeTimer([&] {
+    std::this_thread::sleep_for(milliseconds(2));
+    if (++turns == kTurns) {
+      loop.Quit();
+      return;
+    }
+    socket.Schedule(Duration::zero());
+  });
+  socket.Schedule(Duration::zero());
+  loop.Run();
+  cr_expect_eq(turns, kTurns);
+  cr_expect_leq(ticks, 2 * kTurns);
+}
+
 // Guards against a use of a timer that its own callback destroys.
 Test(event_loop, a_prompt_timer_may_be_destroyed_by_its_callback) {
   EventLoop loop;
