Limit a batch of messages on a shared loop by time

A task handled up to 64 messages before its neighbours, whatever they took. On a VM short of processor, where the check of one version of the registry takes 20 ms or more, that is over a second, in which the timers of membership and of the pause detection wait. A batch ends after 5 ms now, as on a loop of its own.

Test: task_host/long_messages_leave_the_neighbour_its_turn. Before, all 60 messages of 5 ms came before the neighbour's one.

--- a/src/runtime/task_run.h
+++ b/src/runtime/task_run.h
@@ -85,7 +85,8 @@
 
  private:
   // Messages handled before other tasks on the loop have their turn, and the
-  // time after which sockets have as much before the next messages.
+  // time after which they have it earlier. Sockets of the task itself have as
+  // much time before the next messages.
   static constexpr std::size_t kMaxBatch = 64;
   static constexpr Duration kMaxBusy = std::chrono::milliseconds(5);
 
@@ -105,7 +106,7 @@
   }
 
   auto OnWake() -> void {
-    if (!HandleBatch(std::nullopt)) {
+    if (!HandleBatch(Now() + kMaxBusy)) {
       mailbox_.Wake();
     }
   }
@@ -126,12 +127,12 @@
 
   // Handles messages until `end`, and at least one of them. Returns false if
   // others are left.
-  auto HandleBatch(std::optional<TimePoint> end) -> bool {
+  auto HandleBatch(TimePoint end) -> bool {
     auto messages = mailbox_.TakeAll();
     for (std::size_t handled = 0; !messages.empty(); ++handled) {
       // A stop waits for all messages before it, but for no later ones.
       const bool is_over =
-          handled >= kMaxBatch || (handled > 0 && end && Now() >= *end);
+          handled >= kMaxBatch || (handled > 0 && Now() >= end);
       if (is_over && stop_mode_.load() <= signaled_mode_) {
         mailbox_.PutBack(std::move(messages));
         return false;
--- a/tests/unit/runtime/task_host_test.cc
+++ b/tests/unit/runtime/task_host_test.cc
@@ -180,6 +180,26 @@
   cr_assert(events.back() == "first 999");
 }
 
+// Guards against messages that take long and hold up the timers of the
+// neighbours until these take the VM for one that was paused.
+Test(task_host, long_messages_leave_the_neighbour_its_turn) {
+  Fixture fixture;
+  fixture.first_script.on_number = [](int) {
+    std::this_thread::sleep_for(milliseconds(5));
+  };
+  for (int i = 0; i < 60; ++i) {
+    fixture.first_mailbox.Post(Number{i});
+  }
+  fixture.second_mailbox.Post(Number{-1});
+  fixture.Start();
+  fixture.RunFor(milliseconds(800));
+  const auto& events = fixture.events;
+  cr_assert_eq(events.size(), 61);
+  const auto turn = std::find(events.begin(), events.end(), "second -1");
+  cr_assert_lt(turn - events.begin(), 10);
+  cr_assert(events.back() == "first 59");
+}
+
 // Guards against a stop that overtakes messages that were posted before it.
 Test(task_host, stops_after_the_messages_before_it) {
   Fixture fixture;
