--- a/src/runtime/task_run.h
+++ b/src/runtime/task_run.h
@@ -84,8 +84,9 @@
   }
 
  private:
-  // Messages, and time for them, before other tasks and sockets on the loop
-  // have their turn.
+  // Messages handled before other tasks on the loop have their turn, and the
+  // time after which they have it earlier. Sockets of the task itself have as
+  // much time before the next messages.
   static constexpr std::size_t kMaxBatch = 64;
   static constexpr Duration kMaxBusy = std::chrono::milliseconds(20);
 
