Judge attempts by their age without the wait of their answers

On a gateway whose events wait over 100 ms it saw attempts as overdue and hedged them although their answers had arrived and waited for their turn, which adds work when there is too much.

PoolDispatcher subtracts the delay of the loop from the age of an attempt. LoadMeter gets that delay, too, since the tick of the gateway is prompt and no longer late with the sockets.

pool_dispatcher/hedges_later_while_events_wait fails without the change.

--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -359,6 +359,7 @@
 auto PoolDispatcher::On(const PoolLoopDelayed& event) -> void {
   calm_report_period_ = std::min(
       kMaxCalmReportPeriod, kCalmReportPeriod + kCalmPerDelay * event.delay);
+  loop_delay_ = event.delay;
 }
 
 auto PoolDispatcher::On(const PoolResumed& /*event*/) -> void {
@@ -416,7 +417,8 @@
   for (auto& [id, running] : attempts_) {
     auto& active = requests_.at(running.request);
     const auto expected_time = ExpectedServiceTime(active);
-    const auto age = now_ - running.started;
+    // The answer may be here and wait for its turn.
+    const auto age = now_ - running.started - loop_delay_;
     if (!running.overdue &&
         age > std::max(kMinOverdueAge, Scale(kOverdueFactor, expected_time))) {
       running.overdue = true;
--- a/src/decision/gateway/pool_dispatcher.h
+++ b/src/decision/gateway/pool_dispatcher.h
@@ -200,6 +200,8 @@
   bool is_invited_ = false;
   // Interval between reports of successes of targets that look healthy.
   Duration calm_report_period_;
+  // How long events of this gateway wait before they are handled.
+  Duration loop_delay_ = Duration::zero();
   std::optional<TimePoint> scheduled_wake_;
   std::vector<PoolAction> actions_;
 };
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -619,8 +619,9 @@
 
 auto GatewayTask::MeasureLoad() -> void {
   const auto now = Now();
-  const auto delay = std::max(now - tick_due_, Duration::zero());
-  UpdateLoopDelay(std::max(delay, context_->loop().QueueDelay()));
+  // The tick goes before sockets, so its own delay says little about theirs.
+  const auto delay = std::max(now - tick_due_, context_->loop().QueueDelay());
+  UpdateLoopDelay(delay);
   if (load_.Add({received_bytes_, last_request_, delay}, now)) {
     outbox_.fleet.Post(LoadMeasured{load_.capacity(), load_.load()});
   }
--- a/src/node/traffic/gateway/quota_runner.cc
+++ b/src/node/traffic/gateway/quota_runner.cc
@@ -28,9 +28,10 @@
 }  // namespace
 
 QuotaRunner::QuotaRunner(EventLoop& loop, Random random, Hooks hooks)
-    : hooks_(std::move(hooks)), quotas_(random), timer_(loop.MakeTimer([this] {
-        Post(GatewayQuotaEvent(QuotaTimer{}));
-      })) {}
+    : hooks_(std::move(hooks)),
+      quotas_(random),
+      timer_(loop.MakePromptTimer(
+          [this] { Post(GatewayQuotaEvent(QuotaTimer{})); })) {}
 
 auto QuotaRunner::OnView(const FleetView& view) -> void {
   self_ = view.self;
--- a/tests/unit/decision/gateway/pool_dispatcher_test.cc
+++ b/tests/unit/decision/gateway/pool_dispatcher_test.cc
@@ -277,6 +277,23 @@
   cr_assert_eq(cancelled.front().attempt.value(), sent.attempt.attempt.value());
 }
 
+// Load: a gateway whose events wait, as it is short of processor. Guards
+// against hedges of requests whose answers have arrived and wait for their
+// turn.
+Test(pool_dispatcher, hedges_later_while_events_wait) {
+  constexpr auto kDelay = milliseconds(2000);
+  auto [dispatcher, attempt] = StartSingleAttempt(true, 2);
+  dispatcher.OnEvent(PoolLoopDelayed{kDelay}, kStart);
+  const auto hedged_by = [&](Duration time) {
+    return !ActionsOf<StartAttempt>(
+                dispatcher.OnEvent(PoolTimer{}, kStart + time))
+                .empty();
+  };
+  cr_expect_not(hedged_by(milliseconds(600)));
+  dispatcher.OnEvent(PoolLoopDelayed{Duration::zero()}, kStart);
+  cr_expect(hedged_by(milliseconds(601)));
+}
+
 Test(pool_dispatcher, never_hedges_non_repeatable_requests) {
   auto sent = StartSingleAttempt(false, 4);
   for (int ms = 10; ms < 1000; ms += 10) {
