--- a/src/node/control/mesh/mesh_task.cc
+++ b/src/node/control/mesh/mesh_task.cc
@@ -42,6 +42,12 @@
     std::is_same_v<T, TablePull> || std::is_same_v<T, TableData> ||
     std::is_same_v<T, CompressedTable>;
 
+auto ReportsOutcomes(const PeerMessage& message) -> bool {
+  const auto kind = KindOf(message);
+  return kind == PeerMessageKind::kOutcomeReport ||
+         kind == PeerMessageKind::kOutcomeBatch;
+}
+
 auto Counter(std::string name, std::string help, std::uint64_t value)
     -> MetricSample {
   return {.name = std::move(name),
@@ -103,7 +109,7 @@
   std::visit(
       Overloaded{
           [this](PeerMessageToSend& send) {
-            if (KindOf(send.order.message) == PeerMessageKind::kOutcomeReport) {
+            if (ReportsOutcomes(send.order.message)) {
               Defer(std::move(send.order));
               return;
             }
--- a/tests/unit/node/control/mesh/mesh_task_test.cc
+++ b/tests/unit/node/control/mesh/mesh_task_test.cc
@@ -155,12 +155,14 @@
   for (int i = 0; i < kReports; ++i) {
     mesh.Send(OutcomeReport{ServiceId("s"), {}, {}, 1});
   }
+  mesh.Send(OutcomeBatch{{OutcomeReport{ServiceId("s"), {}, {}, 1}}});
   mesh.Send(TableAnnounce{});
   mesh.Run(kDeliveryWait);
   cr_expect(std::holds_alternative<TableAnnounce>(ReadNext(peer)));
   for (int i = 0; i < kReports; ++i) {
     cr_expect(std::holds_alternative<OutcomeReport>(ReadNext(peer)));
   }
+  cr_expect(std::holds_alternative<OutcomeBatch>(ReadNext(peer)));
 }
 
 // Load: reports that the task has no time to send. Guards against memory that
