--- a/tests/unit/decision/gateway/pool_dispatcher_test.cc
+++ b/tests/unit/decision/gateway/pool_dispatcher_test.cc
@@ -282,15 +282,15 @@
 // turn.
 Test(pool_dispatcher, hedges_later_while_events_wait) {
   constexpr auto kDelay = milliseconds(2000);
-  auto [dispatcher, attempt] = StartSingleAttempt(true, 2);
-  dispatcher.OnEvent(PoolLoopDelayed{kDelay}, kStart);
+  auto sent = StartSingleAttempt(true, 2);
+  sent.dispatcher.OnEvent(PoolLoopDelayed{kDelay}, kStart);
   const auto hedged_by = [&](Duration time) {
     return !ActionsOf<StartAttempt>(
-                dispatcher.OnEvent(PoolTimer{}, kStart + time))
+                sent.dispatcher.OnEvent(PoolTimer{}, kStart + time))
                 .empty();
   };
   cr_expect_not(hedged_by(milliseconds(600)));
-  dispatcher.OnEvent(PoolLoopDelayed{Duration::zero()}, kStart);
+  sent.dispatcher.OnEvent(PoolLoopDelayed{Duration::zero()}, kStart);
   cr_expect(hedged_by(milliseconds(601)));
 }
 
