Take only a time without answers for an outage of the store

Cause: a VM that began to read within 4 s after any reader had reported the store as lost kept missing entries for 2.3 s, since entries of live targets expire in an outage. In the logs the new readers have their list 1 ms after their election and propose the registry 2.3 s later.

An outage is now a time of 3 s or more without an answer to any VM of the fleet: from the last answer that the VM knows of to its first one. Readers tell with their confirmations since when the store has been available, so that a wait goes on when its reader is replaced. Less than 3 s without answers leaves a target's entry in place, as it expires after 4.5 s of silence; what is not known counts as an outage.

--- a/src/decision/fleet/source_freshness.cc
+++ b/src/decision/fleet/source_freshness.cc
@@ -22,13 +22,19 @@
   is_substitute_ = false;
 }
 
-auto SourceFreshness::OnFollowing(bool is_elected, StoreEra era, TimePoint now)
-    -> void {
+auto SourceFreshness::OnFollowing(bool is_elected,
+                                  StoreEra era,
+                                  std::optional<TimePoint> available_since,
+                                  TimePoint now) -> void {
   if (era < era_) {
     return;
   }
-  Confirm({self_, incarnation_, ++sequence_, Duration::zero(), is_elected, era},
-          now);
+  SourceConfirmation confirmation{
+      self_, incarnation_, ++sequence_, Duration::zero(), is_elected, era};
+  if (available_since) {
+    confirmation.available_for = now - *available_since;
+  }
+  Confirm(confirmation, now);
 }
 
 auto SourceFreshness::OnConfirmation(const SourceConfirmation& confirmation,
@@ -80,6 +86,13 @@
   return newest;
 }
 
+auto SourceFreshness::AvailableSince() const -> std::optional<TimePoint> {
+  if (!newest_ || !newest_->available_for) {
+    return std::nullopt;
+  }
+  return confirmed_at_ - *newest_->available_for;
+}
+
 auto SourceFreshness::TakeAnnouncementDue() -> bool {
   return std::exchange(is_announcement_due_, false);
 }
--- a/src/decision/fleet/source_freshness.h
+++ b/src/decision/fleet/source_freshness.h
@@ -42,8 +42,13 @@
   // The process started, or resumed after a pause.
   auto OnStarted(TimePoint now) -> void;
   // This VM follows the store of `era`. `is_elected` tells whether it is one of
-  // the elected readers.
-  auto OnFollowing(bool is_elected, StoreEra era, TimePoint now) -> void;
+  // the elected readers, `available_since` since when the store has been
+  // available without an outage, if this VM knows. Precondition:
+  // `available_since` is not later than `now`.
+  auto OnFollowing(bool is_elected,
+                   StoreEra era,
+                   std::optional<TimePoint> available_since,
+                   TimePoint now) -> void;
   // The store has returned in `era`, unless a later one is known.
   auto OnEra(StoreEra era) -> void { era_ = std::max(era_, era); }
   // A peer passed on a confirmation.
@@ -55,6 +60,9 @@
   // Returns the newest confirmation, for heartbeats; nothing if there is none.
   [[nodiscard]] auto Newest(TimePoint now) const
       -> std::optional<SourceConfirmation>;
+  // Returns since when the store has been available without an outage by the
+  // newest confirmation; nothing if that does not tell.
+  [[nodiscard]] auto AvailableSince() const -> std::optional<TimePoint>;
   // Returns whether a confirmation arrived that is so much newer than the one
   // before that the peers must learn it at once. True once for each.
   [[nodiscard]] auto TakeAnnouncementDue() -> bool;
--- a/src/decision/fleet/table_dissemination_event.h
+++ b/src/decision/fleet/table_dissemination_event.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -47,6 +48,8 @@
 // TableTextRead. Only for sources that always return their newest state.
 struct SourceRead {
   TimePoint requested_at;
+  // Since when the source has been available without an outage.
+  std::optional<TimePoint> available_since = {};
 };
 
 // The process was paused, so what it has read before may be outdated.
--- a/src/decision/peer/peer_message.h
+++ b/src/decision/peer/peer_message.h
@@ -44,6 +44,9 @@
   bool is_elected = false;
   // Era of the store that the reader followed.
   StoreEra era = {};
+  // How long the store had been available without an outage by then; absent if
+  // the reader doesn't know.
+  std::optional<Duration> available_for = {};
 
   auto operator==(const SourceConfirmation&) const -> bool = default;
 };
--- a/src/decision/platform/read_recovery.h
+++ b/src/decision/platform/read_recovery.h
@@ -32,19 +32,17 @@
 };
 static_assert(IsDense<ReadOutcome>());
 
-// Decides whether a failed read is evidence that the store was unavailable.
-// Entries of live targets expire while the store is unavailable, but not while
-// only a connection is closed, reset or silent, which may happen to the
-// connections of all readers at once. What distinguishes the two is whether the
-// store answers soon on a new connection. Not thread-safe.
+// Decides whether a reader repeats a failed read or reports the store as lost,
+// so that other VMs read it. A connection that is closed, reset or silent says
+// little about the store, and this may happen to the connections of all readers
+// at once. What shows whether this VM still reaches the store is whether it is
+// answered soon on a new connection. Not thread-safe.
 class ReadRecovery {
  public:
   // A failed read must be followed by an answer within this time after it was
-  // requested. An entry expires after three missed heartbeats, so an outage
-  // that fits into this time removes no entry of a live target. Long enough for
-  // a silent watch to time out and for one more read after it; short enough for
-  // other VMs to take over within the two seconds in which a change must be in
-  // force.
+  // requested. Long enough for a silent watch to time out and for one more read
+  // after it; short enough for other VMs to take over within the two seconds in
+  // which a change must be in force.
   static constexpr Duration kMaxUnansweredTime =
       std::chrono::milliseconds(1500);
 
@@ -63,7 +61,7 @@
 
   // A read that was requested at `requested_at` ended with `outcome`, which is
   // not kAnswered. Returns whether to repeat it at once on a new connection
-  // instead of treating the store as unavailable.
+  // instead of reporting the store as lost.
   [[nodiscard]] auto ShouldRetry(ReadOutcome outcome,
                                  TimePoint requested_at,
                                  TimePoint now) -> bool {
--- a/src/decision/platform/registry_tracker.cc
+++ b/src/decision/platform/registry_tracker.cc
@@ -19,15 +19,17 @@
 }  // namespace
 
 auto RegistryTracker::IsSettled(TimePoint now) const -> bool {
-  return available_since_ && now - *available_since_ >= kSettleTime;
+  const auto& since = availability_.since();
+  return since && now - *since >= kSettleTime;
 }
 
 auto RegistryTracker::TimeUntilSettled(TimePoint now) const
     -> std::optional<Duration> {
-  if (missing_.empty() || !available_since_) {
+  const auto& since = availability_.since();
+  if (missing_.empty() || !since) {
     return std::nullopt;
   }
-  return std::max(*available_since_ + kSettleTime - now, Duration::zero());
+  return std::max(*since + kSettleTime - now, Duration::zero());
 }
 
 auto RegistryTracker::OnListed(const std::vector<RegisteredTarget>& targets,
@@ -36,10 +38,11 @@
   const bool is_first = !std::exchange(has_listed_, true);
   const auto known_era = is_first ? (current_ ? current_->era : era) : era_;
   if (known_era < era) {
-    returned_at_ =
-        !is_first && available_since_ ? std::optional(now) : std::nullopt;
+    returned_at_ = !is_first && !availability_.was_interrupted()
+                       ? std::optional(now)
+                       : std::nullopt;
     // The copy lacks the entries that were written after it was taken.
-    OnFailed();
+    availability_.OnEntriesLost(now);
   }
   era_ = era;
   const auto previous =
@@ -58,12 +61,10 @@
     missing_.erase(id);
   }
   for (const auto& [id, target] : previous) {
-    if (listed_.count(id) == 0 && !order_.IsRemoved(id) &&
-        (is_first || !IsSettled(now))) {
+    if (listed_.count(id) == 0 && !order_.IsRemoved(id) && !IsSettled(now)) {
       missing_.emplace(id, target);
     }
   }
-  OnAnswered(now);
 }
 
 auto RegistryTracker::TargetsInForce() const
@@ -111,7 +112,6 @@
     unconfirmed_.erase(target.id);
     listed_[target.id] = target;
   }
-  OnAnswered(now);
 }
 
 auto RegistryTracker::OnRemoved(const TargetId& target, TimePoint now) -> void {
@@ -124,25 +124,19 @@
     listed_.erase(found);
     order_.RecordRemoval(target, era_, now);
   }
-  OnAnswered(now);
 }
 
-auto RegistryTracker::OnAnswered(TimePoint now) -> void {
-  if (!available_since_) {
-    available_since_ = now;
-  }
+auto RegistryTracker::OnAnswered(TimePoint requested_at, TimePoint now)
+    -> void {
+  availability_.OnAnswered(requested_at, now);
   if (IsSettled(now)) {
     missing_.clear();
   }
 }
 
-auto RegistryTracker::OnStarted(bool store_was_available, TimePoint now)
-    -> void {
+auto RegistryTracker::OnStarted(const StoreContact& known) -> void {
   OnStopped();
-  available_since_.reset();
-  if (store_was_available) {
-    available_since_ = now - kSettleTime;
-  }
+  availability_.OnStarted(known);
 }
 
 auto RegistryTracker::OnStopped() -> void {
@@ -153,10 +147,6 @@
   returned_at_.reset();
 }
 
-auto RegistryTracker::OnFailed() -> void {
-  available_since_.reset();
-}
-
 auto RegistryTracker::OnCurrentRegistry(
     std::shared_ptr<const Registry> registry,
     TimePoint now) -> void {
@@ -232,13 +222,13 @@
 auto RegistryTracker::ProposeRegistry(std::uint64_t store_revision,
                                       TimePoint now)
     -> std::optional<Registry> {
-  if (!has_listed_ || !available_since_) {
+  const auto& since = availability_.since();
+  if (!has_listed_ || !since) {
     return std::nullopt;
   }
   if (!KeepsMissing(now)) {
     DropMissingNotInCurrent();
-    if (current_ && !missing_.empty() &&
-        now - *available_since_ < kPeerSyncTime) {
+    if (current_ && !missing_.empty() && now - *since < kPeerSyncTime) {
       return std::nullopt;
     }
   }
--- a/src/decision/platform/registry_tracker.h
+++ b/src/decision/platform/registry_tracker.h
@@ -11,6 +11,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "decision/platform/store_availability.h"
 #include "decision/platform/target_report_order.h"
 #include "table/registry.h"
 
@@ -23,11 +24,11 @@
 //
 // Entries of live targets expire while the store is unavailable. A missing
 // entry therefore counts as removed only after the store has been available for
-// kSettleTime without interruption, in which live targets register again. Only
-// targets in the current registry are kept this way. A reader that was
-// disconnected must not restore targets that others have found removed, so it
-// waits kPeerSyncTime for messages from its peers before it proposes a registry
-// with missing targets.
+// kSettleTime without an outage (StoreAvailability), in which live targets
+// register again. Only targets in the current registry are kept this way. A
+// reader that was disconnected must not restore targets that others have found
+// removed, so it waits kPeerSyncTime for messages from its peers before it
+// proposes a registry with missing targets.
 //
 // A report of a target that was held up on its way to the store may arrive
 // after newer ones, by a list or a watch. It changes nothing.
@@ -43,6 +44,10 @@
   // A peer sends a heartbeat every second and a table within milliseconds.
   static constexpr Duration kPeerSyncTime = std::chrono::milliseconds(1200);
 
+  // The store answered at `now` a read that was requested at `requested_at`.
+  // Must be called for each answer, before the entries that it contains are
+  // passed on.
+  auto OnAnswered(TimePoint requested_at, TimePoint now) -> void;
   // The store returned the complete list of entries in `era`, which is no
   // earlier than that of any list before.
   auto OnListed(const std::vector<RegisteredTarget>& targets,
@@ -63,16 +68,9 @@
                                TimePoint now) const -> EntryAge {
     return order_.AgeInList(target, era, now);
   }
-  // The store answered. Must be called after every answer.
-  auto OnAnswered(TimePoint now) -> void;
-  // A read failed, or the store returned in a later era: entries of live
-  // targets may be missing.
-  auto OnFailed() -> void;
   // This VM becomes a reader; what it listed in an earlier term is outdated.
-  // `store_was_available` tells whether other readers have read the store
-  // without a failure until now, in which case no entry of a live target has
-  // expired.
-  auto OnStarted(bool store_was_available, TimePoint now) -> void;
+  // `known` is what the fleet knows of the store until now.
+  auto OnStarted(const StoreContact& known) -> void;
   // This VM is no longer a reader.
   auto OnStopped() -> void;
   // Sets the registry in force in the fleet; null before the first one.
@@ -86,6 +84,11 @@
   [[nodiscard]] auto ProposeRegistry(std::uint64_t store_revision,
                                      TimePoint now) -> std::optional<Registry>;
 
+  // What this VM knows of the store's outages.
+  [[nodiscard]] auto availability() const -> const StoreAvailability& {
+    return availability_;
+  }
+
   // Returns the time until missing entries count as removed if the store stays
   // available; nothing if none is missing. A registry can be proposed then.
   [[nodiscard]] auto TimeUntilSettled(TimePoint now) const
@@ -131,7 +134,7 @@
   // Entries that disappeared before the store was settled.
   std::map<TargetId, RegisteredTarget> missing_;
   TargetReportOrder order_;
-  std::optional<TimePoint> available_since_;
+  StoreAvailability availability_;
   bool has_listed_ = false;
   // Era of the last list.
   StoreEra era_;
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -200,6 +200,7 @@
 auto FleetTask::HandleMessage(const SourceRead& message) -> void {
   ProcessEvent(TableDisseminationEvent(message));
   has_read_as_reader_ = role_.is_reader;
+  source_available_since_ = message.available_since;
   UpdateFreshness();
 }
 
@@ -217,7 +218,9 @@
   // reads by others would not help then.
   if (role_.is_reader &&
       (has_read_as_reader_ || (is_elected_ && lost_source_))) {
-    freshness_.OnFollowing(is_elected_, ActiveEra(), now);
+    freshness_.OnFollowing(
+        is_elected_, ActiveEra(),
+        has_read_as_reader_ ? source_available_since_ : std::nullopt, now);
   }
   ShareConfirmation(freshness_.TakeAnnouncementDue());
   ScheduleFreshnessCheck();
@@ -403,7 +406,7 @@
 
 auto FleetTask::PostRole() -> void {
   outlets_.platform.Post(
-      ReaderRoleChanged{role_.is_reader, role_.known, WasSourceHealthy()});
+      ReaderRoleChanged{role_.is_reader, role_.known, KnownStoreContact()});
 }
 
 auto FleetTask::PostInForce() -> void {
@@ -458,11 +461,6 @@
   if (ready == is_ready_ && digests == announced_tables_) {
     return;
   }
-  if (ready && !is_ready_) {
-    ready_since_ = now;
-  } else if (!ready) {
-    ready_since_.reset();
-  }
   is_ready_ = ready;
   announced_tables_ = digests;
   AnnounceSelf();
@@ -528,9 +526,6 @@
   view->ready = is_ready_ && !is_superseded_;
   view->leaving = membership_.self().leaving || is_superseded_;
   std::visit([&](const auto& store) { FillView(store, *view); }, tables_);
-  const auto& members = view->members;
-  source_health_.UpdateMembers(members, ReaderVms(members, kPublishedReaders),
-                               Now());
   UpdateHomePeers(*view);
   two_way_peers_ = membership_.TwoWayPeers(Now());
   NotifyTableDissemination(view->members);
@@ -637,11 +632,13 @@
   return is_substitute_;
 }
 
-auto FleetTask::WasSourceHealthy() const -> bool {
+auto FleetTask::KnownStoreContact() const -> StoreContact {
   const auto now = Now();
-  // A VM that has just become ready has not observed the source long enough.
-  return ready_since_ && now - *ready_since_ >= SourceHealth::kFailureWindow &&
-         source_health_.WasHealthy(now);
+  StoreContact contact{.available_since = freshness_.AvailableSince()};
+  if (const auto age = table_dissemination_.CurrencyAge(now)) {
+    contact.answered_at = now - *age;
+  }
+  return contact;
 }
 
 auto FleetTask::ActiveRevision() const -> Revision {
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -15,7 +15,6 @@
 #include "decision/fleet/membership.h"
 #include "decision/fleet/readiness_gate.h"
 #include "decision/fleet/source_freshness.h"
-#include "decision/fleet/source_health.h"
 #include "decision/fleet/table_dissemination.h"
 #include "decision/pause/pause_detector.h"
 #include "node/control/fleet/fleet_config.h"
@@ -114,7 +113,9 @@
   [[nodiscard]] auto IsReader(const std::vector<Member>& members) const -> bool;
   // Returns whether this VM reads the published store in place of lost readers.
   [[nodiscard]] auto IsSubstitute(std::size_t fleet_size) -> bool;
-  [[nodiscard]] auto WasSourceHealthy() const -> bool;
+  // Returns what this VM knows of the published store from its own reads and
+  // from its peers.
+  [[nodiscard]] auto KnownStoreContact() const -> StoreContact;
   [[nodiscard]] auto ActiveRevision() const -> Revision;
   // Returns the era of the published store that the registry in force is of.
   [[nodiscard]] auto ActiveEra() const -> StoreEra;
@@ -146,14 +147,13 @@
   // Resources of this VM for callers' requests, and their current use.
   VmResources capacity_;
   VmResources load_;
-  // Time at which this VM became ready.
-  std::optional<TimePoint> ready_since_;
-  SourceHealth source_health_;
   SourceFreshness freshness_;
   // The role last sent to the task that reads the source, and whether that task
   // has read the source in this role.
   ReaderRoleSet role_;
   bool has_read_as_reader_ = false;
+  // Since when the store has been available by the last read of this VM.
+  std::optional<TimePoint> source_available_since_;
   bool is_elected_ = false;
   // Whether the tables in force are known to be the newest since the start.
   bool has_newest_ = false;
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -109,7 +109,7 @@
     return;
   }
   recovery_.OnStarted();
-  tracker_.OnStarted(changed.source_was_healthy, Now());
+  tracker_.OnStarted(changed.store);
   is_available_ = true;
   if (!is_reading_) {
     reader_->CloseConnection();
@@ -261,6 +261,17 @@
   OnReadSucceeded();
 }
 
+auto StoreTask::RecordAnswer() -> void {
+  tracker_.OnAnswered(requested_at_, Now());
+  if (tracker_.availability().was_interrupted()) {
+    Log(Part::kStore, LogLevel::kInfo,
+        "no VM is known to have been answered by the store lately; targets "
+        "without an entry are kept for " +
+            std::to_string(ToMilliseconds(RegistryTracker::kSettleTime)) +
+            " ms");
+  }
+}
+
 auto StoreTask::TakeInList() -> void {
   // A store that names no era is in era 0.
   if (StoreEra() < known_era_ && known_era_ < *list_era_) {
@@ -270,6 +281,7 @@
             std::to_string(known_era_.value()));
   }
   known_era_ = *list_era_;
+  RecordAnswer();
   const auto now = Now();
   std::size_t older = 0;
   for (const auto& target : list_targets_) {
@@ -318,6 +330,7 @@
     OnReadFailed("cannot decode the watch response: " + error->detail);
     return;
   }
+  RecordAnswer();
   for (const auto& item : page->items) {
     ApplyItem(item, nullptr);
   }
@@ -345,7 +358,6 @@
         "the store is unavailable: " + reason);
     fleet_.Post(SourceStateChanged{false});
   }
-  tracker_.OnFailed();
   read_timer_.Schedule(schedule_.DelayAfterFailure());
 }
 
@@ -356,10 +368,9 @@
   }
   schedule_.DelayAfterAnswer();
   recovery_.OnAnswered();
-  tracker_.OnAnswered(Now());
   PostRegistry();
   if (!outbox_.has_pending()) {
-    fleet_.Post(SourceRead{requested_at_});
+    fleet_.Post(SourceRead{requested_at_, tracker_.availability().since()});
   }
   read_timer_.Schedule(
       ReadSchedule::WatchInterval(config_.watch_interval, registry_bytes_));
--- a/src/node/control/store/store_task.h
+++ b/src/node/control/store/store_task.h
@@ -57,6 +57,9 @@
   // used. Otherwise starts a new list, if the store has returned in a later era
   // than that of the list, or treats the read as failed.
   auto AcceptEra(const StoreReader::Response& response) -> bool;
+  // Records that the store has answered the last read. Must be called before
+  // the entries of the answer are applied.
+  auto RecordAnswer() -> void;
   // Passes a complete list to the tracker.
   auto TakeInList() -> void;
   // Forgets what was listed, so that the next read lists all keys.
--- a/src/node/messages.h
+++ b/src/node/messages.h
@@ -15,6 +15,7 @@
 #include "decision/fleet/member.h"
 #include "decision/fleet/table_dissemination_event.h"
 #include "decision/peer/peer_message.h"
+#include "decision/platform/store_availability.h"
 #include "runtime/mailbox.h"
 #include "table/registry.h"
 
@@ -89,8 +90,8 @@
 struct ReaderRoleChanged {
   bool is_reader = false;
   Revision known;
-  // Whether the previous readers had no errors with the source.
-  bool source_was_healthy = false;
+  // What this VM knows of the published store until now.
+  StoreContact store = {};
 };
 template <>
 inline constexpr MailboxPolicy kMailboxPolicy<ReaderRoleChanged> =
--- a/src/wire/body_reader.cc
+++ b/src/wire/body_reader.cc
@@ -101,6 +101,10 @@
         VmId(source.reader()), Incarnation(source.incarnation()),
         source.sequence(),     std::chrono::milliseconds(source.age_ms()),
         source.is_elected(),   StoreEra(source.era())};
+    if (source.has_available_ms()) {
+      message.source->available_for =
+          std::chrono::milliseconds(source.available_ms());
+    }
   }
   if (encoded.has_tables_age_ms()) {
     message.tables_age = std::chrono::milliseconds(encoded.tables_age_ms());
--- a/src/wire/body_writer.cc
+++ b/src/wire/body_writer.cc
@@ -105,6 +105,10 @@
     source->set_age_ms(ToWireMilliseconds(message.source->age));
     source->set_is_elected(message.source->is_elected);
     source->set_era(message.source->era.value());
+    if (message.source->available_for) {
+      source->set_available_ms(
+          ToWireMilliseconds(*message.source->available_for));
+    }
   }
   if (message.tables_age) {
     encoded->set_tables_age_ms(ToWireMilliseconds(*message.tables_age));
--- a/tests/integration/published_store_test.cc
+++ b/tests/integration/published_store_test.cc
@@ -167,6 +167,94 @@
   ExpectDropped(fleet, removed);
 }
 
+// Returns the size of a fleet whose gateways can lose the store one by one.
+auto LinkedSize() -> FleetSize {
+  return {.targets = {{"orders", 2}}, .gateways = 7, .has_store_links = true};
+}
+
+// Publishes a configuration and starts all gateways.
+auto StartAndSettle(PublishedStoreFleet& fleet) -> void {
+  fleet.PublishRoutes("r4", {"/book/"});
+  for (std::size_t i = 0; i < fleet.gateways(); ++i) {
+    fleet.StartGateway(i);
+  }
+  WaitUntilSettled(fleet);
+}
+
+// Takes the store from the gateways that read it with `lose`, which gets the
+// link of one, while a target leaves and all other gateways reach the store.
+template <typename Lose>
+auto ExpectDroppedWithoutReaders(const Lose& lose) -> void {
+  PublishedStoreFleet fleet(LinkedSize());
+  StartAndSettle(fleet);
+  const auto readers = fleet.FindReaders();
+  cr_assert_leq(readers.size(), 4U);
+  for (const auto reader : readers) {
+    lose(fleet, fleet.store_link(reader));
+  }
+  ExpectDropped(fleet, fleet.Unregister(0));
+}
+
+// Guards against requests to a removed target because the gateways that read
+// the store lost it just before, by silent or refused connections.
+Test(published_store, drops_a_removed_target_after_its_readers_were_cut_off) {
+  for (const std::string fault : {"cut", "refuse"}) {
+    ExpectDroppedWithoutReaders([&](PublishedStoreFleet& fleet, Proxy& link) {
+      link.Inject(fleet.http(), "kind=" + fault);
+    });
+  }
+}
+
+// Guards against the same if the store rejects the calls of these gateways.
+Test(published_store, drops_a_removed_target_after_its_readers_were_rejected) {
+  ChildProcess rejecting(ProgramPath("tests/standins/standin_store"), {});
+  const auto port = rejecting.ReadNumber("port", kStartTimeout);
+  ExpectDroppedWithoutReaders([&](PublishedStoreFleet& fleet, Proxy& link) {
+    fleet.http().Put(port, "/control/mode?down=1");
+    link.SetServer(fleet.http(), port);
+    link.Inject(fleet.http(), "kind=reset");
+  });
+}
+
+// Guards against losing live targets after an outage of the store in which
+// their entries expired, until they could register again.
+Test(published_store, keeps_targets_whose_entries_expired_in_an_outage) {
+  PublishedStoreFleet fleet(LinkedSize());
+  StartAndSettle(fleet);
+  const auto inject = [&](const std::string& fault) {
+    for (std::size_t i = 0; i < fleet.gateways(); ++i) {
+      fleet.store_link(i).Inject(fleet.http(), "kind=" + fault);
+    }
+  };
+  const auto runs = [&] {
+    return fleet.target(0).Counters(fleet.http())["runs"].get<int>();
+  };
+  inject("cut");
+  std::this_thread::sleep_for(std::chrono::seconds(5));
+  fleet.Unregister(0);
+  std::this_thread::sleep_for(std::chrono::milliseconds(500));
+  inject("none");
+  const auto before = runs();
+  const auto back = std::chrono::steady_clock::now();
+  for (int i = 0; std::chrono::steady_clock::now() - back <
+                  std::chrono::milliseconds(1500);
+       ++i) {
+    fleet.Call(static_cast<std::size_t>(i) % fleet.gateways(), "/look/1",
+               "expired-" + std::to_string(i), "GET");
+  }
+  // It would get next to none without its entry.
+  const auto in_outage = runs() - before;
+  fleet.Register(0, "ready");
+  cr_assert_gt(in_outage, 10);
+  std::this_thread::sleep_for(std::chrono::seconds(2));
+  const auto registered = runs();
+  for (int i = 0; i < 30; ++i) {
+    fleet.Call(static_cast<std::size_t>(i) % fleet.gateways(), "/look/1",
+               "registered-" + std::to_string(i), "GET");
+  }
+  cr_assert_gt(runs(), registered);
+}
+
 // Guards against a store outage that stops traffic or restores an older
 // configuration, and against changes that are missed when the store has
 // compacted its history.
--- a/tests/integration/support/published_fleet.cc
+++ b/tests/integration/support/published_fleet.cc
@@ -111,6 +111,9 @@
       Register(index, "ready");
     }
   }
+  for (std::size_t i = 0; size_.has_store_links && i < size_.gateways; ++i) {
+    store_links_.push_back(std::make_unique<Proxy>(store_port_));
+  }
   gateways_.resize(size_.gateways);
   launchers_.resize(size_.gateways);
 }
@@ -160,6 +163,27 @@
       {.server = Loopback(store_port_), .method = method, .target = target});
 }
 
+auto PublishedStoreFleet::FindReaders() -> std::vector<std::size_t> {
+  const auto count_bytes = [&] {
+    std::vector<std::uint64_t> bytes;
+    for (const auto& link : store_links_) {
+      bytes.push_back(
+          link->Counters(http_)["bytes_to_server"].get<std::uint64_t>());
+    }
+    return bytes;
+  };
+  const auto before = count_bytes();
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+  const auto after = count_bytes();
+  std::vector<std::size_t> readers;
+  for (std::size_t i = 0; i < before.size(); ++i) {
+    if (after[i] > before[i]) {
+      readers.push_back(i);
+    }
+  }
+  return readers;
+}
+
 auto PublishedStoreFleet::ReturnStore(std::chrono::milliseconds away) -> void {
   SendToStore("PUT", "/control/return?away_ms=" + std::to_string(away.count()));
 }
@@ -263,6 +287,8 @@
   for (std::size_t i = 0; i < std::min(gateways_.size(), kMostSeeds); ++i) {
     seeds.push_back(AddressOf(i) + ":" + std::to_string(ports_.control));
   }
+  const auto store =
+      store_links_.empty() ? store_port_ : store_links_[index]->port();
   nlohmann::json settings = {
       {"vm",
        {{"id", host},
@@ -274,7 +300,7 @@
         {"address_ttl_ms", size_.address_ttl.count()}}},
       {"mesh", {{"address", at(ports_.control)}}},
       {"admin", {{"address", at(ports_.admin)}}},
-      {"platform", {{"address", "127.0.0.1:" + std::to_string(store_port_)}}},
+      {"platform", {{"address", "127.0.0.1:" + std::to_string(store)}}},
       {"shutdown", {{"hard_limit_ms", size_.hard_limit.count()}}},
       {"log", {{"level", log_level}}},
       {"gateway",
--- a/tests/integration/support/published_fleet.h
+++ b/tests/integration/support/published_fleet.h
@@ -68,6 +68,8 @@
   // One of so many targets has a link that loses bytes; 0 for none.
   std::size_t targets_per_link_loss = 0;
   std::size_t gateways = 3;
+  // Whether each gateway reads the store over a link of its own.
+  bool has_store_links = false;
   std::chrono::milliseconds hard_limit = std::chrono::seconds(8);
   std::chrono::milliseconds address_ttl = std::chrono::milliseconds(500);
   // Merged into the settings of each gateway.
@@ -107,6 +109,15 @@
   auto SendToStore(const std::string& method, const std::string& target)
       -> void;
 
+  // Returns the gateways that read the store within a second from now on.
+  // Precondition: the gateways have store links.
+  auto FindReaders() -> std::vector<std::size_t>;
+  // The link over which a gateway reads the store. Precondition: the gateways
+  // have store links.
+  [[nodiscard]] auto store_link(std::size_t gateway) -> Proxy& {
+    return *store_links_[gateway];
+  }
+
   // Lets the store return from the copy that it took last; it closes all
   // connections until it was away for `away`.
   auto ReturnStore(std::chrono::milliseconds away) -> void;
@@ -202,6 +213,8 @@
   PlatformPorts ports_;
   ChildProcess store_;
   int store_port_;
+  // One for each gateway, or none.
+  std::vector<std::unique_ptr<Proxy>> store_links_;
   // What was written last under each key; unset if it was removed.
   std::map<std::string, std::optional<std::string>> written_;
   std::vector<std::unique_ptr<RegisteredStandin>> targets_;
--- a/tests/integration/support/standins.cc
+++ b/tests/integration/support/standins.cc
@@ -61,6 +61,12 @@
   cr_assert_eq(http.Put(control_port_, "/control/fault?" + query).status, kOk);
 }
 
+auto Proxy::SetServer(BlockingHttp& http, int port) -> void {
+  const auto answer =
+      http.Put(control_port_, "/control/server?address=" + Loopback(port).text);
+  cr_assert_eq(answer.status, kOk);
+}
+
 auto Proxy::Counters(BlockingHttp& http) -> nlohmann::json {
   return ReadCounters(http, control_port_);
 }
--- a/tests/integration/support/standins.h
+++ b/tests/integration/support/standins.h
@@ -60,6 +60,8 @@
   // Injects the fault that `query` describes, for example
   // "kind=cut&direction=to-client".
   auto Inject(BlockingHttp& http, const std::string& query) -> void;
+  // Changes the server of new connections to the one at `port`.
+  auto SetServer(BlockingHttp& http, int port) -> void;
   auto Counters(BlockingHttp& http) -> nlohmann::json;
 
   [[nodiscard]] auto port() const -> int { return port_; }
--- a/tests/unit/decision/fleet/fake_fleet.h
+++ b/tests/unit/decision/fleet/fake_fleet.h
@@ -607,7 +607,8 @@
       return;
     }
     if (node.is_reader && node.has_read_as_reader) {
-      node.freshness->OnFollowing(node.is_elected, StoreEra(), now_);
+      node.freshness->OnFollowing(node.is_elected, StoreEra(), std::nullopt,
+                                  now_);
     }
     Dispatch(index, SourceConfirmed{node.freshness->Newest(now_),
                                     node.freshness->TakeAnnouncementDue(),
--- a/tests/unit/decision/fleet/source_freshness_test.cc
+++ b/tests/unit/decision/fleet/source_freshness_test.cc
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 namespace flamingoyoke {
@@ -58,7 +59,7 @@
   auto freshness = MakeFreshness("vm-b");
   auto now = kStart + milliseconds(5000);
   cr_assert(freshness.ShouldRead(now));
-  freshness.OnFollowing(false, StoreEra(), now);
+  freshness.OnFollowing(false, StoreEra(), std::nullopt, now);
   now += milliseconds(50);
   freshness.OnConfirmation(Confirmed("vm-c", 1, Duration::zero(), false), now);
   cr_assert(freshness.ShouldRead(now), "stopped for a lower-ranked substitute");
@@ -133,10 +134,42 @@
 Test(source_freshness, a_reader_does_not_confirm_an_earlier_era) {
   auto freshness = MakeFreshness("vm-a");
   const auto last = kStart + milliseconds(5000);
-  freshness.OnFollowing(true, StoreEra(1), last);
+  freshness.OnFollowing(true, StoreEra(1), std::nullopt, last);
   freshness.OnEra(StoreEra(2));
-  freshness.OnFollowing(true, StoreEra(1), last + milliseconds(900));
+  freshness.OnFollowing(true, StoreEra(1), std::nullopt,
+                        last + milliseconds(900));
   cr_assert(freshness.Age(last + milliseconds(900)) == milliseconds(900));
 }
 
+// Guards against a new reader that does not know that the store was available
+// and keeps removed targets for seconds: it is told so over any number of VMs.
+Test(source_freshness, tells_since_when_the_store_is_available) {
+  auto reader = MakeFreshness("vm-z");
+  const auto followed = kStart + milliseconds(5000);
+  const auto since = kStart + milliseconds(1200);
+  reader.OnFollowing(true, StoreEra(), since, followed);
+  auto relay = MakeFreshness("vm-y");
+  relay.OnConfirmation(*reader.Newest(followed + milliseconds(100)),
+                       followed + milliseconds(100));
+  auto last = MakeFreshness("vm-a");
+  last.OnConfirmation(*relay.Newest(followed + milliseconds(300)),
+                      followed + milliseconds(300));
+  cr_assert(last.AvailableSince() == since);
+}
+
+// Guards against taking targets for removed after an outage because of what was
+// known before it: a reader without an answer since does not tell.
+Test(source_freshness, forgets_the_available_time_with_its_confirmation) {
+  auto freshness = MakeFreshness("vm-a");
+  cr_assert_not(freshness.AvailableSince().has_value());
+  const auto last = kStart + milliseconds(5000);
+  auto confirmed = Confirmed("vm-z", 7, milliseconds(0));
+  confirmed.available_for = std::chrono::seconds(60);
+  freshness.OnConfirmation(confirmed, last);
+  cr_assert(freshness.AvailableSince().has_value());
+  freshness.OnConfirmation(Confirmed("vm-y", 9, milliseconds(0)),
+                           last + milliseconds(500));
+  cr_assert_not(freshness.AvailableSince().has_value());
+}
+
 }  // namespace flamingoyoke
--- a/tests/unit/decision/platform/registry_tracker_test.cc
+++ b/tests/unit/decision/platform/registry_tracker_test.cc
@@ -10,6 +10,8 @@
 using std::chrono::milliseconds;
 
 constexpr TimePoint kStart{std::chrono::seconds(100)};
+// The store was available long before the start and until then.
+constexpr StoreContact kAvailable{kStart, kStart - std::chrono::seconds(60)};
 
 auto Target(const char* id) -> RegisteredTarget {
   RegisteredTarget target;
@@ -35,14 +37,21 @@
                std::move(targets)});
 }
 
+// The store answers with a complete list.
+auto List(RegistryTracker& tracker,
+          const std::vector<RegisteredTarget>& targets,
+          TimePoint now) -> void {
+  tracker.OnAnswered(now, now);
+  tracker.OnListed(targets, StoreEra(), now);
+}
+
 // Returns a settled tracker that has listed `targets`.
 auto SettledTracker(const std::vector<RegisteredTarget>& targets)
     -> RegistryTracker {
   RegistryTracker tracker;
-  tracker.OnListed(targets, StoreEra(), kStart - milliseconds(5000));
-  tracker.OnCurrentRegistry(MakeRegistry(10, targets),
-                            kStart - milliseconds(5000));
-  tracker.OnAnswered(kStart);
+  tracker.OnStarted(kAvailable);
+  List(tracker, targets, kStart);
+  tracker.OnCurrentRegistry(MakeRegistry(10, targets), kStart);
   return tracker;
 }
 
@@ -51,7 +60,7 @@
 // Guards against a fleet without targets after all VMs restarted.
 Test(registry_tracker, proposes_immediately_without_a_current_registry) {
   RegistryTracker tracker;
-  tracker.OnListed({Target("a")}, StoreEra(), kStart);
+  List(tracker, {Target("a")}, kStart);
   const auto registry = tracker.ProposeRegistry(5, kStart);
   cr_assert(registry.has_value());
   cr_assert_eq(registry->revision,
@@ -80,14 +89,13 @@
 // was unavailable.
 Test(registry_tracker, keeps_expired_targets_until_they_can_register_again) {
   auto tracker = SettledTracker({Target("a"), Target("b")});
-  tracker.OnFailed();
   const auto back = kStart + milliseconds(4000);
-  tracker.OnListed({Target("a")}, StoreEra(), back);
+  List(tracker, {Target("a")}, back);
   const auto soon = back + milliseconds(2000);
-  tracker.OnAnswered(soon);
+  tracker.OnAnswered(soon, soon);
   cr_assert_not(tracker.ProposeRegistry(12, soon).has_value());
   const auto settled = back + milliseconds(2400);
-  tracker.OnAnswered(settled);
+  tracker.OnAnswered(settled, settled);
   const auto registry = tracker.ProposeRegistry(13, settled);
   cr_assert(registry.has_value());
   cr_assert_eq(registry->targets.size(), 1U);
@@ -98,14 +106,13 @@
 // removed.
 Test(registry_tracker, never_restores_targets_that_others_found_removed) {
   auto tracker = SettledTracker({Target("a"), Target("b")});
-  tracker.OnFailed();
   const auto back = kStart + milliseconds(9000);
-  tracker.OnListed({Target("b"), Target("c")}, StoreEra(), back);
+  List(tracker, {Target("b"), Target("c")}, back);
   cr_assert_not(tracker.ProposeRegistry(20, back).has_value(),
                 "proposed before the peers reported");
   tracker.OnCurrentRegistry(MakeRegistry(19, {Target("b")}), back);
   const auto heard = back + milliseconds(1300);
-  tracker.OnAnswered(heard);
+  tracker.OnAnswered(heard, heard);
   const auto registry = tracker.ProposeRegistry(21, heard);
   cr_assert(registry.has_value());
   cr_assert_eq(registry->targets.size(), 2U);
@@ -120,23 +127,71 @@
   RegistryTracker tracker;
   tracker.OnCurrentRegistry(MakeRegistry(38, {Target("a"), Target("b")}),
                             kStart);
-  tracker.OnStarted(true, kStart);
-  tracker.OnListed({Target("a"), Target("b")}, StoreEra(), kStart);
+  tracker.OnStarted(kAvailable);
+  List(tracker, {Target("a"), Target("b")}, kStart);
   tracker.OnRemoved(TargetId("a"), kStart + milliseconds(300));
   cr_assert(
       tracker.ProposeRegistry(39, kStart + milliseconds(300)).has_value());
 }
 
+// Guards against requests to a removed target: the VMs that read the store were
+// cut off from it just before, and those that took over held every change back
+// for 1.2 s and the missing entry for 2.3 s.
+Test(registry_tracker, a_new_reader_drops_a_target_after_a_short_gap) {
+  RegistryTracker tracker;
+  tracker.OnCurrentRegistry(MakeRegistry(38, {Target("a"), Target("b")}),
+                            kStart);
+  tracker.OnStarted(kAvailable);
+  const auto listed = kStart + milliseconds(2900);
+  List(tracker, {Target("b")}, listed);
+  const auto registry = tracker.ProposeRegistry(39, listed);
+  cr_assert(registry.has_value());
+  cr_assert_eq(registry->targets.size(), 1U);
+}
+
+// Guards against losing live targets whose entries expired in an outage after
+// which another VM reads the store.
+Test(registry_tracker, a_new_reader_keeps_expired_targets_after_an_outage) {
+  RegistryTracker tracker;
+  tracker.OnCurrentRegistry(MakeRegistry(38, {Target("a"), Target("b")}),
+                            kStart);
+  tracker.OnStarted(kAvailable);
+  const auto listed = kStart + milliseconds(3000);
+  List(tracker, {Target("b")}, listed);
+  cr_assert_not(tracker.ProposeRegistry(39, listed).has_value());
+  const auto later = listed + milliseconds(2200);
+  tracker.OnAnswered(later, later);
+  cr_assert_not(tracker.ProposeRegistry(39, later).has_value());
+  const auto settled = listed + milliseconds(2300);
+  tracker.OnAnswered(settled, settled);
+  cr_assert_eq(tracker.ProposeRegistry(40, settled)->targets.size(), 1U);
+}
+
+// Guards against the same if the reader that waits for expired entries is
+// replaced meanwhile.
+Test(registry_tracker, a_new_reader_goes_on_waiting_for_expired_targets) {
+  RegistryTracker tracker;
+  tracker.OnCurrentRegistry(MakeRegistry(38, {Target("a"), Target("b")}),
+                            kStart);
+  tracker.OnStarted({kStart, kStart - milliseconds(1500)});
+  const auto listed = kStart + milliseconds(100);
+  List(tracker, {Target("b")}, listed);
+  cr_assert_not(tracker.ProposeRegistry(39, listed).has_value());
+  const auto settled = kStart + milliseconds(800);
+  tracker.OnAnswered(settled, settled);
+  cr_assert_eq(tracker.ProposeRegistry(40, settled)->targets.size(), 1U);
+}
+
 // Guards against keeping a missing entry forever because the store's revision
 // does not change.
 Test(registry_tracker, drops_a_missing_entry_without_a_change_in_the_store) {
   RegistryTracker tracker;
   tracker.OnCurrentRegistry(MakeRegistry(38, {Target("a"), Target("b")}),
                             kStart);
-  tracker.OnStarted(false, kStart);
-  tracker.OnListed({Target("b")}, StoreEra(), kStart);
+  tracker.OnStarted({});
+  List(tracker, {Target("b")}, kStart);
   const auto settled = kStart + milliseconds(2400);
-  tracker.OnAnswered(settled);
+  tracker.OnAnswered(settled, settled);
   const auto registry = tracker.ProposeRegistry(38, settled);
   cr_assert(registry.has_value());
   cr_assert_eq(registry->targets.size(), 1U);
@@ -161,7 +216,7 @@
   cr_assert(tracker.IsOutdated(Numbered("a", 5), kStart));
   tracker.OnChanged(Numbered("a", 5), kStart);
   cr_assert_not(tracker.ProposeRegistry(12, kStart).has_value());
-  tracker.OnListed({Numbered("a", 5), Target("b")}, StoreEra(), kStart);
+  List(tracker, {Numbered("a", 5), Target("b")}, kStart);
   cr_assert_not(tracker.ProposeRegistry(13, kStart).has_value());
 }
 
@@ -172,8 +227,8 @@
   leaving.leaving = true;
   RegistryTracker tracker;
   tracker.OnCurrentRegistry(MakeRegistry(10, {leaving, Target("b")}), kStart);
-  tracker.OnStarted(true, kStart);
-  tracker.OnListed({Numbered("a", 5), Target("b")}, StoreEra(), kStart);
+  tracker.OnStarted(kAvailable);
+  List(tracker, {Numbered("a", 5), Target("b")}, kStart);
   cr_assert_not(tracker.ProposeRegistry(13, kStart).has_value());
 }
 
@@ -185,7 +240,7 @@
   const auto registry = tracker.ProposeRegistry(12, kStart);
   cr_assert(registry.has_value());
   cr_assert_eq(registry->targets.size(), 1U);
-  tracker.OnListed({Numbered("a", 5), Target("b")}, StoreEra(), kStart);
+  List(tracker, {Numbered("a", 5), Target("b")}, kStart);
   cr_assert_eq(tracker.ProposeRegistry(13, kStart)->targets.size(), 1U);
 }
 
@@ -208,11 +263,11 @@
 // readers held back every change for 1.2 s, though no entry was missing.
 Test(registry_tracker, proposes_immediately_while_no_entry_is_missing) {
   auto tracker = SettledTracker({Target("a"), Target("b")});
-  tracker.OnFailed();
+  const auto back = kStart + milliseconds(4000);
   auto leaving = Target("a");
   leaving.leaving = true;
-  tracker.OnListed({leaving, Target("b")}, StoreEra(), kStart);
-  cr_assert(tracker.ProposeRegistry(12, kStart).has_value());
+  List(tracker, {leaving, Target("b")}, back);
+  cr_assert(tracker.ProposeRegistry(12, back).has_value());
 }
 
 }  // namespace flamingoyoke
--- a/tests/unit/decision/platform/store_return_test.cc
+++ b/tests/unit/decision/platform/store_return_test.cc
@@ -17,6 +17,8 @@
 
 constexpr TimePoint kStart{std::chrono::seconds(100)};
 constexpr TimePoint kBack = kStart + std::chrono::seconds(2);
+// The store was available long before the start and until then.
+constexpr StoreContact kAvailable{kStart, kStart - std::chrono::seconds(60)};
 constexpr StoreEra kBefore{1};
 constexpr StoreEra kAfter{2};
 
@@ -46,14 +48,22 @@
                std::move(targets), era});
 }
 
+// The store answers with a complete list.
+auto List(RegistryTracker& tracker,
+          const std::vector<RegisteredTarget>& targets,
+          StoreEra era,
+          TimePoint now) -> void {
+  tracker.OnAnswered(now, now);
+  tracker.OnListed(targets, era, now);
+}
+
 // Returns a reader that has followed `targets` up to revision 60 of kBefore.
 auto MakeReader(const std::vector<RegisteredTarget>& targets)
     -> RegistryTracker {
   RegistryTracker tracker;
-  tracker.OnListed(targets, kBefore, kStart - milliseconds(5000));
-  tracker.OnCurrentRegistry(MakeRegistry(kBefore, 60, targets),
-                            kStart - milliseconds(5000));
-  tracker.OnAnswered(kStart);
+  tracker.OnStarted(kAvailable);
+  List(tracker, targets, kBefore, kStart);
+  tracker.OnCurrentRegistry(MakeRegistry(kBefore, 60, targets), kStart);
   return tracker;
 }
 
@@ -78,7 +88,7 @@
 // out again reach those of before the return.
 Test(store_return, a_later_era_replaces_a_higher_revision) {
   auto tracker = MakeReader({Target("a"), Target("b")});
-  tracker.OnListed({Target("a"), Target("b")}, kAfter, kBack);
+  List(tracker, {Target("a"), Target("b")}, kAfter, kBack);
   const auto taken_in = tracker.ProposeRegistry(19, kBack);
   cr_assert(taken_in.has_value());
   cr_assert(taken_in->era == kAfter);
@@ -96,11 +106,11 @@
   auto tracker = MakeReader({Target("a"), Target("b")});
   tracker.OnRemoved(TargetId("a"), kStart);
   tracker.OnCurrentRegistry(MakeRegistry(kBefore, 61, {Target("b")}), kStart);
-  tracker.OnListed({Target("a"), Target("b")}, kAfter, kBack);
+  List(tracker, {Target("a"), Target("b")}, kAfter, kBack);
   auto proposed = tracker.ProposeRegistry(19, kBack);
   cr_assert_eq(proposed->targets.size(), 1U);
   tracker.OnCurrentRegistry(std::make_shared<const Registry>(*proposed), kBack);
-  tracker.OnListed({Target("a"), Target("b")}, kAfter, kBack);
+  List(tracker, {Target("a"), Target("b")}, kAfter, kBack);
   cr_assert_eq(Proposed(tracker, 19, kBack), "none", "restored by a list");
   tracker.OnChanged(Target("a"), kBack);
   cr_assert_eq(Proposed(tracker, 20, kBack), "ab",
@@ -115,7 +125,7 @@
   tracker.OnRemoved(TargetId("c"), kStart);
   auto restarted = Target("c", 1);
   restarted.started_ms += 5000;
-  tracker.OnListed({Target("a"), Target("b"), restarted}, kAfter, kBack);
+  List(tracker, {Target("a"), Target("b"), restarted}, kAfter, kBack);
   cr_assert_eq(Proposed(tracker, 19, kBack), "bc");
   tracker.OnChanged(Target("a", 8), kBack);
   cr_assert_eq(Proposed(tracker, 20, kBack), "abc");
@@ -126,7 +136,7 @@
 Test(store_return, a_leaving_target_is_not_ready_by_the_copy) {
   auto tracker = MakeReader({Target("a"), Target("b")});
   tracker.OnChanged(Leaving("a", 8), kStart);
-  tracker.OnListed({Target("a", 7), Target("b")}, kAfter, kBack);
+  List(tracker, {Target("a", 7), Target("b")}, kAfter, kBack);
   cr_assert_eq(Proposed(tracker, 19, kBack), "a(leaving)b");
   tracker.OnChanged(Target("a", 9), kBack);
   cr_assert_eq(Proposed(tracker, 20, kBack), "ab");
@@ -136,11 +146,11 @@
 Test(store_return, a_leaving_target_without_numbers_is_not_ready_by_the_copy) {
   auto tracker = MakeReader({Target("a", 0), Target("b")});
   tracker.OnChanged(Leaving("a", 0), kStart);
-  tracker.OnListed({Target("a", 0), Target("b")}, kAfter, kBack);
+  List(tracker, {Target("a", 0), Target("b")}, kAfter, kBack);
   auto proposed = tracker.ProposeRegistry(19, kBack);
   cr_assert(proposed.has_value());
   tracker.OnCurrentRegistry(std::make_shared<const Registry>(*proposed), kBack);
-  tracker.OnListed({Target("a", 0), Target("b")}, kAfter, kBack);
+  List(tracker, {Target("a", 0), Target("b")}, kAfter, kBack);
   cr_assert_eq(Proposed(tracker, 19, kBack), "none", "ready by a second list");
 }
 
@@ -148,12 +158,12 @@
 // taken, and against keeping one for good that has ended.
 Test(store_return, a_target_that_the_copy_lacks_is_kept_until_it_registers) {
   auto tracker = MakeReader({Target("a"), Target("b")});
-  tracker.OnListed({Target("b")}, kAfter, kBack);
+  List(tracker, {Target("b")}, kAfter, kBack);
   const auto synchronized = kBack + RegistryTracker::kPeerSyncTime;
-  tracker.OnAnswered(synchronized);
+  tracker.OnAnswered(synchronized, synchronized);
   cr_assert_eq(Proposed(tracker, 19, synchronized), "ab");
   const auto settled = kBack + RegistryTracker::kSettleTime;
-  tracker.OnAnswered(settled);
+  tracker.OnAnswered(settled, settled);
   cr_assert_eq(Proposed(tracker, 19, settled), "b");
 }
 
@@ -163,8 +173,8 @@
   RegistryTracker tracker;
   tracker.OnCurrentRegistry(
       MakeRegistry(kBefore, 60, {Target("a"), Target("b")}), kStart);
-  tracker.OnStarted(true, kBack);
-  tracker.OnListed({Target("b")}, kAfter, kBack);
+  tracker.OnStarted(kAvailable);
+  List(tracker, {Target("b")}, kAfter, kBack);
   const auto synchronized = kBack + RegistryTracker::kPeerSyncTime;
   cr_assert_eq(Proposed(tracker, 19, synchronized), "ab");
 }
@@ -176,9 +186,9 @@
   tracker.OnCurrentRegistry(
       MakeRegistry(kBefore, 59, {Target("a"), Target("b")}), kStart);
   tracker.OnCurrentRegistry(MakeRegistry(kBefore, 60, {Target("b")}), kStart);
-  tracker.OnStarted(true, kBack);
+  tracker.OnStarted(kAvailable);
   // Reports are numbered on without a new registry.
-  tracker.OnListed({Target("a", 97), Target("b", 97)}, kAfter, kBack);
+  List(tracker, {Target("a", 97), Target("b", 97)}, kAfter, kBack);
   cr_assert_eq(Proposed(tracker, 19, kBack), "b");
 }
 
@@ -189,8 +199,8 @@
   tracker.OnCurrentRegistry(
       MakeRegistry(kBefore, 59, {Target("a"), Target("b")}), kStart);
   tracker.OnCurrentRegistry(MakeRegistry(kAfter, 19, {Target("b")}), kBack);
-  tracker.OnStarted(true, kBack);
-  tracker.OnListed({Target("a"), Target("b")}, kAfter, kBack);
+  tracker.OnStarted(kAvailable);
+  List(tracker, {Target("a"), Target("b")}, kAfter, kBack);
   cr_assert_eq(Proposed(tracker, 20, kBack), "none");
 }
 
@@ -199,7 +209,7 @@
 Test(store_return, a_reader_that_missed_the_removal_does_not_restore_it) {
   auto tracker = MakeReader({Target("a"), Target("b")});
   tracker.OnCurrentRegistry(MakeRegistry(kBefore, 61, {Target("b")}), kStart);
-  tracker.OnListed({Target("a"), Target("b")}, kAfter, kBack);
+  List(tracker, {Target("a"), Target("b")}, kAfter, kBack);
   cr_assert_eq(Proposed(tracker, 19, kBack), "b");
 }
 
@@ -211,8 +221,8 @@
   older.OnChanged(Leaving("c", 8), kStart);
   RegistryTracker newer;
   const std::vector copy = {Target("a"), Target("b"), Target("c")};
-  newer.OnListed(copy, kAfter, kBack);
-  older.OnListed(copy, kAfter, kBack);
+  List(newer, copy, kAfter, kBack);
+  List(older, copy, kAfter, kBack);
   auto in_force =
       std::make_shared<const Registry>(*newer.ProposeRegistry(19, kBack));
   std::vector readers = {&older, &newer};
@@ -235,7 +245,7 @@
 Test(store_return, a_reader_keeps_what_a_new_one_does_not_know) {
   auto tracker = MakeReader({Target("a"), Target("b")});
   tracker.OnCurrentRegistry(MakeRegistry(kAfter, 19, {Target("b")}), kBack);
-  tracker.OnListed({Target("b")}, kAfter, kBack);
+  List(tracker, {Target("b")}, kAfter, kBack);
   cr_assert_eq(Proposed(tracker, 19, kBack), "ab");
 }
 
@@ -244,8 +254,8 @@
 Test(store_return, a_reader_elected_again_forgets_its_last_list) {
   auto tracker = MakeReader({Target("a"), Target("b")});
   tracker.OnCurrentRegistry(MakeRegistry(kBefore, 61, {Target("b")}), kStart);
-  tracker.OnStarted(true, kBack);
-  tracker.OnListed({Target("a"), Target("b")}, kAfter, kBack);
+  tracker.OnStarted(kAvailable);
+  List(tracker, {Target("a"), Target("b")}, kAfter, kBack);
   cr_assert_eq(Proposed(tracker, 19, kBack), "b");
 }
 
@@ -263,9 +273,9 @@
   auto tracker = MakeReader({Target("a"), Target("b"), Target("c")});
   tracker.OnRemoved(TargetId("a"), kStart);
   tracker.OnChanged(Leaving("b", 8), kStart);
-  tracker.OnListed({Target("a"), Target("b"), Target("c")}, kAfter, kBack);
+  List(tracker, {Target("a"), Target("b"), Target("c")}, kAfter, kBack);
   const auto again = kBack + milliseconds(500);
-  tracker.OnListed({Target("a"), Target("b")}, StoreEra(3), again);
+  List(tracker, {Target("a"), Target("b")}, StoreEra(3), again);
   const auto synchronized = again + RegistryTracker::kPeerSyncTime;
   cr_assert_eq(Proposed(tracker, 12, synchronized), "b(leaving)c");
 }
@@ -276,12 +286,12 @@
 Test(store_return, tells_when_a_missing_target_can_be_dropped) {
   auto tracker = MakeReader({Target("a"), Target("b")});
   cr_assert_not(tracker.TimeUntilSettled(kBack).has_value());
-  tracker.OnListed({Target("b")}, kAfter, kBack);
+  List(tracker, {Target("b")}, kAfter, kBack);
   const auto later = kBack + milliseconds(2000);
   cr_assert(*tracker.TimeUntilSettled(later) ==
             RegistryTracker::kSettleTime - milliseconds(2000));
   const auto settled = kBack + RegistryTracker::kSettleTime;
-  tracker.OnAnswered(settled);
+  tracker.OnAnswered(settled, settled);
   cr_assert_not(tracker.TimeUntilSettled(settled).has_value());
 }
 
--- a/tests/unit/wire/peer_codec_test.cc
+++ b/tests/unit/wire/peer_codec_test.cc
@@ -32,8 +32,9 @@
   return envelope->message;
 }
 
-const SourceConfirmation kSource{
-    VmId("r"), Incarnation(8), 9, milliseconds(250), true, StoreEra(2)};
+const SourceConfirmation kSource{VmId("r"),         Incarnation(8), 9,
+                                 milliseconds(250), true,           StoreEra(2),
+                                 milliseconds(6000)};
 
 auto AllMessages() -> std::vector<PeerMessage> {
   const ServiceId service("orders");
