Deliver no promise that an order has not run if it may have

These statuses promise that a request has not run and never will, so that callers send it again.

Cause: a target in trouble runs an order and answers with such a status without the header that states that it did not run it. The dispatcher delivered each complete answer of a target to a once-only request, whatever its status.

The dialect names the statuses that callers take for a promise. An answer with one of them and without the statement ends its attempt as a false refusal: a once-only request gets 502, outcome unknown, without the target's signature, and nothing of a long answer is relayed; a repeatable request is tried again, and else keeps the answer. It counts as a failure of the target, while 429 and 408 counted as a success before.

published_store/promises_nothing_of_requests_that_ran fails with the program before (503 to the first order) and passes; the tests of false refusals fail with the decision taken back.

--- a/src/core/answer_table.cc
+++ b/src/core/answer_table.cc
@@ -41,6 +41,7 @@
     {kUpstreamTimeout, {504, kUnknown, kOnlyIfRepeatable}},
     {kUpstreamReset, {502, kUnknown, kOnlyIfRepeatable}},
     {kPartialAnswer, {502, kUnknown, kOnlyIfRepeatable}},
+    {kFalseRefusal, {502, kUnknown, kOnlyIfRepeatable}},
     {kKeyRequired, {428, kNotRun, kNever}},
     {kKeyMalformed, {400, kNotRun, kNever}},
     {kKeyIssuedElsewhere, {307, kUnknown, kNow}},
--- a/src/core/error_kind.h
+++ b/src/core/error_kind.h
@@ -38,6 +38,7 @@
   kUpstreamTimeout,
   kUpstreamReset,
   kPartialAnswer,
+  kFalseRefusal,
   // Idempotency keys.
   kKeyRequired,
   kKeyMalformed,
@@ -89,6 +90,7 @@
       {ErrorKind::kUpstreamTimeout, "upstream-timeout"},
       {ErrorKind::kUpstreamReset, "upstream-reset"},
       {ErrorKind::kPartialAnswer, "partial-answer"},
+      {ErrorKind::kFalseRefusal, "false-refusal"},
       {ErrorKind::kKeyRequired, "key-required"},
       {ErrorKind::kKeyMalformed, "key-malformed"},
       {ErrorKind::kKeyIssuedElsewhere, "key-issued-elsewhere"},
--- a/src/decision/dispatch/load_reporter.cc
+++ b/src/decision/dispatch/load_reporter.cc
@@ -10,6 +10,7 @@
       ++succeeded_;
       break;
     case AttemptResult::kServerError:
+    case AttemptResult::kFalseRefusal:
     case AttemptResult::kConnectFailed:
     case AttemptResult::kTimeout:
     case AttemptResult::kReset:
--- a/src/decision/dispatch/loan_borrower.cc
+++ b/src/decision/dispatch/loan_borrower.cc
@@ -21,6 +21,7 @@
       ++outcomes.timed_out;
       break;
     case AttemptResult::kServerError:
+    case AttemptResult::kFalseRefusal:
     case AttemptResult::kConnectFailed:
     case AttemptResult::kReset:
     case AttemptResult::kPartialAnswer:
--- a/src/decision/dispatch/service_dispatcher.cc
+++ b/src/decision/dispatch/service_dispatcher.cc
@@ -34,6 +34,8 @@
       return ErrorKind::kUpstreamTimeout;
     case AttemptResult::kPartialAnswer:
       return ErrorKind::kPartialAnswer;
+    case AttemptResult::kFalseRefusal:
+      return ErrorKind::kFalseRefusal;
     case AttemptResult::kReset:
     case AttemptResult::kCancelled:
       return ErrorKind::kUpstreamReset;
--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -70,6 +70,7 @@
     case AttemptResult::kAnswered:
       return Evidence::kSucceeded;
     case AttemptResult::kServerError:
+    case AttemptResult::kFalseRefusal:
       return Evidence::kFailed;
     case AttemptResult::kShed:
       return Evidence::kShed;
@@ -101,6 +102,8 @@
       return ErrorKind::kUpstreamTimeout;
     case AttemptResult::kPartialAnswer:
       return ErrorKind::kPartialAnswer;
+    case AttemptResult::kFalseRefusal:
+      return ErrorKind::kFalseRefusal;
     case AttemptResult::kAnswered:
     case AttemptResult::kServerError:
     case AttemptResult::kReset:
@@ -293,7 +296,7 @@
   if (!active.committed && QueueRetry(active, event.result)) {
     return;
   }
-  if (event.result == AttemptResult::kServerError) {
+  if (IsDeliverable(event.result, active.info.repeatable)) {
     Deliver(active, event.attempt, true);
     return;
   }
@@ -306,6 +309,7 @@
                                   AttemptResult result)
     -> std::optional<Evidence> {
   const bool at_deadline = (result == AttemptResult::kServerError ||
+                            result == AttemptResult::kFalseRefusal ||
                             result == AttemptResult::kTimeout) &&
                            now_ >= active.info.deadline - kDeadlineTolerance;
   const bool is_whole_run = at_deadline || result == AttemptResult::kAnswered;
--- a/src/node/dialect.h
+++ b/src/node/dialect.h
@@ -56,6 +56,9 @@
   // given duration.
   std::function<std::string(const std::vector<std::string>&, Duration)>
       write_addresses;
+  // Statuses that callers take for a promise that a request has not run and
+  // never will, whether the answer is a target's or the gateway's.
+  std::vector<int> not_run_statuses;
   // Status of a target that is not the one the request expected.
   int misdirected_status = 421;
   // Whether Retry-After may contain fractional seconds.
--- a/src/node/traffic/gateway/gateway_headers.cc
+++ b/src/node/traffic/gateway/gateway_headers.cc
@@ -25,6 +25,9 @@
   UpstreamSignals signals;
   signals.other_target = answer.status == dialect.misdirected_status;
   signals.not_run = FindHeader(answer.headers, names.not_run).has_value();
+  const auto& promises = dialect.not_run_statuses;
+  signals.promises_not_run = std::find(promises.begin(), promises.end(),
+                                       answer.status) != promises.end();
   signals.draining =
       !names.leaving.empty() &&
       TrimSpace(FindHeader(answer.headers, names.leaving).value_or("")) == "1";
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -261,6 +261,12 @@
     return;
   }
   found->second.answered = Now();
+  const auto request = requests_.find(found->second.request);
+  found->second.is_withheld = signals.promises_not_run &&
+                              request != requests_.end() &&
+                              !IsDeliverable(AttemptResult::kFalseRefusal,
+                                             request->second.repeatability ==
+                                                 Repeatability::kRepeatable);
   if (!signals.draining && !signals.rest) {
     return;
   }
@@ -315,6 +321,10 @@
   if (hooks_.on_received) {
     hooks_.on_received(evbuffer_get_length(data));
   }
+  if (attempt.is_withheld) {
+    // The part is discarded; only the end of the answer matters.
+    return;
+  }
   evbuffer_add_buffer(attempt.body.get(), data);
   attempt.memory->Set(evbuffer_get_length(attempt.body.get()));
   const auto request = requests_.find(attempt.request);
--- a/src/node/traffic/gateway/pool_runner.h
+++ b/src/node/traffic/gateway/pool_runner.h
@@ -137,6 +137,8 @@
     std::unique_ptr<AnswerMemory::Share> memory;
     // Whether the answer is being streamed to the caller.
     bool relaying = false;
+    // Whether the answer must not reach the caller.
+    bool is_withheld = false;
   };
 
   auto Post(PoolEvent event) -> void;
--- a/src/node/traffic/upstream_connection.cc
+++ b/src/node/traffic/upstream_connection.cc
@@ -522,6 +522,10 @@
     Finish(AttemptResult::kShed);
     return;
   }
+  if (signals_.promises_not_run) {
+    Finish(AttemptResult::kFalseRefusal);
+    return;
+  }
   Finish(response_head_.status >= kServerError ? AttemptResult::kServerError
                                                : AttemptResult::kAnswered);
 }
@@ -583,7 +587,9 @@
   timer_.Cancel();
   const auto observer = std::exchange(observer_, {});
   if (result != AttemptResult::kAnswered &&
-      result != AttemptResult::kServerError && result != AttemptResult::kShed) {
+      result != AttemptResult::kServerError &&
+      result != AttemptResult::kFalseRefusal &&
+      result != AttemptResult::kShed) {
     must_close_ = true;
   }
   if (observer.on_end) {
--- a/src/node/traffic/upstream_connection.h
+++ b/src/node/traffic/upstream_connection.h
@@ -27,6 +27,8 @@
 struct UpstreamSignals {
   bool draining = false;
   bool not_run = false;
+  // Whether callers take the status for a promise that the request was not run.
+  bool promises_not_run = false;
   // Whether the response is from another target, which did not run the request.
   bool other_target = false;
   // Whether the response belongs to another request or was not sent by the
--- a/tests/integration/published_store_test.cc
+++ b/tests/integration/published_store_test.cc
@@ -18,6 +18,7 @@
 
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
 // Bytes in a pipe of 4 KiB into which no further line of the log may fit.
 constexpr int kFullPipe = 3800;
 constexpr std::size_t kGatewayCount = PublishedStoreFleet::kDefaultGateways;
@@ -79,6 +80,31 @@
   }
 }
 
+// Guards against a status that promises that a request has not run though its
+// target ran it, in answers that are kept until their end and in longer ones.
+Test(published_store, promises_nothing_of_requests_that_ran) {
+  PublishedStoreFleet fleet(2);
+  fleet.WaitForAll();
+  int number = 0;
+  for (const int status : {503, 429, 408}) {
+    fleet.target(0).SetStatus(fleet.http(), status);
+    fleet.target(1).SetStatus(fleet.http(), status);
+    for (const auto* bytes : {"0", "300000"}) {
+      const auto id = "order-" + std::to_string(++number);
+      const auto answer = fleet.http().Send(
+          {.server = fleet.FrontOf(0),
+           .method = "POST",
+           .target = "/book/1",
+           .headers = {{"X-Request-Id", id}, {"X-Answer-Bytes", bytes}},
+           .body = "order"});
+      cr_assert_eq(fleet.CountRuns(id), 1);
+      cr_assert_eq(answer.status, kBadGateway, "%d %s: %d", status, bytes,
+                   answer.status);
+      cr_assert(answer.Header("X-Gateway-Signature").empty());
+    }
+  }
+}
+
 // Guards against returning an error for a safe request that a retry on another
 // target would have answered.
 Test(published_store, repeats_safe_work_on_another_target) {
--- a/tests/integration/support/published_fleet.cc
+++ b/tests/integration/support/published_fleet.cc
@@ -76,6 +76,10 @@
   http.Put(port_, "/control/mode?name=" + mode);
 }
 
+auto RegisteredStandin::SetStatus(BlockingHttp& http, int status) -> void {
+  http.Put(port_, "/control/status?value=" + std::to_string(status));
+}
+
 auto RegisteredStandin::Counters(BlockingHttp& http) -> nlohmann::json {
   return nlohmann::json::parse(http.Get(port_, "/control/counters").body);
 }
--- a/tests/integration/support/published_fleet.h
+++ b/tests/integration/support/published_fleet.h
@@ -40,6 +40,8 @@
 
   // Switches to a mode of the stand-in, for example "error".
   auto SetMode(BlockingHttp& http, const std::string& mode) -> void;
+  // Answers requests that it ran with `status` from now on.
+  auto SetStatus(BlockingHttp& http, int status) -> void;
   auto Counters(BlockingHttp& http) -> nlohmann::json;
   // Returns the entry of the target in the store. The target starts anew with
   // each `start`.
--- a/tests/standins/target/target_task.cc
+++ b/tests/standins/target/target_task.cc
@@ -169,6 +169,11 @@
     exchange.Reply({kOk, {}, counters.dump()});
     return;
   }
+  if (exchange.Path() == "/control/status") {
+    status_ = static_cast<int>(exchange.Number("value", kOk));
+    exchange.Reply({kOk, {}, ""});
+    return;
+  }
   const auto mode = FromName<TargetMode>(exchange.Query("name").value_or(""));
   if (!mode) {
     exchange.Reply({kBadRequest, {}, "unknown mode\n"});
@@ -285,7 +290,7 @@
 
 auto TargetTask::MakeReply(const std::string& id, bool is_late) const
     -> HttpReply {
-  const int success = is_late ? kDeadlineReached : kOk;
+  const int success = is_late ? kDeadlineReached : status_;
   const auto named = mode_ == TargetMode::kForeign ? "another-request" : id;
   HttpReply reply{
       mode_ == TargetMode::kError ? kInternalError : success,
--- a/tests/standins/target/target_task.h
+++ b/tests/standins/target/target_task.h
@@ -78,6 +78,8 @@
 // A target of the users' platform. It does not register itself: the test
 // publishes its entry in the store. Control:
 //   PUT /control/mode?name=<mode>  switches the mode
+//   PUT /control/status?value=N    answers requests that it ran in time with N
+//                                  in the normal mode
 //   GET /control/counters          JSON with the runs of each request id,
 //                                  "log" with the times of each run,
 //                                  "arrivals" with those of all requests that
@@ -147,6 +149,8 @@
   const TargetOptions options_;
   TaskContext* context_ = nullptr;
   TargetMode mode_ = TargetMode::kNormal;
+  // Status of answers in time.
+  int status_ = 200;
   std::uint64_t runs_ = 0;
   std::uint64_t misdirected_ = 0;
   std::map<std::string, int> runs_by_id_;
--- a/tests/unit/core/answer_table_test.cc
+++ b/tests/unit/core/answer_table_test.cc
@@ -10,9 +10,10 @@
 Test(answer_table, errors_after_the_first_byte_are_never_not_run) {
   for (const auto kind :
        {ErrorKind::kUpstreamTimeout, ErrorKind::kUpstreamReset,
-        ErrorKind::kPartialAnswer, ErrorKind::kHardStopInFlight,
-        ErrorKind::kKeyIssuerGone, ErrorKind::kKeyExpired,
-        ErrorKind::kKeyInFlight, ErrorKind::kInternal}) {
+        ErrorKind::kPartialAnswer, ErrorKind::kFalseRefusal,
+        ErrorKind::kHardStopInFlight, ErrorKind::kKeyIssuerGone,
+        ErrorKind::kKeyExpired, ErrorKind::kKeyInFlight,
+        ErrorKind::kInternal}) {
     cr_assert(AnswerFor(kind).outcome != Outcome::kNotRun);
   }
 }
--- a/tests/unit/decision/gateway/pool_dispatcher_test.cc
+++ b/tests/unit/decision/gateway/pool_dispatcher_test.cc
@@ -153,7 +153,8 @@
 Test(pool_dispatcher, never_retries_non_repeatable_requests_that_may_have_run) {
   for (const auto result :
        {AttemptResult::kReset, AttemptResult::kPartialAnswer,
-        AttemptResult::kTimeout, AttemptResult::kServerError}) {
+        AttemptResult::kTimeout, AttemptResult::kServerError,
+        AttemptResult::kFalseRefusal}) {
     auto sent = StartSingleAttempt(false, 4);
     const auto actions = sent.dispatcher.OnEvent(
         PoolAttemptEnded{sent.attempt.attempt, result}, kStart);
@@ -447,11 +448,11 @@
                   "seed %lu", static_cast<unsigned long>(seed));
       }
     };
-    constexpr auto kResults =
-        std::to_array({AttemptResult::kAnswered, AttemptResult::kServerError,
-                       AttemptResult::kShed, AttemptResult::kConnectFailed,
-                       AttemptResult::kTimeout, AttemptResult::kReset,
-                       AttemptResult::kPartialAnswer});
+    constexpr auto kResults = std::to_array(
+        {AttemptResult::kAnswered, AttemptResult::kServerError,
+         AttemptResult::kShed, AttemptResult::kConnectFailed,
+         AttemptResult::kTimeout, AttemptResult::kReset,
+         AttemptResult::kPartialAnswer, AttemptResult::kFalseRefusal});
     std::uint64_t last = 0;
     for (int step = 0; step < 400; ++step) {
       now += milliseconds(random.Below(30));
@@ -490,6 +491,33 @@
   }
 }
 
+// Guards against an order that is booked twice: it ran, and its target's answer
+// promises that it did not. A repeatable request may have that answer.
+Test(pool_dispatcher, delivers_no_false_refusal_of_a_non_repeatable_request) {
+  for (const bool repeatable : {false, true}) {
+    auto sent = StartSingleAttempt(repeatable, 1);
+    const auto actions = sent.dispatcher.OnEvent(
+        PoolAttemptEnded{sent.attempt.attempt, AttemptResult::kFalseRefusal},
+        kStart);
+    const auto refusals = ActionsOf<RefuseRequest>(actions);
+    cr_assert_eq(ActionsOf<DeliverAnswer>(actions).size(), repeatable ? 1U : 0);
+    cr_assert_eq(refusals.size(), repeatable ? 0 : 1U);
+    for (const auto& refusal : refusals) {
+      cr_assert(AnswerFor(refusal.error).outcome == Outcome::kUnknown);
+    }
+  }
+}
+
+// Guards against requests to a failing target for as long as it fails: an
+// answer of 429 or 408 to a request that ran counted as a success.
+Test(pool_dispatcher, a_false_refusal_counts_as_a_failure) {
+  auto [dispatcher, attempt] = StartSingleAttempt(false, 4);
+  dispatcher.OnEvent(
+      PoolAttemptEnded{attempt.attempt, AttemptResult::kFalseRefusal}, kStart);
+  cr_assert_gt(dispatcher.pool().UnhealthyProbability(attempt.target, kStart),
+               0.9);
+}
+
 // Guards against targets that look ill because they asked for a rest, and that
 // then get fewer requests than others after it.
 Test(pool_dispatcher, a_rest_says_nothing_about_health) {
--- a/tests/unit/node/traffic/gateway/gateway_fixture.h
+++ b/tests/unit/node/traffic/gateway/gateway_fixture.h
@@ -58,6 +58,7 @@
                             .team_key = "Key",
                             .team = "Team",
                             .load = "Load"};
+  config.dialect.not_run_statuses = {408, 421, 429, 503};
   config.dialect.read_load =
       [](std::string_view text) -> std::optional<StatedLoad> {
     return text == "full" ? StatedLoad{4, 4, 4} : StatedLoad{1, 0, 4};
