--- a/tests/standins/target/target_task.h
+++ b/tests/standins/target/target_task.h
@@ -78,8 +78,8 @@
 // A target of the users' platform. It does not register itself: the test
 // publishes its entry in the store. Control:
 //   PUT /control/mode?name=<mode>  switches the mode
-//   PUT /control/status?value=N    answers requests that it ran in time with N
-//                                  in the normal mode
+//   PUT /control/status?value=N    answers requests that it ran in time with N,
+//                                  unless the mode has a status of its own
 //   GET /control/counters          JSON with the runs of each request id,
 //                                  "log" with the times of each run,
 //                                  "arrivals" with those of all requests that
