Keep the true time of confirmations in VMs that have just started

For up to two seconds after its start, a VM took the time since which the store has been available for up to 2 s later than it was, and passed old confirmations of readers on as new. If its readers were lost then, it would keep removed targets for as much longer.

Cause: the time of the newest confirmation also bounds the age of the VM's view, which starts in the future so that nothing is out of date at first. In logs of published_store tests, readers were elected with a store that had been "available for -1799 ms".

The time of the newest confirmation is kept apart now. The new test source_freshness/a_start_does_not_renew_a_confirmation fails with the time of the view in its place. In those logs, no time is negative any more.

--- a/src/decision/fleet/source_freshness.cc
+++ b/src/decision/fleet/source_freshness.cc
@@ -62,13 +62,14 @@
 auto SourceFreshness::Confirm(const SourceConfirmation& confirmation,
                               TimePoint at) -> void {
   OnEra(confirmation.era);
-  if (newest_ && newest_->era == confirmation.era && at <= confirmed_at_) {
+  if (newest_ && newest_->era == confirmation.era && at <= newest_at_) {
     return;
   }
   if (at - confirmed_at_ >= max_age_ / 2) {
     is_announcement_due_ = true;
   }
   newest_ = confirmation;
+  newest_at_ = at;
   confirmed_at_ = std::max(confirmed_at_, at);
 }
 
@@ -81,7 +82,7 @@
     -> std::optional<SourceConfirmation> {
   auto newest = newest_;
   if (newest) {
-    newest->age = std::max(now - confirmed_at_, Duration::zero());
+    newest->age = std::max(now - newest_at_, Duration::zero());
   }
   return newest;
 }
@@ -90,7 +91,7 @@
   if (!newest_ || !newest_->available_for) {
     return std::nullopt;
   }
-  return confirmed_at_ - *newest_->available_for;
+  return newest_at_ - *newest_->available_for;
 }
 
 auto SourceFreshness::TakeAnnouncementDue() -> bool {
--- a/src/decision/fleet/source_freshness.h
+++ b/src/decision/fleet/source_freshness.h
@@ -90,6 +90,9 @@
   StoreEra era_;
   // Newest confirmation, and when its reader followed the store.
   std::optional<SourceConfirmation> newest_;
+  TimePoint newest_at_;
+  // The time from which this VM counts the age of its view: that of the newest
+  // confirmation, but no earlier than the start allows.
   TimePoint confirmed_at_;
   bool is_announcement_due_ = false;
   // When a reader that this VM stops reading for last confirmed.
--- a/tests/unit/decision/fleet/source_freshness_test.cc
+++ b/tests/unit/decision/fleet/source_freshness_test.cc
@@ -157,6 +157,23 @@
   cr_assert(last.AvailableSince() == since);
 }
 
+// Guards against waits of a new reader for two seconds longer, and against old
+// confirmations that are passed on as new ones, in a VM that has just started:
+// it does not count its view as old yet.
+Test(source_freshness, a_start_does_not_renew_a_confirmation) {
+  auto freshness = MakeFreshness("vm-a");
+  const auto now = kStart + milliseconds(100);
+  auto confirmed = Confirmed("vm-z", 7, milliseconds(300));
+  confirmed.available_for = std::chrono::seconds(60);
+  freshness.OnConfirmation(confirmed, now);
+  const auto followed = now - milliseconds(300);
+  cr_assert(freshness.AvailableSince() == followed - std::chrono::seconds(60));
+  cr_assert(freshness.Newest(now)->age == milliseconds(300));
+  freshness.OnConfirmation(Confirmed("vm-z", 8, milliseconds(100)), now);
+  cr_assert(freshness.Newest(now)->age == milliseconds(100));
+  cr_assert(freshness.Age(now) == Duration::zero());
+}
+
 // Guards against taking targets for removed after an outage because of what was
 // known before it: a reader without an answer since does not tell.
 Test(source_freshness, forgets_the_available_time_with_its_confirmation) {
