Let a reader that lost the store confirm only if no VM can read it

Cause: a reader that lost the store confirmed, without the time since which it has been available, until its next election 10 ms later and as long as fewer than three VMs could read. Peers keep only the newest confirmation, so new readers took the unknown time for an outage.

Such a reader now confirms only if no VM can read the store, which is what the confirmation is for: more reads by others do not help then.

--- a/src/decision/fleet/entry_set.cc
+++ b/src/decision/fleet/entry_set.cc
@@ -17,6 +17,15 @@
 // Capacity assumed for a VM that does not announce any.
 constexpr VmResources kDefaultCapacity = {1000, 1'000'000};
 
+auto IsActive(const Member& member) -> bool {
+  return member.liveness == Liveness::kAlive && !member.leaving;
+}
+
+// Returns whether the store is expected to answer the VM.
+auto CanRead(const Member& member, const std::set<VmId>& silent) -> bool {
+  return !member.lost_source && !silent.contains(member.id);
+}
+
 auto CapacityOf(const Member& member) -> const VmResources& {
   return member.capacity == VmResources() ? kDefaultCapacity : member.capacity;
 }
@@ -177,9 +186,8 @@
   std::vector<std::size_t> without_source;
   for (std::size_t i = 0; i < members.size(); ++i) {
     const auto& member = members[i];
-    if (member.liveness == Liveness::kAlive && !member.leaving) {
-      const bool cannot_read = member.lost_source || silent.contains(member.id);
-      (cannot_read ? without_source : with_source).push_back(i);
+    if (IsActive(member)) {
+      (CanRead(member, silent) ? with_source : without_source).push_back(i);
     }
   }
   auto readers = TopRankedVms(members, with_source, size);
@@ -190,4 +198,11 @@
   return readers;
 }
 
+auto AnyCanRead(const std::vector<Member>& members,
+                const std::set<VmId>& silent) -> bool {
+  return std::any_of(members.begin(), members.end(), [&](const Member& member) {
+    return IsActive(member) && CanRead(member, silent);
+  });
+}
+
 }  // namespace flamingoyoke
--- a/src/decision/fleet/entry_set.h
+++ b/src/decision/fleet/entry_set.h
@@ -86,6 +86,11 @@
                std::size_t size,
                const std::set<VmId>& silent = {}) -> std::vector<VmId>;
 
+// Returns whether ReaderVms() finds a VM that neither lost the store nor is in
+// `silent`. Thread-safe.
+auto AnyCanRead(const std::vector<Member>& members,
+                const std::set<VmId>& silent) -> bool;
+
 }  // namespace flamingoyoke
 
 #endif  // FLAMINGOYOKE_DECISION_FLEET_ENTRY_SET_H_
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -214,10 +214,7 @@
     return;
   }
   const auto now = Now();
-  // A reader that lost the store is still elected only if all VMs lost it. More
-  // reads by others would not help then.
-  if (role_.is_reader &&
-      (has_read_as_reader_ || (is_elected_ && lost_source_))) {
+  if (role_.is_reader && (has_read_as_reader_ || IsStoreLostToAll())) {
     freshness_.OnFollowing(
         is_elected_, ActiveEra(),
         has_read_as_reader_ ? source_available_since_ : std::nullopt, now);
@@ -226,6 +223,11 @@
   ScheduleFreshnessCheck();
 }
 
+auto FleetTask::IsStoreLostToAll() const -> bool {
+  return is_elected_ && lost_source_ &&
+         !AnyCanRead(membership_.Members(), silent_peers_);
+}
+
 auto FleetTask::ShareConfirmation(bool announce) -> void {
   const auto now = Now();
   ProcessEvent(
--- a/src/node/control/store/store_task.cc
+++ b/src/node/control/store/store_task.cc
@@ -33,6 +33,16 @@
              : "without an answer: " + std::string(ToName(response.outcome));
 }
 
+auto DescribeContact(const StoreContact& contact, TimePoint now)
+    -> std::string {
+  const auto describe = [&](const std::optional<TimePoint>& since) {
+    return since ? std::to_string(ToMilliseconds(now - *since)) + " ms"
+                 : std::string("an unknown time");
+  };
+  return "which last answered a read " + describe(contact.answered_at) +
+         " ago and has been available for " + describe(contact.available_since);
+}
+
 // The era rises by one with each return of the store. A larger one comes from
 // another program, and all later answers would be refused.
 constexpr std::uint64_t kMaxEra = 1'000'000'000;
@@ -99,7 +109,8 @@
     return;
   }
   Log(Part::kStore, LogLevel::kInfo,
-      is_reader_ ? "this VM was elected as a reader of the store"
+      is_reader_ ? "this VM was elected as a reader of the store, " +
+                       DescribeContact(changed.store, Now())
                  : "this VM is no longer a reader of the store");
   // The known state is outdated in the next term. A new list also detects
   // removals that happened while this VM was not watching.
--- a/tests/unit/decision/fleet/entry_set_test.cc
+++ b/tests/unit/decision/fleet/entry_set_test.cc
@@ -248,4 +248,20 @@
   cr_assert(ReaderVms(members, 3) == before);
 }
 
+// Guards against taking the store for lost to all VMs while one can read it,
+// because too few others are left and the readers include VMs that lost it.
+Test(entry_set, one_vm_that_can_read_is_enough) {
+  auto members = Members(3);
+  for (auto& member : members) {
+    member.lost_source = true;
+  }
+  cr_assert_not(AnyCanRead(members, {}));
+  members[1].lost_source = false;
+  cr_assert_eq(ReaderVms(members, 3).size(), 3U);
+  cr_assert(AnyCanRead(members, {}));
+  cr_assert_not(AnyCanRead(members, {members[1].id}));
+  members[1].leaving = true;
+  cr_assert_not(AnyCanRead(members, {}));
+}
+
 }  // namespace flamingoyoke
--- a/tests/unit/node/control/fleet/fleet_task_test.cc
+++ b/tests/unit/node/control/fleet/fleet_task_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 #include <poll.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -37,11 +38,11 @@
 // Runs a fleet task on its own thread; only the test reads its mailboxes.
 class Node {
  public:
-  Node() {
+  explicit Node(const FleetConfig& config = {MakeMember("vm-1"), 1, 1}) {
     host_ = std::make_unique<TaskHost<FleetTask>>(
-        "fleet", mailboxes_.fleet, [this] {
+        "fleet", mailboxes_.fleet, [this, config] {
           return std::make_unique<FleetTask>(
-              FleetConfig{MakeMember("vm-1"), 1, 1},
+              config,
               FleetOutlets{mailboxes_.mesh, mailboxes_.platform,
                            mailboxes_.traffic, mailboxes_.admin,
                            mailboxes_.telemetry},
@@ -95,11 +96,36 @@
     return nullptr;
   }
 
+  // Returns the next heartbeat to vm-2, which answers it, or nothing if none is
+  // sent in time.
+  auto ExchangeHeartbeats() -> std::optional<Heartbeat> {
+    const auto end = Now() + kTimeout;
+    while (Now() < end) {
+      pollfd wait = {mailboxes_.mesh.descriptor(), POLLIN, 0};
+      poll(&wait, 1, 100);
+      for (const auto& message : mailboxes_.mesh.TakeAll()) {
+        const auto* send = std::get_if<PeerMessageToSend>(&message);
+        const auto* heartbeat =
+            send != nullptr ? std::get_if<Heartbeat>(&send->order.message)
+                            : nullptr;
+        if (heartbeat != nullptr) {
+          Post(PeerMessageReceived{
+              {VmId("vm-2"), Incarnation(5),
+               Heartbeat{.sequence = ++peer_sequence_,
+                         .heard_sequence = heartbeat->sequence}}});
+          return *heartbeat;
+        }
+      }
+    }
+    return std::nullopt;
+  }
+
   auto mailboxes() -> Mailboxes& { return mailboxes_; }
 
  private:
   Mailboxes mailboxes_;
   FleetMemory memory_;
+  std::uint64_t peer_sequence_ = 0;
   std::unique_ptr<TaskHost<FleetTask>> host_;
 };
 
@@ -223,4 +249,29 @@
   cr_assert(has_role);
 }
 
+// Guards against a reader that lost the store and hides since when it has been
+// available: others that take over keep removed targets for seconds then.
+Test(fleet_task, a_lost_reader_confirms_nothing_while_another_vm_can_read) {
+  Node node({.self = MakeMember("vm-1"),
+             .source = ServiceSource::kPublished,
+             .seeds = {MakeMember("vm-1"), MakeMember("vm-2")}});
+  const auto since = Now() - std::chrono::seconds(60);
+  std::optional<SourceConfirmation> known;
+  while (!known) {
+    node.Post(SourceRead{Now(), since});
+    const auto heartbeat = node.ExchangeHeartbeats();
+    cr_assert(heartbeat.has_value());
+    known = heartbeat->source;
+  }
+  cr_assert(known->available_for.has_value());
+  node.Post(SourceStateChanged{false});
+  // Longer than two regular heartbeats.
+  const auto end = Now() + std::chrono::milliseconds(2500);
+  while (Now() < end) {
+    const auto heartbeat = node.ExchangeHeartbeats();
+    cr_assert(heartbeat && heartbeat->source);
+    cr_assert(heartbeat->source->available_for.has_value());
+  }
+}
+
 }  // namespace flamingoyoke
