Separate the election from the question whether any VM can read the store

IsStoreLostToAll() also asked whether this VM is elected, and the reason for the condition stood apart from it. No change in behaviour.

--- a/src/decision/fleet/entry_set.h
+++ b/src/decision/fleet/entry_set.h
@@ -86,7 +86,7 @@
                std::size_t size,
                const std::set<VmId>& silent = {}) -> std::vector<VmId>;
 
-// Returns whether ReaderVms() finds a VM that neither lost the store nor is in
+// Returns whether any VM that may be a reader neither lost the store nor is in
 // `silent`. Thread-safe.
 auto AnyCanRead(const std::vector<Member>& members,
                 const std::set<VmId>& silent) -> bool;
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -214,7 +214,11 @@
     return;
   }
   const auto now = Now();
-  if (role_.is_reader && (has_read_as_reader_ || IsStoreLostToAll())) {
+  // More reads by others do not help if no VM can read. While one can, the
+  // confirmation of a reader that lost the store would hide since when it has
+  // been available.
+  if (role_.is_reader &&
+      (has_read_as_reader_ || (is_elected_ && IsStoreLostToAll()))) {
     freshness_.OnFollowing(
         is_elected_, ActiveEra(),
         has_read_as_reader_ ? source_available_since_ : std::nullopt, now);
@@ -224,8 +228,7 @@
 }
 
 auto FleetTask::IsStoreLostToAll() const -> bool {
-  return is_elected_ && lost_source_ &&
-         !AnyCanRead(membership_.Members(), silent_peers_);
+  return lost_source_ && !AnyCanRead(membership_.Members(), silent_peers_);
 }
 
 auto FleetTask::ShareConfirmation(bool announce) -> void {
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -84,9 +84,8 @@
   // Confirms that this VM follows the store if it does, and passes the newest
   // confirmation to the membership.
   auto UpdateFreshness() -> void;
-  // Returns whether this VM confirms although it lost the store: more reads by
-  // others do not help if no VM can read. While one can, such a confirmation
-  // would hide since when the store has been available.
+  // Returns whether neither this VM nor any other that it knows can read the
+  // store.
   [[nodiscard]] auto IsStoreLostToAll() const -> bool;
   // Passes the newest confirmation to the membership; with `announce`, all
   // peers get it at once.
