Tell in the log how old the tables in force are, and why requests are refused

A VM only knew how long ago a reader had confirmed that it follows the store, not whether the versions in force here are those that the reader had; and the line of a refused request told neither the slots nor the times that the estimate took.

TableConfirmations keeps each confirmation until the versions that came with it are in force, so far for the log only.

--- a/src/decision/fleet/table_currency.cc
+++ b/src/decision/fleet/table_currency.cc
@@ -1,30 +1,10 @@
 #include "decision/fleet/table_currency.h"
 
 #include <algorithm>
-#include <tuple>
 
-namespace flamingoyoke {
-namespace {
-
-auto IsSameOrNewer(const TableDigest& a, const TableDigest& b) -> bool {
-  return std::tie(a.era, a.revision, a.hash) >=
-         std::tie(b.era, b.revision, b.hash);
-}
-
-// Whether `digests` has the same or a newer version of each shard of `others`.
-auto Covers(const std::vector<TableDigest>& digests,
-            const std::vector<TableDigest>& others) -> bool {
-  return std::all_of(
-      others.begin(), others.end(), [&](const TableDigest& other) {
-        return std::any_of(
-            digests.begin(), digests.end(), [&](const TableDigest& own) {
-              return own.shard == other.shard && IsSameOrNewer(own, other);
-            });
-      });
-}
-
-}  // namespace
+#include "decision/fleet/table_digests.h"
 
+namespace flamingoyoke {
 auto TableCurrency::OnOwnRead(TimePoint at) -> void {
   Raise(at);
 }
@@ -40,7 +20,7 @@
 
 auto TableCurrency::Update(const std::vector<TableDigest>& digests) -> void {
   // Versions never go back, so that what was known once remains true.
-  if (claimed_at_ && Covers(digests, claimed_)) {
+  if (claimed_at_ && CoversAll(digests, claimed_)) {
     Raise(*claimed_at_);
     claimed_at_.reset();
   }
--- a/src/decision/fleet/table_dissemination.cc
+++ b/src/decision/fleet/table_dissemination.cc
@@ -67,6 +67,17 @@
   return digests;
 }
 
+auto TableDissemination::Settled() const -> std::vector<TableDigest> {
+  std::vector<TableDigest> settled;
+  for (const auto& [shard, version] : in_force_) {
+    settled.push_back(version.digest);
+  }
+  for (const auto& digest : rejected_) {
+    settled.push_back(digest);
+  }
+  return settled;
+}
+
 auto TableDissemination::IsComplete() const -> bool {
   return in_force_.size() == shard_count_;
 }
@@ -83,6 +94,15 @@
   return now - *currency_.known_at();
 }
 
+auto TableDissemination::PendingPulls(TimePoint now) const
+    -> std::vector<PendingPull> {
+  std::vector<PendingPull> pending;
+  for (const auto& [shard, pull] : pulls_) {
+    pending.push_back({pull.wanted(), now - pull.since(), pull.pulls_sent()});
+  }
+  return pending;
+}
+
 auto TableDissemination::InForce(std::uint32_t shard) const
     -> std::optional<TableDigest> {
   const auto found = in_force_.find(shard);
--- a/src/decision/fleet/table_dissemination.h
+++ b/src/decision/fleet/table_dissemination.h
@@ -75,6 +75,14 @@
 };
 static_assert(IsDense<FirstRead>());
 
+// A newer version than the one in force that is being fetched from peers.
+struct PendingPull {
+  TableDigest wanted;
+  // Time since the first peer announced it, and the number of requests for it.
+  Duration announced_ago = Duration::zero();
+  std::size_t pulls = 0;
+};
+
 // Keeps the newest accepted version of each shard of the table and disseminates
 // it among peers. Versions are ordered by era, revision, then hash, and never
 // go back. Not thread-safe.
@@ -92,6 +100,9 @@
 
   // Returns the digests that heartbeats carry for the table in force.
   [[nodiscard]] auto Digests() const -> std::vector<TableDigest>;
+  // Returns the versions in force and those that were rejected lately, of all
+  // shards. Peers of another release may accept what this VM rejects.
+  [[nodiscard]] auto Settled() const -> std::vector<TableDigest>;
   // Whether a version of each shard is in force.
   [[nodiscard]] auto IsComplete() const -> bool;
   // Whether this node has read the newest state of the source itself since its
@@ -103,6 +114,9 @@
       -> std::optional<Duration>;
   // Whether a newer version is known to exist and is being fetched.
   [[nodiscard]] auto IsCatchingUp() const -> bool { return !pulls_.empty(); }
+  // Returns the versions that are being fetched.
+  [[nodiscard]] auto PendingPulls(TimePoint now) const
+      -> std::vector<PendingPull>;
   // Returns the version in force of `shard`, or nothing.
   [[nodiscard]] auto InForce(std::uint32_t shard) const
       -> std::optional<TableDigest>;
--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -499,12 +499,23 @@
   }
   ++counters_.refused_by[static_cast<std::size_t>(reported_error)];
   // Spread, so that callers refused together don't return together.
-  const auto retry_after =
-      Scale(1 + random_.Unit(),
-            std::max(kMinRetryAfter,
-                     EstimateTurnWait(active, PlaceOf(active).ahead)));
-  actions_.emplace_back(
-      RefuseRequest{active.info.request, reported_error, retry_after});
+  const auto ahead = PlaceOf(active).ahead;
+  const auto wait = EstimateTurnWait(active, ahead);
+  RefuseRequest refusal{
+      active.info.request, reported_error,
+      Scale(1 + random_.Unit(), std::max(kMinRetryAfter, wait))};
+  if (reported_error == ErrorKind::kDeadlineUnreachable) {
+    const auto targets = pool_.CountOpen(now_);
+    const auto last = pool_.last_evidence();
+    refusal.estimate = AdmissionEstimate{
+        .slots = SlotsFor(ahead == 0 ? 0 : active.info.priority),
+        .wait = wait,
+        .run_time = ExpectedServiceTime(active),
+        .open_targets = targets.open,
+        .usable_targets = targets.usable,
+        .evidence_age = last ? std::optional(now_ - *last) : std::nullopt};
+  }
+  actions_.emplace_back(refusal);
   Remove(active.info.request);
 }
 
@@ -617,7 +628,7 @@
 auto PoolDispatcher::SlotsFor(std::uint32_t priority) const -> double {
   const auto before = run_shares_.ShareBefore(priority, now_);
   // The slots are shared with the other gateways.
-  return static_cast<double>(pool_.UsableSlots(now_)) *
+  return static_cast<double>(pool_.CountOpen(now_).usable_slots) *
          (1 - std::min(before, kMaxShareBefore)) *
          (1 - queue_.GuaranteedAfter(priority)) /
          static_cast<double>(gateways_);
--- a/src/decision/gateway/pool_event.h
+++ b/src/decision/gateway/pool_event.h
@@ -144,12 +144,30 @@
   AttemptId attempt;
 };
 
+// What a refusal for want of time was based on, for the log.
+struct AdmissionEstimate {
+  // Slots that this gateway counts on for the request.
+  double slots = 0;
+  // Time until one of them is free, and the time that the request runs.
+  Duration wait = Duration::zero();
+  Duration run_time = Duration::zero();
+  // Targets that accept requests now, and those of them that look healthy
+  // enough to get one at once.
+  std::size_t open_targets = 0;
+  std::size_t usable_targets = 0;
+  // Time since the last outcome of a request to any target of the service, here
+  // or reported; unset if there was none.
+  std::optional<Duration> evidence_age = {};
+};
+
 // Answer the request with an error. No attempt is running. Ends the request.
 struct RefuseRequest {
   RequestId request;
   ErrorKind error = ErrorKind::kInternal;
   // Value for Retry-After; zero omits the header.
   Duration retry_after = Duration::zero();
+  // Set if the request could not start in time.
+  std::optional<AdmissionEstimate> estimate = {};
 };
 
 // Deliver a PoolTimer at `at`. Replaces an earlier WakePoolAt.
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -730,6 +730,7 @@
   has_unexpected_ =
       has_unexpected_ || evidence != Evidence::kSucceeded || !looked_healthy;
   state.health.Add(evidence, now);
+  last_evidence_ = now;
   if (evidence == Evidence::kSucceeded) {
     state.availability.OnSucceeded(now);
   }
@@ -826,6 +827,7 @@
                           std::uint32_t times) {
     for (std::uint32_t i = 0; i < times; ++i) {
       state.health.Add(evidence, now);
+      last_evidence_ = now;
     }
   };
   for (const auto& report : outcomes) {
@@ -939,16 +941,20 @@
       }));
 }
 
-auto TargetPool::UsableSlots(TimePoint now) const -> std::uint32_t {
+auto TargetPool::CountOpen(TimePoint now) const -> OpenTargets {
   const auto limit = MaxUnhealthyProbability(now);
-  std::uint32_t slots = 0;
+  OpenTargets counts;
   for (const auto& [id, state] : targets_) {
-    if (IsAwake(state, now) &&
-        state.health.UnhealthyProbability(now) <= limit) {
-      slots += state.spec.slots;
+    if (!IsAwake(state, now)) {
+      continue;
+    }
+    ++counts.open;
+    if (state.health.UnhealthyProbability(now) <= limit) {
+      ++counts.usable;
+      counts.usable_slots += state.spec.slots;
     }
   }
-  return slots;
+  return counts;
 }
 
 auto TargetPool::UnhealthyProbability(const TargetId& target,
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -143,9 +143,19 @@
   // Returns the number of registered targets with the given availability.
   [[nodiscard]] auto CountOf(Availability availability, TimePoint now) const
       -> std::size_t;
-  // Returns the number of slots of the targets that accept requests
-  // immediately.
-  [[nodiscard]] auto UsableSlots(TimePoint now) const -> std::uint32_t;
+  // Targets that accept requests now: all of them, and those that look healthy
+  // enough to get one at once.
+  struct OpenTargets {
+    std::size_t open = 0;
+    std::size_t usable = 0;
+    std::uint32_t usable_slots = 0;
+  };
+  [[nodiscard]] auto CountOpen(TimePoint now) const -> OpenTargets;
+  // Returns when the last outcome of a request to any of the targets became
+  // known; nothing if none has.
+  [[nodiscard]] auto last_evidence() const -> std::optional<TimePoint> {
+    return last_evidence_;
+  }
   [[nodiscard]] auto load_counters() const -> const LoadCounters& {
     return load_counters_;
   }
@@ -339,6 +349,7 @@
   // Attempts and requests of all gateways.
   RateWindow outcomes_;
   RateWindow requests_;
+  std::optional<TimePoint> last_evidence_;
   // Ended requests that are not yet reported to the other gateways.
   RequestCounts unreported_requests_;
   // Start times of the targets that said that they leave. Kept while they are
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -32,6 +32,9 @@
 // has lost the store for good by then.
 constexpr Duration kSourceRetryDelay = std::chrono::seconds(8);
 constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
+// Tables that were last confirmed as the newest this many times `max_view_age`
+// ago may be older than operators allow.
+constexpr int kMaxViewAgesInForce = 2;
 // Period of the check whether a substitute reader is still needed.
 constexpr Duration kSubstituteCheckPeriod = std::chrono::milliseconds(100);
 
@@ -143,11 +146,13 @@
       ShareConfirmation(true);
     }
     ScheduleFreshnessCheck();
+    confirmations_.Add(*heartbeat->source, heartbeat->tables, Now());
   }
   ProcessEvent(MembershipEvent(message.envelope));
   if (auto envelope = ExpandTable(std::move(message.envelope))) {
     ProcessEvent(TableDisseminationEvent(*std::move(envelope)));
   }
+  ApplyConfirmations();
 }
 
 auto FleetTask::ExpandTable(PeerEnvelope envelope)
@@ -222,9 +227,47 @@
     freshness_.OnFollowing(
         is_elected_, ActiveEra(),
         has_read_as_reader_ ? source_available_since_ : std::nullopt, now);
+    tables_confirmed_at_ = now;
   }
   ShareConfirmation(freshness_.TakeAnnouncementDue());
   ScheduleFreshnessCheck();
+  LogTablesAge();
+}
+
+auto FleetTask::ApplyConfirmations() -> void {
+  for (const auto& received :
+       confirmations_.TakeCovered(table_dissemination_.Settled())) {
+    const auto at = received.followed_at;
+    tables_confirmed_at_ = std::max(tables_confirmed_at_.value_or(at), at);
+  }
+}
+
+auto FleetTask::TablesAge() const -> std::optional<Duration> {
+  return tables_confirmed_at_ ? std::optional(Now() - *tables_confirmed_at_)
+                              : std::nullopt;
+}
+
+auto FleetTask::LogTablesAge() -> void {
+  const auto now = Now();
+  const auto age = TablesAge();
+  const bool is_old =
+      age.has_value() && *age > kMaxViewAgesInForce * config_.max_view_age;
+  if (!age || std::exchange(has_logged_age_, is_old) == is_old) {
+    return;
+  }
+  std::string text =
+      "the tables in force were " + std::string(is_old ? "last" : "again") +
+      " confirmed as the newest " + std::to_string(ToMilliseconds(*age)) +
+      " ms ago; a reader confirmed " +
+      std::to_string(ToMilliseconds(freshness_.Age(now))) +
+      " ms ago; configuration " + std::to_string(ActiveRevision().value());
+  for (const auto& pull : table_dissemination_.PendingPulls(now)) {
+    text += "; shard " + std::to_string(pull.wanted.shard) + " of revision " +
+            std::to_string(pull.wanted.revision.value()) + " announced " +
+            std::to_string(ToMilliseconds(pull.announced_ago)) +
+            " ms ago, pulled " + std::to_string(pull.pulls) + " times";
+  }
+  Log(Part::kFleet, is_old ? LogLevel::kWarning : LogLevel::kInfo, text);
 }
 
 auto FleetTask::IsStoreLostToAll() const -> bool {
@@ -713,6 +756,11 @@
            .help = "Time since a reader of the store last confirmed.",
            .is_counter = false,
            .value = ToSeconds(freshness_.Age(Now()))},
+          {.name = "flamingoyoke_fleet_tables_age_seconds",
+           .help = "Time since a reader confirmed the tables in force as the"
+                   " newest, 0 if none has.",
+           .is_counter = false,
+           .value = ToSeconds(TablesAge().value_or(Duration::zero()))},
           {.name = "flamingoyoke_fleet_substitutions_total",
            .help = "Times that this vm read the store for lost readers.",
            .value = static_cast<double>(substitutions_)},
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -15,6 +15,7 @@
 #include "decision/fleet/membership.h"
 #include "decision/fleet/readiness_gate.h"
 #include "decision/fleet/source_freshness.h"
+#include "decision/fleet/table_confirmations.h"
 #include "decision/fleet/table_dissemination.h"
 #include "decision/pause/pause_detector.h"
 #include "node/control/fleet/fleet_config.h"
@@ -90,6 +91,13 @@
   // Passes the newest confirmation to the membership; with `announce`, all
   // peers get it at once.
   auto ShareConfirmation(bool announce) -> void;
+  // Takes over the confirmations whose versions are in force.
+  auto ApplyConfirmations() -> void;
+  // Returns the time since the tables in force were confirmed as the newest.
+  [[nodiscard]] auto TablesAge() const -> std::optional<Duration>;
+  // Logs that the tables in force are no longer confirmed as the newest, or are
+  // again, with the ages that tell why.
+  auto LogTablesAge() -> void;
   // Schedules the check for lost readers.
   auto ScheduleFreshnessCheck() -> void;
   // Announces changes of this VM's member record to the other VMs.
@@ -161,6 +169,10 @@
   // Whether the tables in force are known to be the newest since the start.
   bool has_newest_ = false;
   bool is_substitute_ = false;
+  TableConfirmations confirmations_;
+  std::optional<TimePoint> tables_confirmed_at_;
+  // Whether LogTablesAge has logged that the tables may be outdated.
+  bool has_logged_age_ = false;
   std::vector<TableDigest> announced_tables_;
   std::vector<VmId> two_way_peers_;
   std::set<VmId> silent_peers_;
--- a/src/node/traffic/gateway/pool_runner.cc
+++ b/src/node/traffic/gateway/pool_runner.cc
@@ -30,6 +30,19 @@
   return text;
 }
 
+auto Describe(const AdmissionEstimate& estimate) -> std::string {
+  std::string text = " slots=" + std::to_string(estimate.slots);
+  text += " wait_ms=" + std::to_string(ToMilliseconds(estimate.wait));
+  text += " run_ms=" + std::to_string(ToMilliseconds(estimate.run_time));
+  text += " targets=" + std::to_string(estimate.usable_targets) + "/" +
+          std::to_string(estimate.open_targets);
+  text += " evidence_ms=" +
+          (estimate.evidence_age
+               ? std::to_string(ToMilliseconds(*estimate.evidence_age))
+               : "-");
+  return text;
+}
+
 }  // namespace
 
 PoolRunner::PoolRunner(EventLoop& loop,
@@ -425,6 +438,9 @@
   if (found == requests_.end()) {
     return;
   }
+  if (action.estimate) {
+    found->second.history += Describe(*action.estimate);
+  }
   auto& exchange = *found->second.exchange;
   if (exchange.state() == ReplyState::kStreaming) {
     exchange.Abort();
