Answer 503, not 404, while the routes in force may be outdated

Cause: a VM answered from its routes however old they were, also while it fetched newer ones, after a start, after a pause or without any reader in reach. A view now says so: a newer version of the routes is announced and not yet in force, or no reader has confirmed those in force for 1.5 times max_view_age. Known routes are served as before.

gateway_task/refuses_no_route_for_good_while_its_routes_may_be_outdated and fleet_task/tells_that_its_routes_may_be_outdated hold it.

--- a/src/decision/fleet/fleet_view.h
+++ b/src/decision/fleet/fleet_view.h
@@ -38,6 +38,9 @@
   // force.
   std::shared_ptr<const Routing> routing;
   std::shared_ptr<const Registry> registry;
+  // Whether a newer version of the routes may be in force elsewhere: one is
+  // being fetched, or no reader of the store has confirmed these for too long.
+  bool has_outdated_routes = false;
   // VMs that callers of routed services are directed to, best first.
   std::vector<EntryVm> entries;
   // Entries with a two-way link to this VM, in order; not itself.
--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -32,9 +32,9 @@
 // has lost the store for good by then.
 constexpr Duration kSourceRetryDelay = std::chrono::seconds(8);
 constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
-// Tables that were last confirmed as the newest this many times `max_view_age`
-// ago may be older than operators allow.
-constexpr int kMaxViewAgesInForce = 2;
+// A reader must have confirmed the tables in force within this many halves of
+// `max_view_age`, after which this VM has begun to read the store itself.
+constexpr int kMaxHalfViewAges = 3;
 // Period of the check whether a substitute reader is still needed.
 constexpr Duration kSubstituteCheckPeriod = std::chrono::milliseconds(100);
 
@@ -85,6 +85,7 @@
     ProcessEvent(MembershipTimer{});
     UpdateTableDissemination();
     UpdateReadiness();
+    UpdateOutdated();
   });
   table_timer_ = loop.MakeTimer([this] {
     const WorkTimes::Scope work(work_times_, ToName(WorkKind::kTimer));
@@ -131,6 +132,7 @@
   std::visit([this](auto& each) { HandleMessage(std::move(each)); }, message);
   UpdateTableDissemination();
   UpdateReadiness();
+  UpdateOutdated();
   return {};
 }
 
@@ -225,7 +227,6 @@
   }
   ShareConfirmation(freshness_.TakeAnnouncementDue());
   ScheduleFreshnessCheck();
-  LogTablesAge();
 }
 
 auto FleetTask::ApplyConfirmations() -> void {
@@ -243,12 +244,30 @@
   ScheduleFreshnessCheck();
 }
 
-auto FleetTask::LogTablesAge() -> void {
+auto FleetTask::HasOldTables() const -> bool {
+  const auto age = freshness_.NewestAge(Now());
+  return !age || 2 * *age > kMaxHalfViewAges * config_.max_view_age;
+}
+
+auto FleetTask::HasOutdatedRoutes() const -> bool {
+  if (config_.source != ServiceSource::kPublished) {
+    return false;
+  }
+  const auto pulls = table_dissemination_.PendingPulls(Now());
+  return HasOldTables() ||
+         std::any_of(pulls.begin(), pulls.end(), [](const PendingPull& pull) {
+           return pull.wanted.shard == kRoutingShard;
+         });
+}
+
+auto FleetTask::UpdateOutdated() -> void {
+  if (HasOutdatedRoutes() != had_outdated_routes_) {
+    PublishSoon();
+  }
   const auto now = Now();
   const auto age = freshness_.NewestAge(now);
-  const bool is_old =
-      age.has_value() && *age > kMaxViewAgesInForce * config_.max_view_age;
-  if (!age || std::exchange(has_logged_age_, is_old) == is_old) {
+  const bool is_old = HasOldTables();
+  if (!age || std::exchange(had_old_tables_, is_old) == is_old) {
     return;
   }
   const auto heard = confirmations_.NewestAge(now).value_or(*age);
@@ -592,6 +611,8 @@
 auto FleetTask::FillView(const PublishedStore& store, FleetView& view) -> void {
   view.routing = store.routing();
   view.registry = store.registry();
+  had_outdated_routes_ = HasOutdatedRoutes();
+  view.has_outdated_routes = had_outdated_routes_;
   FillEntries(view);
   const auto routing = view.routing ? view.routing->revision : Revision();
   if (view.registry != posted_registry_ || routing != posted_routing_) {
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -93,9 +93,16 @@
   auto ShareConfirmation(bool announce) -> void;
   // Takes over the confirmations whose versions are in force.
   auto ApplyConfirmations() -> void;
-  // Logs that the tables in force are no longer confirmed as the newest, or are
-  // again, with the ages that tell why.
-  auto LogTablesAge() -> void;
+  // Returns whether no reader has confirmed the tables in force for so long
+  // that a newer version may have to be in force by now.
+  [[nodiscard]] auto HasOldTables() const -> bool;
+  // Returns whether a newer version of the published routes may be in force
+  // elsewhere.
+  [[nodiscard]] auto HasOutdatedRoutes() const -> bool;
+  // Publishes a view if the answer of HasOutdatedRoutes() differs from that in
+  // the last one, and logs if that of HasOldTables() does, with the ages that
+  // tell why.
+  auto UpdateOutdated() -> void;
   // Schedules the check for lost readers.
   auto ScheduleFreshnessCheck() -> void;
   // Announces changes of this VM's member record to the other VMs.
@@ -168,8 +175,10 @@
   bool has_newest_ = false;
   bool is_substitute_ = false;
   TableConfirmations confirmations_;
-  // Whether LogTablesAge has logged that the tables may be outdated.
-  bool has_logged_age_ = false;
+  // The answer of HasOldTables() that was logged last, and that of
+  // HasOutdatedRoutes() in the last view.
+  bool had_old_tables_ = false;
+  bool had_outdated_routes_ = false;
   std::vector<TableDigest> announced_tables_;
   std::vector<VmId> two_way_peers_;
   std::set<VmId> silent_peers_;
--- a/src/node/traffic/gateway/gateway_task.cc
+++ b/src/node/traffic/gateway/gateway_task.cc
@@ -398,8 +398,11 @@
     Log(Part::kGateway, LogLevel::kInfo,
         "no route for host " + std::string(host) + " path " +
             std::string(PathOf(head.target)) + " in revision " +
-            std::to_string(view_->routing->revision.value()));
-    exchange->ReplyError(ErrorKind::kNoRoute);
+            std::to_string(view_->routing->revision.value()) +
+            (view_->has_outdated_routes ? ", which may be outdated" : ""));
+    // A caller that gets kNoRoute doesn't ask again.
+    exchange->ReplyError(view_->has_outdated_routes ? ErrorKind::kNotReady
+                                                    : ErrorKind::kNoRoute);
     return;
   }
   Submit(std::move(exchange), *route);
--- a/tests/unit/node/control/fleet/fleet_task_test.cc
+++ b/tests/unit/node/control/fleet/fleet_task_test.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <variant>
 
+#include "decision/fleet/published_shard.h"
 #include "runtime/clock.h"
 #include "runtime/task_host.h"
 
@@ -274,4 +275,32 @@
   }
 }
 
+// Guards against a VM that takes its routes for the newest ones though a peer
+// has newer ones, or though no reader has confirmed them for long.
+Test(fleet_task, tells_that_its_routes_may_be_outdated) {
+  Node node({.self = MakeMember("vm-1"),
+             .source = ServiceSource::kPublished,
+             .seeds = {MakeMember("vm-1"), MakeMember("vm-2")}});
+  const auto outdated = [](const FleetView& view) {
+    return view.has_outdated_routes;
+  };
+  const auto current = [](const FleetView& view) {
+    return !view.has_outdated_routes;
+  };
+  cr_assert(node.AwaitView(outdated), "no reader has confirmed any");
+  std::optional<SourceConfirmation> known;
+  while (!known) {
+    node.Post(SourceRead{Now(), Now()});
+    const auto heartbeat = node.ExchangeHeartbeats();
+    cr_assert(heartbeat.has_value());
+    known = heartbeat->source;
+  }
+  cr_assert(node.AwaitView(current));
+  node.Post(PeerMessageReceived{
+      {VmId("vm-2"), Incarnation(5),
+       Heartbeat{.sequence = 1'000'000,
+                 .tables = {{kRoutingShard, Revision(9), 9}}}}});
+  cr_assert(node.AwaitView(outdated), "a peer has newer ones");
+}
+
 }  // namespace flamingoyoke
--- a/tests/unit/node/traffic/gateway/gateway_fixture.h
+++ b/tests/unit/node/traffic/gateway/gateway_fixture.h
@@ -112,8 +112,10 @@
   auto Publish(const std::vector<std::uint16_t>& upstreams,
                bool is_ready = true,
                const std::optional<std::vector<Team>>& teams = {},
-               const std::vector<VmId>& peers = {}) -> void {
+               const std::vector<VmId>& peers = {},
+               bool has_outdated_routes = false) -> void {
     auto view = std::make_shared<FleetView>();
+    view->has_outdated_routes = has_outdated_routes;
     view->self = VmId("vm-a");
     view->ready = is_ready;
     Member self;
--- a/tests/unit/node/traffic/gateway/gateway_task_test.cc
+++ b/tests/unit/node/traffic/gateway/gateway_task_test.cc
@@ -190,6 +190,18 @@
   }
 }
 
+// Guards against a 404 for a route that was added, from a VM that knows that it
+// may not have the newest routes.
+Test(gateway_task, refuses_no_route_for_good_while_its_routes_may_be_outdated) {
+  UpstreamFake upstream(
+      Always(Answer("200 OK\r\nId: req-1\r\nSigned: x", "done")));
+  GatewayFixture gateway({upstream.port()});
+  cr_assert_eq(gateway.Exchange(Request("GET", "/none/")).status(), 404);
+  gateway.Publish({upstream.port()}, true, {}, {}, true);
+  cr_assert_eq(gateway.Exchange(Request("GET", "/none/")).status(), 503);
+  cr_assert_eq(gateway.Exchange(Request("GET", "/repeatable/1")).status(), 200);
+}
+
 // Guards against a message for each service and peer, which took more processor
 // time on entry VMs than their callers, and against batches to a peer that has
 // not said that it reads them.
