Count on the targets that a waiting request accepts before refusing it

Cause: the estimate counted the slots of targets that look healthy only. A request that waits goes to any open target after half of its objective, and a gateway that owns no targets keeps old evidence for seconds: 'slots=0 wait_ms=1000 targets=0/4 evidence_ms=9612'. The estimate is now the shorter of both waits.

--- a/src/decision/gateway/pool_dispatcher.cc
+++ b/src/decision/gateway/pool_dispatcher.cc
@@ -398,7 +398,7 @@
   }
   std::vector<RequestId> unreachable;
   std::optional<std::uint32_t> last_priority;
-  double slots = 0;
+  SlotParts slots;
   queue_.Visit([&](RequestId id, const FairQueue::Place& place) {
     const auto& active = requests_.at(id);
     if (last_priority != active.info.priority) {
@@ -508,7 +508,7 @@
     const auto targets = pool_.CountOpen(now_);
     const auto last = pool_.last_evidence();
     refusal.estimate = AdmissionEstimate{
-        .slots = SlotsFor(ahead == 0 ? 0 : active.info.priority),
+        .slots = SlotsFor(ahead == 0 ? 0 : active.info.priority).usable,
         .wait = wait,
         .run_time = ExpectedServiceTime(active),
         .open_targets = targets.open,
@@ -617,7 +617,7 @@
                                       std::size_t ahead) const -> Duration {
   // More urgent requests that are yet to come delay a long wait only.
   const auto slots = SlotsFor(ahead == 0 ? 0 : active.info.priority);
-  if (slots <= 0) {
+  if (slots.open <= 0) {
     // Targets that rest open again at a known time.
     const auto opens = pool_.OpensAt({}, now_);
     return opens && *opens > now_ ? *opens - now_ : active.info.objective;
@@ -625,13 +625,15 @@
   return EstimateTurn(active, ahead + 1, slots);
 }
 
-auto PoolDispatcher::SlotsFor(std::uint32_t priority) const -> double {
+auto PoolDispatcher::SlotsFor(std::uint32_t priority) const -> SlotParts {
   const auto before = run_shares_.ShareBefore(priority, now_);
   // The slots are shared with the other gateways.
-  return static_cast<double>(pool_.CountOpen(now_).usable_slots) *
-         (1 - std::min(before, kMaxShareBefore)) *
-         (1 - queue_.GuaranteedAfter(priority)) /
-         static_cast<double>(gateways_);
+  const auto part = (1 - std::min(before, kMaxShareBefore)) *
+                    (1 - queue_.GuaranteedAfter(priority)) /
+                    static_cast<double>(gateways_);
+  const auto targets = pool_.CountOpen(now_);
+  return {.usable = part * targets.usable_slots,
+          .open = part * targets.open_slots};
 }
 
 auto PoolDispatcher::PlaceOf(const ActiveRequest& active) const
@@ -642,17 +644,26 @@
 
 auto PoolDispatcher::EstimateTurn(const ActiveRequest& active,
                                   std::size_t started,
-                                  double slots) const -> Duration {
-  return Scale(static_cast<double>(started) / slots,
-               ExpectedServiceTime(active));
+                                  const SlotParts& slots) const -> Duration {
+  const auto turn = [&](double part) {
+    return Scale(static_cast<double>(started) / part,
+                 ExpectedServiceTime(active));
+  };
+  const auto patience =
+      std::max(TargetPool::MaxWaitForHealthy(active.info.objective) -
+                   (now_ - active.arrived),
+               Duration::zero());
+  const auto any = patience + turn(slots.open);
+  return slots.usable <= 0 ? any : std::min(turn(slots.usable), any);
 }
 
 auto PoolDispatcher::CanStartInTime(const ActiveRequest& active,
                                     const FairQueue::Place& place,
-                                    double slots) const -> bool {
+                                    const SlotParts& slots) const -> bool {
   // Without a usable slot the wait is unknown.
-  const auto turn =
-      slots <= 0 ? Duration::zero() : EstimateTurn(active, place.ahead, slots);
+  const auto turn = slots.usable <= 0
+                        ? Duration::zero()
+                        : EstimateTurn(active, place.ahead, slots);
   const auto wait = std::min(turn, place.guaranteed.value_or(turn));
   return wait + Scale(kMinTimeFactor, ExpectedServiceTime(active)) <=
          active.info.deadline - now_;
--- a/src/decision/gateway/pool_dispatcher.h
+++ b/src/decision/gateway/pool_dispatcher.h
@@ -97,6 +97,12 @@
     // Whether the configuration no longer allows the request.
     bool revoked = false;
   };
+  // This gateway's part of the slots of the targets that look healthy and of
+  // all open ones.
+  struct SlotParts {
+    double usable = 0;
+    double open = 0;
+  };
   struct RunningAttempt {
     RequestId request;
     TargetId target;
@@ -152,9 +158,9 @@
   // its turn or by the guarantee of its kind.
   [[nodiscard]] auto EstimateWait(const ActiveRequest& active) const
       -> Duration;
-  // Returns this gateway's part of the usable slots that is left for requests
-  // of `priority` and less urgent ones, by the recent attempts.
-  [[nodiscard]] auto SlotsFor(std::uint32_t priority) const -> double;
+  // Returns this gateway's part of the slots that is left for requests of
+  // `priority` and less urgent ones, by the recent attempts.
+  [[nodiscard]] auto SlotsFor(std::uint32_t priority) const -> SlotParts;
   // Returns the estimated time until the turn of `active`, in which the
   // requests that were refused before it should return.
   [[nodiscard]] auto EstimateTurnWait(const ActiveRequest& active,
@@ -162,15 +168,16 @@
   [[nodiscard]] auto PlaceOf(const ActiveRequest& active) const
       -> FairQueue::Place;
   // Returns the estimated time until `started` requests have got one of
-  // `slots`, of which there must be some.
+  // `slots`: one of a target that looks healthy, or one of any target once the
+  // request accepts that. Some slots must be open.
   [[nodiscard]] auto EstimateTurn(const ActiveRequest& active,
                                   std::size_t started,
-                                  double slots) const -> Duration;
+                                  const SlotParts& slots) const -> Duration;
   // Returns whether the request can start early enough before its deadline in
   // this place if the next slot is free at once.
   [[nodiscard]] auto CanStartInTime(const ActiveRequest& active,
                                     const FairQueue::Place& place,
-                                    double slots) const -> bool;
+                                    const SlotParts& slots) const -> bool;
   [[nodiscard]] auto IsTooLate(const ActiveRequest& active) const -> bool;
   [[nodiscard]] static auto FlowOf(const ActiveRequest& active)
       -> FairQueue::FlowId;
--- a/src/decision/gateway/target_pool.cc
+++ b/src/decision/gateway/target_pool.cc
@@ -941,6 +941,11 @@
       }));
 }
 
+auto TargetPool::MaxWaitForHealthy(Duration objective) -> Duration {
+  return Duration(static_cast<std::int64_t>(
+      kMaxWaitShare * static_cast<double>(objective.count())));
+}
+
 auto TargetPool::CountOpen(TimePoint now) const -> OpenTargets {
   const auto limit = MaxUnhealthyProbability(now);
   OpenTargets counts;
@@ -949,6 +954,7 @@
       continue;
     }
     ++counts.open;
+    counts.open_slots += state.spec.slots;
     if (state.health.UnhealthyProbability(now) <= limit) {
       ++counts.usable;
       counts.usable_slots += state.spec.slots;
--- a/src/decision/gateway/target_pool.h
+++ b/src/decision/gateway/target_pool.h
@@ -147,9 +147,13 @@
   // enough to get one at once.
   struct OpenTargets {
     std::size_t open = 0;
+    std::uint32_t open_slots = 0;
     std::size_t usable = 0;
     std::uint32_t usable_slots = 0;
   };
+  // Returns how long a request with this objective waits at most for a healthy
+  // target before it goes to any that is open.
+  [[nodiscard]] static auto MaxWaitForHealthy(Duration objective) -> Duration;
   [[nodiscard]] auto CountOpen(TimePoint now) const -> OpenTargets;
   // Returns when the last outcome of a request to any of the targets became
   // known; nothing if none has.
--- a/tests/unit/decision/gateway/pool_dispatcher_test.cc
+++ b/tests/unit/decision/gateway/pool_dispatcher_test.cc
@@ -137,6 +137,41 @@
   cr_assert_leq(avoided, 2U);
 }
 
+// Guards against requests that a gateway refuses at once, since all targets
+// look unhealthy to it, though it would have sent them to any target in time.
+Test(pool_dispatcher, a_request_waits_until_it_accepts_unhealthy_targets) {
+  for (const bool owns_targets : {true, false}) {
+    PoolDispatcher dispatcher(ServiceId("s"), Random(1), MakeLimits());
+    const auto targets = MakeTargets(4);
+    dispatcher.OnEvent(
+        PoolConfigured{.targets = targets,
+                       .own_domain = {},
+                       .peers = {VmId("b")},
+                       .gateways = 4,
+                       .self = VmId("a"),
+                       .owners = {{VmId(owns_targets ? "a" : "b"), {}}}},
+        kStart);
+    PoolPeerReport report{.peer = VmId("b"), .outcomes = {}, .sequence = 1};
+    for (const auto& target : targets) {
+      report.outcomes.push_back({.target = target.id, .failed = 8});
+    }
+    dispatcher.OnEvent(report, kStart);
+    auto arrival = MakeArrival(1, false, kStart);
+    arrival.objective = milliseconds(900);
+    arrival.deadline = kStart + arrival.objective;
+    auto actions = dispatcher.OnEvent(arrival, kStart);
+    auto now = kStart;
+    while (ActionsOf<StartAttempt>(actions).empty()) {
+      cr_assert(ActionsOf<RefuseRequest>(actions).empty(), "after %ld ms",
+                static_cast<long>(ToMilliseconds(now - kStart)));
+      cr_assert_lt(now, arrival.deadline);
+      now += milliseconds(20);
+      actions = dispatcher.OnEvent(PoolTimer{}, now);
+    }
+    cr_assert_leq(ToMilliseconds(now - kStart), 470);
+  }
+}
+
 // Guards against ignoring the timeouts of a target that times out every
 // request.
 Test(pool_dispatcher, a_target_that_times_out_is_unhealthy) {
