--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -32,9 +32,6 @@
 // has lost the store for good by then.
 constexpr Duration kSourceRetryDelay = std::chrono::seconds(8);
 constexpr Duration kMetricsPeriod = std::chrono::seconds(5);
-// A reader must have confirmed the tables in force within this many halves of
-// `max_view_age`, after which this VM has begun to read the store itself.
-constexpr int kMaxHalfViewAges = 3;
 // Period of the check whether a substitute reader is still needed.
 constexpr Duration kSubstituteCheckPeriod = std::chrono::milliseconds(100);
 
@@ -246,7 +243,9 @@
 
 auto FleetTask::HasOldTables() const -> bool {
   const auto age = freshness_.NewestAge(Now());
-  return !age || 2 * *age > kMaxHalfViewAges * config_.max_view_age;
+  // At `max_view_age` this VM begins to read the store itself. The other half
+  // is for the read.
+  return !age || *age > config_.max_view_age + config_.max_view_age / 2;
 }
 
 auto FleetTask::HasOutdatedRoutes() const -> bool {
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -94,7 +94,7 @@
   // Takes over the confirmations whose versions are in force.
   auto ApplyConfirmations() -> void;
   // Returns whether no reader has confirmed the tables in force for so long
-  // that a newer version may have to be in force by now.
+  // that newer ones may be in force elsewhere.
   [[nodiscard]] auto HasOldTables() const -> bool;
   // Returns whether a newer version of the published routes may be in force
   // elsewhere.
