--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -263,16 +263,19 @@
   if (HasOutdatedRoutes() != had_outdated_routes_) {
     PublishSoon();
   }
-  const auto now = Now();
-  const auto age = freshness_.NewestAge(now);
+  const auto age = freshness_.NewestAge(Now());
   const bool is_old = HasOldTables();
-  if (!age || std::exchange(had_old_tables_, is_old) == is_old) {
-    return;
+  if (age && std::exchange(had_old_tables_, is_old) != is_old) {
+    LogTablesAge(*age, is_old);
   }
-  const auto heard = confirmations_.NewestAge(now).value_or(*age);
+}
+
+auto FleetTask::LogTablesAge(Duration age, bool is_old) const -> void {
+  const auto now = Now();
+  const auto heard = confirmations_.NewestAge(now).value_or(age);
   std::string text =
       "the tables in force were " + std::string(is_old ? "last" : "again") +
-      " confirmed as the newest " + std::to_string(ToMilliseconds(*age)) +
+      " confirmed as the newest " + std::to_string(ToMilliseconds(age)) +
       " ms ago; a reader confirmed " + std::to_string(ToMilliseconds(heard)) +
       " ms ago; configuration " + std::to_string(ActiveRevision().value());
   for (const auto& pull : table_dissemination_.PendingPulls(now)) {
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -99,10 +99,12 @@
   // Returns whether a newer version of the published routes may be in force
   // elsewhere.
   [[nodiscard]] auto HasOutdatedRoutes() const -> bool;
-  // Publishes a view if the answer of HasOutdatedRoutes() differs from that in
-  // the last one, and logs if that of HasOldTables() does, with the ages that
-  // tell why.
+  // Publishes a view if HasOutdatedRoutes() differs from the last one, and logs
+  // if HasOldTables() has changed.
   auto UpdateOutdated() -> void;
+  // Logs the age of the tables in force with those of the confirmations and the
+  // pulls, which tell what keeps newer ones from this VM.
+  auto LogTablesAge(Duration age, bool is_old) const -> void;
   // Schedules the check for lost readers.
   auto ScheduleFreshnessCheck() -> void;
   // Announces changes of this VM's member record to the other VMs.
