Count own reads and the knowledge of peers in the age of the tables

What callers saw: 503 instead of 404 from a VM that had just become ready, up to a second long. Cause: has_outdated_routes went by the confirmations of readers only, and a VM that has read the store itself at its start gets its first one with the next heartbeat.

--- a/src/node/control/fleet/fleet_task.cc
+++ b/src/node/control/fleet/fleet_task.cc
@@ -241,8 +241,16 @@
   ScheduleFreshnessCheck();
 }
 
+auto FleetTask::TablesAge() const -> std::optional<Duration> {
+  const auto now = Now();
+  const auto confirmed = freshness_.NewestAge(now);
+  const auto known = table_dissemination_.CurrencyAge(now);
+  return confirmed && known ? std::min(confirmed, known)
+                            : (confirmed ? confirmed : known);
+}
+
 auto FleetTask::HasOldTables() const -> bool {
-  const auto age = freshness_.NewestAge(Now());
+  const auto age = TablesAge();
   // At `max_view_age` this VM begins to read the store itself. The other half
   // is for the read.
   return !age || *age > config_.max_view_age + config_.max_view_age / 2;
@@ -263,7 +271,7 @@
   if (HasOutdatedRoutes() != had_outdated_routes_) {
     PublishSoon();
   }
-  const auto age = freshness_.NewestAge(Now());
+  const auto age = TablesAge();
   const bool is_old = HasOldTables();
   if (age && std::exchange(had_old_tables_, is_old) != is_old) {
     LogTablesAge(*age, is_old);
@@ -780,8 +788,7 @@
            .help = "Time since a reader confirmed the tables in force as the"
                    " newest, 0 if none has.",
            .is_counter = false,
-           .value = ToSeconds(
-               freshness_.NewestAge(Now()).value_or(Duration::zero()))},
+           .value = ToSeconds(TablesAge().value_or(Duration::zero()))},
           {.name = "flamingoyoke_fleet_substitutions_total",
            .help = "Times that this vm read the store for lost readers.",
            .value = static_cast<double>(substitutions_)},
--- a/src/node/control/fleet/fleet_task.h
+++ b/src/node/control/fleet/fleet_task.h
@@ -93,8 +93,12 @@
   auto ShareConfirmation(bool announce) -> void;
   // Takes over the confirmations whose versions are in force.
   auto ApplyConfirmations() -> void;
-  // Returns whether no reader has confirmed the tables in force for so long
-  // that newer ones may be in force elsewhere.
+  // Returns the time since the tables in force were known to be the newest, by
+  // a confirmation, an own read or the knowledge of a peer; nothing if they
+  // never were.
+  [[nodiscard]] auto TablesAge() const -> std::optional<Duration>;
+  // Returns whether that is so long ago that newer tables may be in force
+  // elsewhere.
   [[nodiscard]] auto HasOldTables() const -> bool;
   // Returns whether a newer version of the published routes may be in force
   // elsewhere.
